Lay out the workspace by role

Ruled out: one crate (no enforced arrows between roles); a crate per process (the pure decisions could not be driven by replay).

--- /dev/null
+++ b/crates/celerycleat/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/celerycleat/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder until the daemon is wired.
+fn main() {}
--- /dev/null
+++ b/crates/celerycleatd/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: one instance, put together from its settings.
--- /dev/null
+++ b/crates/cleat-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request path between callers and targets.
--- /dev/null
+++ b/crates/cleat-link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed calls between the instances, over tarpc.
--- /dev/null
+++ b/crates/cleat-log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Write-ahead log and snapshots in the data folder.
--- /dev/null
+++ b/crates/cleat-operate/src/lib.rs
@@ -0,0 +1,1 @@
+//! The interfaces for operators and targets.
--- /dev/null
+++ b/crates/cleat-quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log: a pure consensus core and its thin driver.
--- /dev/null
+++ b/crates/cleat-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! An instance's own settings: read, checked, every fault reported with its JSON path.
--- /dev/null
+++ b/crates/cleat-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and traces.
