Hold the fleet as one replicated state with typed commands

Cause: configuration, targets and idempotency keys must agree on every instance and survive its restart. Ruled out: one store a kind (their versions could disagree); forgetting old keys at the bound (their requests could run twice), so new keys are refused.

--- a/crates/cleat-json/src/fault.rs
+++ b/crates/cleat-json/src/fault.rs
@@ -17,7 +17,7 @@
 
 /// The kinds of fault. Each says how to mend it in its text form.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "fault", rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 #[non_exhaustive]
 pub enum FaultKind {
     /// A required key is absent. Add it.
--- a/crates/cleat-json/tests/object.rs
+++ b/crates/cleat-json/tests/object.rs
@@ -5,7 +5,7 @@
 
 fn read(doc: &serde_json::Value) -> Box<[Fault]> {
     let mut faults = Faults::default();
-    let root = Node::root(doc).object(&mut faults).unwrap();
+    let root = Node::root(doc).object(&mut faults).expect("an object");
     root.only(&["name", "port", "on"], &mut faults);
     root.text("name", &mut faults);
     root.number_or("port", 1, 1..=9, &mut faults);
--- /dev/null
+++ b/crates/cleat-world/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! The fleet configuration: what operators write, checked and typed.
+
+mod defaults;
+mod merge;
+mod parse;
+mod types;
+
+pub use defaults::default_text;
+pub use merge::merge;
+pub use types::{
+    CallerTerms, DataCentre, FleetConfig, Instance, KeyTerms, Pool, Queue, Quota, Retry, Service,
+};
--- /dev/null
+++ b/crates/cleat-world/src/fleet/types.rs
@@ -0,0 +1,146 @@
+//! The typed configuration.
+
+use indexmap::IndexMap;
+
+use super::defaults;
+use crate::{Arena, DataCentreId, InstanceId, PoolId, ServiceId};
+
+/// One accepted or proposed configuration.
+///
+/// Made by [`FleetConfig::parse`] only, so every reference in it resolves.
+#[derive(Debug, Clone, Default)]
+pub struct FleetConfig {
+    /// The data centres.
+    pub data_centres: Arena<DataCentreId, DataCentre>,
+    /// The pools.
+    pub pools: Arena<PoolId, Pool>,
+    /// The instances of all pools. Invariant: each belongs to exactly one.
+    pub instances: Arena<InstanceId, Instance>,
+    /// The services.
+    pub services: Arena<ServiceId, Service>,
+    /// How long an announcement of a target holds, in milliseconds.
+    pub target_lease_ms: u64,
+    /// What is kept of idempotency keys.
+    pub keys: KeyTerms,
+}
+
+/// A data centre, a failure domain.
+#[derive(Debug, Clone)]
+pub struct DataCentre {
+    /// The region it lies in, if stated.
+    pub region: Option<Box<str>>,
+}
+
+/// A pool of instances.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    /// How many of its instances may be away at once, for whatever cause.
+    /// Invariant: at most the number of its instances.
+    pub availability_budget: u64,
+    /// Its instances as configured.
+    pub instances: Vec<InstanceId>,
+}
+
+/// A machine that runs targets.
+#[derive(Debug, Clone)]
+pub struct Instance {
+    /// The pool it is configured in.
+    pub pool: PoolId,
+    /// Where it stands.
+    pub data_centre: DataCentreId,
+    /// Its rack, a failure domain within the data centre.
+    pub rack: Box<str>,
+}
+
+/// A service: what callers name, and how its requests are treated.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// The pool whose instances run its targets.
+    pub pool: PoolId,
+    /// The longest a request may take over all tries, in milliseconds.
+    pub deadline_ms: u64,
+    /// The waiting requests.
+    pub queue: Queue,
+    /// The tries.
+    pub retry: Retry,
+    /// Terms by caller.
+    pub callers: IndexMap<Box<str>, CallerTerms>,
+    /// The largest request body, in bytes.
+    pub body_limit_bytes: u64,
+    /// The largest answer held back until it is whole, in bytes. A larger one
+    /// is passed on as it comes, and a cut shows as a broken connection.
+    pub answer_buffer_bytes: u64,
+}
+
+impl Service {
+    /// The terms of `caller`: its own, else those of `*`, else the defaults.
+    pub fn terms(&self, caller: &str) -> CallerTerms {
+        let own = self.callers.get(caller);
+        let any = || self.callers.get(defaults::ANY_CALLER);
+        own.or_else(any).copied().unwrap_or_default()
+    }
+}
+
+/// Bounds of a service's queue on each instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Queue {
+    /// The most requests that wait at once.
+    pub length: u64,
+}
+
+/// How requests that provably did not run, or may run twice, are tried again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Retry {
+    /// The most tries of one request, the first included.
+    pub tries: u64,
+    /// Retries as a share of successes, in percent.
+    pub budget_percent: u64,
+}
+
+/// What one caller is entitled to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerTerms {
+    /// Its share relative to other callers, at least 1.
+    pub weight: u64,
+    /// Its limit, if any.
+    pub quota: Option<Quota>,
+}
+
+impl Default for CallerTerms {
+    fn default() -> Self {
+        CallerTerms {
+            weight: defaults::CALLER_WEIGHT,
+            quota: None,
+        }
+    }
+}
+
+/// A limit on a caller's requests at each instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Quota {
+    /// Requests a second in the long run.
+    pub per_second: u64,
+    /// Requests at once after a pause.
+    pub burst: u64,
+}
+
+/// What is kept of idempotency keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeyTerms {
+    /// How long a key is remembered after its claim, in seconds.
+    pub keep_s: u64,
+    /// The most keys remembered; at the bound new keys are refused.
+    pub most: u64,
+    /// The largest answer kept with a key, in bytes.
+    pub answer_bytes: u64,
+}
+
+impl Default for KeyTerms {
+    fn default() -> Self {
+        KeyTerms {
+            keep_s: defaults::KEY_KEEP_S,
+            most: defaults::KEY_MOST,
+            answer_bytes: defaults::KEY_ANSWER_BYTES,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-world/src/keys/table.rs
@@ -0,0 +1,117 @@
+//! The table of claimed keys, bounded by age and count.
+
+use indexmap::IndexMap;
+use indexmap::map::Entry;
+use serde::{Deserialize, Serialize};
+
+use super::{Claim, ClaimState, Settlement};
+use crate::{ClaimKey, KeyAnswer, KeyTerms, SettleKey};
+
+/// Every key claimed within the time it is kept.
+///
+/// A key is stored as `service NUL caller NUL key`, so that callers cannot
+/// meet each other's keys. At the bound a new key is refused: forgetting an
+/// old one early could let its request run a second time.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct KeyTable {
+    /// Invariant: in the order of `claimed_at_ms`.
+    claims: IndexMap<Box<str>, Claim>,
+}
+
+impl KeyTable {
+    /// The stored form of a key.
+    pub fn scoped(service: &str, caller: &str, key: &str) -> Box<str> {
+        format!("{service}\0{caller}\0{key}").into()
+    }
+
+    /// Claims a key at `now_ms` or says what became of it.
+    pub fn claim(&mut self, claim: ClaimKey, terms: KeyTerms, now_ms: u64) -> KeyAnswer {
+        self.forget_old(terms, now_ms);
+        let full = self.claims.len() as u64 >= terms.most;
+        match self.claims.entry(claim.key.clone()) {
+            Entry::Occupied(mut entry) => claim_again(entry.get_mut(), claim, now_ms),
+            Entry::Vacant(_) if full => KeyAnswer::Full,
+            Entry::Vacant(entry) => {
+                entry.insert(Claim {
+                    digest: claim.digest,
+                    claimed_at_ms: now_ms,
+                    state: pending(claim, now_ms),
+                });
+                KeyAnswer::Granted
+            }
+        }
+    }
+
+    /// Records what came of a claim, if the claim is the settler's.
+    pub fn settle(&mut self, settle: SettleKey) -> KeyAnswer {
+        let Some(claim) = self.claims.get_mut(&settle.key) else {
+            return KeyAnswer::NotHolder;
+        };
+        let held = matches!(&claim.state, ClaimState::Pending { entry, life, .. }
+            if *entry == settle.entry && *life == settle.life);
+        if !held {
+            return KeyAnswer::NotHolder;
+        }
+        claim.state = ClaimState::Settled(settle.settlement);
+        KeyAnswer::Settled
+    }
+
+    /// Ends the claims of earlier lives of `entry`: nobody knows their outcome.
+    pub fn end_other_lives(&mut self, entry: &str, life: u64) {
+        for claim in self.claims.values_mut() {
+            let lost = matches!(&claim.state, ClaimState::Pending { entry: e, life: l, .. }
+                if **e == *entry && *l != life);
+            if lost {
+                claim.state = ClaimState::Settled(Settlement::Unknown);
+            }
+        }
+    }
+
+    /// How many keys are remembered.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    fn forget_old(&mut self, terms: KeyTerms, now_ms: u64) {
+        let keep_ms = terms.keep_s * 1_000;
+        let young = |claim: &Claim| claim.claimed_at_ms + keep_ms > now_ms;
+        let old = self.claims.values().take_while(|claim| !young(claim));
+        let count = old.count();
+        self.claims.drain(..count);
+    }
+}
+
+fn pending(claim: ClaimKey, now_ms: u64) -> ClaimState {
+    ClaimState::Pending {
+        entry: claim.entry,
+        life: claim.life,
+        until_ms: now_ms + claim.hold_ms,
+    }
+}
+
+fn claim_again(known: &mut Claim, claim: ClaimKey, now_ms: u64) -> KeyAnswer {
+    if known.digest != claim.digest {
+        return KeyAnswer::OtherRequest;
+    }
+    match &known.state {
+        ClaimState::Pending { until_ms, .. } if now_ms >= *until_ms => {
+            known.state = ClaimState::Settled(Settlement::Unknown);
+            KeyAnswer::Unknown
+        }
+        ClaimState::Pending { entry, .. } => KeyAnswer::InProgress {
+            entry: entry.clone(),
+        },
+        ClaimState::Settled(Settlement::Ran(answer)) => KeyAnswer::Ran(answer.clone()),
+        ClaimState::Settled(Settlement::RanAnswerNotKept) => KeyAnswer::RanAnswerNotKept,
+        ClaimState::Settled(Settlement::Unknown) => KeyAnswer::Unknown,
+        ClaimState::Settled(Settlement::NotRun) => {
+            known.state = pending(claim, now_ms);
+            KeyAnswer::Granted
+        }
+    }
+}
--- a/crates/cleat-world/src/lib.rs
+++ b/crates/cleat-world/src/lib.rs
@@ -1,1 +1,26 @@
-//! The objects of the fleet: ids, arenas, configuration, replicated state and its commands.
+//! The objects of the fleet: data centres, pools, instances, services and
+//! targets, the configuration that states them, and the replicated state.
+//!
+//! Everything here is plain data and pure functions. A [`World`] changes only
+//! through [`World::apply`], one [`Command`] at a time, in the order of the
+//! replicated log, so that every instance computes the same state.
+
+mod arena;
+mod command;
+mod fleet;
+mod ids;
+mod keys;
+mod state;
+
+pub use arena::{Arena, Key};
+pub use command::{
+    Announce, Announcement, Answer, ApplyConfig, BeginLife, ClaimKey, Command, CommandBody,
+    ConfigAnswer, DecodeError, KeyAnswer, SettleKey, TargetAnswer, Withdraw, WithdrawCause,
+};
+pub use fleet::{
+    CallerTerms, DataCentre, FleetConfig, Instance, KeyTerms, Pool, Queue, Quota, Retry, Service,
+    default_text, merge,
+};
+pub use ids::{DataCentreId, InstanceId, PoolId, ServiceId};
+pub use keys::{Claim, ClaimState, KeyTable, Settlement, StoredAnswer};
+pub use state::{ConfigRecord, RestoreError, Target, World};
--- /dev/null
+++ b/crates/cleat-world/src/state/world.rs
@@ -0,0 +1,92 @@
+//! The replicated state as a whole.
+
+use std::sync::Arc;
+
+use cleat_json::Fault;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use super::config::{ConfigRecord, ConfigState};
+use super::targets::{Target, Targets};
+use crate::command::to_bytes;
+use crate::{FleetConfig, KeyTable};
+
+/// The state that every instance computes from the replicated log.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct World {
+    /// The latest time any command carried (ms). Invariant: never runs back.
+    pub(super) now_ms: u64,
+    pub(super) config: ConfigState,
+    pub(super) targets: Targets,
+    pub(super) keys: KeyTable,
+    /// The current life of each of the system's own instances.
+    pub(super) lives: IndexMap<Box<str>, u64>,
+}
+
+/// A snapshot that could not be restored.
+#[derive(Debug, Snafu)]
+pub enum RestoreError {
+    /// The bytes are not a snapshot of this format; run the same version on
+    /// all instances.
+    #[snafu(display("the snapshot is not of this version's format"))]
+    NotASnapshot {
+        /// What the codec says.
+        source: postcard::Error,
+    },
+    /// The configuration in the snapshot has faults by this version's rules;
+    /// run the version that accepted it.
+    #[snafu(display("the configuration in the snapshot has {} faults", faults.len()))]
+    ConfigRefused {
+        /// Every fault found.
+        faults: Box<[Fault]>,
+    },
+}
+
+impl World {
+    /// The version of the configuration, 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.config.version
+    }
+
+    /// The configuration.
+    pub fn fleet(&self) -> &Arc<FleetConfig> {
+        &self.config.fleet
+    }
+
+    /// The configuration as accepted, empty at version 0.
+    pub fn config_text(&self) -> &str {
+        &self.config.text
+    }
+
+    /// Accepted versions, the newest last.
+    pub fn history(&self) -> &[ConfigRecord] {
+        &self.config.history
+    }
+
+    /// The targets by name.
+    pub fn targets(&self) -> &IndexMap<Box<str>, Target> {
+        &self.targets.by_name
+    }
+
+    /// The claimed idempotency keys.
+    pub fn keys(&self) -> &KeyTable {
+        &self.keys
+    }
+
+    /// The whole state as bytes.
+    pub fn snapshot(&self) -> Box<[u8]> {
+        to_bytes(self)
+    }
+
+    /// Reads what [`World::snapshot`] wrote.
+    ///
+    /// # Errors
+    /// [`RestoreError`] if the bytes are of another format.
+    pub fn restore(bytes: &[u8]) -> Result<World, RestoreError> {
+        let mut world: World = postcard::from_bytes(bytes).context(NotASnapshotSnafu)?;
+        let reread = world.config.reread();
+        reread.map_err(|faults| RestoreError::ConfigRefused { faults })?;
+        Ok(world)
+    }
+}
