Decide on requests as pure state machines

Cause: the request path needs admission, choice and retry verdicts that can be replayed and measured without sockets. Ruled out: a shared clock or generator inside (no replay); one line for all callers (a burst by one delays everybody); a lower bound on requests per target by waiting only (callers would be held back instead of told when to return).

--- /dev/null
+++ b/crates/cleat-decide/src/request/gate/mod.rs
@@ -0,0 +1,239 @@
+//! Admission to a service on one instance: quotas, a bounded queue that is fair
+//! by caller, and deadlines.
+
+mod flow;
+mod flows;
+mod pace;
+mod queue;
+mod quota;
+mod service_time;
+mod types;
+
+use std::time::Duration;
+
+use cleat_world::Service;
+
+use crate::Protections;
+use crate::spread::Spread;
+use flows::Flows;
+use pace::Pace;
+use queue::FairQueue;
+use service_time::ServiceTime;
+pub use types::{Arrival, Arrived, Released, Ticket};
+
+use super::{Refusal, RefusalReason};
+
+/// A request may not plan to wait so long that less than this part of its time
+/// is left for the work, even if the work usually takes longer.
+const WORK_PART_OF_REMAINING: u32 = 2;
+
+const ONE_FOR_ALL: &str = "*";
+
+/// Decides which requests of a service start, wait or are refused.
+///
+/// Every ticket that arrived ends in exactly one way: it starts (by
+/// [`Arrived::Start`] or [`Released::start`]), it is refused (by
+/// [`Arrived::Refuse`], [`Arrived::Displace`], [`Released::refused`] or
+/// [`Gate::expire`]) or it is cancelled.
+#[derive(Debug)]
+pub struct Gate {
+    terms: Service,
+    flows: Flows,
+    queue: FairQueue,
+    pace: Pace,
+    service_time: ServiceTime,
+    spread: Spread,
+    protections: Protections,
+}
+
+impl Gate {
+    /// The gate of `service` with nothing waiting.
+    pub fn new(service: &Service, seed: u64) -> Gate {
+        Gate::with_protections(service, seed, Protections::ALL)
+    }
+
+    /// A gate with some protections off, for tests of the tests.
+    #[doc(hidden)]
+    pub fn with_protections(service: &Service, seed: u64, protections: Protections) -> Gate {
+        Gate {
+            terms: service.clone(),
+            flows: Flows::default(),
+            queue: FairQueue::default(),
+            pace: Pace::default(),
+            service_time: ServiceTime::default(),
+            spread: Spread::new(seed, protections.spread),
+            protections,
+        }
+    }
+
+    /// Takes over new terms; what waits stays. A shorter queue holds for
+    /// arrivals from now on.
+    pub fn set_terms(&mut self, service: &Service) {
+        self.terms = service.clone();
+        self.flows.set_terms(service, &mut self.queue);
+    }
+
+    /// Decides on a new request while `free_slots` more could start.
+    ///
+    /// It starts only if nothing waits and a slot is free. A slot that appears
+    /// otherwise than by a finished request (a target joined, an ejection
+    /// ended) is announced by [`Gate::slot_freed`] without a service time, once
+    /// for each slot as long as something waits.
+    pub fn arrive(&mut self, arrival: Arrival<'_>, free_slots: u32, now: Duration) -> Arrived {
+        let flow = self
+            .flows
+            .enter(self.payer(&arrival), &self.terms, &self.queue, now);
+        if let Some(wait) = self.over_quota(flow, now) {
+            return Arrived::Refuse(self.refuse_after(RefusalReason::OverQuota, wait, now));
+        }
+        let starts = free_slots > 0 && self.queue.is_empty();
+        if !self.fits(&arrival, flow, starts, now) {
+            return Arrived::Refuse(self.refuse(RefusalReason::CannotFinishInTime, now));
+        }
+        if starts {
+            self.flows.charge_quota(flow, now);
+            return Arrived::Start;
+        }
+        self.wait(&arrival, flow, now)
+    }
+
+    /// A slot is free: its request finished, after `service_time` if it was
+    /// served, or the slot is new. At most one waiting request starts.
+    pub fn slot_freed(&mut self, service_time: Option<Duration>, now: Duration) -> Released {
+        if let Some(service_time) = service_time {
+            self.service_time.record(service_time);
+        }
+        self.pace.released(self.queue.is_empty(), now);
+        let refused = self.expire(now);
+        let start = self.queue.pop(&mut self.flows);
+        if self.queue.is_empty() {
+            self.pace.idle();
+        }
+        Released { start, refused }
+    }
+
+    /// Forgets a waiting request whose caller went away; no effect if it does
+    /// not wait.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.queue.remove(ticket, &mut self.flows);
+        if self.queue.is_empty() {
+            self.pace.idle();
+        }
+    }
+
+    /// Takes out and refuses what can no longer finish in time.
+    pub fn expire(&mut self, now: Duration) -> Vec<(Ticket, Refusal)> {
+        if !self.protections.deadline {
+            return Vec::new();
+        }
+        let horizon = now + self.quick_service_time();
+        let mut refused = Vec::new();
+        while let Some(ticket) = self.queue.due_before(horizon) {
+            self.queue.remove(ticket, &mut self.flows);
+            let refusal = self.refuse(RefusalReason::CannotFinishInTime, now);
+            refused.push((ticket, refusal));
+        }
+        if !refused.is_empty() {
+            self.service_time.doubt();
+        }
+        refused
+    }
+
+    /// When [`Gate::expire`] has something to do next, if anything waits.
+    pub fn next_expiry(&self) -> Option<Duration> {
+        let deadline = self.queue.first_deadline()?;
+        Some(deadline.saturating_sub(self.quick_service_time()))
+    }
+
+    /// The number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// What a quick request takes (one in ten is quicker), zero if unknown.
+    pub fn quick_service_time(&self) -> Duration {
+        self.service_time.quick()
+    }
+
+    /// A refusal for a cause that the entry found, with a spread time to come
+    /// back.
+    pub fn refuse(&mut self, reason: RefusalReason, now: Duration) -> Refusal {
+        let interval = self.pace.interval(now);
+        let backlog = interval.saturating_mul(self.queue.len_u32());
+        self.refuse_after(reason, backlog, now)
+    }
+
+    fn refuse_after(
+        &mut self,
+        reason: RefusalReason,
+        earliest: Duration,
+        now: Duration,
+    ) -> Refusal {
+        let interval = self.pace.interval(now);
+        let retry_after = self.spread.next(earliest, interval, now);
+        Refusal {
+            reason,
+            retry_after,
+        }
+    }
+
+    /// Without fair queueing all callers share one account.
+    fn payer<'a>(&self, arrival: &Arrival<'a>) -> &'a str {
+        if self.protections.fair_queue {
+            arrival.caller
+        } else {
+            ONE_FOR_ALL
+        }
+    }
+
+    fn over_quota(&self, flow: flow::FlowId, now: Duration) -> Option<Duration> {
+        if !self.protections.quota {
+            return None;
+        }
+        self.flows.quota_wait(flow, now)
+    }
+
+    /// Whether the request is likely to finish in time.
+    fn fits(&self, arrival: &Arrival<'_>, flow: flow::FlowId, starts: bool, now: Duration) -> bool {
+        if !self.protections.deadline {
+            return true;
+        }
+        let remaining = arrival.deadline.saturating_sub(now);
+        if remaining.is_zero() || remaining < self.quick_service_time() {
+            return false;
+        }
+        if starts {
+            return true;
+        }
+        let ahead = self.queue.ahead_of(flow, &self.flows);
+        let wait = self.pace.interval(now).saturating_mul(ahead);
+        let usual = self.service_time.slow();
+        let work = usual.min(remaining / WORK_PART_OF_REMAINING);
+        wait + work <= remaining
+    }
+
+    fn wait(&mut self, arrival: &Arrival<'_>, flow: flow::FlowId, now: Duration) -> Arrived {
+        let length = usize::try_from(self.terms.queue.length).unwrap_or(usize::MAX);
+        let full = self.protections.queue_bound && self.queue.len() >= length;
+        let displaced = if full {
+            self.queue.displaceable(flow, &self.flows)
+        } else {
+            None
+        };
+        if full && displaced.is_none() {
+            return Arrived::Refuse(self.refuse(RefusalReason::QueueFull, now));
+        }
+        if self.queue.is_empty() {
+            self.pace.busy(now);
+        }
+        self.flows.charge_quota(flow, now);
+        self.queue
+            .push(arrival.ticket, arrival.deadline, flow, &mut self.flows);
+        let Some(displaced) = displaced else {
+            return Arrived::Wait;
+        };
+        self.queue.remove(displaced, &mut self.flows);
+        let refusal = self.refuse(RefusalReason::Displaced, now);
+        Arrived::Displace { displaced, refusal }
+    }
+}
