--- a/crates/cleat-log/src/error.rs
+++ b/crates/cleat-log/src/error.rs
@@ -159,4 +159,21 @@
     /// this is a fault in the caller.
     #[snafu(display("a vote once given would be taken back"))]
     VoteReverts,
+    /// The journal's own files could not be read back. The journal takes no more changes:
+    /// stop the instance and start again, which says whether the member must be replaced.
+    #[snafu(context(false), display("reading the journal back: {source}"))]
+    Unreadable {
+        /// What was found.
+        source: OpenError,
+    },
+}
+
+impl WriteError {
+    /// Whether what the disk holds is unknown after this error.
+    pub(crate) fn is_fatal(&self) -> bool {
+        matches!(
+            self,
+            WriteError::Failed { .. } | WriteError::Unreadable { .. } | WriteError::Poisoned
+        )
+    }
 }
