--- /dev/null
+++ b/crates/cleat-quorum/src/core/config.rs
@@ -0,0 +1,127 @@
+//! What a core is told at construction.
+
+use super::timing::Timing;
+use super::types::MemberId;
+
+/// A member as the settings list it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfiguredMember {
+    /// The key of the member.
+    pub id: MemberId,
+    /// Whether the settings make it a voter.
+    pub votes: bool,
+}
+
+/// Bounds on memory and message size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The largest command in bytes.
+    pub max_command: usize,
+    /// About how many bytes of entries one message carries; at least one entry.
+    pub max_batch: usize,
+    /// The largest snapshot of the state machine in bytes; it travels in one message.
+    pub max_snapshot: usize,
+    /// How many applied entries make a new snapshot due.
+    pub compact_after: u64,
+    /// How many entries before a snapshot stay in memory for slow members.
+    pub keep_entries: u64,
+    /// How many uncommitted entries a leader holds before it takes no more.
+    pub max_uncommitted: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            max_command: 1024 * 1024,
+            max_batch: 256 * 1024,
+            max_snapshot: 16 * 1024 * 1024,
+            compact_after: 4096,
+            keep_entries: 1024,
+            max_uncommitted: 4096,
+        }
+    }
+}
+
+/// Switches that turn single protections off, so that a test can show that
+/// its check notices. Never changed outside tests.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Protections {
+    /// Votes and acknowledgements leave only after the sync they rest on.
+    pub sync_before_send: bool,
+    /// The right to vote is bound to the identity of the disk.
+    pub identity_check: bool,
+    /// Votes are refused while a leader is live.
+    pub stickiness: bool,
+    /// A lease runs from the member's own send time.
+    pub lease_from_send: bool,
+    /// A leader counts its own entries only after its sync.
+    pub own_sync_counts: bool,
+    /// A lapsed lease resumes only once the commit index at renewal is applied.
+    pub renewal_gate: bool,
+    /// Only entries of the leader's own term are committed by counting.
+    pub own_term_commit: bool,
+    /// Members vote only for a candidate whose log is up to date.
+    pub log_check: bool,
+    /// A new leader waits for the leases that its predecessor granted.
+    pub inherited_leases: bool,
+}
+
+impl Default for Protections {
+    fn default() -> Self {
+        Protections {
+            sync_before_send: true,
+            identity_check: true,
+            stickiness: true,
+            lease_from_send: true,
+            own_sync_counts: true,
+            renewal_gate: true,
+            own_term_commit: true,
+            log_check: true,
+            inherited_leases: true,
+        }
+    }
+}
+
+/// The configuration of one core.
+#[derive(Clone, Debug)]
+pub struct CoreConfig {
+    /// This member.
+    pub id: MemberId,
+    /// All members by the settings, this one included.
+    pub members: Vec<ConfiguredMember>,
+    /// Time-outs and leases.
+    pub timing: Timing,
+    /// Bounds on memory and message size.
+    pub limits: Limits,
+    /// Where this core's random numbers start; must differ from life to life.
+    pub seed: u64,
+    /// Test-only switches.
+    #[doc(hidden)]
+    pub protections: Protections,
+}
+
+impl CoreConfig {
+    /// A configuration with the default timing and limits.
+    pub fn new(id: MemberId, members: Vec<ConfiguredMember>, seed: u64) -> Self {
+        CoreConfig {
+            id,
+            members,
+            timing: Timing::default(),
+            limits: Limits::default(),
+            seed,
+            protections: Protections::default(),
+        }
+    }
+
+    pub(crate) fn voters(&self) -> impl Iterator<Item = MemberId> + '_ {
+        self.members
+            .iter()
+            .filter(|member| member.votes)
+            .map(|member| member.id)
+    }
+
+    pub(crate) fn votes(&self, id: MemberId) -> bool {
+        self.voters().any(|voter| voter == id)
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/core/durability.rs
@@ -0,0 +1,109 @@
+//! What waits for the disk.
+
+use std::collections::VecDeque;
+
+use super::event::Ticket;
+use super::message::Message;
+use super::types::{LogIndex, MemberId, Term};
+
+/// Something that must not happen before a sync.
+#[derive(Debug)]
+pub(crate) enum Deferred {
+    /// A message that states what is on the disk.
+    Send(Message),
+    /// The acknowledgement of entries that agree with the leader's up to `verified`.
+    Ack {
+        to: MemberId,
+        round: u64,
+        term: Term,
+        verified: LogIndex,
+    },
+    /// The candidate's vote for itself.
+    OwnVote { term: Term },
+}
+
+/// The state of the disk as far as the core knows.
+#[derive(Debug)]
+pub(crate) struct Durability {
+    /// Whether this step wrote something.
+    pub(crate) dirty: bool,
+    issued: Ticket,
+    synced: Ticket,
+    /// The sync that covers the latest term and vote.
+    hard_state: Ticket,
+    /// The last entry on the disk. Invariant: never beyond the log.
+    durable_index: LogIndex,
+    /// The last entry at the time of each sync under way.
+    syncing: VecDeque<(Ticket, LogIndex)>,
+    deferred: VecDeque<(Ticket, Deferred)>,
+}
+
+impl Durability {
+    pub(crate) fn new(durable_index: LogIndex) -> Durability {
+        Durability {
+            dirty: false,
+            issued: Ticket(0),
+            synced: Ticket(0),
+            hard_state: Ticket(0),
+            durable_index,
+            syncing: VecDeque::new(),
+            deferred: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn durable_index(&self) -> LogIndex {
+        self.durable_index
+    }
+
+    /// Whether all writes so far are on the disk.
+    pub(crate) fn is_clean(&self) -> bool {
+        !self.dirty && self.issued == self.synced
+    }
+
+    /// Notes that this step wrote the term and vote.
+    pub(crate) fn hard_state_written(&mut self) {
+        self.hard_state = Ticket(self.issued.0 + 1);
+    }
+
+    /// Whether the latest term and vote are on the disk.
+    pub(crate) fn hard_state_synced(&self) -> bool {
+        self.hard_state <= self.synced
+    }
+
+    pub(crate) fn defer(&mut self, deferred: Deferred) {
+        let next = Ticket(self.issued.0 + u64::from(self.dirty));
+        self.deferred.push_back((next, deferred));
+    }
+
+    /// Ends a step that wrote: gives the sync to ask for.
+    pub(crate) fn seal(&mut self, last_index: LogIndex) -> Option<Ticket> {
+        if !std::mem::take(&mut self.dirty) {
+            return None;
+        }
+        self.issued.0 += 1;
+        self.syncing.push_back((self.issued, last_index));
+        Some(self.issued)
+    }
+
+    /// Entries from `index` on were dropped: no sync covers them.
+    pub(crate) fn truncate_from(&mut self, index: LogIndex) {
+        let last = index.saturating_sub(1);
+        self.durable_index = self.durable_index.min(last);
+        for (_, at) in &mut self.syncing {
+            *at = (*at).min(last);
+        }
+    }
+
+    /// Notes a finished sync and gives what waited for it.
+    pub(crate) fn synced(&mut self, ticket: Ticket) -> Vec<Deferred> {
+        self.synced = self.synced.max(ticket);
+        while let Some((_, at)) = self.syncing.pop_front_if(|(t, _)| *t <= ticket) {
+            self.durable_index = self.durable_index.max(at);
+        }
+        let mut ready = Vec::new();
+        while let Some((_, deferred)) = self.deferred.pop_front_if(|(t, _)| *t <= ticket) {
+            ready.push(deferred);
+        }
+        ready
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/core/follower.rs
@@ -0,0 +1,191 @@
+//! How a member takes entries, snapshots and its lease from the leader.
+
+use std::sync::Arc;
+
+use super::durability::Deferred;
+use super::event::Write;
+use super::message::{Ack, AckOutcome, Append, Body, Install, Stamp};
+use super::types::{Entry, Image, LogIndex, MemberId, Term};
+use super::{Core, State};
+
+impl Core {
+    pub(super) fn on_append(&mut self, from: MemberId, term: Term, append: Append) {
+        if !self.follow(from, term) {
+            return;
+        }
+        self.take_lease(append.echo, append.commit);
+        let last_sent = append.prev_index + append.entries.len() as u64;
+        if !self.agrees_at(append.prev_index, append.prev_term) {
+            let hint = self.mismatch_hint(append.prev_index);
+            return self.ack(from, append.round, AckOutcome::Mismatch(hint));
+        }
+        self.merge(append.entries);
+        self.commit_to(append.commit.min(last_sent));
+        // A committed prefix agrees with every later leader's log.
+        let verified = last_sent.max(self.commit);
+        self.acknowledge(from, append.round, verified);
+    }
+
+    pub(super) fn on_install(&mut self, from: MemberId, term: Term, install: Install) {
+        if !self.follow(from, term) {
+            return;
+        }
+        let index = install.image.index;
+        if !self.is_formed() || index > self.commit {
+            self.take_image(install.image);
+        }
+        self.take_lease(install.echo, install.commit);
+        self.acknowledge(from, install.round, index.max(self.commit));
+    }
+
+    /// Accepts the sender as the leader of its term, or tells it that its
+    /// term is over.
+    fn follow(&mut self, from: MemberId, term: Term) -> bool {
+        if term < self.hard_state.term {
+            let last = self.log.last_index();
+            self.acknowledge_term(from, AckOutcome::Mismatch(last));
+            return false;
+        }
+        self.observe_term(term);
+        if matches!(self.state, State::Leader(_)) {
+            return false;
+        }
+        self.state = State::Follower;
+        self.leader = Some(from);
+        self.sticky_until = self.now + self.config.timing.election_min;
+        self.reset_election();
+        true
+    }
+
+    /// A lease counts from the send that the leader echoes, so a delayed
+    /// message can't make it longer.
+    fn take_lease(&mut self, echo: Option<Stamp>, commit: LogIndex) {
+        let Some(sent_at) = echo.and_then(|echo| self.lease.sent_at(echo)) else {
+            return;
+        };
+        let protections = self.config.protections;
+        let start = if protections.lease_from_send {
+            sent_at
+        } else {
+            self.now
+        };
+        let until = start + self.config.timing.lease;
+        self.lease
+            .extend(until, commit, self.now, protections.renewal_gate);
+    }
+
+    fn agrees_at(&self, index: LogIndex, term: Term) -> bool {
+        index <= self.commit || self.log.term_at(index) == Some(term)
+    }
+
+    fn mismatch_hint(&self, index: LogIndex) -> LogIndex {
+        if index > self.log.last_index() {
+            return self.log.last_index();
+        }
+        let before_term = self.log.first_of_term(index).saturating_sub(1);
+        before_term.max(self.commit)
+    }
+
+    /// Adds the entries that are missing; drops those that differ.
+    fn merge(&mut self, entries: Vec<Entry>) {
+        let mut missing = Vec::new();
+        for entry in entries {
+            if entry.index <= self.commit {
+                continue;
+            }
+            match self.log.term_at(entry.index) {
+                Some(term) if term == entry.term => continue,
+                Some(_) => self.truncate_from(entry.index),
+                None => {}
+            }
+            self.log.push(entry.clone());
+            missing.push(entry);
+        }
+        if !missing.is_empty() {
+            self.write(Write::Append(missing));
+        }
+    }
+
+    fn truncate_from(&mut self, index: LogIndex) {
+        self.log.truncate_from(index);
+        self.durability.truncate_from(index);
+        self.write(Write::TruncateFrom(index));
+    }
+
+    fn take_image(&mut self, image: Image) {
+        let image = Arc::new(image);
+        let formed = self.is_formed();
+        let continues = formed && self.log.term_at(image.index) == Some(image.term);
+        // The entries that differ go first: a crash in between must not leave
+        // them behind the snapshot.
+        if !continues && self.log.last_index() >= image.index && formed {
+            self.truncate_from(image.index.max(1));
+        }
+        self.write(Write::Snapshot(image.clone()));
+        self.log.install(image.clone());
+        self.commit = image.index;
+        self.applied = image.index;
+        self.snapshot_asked = false;
+        self.restore_image();
+    }
+
+    pub(super) fn commit_to(&mut self, index: LogIndex) {
+        if index > self.commit {
+            self.commit = index;
+            self.apply_committed();
+        }
+    }
+
+    /// Acknowledges once what is acknowledged is on the disk. A heartbeat
+    /// need not wait for entries that are still being synced.
+    fn acknowledge(&mut self, to: MemberId, round: u64, verified: LogIndex) {
+        let pending = self.durability.dirty || !self.durability.hard_state_synced();
+        if pending && self.config.protections.sync_before_send {
+            let term = self.hard_state.term;
+            self.durability.defer(Deferred::Ack {
+                to,
+                round,
+                term,
+                verified,
+            });
+        } else {
+            self.ack_verified(to, round, verified);
+        }
+    }
+
+    pub(super) fn ack_verified(&mut self, to: MemberId, round: u64, verified: LogIndex) {
+        let durable = if self.config.protections.sync_before_send {
+            self.durability.durable_index()
+        } else {
+            self.log.last_index()
+        };
+        self.ack(to, round, AckOutcome::Matched(verified.min(durable)));
+    }
+
+    /// Tells the leader of an earlier term that a later one began.
+    fn acknowledge_term(&mut self, to: MemberId, outcome: AckOutcome) {
+        const NO_ROUND: u64 = 0;
+        self.ack(to, NO_ROUND, outcome);
+    }
+
+    pub(super) fn ack(&mut self, to: MemberId, round: u64, outcome: AckOutcome) {
+        let stamp = self.lease.stamp(self.now, self.config.timing.lease);
+        let ack = Ack {
+            round,
+            identity: self.identity,
+            stamp,
+            applied: self.applied,
+            outcome,
+        };
+        let message = self.message(to, self.hard_state.term, Body::Ack(ack));
+        // The term that the message states must survive a restart.
+        if self.durability.hard_state_synced() {
+            self.effects.push(super::Effect::Send(message));
+        } else {
+            self.send_durable(message);
+        }
+        if let Some(stamp) = self.lease.released() {
+            self.send(to, Body::Release(stamp));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/core/log.rs
@@ -0,0 +1,183 @@
+//! The entries in memory, the latest snapshot, and the memberships in both.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use super::types::{Entry, Image, LogIndex, Membership, Payload, Term};
+
+/// The log as this member holds it in memory.
+#[derive(Debug)]
+pub(crate) struct Log {
+    /// The latest snapshot; none while the member belongs to no group.
+    image: Option<Arc<Image>>,
+    /// The position and term just before the first entry.
+    ///
+    /// Invariant: `base_index <= image.index`, and both are committed.
+    base_index: LogIndex,
+    base_term: Term,
+    /// Invariant: consecutive from `base_index + 1`.
+    entries: VecDeque<Entry>,
+    /// Memberships by the entry that made them, ascending.
+    ///
+    /// Invariant: the first is not after the snapshot.
+    memberships: Vec<(LogIndex, Arc<Membership>)>,
+}
+
+impl Log {
+    pub(crate) fn new(image: Option<Arc<Image>>, entries: Vec<Entry>) -> Log {
+        let mut log = Log {
+            image: None,
+            base_index: 0,
+            base_term: 0,
+            entries: VecDeque::new(),
+            memberships: vec![(0, Arc::default())],
+        };
+        if let Some(image) = image {
+            log.install(image);
+        }
+        for entry in entries {
+            if entry.index == log.last_index() + 1 {
+                log.push(entry);
+            }
+        }
+        log
+    }
+
+    pub(crate) fn image(&self) -> Option<&Arc<Image>> {
+        self.image.as_ref()
+    }
+
+    pub(crate) fn image_index(&self) -> LogIndex {
+        self.image.as_ref().map_or(0, |image| image.index)
+    }
+
+    pub(crate) fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        self.entries
+            .back()
+            .map_or(self.base_index, |entry| entry.index)
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries
+            .back()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    pub(crate) fn entry(&self, index: LogIndex) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    /// The first position of the run of entries with the term of `index`.
+    pub(crate) fn first_of_term(&self, index: LogIndex) -> LogIndex {
+        let term = self.term_at(index);
+        let mut first = index;
+        while first > self.base_index + 1 && self.term_at(first - 1) == term {
+            first -= 1;
+        }
+        first
+    }
+
+    /// Entries from `from` on, up to about `max_bytes` but at least one.
+    pub(crate) fn batch(&self, from: LogIndex, max_bytes: usize) -> Vec<Entry> {
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        let mut index = from;
+        while let Some(entry) = self.entry(index) {
+            bytes += entry_size(entry);
+            if bytes > max_bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(entry.clone());
+            index += 1;
+        }
+        batch
+    }
+
+    /// The latest membership, committed or not.
+    pub(crate) fn membership(&self) -> &Arc<Membership> {
+        &self.memberships[self.memberships.len() - 1].1
+    }
+
+    /// The entry that made the latest membership.
+    pub(crate) fn membership_index(&self) -> LogIndex {
+        self.memberships[self.memberships.len() - 1].0
+    }
+
+    /// The membership after the given entry.
+    pub(crate) fn membership_at(&self, index: LogIndex) -> Arc<Membership> {
+        let found = self.memberships.iter().rev().find(|(at, _)| *at <= index);
+        found.map_or_else(Arc::default, |(_, membership)| membership.clone())
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        if let Payload::Membership(membership) = &entry.payload {
+            self.memberships
+                .push((entry.index, Arc::new(membership.clone())));
+        }
+        self.entries.push_back(entry);
+    }
+
+    pub(crate) fn truncate_from(&mut self, index: LogIndex) {
+        while self.last_index() >= index && !self.entries.is_empty() {
+            self.entries.pop_back();
+        }
+        let first_kept = 1;
+        while self.memberships.len() > first_kept && self.membership_index() >= index {
+            self.memberships.pop();
+        }
+    }
+
+    /// Takes a snapshot of the leader's: the entries after it stay only if
+    /// they continue it.
+    pub(crate) fn install(&mut self, image: Arc<Image>) {
+        if self.term_at(image.index) == Some(image.term) && self.image.is_some() {
+            self.compact(image, 0);
+            return;
+        }
+        self.entries.clear();
+        self.base_index = image.index;
+        self.base_term = image.term;
+        self.memberships = vec![(image.index, Arc::new(image.membership.clone()))];
+        self.image = Some(image);
+    }
+
+    /// Replaces the snapshot by a later one and drops the entries that it
+    /// covers, but for the last `keep`.
+    pub(crate) fn compact(&mut self, image: Arc<Image>, keep: u64) {
+        let base = image.index.saturating_sub(keep).max(self.base_index);
+        if let Some(term) = self.term_at(base) {
+            let dropped = usize::try_from(base - self.base_index).unwrap_or(usize::MAX);
+            self.entries.drain(..dropped.min(self.entries.len()));
+            self.base_index = base;
+            self.base_term = term;
+        }
+        let before = self
+            .memberships
+            .iter()
+            .filter(|(at, _)| *at <= base)
+            .count();
+        self.memberships.drain(..before.saturating_sub(1));
+        self.image = Some(image);
+    }
+}
+
+fn entry_size(entry: &Entry) -> usize {
+    const OVERHEAD: usize = 16;
+    let payload = match &entry.payload {
+        Payload::Command(command) => command.len(),
+        Payload::Noop | Payload::Membership(_) => 0,
+    };
+    OVERHEAD + payload
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/core/message.rs
@@ -0,0 +1,143 @@
+//! What members say to each other; encoded with `postcard`.
+
+use serde::{Deserialize, Serialize};
+
+use super::types::{Entry, Image, LogIndex, MemberId, Term};
+
+/// One message between two members. It may be lost, duplicated, delayed or
+/// reordered without harm.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// The group of the sender; 0 while it belongs to none.
+    pub group: u32,
+    /// The sender.
+    pub from: MemberId,
+    /// The receiver.
+    pub to: MemberId,
+    /// The sender's term, or the term that a pre-vote is about.
+    pub term: Term,
+    /// What is said.
+    pub body: Body,
+}
+
+/// A member's stamp on its acknowledgements: which life, and which send in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Drawn at random when the process started.
+    pub life: u32,
+    /// Counts the sends of this life from 1.
+    pub seq: u32,
+}
+
+/// The kinds of message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// A heartbeat, with or without entries.
+    Append(Append),
+    /// The answer to [`Append`] and [`Install`].
+    Ack(Ack),
+    /// A candidate asks for a vote or a pre-vote.
+    VoteRequest(VoteRequest),
+    /// The answer to [`VoteRequest`].
+    VoteReply(VoteReply),
+    /// A snapshot for a member whose entries are no longer in the log.
+    Install(Install),
+    /// An unformed voter asks the others who they are, or one of them answers.
+    Hello(Hello),
+    /// The first state of the group.
+    Genesis(Image),
+    /// A member gives up its lease before a graceful stop.
+    Release(Stamp),
+}
+
+/// The entries after `prev_index`, the commit index, and the lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Append {
+    /// Counts the leader's sends; the acknowledgement repeats it.
+    pub round: u64,
+    /// The entry before the first of `entries`.
+    pub prev_index: LogIndex,
+    /// The term of that entry.
+    pub prev_term: Term,
+    /// The leader's commit index.
+    pub commit: LogIndex,
+    /// The highest stamp the leader got from the receiver; renews its lease.
+    pub echo: Option<Stamp>,
+    /// Consecutive entries; empty for a plain heartbeat.
+    pub entries: Vec<Entry>,
+}
+
+/// What a member holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ack {
+    /// The round that is acknowledged.
+    pub round: u64,
+    /// The identity of the sender's disk.
+    pub identity: u64,
+    /// The sender's stamp for its lease.
+    pub stamp: Stamp,
+    /// The last entry that the sender applied.
+    pub applied: LogIndex,
+    /// Whether its log agrees with the leader's.
+    pub outcome: AckOutcome,
+}
+
+/// Whether the receiver's log agrees with the leader's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AckOutcome {
+    /// All entries up to this one agree and are synced.
+    Matched(LogIndex),
+    /// The entry before the sent ones is missing or differs; try from here.
+    Mismatch(LogIndex),
+    /// The sender belongs to no group yet and needs a snapshot.
+    Empty,
+}
+
+/// A request for a vote.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoteRequest {
+    /// Only asks whether a vote would be granted; binds nobody.
+    pub pre: bool,
+    /// The candidate's last entry.
+    pub last_index: LogIndex,
+    /// The term of that entry.
+    pub last_term: Term,
+    /// The receiver's identity in the candidate's membership.
+    pub voter_identity: u64,
+}
+
+/// The answer to a request for a vote.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoteReply {
+    /// Whether it answers a pre-vote.
+    pub pre: bool,
+    /// Whether the vote is granted; the message's term is then the candidate's.
+    pub granted: bool,
+    /// The identity of the voter's disk.
+    pub identity: u64,
+}
+
+/// A whole snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Install {
+    /// As in [`Append`].
+    pub round: u64,
+    /// As in [`Append`].
+    pub commit: LogIndex,
+    /// As in [`Append`].
+    pub echo: Option<Stamp>,
+    /// The state up to some committed entry.
+    pub image: Image,
+}
+
+/// Who a voter is, for the formation of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The identity of the sender's disk.
+    pub identity: u64,
+    /// Whether the sender belongs to no group yet.
+    pub fresh: bool,
+    /// The identity that asked. An answer to an earlier identity is void, so
+    /// a delayed answer can't found a second group.
+    pub answering: Option<u64>,
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/core/mod.rs
@@ -0,0 +1,413 @@
+//! The pure consensus core: `(state, event, now) -> effects`.
+//!
+//! No clock, socket, thread or global random source is used inside. `now` is
+//! a monotonic duration since any fixed point of this member's life.
+
+mod config;
+mod durability;
+mod election;
+mod event;
+mod follower;
+mod formation;
+mod leader;
+mod lease;
+mod log;
+mod membership;
+mod message;
+mod progress;
+mod status;
+mod timing;
+mod types;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+pub use config::{ConfiguredMember, CoreConfig, Limits, Protections};
+pub use event::{Effect, Event, Refusal, Ticket, Write};
+pub use message::{
+    Ack, AckOutcome, Append, Body, Hello, Install, Message, Stamp, VoteReply, VoteRequest,
+};
+pub use status::{CoreStatus, MemberStatus, Role};
+pub use timing::Timing;
+pub use types::{Entry, HardState, Image, LogIndex, Member, MemberId, Membership, Payload, Term};
+
+use durability::{Deferred, Durability};
+use formation::Formation;
+use lease::MemberLease;
+use log::Log;
+use progress::Leadership;
+
+/// What a member finds on its disk when it starts.
+#[derive(Clone, Debug)]
+pub struct Recovery {
+    /// The identity of the disk; drawn anew for a member without one.
+    pub identity: u64,
+    /// The term and vote.
+    pub hard_state: HardState,
+    /// The latest snapshot; none while the member belongs to no group.
+    pub image: Option<Arc<Image>>,
+    /// The entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+/// The part that a member plays in the current term.
+#[derive(Debug)]
+enum State {
+    Follower,
+    PreCandidate {
+        votes: BTreeSet<MemberId>,
+    },
+    Candidate {
+        votes: BTreeSet<MemberId>,
+        asked_at: Duration,
+    },
+    Leader(Box<Leadership>),
+}
+
+/// One member's consensus state.
+#[derive(Debug)]
+pub struct Core {
+    config: CoreConfig,
+    identity: u64,
+    rng: StdRng,
+    now: Duration,
+    hard_state: HardState,
+    /// The group, or 0 while the member belongs to none.
+    group: u32,
+    log: Log,
+    commit: LogIndex,
+    /// Invariant: `applied == commit` after each step.
+    applied: LogIndex,
+    state: State,
+    leader: Option<MemberId>,
+    /// Until when votes are refused because a leader may be live.
+    ///
+    /// Invariant: at least `election_min` after the start of this life, since
+    /// the member can't know which leader it heard before.
+    sticky_until: Duration,
+    election_due: Duration,
+    durability: Durability,
+    lease: MemberLease,
+    formation: Formation,
+    snapshot_asked: bool,
+    effects: Vec<Effect>,
+}
+
+impl Core {
+    /// Starts a member from what its disk holds.
+    pub fn new(config: CoreConfig, recovery: Recovery, now: Duration) -> Core {
+        let mut rng = StdRng::seed_from_u64(config.seed);
+        let life = rng.random();
+        let log = Log::new(recovery.image, recovery.entries);
+        let commit = log.image_index();
+        let sticky_until = now + config.timing.election_min;
+        let mut core = Core {
+            identity: recovery.identity,
+            rng,
+            now,
+            hard_state: recovery.hard_state,
+            group: log.image().map_or(0, |image| image.group),
+            durability: Durability::new(log.last_index()),
+            log,
+            commit,
+            applied: commit,
+            state: State::Follower,
+            leader: None,
+            sticky_until,
+            election_due: now,
+            lease: MemberLease::new(life),
+            formation: Formation::new(now),
+            snapshot_asked: false,
+            effects: Vec::new(),
+            config,
+        };
+        core.restore_image();
+        if !core.is_sole_voter() {
+            core.reset_election();
+        }
+        core
+    }
+
+    /// Takes one event and gives what has to be done, in order.
+    pub fn step(&mut self, event: Event, now: Duration) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Tick => self.tick(),
+            Event::Receive(message) => self.receive(message),
+            Event::Synced(ticket) => self.synced(ticket),
+            Event::Propose(commands) => self.propose(&commands),
+            Event::Read(id) => self.read(id),
+            Event::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
+            Event::Remove(id) => self.remove(id),
+            Event::Release => self.release(),
+        }
+        self.renew_own_lease();
+        if let Some(ticket) = self.durability.seal(self.log.last_index()) {
+            self.effects.push(Effect::Sync(ticket));
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When the next [`Event::Tick`] is due.
+    pub fn deadline(&self) -> Duration {
+        match &self.state {
+            State::Leader(leadership) => leadership.heartbeat_due,
+            _ if !self.is_formed() => self.formation.hello_due(),
+            _ => self.election_due,
+        }
+    }
+
+    fn tick(&mut self) {
+        if matches!(self.state, State::Leader(_)) {
+            self.tick_leader();
+        } else if !self.is_formed() {
+            self.tick_unformed();
+        } else if self.now >= self.election_due {
+            self.start_pre_vote();
+        }
+    }
+
+    fn receive(&mut self, message: Message) {
+        if message.to != self.config.id {
+            return;
+        }
+        let Message {
+            group,
+            from,
+            term,
+            body,
+            ..
+        } = message;
+        match body {
+            Body::Hello(hello) => return self.on_hello(from, hello),
+            Body::Genesis(image) => return self.on_genesis(from, image),
+            _ => {}
+        }
+        if !self.is_formed() {
+            self.receive_unformed(group, from, term, body);
+        } else if group == self.group {
+            self.receive_formed(from, term, body);
+        }
+    }
+
+    fn receive_formed(&mut self, from: MemberId, term: Term, body: Body) {
+        match body {
+            Body::Append(append) => self.on_append(from, term, append),
+            Body::Install(install) => self.on_install(from, term, install),
+            Body::Ack(ack) => self.on_ack(from, term, &ack),
+            Body::VoteRequest(req) => self.on_vote_request(from, term, &req),
+            Body::VoteReply(reply) => self.on_vote_reply(from, term, &reply),
+            Body::Release(stamp) => self.on_release(from, stamp),
+            Body::Hello(_) | Body::Genesis(_) => {}
+        }
+    }
+
+    /// A member of no group only learns from a leader; it never votes.
+    fn receive_unformed(&mut self, group: u32, from: MemberId, term: Term, body: Body) {
+        if term < self.hard_state.term {
+            return;
+        }
+        match body {
+            Body::Append(append) => {
+                self.group = group;
+                self.observe_term(term);
+                self.ack(from, append.round, AckOutcome::Empty);
+            }
+            Body::Install(install) if install.image.group == group => {
+                self.group = group;
+                self.on_install(from, term, install);
+            }
+            Body::VoteRequest(req) if !self.config.protections.identity_check => {
+                self.group = group;
+                self.on_vote_request(from, term, &req);
+            }
+            _ => {}
+        }
+    }
+
+    fn synced(&mut self, ticket: Ticket) {
+        for deferred in self.durability.synced(ticket) {
+            match deferred {
+                Deferred::Send(message) => self.effects.push(Effect::Send(message)),
+                Deferred::Ack {
+                    to,
+                    round,
+                    term,
+                    verified,
+                } => {
+                    if term == self.hard_state.term {
+                        self.ack_verified(to, round, verified);
+                    }
+                }
+                Deferred::OwnVote { term } => {
+                    if term == self.hard_state.term {
+                        self.count_vote(self.config.id);
+                    }
+                }
+            }
+        }
+        self.advance_commit();
+    }
+
+    /// Takes over a higher term; votes and roles of earlier ones are void.
+    fn observe_term(&mut self, term: Term) {
+        if term > self.hard_state.term {
+            self.set_hard_state(HardState {
+                term,
+                voted_for: None,
+            });
+            self.become_follower();
+        }
+    }
+
+    fn set_hard_state(&mut self, hard_state: HardState) {
+        self.hard_state = hard_state;
+        self.durability.hard_state_written();
+        self.write(Write::HardState(hard_state));
+    }
+
+    fn become_follower(&mut self) {
+        let state = std::mem::replace(&mut self.state, State::Follower);
+        self.leader = None;
+        self.reset_election();
+        if let State::Leader(leadership) = state {
+            let refusal = Refusal::NotLeader { leader: None };
+            for read in leadership.reads {
+                self.effects.push(Effect::ReadRefused {
+                    id: read.id,
+                    refusal,
+                });
+            }
+            self.effects.push(Effect::LostLeadership);
+        }
+    }
+
+    fn reset_election(&mut self) {
+        let Timing {
+            election_min,
+            election_max,
+            ..
+        } = self.config.timing;
+        let wait = self
+            .rng
+            .random_range(election_min..=election_max.max(election_min));
+        self.election_due = self.now + wait;
+    }
+
+    fn write(&mut self, write: Write) {
+        self.durability.dirty = true;
+        self.effects.push(Effect::Write(write));
+    }
+
+    fn send(&mut self, to: MemberId, body: Body) {
+        let message = self.message(to, self.hard_state.term, body);
+        self.effects.push(Effect::Send(message));
+    }
+
+    /// Sends once everything written so far is on the disk.
+    fn send_durable(&mut self, message: Message) {
+        if self.durability.is_clean() || !self.config.protections.sync_before_send {
+            self.effects.push(Effect::Send(message));
+        } else {
+            self.durability.defer(Deferred::Send(message));
+        }
+    }
+
+    fn message(&self, to: MemberId, term: Term, body: Body) -> Message {
+        Message {
+            group: self.group,
+            from: self.config.id,
+            to,
+            term,
+            body,
+        }
+    }
+
+    /// Whether this member belongs to a group.
+    fn is_formed(&self) -> bool {
+        self.log.image().is_some()
+    }
+
+    fn is_voter(&self) -> bool {
+        let membership = self.log.membership();
+        if !self.config.protections.identity_check {
+            return membership
+                .get(self.config.id)
+                .is_some_and(|member| member.votes);
+        }
+        membership.is_voter(self.config.id, self.identity)
+    }
+
+    /// A group of one elects itself at once: no other leader can be live.
+    fn is_sole_voter(&self) -> bool {
+        if self.is_formed() {
+            return self.is_voter() && self.log.membership().voters().count() == 1;
+        }
+        self.config.votes(self.config.id) && self.config.voters().count() == 1
+    }
+
+    /// Applies what is committed.
+    fn apply_committed(&mut self) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.entry(self.applied + 1) else {
+                return;
+            };
+            self.applied += 1;
+            if let Payload::Command(command) = &entry.payload {
+                let effect = Effect::Apply {
+                    index: entry.index,
+                    term: entry.term,
+                    command: command.clone(),
+                };
+                self.effects.push(effect);
+            }
+        }
+        self.ask_for_snapshot();
+    }
+
+    fn ask_for_snapshot(&mut self) {
+        let due = self.log.image_index() + self.config.limits.compact_after;
+        if self.applied >= due && !self.snapshot_asked {
+            self.snapshot_asked = true;
+            self.effects.push(Effect::TakeSnapshot(self.applied));
+        }
+    }
+
+    fn snapshot_taken(&mut self, index: LogIndex, data: Arc<[u8]>) {
+        self.snapshot_asked = false;
+        let outdated = index <= self.log.image_index() || index > self.applied;
+        if outdated || data.len() > self.config.limits.max_snapshot {
+            return;
+        }
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let membership = (*self.log.membership_at(index)).clone();
+        let image = Arc::new(Image {
+            index,
+            term,
+            group: self.group,
+            membership,
+            data,
+        });
+        self.write(Write::Snapshot(image.clone()));
+        self.log.compact(image, self.config.limits.keep_entries);
+    }
+
+    fn restore_image(&mut self) {
+        if let Some(image) = self.log.image().filter(|image| image.index > 0) {
+            self.effects.push(Effect::Restore(image.clone()));
+        }
+    }
+
+    fn release(&mut self) {
+        let stamp = self.lease.release();
+        if let Some(leader) = self.leader.filter(|leader| *leader != self.config.id) {
+            self.send(leader, Body::Release(stamp));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/core/progress.rs
@@ -0,0 +1,145 @@
+//! What a leader knows of the other members.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::lease::Liveness;
+use super::types::{LogIndex, MemberId};
+
+/// Entries or a snapshot under way to a member.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Inflight {
+    pub(crate) round: u64,
+    pub(crate) last_index: LogIndex,
+    /// When to send again.
+    pub(crate) expires: Duration,
+}
+
+/// The replication to one member.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    /// The identity that the member last stated; 0 while unknown.
+    pub(crate) identity: u64,
+    /// The last entry that this identity has synced.
+    pub(crate) matched: LogIndex,
+    /// The next entry to send. Invariant: greater than `matched`.
+    pub(crate) next: LogIndex,
+    /// Whether the member asked for a snapshot.
+    pub(crate) needs_image: bool,
+    pub(crate) inflight: Option<Inflight>,
+    /// The highest round that this identity acknowledged.
+    pub(crate) round: u64,
+    /// When that round left.
+    pub(crate) round_sent: Option<Duration>,
+    pub(crate) live: Liveness,
+}
+
+impl Progress {
+    pub(crate) fn new(next: LogIndex, live: Liveness) -> Progress {
+        Progress {
+            identity: 0,
+            matched: 0,
+            next,
+            needs_image: false,
+            inflight: None,
+            round: 0,
+            round_sent: None,
+            live,
+        }
+    }
+
+    /// Forgets what another identity of the member held.
+    pub(crate) fn meet(&mut self, identity: u64) {
+        if self.identity == identity {
+            return;
+        }
+        self.identity = identity;
+        self.matched = 0;
+        self.inflight = None;
+        self.round_sent = None;
+    }
+
+    pub(crate) fn expire(&mut self, now: Duration) {
+        if self
+            .inflight
+            .is_some_and(|inflight| inflight.expires <= now)
+        {
+            self.inflight = None;
+            if self.matched > 0 {
+                self.next = self.matched + 1;
+            }
+        }
+    }
+
+    /// Ends what is under way if this acknowledgement answers it.
+    pub(crate) fn settle(&mut self, round: u64) {
+        let answered =
+            |inflight: Inflight| inflight.round == round || inflight.last_index <= self.matched;
+        if self.inflight.is_some_and(answered) {
+            self.inflight = None;
+        }
+    }
+}
+
+/// A read that waits for a majority to confirm the leader.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingRead {
+    pub(crate) id: u64,
+    pub(crate) round: u64,
+}
+
+/// The state that only a leader has.
+#[derive(Debug)]
+pub(crate) struct Leadership {
+    /// The other members, and retired ones for their leases.
+    pub(crate) progress: IndexMap<MemberId, Progress>,
+    /// The leader's first entry. Invariant: the commit index covers every
+    /// earlier term only once this entry is committed.
+    pub(crate) first_index: LogIndex,
+    /// When the votes were asked for: the first contact with a majority.
+    pub(crate) asked_at: Duration,
+    pub(crate) heartbeat_due: Duration,
+    pub(crate) reads: Vec<PendingRead>,
+    round: u64,
+    /// When the recent rounds left, ascending and without gaps.
+    rounds: VecDeque<(u64, Duration)>,
+}
+
+impl Leadership {
+    pub(crate) fn new(first_index: LogIndex, asked_at: Duration) -> Leadership {
+        Leadership {
+            progress: IndexMap::new(),
+            first_index,
+            asked_at,
+            heartbeat_due: Duration::ZERO,
+            reads: Vec::new(),
+            round: 0,
+            rounds: VecDeque::new(),
+        }
+    }
+
+    /// Starts a round; forgets those that left more than `horizon` ago.
+    pub(crate) fn next_round(&mut self, now: Duration, horizon: Duration) -> u64 {
+        self.round += 1;
+        self.rounds.push_back((self.round, now));
+        while self
+            .rounds
+            .pop_front_if(|(_, at)| *at + horizon < now)
+            .is_some()
+        {}
+        self.round
+    }
+
+    /// The number that the next round will have.
+    pub(crate) fn upcoming_round(&self) -> u64 {
+        self.round + 1
+    }
+
+    pub(crate) fn sent_at(&self, round: u64) -> Option<Duration> {
+        let (first, _) = self.rounds.front()?;
+        let offset = usize::try_from(round.checked_sub(*first)?).ok()?;
+        self.rounds.get(offset).map(|(_, at)| *at)
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/core/timing.rs
@@ -0,0 +1,44 @@
+//! Time-outs and leases, all as durations on monotonic clocks.
+
+use std::time::Duration;
+
+const PERCENT: u32 = 100;
+
+/// The durations of the protocol; equal on every member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// The pause between two heartbeats of a leader.
+    pub heartbeat: Duration,
+    /// The shortest silence of a leader after which a member may elect another.
+    pub election_min: Duration,
+    /// The longest silence before a voter tries to be elected.
+    pub election_max: Duration,
+    /// How long a member serves after a send that the leader confirmed.
+    pub lease: Duration,
+    /// By how many percent two clocks may run apart.
+    pub drift_percent: u32,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            heartbeat: Duration::from_millis(150),
+            election_min: Duration::from_millis(600),
+            election_max: Duration::from_millis(1100),
+            lease: Duration::from_millis(1500),
+            drift_percent: 5,
+        }
+    }
+}
+
+impl Timing {
+    /// How long after a confirmed round the leader may rely on being the only one.
+    pub fn leader_lease(&self) -> Duration {
+        self.election_min * (PERCENT - self.drift_percent.min(PERCENT)) / PERCENT
+    }
+
+    /// How long the leader waits before it takes a member's lease as lapsed.
+    pub fn lease_window(&self) -> Duration {
+        self.lease * (PERCENT + self.drift_percent) / PERCENT
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/tests/schedules.rs
@@ -0,0 +1,156 @@
+//! Seeded schedules of faults over pure cores.
+
+mod simulation;
+
+use std::ops::Range;
+
+use cleat_quorum::Protections;
+use simulation::{Fault, Plan, SECOND, Step, Violation, World, run};
+
+const THREADS: u64 = 4;
+
+/// Runs seeds on a few threads until one breaks an invariant; gives the first
+/// of those that were reached.
+fn first_violation(seeds: Range<u64>, plan: Plan) -> Option<(u64, Violation)> {
+    let failed = run_all(seeds, move |seed| run(seed, plan).map(drop));
+    failed.into_iter().filter_map(|(seed, result)| Some((seed, result.err()?))).min_by_key(|f| f.0)
+}
+
+fn run_all<T: Send>(
+    seeds: Range<u64>,
+    job: impl Fn(u64) -> Result<T, Violation> + Sync,
+) -> Vec<(u64, Result<T, Violation>)> {
+    std::thread::scope(|scope| {
+        let start = |worker| {
+            let (seeds, job) = (seeds.clone(), &job);
+            scope.spawn(move || {
+                let mut results = Vec::new();
+                for seed in seeds.filter(|seed| seed % THREADS == worker) {
+                    results.push((seed, job(seed)));
+                    if results.last().is_some_and(|(_, result)| result.is_err()) {
+                        break;
+                    }
+                }
+                results
+            })
+        };
+        let workers: Vec<_> = (0..THREADS).map(start).collect();
+        workers.into_iter().flat_map(|worker| worker.join().unwrap()).collect()
+    })
+}
+
+fn seeds(count: u64) -> Range<u64> {
+    let first = std::env::var("SCHEDULE_SEED").ok().and_then(|seed| seed.parse().ok());
+    let first = first.unwrap_or(0);
+    let count = std::env::var("SCHEDULE_COUNT").ok().and_then(|n| n.parse().ok()).unwrap_or(count);
+    first..first + count
+}
+
+#[test]
+fn schedule_random_faults() {
+    assert_eq!(first_violation(seeds(1200), Plan::default()), None);
+}
+
+#[test]
+fn schedule_random_faults_upkeep() {
+    let plan = Plan { upkeep: true, random_faults: 4, ..Plan::default() };
+    assert_eq!(first_violation(seeds(400), plan), None);
+}
+
+#[test]
+fn schedule_five_voters() {
+    let plan = Plan { voters: 5, learners: 4, random_faults: 10, ..Plan::default() };
+    assert_eq!(first_violation(seeds(150), plan), None);
+}
+
+/// Every fault at every step: the schedule must reach the step, and the group
+/// must hold its invariants and recover.
+#[test]
+fn matrix_every_step_and_fault() {
+    const SEEDS: u64 = 12;
+    let mut table = format!("{:12}", "step");
+    for fault in Fault::ALL {
+        table += &format!("{:>12}", format!("{fault:?}"));
+    }
+    for step in Step::ALL {
+        table += &format!("\n{:12}", format!("{step:?}"));
+        for fault in Fault::ALL {
+            let plan = Plan {
+                cell: Some((step, fault)),
+                upkeep: true,
+                random_faults: 0,
+                ..Plan::default()
+            };
+            let job = |seed| run(seed, plan).map(|world: World| world.hits);
+            let results = run_all(0..SEEDS, job);
+            let failed: Vec<_> = results.iter().filter(|(_, result)| result.is_err()).collect();
+            assert!(failed.is_empty(), "{step:?} x {fault:?}: {failed:?}");
+            let hits: u32 = results.iter().filter_map(|(_, hits)| hits.as_ref().ok()).sum();
+            assert!(hits > 0, "{step:?} was never reached");
+            table += &format!("{hits:>12}");
+        }
+    }
+    println!("schedules that passed with the fault at the step, of {SEEDS}\n{table}");
+}
+
+fn without(change: impl FnOnce(&mut Protections)) -> Plan {
+    let mut protections = Protections::default();
+    change(&mut protections);
+    Plan { protections, liveness: false, random_faults: 12, ..Plan::default() }
+}
+
+/// Shows that the checks notice a protection that is switched off.
+fn assert_red(name: &str, plan: Plan, expected: fn(&Violation) -> bool) {
+    let failed = first_violation(seeds(2000), plan);
+    println!("{name} off: {failed:?}");
+    let (_, violation) = failed.unwrap_or_else(|| panic!("nothing noticed {name} off"));
+    assert!(expected(&violation), "{name} off gave {violation:?}");
+}
+
+#[test]
+fn protection_sync_before_send() {
+    assert_red("sync before send", without(|p| p.sync_before_send = false), |_| true);
+}
+
+#[test]
+fn protection_identity_check() {
+    assert_red("identity check", without(|p| p.identity_check = false), |_| true);
+}
+
+#[test]
+fn protection_stickiness() {
+    assert_red("stickiness", without(|p| p.stickiness = false), |_| true);
+}
+
+#[test]
+fn protection_lease_from_send() {
+    assert_red("lease from send", without(|p| p.lease_from_send = false), |_| true);
+}
+
+#[test]
+fn protection_own_sync_counts() {
+    assert_red("own sync counts", without(|p| p.own_sync_counts = false), |_| true);
+}
+
+#[test]
+fn protection_renewal_gate() {
+    assert_red("renewal gate", without(|p| p.renewal_gate = false), |_| true);
+}
+
+#[test]
+fn protection_own_term_commit() {
+    assert_red("own-term commit", without(|p| p.own_term_commit = false), |_| true);
+}
+
+#[test]
+fn protection_log_check() {
+    assert_red("log check", without(|p| p.log_check = false), |_| true);
+}
+
+#[test]
+fn protection_inherited_leases() {
+    assert_red("inherited leases", without(|p| p.inherited_leases = false), |_| true);
+}
+
+#[allow(dead_code)]
+const _: u64 = SECOND;
--- /dev/null
+++ b/crates/cleat-quorum/tests/simulation/check.rs
@@ -0,0 +1,208 @@
+//! The invariants.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use cleat_quorum::{
+    Body, Entry, LogIndex, MemberId, Membership, Message, Payload, Role, Term, Write,
+};
+
+use super::node::Node;
+use super::{Micros, is_vote};
+
+/// A broken invariant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Violation {
+    TwoLeadersInTerm { term: Term },
+    TwoLeaderLeases,
+    LogsDiffer { index: LogIndex, term: Term },
+    CommittedChanged { index: LogIndex },
+    CommittedLost { index: LogIndex, leader: MemberId },
+    StateDiffers { index: LogIndex },
+    AppliedTwice { index: LogIndex },
+    StaleRead { index: LogIndex, committed: LogIndex },
+    ServesBehind { member: MemberId, applied: LogIndex, in_force: LogIndex },
+    LostDiskVotes { member: MemberId },
+    NoRecovery,
+}
+
+fn digest(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn entry_digest(entry: &Entry) -> u64 {
+    match &entry.payload {
+        Payload::Noop => 0,
+        Payload::Command(command) => digest(command),
+        Payload::Membership(membership) => digest(format!("{membership:?}")),
+    }
+}
+
+#[derive(Default)]
+pub(super) struct Checker {
+    leaders: HashMap<Term, MemberId>,
+    /// Every entry ever written: its digest and the term before it.
+    entries: HashMap<(LogIndex, Term), (u64, Option<Term>)>,
+    committed: Vec<Term>,
+    /// The membership by the committed entries and the genesis.
+    membership: Option<Membership>,
+    states: HashMap<LogIndex, u64>,
+    /// The committed entries at the start of each read.
+    reads: Vec<LogIndex>,
+    in_force: LogIndex,
+    pub(super) healed_at: Option<LogIndex>,
+}
+
+impl Checker {
+    pub(super) fn committed(&self) -> LogIndex {
+        self.committed.len() as u64
+    }
+
+    pub(super) fn membership_votes(&self, id: MemberId, identity: u64) -> bool {
+        self.membership.as_ref().is_some_and(|membership| membership.is_voter(id, identity))
+    }
+
+    /// Election safety, log matching and that nothing committed changes.
+    pub(super) fn check_node(&mut self, node: &mut Node) -> Result<(), Violation> {
+        let Some(core) = &node.core else {
+            return Ok(());
+        };
+        let status = core.status();
+        for index in node.seen_commit + 1..=status.commit {
+            let Some(entry) = core.entry(index) else {
+                continue;
+            };
+            let at = index as usize - 1;
+            if at == self.committed.len() {
+                self.committed.push(entry.term);
+                if let Payload::Membership(membership) = &entry.payload {
+                    self.membership = Some(membership.clone());
+                }
+            } else if self.committed.get(at) != Some(&entry.term) {
+                return Err(Violation::CommittedChanged { index });
+            }
+        }
+        node.seen_commit = node.seen_commit.max(status.commit);
+        if status.role == Role::Leader {
+            let first = *self.leaders.entry(status.term).or_insert(node.id);
+            if first != node.id {
+                return Err(Violation::TwoLeadersInTerm { term: status.term });
+            }
+            self.check_leader(node)?;
+        }
+        Ok(())
+    }
+
+    /// A leader of the latest term holds everything that is committed.
+    fn check_leader(&self, node: &Node) -> Result<(), Violation> {
+        let Some(core) = &node.core else {
+            return Ok(());
+        };
+        let latest = self.leaders.keys().max() == Some(&core.status().term);
+        let index = self.committed();
+        let (base, _) = core.log_bounds();
+        let holds = index <= base || core.term_at(index) == self.committed.last().copied();
+        if latest && !holds {
+            return Err(Violation::CommittedLost { index, leader: node.id });
+        }
+        Ok(())
+    }
+
+    pub(super) fn check_write(&mut self, node: &Node, write: &Write) -> Result<(), Violation> {
+        if let Write::Snapshot(image) = write
+            && image.index == 0
+            && self.membership.is_none()
+        {
+            self.membership = Some(image.membership.clone());
+        }
+        let (Write::Append(entries), Some(core)) = (write, &node.core) else {
+            return Ok(());
+        };
+        for entry in entries {
+            let seen = (entry_digest(entry), core.term_at(entry.index - 1));
+            let first = *self.entries.entry((entry.index, entry.term)).or_insert(seen);
+            if first != seen {
+                let Entry { index, term, .. } = *entry;
+                return Err(Violation::LogsDiffer { index, term });
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn check_send(&self, node: &Node, message: &Message) -> Result<(), Violation> {
+        let identity = node.core.as_ref().map_or(0, |core| core.identity());
+        let recorded = self.membership.as_ref().and_then(|membership| membership.get(node.id));
+        // A member that was asked by its identity may not know of its vote yet.
+        let stranger = recorded.is_some_and(|member| member.identity != identity);
+        if is_vote(&message.body) && stranger && !matches!(message.body, Body::Hello(_)) {
+            return Err(Violation::LostDiskVotes { member: node.id });
+        }
+        Ok(())
+    }
+
+    pub(super) fn check_apply(
+        &mut self,
+        node: &mut Node,
+        index: LogIndex,
+        _term: Term,
+        command: &[u8],
+    ) -> Result<(), Violation> {
+        if index <= node.machine.1 {
+            return Err(Violation::AppliedTwice { index });
+        }
+        node.apply(index, command);
+        let state = node.machine.0;
+        if *self.states.entry(index).or_insert(state) != state {
+            return Err(Violation::StateDiffers { index });
+        }
+        Ok(())
+    }
+
+    pub(super) fn start_read(&mut self) -> u64 {
+        self.reads.push(self.committed());
+        self.reads.len() as u64 - 1
+    }
+
+    pub(super) fn check_read(&self, id: u64, index: LogIndex) -> Result<(), Violation> {
+        let committed = self.reads[id as usize];
+        if index < committed {
+            return Err(Violation::StaleRead { index, committed });
+        }
+        Ok(())
+    }
+
+    /// No member serves, frozen or not, behind what was called in force.
+    pub(super) fn check_leases(&mut self, nodes: &[Node], now: Micros) -> Result<(), Violation> {
+        let mut certain = 0;
+        for node in nodes.iter().filter(|node| !node.frozen) {
+            let Some(core) = &node.core else {
+                continue;
+            };
+            let local = node.local(now);
+            let status_commit = core.status().commit;
+            certain += u32::from(core.holds_leader_lease_at(local));
+            if status_commit > self.in_force && core.in_force(status_commit, local) {
+                self.in_force = status_commit;
+            }
+        }
+        if certain > 1 {
+            return Err(Violation::TwoLeaderLeases);
+        }
+        for node in nodes {
+            let Some(core) = &node.core else {
+                continue;
+            };
+            let applied = core.status().applied;
+            if applied < self.in_force && core.in_service(node.local(now)) {
+                return Err(Violation::ServesBehind {
+                    member: node.id,
+                    applied,
+                    in_force: self.in_force,
+                });
+            }
+        }
+        Ok(())
+    }
+}
