Link the instances by tarpc and serve operators and targets

Cause: a change asked of one instance must reach the leader, and callers of a call must learn whether it may have arrived. Ruled out: bincode (unmaintained) and JSON (larger) on the wire; renewals of targets in the log (a write each), so the leader alone watches leases. Change: cleat-link (postcard over tarpc with bytes counted, one reconnecting link a peer), cleat-operate (operators' and targets' HTTP, lease table). Conclusion: the node can be put together on these.

--- a/crates/cleat-link/src/lib.rs
+++ b/crates/cleat-link/src/lib.rs
@@ -1,1 +1,17 @@
-//! Typed calls between the instances, over tarpc.
+//! Typed calls between the instances, over tarpc on TCP.
+//!
+//! A [`Link`] keeps one connection to one other instance and opens it again
+//! when it breaks. Consensus messages are sent without waiting and may be
+//! lost; calls say whether they may have arrived.
+
+mod codec;
+mod handler;
+mod link;
+mod peer;
+mod server;
+
+pub use codec::{LinkTraffic, TrafficSnapshot};
+pub use handler::Handler;
+pub use link::{CallError, Link, LinkConfig};
+pub use peer::{MemberReport, Peer, PeerClient, PeerError, Proposed, Renewal, RenewalOutcome};
+pub use server::{PeerListener, ServeError};
--- /dev/null
+++ b/crates/cleat-link/src/peer.rs
@@ -0,0 +1,94 @@
+//! What one instance asks of another.
+
+use cleat_quorum::Message;
+use cleat_world::{Answer, CommandBody};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// A command that was committed and applied.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Proposed {
+    /// Its log index.
+    pub index: u64,
+    /// What it came to.
+    pub answer: Answer,
+}
+
+/// The renewal of a target's lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// The target.
+    pub name: Box<str>,
+    /// The announcement that is renewed.
+    pub incarnation: u64,
+}
+
+/// What came of a renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RenewalOutcome {
+    /// The lease runs anew.
+    Renewed,
+    /// The leader knows no such announcement: announce again.
+    NotKnown,
+}
+
+/// What the leader knows of one instance of the system's own.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberReport {
+    /// The instance's name.
+    pub name: Box<str>,
+    /// The last log index it reported as in force.
+    pub applied: u64,
+    /// Whether it may hold a lease.
+    pub lease_live: bool,
+    /// Whether it votes.
+    pub votes: bool,
+}
+
+/// Why another instance did not do what it was asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Snafu)]
+#[snafu(visibility(pub))]
+pub enum PeerError {
+    /// It does not lead. Nothing was changed; ask the leader.
+    #[snafu(display("this instance does not lead"))]
+    NotLeader {
+        /// The leader it knows of.
+        leader: Option<Box<str>>,
+    },
+    /// No majority of the voters can be reached. Nothing was changed; try
+    /// again when they are back.
+    #[snafu(display("no quorum; nothing was changed"))]
+    NoQuorum,
+    /// It was proposed, and the lead was lost before the outcome was known.
+    /// Repeat it under the same identity.
+    #[snafu(display("the outcome is unknown"))]
+    OutcomeUnknown,
+    /// The command is too large for the log. Make it smaller.
+    #[snafu(display("the command is too large for the log"))]
+    TooLarge,
+    /// The instance is stopping. Ask another one.
+    #[snafu(display("this instance is stopping"))]
+    Stopping,
+}
+
+/// The service that each instance offers to the others.
+#[tarpc::service]
+pub trait Peer {
+    /// Takes consensus messages; their answers are messages of their own.
+    async fn deliver(messages: Vec<Message>);
+
+    /// Proposes a command; the leader answers once it is applied.
+    async fn propose(body: CommandBody) -> Result<Proposed, PeerError>;
+
+    /// Answers once `index` is in force on every instance with a lease.
+    async fn wait_in_force(index: u64) -> Result<(), PeerError>;
+
+    /// A log index that covers every command committed before the call.
+    async fn read_index() -> Result<u64, PeerError>;
+
+    /// Renews the leases of targets; the outcomes are in the order asked.
+    async fn renew(renewals: Vec<Renewal>) -> Result<Vec<RenewalOutcome>, PeerError>;
+
+    /// What the leader knows of every instance.
+    async fn members() -> Result<Vec<MemberReport>, PeerError>;
+}
--- /dev/null
+++ b/crates/cleat-link/src/server.rs
@@ -0,0 +1,79 @@
+//! The side that answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::StreamExt;
+use snafu::{ResultExt, Snafu};
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+use crate::codec::transport;
+use crate::handler::Adapter;
+use crate::{Handler, LinkTraffic, Peer};
+
+/// Why the listener could not start.
+#[derive(Debug, Snafu)]
+pub enum ServeError {
+    /// The address could not be bound: it is in use or not this machine's.
+    /// Correct `listen.peers` in the settings.
+    #[snafu(display("cannot listen for other instances on {address}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// A bound listener for the other instances.
+#[derive(Debug)]
+pub struct PeerListener {
+    listener: TcpListener,
+    local_addr: SocketAddr,
+}
+
+impl PeerListener {
+    /// Binds `address`; nothing is answered before [`PeerListener::serve`].
+    ///
+    /// # Errors
+    /// [`ServeError::Bind`] if the address cannot be had.
+    pub async fn bind(address: SocketAddr) -> Result<PeerListener, ServeError> {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.context(BindSnafu { address })?;
+        let local_addr = listener.local_addr().context(BindSnafu { address })?;
+        Ok(PeerListener {
+            listener,
+            local_addr,
+        })
+    }
+
+    /// The bound address.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local_addr
+    }
+
+    /// Answers with `handler` until the returned task is aborted.
+    pub fn serve<H: Handler>(self, handler: Arc<H>, traffic: Arc<LinkTraffic>) -> JoinHandle<()> {
+        tokio::spawn(async move {
+            loop {
+                match self.listener.accept().await {
+                    Ok((stream, _)) => serve_connection(stream, handler.clone(), &traffic),
+                    Err(error) => log::warn!("cannot accept another instance: {error}"),
+                }
+            }
+        })
+    }
+}
+
+fn serve_connection<H: Handler>(stream: TcpStream, handler: Arc<H>, traffic: &Arc<LinkTraffic>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("cannot set TCP_NODELAY: {error}");
+    }
+    let channel = BaseChannel::with_defaults(transport(stream, traffic.clone()));
+    let requests = channel.execute(Adapter(handler).serve());
+    tokio::spawn(requests.for_each(|request| async move {
+        tokio::spawn(request);
+    }));
+}
--- /dev/null
+++ b/crates/cleat-operate/src/http/problem.rs
@@ -0,0 +1,123 @@
+//! Errors as `application/problem+json` (RFC 9457).
+
+use http::header::RETRY_AFTER;
+use http::{HeaderValue, StatusCode};
+use serde::Serialize;
+
+use super::respond::{Answer, typed};
+use crate::ControlError;
+
+const MEDIA_TYPE: &str = "application/problem+json";
+const TYPE_PREFIX: &str = "urn:celerycleat:problem:";
+/// When to come back after a lost quorum: an election takes about this long.
+const RETRY_AFTER_S: &str = "2";
+
+/// The kinds of problem; each has a stable name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProblemKind {
+    NotFound,
+    MethodNotAllowed,
+    BadRequest,
+    BodyTooLarge,
+    BadAnnouncement,
+    UnknownService,
+    AddressTaken,
+    NoQuorum,
+    OutcomeUnknown,
+    CommandTooLarge,
+}
+
+impl ProblemKind {
+    fn name(self) -> &'static str {
+        match self {
+            ProblemKind::NotFound => "not-found",
+            ProblemKind::MethodNotAllowed => "method-not-allowed",
+            ProblemKind::BadRequest => "bad-request",
+            ProblemKind::BodyTooLarge => "body-too-large",
+            ProblemKind::BadAnnouncement => "bad-announcement",
+            ProblemKind::UnknownService => "unknown-service",
+            ProblemKind::AddressTaken => "address-taken",
+            ProblemKind::NoQuorum => "no-quorum",
+            ProblemKind::OutcomeUnknown => "outcome-unknown",
+            ProblemKind::CommandTooLarge => "command-too-large",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            ProblemKind::NotFound | ProblemKind::UnknownService => StatusCode::NOT_FOUND,
+            ProblemKind::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
+            ProblemKind::BadRequest => StatusCode::BAD_REQUEST,
+            ProblemKind::BodyTooLarge | ProblemKind::CommandTooLarge => {
+                StatusCode::PAYLOAD_TOO_LARGE
+            }
+            ProblemKind::BadAnnouncement => StatusCode::UNPROCESSABLE_ENTITY,
+            ProblemKind::AddressTaken => StatusCode::CONFLICT,
+            ProblemKind::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
+            ProblemKind::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn title(self) -> &'static str {
+        match self {
+            ProblemKind::NotFound => "There is nothing at this path",
+            ProblemKind::MethodNotAllowed => "This path does not take this method",
+            ProblemKind::BadRequest => "The request is not valid",
+            ProblemKind::BodyTooLarge => "The request body is too large",
+            ProblemKind::BadAnnouncement => "The announcement is not valid",
+            ProblemKind::UnknownService => "The service is not configured",
+            ProblemKind::AddressTaken => "Another target has this address",
+            ProblemKind::NoQuorum => "No quorum can be reached; nothing was changed",
+            ProblemKind::OutcomeUnknown => "The outcome is unknown",
+            ProblemKind::CommandTooLarge => "The change is too large",
+        }
+    }
+}
+
+/// A problem with what is particular to this case.
+#[derive(Debug)]
+pub(crate) struct Problem {
+    pub(crate) kind: ProblemKind,
+    pub(crate) detail: Box<str>,
+}
+
+#[derive(Serialize)]
+struct ProblemBody<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    detail: &'a str,
+}
+
+impl Problem {
+    pub(crate) fn new(kind: ProblemKind, detail: impl Into<Box<str>>) -> Problem {
+        let detail = detail.into();
+        Problem { kind, detail }
+    }
+
+    pub(crate) fn into_answer(self) -> Answer {
+        let status = self.kind.status();
+        let body = ProblemBody {
+            r#type: format!("{TYPE_PREFIX}{}", self.kind.name()),
+            title: self.kind.title(),
+            status: status.as_u16(),
+            detail: &self.detail,
+        };
+        let mut answer = typed(status, MEDIA_TYPE, &body);
+        if self.kind == ProblemKind::NoQuorum {
+            let value = HeaderValue::from_static(RETRY_AFTER_S);
+            answer.headers_mut().insert(RETRY_AFTER, value);
+        }
+        answer
+    }
+}
+
+/// The problem that stands for a failure of control.
+pub(crate) fn from_control(error: &ControlError) -> Problem {
+    let kind = match error {
+        ControlError::NoQuorum => ProblemKind::NoQuorum,
+        ControlError::OutcomeUnknown => ProblemKind::OutcomeUnknown,
+        ControlError::TooLarge => ProblemKind::CommandTooLarge,
+    };
+    Problem::new(kind, error.to_string())
+}
--- /dev/null
+++ b/crates/cleat-operate/src/http/respond.rs
@@ -0,0 +1,30 @@
+//! Answers.
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::Full;
+use serde::Serialize;
+
+/// A whole answer.
+pub(crate) type Answer = Response<Full<Bytes>>;
+
+/// `value` as JSON with `status`.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Answer {
+    typed(status, "application/json", value)
+}
+
+/// `value` as JSON under another media type.
+pub(crate) fn typed<T: Serialize>(
+    status: StatusCode,
+    media_type: &'static str,
+    value: &T,
+) -> Answer {
+    // Our own plain data always serializes.
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = status;
+    let media_type = HeaderValue::from_static(media_type);
+    answer.headers_mut().insert(CONTENT_TYPE, media_type);
+    answer
+}
--- /dev/null
+++ b/crates/cleat-operate/src/http/server.rs
@@ -0,0 +1,134 @@
+//! Accepting connections and stopping gracefully.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::Answer;
+
+/// How long a client may take to send its header block.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long requests in progress may take to finish at a stop.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Why a listener could not start.
+#[derive(Debug, Snafu)]
+pub enum ListenError {
+    /// The address could not be bound: it is in use or not this machine's.
+    /// Correct `listen` in the settings.
+    #[snafu(display("cannot listen on {address}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// Answers requests.
+pub(crate) trait Handler: Send + Sync + 'static {
+    fn handle(&self, req: Request<Incoming>) -> impl Future<Output = Answer> + Send;
+}
+
+/// A bound listener that answers nothing yet.
+#[derive(Debug)]
+pub struct Listener {
+    listener: TcpListener,
+    local_addr: SocketAddr,
+}
+
+impl Listener {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    /// [`ListenError::Bind`] if the address cannot be had.
+    pub async fn bind(address: SocketAddr) -> Result<Listener, ListenError> {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.context(BindSnafu { address })?;
+        let local_addr = listener.local_addr().context(BindSnafu { address })?;
+        Ok(Listener {
+            listener,
+            local_addr,
+        })
+    }
+
+    /// The bound address.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local_addr
+    }
+
+    pub(crate) fn spawn<H: Handler>(self, handler: Arc<H>) -> RunningServer {
+        let (stop, stopping) = watch::channel(());
+        let task = tokio::spawn(accept(self.listener, handler, stopping));
+        RunningServer { stop, task }
+    }
+}
+
+/// A server that answers until it is stopped.
+#[derive(Debug)]
+pub struct RunningServer {
+    stop: watch::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl RunningServer {
+    /// Accepts nothing new and waits for the requests in progress.
+    pub async fn stop(self) {
+        let _ = self.stop.send(());
+        let _ = self.task.await;
+    }
+}
+
+async fn accept<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    mut stopping: watch::Receiver<()>,
+) {
+    let connections = GracefulShutdown::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => serve(stream, handler.clone(), &connections),
+                Err(error) => log::warn!("cannot accept a connection: {error}"),
+            },
+            _ = stopping.changed() => break,
+        }
+    }
+    drop(listener);
+    if tokio::time::timeout(DRAIN_TIMEOUT, connections.shutdown())
+        .await
+        .is_err()
+    {
+        log::warn!("a request was still in progress after {DRAIN_TIMEOUT:?}");
+    }
+}
+
+fn serve<H: Handler>(stream: TcpStream, handler: Arc<H>, connections: &GracefulShutdown) {
+    let service = service_fn(move |req| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = connections.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("a connection ended: {error}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/cleat-operate/src/operators/config.rs
@@ -0,0 +1,195 @@
+//! Showing and changing the configuration.
+
+use cleat_json::{Fault, Faults, Node};
+use cleat_link::MemberReport;
+use cleat_world::{
+    Answer as CommandAnswer, ApplyConfig, CommandBody, ConfigAnswer, ConfigRecord, FleetConfig,
+};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::http::{Answer, from_control, json as json_answer, read_json};
+use crate::{ControlError, ControlPlane};
+
+/// The longest command id, in bytes.
+const MAX_COMMAND_ID_BYTES: usize = 128;
+
+#[derive(Serialize)]
+struct FaultBody<'a> {
+    path: &'a str,
+    message: String,
+    kind: &'a cleat_json::FaultKind,
+}
+
+#[derive(Serialize)]
+struct HistoryBody<'a> {
+    history: &'a [ConfigRecord],
+}
+
+#[derive(Serialize)]
+struct InstanceBody {
+    name: Box<str>,
+    data_centre: Option<Box<str>>,
+    version: Option<u64>,
+    lease: &'static str,
+    votes: bool,
+}
+
+/// `PUT /config`.
+pub(super) async fn put<C: ControlPlane>(control: &C, req: Request<Incoming>) -> Answer {
+    let change = match read_json(req).await.map(|value| read_change(&value)) {
+        Ok(Ok(change)) => change,
+        Ok(Err(faults)) => return invalid(&faults),
+        Err(problem) => return problem.into_answer(),
+    };
+    match apply(control, change).await {
+        Ok(answer) => answer,
+        Err(error) => from_control(&error).into_answer(),
+    }
+}
+
+async fn apply<C: ControlPlane>(control: &C, change: ApplyConfig) -> Result<Answer, ControlError> {
+    let proposed = control.propose(CommandBody::ApplyConfig(change)).await?;
+    let CommandAnswer::Config(answer) = proposed.answer else {
+        return Err(ControlError::OutcomeUnknown);
+    };
+    match answer {
+        ConfigAnswer::Accepted { version } => {
+            let in_force = control.wait_in_force(proposed.index).await;
+            // It is committed, so a failed wait leaves it open, not undone.
+            in_force.map_err(|_| ControlError::OutcomeUnknown)?;
+            Ok(json_answer(StatusCode::OK, &json!({"version": version})))
+        }
+        ConfigAnswer::Refused {
+            winner,
+            winner_command_id,
+        } => {
+            let body = json!({"winner": winner, "winner_command_id": winner_command_id});
+            Ok(json_answer(StatusCode::CONFLICT, &body))
+        }
+        ConfigAnswer::Invalid { faults } => Ok(invalid(&faults)),
+    }
+}
+
+/// Reads the change; the configuration's own faults are reported relative to
+/// the configuration, the envelope's relative to the envelope.
+fn read_change(value: &Value) -> Result<ApplyConfig, Box<[Fault]>> {
+    let mut faults = Faults::default();
+    let change = read_envelope(value, &mut faults);
+    let change = faults.into_result(change)?;
+    let Some((change, config)) = change else {
+        return Err(Box::default());
+    };
+    FleetConfig::parse(config)?;
+    Ok(change)
+}
+
+fn read_envelope<'a>(value: &'a Value, faults: &mut Faults) -> Option<(ApplyConfig, &'a Value)> {
+    let root = Node::root(value).object(faults)?;
+    root.only(&["expect", "command_id", "config"], faults);
+    let expect = root.require("expect", faults);
+    let expect = expect.and_then(|node| node.number(0..=u64::MAX, faults));
+    let command_id = root.get("command_id");
+    let command_id = command_id.and_then(|node| {
+        let text = node.text(faults)?;
+        if text.len() > MAX_COMMAND_ID_BYTES {
+            let kind = cleat_json::FaultKind::BadText {
+                expected: format!("at most {MAX_COMMAND_ID_BYTES} bytes long").into(),
+                found: text.clone(),
+            };
+            faults.add(&node.path, kind);
+        }
+        Some(text)
+    });
+    let config = root.require("config", faults)?.value;
+    let change = ApplyConfig {
+        expect: expect?,
+        command_id,
+        config: config.to_string().into(),
+    };
+    Some((change, config))
+}
+
+fn invalid(faults: &[Fault]) -> Answer {
+    let faults: Vec<_> = faults.iter().map(fault_body).collect();
+    json_answer(StatusCode::UNPROCESSABLE_ENTITY, &json!({"faults": faults}))
+}
+
+fn fault_body(fault: &Fault) -> FaultBody<'_> {
+    FaultBody {
+        path: &fault.path,
+        message: fault.kind.to_string(),
+        kind: &fault.kind,
+    }
+}
+
+/// `GET /config`.
+pub(super) async fn show<C: ControlPlane>(control: &C) -> Answer {
+    if let Err(error) = control.catch_up().await {
+        return from_control(&error).into_answer();
+    }
+    let (version, text) = control.world(|world| {
+        let text: Box<str> = world.config_text().into();
+        (world.version(), text)
+    });
+    let config: Value = serde_json::from_str(&text).unwrap_or_default();
+    json_answer(
+        StatusCode::OK,
+        &json!({"version": version, "config": config}),
+    )
+}
+
+/// `GET /config/history`.
+pub(super) async fn history<C: ControlPlane>(control: &C) -> Answer {
+    if let Err(error) = control.catch_up().await {
+        return from_control(&error).into_answer();
+    }
+    control.world(|world| {
+        let history = world.history();
+        json_answer(StatusCode::OK, &HistoryBody { history })
+    })
+}
+
+/// `GET /config/status`: the version in force on each instance.
+pub(super) async fn status<C: ControlPlane>(control: &C) -> Answer {
+    let members = match control.members().await {
+        Ok(members) => members,
+        Err(error) => return from_control(&error).into_answer(),
+    };
+    if let Err(error) = control.catch_up().await {
+        return from_control(&error).into_answer();
+    }
+    let (version, history) = control.world(|world| (world.version(), world.history().to_vec()));
+    let body = |member| instance_body(control, member, &history);
+    let instances: Vec<_> = members.into_iter().map(body).collect();
+    let body = json!({"version": version, "instances": instances});
+    json_answer(StatusCode::OK, &body)
+}
+
+fn instance_body<C: ControlPlane>(
+    control: &C,
+    member: MemberReport,
+    history: &[ConfigRecord],
+) -> InstanceBody {
+    let data_centre = control.data_centre_of(&member.name);
+    InstanceBody {
+        data_centre,
+        version: version_at(member.applied, history),
+        lease: if member.lease_live { "live" } else { "lapsed" },
+        votes: member.votes,
+        name: member.name,
+    }
+}
+
+/// The version in force at a log index; `None` if it is older than the
+/// history goes back.
+fn version_at(index: u64, history: &[ConfigRecord]) -> Option<u64> {
+    let record = history.iter().rev().find(|record| record.index <= index);
+    match (record, history.first()) {
+        (Some(record), _) => Some(record.version),
+        (None, Some(first)) if first.version > 1 => None,
+        (None, _) => Some(0),
+    }
+}
--- /dev/null
+++ b/crates/cleat-operate/src/operators/mod.rs
@@ -0,0 +1,63 @@
+//! The operators' interface.
+
+mod config;
+mod lists;
+mod status;
+
+use std::sync::Arc;
+
+use http::{Method, Request};
+use hyper::body::Incoming;
+
+use crate::ControlPlane;
+use crate::http::{Answer, Handler, Listener, Problem, ProblemKind, RunningServer};
+
+/// Serves operators.
+#[derive(Debug)]
+pub struct Operators<C> {
+    control: Arc<C>,
+}
+
+impl<C: ControlPlane> Operators<C> {
+    /// Serves on `listener` until the returned server is stopped.
+    pub fn spawn(listener: Listener, control: Arc<C>) -> RunningServer {
+        listener.spawn(Arc::new(Operators { control }))
+    }
+}
+
+impl<C: ControlPlane> Handler for Operators<C> {
+    async fn handle(&self, req: Request<Incoming>) -> Answer {
+        let control = &*self.control;
+        let path = req.uri().path().to_owned();
+        match (req.method().clone(), path.as_str()) {
+            (Method::PUT, "/config") => config::put(control, req).await,
+            (Method::GET, "/config") => config::show(control).await,
+            (Method::GET, "/config/history") => config::history(control).await,
+            (Method::GET, "/config/status") => config::status(control).await,
+            (Method::GET, "/pools") => lists::pools(control).await,
+            (Method::GET, "/instances") => lists::instances(control).await,
+            (Method::GET, "/targets") => lists::targets(control).await,
+            (Method::GET, "/status") => status::status(control).await,
+            (Method::GET, "/metrics-snapshot") => status::metrics(control),
+            (method, path) => refuse(&method, path),
+        }
+    }
+}
+
+fn refuse(method: &Method, path: &str) -> Answer {
+    let known = [
+        "/config",
+        "/config/history",
+        "/config/status",
+        "/pools",
+        "/instances",
+        "/targets",
+        "/status",
+        "/metrics-snapshot",
+    ];
+    let kind = match known.contains(&path) {
+        true => ProblemKind::MethodNotAllowed,
+        false => ProblemKind::NotFound,
+    };
+    Problem::new(kind, format!("{method} {path}")).into_answer()
+}
--- a/crates/cleat-world/src/state/apply.rs
+++ b/crates/cleat-world/src/state/apply.rs
@@ -1,6 +1,7 @@
 //! One command at a time, the same on every instance.
 
 use super::World;
+use super::config::Moment;
 use crate::{Answer, ApplyConfig, BeginLife, Command, CommandBody, ConfigAnswer};
 
 impl World {
@@ -8,12 +9,16 @@
     pub fn apply(&mut self, index: u64, command: Command) -> Answer {
         self.now_ms = self.now_ms.max(command.at_ms);
         match command.body {
-            CommandBody::ApplyConfig(change) => Answer::Config(self.apply_config(change)),
+            CommandBody::ApplyConfig(change) => Answer::Config(self.apply_config(change, index)),
             CommandBody::Announce(announce) => {
+                self.generation += 1;
                 let fleet = &self.config.fleet;
                 Answer::Target(self.targets.announce(announce, fleet, index))
             }
-            CommandBody::Withdraw(withdraw) => Answer::Target(self.targets.withdraw(&withdraw)),
+            CommandBody::Withdraw(withdraw) => {
+                self.generation += 1;
+                Answer::Target(self.targets.withdraw(&withdraw))
+            }
             CommandBody::ClaimKey(claim) => {
                 let terms = self.config.fleet.keys;
                 Answer::Key(self.keys.claim(claim, terms, self.now_ms))
@@ -23,10 +28,12 @@
         }
     }
 
-    fn apply_config(&mut self, change: ApplyConfig) -> ConfigAnswer {
+    fn apply_config(&mut self, change: ApplyConfig, index: u64) -> ConfigAnswer {
         let before = self.config.version;
-        let answer = self.config.apply(change, self.now_ms);
+        let ms = self.now_ms;
+        let answer = self.config.apply(change, Moment { index, ms });
         if self.config.version != before {
+            self.generation += 1;
             self.targets.keep_valid(&self.config.fleet);
         }
         answer
--- a/crates/cleat-world/src/state/config.rs
+++ b/crates/cleat-world/src/state/config.rs
@@ -21,6 +21,8 @@
 pub struct ConfigRecord {
     /// Counts 1, 2, 3…
     pub version: u64,
+    /// The log index from which it is in force.
+    pub index: u64,
     /// The command that brought it, if it had an id.
     pub command_id: Option<Box<str>>,
     /// When, in the state's clock (ms since the Unix epoch).
@@ -29,6 +31,15 @@
     pub bytes: u64,
 }
 
+/// When a command is applied.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Moment {
+    /// Its log index.
+    pub(super) index: u64,
+    /// The state's clock (ms).
+    pub(super) ms: u64,
+}
+
 /// An answer remembered for a command that is sent again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Remembered {
@@ -54,8 +65,8 @@
 }
 
 impl ConfigState {
-    pub(super) fn apply(&mut self, change: ApplyConfig, at_ms: u64) -> ConfigAnswer {
-        self.forget_old(at_ms);
+    pub(super) fn apply(&mut self, change: ApplyConfig, at: Moment) -> ConfigAnswer {
+        self.forget_old(at.ms);
         let first = change
             .command_id
             .as_ref()
@@ -64,9 +75,10 @@
             return first.answer.clone();
         }
         let id = change.command_id.clone();
-        let answer = self.decide(change, at_ms);
+        let answer = self.decide(change, at);
         if let Some(id) = id {
             let answer = answer.clone();
+            let at_ms = at.ms;
             self.remembered.insert(id, Remembered { at_ms, answer });
         }
         answer
@@ -80,7 +92,7 @@
         Ok(())
     }
 
-    fn decide(&mut self, change: ApplyConfig, at_ms: u64) -> ConfigAnswer {
+    fn decide(&mut self, change: ApplyConfig, at: Moment) -> ConfigAnswer {
         if change.expect != self.version {
             let last = self.history.last();
             return ConfigAnswer::Refused {
@@ -89,18 +101,19 @@
             };
         }
         match read(&change.config) {
-            Ok(fleet) => self.accept(change, fleet, at_ms),
+            Ok(fleet) => self.accept(change, fleet, at),
             Err(faults) => ConfigAnswer::Invalid { faults },
         }
     }
 
-    fn accept(&mut self, change: ApplyConfig, fleet: FleetConfig, at_ms: u64) -> ConfigAnswer {
+    fn accept(&mut self, change: ApplyConfig, fleet: FleetConfig, at: Moment) -> ConfigAnswer {
         self.version += 1;
         self.fleet = Arc::new(fleet);
         self.history.push(ConfigRecord {
             version: self.version,
+            index: at.index,
             command_id: change.command_id,
-            at_ms,
+            at_ms: at.ms,
             bytes: change.config.len() as u64,
         });
         if self.history.len() > HISTORY_LENGTH {
--- a/crates/cleat-world/src/state/world.rs
+++ b/crates/cleat-world/src/state/world.rs
@@ -17,6 +17,8 @@
 pub struct World {
     /// The latest time any command carried (ms). Invariant: never runs back.
     pub(super) now_ms: u64,
+    /// Grows with each change of the configuration or the targets.
+    pub(super) generation: u64,
     pub(super) config: ConfigState,
     pub(super) targets: Targets,
     pub(super) keys: KeyTable,
@@ -49,6 +51,17 @@
         self.config.version
     }
 
+    /// Grows with each change of what the request path needs: the
+    /// configuration and the targets.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// The current life of one of the system's own instances.
+    pub fn life(&self, entry: &str) -> Option<u64> {
+        self.lives.get(entry).copied()
+    }
+
     /// The configuration.
     pub fn fleet(&self) -> &Arc<FleetConfig> {
         &self.config.fleet
