Read an instance's settings and report every fault at once

Cause: an operator who mends one fault a start needs many starts. Ruled out: deriving Deserialize, which stops at the first fault; refusing the same port on different addresses, since those can be bound together.

--- a/crates/cleat-settings/src/lib.rs
+++ b/crates/cleat-settings/src/lib.rs
@@ -1,1 +1,13 @@
 //! An instance's own settings: read, checked, every fault reported with its JSON path.
+
+mod check;
+mod defaults;
+mod error;
+mod read;
+mod settings;
+
+pub use defaults::default_text;
+pub use error::SettingsError;
+pub use settings::{
+    Listen, LogFormat, LogSettings, MetricsSettings, Peer, Settings, TraceSettings,
+};
