--- /dev/null
+++ b/crates/cleat-entry/src/answer/mod.rs
@@ -0,0 +1,13 @@
+//! Answers on their way to callers.
+
+mod body;
+mod chunks;
+mod memory;
+mod receive;
+mod stream;
+
+pub(crate) use body::AnswerBody;
+pub(crate) use chunks::Chunks;
+pub(crate) use memory::Memory;
+pub(crate) use receive::{Received, receive};
+pub(crate) use stream::Stream;
--- /dev/null
+++ b/crates/cleat-entry/src/answer/receive.rs
@@ -0,0 +1,87 @@
+//! Reading a target's answer whole, as far as the bounds allow.
+
+use std::future::poll_fn;
+use std::sync::Arc;
+
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::response::Parts;
+use http::{HeaderMap, Method, Response, StatusCode};
+use http_body::Body;
+use hyper::body::Incoming;
+
+use super::{Chunks, Memory};
+use crate::upstream::{Failure, Upstream};
+
+/// How much of an answer is here.
+pub(crate) enum Received {
+    /// All of it, proved by its framing.
+    Whole(Parts, Chunks),
+    /// Its beginning; it is larger than may be held.
+    Begun(Parts, Chunks, Incoming),
+}
+
+/// Reads the body of `answer` until it is whole or more than `limit` bytes or
+/// more than `memory` has free.
+///
+/// # Errors
+/// What provably happened instead of a whole answer.
+pub(crate) async fn receive(
+    upstream: &mut Upstream,
+    method: &Method,
+    answer: Response<Incoming>,
+    limit: u64,
+    memory: &Arc<Memory>,
+) -> Result<Received, Failure> {
+    let (parts, mut body) = answer.into_parts();
+    check_framing(method, parts.status, &parts.headers)?;
+    let mut chunks = Chunks::default();
+    if body.size_hint().lower() > limit {
+        return Ok(Received::Begun(parts, chunks, body));
+    }
+    while let Some(frame) = poll_fn(|cx| upstream.poll_frame(&mut body, cx)).await {
+        // Trailers may be discarded (RFC 9110, 6.5).
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        let Some(reservation) = memory.reserve(data.len()) else {
+            chunks.push(data);
+            return Ok(Received::Begun(parts, chunks, body));
+        };
+        chunks.push(reservation.hold(data));
+        if chunks.len() as u64 > limit {
+            return Ok(Received::Begun(parts, chunks, body));
+        }
+    }
+    upstream.settle()?;
+    Ok(Received::Whole(parts, chunks))
+}
+
+/// Whether the end of the answer can be told from a cut.
+fn check_framing(method: &Method, status: StatusCode, headers: &HeaderMap) -> Result<(), Failure> {
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        // Nobody asked for it: `Upgrade` is not passed on.
+        return Err(Failure::Malformed);
+    }
+    let has_no_body = method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    let has_length = headers.contains_key(CONTENT_LENGTH);
+    let has_coding = headers.contains_key(TRANSFER_ENCODING);
+    if has_length && has_coding {
+        return Err(Failure::Malformed);
+    }
+    if has_no_body || has_length || is_chunked(headers) {
+        return Ok(());
+    }
+    Err(Failure::Unframed)
+}
+
+/// Whether `chunked` is the last coding, so that the end is marked.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let Some(codings) = last.map(|line| line.as_bytes()) else {
+        return false;
+    };
+    let coding = codings.rsplit(|byte| *byte == b',').next();
+    coding.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
--- /dev/null
+++ b/crates/cleat-entry/src/config.rs
@@ -0,0 +1,79 @@
+//! What an entry is told when it is bound.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The identity, address and bounds of one entry.
+#[derive(Debug, Clone)]
+pub struct EntryConfig {
+    /// The name of this instance, one of `entries`.
+    pub name: Box<str>,
+    /// The data centre it stands in.
+    pub data_centre: Box<str>,
+    /// This life of the instance, never used before.
+    pub life: u64,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// All instances of the system's own, sorted, the same list on each: they
+    /// divide the slots of every target among them.
+    pub entries: Vec<Box<str>>,
+    /// The seed of every random choice.
+    pub seed: u64,
+    /// The bounds.
+    pub limits: Limits,
+}
+
+/// Bounds of one entry that no configuration of the fleet states.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// The largest header block of a request, in bytes.
+    pub header_bytes: usize,
+    /// The most bytes that buffered answers hold at once; beyond it answers
+    /// are passed on as they come.
+    pub answer_memory_bytes: usize,
+    /// The most bytes that request bodies hold at once; beyond it requests
+    /// are refused.
+    pub request_memory_bytes: usize,
+    /// The most connections of callers; beyond it new ones wait unaccepted.
+    pub connections: usize,
+    /// The most idempotency keys in hand at once, from before the claim until
+    /// its settlement stands.
+    pub claims: usize,
+    /// The longest that opening a connection to a target may take.
+    pub connect: Duration,
+    /// How long an unused connection to a target is kept.
+    pub idle: Duration,
+    /// The longest a caller may take for the header block of a request; also
+    /// how long an idle connection of a caller is kept.
+    pub header_read: Duration,
+    /// The longest a caller may take no byte of an answer.
+    pub caller_stall: Duration,
+    /// How long a draining entry still takes requests, answering each with
+    /// `Connection: close`, so that no request is lost on its way.
+    pub linger: Duration,
+    /// The share of requests traced when the caller does not say, in percent.
+    pub trace_percent: u8,
+}
+
+const KIB: usize = 1_024;
+const MIB: usize = 1_024 * KIB;
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            header_bytes: 32 * KIB,
+            answer_memory_bytes: 16 * MIB,
+            request_memory_bytes: 64 * MIB,
+            connections: 4_096,
+            claims: 4_096,
+            connect: Duration::from_millis(300),
+            // Below the 5 s after which common servers close unused
+            // connections, so that a request seldom meets a closing one.
+            idle: Duration::from_secs(4),
+            header_read: Duration::from_secs(30),
+            caller_stall: Duration::from_secs(30),
+            linger: Duration::from_millis(500),
+            trace_percent: 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/src/control.rs
@@ -0,0 +1,34 @@
+//! What the request path needs from consensus.
+
+use std::future::Future;
+
+use cleat_world::{ClaimKey, KeyAnswer, SettleKey};
+use snafu::Snafu;
+
+/// The replicated state as the request path sees it.
+pub trait Control: Send + Sync + 'static {
+    /// Whether this instance's lease is valid, so that its view of the fleet
+    /// is in force. Cheap: asked for every request.
+    fn in_service(&self) -> bool;
+
+    /// Claims an idempotency key.
+    fn claim(&self, claim: ClaimKey) -> impl Future<Output = Result<KeyAnswer, ClaimError>> + Send;
+
+    /// Says what came of a claimed key.
+    fn settle(
+        &self,
+        settle: SettleKey,
+    ) -> impl Future<Output = Result<KeyAnswer, ClaimError>> + Send;
+}
+
+/// A claim or settlement without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum ClaimError {
+    /// It provably changed nothing, for instance because there is no quorum.
+    /// Send again later.
+    #[snafu(display("nothing was claimed"))]
+    NotClaimed,
+    /// It may or may not stand in the log. Send the same again.
+    #[snafu(display("it is not known whether the claim stands"))]
+    OutcomeUnknown,
+}
--- /dev/null
+++ b/crates/cleat-entry/src/entry/entry.rs
@@ -0,0 +1,86 @@
+//! The handle of a running entry.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cleat_world::World;
+use indexmap::IndexMap;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+
+use super::shared::{Phase, Shared};
+use super::{accept, drain, tick};
+use crate::config::EntryConfig;
+use crate::control::Control;
+
+/// A running entry. Dropping it closes its listener and lets requests in
+/// progress finish; [`Entry::drain`] also waits for them.
+pub struct Entry<C: Control> {
+    shared: Arc<Shared<C>>,
+    local_addr: SocketAddr,
+}
+
+/// An entry that could not start.
+#[derive(Debug, Snafu)]
+pub enum BindError {
+    /// The address can't be listened on: another process has it, or it is not
+    /// of this machine. Change `listen.callers` in the settings.
+    #[snafu(display("cannot listen for callers on {address}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+}
+
+impl<C: Control> Entry<C> {
+    /// Listens and serves. Every service is unknown until the first
+    /// [`Entry::publish`].
+    ///
+    /// # Errors
+    /// [`BindError`] if the address can't be listened on.
+    pub async fn bind(cfg: EntryConfig, control: Arc<C>) -> Result<Entry<C>, BindError> {
+        let address = cfg.listen;
+        let listening = TcpListener::bind(address).await;
+        let listener = listening.context(ListenSnafu { address })?;
+        let local_addr = listener.local_addr().context(ListenSnafu { address })?;
+        let shared = Arc::new(Shared::new(cfg, control));
+        accept::spawn(&shared, listener);
+        tick::spawn(&shared);
+        Ok(Entry { shared, local_addr })
+    }
+
+    /// Where callers connect.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local_addr
+    }
+
+    /// Brings the services and targets of `world` into force. When it returns,
+    /// no request begins by what was before. Cheap if neither changed.
+    pub fn publish(&self, world: &World) {
+        self.shared.publish(world);
+    }
+
+    /// Every counter by name.
+    pub fn counters(&self) -> IndexMap<Box<str>, u64> {
+        let mut counters = self.shared.counters.snapshot();
+        let held = self.shared.answer_memory.held() as u64;
+        counters.insert("entry.answer_bytes_held".into(), held);
+        counters
+    }
+
+    /// Stops gracefully: not ready at once, lets what is on its way arrive
+    /// ([`Limits::linger`](crate::Limits::linger)), then takes no more and
+    /// returns when every request in progress has its answer.
+    pub async fn drain(&self) {
+        drain::drain(&self.shared).await;
+    }
+}
+
+impl<C: Control> Drop for Entry<C> {
+    fn drop(&mut self) {
+        self.shared.phase.send_replace(Phase::Closing);
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/src/entry/handle.rs
@@ -0,0 +1,90 @@
+//! One request from its head to its answer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use http::header::CONNECTION;
+use http::request::Parts;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::health;
+use super::shared::{Phase, Shared};
+use crate::answer::AnswerBody;
+use crate::control::Control;
+use crate::headers::Outcome;
+use crate::problem::{Problem, ProblemKind};
+use crate::request::{Intake, read_body};
+use crate::trace::Trace;
+use crate::tries::{Answer, Detached, Job};
+
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
+/// Answers one request.
+pub(super) async fn handle<C: Control>(
+    shared: Arc<Shared<C>>,
+    req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let received = Instant::now();
+    let (parts, body) = req.into_parts();
+    let mut response = if parts.uri.path().starts_with(health::PREFIX) {
+        let answer = health::answer(&shared, &parts.method, parts.uri.path());
+        answer.unwrap_or_else(Problem::into_response)
+    } else {
+        forward(&shared, parts, body, received).await
+    };
+    if shared.phase() != Phase::Running {
+        response.headers_mut().insert(CONNECTION, CLOSE);
+    }
+    Ok(response)
+}
+
+async fn forward<C: Control>(
+    shared: &Arc<Shared<C>>,
+    parts: Parts,
+    body: Incoming,
+    received: Instant,
+) -> Response<AnswerBody> {
+    shared.counters.requests.incr();
+    // hyper drops a length that stands beside a coding, and so does the request
+    // that is passed on; what follows on such a connection is not trusted.
+    let chunked = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
+    let result = run(shared, parts, body, received).await;
+    let mut response = match result {
+        Ok(answer) => {
+            shared.counters.count(Outcome::Answered);
+            answer.into_response()
+        }
+        Err(problem) => {
+            shared.counters.count(problem.kind.outcome());
+            problem.into_response()
+        }
+    };
+    if chunked {
+        response.headers_mut().insert(CONNECTION, CLOSE);
+    }
+    response
+}
+
+async fn run<C: Control>(
+    shared: &Arc<Shared<C>>,
+    parts: Parts,
+    body: Incoming,
+    received: Instant,
+) -> Result<Answer, Problem> {
+    if !shared.control.in_service() {
+        return Err(Problem::new(ProblemKind::NotInService));
+    }
+    let trace = Trace::begin(&parts.headers, || shared.is_sampled());
+    let header_bytes = shared.cfg.limits.header_bytes;
+    let intake = Intake::check(parts, &shared.routes(), header_bytes, received)?;
+    let limit = intake.terms().body_limit_bytes;
+    let body = read_body(body, limit, &shared.request_memory, intake.deadline).await?;
+    let job = Job::new(Arc::clone(shared), intake, body, trace);
+    if job.is_idempotent() {
+        return job.run().await;
+    }
+    let commitment = job.commitment();
+    Detached::new(job.run(), commitment).await
+}
--- /dev/null
+++ b/crates/cleat-entry/src/entry/mod.rs
@@ -0,0 +1,16 @@
+//! The running entry: its listener, its connections and its end.
+
+mod accept;
+mod caller_io;
+mod drain;
+#[expect(clippy::module_inception)]
+mod entry;
+mod handle;
+mod health;
+mod shared;
+mod tick;
+mod work;
+
+pub use entry::{BindError, Entry};
+pub(crate) use shared::Shared;
+pub(crate) use work::WorkToken;
--- /dev/null
+++ b/crates/cleat-entry/src/entry/shared.rs
@@ -0,0 +1,118 @@
+//! What every request of an entry shares.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::{ArcSwap, Guard};
+use cleat_world::{KeyTerms, World};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use super::work::{Work, WorkToken};
+use crate::answer::Memory;
+use crate::config::EntryConfig;
+use crate::control::Control;
+use crate::counters::Counters;
+use crate::route::{Publisher, Routes};
+use crate::service::ConnectTerms;
+use crate::tries::KeysInHand;
+
+const HUNDRED: u64 = 100;
+
+/// Where an entry stands on its way to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Phase {
+    /// It takes requests.
+    Running,
+    /// It is not ready any more, but still answers what comes, and closes each
+    /// connection after its answer.
+    Lingering,
+    /// It takes no connection and closes unused ones.
+    Closing,
+}
+
+/// The state of an entry.
+pub(crate) struct Shared<C> {
+    pub(crate) cfg: EntryConfig,
+    pub(crate) control: Arc<C>,
+    pub(crate) counters: Counters,
+    pub(crate) answer_memory: Arc<Memory>,
+    pub(crate) request_memory: Arc<Memory>,
+    pub(crate) keys_in_hand: Arc<KeysInHand>,
+    pub(super) phase: watch::Sender<Phase>,
+    pub(super) work: Arc<Work>,
+    /// Wakes the ticker when a request begins to wait.
+    pub(super) waiting: Notify,
+    routes: ArcSwap<Routes>,
+    publisher: Mutex<Publisher>,
+    random: AtomicU64,
+}
+
+impl<C: Control> Shared<C> {
+    pub(super) fn new(cfg: EntryConfig, control: Arc<C>) -> Shared<C> {
+        let epoch = Instant::now();
+        Shared {
+            control,
+            counters: Counters::default(),
+            answer_memory: Memory::new(cfg.limits.answer_memory_bytes),
+            request_memory: Memory::new(cfg.limits.request_memory_bytes),
+            keys_in_hand: KeysInHand::new(cfg.limits.claims),
+            phase: watch::Sender::new(Phase::Running),
+            work: Arc::default(),
+            waiting: Notify::new(),
+            routes: ArcSwap::default(),
+            publisher: Mutex::new(Publisher::new(epoch)),
+            random: AtomicU64::new(cfg.seed),
+            cfg,
+        }
+    }
+
+    pub(super) fn publish(&self, world: &World) {
+        let publisher = self.publisher.lock();
+        let mut publisher = publisher.unwrap_or_else(PoisonError::into_inner);
+        if let Some(routes) = publisher.update(world, &self.cfg) {
+            self.routes.store(Arc::new(routes));
+        }
+    }
+
+    pub(super) fn routes(&self) -> Guard<Arc<Routes>> {
+        self.routes.load()
+    }
+
+    pub(super) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    pub(crate) fn key_terms(&self) -> KeyTerms {
+        self.routes.load().keys
+    }
+
+    pub(crate) fn work_token(&self) -> WorkToken {
+        self.work.begin()
+    }
+
+    pub(crate) fn connect_terms(&self) -> ConnectTerms {
+        ConnectTerms {
+            connect: self.cfg.limits.connect,
+            idle: self.cfg.limits.idle,
+        }
+    }
+
+    /// Accounts a request that begins to wait.
+    pub(crate) fn note_wait(&self) {
+        self.counters.waited.incr();
+        self.waiting.notify_one();
+    }
+
+    /// Whether to trace a request whose caller does not say.
+    pub(super) fn is_sampled(&self) -> bool {
+        let percent = u64::from(self.cfg.limits.trace_percent);
+        if percent == 0 {
+            return false;
+        }
+        let state = self.random.fetch_add(1, Ordering::Relaxed);
+        SmallRng::seed_from_u64(state).next_u64() % HUNDRED < percent
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/src/entry/work.rs
@@ -0,0 +1,43 @@
+//! Counting what a draining entry has to wait for.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use tokio::sync::Notify;
+
+/// The work in progress.
+#[derive(Debug, Default)]
+pub(super) struct Work {
+    count: AtomicUsize,
+    ended: Notify,
+}
+
+impl Work {
+    pub(super) fn begin(self: &Arc<Self>) -> WorkToken {
+        self.count.fetch_add(1, Ordering::AcqRel);
+        WorkToken(Arc::clone(self))
+    }
+
+    /// Waits until there is none.
+    pub(super) async fn end(&self) {
+        loop {
+            let ended = self.ended.notified();
+            if self.count.load(Ordering::Acquire) == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+}
+
+/// Work in progress until dropped.
+#[derive(Debug)]
+pub(crate) struct WorkToken(Arc<Work>);
+
+impl Drop for WorkToken {
+    fn drop(&mut self) {
+        if self.0.count.fetch_sub(1, Ordering::AcqRel) == 1 {
+            self.0.ended.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/src/headers.rs
@@ -0,0 +1,96 @@
+//! The headers that have a meaning here.
+
+use http::header::{
+    CONNECTION, EXPECT, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("celerycleat-outcome");
+pub(crate) const REPLAYED: HeaderName = HeaderName::from_static("celerycleat-replayed");
+pub(crate) const CALLER: HeaderName = HeaderName::from_static("celerycleat-caller");
+pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("celerycleat-deadline-ms");
+pub(crate) const IDEMPOTENT: HeaderName = HeaderName::from_static("celerycleat-idempotent");
+pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// What an answer says of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// This is the target's own whole answer.
+    Answered,
+    /// It really did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    pub(crate) fn value(self) -> HeaderValue {
+        HeaderValue::from_static(match self {
+            Outcome::Answered => "answered",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        })
+    }
+
+    /// What the caller may do, for people.
+    pub(crate) fn advice(self) -> &'static str {
+        match self {
+            Outcome::Answered => "The answer is the target's own.",
+            Outcome::NotRun => "The request did not run. It may be sent again after Retry-After.",
+            Outcome::Unknown => {
+                "The request may have run. Send it again only with the same Idempotency-Key, \
+                 or if running it twice does no harm."
+            }
+        }
+    }
+}
+
+/// Removes what concerns one connection only (RFC 9110, 7.6.1).
+pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    remove_named_by_connection(headers);
+    for name in [
+        KEEP_ALIVE,
+        PROXY_CONNECTION,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+}
+
+/// Removes what a target must not see as the caller's word, or what does not
+/// fit a request that was read whole.
+pub(crate) fn remove_for_target(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    headers.remove(EXPECT);
+    headers.remove(OUTCOME);
+    headers.remove(REPLAYED);
+}
+
+/// Removes what a caller must not see as a target's word.
+pub(crate) fn remove_for_caller(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    headers.remove(OUTCOME);
+    headers.remove(REPLAYED);
+}
+
+fn remove_named_by_connection(headers: &mut HeaderMap) {
+    if !headers.contains_key(CONNECTION) {
+        return;
+    }
+    let lines: Vec<HeaderValue> = headers.get_all(CONNECTION).iter().cloned().collect();
+    headers.remove(CONNECTION);
+    for line in &lines {
+        for name in line.as_bytes().split(|byte| *byte == b',') {
+            if let Ok(name) = HeaderName::from_bytes(name.trim_ascii()) {
+                headers.remove(name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/src/problem/kind.rs
@@ -0,0 +1,208 @@
+//! The kinds of our own answers.
+
+use cleat_decide::RefusalReason;
+use http::StatusCode;
+
+use crate::headers::Outcome;
+
+/// Why a caller gets an answer of ours instead of a target's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ProblemKind {
+    /// No service of this name is configured.
+    UnknownService,
+    /// The request names no path that could name a service.
+    UnsupportedTarget,
+    /// `Celerycleat-Deadline-Ms` is no positive number of milliseconds.
+    BadDeadline,
+    /// `Celerycleat-Caller` is not printable ASCII of bounded length.
+    BadCaller,
+    /// `Celerycleat-Idempotent` is neither `true` nor `false`.
+    BadIdempotent,
+    /// `Idempotency-Key` is empty, too long or not printable ASCII.
+    BadKey,
+    /// The body broke off or its framing is malformed.
+    BadBody,
+    /// The header block is too large.
+    HeadersTooLarge,
+    /// The body is larger than the service takes.
+    BodyTooLarge,
+    /// The key was used with another request.
+    KeyReused,
+    /// This instance is not in service; another may be.
+    NotInService,
+    /// Request bodies take all the memory set aside for them.
+    MemoryFull,
+    /// No more keys can be remembered, or too many claims are under way.
+    KeysFull,
+    /// The key could not be claimed.
+    KeyNotClaimed,
+    /// The caller is over its quota.
+    OverQuota,
+    /// The queue of the service is full.
+    QueueFull,
+    /// The request gave its place in the queue to a caller under its share.
+    Displaced,
+    /// The request could not finish in the time that is left.
+    CannotFinishInTime,
+    /// The service has no target.
+    NoTarget,
+    /// No target could be reached.
+    TargetsUnreachable,
+    /// The target's connection broke.
+    TargetCut,
+    /// The target's answer did not come in time.
+    TargetLate,
+    /// The target's answer is no HTTP/1.1.
+    AnswerMalformed,
+    /// Nothing but the connection's end marks the end of the answer.
+    AnswerUnframed,
+    /// More came than the answer's framing states.
+    AnswerSurplus,
+    /// The answer is too large to hold and the caller's HTTP/1.0 could not
+    /// tell a cut from its end.
+    AnswerTooLarge,
+    /// An earlier try may have run and a later one was not sent.
+    EarlierTry,
+    /// A request with the same key is still in progress.
+    KeyInProgress,
+    /// A request with the same key may have run.
+    KeyOutcomeUnknown,
+    /// A request with the same key ran; its answer was too large to keep.
+    KeyAnswerNotKept,
+}
+
+use ProblemKind as K;
+
+impl ProblemKind {
+    /// The status code.
+    pub fn status(self) -> StatusCode {
+        match self {
+            K::UnknownService => StatusCode::NOT_FOUND,
+            K::UnsupportedTarget
+            | K::BadDeadline
+            | K::BadCaller
+            | K::BadIdempotent
+            | K::BadKey
+            | K::BadBody => StatusCode::BAD_REQUEST,
+            K::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            K::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            K::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            K::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            K::NotInService
+            | K::MemoryFull
+            | K::KeysFull
+            | K::KeyNotClaimed
+            | K::QueueFull
+            | K::Displaced
+            | K::CannotFinishInTime
+            | K::NoTarget
+            | K::TargetsUnreachable => StatusCode::SERVICE_UNAVAILABLE,
+            K::TargetLate | K::KeyInProgress => StatusCode::GATEWAY_TIMEOUT,
+            K::TargetCut
+            | K::AnswerMalformed
+            | K::AnswerUnframed
+            | K::AnswerSurplus
+            | K::AnswerTooLarge
+            | K::EarlierTry
+            | K::KeyOutcomeUnknown
+            | K::KeyAnswerNotKept => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// What it says of the request.
+    pub(crate) fn outcome(self) -> Outcome {
+        match self.status() {
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// The last part of the stable `type`.
+    pub fn slug(self) -> &'static str {
+        match self {
+            K::UnknownService => "unknown-service",
+            K::UnsupportedTarget => "unsupported-target",
+            K::BadDeadline => "bad-deadline",
+            K::BadCaller => "bad-caller",
+            K::BadIdempotent => "bad-idempotent",
+            K::BadKey => "bad-idempotency-key",
+            K::BadBody => "bad-body",
+            K::HeadersTooLarge => "headers-too-large",
+            K::BodyTooLarge => "body-too-large",
+            K::KeyReused => "idempotency-key-reused",
+            K::NotInService => "not-in-service",
+            K::MemoryFull => "memory-full",
+            K::KeysFull => "idempotency-keys-full",
+            K::KeyNotClaimed => "idempotency-key-not-claimed",
+            K::OverQuota => "over-quota",
+            K::QueueFull => "queue-full",
+            K::Displaced => "displaced",
+            K::CannotFinishInTime => "cannot-finish-in-time",
+            K::NoTarget => "no-target",
+            K::TargetsUnreachable => "targets-unreachable",
+            K::TargetCut => "target-cut",
+            K::TargetLate => "target-late",
+            K::AnswerMalformed => "answer-malformed",
+            K::AnswerUnframed => "answer-unframed",
+            K::AnswerSurplus => "answer-surplus",
+            K::AnswerTooLarge => "answer-too-large",
+            K::EarlierTry => "earlier-try",
+            K::KeyInProgress => "idempotency-key-in-progress",
+            K::KeyOutcomeUnknown => "idempotency-key-outcome-unknown",
+            K::KeyAnswerNotKept => "idempotency-key-answer-not-kept",
+        }
+    }
+
+    /// One sentence for people.
+    pub fn title(self) -> &'static str {
+        match self {
+            K::UnknownService => "No service of this name is configured.",
+            K::UnsupportedTarget => "The request target must be a path that begins with a service.",
+            K::BadDeadline => "Celerycleat-Deadline-Ms must be one positive whole number.",
+            K::BadCaller => "Celerycleat-Caller must be one value of at most 256 printable bytes.",
+            K::BadIdempotent => "Celerycleat-Idempotent must be true or false.",
+            K::BadKey => "Idempotency-Key must be one value of 1 to 256 printable bytes.",
+            K::BadBody => "The request body could not be read.",
+            K::HeadersTooLarge => "The request's header block is too large.",
+            K::BodyTooLarge => "The request's body is larger than the service takes.",
+            K::KeyReused => "The Idempotency-Key was used with another request.",
+            K::NotInService => "This instance is not in service; ask another.",
+            K::MemoryFull => "Too many request bodies are in progress.",
+            K::KeysFull => "No more idempotency keys can be taken.",
+            K::KeyNotClaimed => "The Idempotency-Key could not be claimed; nothing was sent.",
+            K::OverQuota => "The caller is over its quota.",
+            K::QueueFull => "Too many requests wait for this service.",
+            K::Displaced => "The request gave way to a caller that is under its share.",
+            K::CannotFinishInTime => "The request could not finish in the time left.",
+            K::NoTarget => "The service has no target that takes requests.",
+            K::TargetsUnreachable => "No target could be reached.",
+            K::TargetCut => "The target's connection broke before its answer was whole.",
+            K::TargetLate => "The target's answer did not come in time.",
+            K::AnswerMalformed => "The target's answer is not valid HTTP/1.1.",
+            K::AnswerUnframed => {
+                "The target's answer has no length, so it cannot be proved to be whole."
+            }
+            K::AnswerSurplus => "The target sent more than its answer's length states.",
+            K::AnswerTooLarge => "The answer is too large to pass on by HTTP/1.0.",
+            K::EarlierTry => "An earlier try may have run; no later one could be sent.",
+            K::KeyInProgress => "A request with this Idempotency-Key is still in progress.",
+            K::KeyOutcomeUnknown => "A request with this Idempotency-Key may have run.",
+            K::KeyAnswerNotKept => {
+                "A request with this Idempotency-Key ran; its answer was too large to keep."
+            }
+        }
+    }
+}
+
+impl From<RefusalReason> for ProblemKind {
+    fn from(reason: RefusalReason) -> Self {
+        match reason {
+            RefusalReason::OverQuota => K::OverQuota,
+            RefusalReason::QueueFull => K::QueueFull,
+            RefusalReason::Displaced => K::Displaced,
+            RefusalReason::CannotFinishInTime => K::CannotFinishInTime,
+            RefusalReason::NoTarget => K::NoTarget,
+            RefusalReason::TriesUsedUp => K::TargetsUnreachable,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/src/problem/problem.rs
@@ -0,0 +1,105 @@
+//! One answer of ours.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cleat_decide::Refusal;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response};
+use serde::Serialize;
+
+use super::ProblemKind;
+use crate::answer::AnswerBody;
+use crate::headers::{OUTCOME, Outcome};
+
+const MEDIA_TYPE: HeaderValue = HeaderValue::from_static("application/problem+json");
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+const TYPE_PREFIX: &str = "urn:celerycleat:problem:";
+/// When to come back if nothing better is known.
+const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
+
+/// An answer of ours to one request.
+#[derive(Debug, Clone)]
+pub(crate) struct Problem {
+    pub(crate) kind: ProblemKind,
+    /// When to come back, told if the request did not run.
+    retry_after: Duration,
+    /// Whether the caller's connection can't be used any more.
+    closes: bool,
+}
+
+#[derive(Serialize)]
+struct Details<'a> {
+    r#type: &'a str,
+    title: &'a str,
+    status: u16,
+    detail: &'a str,
+}
+
+impl Problem {
+    pub(crate) fn new(kind: ProblemKind) -> Problem {
+        Problem {
+            kind,
+            retry_after: RETRY_AFTER_DEFAULT,
+            closes: false,
+        }
+    }
+
+    pub(crate) fn retry_after(kind: ProblemKind, retry_after: Duration) -> Problem {
+        Problem {
+            retry_after,
+            ..Problem::new(kind)
+        }
+    }
+
+    /// An answer after which the rest of the caller's bytes can't be read as
+    /// requests.
+    pub(crate) fn closing(kind: ProblemKind) -> Problem {
+        Problem {
+            closes: true,
+            ..Problem::new(kind)
+        }
+    }
+
+    pub(crate) fn into_response(self) -> Response<AnswerBody> {
+        let outcome = self.kind.outcome();
+        let mut response = Response::new(AnswerBody::whole_bytes(self.body(outcome)));
+        *response.status_mut() = self.kind.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, MEDIA_TYPE);
+        headers.insert(OUTCOME, outcome.value());
+        if outcome == Outcome::NotRun {
+            headers.insert(
+                RETRY_AFTER,
+                HeaderValue::from(whole_seconds(self.retry_after)),
+            );
+        }
+        if self.closes {
+            headers.insert(CONNECTION, CLOSE);
+        }
+        response
+    }
+
+    fn body(&self, outcome: Outcome) -> Bytes {
+        let type_uri = format!("{TYPE_PREFIX}{}", self.kind.slug());
+        let details = Details {
+            r#type: &type_uri,
+            title: self.kind.title(),
+            status: self.kind.status().as_u16(),
+            detail: outcome.advice(),
+        };
+        serde_json::to_vec(&details).unwrap_or_default().into()
+    }
+}
+
+impl From<Refusal> for Problem {
+    fn from(refusal: Refusal) -> Self {
+        Problem::retry_after(refusal.reason.into(), refusal.retry_after)
+    }
+}
+
+/// `Retry-After` knows only whole seconds; never earlier than was decided.
+fn whole_seconds(duration: Duration) -> u64 {
+    let up = u64::from(duration.subsec_nanos() > 0);
+    (duration.as_secs() + up).max(1)
+}
--- /dev/null
+++ b/crates/cleat-entry/src/request/body.rs
@@ -0,0 +1,69 @@
+//! Reading a request's body whole, so that it can be sent again.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use crate::answer::Memory;
+use crate::problem::{Problem, ProblemKind};
+
+/// Reads at most `limit` bytes until `deadline`.
+///
+/// # Errors
+/// The body is too large, broken or late, or there is no memory for it. The
+/// rest of it stays unread, so the connection has to close.
+pub(crate) async fn read_body(
+    body: Incoming,
+    limit: u64,
+    memory: &Arc<Memory>,
+    deadline: Instant,
+) -> Result<Bytes, Problem> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > limit {
+        return Err(Problem::closing(ProblemKind::BodyTooLarge));
+    }
+    let read = timeout_at(deadline, collect(body, limit, memory)).await;
+    read.unwrap_or_else(|_| Err(Problem::closing(ProblemKind::CannotFinishInTime)))
+}
+
+async fn collect(mut body: Incoming, limit: u64, memory: &Arc<Memory>) -> Result<Bytes, Problem> {
+    let mut first = Bytes::new();
+    let mut all = BytesMut::new();
+    let mut reservations = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Problem::closing(ProblemKind::BadBody))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if (first.len() + all.len() + data.len()) as u64 > limit {
+            return Err(Problem::closing(ProblemKind::BodyTooLarge));
+        }
+        let reservation = memory.reserve(data.len());
+        reservations.push(reservation.ok_or(Problem::closing(ProblemKind::MemoryFull))?);
+        if first.is_empty() {
+            first = data;
+        } else {
+            all.extend_from_slice(&data);
+        }
+    }
+    let bytes = join(first, &all);
+    // Each reservation lives as long as the bytes do.
+    Ok(reservations.into_iter().fold(bytes, |b, r| r.hold(b)))
+}
+
+/// Most bodies come in one piece, which then needs no copy.
+fn join(first: Bytes, rest: &BytesMut) -> Bytes {
+    if rest.is_empty() {
+        return first;
+    }
+    let mut all = BytesMut::with_capacity(first.len() + rest.len());
+    all.extend_from_slice(&first);
+    all.extend_from_slice(rest);
+    all.freeze()
+}
--- /dev/null
+++ b/crates/cleat-entry/src/request/intake.rs
@@ -0,0 +1,89 @@
+//! The checks on the head of a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::request::Parts;
+use http::{HeaderMap, Method, Uri, Version};
+use tokio::time::Instant;
+
+use super::{fields, path};
+use crate::problem::{Problem, ProblemKind};
+use crate::route::{Route, Routes};
+
+/// Between a name and a value, and at the end of a line.
+const LINE_OVERHEAD: usize = 4;
+
+/// A request whose head is in order.
+pub(crate) struct Intake {
+    pub(crate) service: Box<str>,
+    pub(crate) route: Route,
+    pub(crate) method: Method,
+    pub(crate) version: Version,
+    /// What the target is asked for.
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    /// Who pays in fairness, empty if not stated.
+    pub(crate) caller: Box<str>,
+    /// The end of all tries.
+    pub(crate) deadline: Instant,
+    /// Whether a second run does no harm.
+    pub(crate) idempotent: bool,
+    pub(crate) key: Option<Box<str>>,
+}
+
+impl Intake {
+    /// Checks the head of a request that came at `received`.
+    ///
+    /// # Errors
+    /// The caller's mistake.
+    pub(crate) fn check(
+        parts: Parts,
+        routes: &Routes,
+        header_bytes: usize,
+        received: Instant,
+    ) -> Result<Intake, Problem> {
+        let headers = parts.headers;
+        if size(&parts.uri, &headers) > header_bytes {
+            return Err(Problem::closing(ProblemKind::HeadersTooLarge));
+        }
+        let unsupported = || Problem::new(ProblemKind::UnsupportedTarget);
+        if parts.method == Method::CONNECT {
+            return Err(Problem::closing(ProblemKind::UnsupportedTarget));
+        }
+        let (service, rest) = path::split(parts.uri.path()).ok_or_else(unsupported)?;
+        let route = routes.find(service);
+        let route = route.ok_or(Problem::new(ProblemKind::UnknownService))?;
+        let uri = path::rest_uri(rest, parts.uri.query()).ok_or_else(unsupported)?;
+        let most = Duration::from_millis(route.terms.deadline_ms);
+        let stated = fields::deadline(&headers)?;
+        let time = stated.map_or(most, |stated| stated.min(most));
+        Ok(Intake {
+            service: service.into(),
+            route: Route::clone(route),
+            uri,
+            caller: fields::caller(&headers)?,
+            deadline: received + time,
+            idempotent: fields::idempotent(&headers, &parts.method)?,
+            key: fields::key(&headers)?,
+            method: parts.method,
+            version: parts.version,
+            headers,
+        })
+    }
+
+    /// The terms of the service.
+    pub(crate) fn terms(&self) -> &Arc<cleat_world::Service> {
+        &self.route.terms
+    }
+}
+
+/// The size of the header block, near enough.
+fn size(uri: &Uri, headers: &HeaderMap) -> usize {
+    let line = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        name.as_str().len() + value.len() + LINE_OVERHEAD
+    };
+    let lines: usize = headers.iter().map(line).sum();
+    let target = uri.path().len() + uri.query().map_or(0, str::len);
+    lines + target
+}
--- /dev/null
+++ b/crates/cleat-entry/src/request/mod.rs
@@ -0,0 +1,13 @@
+//! A caller's request, checked and read whole.
+
+mod body;
+mod digest;
+mod fields;
+mod intake;
+mod outgoing;
+mod path;
+
+pub(crate) use body::read_body;
+pub(crate) use digest::digest;
+pub(crate) use intake::Intake;
+pub(crate) use outgoing::Outgoing;
--- /dev/null
+++ b/crates/cleat-entry/src/service/slot.rs
@@ -0,0 +1,135 @@
+//! The right to run one try at one target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::ServiceState;
+use crate::target::Target;
+use crate::upstream::{Failure, Upstream};
+
+/// A slot of a target, with the connection that uses it.
+///
+/// Given back exactly once: by [`ServiceState::conclude`], else when dropped,
+/// and never before its connection is unused or closed.
+pub(crate) struct Slot {
+    service: Arc<ServiceState>,
+    /// `None` once given back.
+    target: Option<Arc<Target>>,
+    upstream: Option<Box<Upstream>>,
+    /// Whether the exchange ended so that the connection can serve another.
+    reusable: bool,
+    since: Duration,
+}
+
+impl Slot {
+    /// Wraps a slot that was taken of `target`.
+    pub(super) fn new(service: Arc<ServiceState>, target: Arc<Target>, now: Duration) -> Slot {
+        Slot {
+            service,
+            target: Some(target),
+            upstream: None,
+            reusable: false,
+            since: now,
+        }
+    }
+
+    /// The target.
+    pub(crate) fn target(&self) -> Option<&Arc<Target>> {
+        self.target.as_ref()
+    }
+
+    /// The service.
+    pub(crate) fn service(&self) -> &Arc<ServiceState> {
+        &self.service
+    }
+
+    /// A connection for one exchange: an unused one or a new one.
+    ///
+    /// # Errors
+    /// [`Failure::NotSent`].
+    pub(crate) async fn connect(&mut self, terms: &ConnectTerms) -> Result<(), Failure> {
+        let target = self.target.as_ref().ok_or(Failure::NotSent)?;
+        let idle = target.take_idle(self.service.now(), terms.idle);
+        self.upstream = match idle {
+            Some(upstream) => Some(upstream),
+            None => Some(Upstream::open(target.address, terms.connect).await?),
+        };
+        Ok(())
+    }
+
+    /// The connection, once there is one.
+    pub(crate) fn upstream(&mut self) -> Option<&mut Upstream> {
+        self.upstream.as_deref_mut()
+    }
+
+    /// Whether a byte of the current try may have left.
+    pub(crate) fn may_have_sent(&self) -> bool {
+        self.upstream
+            .as_deref()
+            .is_some_and(Upstream::may_have_sent)
+    }
+
+    /// Says that the exchange ended by its framing.
+    pub(crate) fn set_reusable(&mut self) {
+        self.reusable = true;
+    }
+
+    pub(super) fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.since)
+    }
+
+    /// Takes care of the connection and hands over the duty to give back the
+    /// slot.
+    pub(super) fn disarm(&mut self, now: Duration) -> Released {
+        let target = self.target.take();
+        if let Some(upstream) = self.upstream.take()
+            && self.reusable
+            && let Some(target) = &target
+        {
+            target.keep_idle(upstream, now);
+        }
+        Released(target)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if self.target.is_some() {
+            let now = self.service.now();
+            let released = self.disarm(now);
+            self.service.freed(&released);
+        }
+    }
+}
+
+/// How connections to targets are opened and kept.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ConnectTerms {
+    /// The longest that opening may take.
+    pub(crate) connect: Duration,
+    /// How long an unused connection stays usable.
+    pub(crate) idle: Duration,
+}
+
+/// A slot still to be given back, without its connection.
+#[must_use]
+pub(super) struct Released(Option<Arc<Target>>);
+
+impl Released {
+    pub(super) fn record(
+        &self,
+        outcome: cleat_decide::AttemptOutcome,
+        latency: Duration,
+        now: Duration,
+    ) {
+        if let Some(target) = &self.0 {
+            target.record(outcome, latency, now);
+        }
+    }
+
+    pub(super) fn release(&self) {
+        if let Some(target) = &self.0 {
+            target.release();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/src/service/state.rs
@@ -0,0 +1,123 @@
+//! The shared handle of a service's state.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cleat_decide::{AttemptOutcome, RequestFacts, Ticket, Verdict, verdict};
+use cleat_world::Service;
+use tokio::time::Instant;
+
+use super::Slot;
+use super::inner::Inner;
+use super::slot::Released;
+use crate::target::Target;
+
+/// One service as this entry serves it, kept from one version of the routes
+/// to the next.
+pub(crate) struct ServiceState {
+    /// The zero of the decisions' clock.
+    epoch: Instant,
+    tickets: AtomicU64,
+    /// Held for decisions only, never across I/O.
+    inner: Mutex<Inner>,
+}
+
+impl ServiceState {
+    pub(crate) fn new(terms: &Service, seed: u64, epoch: Instant) -> ServiceState {
+        ServiceState {
+            epoch,
+            tickets: AtomicU64::new(0),
+            inner: Mutex::new(Inner::new(terms, seed)),
+        }
+    }
+
+    /// The time on the decisions' clock.
+    pub(crate) fn now(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
+    /// A moment on the decisions' clock.
+    pub(super) fn at(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.epoch)
+    }
+
+    pub(super) fn next_ticket(&self) -> Ticket {
+        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Takes over new terms and targets. When this returns, nothing new goes
+    /// by the old ones.
+    pub(crate) fn update(self: &Arc<Self>, terms: &Service, targets: Vec<Arc<Target>>) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.set_terms(terms);
+        inner.set_targets(targets);
+        if !inner.has_capacity() {
+            inner.refuse_waiting(now);
+        }
+        inner.fill(self, None, now);
+    }
+
+    /// Refuses what waits, now and from now on.
+    pub(crate) fn close(&self) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.set_targets(Vec::new());
+        inner.refuse_waiting(now);
+    }
+
+    /// Closes connections to targets that were unused for too long.
+    pub(crate) fn sweep(&self, age_max: Duration) {
+        let now = self.now();
+        let targets = self.lock().targets();
+        for target in targets {
+            target.sweep(now, age_max);
+        }
+    }
+
+    /// Refuses what can no longer finish in time and fills slots that became
+    /// usable, as when an ejection ended. Says whether anything still waits.
+    pub(crate) fn tick(self: &Arc<Self>) -> bool {
+        let now = self.now();
+        let mut inner = self.lock();
+        if !inner.is_waiting() {
+            return false;
+        }
+        inner.expire(now);
+        inner.fill(self, None, now);
+        inner.is_waiting()
+    }
+
+    /// Accounts a try, gives back its slot, and says what follows.
+    pub(crate) fn conclude(
+        self: &Arc<Self>,
+        mut slot: Slot,
+        outcome: AttemptOutcome,
+        mut facts: RequestFacts,
+    ) -> Verdict {
+        let now = self.now();
+        let latency = slot.age(now);
+        let target = slot.disarm(now);
+        target.record(outcome, latency, now);
+        let sample = outcome.is_success().then_some(latency);
+        let mut inner = self.lock();
+        target.release();
+        facts.expected = inner.quick_service_time();
+        let verdict = verdict(&outcome, facts, inner.budget());
+        inner.fill(self, sample, now);
+        verdict
+    }
+
+    /// A slot was given back without an outcome.
+    pub(super) fn freed(self: &Arc<Self>, target: &Released) {
+        let now = self.now();
+        let mut inner = self.lock();
+        target.release();
+        inner.fill(self, None, now);
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/src/tries/keyed.rs
@@ -0,0 +1,76 @@
+//! A request that an idempotency key keeps from running twice.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cleat_world::{ClaimKey, KeyTable, Settlement};
+use tokio::time::Instant;
+
+use super::claim::{Claim, Claimer};
+use super::{Answer, Job};
+use crate::control::Control;
+use crate::headers::Outcome;
+use crate::problem::Problem;
+use crate::request::digest;
+
+/// A claim is held this much longer than its request may take.
+const HOLD_MARGIN: Duration = Duration::from_secs(2);
+
+impl<C: Control> Job<C> {
+    /// Claims, runs and settles.
+    pub(super) async fn run_keyed(&self, key: &str) -> Result<Answer, Problem> {
+        self.commitment.commit();
+        self.shared.counters.claims.incr();
+        let mut claimed = match self.claimer(key).run().await? {
+            Claim::Granted(claimed) => claimed,
+            Claim::Ran(stored) => {
+                self.shared.counters.replayed.incr();
+                return Ok(Answer::Replayed(stored));
+            }
+        };
+        // A refusal drops the claim, which settles it as not run.
+        let slot = self.admit().await?;
+        claimed.set_sent();
+        let result = self.send(slot).await;
+        claimed.settle(self.settlement(&result)).await;
+        result
+    }
+
+    fn claimer(&self, key: &str) -> Claimer<C> {
+        Claimer {
+            control: Arc::clone(&self.shared.control),
+            keys: Arc::clone(&self.shared.keys_in_hand),
+            claim: self.claim(key),
+            keep: Duration::from_secs(self.shared.key_terms().keep_s),
+            deadline: self.deadline,
+        }
+    }
+
+    fn claim(&self, key: &str) -> ClaimKey {
+        let outgoing = &self.outgoing;
+        let path = outgoing.uri.path().as_bytes();
+        let query = outgoing.uri.query().unwrap_or_default().as_bytes();
+        let method = outgoing.method.as_str().as_bytes();
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let hold = left + HOLD_MARGIN;
+        ClaimKey {
+            key: KeyTable::scoped(&self.service, &self.caller, key),
+            digest: digest(&[method, path, query, &outgoing.body]),
+            entry: self.shared.cfg.name.clone(),
+            life: self.shared.cfg.life,
+            hold_ms: u64::try_from(hold.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn settlement(&self, result: &Result<Answer, Problem>) -> Settlement {
+        let limit = self.shared.key_terms().answer_bytes;
+        match result {
+            Ok(answer) => match answer.stored(limit) {
+                Some(stored) => Settlement::Ran(stored),
+                None => Settlement::RanAnswerNotKept,
+            },
+            Err(problem) if problem.kind.outcome() == Outcome::NotRun => Settlement::NotRun,
+            Err(_) => Settlement::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/src/tries/settle.rs
@@ -0,0 +1,109 @@
+//! Saying what came of a claimed key.
+
+use std::future::{Future, poll_fn};
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+
+use cleat_world::{ClaimKey, SettleKey, Settlement};
+use tokio::runtime::Handle;
+use tokio::time::{Instant, sleep};
+
+use super::in_hand::InHand;
+use crate::control::Control;
+
+const BACKOFF_FIRST: Duration = Duration::from_millis(50);
+const BACKOFF_MAX: Duration = Duration::from_secs(2);
+
+/// A claim that may stand, settled exactly once.
+pub(super) struct Claimed<C: Control> {
+    control: Arc<C>,
+    settle: SettleKey,
+    /// How long the key is remembered, so how long a settlement can matter.
+    keep: Duration,
+    /// Taken by the settlement, which keeps the key in hand until it stands.
+    in_hand: Option<InHand>,
+}
+
+impl<C: Control> Claimed<C> {
+    /// A claim about to be made. Until more is known it is to be settled as
+    /// not run.
+    pub(super) fn new(
+        control: Arc<C>,
+        claim: &ClaimKey,
+        keep: Duration,
+        in_hand: InHand,
+    ) -> Claimed<C> {
+        let settle = SettleKey {
+            key: claim.key.clone(),
+            entry: claim.entry.clone(),
+            life: claim.life,
+            settlement: Settlement::NotRun,
+        };
+        Claimed {
+            control,
+            settle,
+            keep,
+            in_hand: Some(in_hand),
+        }
+    }
+
+    /// Says that from now on a byte of the request may leave.
+    pub(super) fn set_sent(&mut self) {
+        self.settle.settlement = Settlement::Unknown;
+    }
+
+    /// Says that no claim of this request stands.
+    pub(super) fn forget(&mut self) {
+        self.in_hand = None;
+    }
+
+    /// Proposes the settlement before it returns; does not wait for its commit.
+    ///
+    /// Waiting would cost every keyed request another quorum write. Without
+    /// it, a crash right after the answer leaves the key pending until its
+    /// hold ends; a request sent again then gets "unknown", never a second run.
+    pub(super) async fn settle(mut self, settlement: Settlement) {
+        self.settle.settlement = settlement;
+        let Some(proposal) = self.proposal() else {
+            return;
+        };
+        let mut proposal = Box::pin(proposal);
+        let pending = poll_fn(|cx| Poll::Ready(proposal.as_mut().poll(cx).is_pending())).await;
+        if pending {
+            tokio::spawn(proposal);
+        }
+    }
+
+    fn proposal(&mut self) -> Option<impl Future<Output = ()> + Send + use<C>> {
+        let in_hand = self.in_hand.take()?;
+        let control = Arc::clone(&self.control);
+        Some(propose(control, self.settle.clone(), self.keep, in_hand))
+    }
+}
+
+impl<C: Control> Drop for Claimed<C> {
+    fn drop(&mut self) {
+        let Some(proposal) = self.proposal() else {
+            return;
+        };
+        // Without a runtime the process is ending.
+        if let Ok(runtime) = Handle::try_current() {
+            runtime.spawn(proposal);
+        }
+    }
+}
+
+/// Proposes until the settlement stands or the key is forgotten.
+async fn propose<C: Control>(control: Arc<C>, settle: SettleKey, keep: Duration, _in_hand: InHand) {
+    let end = Instant::now() + keep;
+    let mut backoff = BACKOFF_FIRST;
+    while Instant::now() < end {
+        if control.settle(settle.clone()).await.is_ok() {
+            return;
+        }
+        sleep(backoff).await;
+        backoff = (backoff * 2).min(BACKOFF_MAX);
+    }
+    log::warn!("a claimed key could not be settled while it was remembered");
+}
--- /dev/null
+++ b/crates/cleat-entry/src/upstream/connection.rs
@@ -0,0 +1,142 @@
+//! A connection to a target with at most one exchange on it.
+
+use std::future::{Future, poll_fn};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body::{Body, Frame};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::Failure;
+use super::watched::{Sent, Watched};
+
+/// The most bytes of an answer's header block.
+const ANSWER_HEAD_BYTES: usize = 64 * 1_024;
+
+/// An open connection.
+///
+/// Boxed, because it is large and passed on with its slot. The task that uses it drives it, so dropping it closes the socket before
+/// the drop returns, and no other task has to be woken for an exchange.
+pub(crate) struct Upstream {
+    sender: SendRequest<Full<Bytes>>,
+    conn: Connection<TokioIo<Watched>, Full<Bytes>>,
+    sent: Sent,
+    /// Invariant: once true, `conn` is never polled again.
+    ended: bool,
+}
+
+impl Upstream {
+    /// Connects within `limit`.
+    ///
+    /// # Errors
+    /// [`Failure::NotSent`], whatever the cause.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Box<Upstream>, Failure> {
+        let connecting = timeout(limit, connect(address));
+        let stream = connecting.await.map_err(|_| Failure::NotSent)?;
+        let stream = stream.map_err(|_| Failure::NotSent)?;
+        let sent = Sent::default();
+        let io = TokioIo::new(Watched::new(stream, sent.clone()));
+        let handshake = http1::Builder::new()
+            .max_header_size(ANSWER_HEAD_BYTES)
+            .handshake(io)
+            .await;
+        let (sender, conn) = handshake.map_err(|_| Failure::NotSent)?;
+        Ok(Box::new(Upstream {
+            sender,
+            conn,
+            sent,
+            ended: false,
+        }))
+    }
+
+    /// Whether an exchange may start. Notices an end of the connection and
+    /// bytes that came without a request.
+    pub(crate) fn is_ready(&mut self) -> bool {
+        let mut cx = Context::from_waker(Waker::noop());
+        self.poll_conn(&mut cx);
+        !self.ended && self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// What provably happened. The connection is useless then.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Failure> {
+        self.sent.reset();
+        let mut answer = pin!(self.sender.try_send_request(req));
+        let answer = poll_fn(|cx| {
+            self.poll_conn(cx);
+            answer.as_mut().poll(cx)
+        });
+        let answer = answer.await;
+        answer.map_err(|e| Failure::of(e.error(), e.message().is_none() && self.sent.get()))
+    }
+
+    /// Whether a byte of the current exchange may have left.
+    pub(crate) fn may_have_sent(&self) -> bool {
+        self.sent.get()
+    }
+
+    /// The next frame of the answer's body.
+    pub(crate) fn poll_frame(
+        &mut self,
+        body: &mut Incoming,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
+        let mut frame = Pin::new(&mut *body).poll_frame(cx);
+        if frame.is_pending() {
+            self.poll_conn(cx);
+            frame = Pin::new(body).poll_frame(cx);
+        }
+        frame.map(|frame| frame.map(|frame| frame.map_err(|e| Failure::of(&e, true))))
+    }
+
+    /// Looks, after the end of an answer, whether more came than its framing
+    /// states.
+    ///
+    /// # Errors
+    /// [`Failure::Surplus`]. Bytes that come later are met by
+    /// [`Upstream::is_ready`].
+    pub(crate) fn settle(&mut self) -> Result<(), Failure> {
+        if self.ended {
+            return Ok(());
+        }
+        let mut cx = Context::from_waker(Waker::noop());
+        match Pin::new(&mut self.conn).poll(&mut cx) {
+            Poll::Pending => Ok(()),
+            Poll::Ready(end) => {
+                self.ended = true;
+                end.map_err(|_| Failure::Surplus)
+            }
+        }
+    }
+
+    fn poll_conn(&mut self, cx: &mut Context<'_>) {
+        if !self.ended {
+            // hyper hands an error to the exchange it concerns.
+            self.ended = Pin::new(&mut self.conn).poll(cx).is_ready();
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/cleat-entry/src/upstream/mod.rs
@@ -0,0 +1,8 @@
+//! One connection to a target, driven by the task that uses it.
+
+mod connection;
+mod failure;
+mod watched;
+
+pub(crate) use connection::Upstream;
+pub(crate) use failure::Failure;
--- /dev/null
+++ b/crates/cleat-entry/tests/support/target.rs
@@ -0,0 +1,199 @@
+//! A target that does byte by byte what a script says.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// One thing a target does with a request.
+#[derive(Debug, Clone)]
+pub enum Step {
+    Write(Vec<u8>),
+    Sleep(u64),
+    Close,
+    Reset,
+}
+
+impl Step {
+    pub fn write(text: &str) -> Step {
+        Step::Write(text.as_bytes().to_vec())
+    }
+
+    /// A whole answer.
+    pub fn ok(body: &str) -> Vec<Step> {
+        let length = body.len();
+        let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+        vec![Step::write(&text)]
+    }
+
+    pub fn slow_ok(ms: u64, body: &str) -> Vec<Step> {
+        let mut steps = vec![Step::Sleep(ms)];
+        steps.extend(Step::ok(body));
+        steps
+    }
+}
+
+type Scripted = dyn Fn(&str) -> Vec<Step> + Send + Sync;
+
+#[derive(Default)]
+struct Seen {
+    requests: Mutex<Vec<String>>,
+    now: AtomicU32,
+    most: AtomicU32,
+    connections: AtomicU32,
+    connections_most: AtomicU32,
+    accepted: AtomicU32,
+}
+
+pub struct Target {
+    pub address: SocketAddr,
+    seen: Arc<Seen>,
+    listening: tokio::task::JoinHandle<()>,
+}
+
+impl Target {
+    /// `script` maps the head of a request, with its body, to what is done.
+    pub async fn spawn(script: impl Fn(&str) -> Vec<Step> + Send + Sync + 'static) -> Target {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Arc::new(Seen::default());
+        let script: Arc<Scripted> = Arc::new(script);
+        let shared = Arc::clone(&seen);
+        let listening = tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                shared.accepted.fetch_add(1, Ordering::SeqCst);
+                let (shared, script) = (Arc::clone(&shared), Arc::clone(&script));
+                tokio::spawn(async move { serve(stream, &shared, &*script).await });
+            }
+        });
+        Target {
+            address,
+            seen,
+            listening,
+        }
+    }
+
+    /// A target that always answers `body`.
+    pub async fn ok(body: &'static str) -> Target {
+        Target::spawn(move |_| Step::ok(body)).await
+    }
+
+    /// An address that refuses connections.
+    pub async fn refusing() -> Target {
+        let target = Target::ok("").await;
+        target.listening.abort();
+        // The listener is closed when the task has ended.
+        while tokio::net::TcpStream::connect(target.address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        target
+    }
+
+    /// Heads and bodies of all requests.
+    pub fn requests(&self) -> Vec<String> {
+        self.seen.requests.lock().unwrap().clone()
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.requests.lock().unwrap().len()
+    }
+
+    /// The most requests in progress at once.
+    pub fn most(&self) -> u32 {
+        self.seen.most.load(Ordering::SeqCst)
+    }
+
+    pub fn in_progress(&self) -> u32 {
+        self.seen.now.load(Ordering::SeqCst)
+    }
+
+    /// The most connections open at once.
+    pub fn connections_most(&self) -> u32 {
+        self.seen.connections_most.load(Ordering::SeqCst)
+    }
+
+    pub fn connections(&self) -> u32 {
+        self.seen.connections.load(Ordering::SeqCst)
+    }
+
+    /// Connections ever accepted.
+    pub fn accepted(&self) -> u32 {
+        self.seen.accepted.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for Target {
+    fn drop(&mut self) {
+        self.listening.abort();
+    }
+}
+
+async fn serve(mut stream: TcpStream, seen: &Seen, script: &Scripted) {
+    let open = seen.connections.fetch_add(1, Ordering::SeqCst) + 1;
+    seen.connections_most.fetch_max(open, Ordering::SeqCst);
+    while let Some(request) = read_request(&mut stream).await {
+        let now = seen.now.fetch_add(1, Ordering::SeqCst) + 1;
+        seen.most.fetch_max(now, Ordering::SeqCst);
+        seen.requests.lock().unwrap().push(request.clone());
+        let goes_on = act(&mut stream, script(&request), seen).await;
+        if !goes_on {
+            break;
+        }
+    }
+    seen.connections.fetch_sub(1, Ordering::SeqCst);
+}
+
+/// Plays the script; the request stops counting before its last byte leaves.
+async fn act(stream: &mut TcpStream, steps: Vec<Step>, seen: &Seen) -> bool {
+    let last = steps.len();
+    let mut counts = true;
+    let mut goes_on = true;
+    for (i, step) in steps.into_iter().enumerate() {
+        if i + 1 == last {
+            seen.now.fetch_sub(1, Ordering::SeqCst);
+            counts = false;
+        }
+        match step {
+            Step::Write(bytes) => goes_on = stream.write_all(&bytes).await.is_ok(),
+            Step::Sleep(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            Step::Close => goes_on = false,
+            Step::Reset => {
+                stream.set_zero_linger().unwrap();
+                goes_on = false;
+            }
+        }
+        if !goes_on {
+            break;
+        }
+    }
+    if counts {
+        seen.now.fetch_sub(1, Ordering::SeqCst);
+    }
+    goes_on
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buf = [0; 4096];
+    loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
+            let length = head
+                .lines()
+                .find_map(|l| l.strip_prefix("content-length: "));
+            let length: usize = length.map_or(0, |length| length.parse().unwrap());
+            if bytes.len() >= end + 4 + length {
+                return Some(String::from_utf8_lossy(&bytes).into());
+            }
+        }
+        let count = stream.read(&mut buf).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&buf[..count]);
+    }
+}
