--- a/crates/cleat-entry/tests/support/control.rs
+++ b/crates/cleat-entry/tests/support/control.rs
@@ -27,6 +27,7 @@
     pub settlements: Mutex<Vec<Settlement>>,
     pub table: Mutex<KeyTable>,
     pub terms: Mutex<KeyTerms>,
+    pub last_digest: Mutex<Option<u64>>,
     started: Instant,
 }
 
@@ -40,6 +41,7 @@
             settlements: Mutex::default(),
             table: Mutex::default(),
             terms: Mutex::default(),
+            last_digest: Mutex::default(),
             started: Instant::now(),
         }
     }
@@ -58,6 +60,7 @@
 
     async fn claim(&self, claim: ClaimKey) -> Result<KeyAnswer, ClaimError> {
         self.claims.fetch_add(1, Ordering::SeqCst);
+        *self.last_digest.lock().unwrap() = Some(claim.digest);
         let script = *self.claim_script.lock().unwrap();
         // As a quorum write: the rest happens after a while.
         tokio::time::sleep(Duration::from_millis(2)).await;
--- a/crates/cleat-entry/tests/support/target.rs
+++ b/crates/cleat-entry/tests/support/target.rs
@@ -102,6 +102,11 @@
         self.seen.requests.lock().unwrap().len()
     }
 
+    /// Counts from nothing again.
+    pub fn forget(&self) {
+        self.seen.requests.lock().unwrap().clear();
+    }
+
     /// The most requests in progress at once.
     pub fn most(&self) -> u32 {
         self.seen.most.load(Ordering::SeqCst)
