Give every refusal the form of a typed answer

Cause: hyper answers heads that it can't read by itself, bare and without an outcome, and drops a length beside a coding unseen; a caller that stopped reading held a slot for long. Change: a caller's socket keeps the head it read last and replaces hyper's own answers; a streamed answer gives back its slot at the deadline whoever reads it. Ruled out: parsing heads before hyper does; it has no hook for its automatic answers. Conclusion: a length beside a coding in a pipelined head is processed by its coding, and the connection closed, rather than refused.

--- a/crates/cleat-entry/src/answer/body.rs
+++ b/crates/cleat-entry/src/answer/body.rs
@@ -1,6 +1,5 @@
 //! The body of an answer as hyper sends it.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -47,12 +46,6 @@
     }
 }
 
-impl From<Infallible> for BrokenOff {
-    fn from(never: Infallible) -> Self {
-        match never {}
-    }
-}
-
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = BrokenOff;
--- a/crates/cleat-entry/src/answer/mod.rs
+++ b/crates/cleat-entry/src/answer/mod.rs
@@ -6,7 +6,7 @@
 mod receive;
 mod stream;
 
-pub(crate) use body::AnswerBody;
+pub(crate) use body::{AnswerBody, BrokenOff};
 pub(crate) use chunks::Chunks;
 pub(crate) use memory::Memory;
 pub(crate) use receive::{Received, receive};
--- a/crates/cleat-entry/src/answer/stream.rs
+++ b/crates/cleat-entry/src/answer/stream.rs
@@ -1,8 +1,6 @@
 //! An answer passed on while it still comes.
 
-use std::future::Future;
-use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -10,7 +8,8 @@
 use cleat_decide::{AttemptOutcome, RequestFacts};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep_until};
 
 use super::Chunks;
 use super::body::BrokenOff;
@@ -19,17 +18,23 @@
 
 /// The rest of an answer that was too large to hold.
 ///
-/// It holds its slot until the target's last byte. Whatever goes wrong ends it
-/// with an error, which breaks the caller's connection.
+/// It holds its slot until the target's last byte, but not beyond the deadline,
+/// however slowly the caller reads. Whatever goes wrong ends it with an error,
+/// which breaks the caller's connection.
 pub(crate) struct Stream {
     begun: Chunks,
     rest: Incoming,
-    /// `None` once the answer ended or broke off.
-    slot: Option<Slot>,
-    deadline: Pin<Box<Sleep>>,
+    slot: SharedSlot,
+    /// All of the target's bytes were passed on.
+    whole: bool,
     status: u16,
+    watchdog: AbortHandle,
 }
 
+/// `None` once the answer ended, broke off or was late.
+#[derive(Clone)]
+struct SharedSlot(Arc<Mutex<Option<Slot>>>);
+
 impl Stream {
     pub(crate) fn new(
         begun: Chunks,
@@ -38,12 +43,20 @@
         deadline: Instant,
         status: u16,
     ) -> Stream {
+        let slot = SharedSlot(Arc::new(Mutex::new(Some(slot))));
+        let watched = slot.clone();
+        // hyper does not ask for more while the caller takes nothing.
+        let watchdog = tokio::spawn(async move {
+            sleep_until(deadline).await;
+            watched.conclude(Failure::Late.outcome());
+        });
         Stream {
             begun,
             rest,
-            slot: Some(slot),
-            deadline: Box::pin(sleep_until(deadline)),
+            slot,
+            whole: false,
             status,
+            watchdog: watchdog.abort_handle(),
         }
     }
 
@@ -54,11 +67,11 @@
         if let Some(chunk) = self.begun.pop() {
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
+        if self.whole {
+            return Poll::Ready(None);
+        }
         loop {
-            let Some(upstream) = self.slot.as_mut().and_then(Slot::upstream) else {
-                return Poll::Ready(None);
-            };
-            match upstream.poll_frame(&mut self.rest, cx) {
+            match self.poll_rest(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
                     // Trailers may be discarded (RFC 9110, 6.5).
                     if let Ok(data) = frame.into_data() {
@@ -67,9 +80,6 @@
                 }
                 Poll::Ready(Some(Err(failure))) => return self.break_off(failure),
                 Poll::Ready(None) => return self.finish(),
-                Poll::Pending if self.deadline.as_mut().poll(cx).is_ready() => {
-                    return self.break_off(Failure::Late);
-                }
                 Poll::Pending => return Poll::Pending,
             }
         }
@@ -86,6 +96,14 @@
         hint
     }
 
+    fn poll_rest(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
+        let mut slot = self.slot.lock();
+        match slot.as_mut().and_then(Slot::upstream) {
+            Some(upstream) => upstream.poll_frame(&mut self.rest, cx),
+            None => Poll::Ready(Some(Err(Failure::Late))),
+        }
+    }
+
     fn pass_on(&mut self, data: Bytes) -> Result<Frame<Bytes>, BrokenOff> {
         // hyper does not ask again after the last byte of a stated length.
         if self.rest.is_end_stream() {
@@ -102,34 +120,57 @@
     }
 
     fn end_whole(&mut self) -> Result<(), BrokenOff> {
-        let settled = self.slot.as_mut().and_then(Slot::upstream);
-        let settled = settled.map_or(Ok(()), |upstream| upstream.settle());
-        if let Err(failure) = settled {
-            self.conclude(failure.outcome());
+        if let Err(failure) = self.slot.settle() {
+            self.slot.conclude(failure.outcome());
             return Err(failure.into());
         }
-        if let Some(slot) = &mut self.slot {
-            slot.set_reusable();
-        }
+        self.whole = true;
         let status = self.status;
-        self.conclude(AttemptOutcome::Answered { status });
+        self.slot.conclude(AttemptOutcome::Answered { status });
         Ok(())
     }
 
     fn break_off(&mut self, failure: Failure) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        self.conclude(failure.outcome());
+        self.slot.conclude(failure.outcome());
         Poll::Ready(Some(Err(failure.into())))
     }
+}
 
-    fn conclude(&mut self, outcome: AttemptOutcome) {
-        if let Some(slot) = self.slot.take() {
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.watchdog.abort();
+        // What is left of the slot is given back without an outcome.
+        let slot = self.slot.lock().take();
+        drop(slot);
+    }
+}
+
+impl SharedSlot {
+    /// Makes the connection ready for another exchange.
+    fn settle(&self) -> Result<(), Failure> {
+        let mut slot = self.lock();
+        let slot = slot.as_mut().ok_or(Failure::Late)?;
+        if let Some(upstream) = slot.upstream() {
+            upstream.settle()?;
+        }
+        slot.set_reusable();
+        Ok(())
+    }
+
+    fn conclude(&self, outcome: AttemptOutcome) {
+        let slot = self.lock().take();
+        if let Some(slot) = slot {
             let service = Arc::clone(slot.service());
-            // The answer was begun: nothing but its end can follow.
             service.conclude(slot, outcome, FINAL);
         }
     }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Slot>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
+/// The answer was begun: nothing but its end can follow.
 const FINAL: RequestFacts = RequestFacts {
     idempotent: false,
     tries: 1,
--- a/crates/cleat-entry/src/entry/accept.rs
+++ b/crates/cleat-entry/src/entry/accept.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use super::caller_io::CallerIo;
+use super::connection::Connection;
 use super::handle::handle;
 use super::shared::{Phase, Shared};
 use crate::control::Control;
@@ -89,14 +90,15 @@
     // A socket without it is slower, not wrong.
     let _ = stream.set_nodelay(true);
     let limits = &shared.cfg.limits;
-    let io = TokioIo::new(CallerIo::new(stream, limits.caller_stall));
+    let connection = Connection::default();
+    let io = CallerIo::new(stream, limits.caller_stall, connection.clone());
     let mut phase = shared.phase.subscribe();
-    let service = service_fn(|req| handle(Arc::clone(&shared), req));
+    let service = service_fn(|req| handle(Arc::clone(&shared), connection.clone(), req));
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_read)
         .max_header_size(limits.header_bytes * HEADER_FACTOR)
-        .serve_connection(io, service);
+        .serve_connection(TokioIo::new(io), service);
     let mut conn = pin!(conn);
     tokio::select! {
         _ = conn.as_mut() => return,
--- a/crates/cleat-entry/src/entry/caller_io.rs
+++ b/crates/cleat-entry/src/entry/caller_io.rs
@@ -1,15 +1,20 @@
-//! A caller's socket with a bound on how long it may take nothing.
+//! A caller's socket: bounds how long the caller may take nothing, keeps the
+//! head that came last, and gives hyper's own answers the form of ours.
 
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
+use super::connection::Connection;
+use super::refusal;
+
 /// Without the bound, a caller that stops reading would hold its answer, and a
 /// draining entry, for ever.
 pub(super) struct CallerIo {
@@ -17,14 +22,19 @@
     limit: Duration,
     /// Runs while the caller takes nothing.
     stall: Option<Pin<Box<Sleep>>>,
+    connection: Connection,
+    /// What is left to write in place of an automatic answer of hyper.
+    replacement: Option<Bytes>,
 }
 
 impl CallerIo {
-    pub(super) fn new(stream: TcpStream, limit: Duration) -> CallerIo {
+    pub(super) fn new(stream: TcpStream, limit: Duration, connection: Connection) -> CallerIo {
         CallerIo {
             stream,
             limit,
             stall: None,
+            connection,
+            replacement: None,
         }
     }
 
@@ -44,6 +54,32 @@
             Poll::Pending => Poll::Pending,
         }
     }
+
+    /// Writes the replacement of `buf`, if it has one, and then claims that
+    /// `buf` was written.
+    fn poll_replace(
+        &mut self,
+        buf: &[u8],
+        cx: &mut Context<'_>,
+    ) -> Option<Poll<io::Result<usize>>> {
+        if self.replacement.is_none() && !self.connection.is_busy() {
+            self.replacement = refusal::replacement(buf);
+        }
+        self.replacement.as_ref()?;
+        let written = self.poll_replacement(cx);
+        Some(written.map_ok(|()| buf.len()))
+    }
+
+    fn poll_replacement(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while let Some(rest) = &mut self.replacement {
+            let written = Pin::new(&mut self.stream).poll_write(cx, rest);
+            rest.advance(ready!(written)?);
+            if rest.is_empty() {
+                self.replacement = None;
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl AsyncRead for CallerIo {
@@ -52,7 +88,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.connection.note_read(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -62,7 +101,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let replaced = self.poll_replace(buf, cx);
+        let written = replaced.unwrap_or_else(|| Pin::new(&mut self.stream).poll_write(cx, buf));
         self.watch(written, cx)
     }
 
@@ -71,7 +111,12 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let replaced = match bufs {
+            [only] => self.poll_replace(only, cx),
+            _ => None,
+        };
+        let written =
+            replaced.unwrap_or_else(|| Pin::new(&mut self.stream).poll_write_vectored(cx, bufs));
         self.watch(written, cx)
     }
 
--- a/crates/cleat-entry/src/entry/handle.rs
+++ b/crates/cleat-entry/src/entry/handle.rs
@@ -3,12 +3,14 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use http::header::CONNECTION;
+use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::connection::Connection;
+use super::guarded::GuardedBody;
 use super::health;
 use super::shared::{Phase, Shared};
 use crate::answer::AnswerBody;
@@ -24,33 +26,38 @@
 /// Answers one request.
 pub(super) async fn handle<C: Control>(
     shared: Arc<Shared<C>>,
+    connection: Connection,
     req: Request<Incoming>,
-) -> Result<Response<AnswerBody>, Infallible> {
+) -> Result<Response<GuardedBody>, Infallible> {
     let received = Instant::now();
+    let busy = connection.begin();
     let (parts, body) = req.into_parts();
     let mut response = if parts.uri.path().starts_with(health::PREFIX) {
         let answer = health::answer(&shared, &parts.method, parts.uri.path());
         answer.unwrap_or_else(Problem::into_response)
     } else {
-        forward(&shared, parts, body, received).await
+        forward(&shared, &connection, parts, body, received).await
     };
     if shared.phase() != Phase::Running {
         response.headers_mut().insert(CONNECTION, CLOSE);
     }
-    Ok(response)
+    Ok(response.map(|body| GuardedBody::new(body, busy)))
 }
 
 async fn forward<C: Control>(
     shared: &Arc<Shared<C>>,
+    connection: &Connection,
     parts: Parts,
     body: Incoming,
     received: Instant,
 ) -> Response<AnswerBody> {
     shared.counters.requests.incr();
-    // hyper drops a length that stands beside a coding, and so does the request
-    // that is passed on; what follows on such a connection is not trusted.
-    let chunked = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
-    let result = run(shared, parts, body, received).await;
+    let chunked = parts.headers.contains_key(TRANSFER_ENCODING);
+    let result = if chunked && connection.had_length() {
+        Err(Problem::closing(ProblemKind::MalformedRequest))
+    } else {
+        run(shared, parts, body, received).await
+    };
     let mut response = match result {
         Ok(answer) => {
             shared.counters.count(Outcome::Answered);
@@ -62,6 +69,8 @@
         }
     };
     if chunked {
+        // A length beside the coding may have gone unseen in a pipelined head;
+        // what follows on such a connection is not trusted.
         response.headers_mut().insert(CONNECTION, CLOSE);
     }
     response
--- a/crates/cleat-entry/src/entry/mod.rs
+++ b/crates/cleat-entry/src/entry/mod.rs
@@ -2,11 +2,14 @@
 
 mod accept;
 mod caller_io;
+mod connection;
 mod drain;
 #[expect(clippy::module_inception)]
 mod entry;
+mod guarded;
 mod handle;
 mod health;
+mod refusal;
 mod shared;
 mod tick;
 mod work;
--- /dev/null
+++ b/crates/cleat-entry/src/entry/refusal.rs
@@ -0,0 +1,35 @@
+//! hyper's own answers to heads that it can't read, made into ours.
+
+use bytes::Bytes;
+
+use crate::problem::{Problem, ProblemKind};
+
+const LENGTH_MAX: usize = 256;
+const END: &[u8] = b"\r\n\r\n";
+const EMPTY_BODY: &[u8] = b"content-length: 0\r\n";
+/// Every answer that a handler gave carries it.
+const OURS: &[u8] = b"celerycleat-outcome";
+
+/// The answer to write in place of `written`, if that is an automatic answer
+/// of hyper: one whole head without a body and without an outcome.
+///
+/// hyper offers no hook for these. Only asked while no answer of a handler is
+/// under way, so the bytes of a target's answer are never looked at.
+pub(super) fn replacement(written: &[u8]) -> Option<Bytes> {
+    let is_whole = written.len() <= LENGTH_MAX && written.ends_with(END);
+    if !is_whole || !contains(written, EMPTY_BODY) || contains(written, OURS) {
+        return None;
+    }
+    let status = written.strip_prefix(b"HTTP/1.1 ")?.get(..3)?;
+    let kind = match status {
+        b"400" => ProblemKind::MalformedRequest,
+        b"414" => ProblemKind::UriTooLong,
+        b"431" => ProblemKind::HeadersTooLarge,
+        _ => return None,
+    };
+    Some(Problem::closing(kind).to_bytes())
+}
+
+fn contains(bytes: &[u8], part: &[u8]) -> bool {
+    bytes.windows(part.len()).any(|window| window == part)
+}
--- a/crates/cleat-entry/src/headers.rs
+++ b/crates/cleat-entry/src/headers.rs
@@ -26,12 +26,16 @@
 }
 
 impl Outcome {
-    pub(crate) fn value(self) -> HeaderValue {
-        HeaderValue::from_static(match self {
+    pub(crate) fn name(self) -> &'static str {
+        match self {
             Outcome::Answered => "answered",
             Outcome::NotRun => "not-run",
             Outcome::Unknown => "unknown",
-        })
+        }
+    }
+
+    pub(crate) fn value(self) -> HeaderValue {
+        HeaderValue::from_static(self.name())
     }
 
     /// What the caller may do, for people.
--- a/crates/cleat-entry/src/problem/kind.rs
+++ b/crates/cleat-entry/src/problem/kind.rs
@@ -12,6 +12,10 @@
     UnknownService,
     /// The request names no path that could name a service.
     UnsupportedTarget,
+    /// The head is not valid HTTP/1.1, for instance by conflicting lengths.
+    MalformedRequest,
+    /// The request target is too long.
+    UriTooLong,
     /// `Celerycleat-Deadline-Ms` is no positive number of milliseconds.
     BadDeadline,
     /// `Celerycleat-Caller` is not printable ASCII of bounded length.
@@ -79,11 +83,13 @@
         match self {
             K::UnknownService => StatusCode::NOT_FOUND,
             K::UnsupportedTarget
+            | K::MalformedRequest
             | K::BadDeadline
             | K::BadCaller
             | K::BadIdempotent
             | K::BadKey
             | K::BadBody => StatusCode::BAD_REQUEST,
+            K::UriTooLong => StatusCode::URI_TOO_LONG,
             K::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             K::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             K::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
@@ -122,6 +128,8 @@
         match self {
             K::UnknownService => "unknown-service",
             K::UnsupportedTarget => "unsupported-target",
+            K::MalformedRequest => "malformed-request",
+            K::UriTooLong => "uri-too-long",
             K::BadDeadline => "bad-deadline",
             K::BadCaller => "bad-caller",
             K::BadIdempotent => "bad-idempotent",
@@ -158,6 +166,8 @@
         match self {
             K::UnknownService => "No service of this name is configured.",
             K::UnsupportedTarget => "The request target must be a path that begins with a service.",
+            K::MalformedRequest => "The request's head is not valid HTTP/1.1.",
+            K::UriTooLong => "The request target is too long.",
             K::BadDeadline => "Celerycleat-Deadline-Ms must be one positive whole number.",
             K::BadCaller => "Celerycleat-Caller must be one value of at most 256 printable bytes.",
             K::BadIdempotent => "Celerycleat-Idempotent must be true or false.",
--- a/crates/cleat-entry/src/problem/problem.rs
+++ b/crates/cleat-entry/src/problem/problem.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cleat_decide::Refusal;
-use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response};
 use serde::Serialize;
 
@@ -12,7 +12,7 @@
 use crate::answer::AnswerBody;
 use crate::headers::{OUTCOME, Outcome};
 
-const MEDIA_TYPE: HeaderValue = HeaderValue::from_static("application/problem+json");
+const MEDIA_TYPE: &str = "application/problem+json";
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const TYPE_PREFIX: &str = "urn:celerycleat:problem:";
 /// When to come back if nothing better is known.
@@ -66,7 +66,7 @@
         let mut response = Response::new(AnswerBody::whole_bytes(self.body(outcome)));
         *response.status_mut() = self.kind.status();
         let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, MEDIA_TYPE);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
         headers.insert(OUTCOME, outcome.value());
         if outcome == Outcome::NotRun {
             headers.insert(
@@ -80,6 +80,33 @@
         response
     }
 
+    /// The whole answer as bytes, for a connection whose request no handler
+    /// saw.
+    pub(crate) fn to_bytes(&self) -> Bytes {
+        let status = self.kind.status();
+        let outcome = self.kind.outcome();
+        let body = self.body(outcome);
+        let mut text = format!("HTTP/1.1 {status}\r\n");
+        let mut line = |name: &str, value: &str| {
+            text.push_str(name);
+            text.push_str(": ");
+            text.push_str(value);
+            text.push_str("\r\n");
+        };
+        line(CONNECTION.as_str(), "close");
+        line(CONTENT_TYPE.as_str(), MEDIA_TYPE);
+        line(OUTCOME.as_str(), outcome.name());
+        line(
+            RETRY_AFTER.as_str(),
+            &whole_seconds(self.retry_after).to_string(),
+        );
+        line(CONTENT_LENGTH.as_str(), &body.len().to_string());
+        text.push_str("\r\n");
+        let mut bytes = Vec::from(text);
+        bytes.extend_from_slice(&body);
+        bytes.into()
+    }
+
     fn body(&self, outcome: Outcome) -> Bytes {
         let type_uri = format!("{TYPE_PREFIX}{}", self.kind.slug());
         let details = Details {
--- a/crates/cleat-entry/tests/admission.rs
+++ b/crates/cleat-entry/tests/admission.rs
@@ -1,4 +1,5 @@
 //! Slots, queues, and targets that come and go.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/cleat-entry/tests/answers.rs
+++ b/crates/cleat-entry/tests/answers.rs
@@ -1,4 +1,5 @@
 //! Whole answers: every way in which a target fails to give one.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
@@ -360,6 +361,38 @@
     assert!(!reply.looks_whole());
 }
 
+#[tokio::test]
+async fn answer_streamed_to_a_caller_that_stops_reading() {
+    let target = Target::spawn(|head| {
+        if head.contains("/huge") {
+            big(30_000_000, 30_000_000)
+        } else {
+            Step::ok("own")
+        }
+    })
+    .await;
+    let terms = json!({"deadline_ms": 300});
+    let (entry, _) = entry(&Fleet::with(terms, &[&target], 1)).await;
+    let mut stream = support::open(entry.local_addr()).await;
+    let raw = b"GET /dock/huge HTTP/1.1\r\n\r\n";
+    tokio::io::AsyncWriteExt::write_all(&mut stream, raw)
+        .await
+        .unwrap();
+    eventually("it is streamed", || entry.counters()["entry.streamed"] == 1).await;
+    let mut reply = get(entry.local_addr(), "/dock/x", "").await;
+    for _ in 0..50 {
+        if reply.status == 200 {
+            break;
+        }
+        reply = get(entry.local_addr(), "/dock/x", "").await;
+    }
+    assert_eq!(
+        reply.text(),
+        "own",
+        "the slot is given back at the deadline"
+    );
+}
+
 #[tokio::test]
 async fn answer_memory_bounded() {
     let target = Target::spawn(|_| Step::ok(&"x".repeat(20_000))).await;
--- a/crates/cleat-entry/tests/drain.rs
+++ b/crates/cleat-entry/tests/drain.rs
@@ -1,4 +1,5 @@
 //! A planned stop loses nothing and cuts off nothing.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/cleat-entry/tests/forward.rs
+++ b/crates/cleat-entry/tests/forward.rs
@@ -1,4 +1,5 @@
 //! The plain path: what a target and a caller see of each other.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
--- a/crates/cleat-entry/tests/keys.rs
+++ b/crates/cleat-entry/tests/keys.rs
@@ -1,4 +1,5 @@
 //! At most once: idempotency keys through faults of control and of entries.
+#![allow(clippy::unwrap_used)]
 
 mod support;
 
