--- a/crates/cleat-log/examples/group_commit.rs
+++ b/crates/cleat-log/examples/group_commit.rs
@@ -1,17 +1,21 @@
-//! Records a second, and the time of one append and sync, against the batch size.
+//! Records a second, and the time of one append and sync, against the batch size; then
+//! the time of a snapshot.
 //!
 //! `cargo run --release -p cleat-log --example group_commit [FOLDER]`; the figures hold
 //! for the disk under FOLDER, or under the system's temporary folder.
 
 use std::error::Error;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use cleat_log::{Journal, Record};
+use cleat_log::{Journal, Record, Snapshot};
 use hdrhistogram::Histogram;
 
 const PAYLOAD_BYTES: usize = 200;
 const BATCHES: [u64; 4] = [1, 8, 64, 512];
+const BEFORE: u64 = 100_000;
+const AFTER: u64 = 1_000;
+const SNAPSHOT_BYTES: usize = 1 << 20;
 /// Rounds are interleaved over the sizes, so that a slow spell of the disk hits all.
 const ROUNDS: usize = 3;
 const ROUND: Duration = Duration::from_secs(1);
@@ -46,6 +50,35 @@
     for run in &runs {
         report(run);
     }
+    drop(journal);
+    snapshot(&folder.path().join("snapshot"))
+}
+
+/// How long appends have to wait for a snapshot.
+fn snapshot(folder: &Path) -> Result<(), Box<dyn Error>> {
+    let (mut journal, _) = Journal::open(folder, "bench")?;
+    let records: Vec<Record> = (1..=BEFORE + AFTER).map(record).collect();
+    journal.append(&records)?;
+    journal.sync()?;
+    let snapshot = Snapshot {
+        index: BEFORE,
+        term: 1,
+        data: vec![7; SNAPSHOT_BYTES].into(),
+    };
+    let begin = Instant::now();
+    journal.save_snapshot(&snapshot)?;
+    let time = begin.elapsed();
+    println!(
+        "snapshot of {SNAPSHOT_BYTES} bytes, {BEFORE} records before, {AFTER} after: {time:?}"
+    );
+    let begin = Instant::now();
+    drop(journal);
+    let (_, found) = Journal::open(folder, "bench")?;
+    println!(
+        "open with {} records: {:?}",
+        found.records.len(),
+        begin.elapsed()
+    );
     Ok(())
 }
 
--- a/crates/cleat-telemetry/src/telemetry.rs
+++ b/crates/cleat-telemetry/src/telemetry.rs
@@ -33,7 +33,8 @@
         let counters = Counters::default();
         let push = Push::new(counters.clone(), settings.metrics.statsd)?;
         logs::install(&settings.log)?;
-        let tracer = trace::install(settings.trace.ratio_percent, settings.log.format)?;
+        let (ratio, format) = (settings.trace.ratio_percent, settings.log.format);
+        let tracer = trace::install(ratio, format, &counters)?;
         let (stop, stopped) = oneshot::channel();
         let pushing = tokio::spawn(keep_pushing(push, stopped));
         Ok(Telemetry {
@@ -44,7 +45,8 @@
         })
     }
 
-    /// The registry of numbers.
+    /// The registry of numbers. Telemetry itself counts `spans.ended` and `spans.written`;
+    /// spans that were ended but never written were lost to a full queue.
     pub fn counters(&self) -> &Counters {
         &self.counters
     }
--- a/crates/cleat-telemetry/src/trace/export.rs
+++ b/crates/cleat-telemetry/src/trace/export.rs
@@ -9,6 +9,7 @@
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::trace::{SpanData, SpanExporter};
 
+use crate::Counter;
 use crate::logs::SPAN_TARGET;
 
 /// Writes each span as one log line with target `span`, on the exporter's own thread.
@@ -18,11 +19,12 @@
 #[derive(Debug)]
 pub(super) struct Export {
     format: LogFormat,
+    written: Counter,
 }
 
 impl Export {
-    pub(super) fn new(format: LogFormat) -> Export {
-        Export { format }
+    pub(super) fn new(format: LogFormat, written: Counter) -> Export {
+        Export { format, written }
     }
 
     fn write(&self, span: &SpanData) {
@@ -47,6 +49,7 @@
     async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
         for span in &batch {
             self.write(span);
+            self.written.incr();
         }
         Ok(())
     }
--- a/crates/cleat-telemetry/src/trace/mod.rs
+++ b/crates/cleat-telemetry/src/trace/mod.rs
@@ -4,10 +4,11 @@
 mod filter;
 mod propagate;
 mod request;
+mod tally;
 
 use cleat_settings::LogFormat;
 use opentelemetry::trace::TracerProvider;
-use opentelemetry_sdk::trace::{Sampler, SdkTracerProvider};
+use opentelemetry_sdk::trace::{BatchSpanProcessor, Sampler, SdkTracerProvider};
 use tracing::level_filters::LevelFilter;
 use tracing_opentelemetry::OpenTelemetryLayer;
 use tracing_subscriber::Registry;
@@ -16,12 +17,17 @@
 pub use propagate::{context_from, inject};
 pub use request::request_span;
 
-use crate::TelemetryError;
 use crate::error::AlreadyStartedSnafu;
+use crate::{Counters, TelemetryError};
 use export::Export;
 use filter::OnlyTraced;
+use tally::Tally;
 
 const TRACER: &str = "celerycleat";
+/// Counts traced spans that ended.
+const ENDED: &str = "spans.ended";
+/// Counts traced spans that were written to the log.
+const WRITTEN: &str = "spans.written";
 /// The most verbose level of a span that is ever recorded.
 const LEVEL: LevelFilter = LevelFilter::INFO;
 
@@ -29,12 +35,15 @@
 pub(crate) fn install(
     ratio_percent: u8,
     format: LogFormat,
+    counters: &Counters,
 ) -> Result<SdkTracerProvider, TelemetryError> {
     // Only a request's first span has no parent, and it is made only if it is to be traced.
     let sampler = Sampler::ParentBased(Box::new(Sampler::AlwaysOn));
+    let export = Export::new(format, counters.counter(WRITTEN));
+    let queue = BatchSpanProcessor::builder(export).build();
     let provider = SdkTracerProvider::builder()
         .with_sampler(sampler)
-        .with_batch_exporter(Export::new(format))
+        .with_span_processor(Tally::new(queue, counters.counter(ENDED)))
         .build();
     let layer = OpenTelemetryLayer::new(provider.tracer(TRACER))
         .with_location(false)
--- a/crates/cleat-telemetry/tests/plain.rs
+++ b/crates/cleat-telemetry/tests/plain.rs
@@ -32,7 +32,10 @@
     });
     drop(span);
     drop(info_span!(target: "cleat_entry", "part of no request"));
+    let counters = telemetry.counters().clone();
     telemetry.shutdown().await;
+    let spans = ["spans.ended", "spans.written"].map(|name| counters.counter(name).get());
+    assert_eq!(spans, [2, 2]);
     let text = fs::read_to_string(&path).unwrap();
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines.len(), 4, "{text}");
