--- /dev/null
+++ b/crates/celerycleatd/src/error.rs
@@ -0,0 +1,69 @@
+//! Why the daemon ended.
+
+use std::process::ExitCode;
+
+use cleat_node::StartError;
+use cleat_settings::SettingsError;
+use cleat_telemetry::TelemetryError;
+use snafu::Snafu;
+
+/// The exit code for invalid settings or arguments.
+pub const EXIT_INVALID: u8 = 2;
+
+/// Why the daemon could not do what it was asked.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum DaemonError {
+    /// Neither `--settings` nor `--dev` was given. Give one of them.
+    #[snafu(display("give --settings FILE, or --dev to try it out"))]
+    NothingToRun,
+    /// The settings are not valid; the source lists every fault.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// The faults.
+        source: SettingsError,
+    },
+    /// Logs, metrics or traces could not be set up.
+    #[snafu(display("telemetry cannot be set up"))]
+    Telemetry {
+        /// Why.
+        source: TelemetryError,
+    },
+    /// The instance could not start; nothing was changed.
+    #[snafu(display("the instance cannot start"))]
+    Start {
+        /// Why.
+        source: StartError,
+    },
+    /// The temporary data folder of `--dev` could not be made. Check that the
+    /// folder for temporary files can be written.
+    #[snafu(display("no temporary data folder can be made"))]
+    TemporaryFolder {
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// Signals or threads could not be set up.
+    #[snafu(display("the process cannot be set up"))]
+    Process {
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The example of `--dev` could not be put into force.
+    #[snafu(display("the example cannot be set up: {step}"))]
+    Example {
+        /// What was to be done.
+        step: &'static str,
+    },
+}
+
+impl DaemonError {
+    /// The exit code that tells this error from others.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            DaemonError::NothingToRun | DaemonError::Settings { .. } => {
+                ExitCode::from(EXIT_INVALID)
+            }
+            _ => ExitCode::FAILURE,
+        }
+    }
+}
--- a/crates/celerycleatd/src/lib.rs
+++ b/crates/celerycleatd/src/lib.rs
@@ -1,1 +1,13 @@
-//! The daemon: one instance, put together from its settings.
+//! The daemon's commands: run an instance, check its settings, try it out.
+
+mod args;
+mod check;
+mod dev;
+mod dev_target;
+mod error;
+mod http_json;
+mod run;
+
+pub use args::Args;
+pub use error::{DaemonError, EXIT_INVALID};
+pub use run::main;
--- a/crates/celerycleatd/src/main.rs
+++ b/crates/celerycleatd/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder until the daemon is wired.
-fn main() {}
+//! The daemon's entry point.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    celerycleatd::main()
+}
--- /dev/null
+++ b/crates/cleat-node/src/member.rs
@@ -0,0 +1,100 @@
+//! From names of instances to keys of members.
+
+use cleat_quorum::MemberId;
+use cleat_settings::Settings;
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+
+/// One instance of the system's own, as the settings list it.
+#[derive(Debug, Clone)]
+pub(crate) struct MemberInfo {
+    pub(crate) name: Box<str>,
+    pub(crate) data_centre: Box<str>,
+    /// Unset for an instance that is alone.
+    pub(crate) address: Option<SocketAddr>,
+    pub(crate) votes: bool,
+}
+
+/// Every instance by key.
+#[derive(Debug, Clone)]
+pub(crate) struct Members {
+    by_id: IndexMap<MemberId, MemberInfo>,
+    own: MemberId,
+}
+
+/// Two names whose keys are equal.
+#[derive(Debug)]
+pub(crate) struct KeyClash {
+    pub(crate) first: Box<str>,
+    pub(crate) second: Box<str>,
+}
+
+impl Members {
+    /// The instances of `settings`; an instance without peers is alone.
+    pub(crate) fn of(settings: &Settings) -> Result<Members, KeyClash> {
+        let mut members = Members {
+            by_id: IndexMap::new(),
+            own: member_id(&settings.name),
+        };
+        for peer in &settings.peers {
+            members.add(MemberInfo {
+                name: peer.name.clone(),
+                data_centre: peer.data_centre.clone(),
+                address: Some(peer.address),
+                votes: peer.votes,
+            })?;
+        }
+        if settings.peers.is_empty() {
+            members.add(MemberInfo {
+                name: settings.name.clone(),
+                data_centre: settings.data_centre.clone(),
+                address: None,
+                votes: true,
+            })?;
+        }
+        Ok(members)
+    }
+
+    fn add(&mut self, info: MemberInfo) -> Result<(), KeyClash> {
+        let id = member_id(&info.name);
+        if let Some(first) = self.by_id.get(&id) {
+            return Err(KeyClash {
+                first: first.name.clone(),
+                second: info.name,
+            });
+        }
+        self.by_id.insert(id, info);
+        Ok(())
+    }
+
+    pub(crate) fn own(&self) -> MemberId {
+        self.own
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (MemberId, &MemberInfo)> {
+        self.by_id.iter().map(|(id, info)| (*id, info))
+    }
+
+    pub(crate) fn name(&self, id: MemberId) -> Option<&str> {
+        self.by_id.get(&id).map(|info| &*info.name)
+    }
+
+    pub(crate) fn by_name(&self, name: &str) -> Option<&MemberInfo> {
+        self.by_id.get(&member_id(name))
+    }
+
+    /// Every name, sorted: the same list on each instance.
+    pub(crate) fn sorted_names(&self) -> Vec<Box<str>> {
+        let mut names: Vec<_> = self.by_id.values().map(|info| info.name.clone()).collect();
+        names.sort();
+        names
+    }
+}
+
+/// The key of an instance. It depends on the name alone, so adding or
+/// removing an instance in the settings leaves the others' keys as they are.
+pub(crate) fn member_id(name: &str) -> MemberId {
+    let hash = crc32fast::hash(name.as_bytes());
+    let [a, b, c, d] = hash.to_be_bytes();
+    MemberId(u16::from_be_bytes([a ^ c, b ^ d]))
+}
--- /dev/null
+++ b/crates/cleat-node/src/peer_handler.rs
@@ -0,0 +1,35 @@
+//! What this instance answers to the others.
+
+use cleat_link::{Handler, MemberReport, PeerError, Proposed, Renewal, RenewalOutcome};
+use cleat_quorum::Message;
+use cleat_world::CommandBody;
+
+use crate::node::Node;
+
+impl Handler for Node {
+    fn deliver(&self, messages: Vec<Message>) {
+        for message in messages {
+            self.replica.deliver(message);
+        }
+    }
+
+    async fn propose(&self, body: CommandBody) -> Result<Proposed, PeerError> {
+        self.propose_here(body).await
+    }
+
+    async fn wait_in_force(&self, index: u64) -> Result<(), PeerError> {
+        self.wait_in_force_here(index).await
+    }
+
+    async fn read_index(&self) -> Result<u64, PeerError> {
+        self.read_index_here().await
+    }
+
+    fn renew(&self, renewals: &[Renewal]) -> Result<Vec<RenewalOutcome>, PeerError> {
+        self.renew_here(renewals)
+    }
+
+    fn members(&self) -> Result<Vec<MemberReport>, PeerError> {
+        self.members_here()
+    }
+}
