Track the folders named target inside crates

Cause: the ignore rule target/ also hid crates/*/src/target, so a clone did not build (E0583, seen on a fresh clone); the working tree did. Ruled out: renaming the modules, whose name is the users' word.

--- /dev/null
+++ b/crates/cleat-entry/src/target/target.rs
@@ -0,0 +1,99 @@
+//! One target under one address.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cleat_decide::{AttemptOutcome, Candidate, Health};
+
+use super::Slots;
+use super::idle::Idle;
+use crate::upstream::Upstream;
+
+/// What this entry knows of a target, kept from one version of the routes to
+/// the next.
+pub(crate) struct Target {
+    pub(crate) name: Box<str>,
+    pub(crate) address: SocketAddr,
+    /// Whether it stands in the entry's own data centre.
+    pub(crate) local: bool,
+    pub(crate) slots: Arc<Slots>,
+    /// Once set, nothing new is begun here.
+    withdrawn: AtomicBool,
+    health: Mutex<Health>,
+    idle: Idle,
+}
+
+impl Target {
+    pub(crate) fn new(
+        name: Box<str>,
+        address: SocketAddr,
+        local: bool,
+        slots: Arc<Slots>,
+        now: Duration,
+    ) -> Target {
+        Target {
+            name,
+            address,
+            local,
+            slots,
+            withdrawn: AtomicBool::new(false),
+            health: Mutex::new(Health::new(now)),
+            idle: Idle::default(),
+        }
+    }
+
+    /// The target as the choice sees it.
+    pub(crate) fn candidate(&self, now: Duration) -> Candidate {
+        let health = self.health();
+        Candidate {
+            in_flight: self.slots.in_flight(),
+            share: self.slots.share(),
+            latency_us: health.latency_us(now),
+            ejected: health.is_ejected(now),
+            warmth_percent: health.warmth_percent(now),
+            local: self.local,
+        }
+    }
+
+    /// Takes a slot, unless the target is withdrawn or none is free.
+    pub(crate) fn acquire(&self) -> bool {
+        !self.withdrawn.load(Ordering::Acquire) && self.slots.acquire()
+    }
+
+    /// Gives back a slot.
+    pub(crate) fn release(&self) {
+        self.slots.release();
+    }
+
+    /// Accounts a try that took `latency`.
+    pub(crate) fn record(&self, outcome: AttemptOutcome, latency: Duration, now: Duration) {
+        self.health().record(outcome, latency, now);
+    }
+
+    /// An unused connection. Whoever holds a slot takes one before opening
+    /// another, so connections never outnumber the share.
+    pub(crate) fn take_idle(&self, now: Duration, age_max: Duration) -> Option<Box<Upstream>> {
+        self.idle.take(now, age_max)
+    }
+
+    pub(crate) fn keep_idle(&self, upstream: Box<Upstream>, now: Duration) {
+        self.idle.keep(upstream, now, self.slots.share());
+    }
+
+    pub(crate) fn sweep(&self, now: Duration, age_max: Duration) {
+        self.idle.sweep(now, age_max, self.slots.share());
+    }
+
+    /// Begins nothing new here and closes unused connections; requests in
+    /// progress finish.
+    pub(crate) fn withdraw(&self) {
+        self.withdrawn.store(true, Ordering::Release);
+        self.idle.set_closed(true);
+    }
+
+    fn health(&self) -> MutexGuard<'_, Health> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
