--- a/crates/cleat-fakes/src/target/fault.rs
+++ b/crates/cleat-fakes/src/target/fault.rs
@@ -63,7 +63,7 @@
         Fault::Extra => {
             stream.write_raw(head(&length, id).as_bytes()).await?;
             stream.write_raw(body).await?;
-            
+            stream.write_raw(STRAY_ANSWER.as_bytes()).await?;
             // Left open, so that a careless other side uses it again.
             pending().await
         }
