--- a/crates/cleat-quorum/src/core/config.rs
+++ b/crates/cleat-quorum/src/core/config.rs
@@ -5,7 +5,7 @@
 
 /// A member as the settings list it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConfiguredMember {
+pub struct MemberConfig {
     /// The key of the member.
     pub id: MemberId,
     /// Whether the settings make it a voter.
@@ -89,7 +89,7 @@
     /// This member.
     pub id: MemberId,
     /// All members by the settings, this one included.
-    pub members: Vec<ConfiguredMember>,
+    pub members: Vec<MemberConfig>,
     /// Time-outs and leases.
     pub timing: Timing,
     /// Bounds on memory and message size.
@@ -103,7 +103,7 @@
 
 impl CoreConfig {
     /// A configuration with the default timing and limits.
-    pub fn new(id: MemberId, members: Vec<ConfiguredMember>, seed: u64) -> Self {
+    pub fn new(id: MemberId, members: Vec<MemberConfig>, seed: u64) -> Self {
         CoreConfig {
             id,
             members,
--- a/crates/cleat-quorum/src/core/follower.rs
+++ b/crates/cleat-quorum/src/core/follower.rs
@@ -119,13 +119,12 @@
         // The entries that differ go first: a crash in between must not leave
         // them behind the snapshot.
         if !continues && self.log.last_index() >= image.index && formed {
-            self.truncate_from(image.index.max(1));
+            self.truncate_from(image.index);
         }
         self.write(Write::Snapshot(image.clone()));
         self.log.install(image.clone());
         self.commit = image.index;
         self.applied = image.index;
-        self.snapshot_asked = false;
         self.restore_image();
     }
 
--- a/crates/cleat-quorum/src/core/formation.rs
+++ b/crates/cleat-quorum/src/core/formation.rs
@@ -14,7 +14,7 @@
 
 use super::event::Write;
 use super::message::{Body, Hello};
-use super::types::{Image, Member, MemberId, Membership};
+use super::types::{GENESIS_INDEX, Image, Member, MemberId, Membership};
 use super::{Core, Effect};
 
 /// What an unformed voter knows of the others.
@@ -89,7 +89,7 @@
         let Some(image) = self.log.image() else {
             return;
         };
-        if image.index == 0 && image.membership.is_voter(to, identity) {
+        if image.index == GENESIS_INDEX && image.membership.is_voter(to, identity) {
             let body = Body::Genesis((**image).clone());
             let message = self.message(to, self.hard_state.term, body);
             self.send_durable(message);
@@ -116,7 +116,7 @@
         let group = self.rng.random::<u32>().max(1);
         let data = Arc::from([]);
         self.accept_genesis(Image {
-            index: 0,
+            index: GENESIS_INDEX,
             term: 0,
             group,
             membership,
@@ -149,7 +149,7 @@
 
     pub(super) fn on_genesis(&mut self, from: MemberId, image: Image) {
         let own = image.membership.is_voter(self.config.id, self.identity);
-        if self.is_formed() || !own || image.index != 0 {
+        if self.is_formed() || !own || image.index != GENESIS_INDEX {
             return;
         }
         // A genesis from a disk that its sender has lost by now founds nothing.
@@ -167,6 +167,8 @@
         self.effects
             .push(Effect::Write(Write::Snapshot(image.clone())));
         self.durability.dirty = true;
+        self.commit = image.index;
+        self.applied = image.index;
         self.log.install(image);
         if self.is_sole_voter() {
             self.start_pre_vote();
--- a/crates/cleat-quorum/src/core/leader.rs
+++ b/crates/cleat-quorum/src/core/leader.rs
@@ -5,7 +5,7 @@
 
 use super::event::{Refusal, Write};
 use super::lease::Liveness;
-use super::message::{Ack, AckOutcome, Append, Body, Install, Stamp};
+use super::message::{Ack, Append, Body, Install, Stamp};
 use super::progress::{Inflight, Leadership, PendingRead, Progress};
 use super::types::{Entry, LogIndex, MemberId, Payload, Term};
 use super::{Core, Effect, State};
@@ -173,11 +173,9 @@
         if idle && (progress.needs_image || cut_off) {
             return self.send_image(id, round, echo);
         }
-        let prev_index = if idle {
-            progress.next - 1
-        } else {
-            progress.matched
-        };
+        // What is under way arrives first, as a rule; if not, the member
+        // answers that it differs, and that is ignored until the resend.
+        let prev_index = progress.next - 1;
         let entries = if idle {
             self.log.batch(progress.next, self.config.limits.max_batch)
         } else {
@@ -186,6 +184,7 @@
         if let Some(last) = entries.last() {
             progress.inflight = Some(Inflight {
                 round,
+                first_index: progress.next,
                 last_index: last.index,
                 expires,
             });
@@ -214,6 +213,7 @@
         {
             progress.inflight = Some(Inflight {
                 round,
+                first_index: progress.next,
                 last_index: image.index,
                 expires,
             });
@@ -245,13 +245,16 @@
             return;
         };
         progress.live.acked(ack.stamp, ack.applied, until);
-        if ack.round < progress.round {
+        // An acknowledgement that was overtaken still tells what its disk
+        // holds, unless another disk has spoken since.
+        let overtaken = ack.round < progress.round;
+        if overtaken && ack.identity != progress.identity {
             return;
         }
         progress.meet(ack.identity);
-        progress.round = ack.round;
+        progress.round = progress.round.max(ack.round);
         progress.round_sent = progress.round_sent.max(sent_at);
-        take_outcome(progress, ack);
+        progress.take_outcome(ack, overtaken);
         self.advance_commit();
         self.confirm_reads();
         self.send_pending(from);
@@ -403,27 +406,3 @@
         behind.map(|(id, _)| *id).collect()
     }
 }
-
-fn take_outcome(progress: &mut Progress, ack: &Ack) {
-    match ack.outcome {
-        AckOutcome::Matched(index) => {
-            progress.matched = progress.matched.max(index);
-            progress.next = progress.next.max(index + 1);
-            progress.needs_image = false;
-            progress.settle(ack.round);
-            if progress.inflight.is_none() {
-                progress.next = progress.matched + 1;
-            }
-        }
-        AckOutcome::Mismatch(hint) => {
-            progress.settle(ack.round);
-            if progress.inflight.is_none() {
-                progress.next = progress.next.min(hint + 1).max(progress.matched + 1);
-            }
-        }
-        AckOutcome::Empty => {
-            progress.settle(ack.round);
-            progress.needs_image = progress.inflight.is_none();
-        }
-    }
-}
--- a/crates/cleat-quorum/src/core/message.rs
+++ b/crates/cleat-quorum/src/core/message.rs
@@ -9,6 +9,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
     /// The group of the sender; 0 while it belongs to none.
+    #[serde(with = "postcard::fixint::le")]
     pub group: u32,
     /// The sender.
     pub from: MemberId,
@@ -24,6 +25,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamp {
     /// Drawn at random when the process started.
+    #[serde(with = "postcard::fixint::le")]
     pub life: u32,
     /// Counts the sends of this life from 1.
     pub seq: u32,
@@ -73,6 +75,7 @@
     /// The round that is acknowledged.
     pub round: u64,
     /// The identity of the sender's disk.
+    #[serde(with = "postcard::fixint::le")]
     pub identity: u64,
     /// The sender's stamp for its lease.
     pub stamp: Stamp,
--- a/crates/cleat-quorum/src/core/mod.rs
+++ b/crates/cleat-quorum/src/core/mod.rs
@@ -26,14 +26,16 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-pub use config::{ConfiguredMember, CoreConfig, Limits, Protections};
+pub use config::{CoreConfig, Limits, MemberConfig, Protections};
 pub use event::{Effect, Event, Refusal, Ticket, Write};
 pub use message::{
     Ack, AckOutcome, Append, Body, Hello, Install, Message, Stamp, VoteReply, VoteRequest,
 };
 pub use status::{CoreStatus, MemberStatus, Role};
 pub use timing::Timing;
-pub use types::{Entry, HardState, Image, LogIndex, Member, MemberId, Membership, Payload, Term};
+pub use types::{
+    Entry, GENESIS_INDEX, HardState, Image, LogIndex, Member, MemberId, Membership, Payload, Term,
+};
 
 use durability::{Deferred, Durability};
 use formation::Formation;
@@ -93,12 +95,14 @@
     durability: Durability,
     lease: MemberLease,
     formation: Formation,
-    snapshot_asked: bool,
+    /// The last entry for which a snapshot was asked for.
+    snapshot_asked: LogIndex,
     effects: Vec<Effect>,
 }
 
 impl Core {
-    /// Starts a member from what its disk holds.
+    /// Starts a member from what its disk holds. The caller restores the state
+    /// machine from the snapshot's data, unless the snapshot is the genesis.
     pub fn new(config: CoreConfig, recovery: Recovery, now: Duration) -> Core {
         let mut rng = StdRng::seed_from_u64(config.seed);
         let life = rng.random();
@@ -121,11 +125,10 @@
             election_due: now,
             lease: MemberLease::new(life),
             formation: Formation::new(now),
-            snapshot_asked: false,
+            snapshot_asked: 0,
             effects: Vec::new(),
             config,
         };
-        core.restore_image();
         if !core.is_sole_voter() {
             core.reset_election();
         }
@@ -370,15 +373,14 @@
     }
 
     fn ask_for_snapshot(&mut self) {
-        let due = self.log.image_index() + self.config.limits.compact_after;
-        if self.applied >= due && !self.snapshot_asked {
-            self.snapshot_asked = true;
+        let last = self.log.image_index().max(self.snapshot_asked);
+        if self.applied >= last + self.config.limits.compact_after {
+            self.snapshot_asked = self.applied;
             self.effects.push(Effect::TakeSnapshot(self.applied));
         }
     }
 
     fn snapshot_taken(&mut self, index: LogIndex, data: Arc<[u8]>) {
-        self.snapshot_asked = false;
         let outdated = index <= self.log.image_index() || index > self.applied;
         if outdated || data.len() > self.config.limits.max_snapshot {
             return;
@@ -399,7 +401,7 @@
     }
 
     fn restore_image(&mut self) {
-        if let Some(image) = self.log.image().filter(|image| image.index > 0) {
+        if let Some(image) = self.log.image().filter(|image| image.index > GENESIS_INDEX) {
             self.effects.push(Effect::Restore(image.clone()));
         }
     }
--- a/crates/cleat-quorum/src/core/progress.rs
+++ b/crates/cleat-quorum/src/core/progress.rs
@@ -6,12 +6,15 @@
 use indexmap::IndexMap;
 
 use super::lease::Liveness;
+use super::message::{Ack, AckOutcome};
 use super::types::{LogIndex, MemberId};
 
 /// Entries or a snapshot under way to a member.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Inflight {
     pub(crate) round: u64,
+    /// Where to begin again if it is lost.
+    pub(crate) first_index: LogIndex,
     pub(crate) last_index: LogIndex,
     /// When to send again.
     pub(crate) expires: Duration,
@@ -62,19 +65,40 @@
     }
 
     pub(crate) fn expire(&mut self, now: Duration) {
-        if self
-            .inflight
-            .is_some_and(|inflight| inflight.expires <= now)
+        if let Some(inflight) = self.inflight
+            && inflight.expires <= now
         {
             self.inflight = None;
-            if self.matched > 0 {
+            self.next = inflight.first_index.max(self.matched + 1);
+        }
+    }
+
+    /// Takes what an acknowledgement of the current identity says of the log.
+    pub(crate) fn take_outcome(&mut self, ack: &Ack, overtaken: bool) {
+        if let AckOutcome::Matched(index) = ack.outcome {
+            self.matched = self.matched.max(index);
+            self.next = self.next.max(index + 1);
+        } else if overtaken {
+            return;
+        }
+        self.settle(ack.round);
+        if self.inflight.is_some() {
+            return;
+        }
+        match ack.outcome {
+            AckOutcome::Matched(_) => {
+                self.needs_image = false;
                 self.next = self.matched + 1;
             }
+            AckOutcome::Mismatch(hint) => {
+                self.next = self.next.min(hint + 1).max(self.matched + 1);
+            }
+            AckOutcome::Empty => self.needs_image = true,
         }
     }
 
     /// Ends what is under way if this acknowledgement answers it.
-    pub(crate) fn settle(&mut self, round: u64) {
+    fn settle(&mut self, round: u64) {
         let answered =
             |inflight: Inflight| inflight.round == round || inflight.last_index <= self.matched;
         if self.inflight.is_some_and(answered) {
--- a/crates/cleat-quorum/src/core/status.rs
+++ b/crates/cleat-quorum/src/core/status.rs
@@ -124,7 +124,24 @@
         self.log.term_at(index)
     }
 
-    /// The last entry of the log, and the entry before its first in memory.
+    /// Whether another group of commands may be proposed; a follower answers
+    /// at once, so it always has room.
+    pub fn has_room(&self) -> bool {
+        let uncommitted = self.log.last_index() - self.commit;
+        self.role() != Role::Leader || uncommitted < self.config.limits.max_uncommitted
+    }
+
+    /// The largest command in bytes.
+    pub fn max_command(&self) -> usize {
+        self.config.limits.max_command
+    }
+
+    /// The last entry in the latest snapshot.
+    pub fn image_index(&self) -> LogIndex {
+        self.log.image_index()
+    }
+
+    /// The entry before the first in memory, and the last entry of the log.
     pub fn log_bounds(&self) -> (LogIndex, LogIndex) {
         (self.log.base_index(), self.log.last_index())
     }
--- a/crates/cleat-quorum/src/core/types.rs
+++ b/crates/cleat-quorum/src/core/types.rs
@@ -8,9 +8,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct MemberId(pub u16);
 
-/// A position in the replicated log; the first entry has index 1.
+/// A position in the replicated log, counted from 1.
 pub type LogIndex = u64;
 
+/// The position that the genesis takes; the first entry follows it.
+pub const GENESIS_INDEX: LogIndex = 1;
+
 /// An election term; 0 before the first election.
 pub type Term = u64;
 
@@ -106,7 +109,7 @@
 /// The state of the group after one entry; it replaces the log up to there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Image {
-    /// The last entry that the image contains; 0 for the genesis.
+    /// The last entry that the image contains; [`GENESIS_INDEX`] for the genesis.
     pub index: LogIndex,
     /// The term of that entry.
     pub term: Term,
--- /dev/null
+++ b/crates/cleat-quorum/src/driver/replica.rs
@@ -0,0 +1,230 @@
+//! The running handle of a replica.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use cleat_log::{Journal, Recovered};
+use snafu::ResultExt;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, timeout};
+
+use super::config::ReplicaConfig;
+use super::disk;
+use super::error::{InForceError, ProposeError, SpawnError, ThreadSnafu, WaitError};
+use super::machine::{Machine, Transport};
+use super::request::{InForceWait, Proposal, Request};
+use super::status::Status;
+use super::task::{Inputs, Outputs, Task};
+use crate::core::{Core, GENESIS_INDEX, HardState, MemberId, Message, Recovery};
+use crate::store::{JournalStore, MemoryStore, Store, recover};
+
+/// How many requests may wait for the task.
+const REQUEST_QUEUE: usize = 1024;
+/// How many messages may wait for the task; more are dropped.
+const MESSAGE_QUEUE: usize = 4096;
+
+/// A command that was applied.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Applied {
+    /// Its position in the log.
+    pub index: u64,
+    /// The state machine's answer.
+    pub answer: Box<[u8]>,
+}
+
+/// A running member of the group. Dropping it ends the member without giving
+/// up its lease; [`stop`](Replica::stop) gives it up.
+#[derive(Debug)]
+pub struct Replica {
+    requests: mpsc::Sender<Request>,
+    messages: mpsc::Sender<Message>,
+    stop: mpsc::Sender<()>,
+    status: Arc<ArcSwap<Status>>,
+    applied: watch::Receiver<u64>,
+}
+
+impl Replica {
+    /// Starts a member on the journal of its data folder.
+    ///
+    /// Has to be called within a tokio runtime.
+    ///
+    /// # Errors
+    /// See [`SpawnError`].
+    pub fn spawn(
+        cfg: ReplicaConfig,
+        disk: (Journal, Recovered),
+        transport: impl Transport,
+        machine: impl Machine,
+    ) -> Result<Replica, SpawnError> {
+        let (journal, recovered) = disk;
+        let recovery = recover(recovered)?;
+        Replica::spawn_on(
+            cfg,
+            recovery,
+            JournalStore::new(journal),
+            transport,
+            machine,
+        )
+    }
+
+    /// Starts a member without a disk: empty, under a new identity.
+    ///
+    /// # Errors
+    /// See [`SpawnError`].
+    pub fn spawn_in_memory(
+        cfg: ReplicaConfig,
+        transport: impl Transport,
+        machine: impl Machine,
+    ) -> Result<Replica, SpawnError> {
+        let recovery = Recovery {
+            identity: rand::random(),
+            hard_state: HardState::default(),
+            image: None,
+            entries: Vec::new(),
+        };
+        Replica::spawn_on(cfg, recovery, MemoryStore, transport, machine)
+    }
+
+    /// Starts a member on any store that holds `recovery`.
+    ///
+    /// # Errors
+    /// See [`SpawnError`].
+    pub fn spawn_on(
+        cfg: ReplicaConfig,
+        recovery: Recovery,
+        store: impl Store,
+        transport: impl Transport,
+        mut machine: impl Machine,
+    ) -> Result<Replica, SpawnError> {
+        let image = recovery.image.as_ref();
+        if let Some(image) = image.filter(|image| image.index > GENESIS_INDEX) {
+            machine.restore(&image.data)?;
+        }
+        let origin = Instant::now();
+        let core = Core::new(cfg.core, recovery, Duration::ZERO);
+        let status = Status::new(core.status(), origin.into_std());
+        let status = Arc::new(ArcSwap::from_pointee(status));
+        let (applied_tx, applied) = watch::channel(core.status().applied);
+        let (requests, requests_rx) = mpsc::channel(REQUEST_QUEUE);
+        let (messages, messages_rx) = mpsc::channel(MESSAGE_QUEUE);
+        let (stop, stop_rx) = mpsc::channel(1);
+        let (synced_tx, synced) = mpsc::unbounded_channel();
+        let batches = disk::spawn(store, synced_tx).context(ThreadSnafu)?;
+        let inputs = Inputs {
+            requests: requests_rx,
+            messages: messages_rx,
+            stop: stop_rx,
+            synced,
+        };
+        let outputs = Outputs {
+            transport,
+            machine,
+            batches,
+            status: status.clone(),
+            applied: applied_tx,
+        };
+        tokio::spawn(Task::new(core, origin, outputs).run(inputs));
+        Ok(Replica {
+            requests,
+            messages,
+            stop,
+            status,
+            applied,
+        })
+    }
+
+    /// Appends a command and waits until it is applied here.
+    ///
+    /// # Errors
+    /// See [`ProposeError`]; only `OutcomeUnknown` leaves it open whether the
+    /// command is or will be applied.
+    pub async fn propose(&self, command: Box<[u8]>) -> Result<Applied, ProposeError> {
+        let (reply, answer) = oneshot::channel();
+        let proposal = Proposal {
+            command: command.into(),
+            reply,
+        };
+        self.ask(Request::Propose(proposal)).await?;
+        answer.await.unwrap_or(Err(ProposeError::OutcomeUnknown))
+    }
+
+    /// An index that covers all that was committed before the call, and that
+    /// is applied here.
+    ///
+    /// # Errors
+    /// See [`ProposeError`].
+    pub async fn read_index(&self) -> Result<u64, ProposeError> {
+        let (reply, answer) = oneshot::channel();
+        self.ask(Request::Read(reply)).await?;
+        answer.await.unwrap_or(Err(ProposeError::Stopped))
+    }
+
+    /// Waits until the entry is applied on every member that may serve.
+    ///
+    /// # Errors
+    /// See [`InForceError`].
+    pub async fn wait_in_force(&self, index: u64, limit: Duration) -> Result<(), InForceError> {
+        let (reply, answer) = oneshot::channel();
+        let wait = InForceWait {
+            index,
+            deadline: Instant::now() + limit,
+            reply,
+        };
+        let sent = self.requests.send(Request::InForce(wait)).await;
+        sent.map_err(|_| InForceError::Stopped)?;
+        answer.await.unwrap_or(Err(InForceError::Stopped))
+    }
+
+    /// Waits until the entry is applied on this member.
+    ///
+    /// # Errors
+    /// See [`WaitError`].
+    pub async fn wait_applied(&self, index: u64, limit: Duration) -> Result<(), WaitError> {
+        let mut applied = self.applied.clone();
+        let reached = applied.wait_for(|applied| *applied >= index);
+        match timeout(limit, reached).await {
+            Err(_) => Err(WaitError::Timeout),
+            Ok(Err(_)) => Err(WaitError::Stopped),
+            Ok(Ok(_)) => Ok(()),
+        }
+    }
+
+    /// Removes a member for good; it needs another id to come back.
+    ///
+    /// # Errors
+    /// See [`ProposeError`]. Success means that the change is appended.
+    pub async fn remove_member(&self, id: MemberId) -> Result<(), ProposeError> {
+        let (reply, answer) = oneshot::channel();
+        self.ask(Request::Remove { id, reply }).await?;
+        answer.await.unwrap_or(Err(ProposeError::Stopped))
+    }
+
+    async fn ask(&self, request: Request) -> Result<(), ProposeError> {
+        let sent = self.requests.send(request).await;
+        sent.map_err(|_| ProposeError::Stopped)
+    }
+
+    /// Takes a message from another member. Never waits; a message that finds
+    /// the queue full is dropped, as a network may do.
+    pub fn deliver(&self, message: Message) {
+        let _ = self.messages.try_send(message);
+    }
+
+    /// The state after the last step; one atomic read.
+    pub fn status(&self) -> Arc<Status> {
+        self.status.load_full()
+    }
+
+    /// Gives up the lease and ends the member.
+    pub async fn stop(&self) {
+        // A full queue means that a stop is under way already.
+        let _ = self.stop.try_send(());
+        self.ended().await;
+    }
+
+    /// Waits until the member has ended, by a stop or since its disk failed.
+    pub async fn ended(&self) {
+        self.requests.closed().await;
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/driver/status.rs
@@ -0,0 +1,78 @@
+//! The state of a replica as others see it.
+
+use std::time::Instant;
+
+use crate::core::{CoreStatus, MemberId, MemberStatus, Role, Term};
+
+/// The state of a replica after its last step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    core: CoreStatus,
+    serves_until: Option<Instant>,
+}
+
+impl Status {
+    pub(crate) fn new(core: CoreStatus, origin: Instant) -> Status {
+        let serves_until = core.serves_until.map(|until| origin + until);
+        Status { core, serves_until }
+    }
+
+    /// The status of a replica that stopped: it neither leads nor serves.
+    pub(crate) fn stopped(&self) -> Status {
+        let mut core = self.core.clone();
+        core.leader = None;
+        core.role = match core.role {
+            Role::Leader | Role::Candidate => Role::Follower,
+            other => other,
+        };
+        Status {
+            core,
+            serves_until: None,
+        }
+    }
+
+    /// Whether this member may serve requests at `now`.
+    pub fn in_service(&self, now: Instant) -> bool {
+        self.serves_until.is_some_and(|until| now < until)
+    }
+
+    /// Until when it may serve without hearing from the leader again.
+    pub fn serves_until(&self) -> Option<Instant> {
+        self.serves_until
+    }
+
+    /// The part that the member plays.
+    pub fn role(&self) -> Role {
+        self.core.role
+    }
+
+    /// Whether it leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        self.core.role == Role::Leader
+    }
+
+    /// The current term.
+    pub fn term(&self) -> Term {
+        self.core.term
+    }
+
+    /// The leader as far as it is known.
+    pub fn leader(&self) -> Option<MemberId> {
+        self.core.leader
+    }
+
+    /// The last entry known to be committed.
+    pub fn commit(&self) -> u64 {
+        self.core.commit
+    }
+
+    /// The last entry applied.
+    pub fn applied(&self) -> u64 {
+        self.core.applied
+    }
+
+    /// All members; only on the leader.
+    pub fn members(&self) -> &[MemberStatus] {
+        &self.core.members
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/driver/task.rs
@@ -0,0 +1,258 @@
+//! The task that owns the core.
+
+use std::sync::{Arc, mpsc as std_mpsc};
+
+use arc_swap::ArcSwap;
+use log::{error, info, warn};
+use snafu::Snafu;
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+use super::disk::Batch;
+use super::error::ProposeError;
+use super::machine::{Machine, RestoreError, Transport};
+use super::request::{Proposal, Reply, Request};
+use super::status::Status;
+use super::waiters::Waiters;
+use crate::core::{Core, Effect, Event, Message, Refusal, Role, Ticket, Write};
+use crate::store::StoreError;
+
+/// How many requests one step groups at most.
+const GROUP: usize = 256;
+/// How many messages are taken before the task looks elsewhere.
+const MESSAGES: usize = 64;
+
+/// What the task listens to.
+pub(crate) struct Inputs {
+    pub(crate) requests: Receiver<Request>,
+    pub(crate) messages: Receiver<Message>,
+    pub(crate) stop: Receiver<()>,
+    pub(crate) synced: UnboundedReceiver<Result<Ticket, StoreError>>,
+}
+
+/// What the task acts on.
+pub(crate) struct Outputs<T, M> {
+    pub(crate) transport: T,
+    pub(crate) machine: M,
+    pub(crate) batches: std_mpsc::Sender<Batch>,
+    pub(crate) status: Arc<ArcSwap<Status>>,
+    pub(crate) applied: watch::Sender<u64>,
+}
+
+/// Why the task has to end.
+#[derive(Debug, Snafu)]
+enum Failure {
+    #[snafu(context(false), display("{source}"))]
+    Disk { source: StoreError },
+    #[snafu(display("the disk thread ended"))]
+    DiskGone,
+    #[snafu(context(false), display("{source}"))]
+    Restore { source: RestoreError },
+}
+
+pub(crate) struct Task<T, M> {
+    core: Core,
+    origin: Instant,
+    outputs: Outputs<T, M>,
+    writes: Vec<Write>,
+    waiters: Waiters,
+    /// The proposals of the step under way.
+    proposals: Vec<Proposal>,
+    removal: Option<Reply<(), ProposeError>>,
+    role: Role,
+}
+
+impl<T: Transport, M: Machine> Task<T, M> {
+    pub(crate) fn new(core: Core, origin: Instant, outputs: Outputs<T, M>) -> Task<T, M> {
+        Task {
+            role: core.role(),
+            core,
+            origin,
+            outputs,
+            writes: Vec::new(),
+            waiters: Waiters::default(),
+            proposals: Vec::new(),
+            removal: None,
+        }
+    }
+
+    pub(crate) async fn run(mut self, mut inputs: Inputs) {
+        if let Err(failure) = self.serve(&mut inputs).await {
+            error!("the replica stops: {failure}");
+        }
+        let last = self.outputs.status.load().stopped();
+        self.outputs.status.store(Arc::new(last));
+        self.waiters.stop();
+        inputs.requests.close();
+        while let Ok(request) = inputs.requests.try_recv() {
+            refuse(request);
+        }
+    }
+
+    async fn serve(&mut self, inputs: &mut Inputs) -> Result<(), Failure> {
+        let mut requests = Vec::with_capacity(GROUP);
+        let mut messages = Vec::with_capacity(MESSAGES);
+        loop {
+            let deadline = self.deadline();
+            tokio::select! {
+                _ = inputs.stop.recv() => return self.step(Event::Release),
+                synced = inputs.synced.recv() => {
+                    let ticket = synced.ok_or(Failure::DiskGone)??;
+                    self.step(Event::Synced(ticket))?;
+                }
+                count = inputs.messages.recv_many(&mut messages, MESSAGES) => {
+                    if count == 0 {
+                        return Ok(());
+                    }
+                    for message in messages.drain(..) {
+                        self.step(Event::Receive(message))?;
+                    }
+                }
+                count = inputs.requests.recv_many(&mut requests, GROUP), if self.core.has_room() => {
+                    if count == 0 {
+                        return Ok(());
+                    }
+                    self.take(requests.drain(..))?;
+                }
+                () = sleep_until(deadline) => self.step(Event::Tick)?,
+            }
+            self.waiters
+                .check_in_force(&self.core, self.origin, Instant::now());
+        }
+    }
+
+    fn deadline(&self) -> Instant {
+        let core = self.origin + self.core.deadline();
+        self.waiters
+            .deadline()
+            .map_or(core, |deadline| deadline.min(core))
+    }
+
+    /// Takes requests; all proposals among them become one group.
+    fn take(&mut self, requests: impl Iterator<Item = Request>) -> Result<(), Failure> {
+        let limit = self.core.max_command();
+        let mut proposals = Vec::new();
+        for request in requests {
+            match request {
+                Request::Propose(proposal) if proposal.command.len() > limit => {
+                    let size = proposal.command.len();
+                    let _ = proposal
+                        .reply
+                        .send(Err(ProposeError::TooLarge { size, limit }));
+                }
+                Request::Propose(proposal) => proposals.push(proposal),
+                Request::Read(reply) => {
+                    let id = self.waiters.add_read(reply);
+                    self.step(Event::Read(id))?;
+                }
+                Request::InForce(wait) => self.waiters.add_in_force(wait),
+                Request::Remove { id, reply } => {
+                    let last = self.core.log_bounds().1;
+                    self.removal = Some(reply);
+                    self.step(Event::Remove(id))?;
+                    if self.core.log_bounds().1 > last
+                        && let Some(reply) = self.removal.take()
+                    {
+                        let _ = reply.send(Ok(()));
+                    }
+                }
+            }
+        }
+        if proposals.is_empty() {
+            return Ok(());
+        }
+        let commands = proposals.iter().map(|proposal| proposal.command.clone());
+        let event = Event::Propose(commands.collect());
+        self.proposals = proposals;
+        self.step(event)
+    }
+
+    fn step(&mut self, event: Event) -> Result<(), Failure> {
+        let now = Instant::now() - self.origin;
+        let effects = self.core.step(event, now);
+        for effect in effects {
+            self.carry_out(effect)?;
+        }
+        self.publish();
+        Ok(())
+    }
+
+    fn carry_out(&mut self, effect: Effect) -> Result<(), Failure> {
+        match effect {
+            Effect::Write(write) => self.writes.push(write),
+            Effect::Sync(ticket) => {
+                let writes = std::mem::take(&mut self.writes);
+                let sent = self.outputs.batches.send(Batch { writes, ticket });
+                sent.map_err(|_| Failure::DiskGone)?;
+            }
+            Effect::Send(message) => self.outputs.transport.send(message.to, message),
+            Effect::Apply {
+                index,
+                term,
+                command,
+            } => {
+                let answer = self.outputs.machine.apply(index, &command);
+                self.waiters.applied(index, term, answer);
+            }
+            Effect::Restore(image) => self.outputs.machine.restore(&image.data)?,
+            Effect::TakeSnapshot(index) => {
+                let data = self.outputs.machine.snapshot().into();
+                self.step(Event::SnapshotTaken { index, data })?;
+                self.warn_of_snapshot(index);
+            }
+            Effect::Accepted { first, term } => {
+                let proposals = std::mem::take(&mut self.proposals);
+                self.waiters.accepted(first, term, proposals);
+            }
+            Effect::Refused(refusal) => self.refuse_step(refusal),
+            Effect::ReadReady { id, index } => self.waiters.finish_read(id, Ok(index)),
+            Effect::ReadRefused { id, refusal } => {
+                self.waiters.finish_read(id, Err(refusal.into()));
+            }
+            Effect::LostLeadership => self.waiters.lost_leadership(),
+        }
+        Ok(())
+    }
+
+    fn warn_of_snapshot(&self, index: u64) {
+        if self.core.image_index() < index {
+            warn!("the snapshot at entry {index} is over the limit; the log is not compacted");
+        }
+    }
+
+    fn refuse_step(&mut self, refusal: Refusal) {
+        for proposal in self.proposals.drain(..) {
+            let _ = proposal.reply.send(Err(refusal.into()));
+        }
+        if let Some(reply) = self.removal.take() {
+            let _ = reply.send(Err(refusal.into()));
+        }
+    }
+
+    fn publish(&mut self) {
+        let status = Status::new(self.core.status(), self.origin.into_std());
+        if status.role() != self.role {
+            self.role = status.role();
+            info!("now {:?} in term {}", status.role(), status.term());
+        }
+        let applied = status.applied();
+        if **self.outputs.status.load() != status {
+            self.outputs.status.store(Arc::new(status));
+        }
+        self.outputs
+            .applied
+            .send_if_modified(|last| std::mem::replace(last, applied) != applied);
+    }
+}
+
+fn refuse(request: Request) {
+    match request {
+        Request::Propose(proposal) => drop(proposal.reply.send(Err(ProposeError::Stopped))),
+        Request::Read(reply) => drop(reply.send(Err(ProposeError::Stopped))),
+        Request::InForce(wait) => {
+            drop(wait.reply.send(Err(super::error::InForceError::Stopped)));
+        }
+        Request::Remove { reply, .. } => drop(reply.send(Err(ProposeError::Stopped))),
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/src/store/journal.rs
@@ -0,0 +1,145 @@
+//! The store on the data folder's journal.
+
+use std::sync::Arc;
+
+use cleat_log::{Journal, Record, Recovered, Snapshot};
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use super::{Store, StoreError};
+use crate::core::{Entry, HardState, Image, MemberId, Membership, Recovery, Write};
+
+/// What the journal holds can't be read as this version's data. Start the
+/// version that wrote it, or replace the member.
+#[derive(Debug, Snafu)]
+#[snafu(display("entry {index} in the journal can't be decoded: {source}"))]
+pub struct DecodeError {
+    /// The entry, or the last one in the snapshot.
+    index: u64,
+    /// What the decoder found.
+    source: postcard::Error,
+}
+
+/// The part of an image that the journal does not keep itself.
+#[derive(Serialize, Deserialize)]
+struct ImageBody {
+    group: u32,
+    membership: Membership,
+    data: Arc<[u8]>,
+}
+
+/// Turns what the journal found into a core's recovery.
+///
+/// # Errors
+/// See [`DecodeError`].
+pub fn recover(recovered: Recovered) -> Result<Recovery, DecodeError> {
+    let image = recovered.snapshot.map(decode_image).transpose()?;
+    let entries = recovered.records.iter().map(decode_entry);
+    let voted_for = recovered.hard_state.voted_for.map(MemberId);
+    Ok(Recovery {
+        identity: recovered.identity,
+        hard_state: HardState {
+            term: recovered.hard_state.term,
+            voted_for,
+        },
+        image: image.map(Arc::new),
+        entries: entries.collect::<Result<_, _>>()?,
+    })
+}
+
+fn decode_image(snapshot: Snapshot) -> Result<Image, DecodeError> {
+    let Snapshot { index, term, data } = snapshot;
+    let body: ImageBody = postcard::from_bytes(&data).context(DecodeSnafu { index })?;
+    let ImageBody {
+        group,
+        membership,
+        data,
+    } = body;
+    Ok(Image {
+        index,
+        term,
+        group,
+        membership,
+        data,
+    })
+}
+
+fn decode_entry(record: &Record) -> Result<Entry, DecodeError> {
+    let Record { index, term, .. } = *record;
+    let payload = postcard::from_bytes(&record.payload).context(DecodeSnafu { index })?;
+    Ok(Entry {
+        index,
+        term,
+        payload,
+    })
+}
+
+/// A member's journal as its store.
+#[derive(Debug)]
+pub struct JournalStore {
+    journal: Journal,
+}
+
+impl JournalStore {
+    /// Uses an open journal.
+    pub fn new(journal: Journal) -> JournalStore {
+        JournalStore { journal }
+    }
+
+    fn append(&mut self, entries: &[Entry]) -> Result<(), StoreError> {
+        let records = entries
+            .iter()
+            .map(encode_entry)
+            .collect::<Result<Vec<_>, _>>()?;
+        self.journal.append(&records).map_err(StoreError::new)
+    }
+
+    fn save(&mut self, image: &Image) -> Result<(), StoreError> {
+        let body = ImageBody {
+            group: image.group,
+            membership: image.membership.clone(),
+            data: image.data.clone(),
+        };
+        let data = postcard::to_stdvec(&body).map_err(StoreError::new)?.into();
+        let snapshot = Snapshot {
+            index: image.index,
+            term: image.term,
+            data,
+        };
+        self.journal
+            .save_snapshot(&snapshot)
+            .map_err(StoreError::new)
+    }
+}
+
+fn encode_entry(entry: &Entry) -> Result<Record, StoreError> {
+    let payload = postcard::to_stdvec(&entry.payload).map_err(StoreError::new)?;
+    Ok(Record {
+        index: entry.index,
+        term: entry.term,
+        payload: payload.into(),
+    })
+}
+
+impl Store for JournalStore {
+    fn write(&mut self, write: &Write) -> Result<(), StoreError> {
+        match write {
+            Write::Append(entries) => self.append(entries),
+            Write::TruncateFrom(index) => {
+                self.journal.truncate_from(*index).map_err(StoreError::new)
+            }
+            Write::HardState(state) => {
+                let state = cleat_log::HardState {
+                    term: state.term,
+                    voted_for: state.voted_for.map(|MemberId(id)| id),
+                };
+                self.journal.set_hard_state(state).map_err(StoreError::new)
+            }
+            Write::Snapshot(image) => self.save(image),
+        }
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        self.journal.sync().map_err(StoreError::new)
+    }
+}
--- /dev/null
+++ b/crates/cleat-quorum/tests/core.rs
@@ -0,0 +1,390 @@
+//! Directed tests of the core: single rules, each with its counterexample.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cleat_quorum::{
+    Ack, AckOutcome, Append, Body, Core, CoreConfig, Effect, Entry, Event, GENESIS_INDEX,
+    HardState, Image, Limits, Member, MemberConfig, MemberId, Membership, Message, Payload,
+    Recovery, Refusal, Role, Stamp, Term,
+};
+
+const TICK: Duration = Duration::from_millis(10);
+
+/// Cores whose syncs end at once and whose messages arrive in order.
+struct Group {
+    cores: Vec<Core>,
+    now: Duration,
+    queue: VecDeque<Message>,
+    /// Which messages arrive, and with what.
+    passes: fn(&mut Message) -> bool,
+    effects: Vec<Effect>,
+}
+
+impl Group {
+    fn new(
+        voters: u16,
+        learners: u16,
+        adjust: impl Fn(u16, &mut CoreConfig, &mut Recovery),
+    ) -> Group {
+        let member = |id| MemberConfig {
+            id: MemberId(id),
+            votes: id < voters,
+        };
+        let members: Vec<_> = (0..voters + learners).map(member).collect();
+        let start = |id: u16| {
+            let mut config = CoreConfig::new(MemberId(id), members.clone(), u64::from(id) + 1);
+            let mut recovery = Recovery {
+                identity: identity(id),
+                hard_state: HardState::default(),
+                image: None,
+                entries: Vec::new(),
+            };
+            adjust(id, &mut config, &mut recovery);
+            Core::new(config, recovery, Duration::ZERO)
+        };
+        Group {
+            cores: (0..voters + learners).map(start).collect(),
+            now: Duration::ZERO,
+            queue: VecDeque::new(),
+            passes: |_| true,
+            effects: Vec::new(),
+        }
+    }
+
+    fn formed(voters: u16, learners: u16) -> Group {
+        Group::new(voters, learners, |_, _, _| {})
+    }
+
+    fn step(&mut self, at: u16, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for effect in self.cores[usize::from(at)].step(event, self.now) {
+                match effect {
+                    Effect::Sync(ticket) => events.push_back(Event::Synced(ticket)),
+                    Effect::Send(message) => self.queue.push_back(message),
+                    other => self.effects.push(other),
+                }
+            }
+        }
+    }
+
+    fn deliver_all(&mut self) {
+        // A message that is robbed of its entries is answered and sent again
+        // without end, so only so many arrive at one moment.
+        const AT_ONCE: usize = 100;
+        for _ in 0..AT_ONCE {
+            let Some(mut message) = self.queue.pop_front() else {
+                return;
+            };
+            if (self.passes)(&mut message) {
+                self.step(message.to.0, Event::Receive(message));
+            }
+        }
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            for at in 0..self.cores.len() {
+                if self.cores[at].deadline() <= self.now {
+                    self.step(u16::try_from(at).expect("small"), Event::Tick);
+                }
+                self.deliver_all();
+            }
+        }
+    }
+
+    fn leader(&self) -> u16 {
+        let leads = |core: &Core| core.role() == Role::Leader;
+        let at = self.cores.iter().position(leads).expect("a leader");
+        u16::try_from(at).expect("small")
+    }
+
+    fn core(&self, at: u16) -> &Core {
+        &self.cores[usize::from(at)]
+    }
+
+    fn propose(&mut self, at: u16, command: &[u8]) {
+        self.step(at, Event::Propose(vec![Arc::from(command)]));
+        self.deliver_all();
+    }
+
+    fn refusals(&self) -> Vec<Refusal> {
+        let refused = |effect: &Effect| match effect {
+            Effect::Refused(refusal) => Some(*refusal),
+            _ => None,
+        };
+        self.effects.iter().filter_map(refused).collect()
+    }
+}
+
+fn identity(id: u16) -> u64 {
+    1000 + u64::from(id)
+}
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+/// A member of an existing group with hand-made entries after the genesis.
+fn recover(recovery: &mut Recovery, voters: u16, term: Term, terms: &[Term]) {
+    let member = |id| Member {
+        id: MemberId(id),
+        identity: identity(id),
+        votes: true,
+    };
+    let membership = Membership {
+        members: (0..voters).map(member).collect(),
+        retired: Vec::new(),
+    };
+    let data = Arc::from([]);
+    let image = Image {
+        index: GENESIS_INDEX,
+        term: 0,
+        group: 7,
+        membership,
+        data,
+    };
+    recovery.image = Some(Arc::new(image));
+    recovery.hard_state = HardState {
+        term,
+        voted_for: None,
+    };
+    let entries = (GENESIS_INDEX + 1..).zip(terms);
+    recovery.entries = entries
+        .map(|(index, term)| Entry {
+            index,
+            term: *term,
+            payload: Payload::Noop,
+        })
+        .collect();
+}
+
+/// Figure 8 of the Raft paper: an entry of term 2 reaches a majority under
+/// the leader of term 4, while another member holds an entry of term 3.
+fn commit_of_old_term(own_term_commit: bool) -> u64 {
+    let mut group = Group::new(5, 0, |id, config, recovery| {
+        config.protections.own_term_commit = own_term_commit;
+        config.limits = Limits {
+            max_batch: 1,
+            ..Limits::default()
+        };
+        match id {
+            0 | 1 => recover(recovery, 5, 3, &[1, 2]),
+            4 => recover(recovery, 5, 3, &[1, 3]),
+            _ => recover(recovery, 5, 3, &[1]),
+        }
+    });
+    // Only member 0 can be elected, and only the old entry reaches member 2.
+    group.passes = |message| {
+        if let Body::Append(append) = &mut message.body {
+            append.entries.retain(|entry| entry.term < 4);
+            return message.to.0 <= 2;
+        }
+        let request = matches!(message.body, Body::VoteRequest(_));
+        !request || (message.from.0 == 0 && message.to.0 != 4)
+    };
+    group.advance(seconds(2));
+    assert_eq!(
+        group.core(2).log_bounds().1,
+        3,
+        "the old entry reached a majority"
+    );
+    group.core(0).status().commit
+}
+
+#[test]
+fn advance_commit_old_term() {
+    assert_eq!(commit_of_old_term(true), GENESIS_INDEX);
+    assert_eq!(
+        commit_of_old_term(false),
+        3,
+        "the check must notice the rule's absence"
+    );
+}
+
+#[test]
+fn new_sole_voter_leads_at_once() {
+    let mut group = Group::formed(1, 0);
+    group.step(0, Event::Tick);
+    let status = group.core(0).status();
+    assert_eq!(
+        (status.role, status.commit),
+        (Role::Leader, GENESIS_INDEX + 1)
+    );
+    assert!(group.core(0).in_service(group.now));
+    assert!(group.core(0).in_force(status.commit, group.now));
+}
+
+#[test]
+fn message_size_without_entries() {
+    let (from, to) = (MemberId(60_001), MemberId(60_002));
+    let stamp = Stamp {
+        life: u32::MAX,
+        seq: 1 << 20,
+    };
+    let append = Append {
+        round: 1 << 20,
+        prev_index: 1 << 20,
+        prev_term: 100,
+        commit: 1 << 20,
+        echo: Some(stamp),
+        entries: Vec::new(),
+    };
+    let ack = Ack {
+        round: 1 << 20,
+        identity: u64::MAX,
+        stamp,
+        applied: 1 << 20,
+        outcome: AckOutcome::Matched(1 << 20),
+    };
+    for body in [Body::Append(append), Body::Ack(ack)] {
+        let message = Message {
+            group: u32::MAX,
+            from,
+            to,
+            term: 100,
+            body,
+        };
+        let encoded = postcard::to_stdvec(&message).expect("encodes");
+        assert!(encoded.len() <= 40, "{} bytes", encoded.len());
+        let decoded: Message = postcard::from_bytes(&encoded).expect("decodes");
+        assert_eq!(decoded, message);
+    }
+}
+
+#[test]
+fn in_force_waits_for_lapse() {
+    let mut group = Group::formed(3, 1);
+    group.advance(seconds(3));
+    let leader = group.leader();
+    assert!(group.core(3).in_service(group.now));
+    // The learner gets nothing any more: it is waited for until it lapses.
+    group.passes = |message| message.to.0 != 3 && message.from.0 != 3;
+    group.propose(leader, b"change");
+    let index = group.core(leader).status().commit;
+    assert!(!group.core(leader).in_force(index, group.now));
+    assert_eq!(
+        group.core(leader).waits_for(index, group.now),
+        [MemberId(3)]
+    );
+    group.advance(seconds(2));
+    assert!(!group.core(3).in_service(group.now));
+    assert!(group.core(leader).in_force(index, group.now));
+}
+
+#[test]
+fn release_is_not_waited_for() {
+    let mut group = Group::formed(3, 1);
+    group.advance(seconds(3));
+    let leader = group.leader();
+    group.step(3, Event::Release);
+    group.deliver_all();
+    assert!(!group.core(3).in_service(group.now));
+    group.passes = |message| message.to.0 != 3;
+    group.propose(leader, b"change");
+    let index = group.core(leader).status().commit;
+    assert!(group.core(leader).in_force(index, group.now));
+}
+
+#[test]
+fn lost_disk_regains_its_vote() {
+    let mut group = Group::formed(3, 0);
+    group.advance(seconds(3));
+    let lost = (group.leader() + 1) % 3;
+    let fresh = Group::new(3, 0, |_, _, recovery| recovery.identity += 7777);
+    group.cores[usize::from(lost)] = fresh
+        .cores
+        .into_iter()
+        .nth(usize::from(lost))
+        .expect("a core");
+    group.step(lost, Event::Tick);
+    assert_eq!(group.core(lost).role(), Role::Unformed);
+    group.advance(seconds(3));
+    let leader = group.leader();
+    let membership = group.core(leader).membership();
+    assert!(membership.is_voter(MemberId(lost), identity(lost) + 7777));
+    assert_eq!(group.core(lost).role(), Role::Follower);
+}
+
+#[test]
+fn hello_answer_to_lost_disk_founds_nothing() {
+    let mut group = Group::formed(3, 0);
+    group.step(0, Event::Tick);
+    // The answers arrive after member 0 lost its disk.
+    let mut answers = Vec::new();
+    while let Some(message) = group.queue.pop_front() {
+        if message.to.0 == 0 {
+            answers.push(message);
+        } else {
+            group.step(message.to.0, Event::Receive(message));
+        }
+    }
+    assert_eq!(answers.len(), 2);
+    let mut replaced = Group::new(3, 0, |_, _, recovery| recovery.identity += 7777);
+    for answer in answers.clone() {
+        replaced.step(0, Event::Receive(answer));
+    }
+    assert_eq!(replaced.core(0).role(), Role::Unformed);
+    for answer in answers {
+        group.step(0, Event::Receive(answer));
+    }
+    assert_ne!(
+        group.core(0).role(),
+        Role::Unformed,
+        "the answers were good for the old disk"
+    );
+}
+
+#[test]
+fn propose_refusals() {
+    let mut group = Group::formed(3, 0);
+    group.advance(seconds(3));
+    let leader = group.leader();
+    let large = vec![0; Limits::default().max_command + 1];
+    group.propose(leader, &large);
+    group.propose((leader + 1) % 3, b"elsewhere");
+    group.passes = |_| false;
+    let before = group.core(leader).log_bounds().1;
+    group.now += Duration::from_millis(900);
+    group.propose(leader, b"cut off");
+    assert_eq!(group.core(leader).log_bounds().1, before);
+    let limit = Limits::default().max_command;
+    let expected = [
+        Refusal::TooLarge {
+            size: limit + 1,
+            limit,
+        },
+        Refusal::NotLeader {
+            leader: Some(MemberId(leader)),
+        },
+        Refusal::NoQuorum,
+    ];
+    assert_eq!(group.refusals(), expected);
+    group.advance(seconds(1));
+    assert_ne!(
+        group.core(leader).role(),
+        Role::Leader,
+        "a leader without a majority steps down"
+    );
+}
+
+#[test]
+fn remove_waits_for_the_lease() {
+    let mut group = Group::formed(3, 1);
+    group.advance(seconds(3));
+    let leader = group.leader();
+    group.step(leader, Event::Remove(MemberId(3)));
+    group.deliver_all();
+    assert!(group.core(leader).membership().get(MemberId(3)).is_none());
+    group.propose(leader, b"after the removal");
+    let index = group.core(leader).status().commit;
+    assert!(group.core(3).in_service(group.now), "its lease still runs");
+    assert!(!group.core(leader).in_force(index, group.now));
+    group.advance(seconds(2));
+    assert!(!group.core(3).in_service(group.now));
+    assert!(group.core(leader).in_force(index, group.now));
+}
--- a/crates/cleat-quorum/tests/schedules.rs
+++ b/crates/cleat-quorum/tests/schedules.rs
@@ -40,7 +40,7 @@
         let workers: Vec<_> = (0..THREADS).map(start).collect();
         workers
             .into_iter()
-            .flat_map(|worker| worker.join().unwrap())
+            .flat_map(|worker| worker.join().expect("a worker ends"))
             .collect()
     })
 }
@@ -135,7 +135,7 @@
     }
 }
 
-const CRASHES: &[Fault] = &[Fault::Kill, Fault::CutBoth, Fault::SecondFault];
+const CRASHES: &[Fault] = &[Fault::Kill, Fault::CutBoth, Fault::Second];
 const CUTS: &[Fault] = &[Fault::CutIn, Fault::CutOut, Fault::CutBoth];
 const PAUSES: &[Fault] = &[Fault::Freeze, Fault::Delay, Fault::CutIn, Fault::CutOut];
 
--- a/crates/cleat-quorum/tests/simulation/check.rs
+++ b/crates/cleat-quorum/tests/simulation/check.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use cleat_quorum::{Entry, LogIndex, MemberId, Membership, Message, Payload, Role, Term, Write};
+use cleat_quorum::{
+    Entry, GENESIS_INDEX, LogIndex, MemberId, Membership, Message, Payload, Role, Term, Write,
+};
 
 use super::node::Node;
 use super::{Micros, is_vote};
@@ -61,6 +63,9 @@
     }
 }
 
+/// The position after the genesis.
+const FIRST_INDEX: LogIndex = GENESIS_INDEX + 1;
+
 #[derive(Default)]
 pub(super) struct Checker {
     leaders: HashMap<Term, MemberId>,
@@ -78,7 +83,7 @@
 
 impl Checker {
     pub(super) fn committed(&self) -> LogIndex {
-        self.committed.len() as u64
+        self.committed.len() as u64 + 1
     }
 
     /// Whether the group records another identity of this member.
@@ -103,7 +108,7 @@
             let Some(entry) = core.entry(index) else {
                 continue;
             };
-            let at = index as usize - 1;
+            let at = usize::try_from(index - FIRST_INDEX).expect("small");
             if at == self.committed.len() {
                 self.committed.push(entry.term);
                 if let Payload::Membership(membership) = &entry.payload {
@@ -144,7 +149,7 @@
 
     pub(super) fn check_write(&mut self, node: &Node, write: &Write) -> Result<(), Violation> {
         if let Write::Snapshot(image) = write
-            && image.index == 0
+            && image.index == GENESIS_INDEX
             && self.committed.is_empty()
         {
             self.membership = Some(image.membership.clone());
@@ -199,7 +204,7 @@
     }
 
     pub(super) fn check_read(&self, id: u64, index: LogIndex) -> Result<(), Violation> {
-        let committed = self.reads[id as usize];
+        let committed = self.reads[usize::try_from(id).expect("small")];
         if index < committed {
             return Err(Violation::StaleRead { index, committed });
         }
--- a/crates/cleat-quorum/tests/simulation/fault.rs
+++ b/crates/cleat-quorum/tests/simulation/fault.rs
@@ -17,7 +17,7 @@
     Delay,
     Reorder,
     /// A kill, and another fault elsewhere while the first recovers.
-    SecondFault,
+    Second,
 }
 
 impl Fault {
@@ -31,7 +31,7 @@
         Fault::Duplicate,
         Fault::Delay,
         Fault::Reorder,
-        Fault::SecondFault,
+        Fault::Second,
     ];
 }
 
@@ -130,7 +130,7 @@
             Fault::Duplicate => self.turn(DUPLICATING, lasts),
             Fault::Delay => self.turn(DELAYING, lasts),
             Fault::Reorder => self.turn(REORDERING, lasts),
-            Fault::SecondFault => {
+            Fault::Second => {
                 self.kill(at, lasts);
                 let node = self.rng.random_range(0..self.nodes.len());
                 let fault = Fault::ALL[self.rng.random_range(0..Fault::ALL.len() - 1)];
--- a/crates/cleat-quorum/tests/simulation/mod.rs
+++ b/crates/cleat-quorum/tests/simulation/mod.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use cleat_quorum::{
-    Body, ConfiguredMember, Core, CoreConfig, Effect, Event, Limits, MemberId, Message, Payload,
-    Protections, Ticket, Write,
+    Body, Core, CoreConfig, Effect, Event, Limits, MemberConfig, Message, Payload, Protections,
+    Ticket, Write,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -344,7 +344,7 @@
                     }
                 }
                 Effect::Sync(ticket) => self.start_sync(at, ticket),
-                Effect::Send(message) => self.send(at, message)?,
+                Effect::Send(message) => self.send(at, &message)?,
                 Effect::Apply {
                     index,
                     term,
@@ -402,10 +402,10 @@
         self.step(at, Event::Synced(ticket))
     }
 
-    fn send(&mut self, at: usize, message: Message) -> Result<(), Violation> {
-        self.checker.check_send(&self.nodes[at], &message)?;
+    fn send(&mut self, at: usize, message: &Message) -> Result<(), Violation> {
+        self.checker.check_send(&self.nodes[at], message)?;
         let to = usize::from(message.to.0);
-        let step = Step::of(&message);
+        let step = Step::of(message);
         let weather = self.weather;
         let lost = self.rng.random_bool(0.005 + weather.drop);
         if !self.nodes[at].cut_out.contains(&message.to) && !lost {
@@ -481,11 +481,11 @@
             return Ok(());
         }
         let seed = self.rng.random();
-        let members = self.nodes.iter().map(|node| ConfiguredMember {
+        let members = self.nodes.iter().map(|node| MemberConfig {
             id: node.id,
             votes: node.votes,
         });
-        let mut config = CoreConfig::new(MemberId(at as u16), members.collect(), seed);
+        let mut config = CoreConfig::new(self.nodes[at].id, members.collect(), seed);
         config.protections = self.plan.protections;
         config.limits = Limits {
             compact_after: 30,
--- a/crates/cleat-quorum/tests/simulation/node.rs
+++ b/crates/cleat-quorum/tests/simulation/node.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use cleat_quorum::{
-    Core, Entry, Event, HardState, Image, LogIndex, MemberId, Recovery, Ticket, Write,
+    Core, Entry, Event, GENESIS_INDEX, HardState, Image, LogIndex, MemberId, Recovery, Ticket,
+    Write,
 };
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -109,7 +110,7 @@
 
     /// The first moment of real time at which the clock shows `local`.
     pub(super) fn real(&self, local: Duration) -> Micros {
-        let micros = u64::try_from(local.as_micros()).unwrap();
+        let micros = u64::try_from(local.as_micros()).expect("small");
         micros.saturating_sub(self.offset) * RATE_UNIT / self.rate + 1
     }
 
@@ -121,6 +122,14 @@
         self.life += 1;
         self.machine = (0, 0);
         let identity = *self.disk.identity.get_or_insert(new_identity);
+        if let Some(image) = self
+            .disk
+            .image
+            .clone()
+            .filter(|image| image.index > GENESIS_INDEX)
+        {
+            self.restore(&image.data);
+        }
         self.seen_commit = self.disk.image.as_ref().map_or(0, |image| image.index);
         Recovery {
             identity,
@@ -156,7 +165,7 @@
 
     pub(super) fn restore(&mut self, data: &[u8]) {
         let (hash, index) = data.split_at(size_of::<u64>());
-        let number = |bytes: &[u8]| u64::from_le_bytes(bytes.try_into().unwrap());
+        let number = |bytes: &[u8]| u64::from_le_bytes(bytes.try_into().expect("small"));
         self.machine = (number(hash), number(index));
     }
 }
