Trace claims; test traces, hopeless waits and failing targets

Cause: a claim's calls between instances hung below no span; three checks stayed green with their protection off. Change: a span for the claim; checks that a joined target serves at once, that a hopeless wait ends before a slot is free, that a target's own failure is passed on when all fail. Ruled out: timed assertions; what still runs at the target tells early from late.

--- a/crates/cleat-entry/src/trace.rs
+++ b/crates/cleat-entry/src/trace.rs
@@ -24,6 +24,11 @@
         self.hop(|| info_span!("received"))
     }
 
+    /// From a key's claim asked to its answer.
+    pub(crate) fn claimed(&self) -> Span {
+        self.hop(|| info_span!("claimed"))
+    }
+
     /// From admission asked to admission given.
     pub(crate) fn admitted(&self) -> Span {
         self.hop(|| info_span!("admitted"))
--- a/crates/cleat-entry/src/tries/job.rs
+++ b/crates/cleat-entry/src/tries/job.rs
@@ -29,7 +29,7 @@
     pub(super) idempotent: bool,
     pub(super) commitment: Commitment,
     version: Version,
-    trace: Trace,
+    pub(super) trace: Trace,
     /// A draining entry waits for it, also when the caller is gone.
     _work: WorkToken,
 }
--- a/crates/cleat-entry/src/tries/keyed.rs
+++ b/crates/cleat-entry/src/tries/keyed.rs
@@ -5,6 +5,7 @@
 
 use cleat_world::{ClaimKey, KeyTable, Settlement};
 use tokio::time::Instant;
+use tracing::Instrument;
 
 use super::claim::{Claim, Claimer};
 use super::{Answer, Job};
@@ -21,7 +22,8 @@
     pub(super) async fn run_keyed(&self, key: &str) -> Result<Answer, Problem> {
         self.commitment.commit();
         self.shared.counters.claims.incr();
-        let mut claimed = match self.claimer(key).run().await? {
+        let claim = self.claimer(key).run().instrument(self.trace.claimed());
+        let mut claimed = match claim.await? {
             Claim::Granted(claimed) => claimed,
             Claim::Ran(stored) => {
                 self.shared.counters.replayed.incr();
--- a/crates/cleat-entry/tests/admission.rs
+++ b/crates/cleat-entry/tests/admission.rs
@@ -108,6 +108,26 @@
     }
 }
 
+#[tokio::test]
+async fn queue_left_once_it_is_hopeless() {
+    let target = Target::spawn(|head| match () {
+        () if head.contains("/long") => Step::slow_ok(900, "own"),
+        () => Step::slow_ok(300, "own"),
+    })
+    .await;
+    let (entry, _) = entry(&Fleet::with(json!({}), &[&target], 1)).await;
+    let address = entry.local_addr();
+    for _ in 0..3 {
+        get(address, "/dock/x", "").await;
+    }
+    let long = tokio::spawn(get(address, "/dock/long", ""));
+    eventually("it runs", || target.in_progress() == 1).await;
+    let reply = get(address, "/dock/x", "celerycleat-deadline-ms: 800\r\n").await;
+    assert_eq!(reply.summary(), "503 not-run cannot-finish-in-time");
+    assert_eq!(target.in_progress(), 1, "it is told before a slot is free");
+    assert_eq!(long.await.unwrap().status, 200);
+}
+
 #[tokio::test]
 async fn quota_refused_with_429() {
     let target = Target::ok("own").await;
@@ -216,6 +236,7 @@
     fleet.announce("t1", quick.address, 1);
     entry.publish(&fleet.world);
     assert_eq!(waiting.await.unwrap().text(), "quick");
+    assert_eq!(slow.in_progress(), 1, "it did not wait for the slow one");
     assert_eq!(first.await.unwrap().text(), "slow");
 }
 
--- a/crates/cleat-entry/tests/answers.rs
+++ b/crates/cleat-entry/tests/answers.rs
@@ -206,6 +206,20 @@
     assert!(["200", "502"].contains(&&reply.summary()[..3]));
 }
 
+#[tokio::test]
+async fn answer_of_a_failing_target_when_all_fail() {
+    let busy = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\nbusy";
+    let target = Target::spawn(move |_| vec![Step::write(busy)]).await;
+    let (entry, _) = entry(&Fleet::with(json!({}), &[&target], 8)).await;
+    let reply = get(entry.local_addr(), "/dock/x", "").await;
+    assert_eq!(reply.summary(), "503 answered target's own");
+    assert_eq!(reply.text(), "busy");
+    assert_eq!(target.count(), 3, "an idempotent request is tried again");
+    let reply = post(entry.local_addr(), "/dock/x", "", "boat").await;
+    assert_eq!(reply.summary(), "503 answered target's own");
+    assert_eq!(target.count(), 4);
+}
+
 #[tokio::test]
 async fn answer_from_another_target_when_unreachable() {
     let refusing = Target::refusing().await;
