Give operators a command line

Cause: operators need to check, apply and see configurations and what the entry instances know, with exit codes that scripts can act on. Ruled out: checking a configuration locally before it is applied (an older command line would refuse new keys); going on to another server under a new command id when an answer is lost (the change could be applied twice). Change: celerycleat with one command a file behind the trait Command, argh's exits mapped to 2 and 0, faults traced to base or overlay, servers tried in turn. Once a change may have been received, only the replicated state's answer ends the doubt; a later refusal by a server on its own leaves exit code 3. Seen red with the protection off: doubt forgotten, doubt ended by a later 422, a lost race asked elsewhere, argh's exit passed on, path prefixes not told apart, a fixed command id. Conclusion: the commands of today work against fakes of the servers; against a running instance they are not yet tested here.

--- /dev/null
+++ b/crates/celerycleat/src/client/mod.rs
@@ -0,0 +1,14 @@
+//! Asking servers, one after the other.
+
+mod attempt;
+mod change;
+mod exchange;
+mod problem;
+mod query;
+
+pub(crate) use attempt::list_attempts;
+pub use attempt::{Attempt, Failure};
+pub(crate) use change::{Change, send_change};
+pub(crate) use exchange::Answer;
+pub(crate) use problem::Problem;
+pub(crate) use query::query;
--- /dev/null
+++ b/crates/celerycleat/src/commands/mod.rs
@@ -0,0 +1,48 @@
+//! One command a file.
+
+mod command;
+mod config;
+mod instance;
+mod pool;
+mod settings;
+mod status;
+mod table;
+mod target;
+
+use argh::FromArgs;
+
+pub use command::{Command, CommandEntry, Context, Example};
+pub use table::command_table;
+
+use crate::{CliError, Report};
+
+/// Every command, the first word of each.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Subcommand {
+    /// `settings …`
+    Settings(settings::SettingsGroup),
+    /// `config …`
+    Config(config::ConfigGroup),
+    /// `pool …`
+    Pool(pool::PoolGroup),
+    /// `instance …`
+    Instance(instance::InstanceGroup),
+    /// `target …`
+    Target(target::TargetGroup),
+    /// `status`
+    Status(status::Status),
+}
+
+impl Subcommand {
+    pub(crate) async fn run(&self, cx: &Context<'_>) -> Result<Report, CliError> {
+        match self {
+            Subcommand::Settings(group) => group.run(cx).await,
+            Subcommand::Config(group) => group.run(cx).await,
+            Subcommand::Pool(group) => group.run(cx).await,
+            Subcommand::Instance(group) => group.run(cx).await,
+            Subcommand::Target(group) => group.run(cx).await,
+            Subcommand::Status(command) => command.run(cx).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycleat/src/commands/table.rs
@@ -0,0 +1,25 @@
+//! The table of all commands.
+
+use super::command::CommandEntry;
+use super::config::{Apply, Check, History, Show, Status as ConfigStatus};
+use super::instance::List as InstanceList;
+use super::pool::List as PoolList;
+use super::settings::Default as SettingsDefault;
+use super::status::Status;
+use super::target::List as TargetList;
+
+/// Every command with its usage and examples.
+pub fn command_table() -> Vec<CommandEntry> {
+    vec![
+        CommandEntry::of::<SettingsDefault>(),
+        CommandEntry::of::<Check>(),
+        CommandEntry::of::<Apply>(),
+        CommandEntry::of::<Show>(),
+        CommandEntry::of::<History>(),
+        CommandEntry::of::<ConfigStatus>(),
+        CommandEntry::of::<PoolList>(),
+        CommandEntry::of::<InstanceList>(),
+        CommandEntry::of::<TargetList>(),
+        CommandEntry::of::<Status>(),
+    ]
+}
