--- a/crates/cleat-decide/src/lib.rs
+++ b/crates/cleat-decide/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod protections;
 mod request;
+mod slots;
 mod spread;
 
 #[doc(hidden)]
@@ -14,5 +15,6 @@
 pub use request::{
     Arrival, Arrived, AttemptOutcome, Candidate, FinalOutcome, Gate, Health, Refusal,
     RefusalReason, Released, RequestFacts, RetryBudget, Ticket, UnknownReason, Verdict, choose,
-    choose_with, free_slots, share, verdict,
+    choose_with, eject_slow, free_slots, share, verdict,
 };
+pub use slots::{Entry, Grant, GrantId, Message, Outgoing, Slot, SlotTerms, Slots, TargetKey};
--- a/crates/cleat-decide/src/request/choice.rs
+++ b/crates/cleat-decide/src/request/choice.rs
@@ -8,6 +8,8 @@
 const CHOICES: u32 = 2;
 /// How many random picks are made before all targets are looked through.
 const PICKS_MAX: u32 = 16;
+/// A target slower than this many times the median counts as ejected.
+const SLOW_TIMES: u32 = 4;
 /// A target in another data centre is rated as this much dearer.
 const REMOTE_PERCENT: u128 = 110;
 const FULL_PERCENT: u128 = 100;
@@ -82,6 +84,26 @@
         .or_else(|| beyond_bound(candidates, exclude, random, protections))
 }
 
+/// Counts targets as ejected whose latency is far above that of most: waiting
+/// for another one is then quicker. The bound on ejection holds for them too.
+///
+/// Costs one pass over all, so it is done when the candidates are rebuilt. A
+/// remembered latency fades without work, so a slow target is tried again.
+pub fn eject_slow(candidates: &mut [Candidate]) {
+    let known = candidates.iter().filter(|c| c.latency_us > 0 && !c.ejected);
+    let mut known: Vec<u32> = known.map(|c| c.latency_us).collect();
+    if known.is_empty() {
+        return;
+    }
+    // Of two, the quicker one is what most are.
+    let middle = (known.len() - 1) / 2;
+    let (_, median, _) = known.select_nth_unstable(middle);
+    let bound = median.saturating_mul(SLOW_TIMES);
+    for candidate in candidates {
+        candidate.ejected |= candidate.latency_us > bound;
+    }
+}
+
 /// How many requests of this instance could start now, by the rules of
 /// [`choose`] without an excluded target.
 pub fn free_slots(candidates: &[Candidate]) -> u32 {
--- a/crates/cleat-decide/src/request/gate/flow.rs
+++ b/crates/cleat-decide/src/request/gate/flow.rs
@@ -6,6 +6,7 @@
 use cleat_world::CallerTerms;
 
 use super::Ticket;
+use super::pace::Pace;
 use super::quota::QuotaUse;
 
 /// Virtual time that one request costs at weight 1. Large, so that heavy
@@ -33,6 +34,8 @@
     /// of the last request started from here while it had requests waiting.
     pub(super) due: u128,
     pub(super) waiting: BTreeMap<Place, Ticket>,
+    /// How fast its own requests start while some wait.
+    pub(super) pace: Pace,
 }
 
 impl Flow {
@@ -42,6 +45,7 @@
             quota_use: QuotaUse::default(),
             due: 0,
             waiting: BTreeMap::new(),
+            pace: Pace::default(),
         }
     }
 
--- a/crates/cleat-decide/src/request/gate/mod.rs
+++ b/crates/cleat-decide/src/request/gate/mod.rs
@@ -23,9 +23,10 @@
 
 use super::{Refusal, RefusalReason};
 
-/// A request may not plan to wait so long that less than this part of its time
-/// is left for the work, even if the work usually takes longer.
-const WORK_PART_OF_REMAINING: u32 = 2;
+/// A waiting request is given up when the time left is what nine in ten take,
+/// but not before this part of its time is left: the work of another caller may
+/// be what takes long.
+const WORK_PART_OF_REMAINING: u32 = 4;
 
 const ONE_FOR_ALL: &str = "*";
 
@@ -97,15 +98,22 @@
         self.wait(&arrival, flow, now)
     }
 
+    /// A request was served in `service_time`, but its slot may not be used
+    /// again (the target is leaving or ejected). Else see [`Gate::slot_freed`].
+    pub fn served(&mut self, service_time: Duration) {
+        self.service_time.record(service_time);
+    }
+
     /// A slot is free: its request finished, after `service_time` if it was
-    /// served, or the slot is new. At most one waiting request starts.
+    /// served, or the slot is new. At most one waiting request starts, so it is
+    /// called only if [`choose`](crate::choose) has a target to offer.
     pub fn slot_freed(&mut self, service_time: Option<Duration>, now: Duration) -> Released {
         if let Some(service_time) = service_time {
-            self.service_time.record(service_time);
+            self.served(service_time);
         }
         self.pace.released(self.queue.is_empty(), now);
         let refused = self.expire(now);
-        let start = self.queue.pop(&mut self.flows);
+        let start = self.queue.pop(&mut self.flows, now);
         if self.queue.is_empty() {
             self.pace.idle();
         }
@@ -126,23 +134,19 @@
         if !self.protections.deadline {
             return Vec::new();
         }
-        let horizon = now + self.quick_service_time();
         let mut refused = Vec::new();
-        while let Some(ticket) = self.queue.due_before(horizon) {
+        while let Some(ticket) = self.queue.expired(now) {
             self.queue.remove(ticket, &mut self.flows);
             let refusal = self.refuse(RefusalReason::CannotFinishInTime, now);
             refused.push((ticket, refusal));
         }
-        if !refused.is_empty() {
-            self.service_time.doubt();
-        }
         refused
     }
 
     /// When [`Gate::expire`] has something to do next, if anything waits.
     pub fn next_expiry(&self) -> Option<Duration> {
-        let deadline = self.queue.first_deadline()?;
-        Some(deadline.saturating_sub(self.quick_service_time()))
+        let next = self.queue.next_expiry();
+        next.filter(|_| self.protections.deadline)
     }
 
     /// The number of waiting requests.
@@ -194,22 +198,37 @@
     }
 
     /// Whether the request is likely to finish in time.
-    fn fits(&self, arrival: &Arrival<'_>, flow: flow::FlowId, starts: bool, now: Duration) -> bool {
+    fn fits(
+        &mut self,
+        arrival: &Arrival<'_>,
+        flow: flow::FlowId,
+        starts: bool,
+        now: Duration,
+    ) -> bool {
         if !self.protections.deadline {
             return true;
         }
         let remaining = arrival.deadline.saturating_sub(now);
-        if remaining.is_zero() || remaining < self.quick_service_time() {
+        if remaining.is_zero() {
+            return false;
+        }
+        if remaining < self.quick_service_time() {
+            self.service_time.doubt();
             return false;
         }
         if starts {
             return true;
         }
-        let ahead = self.queue.ahead_of(flow, &self.flows);
-        let wait = self.pace.interval(now).saturating_mul(ahead);
-        let usual = self.service_time.slow();
-        let work = usual.min(remaining / WORK_PART_OF_REMAINING);
-        wait + work <= remaining
+        let interval = self.pace.interval(now);
+        let wait = self.queue.wait(flow, &self.flows, interval, now);
+        wait + self.work_time(remaining) <= remaining
+    }
+
+    /// The time to leave for the work of a request with `remaining` left.
+    fn work_time(&self, remaining: Duration) -> Duration {
+        self.service_time
+            .slow()
+            .min(remaining / WORK_PART_OF_REMAINING)
     }
 
     fn wait(&mut self, arrival: &Arrival<'_>, flow: flow::FlowId, now: Duration) -> Arrived {
@@ -227,8 +246,11 @@
             self.pace.busy(now);
         }
         self.flows.charge_quota(flow, now);
+        let work = self.work_time(arrival.deadline.saturating_sub(now));
+        let gives_up = arrival.deadline.saturating_sub(work);
+        let (ticket, deadline) = (arrival.ticket, arrival.deadline);
         self.queue
-            .push(arrival.ticket, arrival.deadline, flow, &mut self.flows);
+            .push(ticket, deadline, gives_up, flow, &mut self.flows, now);
         let Some(displaced) = displaced else {
             return Arrived::Wait;
         };
--- a/crates/cleat-decide/src/request/gate/queue.rs
+++ b/crates/cleat-decide/src/request/gate/queue.rs
@@ -15,17 +15,25 @@
 use super::flow::{Flow, FlowId, Place};
 use super::flows::Flows;
 
+/// One waiting request.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    flow: FlowId,
+    place: Place,
+    gives_up: Duration,
+}
+
 /// The waiting requests of all callers.
 #[derive(Debug, Default)]
 pub(super) struct FairQueue {
     /// Invariant: exactly the tickets in the flows' `waiting`.
-    places: IndexMap<Ticket, (FlowId, Place)>,
+    tickets: IndexMap<Ticket, Waiting>,
     /// Callers with waiting requests by the time their next is due.
     heads: BTreeSet<(u128, FlowId)>,
     /// The same callers by the time their last is due.
     tails: BTreeSet<(u128, FlowId)>,
-    /// All waiting requests by deadline.
-    deadlines: BTreeSet<(Duration, Ticket)>,
+    /// All waiting requests by the time at which they are given up.
+    expiries: BTreeSet<(Duration, Ticket)>,
     /// The virtual time of the request started last.
     virtual_now: u128,
     /// The latest virtual time any caller reached.
@@ -37,38 +45,41 @@
 
 impl FairQueue {
     pub(super) fn len(&self) -> usize {
-        self.places.len()
+        self.tickets.len()
     }
 
     pub(super) fn len_u32(&self) -> u32 {
-        u32::try_from(self.places.len()).unwrap_or(u32::MAX)
+        u32::try_from(self.tickets.len()).unwrap_or(u32::MAX)
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.places.is_empty()
+        self.tickets.is_empty()
     }
 
     pub(super) fn virtual_now(&self) -> u128 {
         self.virtual_now
     }
 
-    pub(super) fn first_deadline(&self) -> Option<Duration> {
-        self.deadlines.first().map(|(deadline, _)| *deadline)
+    /// When the next request is given up.
+    pub(super) fn next_expiry(&self) -> Option<Duration> {
+        self.expiries.first().map(|(gives_up, _)| *gives_up)
     }
 
-    /// A request whose deadline is before `horizon`.
-    pub(super) fn due_before(&self, horizon: Duration) -> Option<Ticket> {
-        let (deadline, ticket) = self.deadlines.first()?;
-        (*deadline < horizon).then_some(*ticket)
+    /// A request to give up by now.
+    pub(super) fn expired(&self, now: Duration) -> Option<Ticket> {
+        let (gives_up, ticket) = self.expiries.first()?;
+        (*gives_up <= now).then_some(*ticket)
     }
 
-    /// Adds a request.
+    /// Adds a request that is given up at `gives_up` if it did not start.
     pub(super) fn push(
         &mut self,
         ticket: Ticket,
         deadline: Duration,
+        gives_up: Duration,
         id: FlowId,
         flows: &mut Flows,
+        now: Duration,
     ) {
         self.serial += 1;
         let serial = self.serial;
@@ -77,18 +88,25 @@
         self.update(id, &mut flows[id], |flow| {
             if flow.waiting.is_empty() {
                 flow.due = flow.due.max(virtual_now);
+                flow.pace.busy(now);
             }
             flow.waiting.insert(place, ticket);
         });
-        self.places.insert(ticket, (id, place));
-        self.deadlines.insert((deadline, ticket));
+        let waiting = Waiting {
+            flow: id,
+            place,
+            gives_up,
+        };
+        self.tickets.insert(ticket, waiting);
+        self.expiries.insert((gives_up, ticket));
     }
 
     /// Takes out the request to start next.
-    pub(super) fn pop(&mut self, flows: &mut Flows) -> Option<Ticket> {
+    pub(super) fn pop(&mut self, flows: &mut Flows, now: Duration) -> Option<Ticket> {
         let (due, id) = *self.heads.first()?;
         let flow = &mut flows[id];
         let ticket = *flow.waiting.first_key_value()?.1;
+        flow.pace.released(false, now);
         self.take(ticket, id, flow);
         self.virtual_now = due;
         self.update(id, flow, |flow| flow.due += flow.cost());
@@ -99,15 +117,33 @@
 
     /// Takes out a request without charging it; no effect if it does not wait.
     pub(super) fn remove(&mut self, ticket: Ticket, flows: &mut Flows) {
-        let Some((id, _)) = self.places.get(&ticket).copied() else {
+        let Some(waiting) = self.tickets.get(&ticket) else {
             return;
         };
+        let id = waiting.flow;
         self.take(ticket, id, &mut flows[id]);
         self.end_busy_period();
     }
 
+    /// How long a new request of `id` is likely to wait, when a slot is free
+    /// once in each `interval`.
+    pub(super) fn wait(
+        &self,
+        id: FlowId,
+        flows: &Flows,
+        interval: Duration,
+        now: Duration,
+    ) -> Duration {
+        let flow = &flows[id];
+        let by_all = interval.saturating_mul(self.ahead_of(id, flows));
+        // What the caller really got tells of the others' load too.
+        let own = u32::try_from(flow.waiting.len()).unwrap_or(u32::MAX);
+        let by_own = flow.pace.interval(now).saturating_mul(own);
+        by_all.max(by_own)
+    }
+
     /// How many waiting requests are likely to start before a new one of `id`.
-    pub(super) fn ahead_of(&self, id: FlowId, flows: &Flows) -> u32 {
+    fn ahead_of(&self, id: FlowId, flows: &Flows) -> u32 {
         let flow = &flows[id];
         let own = flow.waiting.len() as u64;
         let weight = flow.terms.weight.max(1);
@@ -145,12 +181,15 @@
     }
 
     fn take(&mut self, ticket: Ticket, id: FlowId, flow: &mut Flow) {
-        let Some((_, place)) = self.places.swap_remove(&ticket) else {
+        let Some(waiting) = self.tickets.swap_remove(&ticket) else {
             return;
         };
-        self.deadlines.remove(&(place.deadline, ticket));
+        self.expiries.remove(&(waiting.gives_up, ticket));
         self.update(id, flow, |flow| {
-            flow.waiting.remove(&place);
+            flow.waiting.remove(&waiting.place);
+            if flow.waiting.is_empty() {
+                flow.pace.idle();
+            }
         });
     }
 
@@ -171,7 +210,7 @@
 
     /// With nothing waiting, nobody owes anything.
     fn end_busy_period(&mut self) {
-        if self.places.is_empty() {
+        if self.tickets.is_empty() {
             self.virtual_now = self.virtual_now.max(self.virtual_max);
         }
     }
--- a/crates/cleat-decide/src/request/health.rs
+++ b/crates/cleat-decide/src/request/health.rs
@@ -5,8 +5,15 @@
 use super::AttemptOutcome;
 use crate::Protections;
 
-/// Failures in a row that eject.
-const FAILURES_IN_A_ROW: u32 = 3;
+/// Points of failures in a row that eject.
+const POINTS_MAX: u32 = 12;
+/// The points of a failure that is surely the target's.
+const POINTS_FAILURE: u32 = 4;
+/// The points of a try that its deadline ended early: mostly the fault of the
+/// wait before it, unless it goes on.
+const POINTS_SHORT_TIMEOUT: u32 = 1;
+/// A timeout after less than this many times the usual latency is a short one.
+const FAIR_TIMES: f64 = 2.0;
 /// The share of failed tries that ejects, as a moving average.
 const FAILED_SHARE_MAX: f64 = 0.5;
 /// Tries before the share of failures counts.
@@ -25,7 +32,7 @@
 const WARMTH_MIN_PERCENT: u128 = 10;
 /// Time without a try in which a remembered latency halves, so that a target
 /// that was slow is tried again.
-const LATENCY_HALF_LIFE: Duration = Duration::from_secs(5);
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// What an instance knows of a target from its own tries.
 #[derive(Debug, Clone)]
@@ -35,7 +42,8 @@
     measured_at: Duration,
     failed_share: f64,
     tries: u32,
-    failures_in_a_row: u32,
+    /// Since the last success.
+    points: u32,
     /// How often it was ejected lately.
     ejections: u32,
     ejected_until: Option<Duration>,
@@ -60,7 +68,7 @@
             measured_at: now,
             failed_share: 0.0,
             tries: 0,
-            failures_in_a_row: 0,
+            points: 0,
             ejections: 0,
             ejected_until: None,
             probation: 0,
@@ -72,16 +80,17 @@
     /// Accounts one try that took `latency`.
     pub fn record(&mut self, outcome: AttemptOutcome, latency: Duration, now: Duration) {
         let success = outcome.is_success();
+        let short = self.is_short_timeout(outcome, latency);
         // A failure says nothing of the speed, unless it was a timeout: the
         // target that fails fastest must not look like the fastest.
-        if success || outcome == AttemptOutcome::TimedOut {
+        if success || (outcome == AttemptOutcome::TimedOut && !short) {
             self.measure(latency, now);
         }
         if self.is_ejected(now) {
             return;
         }
         self.forget(now);
-        self.count(outcome);
+        self.count(outcome, short);
         if self.is_failing() {
             self.eject(now);
         }
@@ -118,28 +127,43 @@
         } else {
             1.0
         };
-        let before = f64::from(self.latency_us(now));
+        let decayed = f64::from(self.latency_us(now));
+        // A try that is slower than hoped confirms what was remembered.
+        let before = if sample > decayed {
+            self.latency_us
+        } else {
+            decayed
+        };
         self.latency_us = before + (sample - before) * weight;
         self.measured_at = now;
     }
 
-    fn count(&mut self, outcome: AttemptOutcome) {
+    fn is_short_timeout(&self, outcome: AttemptOutcome, latency: Duration) -> bool {
+        let fair = self.latency_us * FAIR_TIMES;
+        outcome == AttemptOutcome::TimedOut && latency.as_secs_f64() * 1e6 < fair
+    }
+
+    fn count(&mut self, outcome: AttemptOutcome, short: bool) {
+        if short {
+            self.points += POINTS_SHORT_TIMEOUT;
+            return;
+        }
         self.tries = self.tries.saturating_add(1);
         let success = outcome.is_success();
         let failed = if success { 0.0 } else { 1.0 };
         self.failed_share += (failed - self.failed_share) * AVERAGE_WEIGHT;
         if success {
-            self.failures_in_a_row = 0;
+            self.points = 0;
             self.probation = self.probation.saturating_sub(1);
         } else if !is_about_request(outcome) {
-            self.failures_in_a_row += 1;
+            self.points += POINTS_FAILURE;
         }
     }
 
     fn is_failing(&self) -> bool {
-        let on_probation = self.probation > 0 && self.failures_in_a_row > 0;
+        let on_probation = self.probation > 0 && self.points >= POINTS_FAILURE;
         let often = self.tries >= TRIES_MIN && self.failed_share > FAILED_SHARE_MAX;
-        on_probation || often || self.failures_in_a_row >= FAILURES_IN_A_ROW
+        on_probation || often || self.points >= POINTS_MAX
     }
 
     fn eject(&mut self, now: Duration) {
@@ -150,7 +174,7 @@
         self.last_ejection_change = until;
         self.warm_since = until;
         self.probation = PROBATION_SUCCESSES;
-        self.failures_in_a_row = 0;
+        self.points = 0;
         self.failed_share = 0.0;
         self.tries = 0;
     }
--- a/crates/cleat-decide/src/request/mod.rs
+++ b/crates/cleat-decide/src/request/mod.rs
@@ -11,7 +11,7 @@
 mod verdict;
 
 pub use budget::RetryBudget;
-pub use choice::{Candidate, choose, choose_with, free_slots};
+pub use choice::{Candidate, choose, choose_with, eject_slow, free_slots};
 pub use gate::{Arrival, Arrived, Gate, Released, Ticket};
 pub use health::Health;
 pub use outcome::{AttemptOutcome, FinalOutcome, RequestFacts, UnknownReason, Verdict};
