--- a/crates/cleat-quorum/src/core/durability.rs
+++ b/crates/cleat-quorum/src/core/durability.rs
@@ -29,8 +29,9 @@
     pub(crate) dirty: bool,
     issued: Ticket,
     synced: Ticket,
-    /// The sync that covers the latest term and vote.
-    hard_state: Ticket,
+    /// The sync that covers the latest term, vote and snapshot: what every
+    /// message rests on.
+    ground: Ticket,
     /// The last entry on the disk. Invariant: never beyond the log.
     durable_index: LogIndex,
     /// The last entry at the time of each sync under way.
@@ -44,7 +45,7 @@
             dirty: false,
             issued: Ticket(0),
             synced: Ticket(0),
-            hard_state: Ticket(0),
+            ground: Ticket(0),
             durable_index,
             syncing: VecDeque::new(),
             deferred: VecDeque::new(),
@@ -60,14 +61,14 @@
         !self.dirty && self.issued == self.synced
     }
 
-    /// Notes that this step wrote the term and vote.
-    pub(crate) fn hard_state_written(&mut self) {
-        self.hard_state = Ticket(self.issued.0 + 1);
+    /// Notes that this step wrote the term, the vote or a snapshot.
+    pub(crate) fn ground_written(&mut self) {
+        self.ground = Ticket(self.issued.0 + 1);
     }
 
-    /// Whether the latest term and vote are on the disk.
-    pub(crate) fn hard_state_synced(&self) -> bool {
-        self.hard_state <= self.synced
+    /// Whether the latest term, vote and snapshot are on the disk.
+    pub(crate) fn ground_synced(&self) -> bool {
+        self.ground <= self.synced
     }
 
     pub(crate) fn defer(&mut self, deferred: Deferred) {
--- a/crates/cleat-quorum/src/core/election.rs
+++ b/crates/cleat-quorum/src/core/election.rs
@@ -11,10 +11,10 @@
     /// Asks whether an election could be won, without disturbing anyone.
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election();
+        self.leader = None;
         if !self.is_voter() {
             return;
         }
-        self.leader = None;
         self.state = State::PreCandidate {
             votes: BTreeSet::new(),
         };
--- a/crates/cleat-quorum/src/core/formation.rs
+++ b/crates/cleat-quorum/src/core/formation.rs
@@ -12,10 +12,10 @@
 use indexmap::IndexMap;
 use rand::RngExt;
 
+use super::Core;
 use super::event::Write;
 use super::message::{Body, Hello};
 use super::types::{GENESIS_INDEX, Image, Member, MemberId, Membership};
-use super::{Core, Effect};
 
 /// What an unformed voter knows of the others.
 #[derive(Debug)]
@@ -122,6 +122,9 @@
             membership,
             data,
         });
+        // The others learn of the group with their next hello.
+        let others_know = self.now + self.config.timing.heartbeat * 2;
+        self.election_due = self.election_due.min(others_know);
     }
 
     /// All configured members, once each voter is known to be unformed.
@@ -164,12 +167,13 @@
     fn accept_genesis(&mut self, image: Image) {
         let image = Arc::new(image);
         self.group = image.group;
-        self.effects
-            .push(Effect::Write(Write::Snapshot(image.clone())));
-        self.durability.dirty = true;
+        self.durability.ground_written();
+        self.write(Write::Snapshot(image.clone()));
         self.commit = image.index;
         self.applied = image.index;
         self.log.install(image);
+        // An unformed member has confirmed no leader, so none relies on it.
+        self.sticky_until = self.now;
         if self.is_sole_voter() {
             self.start_pre_vote();
         } else {
--- a/crates/cleat-quorum/src/core/leader.rs
+++ b/crates/cleat-quorum/src/core/leader.rs
@@ -5,7 +5,7 @@
 
 use super::event::{Refusal, Write};
 use super::lease::Liveness;
-use super::message::{Ack, Append, Body, Install, Stamp};
+use super::message::{Ack, AckOutcome, Append, Body, Install, Stamp};
 use super::progress::{Inflight, Leadership, PendingRead, Progress};
 use super::types::{Entry, LogIndex, MemberId, Payload, Term};
 use super::{Core, Effect, State};
@@ -252,8 +252,11 @@
             return;
         }
         progress.meet(ack.identity);
-        progress.round = progress.round.max(ack.round);
-        progress.round_sent = progress.round_sent.max(sent_at);
+        // A member of no group yet may vote soon; no lease can rest on it.
+        if ack.outcome != AckOutcome::Empty {
+            progress.round = progress.round.max(ack.round);
+            progress.round_sent = progress.round_sent.max(sent_at);
+        }
         progress.take_outcome(ack, overtaken);
         self.advance_commit();
         self.confirm_reads();
@@ -372,6 +375,13 @@
         self.quorum_sent(now).is_some_and(|sent| now < sent + lease)
     }
 
+    pub(super) fn leads_until(&self) -> Option<Duration> {
+        let sent = self
+            .quorum_sent(self.now)
+            .filter(|_| self.has_committed_own_term());
+        sent.map(|sent| sent + self.config.timing.leader_lease())
+    }
+
     /// Whether this leader's commit index covers all earlier terms.
     pub(super) fn has_committed_own_term(&self) -> bool {
         match &self.state {
--- a/crates/cleat-quorum/src/core/mod.rs
+++ b/crates/cleat-quorum/src/core/mod.rs
@@ -269,7 +269,7 @@
 
     fn set_hard_state(&mut self, hard_state: HardState) {
         self.hard_state = hard_state;
-        self.durability.hard_state_written();
+        self.durability.ground_written();
         self.write(Write::HardState(hard_state));
     }
 
--- a/crates/cleat-quorum/src/core/status.rs
+++ b/crates/cleat-quorum/src/core/status.rs
@@ -48,6 +48,9 @@
     pub applied: LogIndex,
     /// Until when this member may serve, on its own clock; none if it may not.
     pub serves_until: Option<Duration>,
+    /// Until when it is certain to be the only leader, on its own clock; none
+    /// if it is not.
+    pub leads_until: Option<Duration>,
     /// All members, itself included; only on the leader.
     pub members: Vec<MemberStatus>,
 }
@@ -62,6 +65,7 @@
             commit: self.commit,
             applied: self.applied,
             serves_until: self.lease.serves_until(self.applied),
+            leads_until: self.leads_until(),
             members: self.member_statuses(),
         }
     }
--- a/crates/cleat-quorum/src/driver/status.rs
+++ b/crates/cleat-quorum/src/driver/status.rs
@@ -9,12 +9,18 @@
 pub struct Status {
     core: CoreStatus,
     serves_until: Option<Instant>,
+    leads_until: Option<Instant>,
 }
 
 impl Status {
     pub(crate) fn new(core: CoreStatus, origin: Instant) -> Status {
         let serves_until = core.serves_until.map(|until| origin + until);
-        Status { core, serves_until }
+        let leads_until = core.leads_until.map(|until| origin + until);
+        Status {
+            core,
+            serves_until,
+            leads_until,
+        }
     }
 
     /// The status of a replica that stopped: it neither leads nor serves.
@@ -28,6 +34,7 @@
         Status {
             core,
             serves_until: None,
+            leads_until: None,
         }
     }
 
@@ -46,6 +53,12 @@
         self.core.role
     }
 
+    /// Whether it is certain, at `now`, to be the only leader, and to know of
+    /// all that was committed.
+    pub fn leads(&self, now: Instant) -> bool {
+        self.leads_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it leads, as far as it knows.
     pub fn is_leader(&self) -> bool {
         self.core.role == Role::Leader
--- a/crates/cleat-quorum/tests/core.rs
+++ b/crates/cleat-quorum/tests/core.rs
@@ -388,3 +388,25 @@
     assert!(!group.core(3).in_service(group.now));
     assert!(group.core(leader).in_force(index, group.now));
 }
+
+#[test]
+fn on_ack_of_unformed_member_supports_no_lease() {
+    let mut group = Group::new(3, 0, |id, _, recovery| {
+        if id < 2 {
+            recover(recovery, 3, 0, &[]);
+        }
+    });
+    // Member 2 hears the leader but gets neither genesis nor snapshot.
+    group.passes = |message| !matches!(message.body, Body::Genesis(_) | Body::Install(_));
+    group.advance(seconds(3));
+    let leader = group.leader();
+    assert!(group.core(leader).holds_leader_lease_at(group.now));
+    assert_eq!(group.core(2).role(), Role::Unformed);
+    // From now on it is the only one that answers.
+    group.passes = |message| {
+        let state = matches!(message.body, Body::Genesis(_) | Body::Install(_));
+        !state && (message.from.0 == 2 || message.to.0 == 2)
+    };
+    group.advance(Duration::from_millis(700));
+    assert!(!group.core(leader).holds_leader_lease_at(group.now));
+}
