Try an election again sooner once the leader is gone

Cause: after a split vote the next election waited a full time-out, longer than the members' leases run. Ruled out: shorter first time-outs, which the leader's lease forbids.

--- a/crates/cleat-quorum/src/core/election.rs
+++ b/crates/cleat-quorum/src/core/election.rs
@@ -10,7 +10,7 @@
 impl Core {
     /// Asks whether an election could be won, without disturbing anyone.
     pub(super) fn start_pre_vote(&mut self) {
-        self.reset_election();
+        self.retry_election();
         self.leader = None;
         if !self.is_voter() {
             return;
@@ -29,7 +29,7 @@
             term,
             voted_for: Some(self.config.id),
         });
-        self.reset_election();
+        self.retry_election();
         self.state = State::Candidate {
             votes: BTreeSet::new(),
             asked_at: self.now,
--- a/crates/cleat-quorum/src/core/mod.rs
+++ b/crates/cleat-quorum/src/core/mod.rs
@@ -43,6 +43,9 @@
 use log::Log;
 use progress::Leadership;
 
+/// How much longer the longest wait for another election is than the shortest.
+const RETRY_SPREAD: u32 = 4;
+
 /// What a member finds on its disk when it starts.
 #[derive(Clone, Debug)]
 pub struct Recovery {
@@ -301,6 +304,14 @@
         self.election_due = self.now + wait;
     }
 
+    /// Sets when to try again if the election under way fails. The leader is
+    /// gone by then, so the members' leases leave no time for a full wait.
+    fn retry_election(&mut self) {
+        let longest = self.config.timing.election_min;
+        let wait = self.rng.random_range(longest / RETRY_SPREAD..=longest);
+        self.election_due = self.now + wait;
+    }
+
     fn write(&mut self, write: Write) {
         self.durability.dirty = true;
         self.effects.push(Effect::Write(write));
--- a/crates/cleat-quorum/tests/schedules.rs
+++ b/crates/cleat-quorum/tests/schedules.rs
@@ -83,6 +83,33 @@
     assert_eq!(first_violation(seeds(150), plan), None);
 }
 
+/// The leases outlive their leader, unless the first election fails.
+#[test]
+fn schedule_leader_dies() {
+    let plan = Plan {
+        kill_leader: true,
+        random_faults: 0,
+        ..Plan::default()
+    };
+    let results = run_all(0..400, move |seed| {
+        run(seed, plan).map(|world| world.lapsed.len())
+    });
+    assert!(results.iter().all(|(_, result)| result.is_ok()));
+    let lapsed = results
+        .iter()
+        .filter(|(_, lapsed)| *lapsed != Ok(0))
+        .count();
+    println!(
+        "leases lapsed after {lapsed} of {} deaths of a leader",
+        results.len()
+    );
+    assert!(
+        lapsed * 20 <= results.len(),
+        "{lapsed} of {}",
+        results.len()
+    );
+}
+
 /// Every fault at every step: the schedule must reach the step, and the group
 /// must hold its invariants and recover.
 #[test]
--- a/crates/cleat-quorum/tests/simulation/mod.rs
+++ b/crates/cleat-quorum/tests/simulation/mod.rs
@@ -6,13 +6,13 @@
 mod node;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use cleat_quorum::{
     Body, Core, CoreConfig, Effect, Event, Limits, MemberConfig, Message, Payload, Protections,
-    Ticket, Write,
+    Role, Ticket, Write,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -45,6 +45,8 @@
     pub(crate) upkeep: bool,
     /// The longest pause between two proposals.
     pub(crate) client_pause: Micros,
+    /// Kills the leader four seconds after the start, until the heal.
+    pub(crate) kill_leader: bool,
     /// When all faults end.
     pub(crate) heal: Micros,
     /// Whether the group must recover after that.
@@ -63,6 +65,7 @@
             cell: None,
             upkeep: false,
             client_pause: 120 * MILLI,
+            kill_leader: false,
             heal: 7 * SECOND,
             liveness: true,
             protections: Protections::default(),
@@ -99,6 +102,7 @@
         node: usize,
     },
     Calm,
+    KillLeader,
     Client,
     Upkeep(u8),
     Heal,
@@ -129,6 +133,9 @@
     nodes: Vec<Node>,
     weather: Weather,
     cell_armed: Micros,
+    /// The members that served when the leader was killed and lapsed later.
+    pub(crate) lapsed: BTreeSet<usize>,
+    watched: Vec<usize>,
     /// How often the cell's fault struck at its step.
     pub(crate) hits: u32,
     checker: Checker,
@@ -165,6 +172,8 @@
             nodes,
             weather: CALM,
             cell_armed,
+            lapsed: BTreeSet::new(),
+            watched: Vec::new(),
             hits: 0,
             checker: Checker::default(),
         };
@@ -186,6 +195,9 @@
             self.after(3 * SECOND, Happening::Upkeep(0));
             self.after(5 * SECOND, Happening::Upkeep(1));
         }
+        if self.plan.kill_leader {
+            self.after(4 * SECOND, Happening::KillLeader);
+        }
         for node in 0..self.nodes.len() {
             let at = self.rng.random_range(0..100 * MILLI);
             self.after(at, Happening::Restart { node });
@@ -211,6 +223,7 @@
             if let Some(happening) = self.happenings.remove(&order) {
                 self.happen(happening)?;
                 self.checker.check_leases(&self.nodes, self.now)?;
+                self.watch_leases();
             }
             let healed = self.now > self.plan.heal + SECOND;
             if healed && (!self.plan.liveness || self.recovered()) {
@@ -281,6 +294,10 @@
                 self.weather = CALM;
                 Ok(())
             }
+            Happening::KillLeader => {
+                self.kill_leader();
+                Ok(())
+            }
             Happening::Client => self.client(),
             Happening::Upkeep(stage) => self.upkeep(stage),
             Happening::Heal => self.heal(),
@@ -454,6 +471,33 @@
         self.step(at, Event::Read(id))
     }
 
+    fn kill_leader(&mut self) {
+        let now = self.now;
+        let serves = |node: &Node| {
+            node.core
+                .as_ref()
+                .is_some_and(|c| c.in_service(node.local(now)))
+        };
+        let leads = |node: &Node| node.core.as_ref().is_some_and(|c| c.role() == Role::Leader);
+        let Some(leader) = self.nodes.iter().position(leads) else {
+            return;
+        };
+        self.nodes[leader].kill(&mut self.rng);
+        self.watched = (0..self.nodes.len())
+            .filter(|at| serves(&self.nodes[*at]))
+            .collect();
+    }
+
+    fn watch_leases(&mut self) {
+        for at in &self.watched {
+            let node = &self.nodes[*at];
+            let core = node.core.as_ref();
+            if core.is_some_and(|core| !core.in_service(node.local(self.now))) {
+                self.lapsed.insert(*at);
+            }
+        }
+    }
+
     fn upkeep(&mut self, stage: u8) -> Result<(), Violation> {
         let last_voter = usize::from(self.plan.voters) - 1;
         let last = self.nodes.len() - 1;
