Tell a hopeless wait's end from the deadline's

Cause: the check stayed green without the ticker: its long request outlived the deadline. Change: the long request ends between the two moments that are told apart.

--- a/crates/cleat-entry/tests/admission.rs
+++ b/crates/cleat-entry/tests/admission.rs
@@ -111,7 +111,7 @@
 #[tokio::test]
 async fn queue_left_once_it_is_hopeless() {
     let target = Target::spawn(|head| match () {
-        () if head.contains("/long") => Step::slow_ok(900, "own"),
+        () if head.contains("/long") => Step::slow_ok(700, "own"),
         () => Step::slow_ok(300, "own"),
     })
     .await;
@@ -124,6 +124,7 @@
     eventually("it runs", || target.in_progress() == 1).await;
     let reply = get(address, "/dock/x", "celerycleat-deadline-ms: 800\r\n").await;
     assert_eq!(reply.summary(), "503 not-run cannot-finish-in-time");
+    assert_eq!(entry.counters()["entry.waited"], 1);
     assert_eq!(target.in_progress(), 1, "it is told before a slot is free");
     assert_eq!(long.await.unwrap().status, 200);
 }
