Spread the returns of callers refused for the same cause

Cause: refusals that no decision timed all said to come back after one second, together. Change: they are told one to three seconds, by a seeded choice. Ruled out: the gate's own spread; these refusals come before any gate. Conclusion: all refusals are spread now but those of malformed heads.

--- a/crates/cleat-entry/src/entry/handle.rs
+++ b/crates/cleat-entry/src/entry/handle.rs
@@ -35,7 +35,7 @@
     let (parts, body) = req.into_parts();
     let mut response = if parts.uri.path().starts_with(health::PREFIX) {
         let answer = health::answer(&shared, &parts.method, parts.uri.path());
-        answer.unwrap_or_else(Problem::into_response)
+        answer.unwrap_or_else(|problem| problem.into_response(shared.later()))
     } else {
         forward(&shared, &connection, parts, body, received).await
     };
@@ -62,7 +62,10 @@
     };
     let (outcome, response) = match result {
         Ok(answer) => (Outcome::Answered, answer.into_response()),
-        Err(problem) => (problem.kind.outcome(), problem.into_response()),
+        Err(problem) => (
+            problem.kind.outcome(),
+            problem.into_response(shared.later()),
+        ),
     };
     shared.counters.count(outcome);
     trace.note_answer(outcome.name(), response.status().as_u16());
--- a/crates/cleat-entry/src/entry/refusal.rs
+++ b/crates/cleat-entry/src/entry/refusal.rs
@@ -1,9 +1,13 @@
 //! hyper's own answers to heads that it can't read, made into ours.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 
 use crate::problem::{Problem, ProblemKind};
 
+/// A malformed head stays malformed; there is nothing to spread.
+const LATER: Duration = Duration::from_secs(1);
 const LENGTH_MAX: usize = 256;
 const END: &[u8] = b"\r\n\r\n";
 const EMPTY_BODY: &[u8] = b"content-length: 0\r\n";
@@ -27,7 +31,7 @@
         b"431" => ProblemKind::HeadersTooLarge,
         _ => return None,
     };
-    Some(Problem::closing(kind).to_bytes())
+    Some(Problem::closing(kind).to_bytes(LATER))
 }
 
 fn contains(bytes: &[u8], part: &[u8]) -> bool {
--- a/crates/cleat-entry/src/entry/shared.rs
+++ b/crates/cleat-entry/src/entry/shared.rs
@@ -1,10 +1,15 @@
 //! What every request of an entry shares.
 
+use std::ops::Range;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, Guard};
 use cleat_telemetry::Counters as Registry;
 use cleat_world::{KeyTerms, World};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
@@ -17,6 +22,9 @@
 use crate::service::ConnectTerms;
 use crate::tries::KeysInHand;
 
+/// Times to come back, in seconds.
+const LATER_SECS: Range<u64> = 1..4;
+
 /// Where an entry stands on its way to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Phase {
@@ -43,6 +51,7 @@
     pub(super) waiting: Notify,
     routes: ArcSwap<Routes>,
     publisher: Mutex<Publisher>,
+    random: AtomicU64,
 }
 
 impl<C: Control> Shared<C> {
@@ -58,6 +67,7 @@
             work: Arc::default(),
             waiting: Notify::new(),
             routes: ArcSwap::default(),
+            random: AtomicU64::new(cfg.seed),
             publisher: Mutex::new(Publisher::new(epoch)),
             cfg,
         }
@@ -100,6 +110,15 @@
         self.waiting.notify_one();
     }
 
+    /// When a caller should come back if nothing better is known: spread, so
+    /// that callers refused together do not return together.
+    pub(super) fn later(&self) -> Duration {
+        let state = self.random.fetch_add(1, Ordering::Relaxed);
+        let choice =
+            SmallRng::seed_from_u64(state).next_u64() % (LATER_SECS.end - LATER_SECS.start);
+        Duration::from_secs(LATER_SECS.start + choice)
+    }
+
     /// Brings the gauges up to date.
     pub(super) fn measure(&self) {
         let held = self.answer_memory.held() as u64;
--- a/crates/cleat-entry/src/problem/problem.rs
+++ b/crates/cleat-entry/src/problem/problem.rs
@@ -15,15 +15,13 @@
 const MEDIA_TYPE: &str = "application/problem+json";
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const TYPE_PREFIX: &str = "urn:celerycleat:problem:";
-/// When to come back if nothing better is known.
-const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
 
 /// An answer of ours to one request.
 #[derive(Debug, Clone)]
 pub(crate) struct Problem {
     pub(crate) kind: ProblemKind,
-    /// When to come back, told if the request did not run.
-    retry_after: Duration,
+    /// When to come back, if that was decided.
+    retry_after: Option<Duration>,
     /// Whether the caller's connection can't be used any more.
     closes: bool,
 }
@@ -40,14 +38,14 @@
     pub(crate) fn new(kind: ProblemKind) -> Problem {
         Problem {
             kind,
-            retry_after: RETRY_AFTER_DEFAULT,
+            retry_after: None,
             closes: false,
         }
     }
 
     pub(crate) fn retry_after(kind: ProblemKind, retry_after: Duration) -> Problem {
         Problem {
-            retry_after,
+            retry_after: Some(retry_after),
             ..Problem::new(kind)
         }
     }
@@ -61,7 +59,8 @@
         }
     }
 
-    pub(crate) fn into_response(self) -> Response<AnswerBody> {
+    /// The answer. `later` is when to come back if that was not decided.
+    pub(crate) fn into_response(self, later: Duration) -> Response<AnswerBody> {
         let outcome = self.kind.outcome();
         let mut response = Response::new(AnswerBody::whole_bytes(self.body(outcome)));
         *response.status_mut() = self.kind.status();
@@ -69,10 +68,7 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
         headers.insert(OUTCOME, outcome.value());
         if outcome == Outcome::NotRun {
-            headers.insert(
-                RETRY_AFTER,
-                HeaderValue::from(whole_seconds(self.retry_after)),
-            );
+            headers.insert(RETRY_AFTER, HeaderValue::from(self.retry_seconds(later)));
         }
         if self.closes {
             headers.insert(CONNECTION, CLOSE);
@@ -82,7 +78,7 @@
 
     /// The whole answer as bytes, for a connection whose request no handler
     /// saw.
-    pub(crate) fn to_bytes(&self) -> Bytes {
+    pub(crate) fn to_bytes(&self, later: Duration) -> Bytes {
         let status = self.kind.status();
         let outcome = self.kind.outcome();
         let body = self.body(outcome);
@@ -96,10 +92,7 @@
         line(CONNECTION.as_str(), "close");
         line(CONTENT_TYPE.as_str(), MEDIA_TYPE);
         line(OUTCOME.as_str(), outcome.name());
-        line(
-            RETRY_AFTER.as_str(),
-            &whole_seconds(self.retry_after).to_string(),
-        );
+        line(RETRY_AFTER.as_str(), &self.retry_seconds(later).to_string());
         line(CONTENT_LENGTH.as_str(), &body.len().to_string());
         text.push_str("\r\n");
         let mut bytes = Vec::from(text);
@@ -107,6 +100,13 @@
         bytes.into()
     }
 
+    /// `Retry-After` knows only whole seconds; never earlier than was decided.
+    fn retry_seconds(&self, later: Duration) -> u64 {
+        let wait = self.retry_after.unwrap_or(later);
+        let up = u64::from(wait.subsec_nanos() > 0);
+        (wait.as_secs() + up).max(1)
+    }
+
     fn body(&self, outcome: Outcome) -> Bytes {
         let type_uri = format!("{TYPE_PREFIX}{}", self.kind.slug());
         let details = Details {
@@ -124,9 +124,3 @@
         Problem::retry_after(refusal.reason.into(), refusal.retry_after)
     }
 }
-
-/// `Retry-After` knows only whole seconds; never earlier than was decided.
-fn whole_seconds(duration: Duration) -> u64 {
-    let up = u64::from(duration.subsec_nanos() > 0);
-    (duration.as_secs() + up).max(1)
-}
--- a/crates/cleat-entry/tests/input.rs
+++ b/crates/cleat-entry/tests/input.rs
@@ -175,6 +175,21 @@
     assert!(!target.requests()[1].contains("transfer-encoding"));
 }
 
+#[tokio::test]
+async fn input_refusals_spread_the_returns() {
+    let (entry, control) = entry(&Fleet::new(json!({}))).await;
+    control
+        .in_service
+        .store(false, std::sync::atomic::Ordering::SeqCst);
+    let mut seconds = std::collections::BTreeSet::new();
+    for _ in 0..30 {
+        let reply = get(entry.local_addr(), "/dock/x", "").await;
+        assert_eq!(reply.summary(), "503 not-run not-in-service");
+        seconds.insert(reply.header("retry-after").unwrap().to_owned());
+    }
+    assert_eq!(seconds.len(), 3, "{seconds:?}");
+}
+
 #[tokio::test]
 async fn input_body_memory_bounded() {
     let target = Target::ok("own").await;
