--- a/crates/cleat-decide/examples/replay/engine.rs
+++ b/crates/cleat-decide/examples/replay/engine.rs
@@ -5,58 +5,19 @@
 use std::time::Duration;
 
 use cleat_decide::{
-    Arrival, Arrived, AttemptOutcome, Candidate, FinalOutcome, Gate, Health, Protections,
-    RefusalReason, RequestFacts, RetryBudget, Ticket, UnknownReason, Verdict, choose_with,
-    eject_slow, free_slots, share, verdict,
+    Arrival, Arrived, AttemptOutcome, Candidate, FinalOutcome, Protections, RefusalReason,
+    RequestFacts, Ticket, UnknownReason, Verdict, choose_with, eject_slow, free_slots, share,
+    verdict,
 };
 use cleat_world::Service;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::entry::Entry;
+use crate::request::{Policy, Request};
 use crate::target::{FakeTarget, exponential, work_factor};
 use crate::trace::{Event, Load, Mode, Trace};
 
-/// How a target is chosen; the others stand for comparison.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Policy {
-    Product,
-    RoundRobin,
-    Random,
-}
-
-/// What became of one request.
-#[derive(Debug, Clone)]
-pub(crate) struct Request {
-    pub(crate) caller: Box<str>,
-    pub(crate) idempotent: bool,
-    pub(crate) arrived: Duration,
-    pub(crate) deadline: Duration,
-    pub(crate) work: f64,
-    pub(crate) tries: u32,
-    /// How often a target got it.
-    pub(crate) runs: u32,
-    pub(crate) may_have_run: bool,
-    pub(crate) status: u16,
-    pub(crate) end: Option<(Duration, FinalOutcome)>,
-    /// How often it ended; other than 1 is a fault.
-    pub(crate) ends: u32,
-    entry: usize,
-    last_target: Option<usize>,
-    running: Option<(usize, Duration)>,
-}
-
-/// An instance of ours.
-struct Entry {
-    name: Box<str>,
-    gate: Gate,
-    budget: RetryBudget,
-    health: Vec<Health>,
-    in_flight: Vec<u32>,
-    turn: usize,
-    /// The next time at which the queue is looked at.
-    planned: Duration,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
     Line(usize),
@@ -89,15 +50,7 @@
         let names: Vec<Box<str>> = (0..trace.entries).map(|i| format!("e{i}").into()).collect();
         let entry = |(index, name): (usize, &str)| {
             let seed = trace.seed + index as u64;
-            Entry {
-                name: name.into(),
-                gate: Gate::with_protections(&trace.service, seed, protections),
-                budget: RetryBudget::with_protections(&trace.service.retry, seed, protections),
-                health: Vec::new(),
-                in_flight: Vec::new(),
-                turn: 0,
-                planned: Duration::MAX,
-            }
+            Entry::new(name, &trace.service, seed, protections)
         };
         let mut engine = Engine {
             service: trace.service.clone(),
@@ -141,8 +94,7 @@
             Step::Arrive(request) => self.arrive(request),
             Step::EndTry { request, attempt } => {
                 if self.requests[request].tries == attempt {
-                    let outcome = self.outcome_now(request);
-                    self.end_try(request, outcome);
+                    self.end_try(request, self.fates[request]);
                 }
             }
             Step::Look { entry } => {
@@ -188,14 +140,7 @@
             self.targets[index] = target;
         }
         for entry in &mut self.entries {
-            if entry.health.len() <= index {
-                entry
-                    .health
-                    .push(Health::with_protections(now, protections));
-                entry.in_flight.push(0);
-            } else if new_life {
-                entry.health[index] = Health::with_protections(now, protections);
-            }
+            entry.learn(index, new_life, now, protections);
         }
         if mode == Mode::Killed {
             self.cut_all(index);
@@ -226,22 +171,8 @@
                 return;
             }
             let entry = rng.random_range(0..self.entries.len());
-            self.requests.push(Request {
-                caller: load.caller.clone(),
-                idempotent: load.idempotent,
-                arrived: at,
-                deadline: at + Duration::from_millis(load.deadline_ms),
-                work: load.work * work_factor(&mut rng),
-                tries: 0,
-                runs: 0,
-                may_have_run: false,
-                status: 0,
-                end: None,
-                ends: 0,
-                entry,
-                last_target: None,
-                running: None,
-            });
+            let factor = work_factor(&mut rng);
+            self.requests.push(Request::new(load, at, entry, factor));
             self.fates.push(AttemptOutcome::NotSent);
             self.plan(at, Step::Arrive(self.requests.len() - 1));
         }
@@ -365,10 +296,6 @@
         }
     }
 
-    fn outcome_now(&self, request: usize) -> AttemptOutcome {
-        self.fates[request]
-    }
-
     fn end_try(&mut self, request: usize, outcome: AttemptOutcome) {
         let now = self.now;
         let Some((target, since)) = self.requests[request].running.take() else {
--- a/crates/cleat-decide/examples/replay/main.rs
+++ b/crates/cleat-decide/examples/replay/main.rs
@@ -6,7 +6,9 @@
 //! is run with the product's choice of target, in turn and at random.
 
 mod engine;
+mod entry;
 mod report;
+mod request;
 mod target;
 mod trace;
 
@@ -15,7 +17,8 @@
 
 use cleat_decide::Protections;
 
-use engine::{Engine, Policy};
+use engine::Engine;
+use request::Policy;
 use trace::Trace;
 
 fn main() -> ExitCode {
--- a/crates/cleat-decide/examples/replay/report.rs
+++ b/crates/cleat-decide/examples/replay/report.rs
@@ -9,7 +9,8 @@
 use serde::Deserialize;
 use snafu::ResultExt;
 
-use crate::engine::{Engine, Policy, Request};
+use crate::engine::Engine;
+use crate::request::{Policy, Request};
 use crate::trace::{ParseSnafu, ReadSnafu, Trace, TraceError};
 
 /// An answer may leave this much after the deadline.
--- /dev/null
+++ b/crates/cleat-decide/tests/choice.rs
@@ -0,0 +1,172 @@
+//! Properties of the choice of a target, its health and the split of slots.
+
+use std::time::Duration;
+
+use cleat_decide::{
+    AttemptOutcome, Candidate, Health, Protections, choose, choose_with, eject_slow, free_slots,
+    share,
+};
+use proptest::prelude::*;
+
+const GOOD: AttemptOutcome = AttemptOutcome::Answered { status: 200 };
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn candidate() -> impl Strategy<Value = Candidate> {
+    let load = (0..5u32, 0..4u32);
+    (
+        load,
+        0..90_000u32,
+        prop::bool::weighted(0.4),
+        0..=100u8,
+        any::<bool>(),
+    )
+        .prop_map(
+            |((in_flight, share), latency_us, ejected, warmth_percent, local)| Candidate {
+                in_flight,
+                share,
+                latency_us,
+                ejected,
+                warmth_percent,
+                local,
+            },
+        )
+}
+
+/// What the rules allow: room, and not ejected unless the bound lets it in.
+fn allowed(candidates: &[Candidate], chosen: usize) -> bool {
+    let ejected_before = candidates[..chosen].iter().filter(|c| c.ejected).count();
+    let c = candidates[chosen];
+    c.in_flight < c.share && (!c.ejected || ejected_before >= candidates.len() / 2)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn choose_any_candidates(candidates in prop::collection::vec(candidate(), 0..40), random: u64) {
+        let chosen = choose(&candidates, None, random);
+        prop_assert_eq!(chosen.is_some(), free_slots(&candidates) > 0);
+        if let Some(chosen) = chosen {
+            prop_assert!(allowed(&candidates, chosen));
+            prop_assert_ne!(choose(&candidates, Some(chosen), random), Some(chosen));
+        }
+    }
+
+    #[test]
+    fn share_any_target_sums_to_cap(name in "[a-z]{1,8}[0-9]{0,3}", cap in 0..200u32, count in 1..12usize) {
+        let entries: Vec<Box<str>> = (0..count).map(|i| format!("e{i}").into()).collect();
+        let sum: u32 = entries.iter().map(|me| share(&name, cap, &entries, me)).sum();
+        prop_assert_eq!(sum, cap);
+        prop_assert_eq!(share(&name, cap, &entries, "stranger"), 0);
+    }
+}
+
+fn idle(ejected: bool) -> Candidate {
+    Candidate {
+        in_flight: 0,
+        share: 8,
+        latency_us: 10_000,
+        ejected,
+        warmth_percent: 100,
+        local: true,
+    }
+}
+
+#[test]
+fn choose_all_ejected_keeps_half() {
+    let all = [idle(true); 10];
+    let chosen = |protections| {
+        (0..200).filter_map(move |i| choose_with(&[idle(true); 10], None, i << 55, &protections))
+    };
+    assert!(chosen(Protections::ALL).all(|index| index >= 5));
+    assert_eq!(chosen(Protections::ALL).count(), 200);
+    assert_eq!(free_slots(&all), 40);
+    let off = Protections {
+        ejection_bound: false,
+        ..Protections::ALL
+    };
+    assert_eq!(chosen(off).count(), 0, "the bound is what keeps targets in");
+}
+
+#[test]
+fn choose_prefers_the_quicker() {
+    let mut candidates = vec![idle(false); 2];
+    candidates[0].latency_us = 30_000;
+    let slow = |protections| {
+        let picks = (0..500u64).map(|i| choose_with(&candidates, None, i << 55, &protections));
+        picks.filter(|pick| *pick == Some(0)).count()
+    };
+    assert!(slow(Protections::ALL) < 20);
+    let off = Protections {
+        latency: false,
+        ..Protections::ALL
+    };
+    assert!(slow(off) > 150);
+}
+
+#[test]
+fn eject_slow_far_from_most() {
+    let mut candidates = vec![idle(false); 3];
+    candidates[2].latency_us = 100_000;
+    eject_slow(&mut candidates);
+    let ejected: Vec<bool> = candidates.iter().map(|c| c.ejected).collect();
+    assert_eq!(ejected, [false, false, true]);
+}
+
+#[test]
+fn record_fast_failures_eject_for_longer_each_time() {
+    let mut health = Health::new(ms(0));
+    let mut now = ms(20_000);
+    let mut away = Vec::new();
+    for _ in 0..4 {
+        while !health.is_ejected(now) {
+            health.record(AttemptOutcome::Answered { status: 503 }, ms(1), now);
+        }
+        let until = health.ejected_until(now).unwrap();
+        away.push(until - now);
+        now = until;
+        assert_eq!(health.warmth_percent(now), 10, "it starts slowly again");
+        assert_eq!(health.latency_us(now), 0, "failures do not look quick");
+    }
+    assert_eq!(away, [ms(1_000), ms(2_000), ms(4_000), ms(8_000)]);
+}
+
+#[test]
+fn record_one_failure_in_many_stays() {
+    let mut health = Health::new(ms(0));
+    for i in 0..1_000u64 {
+        let outcome = if i % 4 == 0 {
+            AttemptOutcome::Cut
+        } else {
+            GOOD
+        };
+        health.record(outcome, ms(50), ms(i));
+        assert!(!health.is_ejected(ms(i)));
+    }
+}
+
+#[test]
+fn record_short_timeouts_weigh_little() {
+    let mut health = Health::new(ms(0));
+    health.record(GOOD, ms(100), ms(0));
+    for i in 0..8 {
+        health.record(AttemptOutcome::TimedOut, ms(30), ms(i));
+    }
+    assert!(!health.is_ejected(ms(8)));
+    for i in 8..20 {
+        health.record(AttemptOutcome::TimedOut, ms(30), ms(i));
+    }
+    assert!(health.is_ejected(ms(20)), "but not nothing");
+}
+
+#[test]
+fn latency_us_fades_and_is_confirmed() {
+    let mut health = Health::new(ms(0));
+    health.record(GOOD, ms(400), ms(0));
+    assert_eq!(health.latency_us(ms(10_000)), 200_000);
+    health.record(GOOD, ms(400), ms(10_000));
+    assert_eq!(health.latency_us(ms(10_000)), 400_000);
+}
--- a/crates/cleat-decide/tests/replay.rs
+++ b/crates/cleat-decide/tests/replay.rs
@@ -5,14 +5,19 @@
 
 use cleat_decide::Protections;
 
-use engine::{Engine, Policy};
+use engine::Engine;
 use report::Figures;
+use request::Policy;
 use trace::Trace;
 
 #[path = "../examples/replay/engine.rs"]
 mod engine;
+#[path = "../examples/replay/entry.rs"]
+mod entry;
 #[path = "../examples/replay/report.rs"]
 mod report;
+#[path = "../examples/replay/request.rs"]
+mod request;
 #[path = "../examples/replay/target.rs"]
 mod target;
 #[path = "../examples/replay/trace.rs"]
--- /dev/null
+++ b/crates/cleat-decide/tests/slots.rs
@@ -0,0 +1,283 @@
+//! The cap of a target holds over all entries, whatever happens to them and to
+//! their messages.
+
+use std::time::Duration;
+
+use cleat_decide::{
+    Entry, Message, Outgoing, Protections, Slot, SlotTerms, Slots, TargetKey, share,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const TERMS: SlotTerms = SlotTerms {
+    lease: Duration::from_millis(300),
+    longest_request: Duration::from_millis(400),
+    keep_idle: Duration::from_millis(50),
+};
+const TARGETS: [(&str, u32); 3] = [("r1", 8), ("r2", 5), ("r3", 1)];
+const STEP_MS: u64 = 5;
+const STEPS: u64 = 3_000;
+
+/// A request at a target; it goes on if its entry dies or freezes.
+struct Running {
+    target: usize,
+    entry: usize,
+    life: u64,
+    slot: Slot,
+    ends_at: u64,
+}
+
+struct Node {
+    slots: Slots,
+    keys: Vec<TargetKey>,
+    life: u64,
+    started_at: u64,
+    /// Thousandths by which its clock is fast.
+    drift: i64,
+    frozen_until: u64,
+}
+
+struct Fleet {
+    rng: StdRng,
+    names: Vec<Box<str>>,
+    nodes: Vec<Node>,
+    running: Vec<Running>,
+    wires: Vec<(u64, usize, Outgoing)>,
+    /// The entry that no message reaches or leaves, until when.
+    cut_off: (usize, u64),
+    now: u64,
+    protections: Protections,
+    begun_on_loan: u64,
+    violations: u64,
+}
+
+impl Fleet {
+    fn new(seed: u64, count: usize, protections: Protections) -> Fleet {
+        let mut fleet = Fleet {
+            rng: StdRng::seed_from_u64(seed),
+            names: (0..count).map(|i| format!("e{i}").into()).collect(),
+            nodes: Vec::new(),
+            running: Vec::new(),
+            wires: Vec::new(),
+            cut_off: (0, 0),
+            now: 0,
+            protections,
+            begun_on_loan: 0,
+            violations: 0,
+        };
+        for index in 0..count {
+            let node = fleet.start(index, 1, true);
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    fn start(&mut self, index: usize, life: u64, fresh: bool) -> Node {
+        let me = Entry(u32::try_from(index).expect("few entries"));
+        let slots = Slots::new(me, life, &self.names, TERMS, Duration::ZERO);
+        let mut slots = slots.with_protections(self.protections);
+        let keys = TARGETS
+            .iter()
+            .map(|(name, cap)| slots.set_target(name, *cap, fresh));
+        Node {
+            keys: keys.collect(),
+            slots,
+            life,
+            started_at: self.now,
+            drift: self.rng.random_range(-9..=9),
+            frozen_until: 0,
+        }
+    }
+
+    fn local(&self, index: usize) -> Duration {
+        let node = &self.nodes[index];
+        let passed = i64::try_from(self.now - node.started_at).expect("short runs");
+        let micros = passed * (1_000 + node.drift);
+        Duration::from_micros(u64::try_from(micros).expect("positive"))
+    }
+
+    fn run(&mut self, faults: bool) {
+        for _ in 0..STEPS {
+            self.now += STEP_MS;
+            self.end_requests();
+            self.deliver();
+            if faults {
+                self.fault();
+            }
+            for index in 0..self.nodes.len() {
+                self.work(index);
+            }
+            self.check();
+        }
+    }
+
+    fn end_requests(&mut self) {
+        let (nodes, now) = (&self.nodes, self.now);
+        // A frozen entry notices the end of its requests only when it thaws.
+        let unnoticed =
+            |r: &Running| r.life == nodes[r.entry].life && now < nodes[r.entry].frozen_until;
+        let ended = |r: &mut Running| r.ends_at <= now && !unnoticed(r);
+        let ended: Vec<Running> = self.running.extract_if(.., ended).collect();
+        for request in ended {
+            let local = self.local(request.entry);
+            let node = &mut self.nodes[request.entry];
+            if node.life == request.life {
+                node.slots.end(request.slot, local);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let (nodes, now) = (&self.nodes, self.now);
+        let due = |(at, _, out): &mut (u64, usize, Outgoing)| {
+            *at <= now && now >= nodes[out.to.0 as usize].frozen_until
+        };
+        let due: Vec<_> = self.wires.extract_if(.., due).collect();
+        for (_, from, out) in due {
+            let to = out.to.0 as usize;
+            let local = self.local(to);
+            let from_entry = Entry(u32::try_from(from).expect("few entries"));
+            let answers = self.nodes[to].slots.receive(from_entry, out.message, local);
+            self.send(to, answers);
+        }
+    }
+
+    fn send(&mut self, from: usize, out: Vec<Outgoing>) {
+        for out in out {
+            let (cut, until) = self.cut_off;
+            let to = out.to.0 as usize;
+            let lost =
+                self.rng.random_bool(0.05) || (self.now < until && (cut == from || cut == to));
+            if lost {
+                continue;
+            }
+            let copies = if self.rng.random_bool(0.1) { 2 } else { 1 };
+            for _ in 0..copies {
+                let late = if self.rng.random_bool(0.05) { 900 } else { 15 };
+                let at = self.now + self.rng.random_range(0..late);
+                self.wires.push((at, from, out.clone()));
+            }
+        }
+    }
+
+    fn fault(&mut self) {
+        let index = self.rng.random_range(0..self.nodes.len());
+        let lasting = self.now + self.rng.random_range(50..2_000);
+        match self.rng.random_range(0..400) {
+            0 => self.nodes[index] = self.start(index, self.nodes[index].life + 1, false),
+            1 | 2 => self.nodes[index].frozen_until = lasting,
+            3 => self.cut_off = (index, lasting),
+            _ => {}
+        }
+    }
+
+    fn work(&mut self, index: usize) {
+        if self.now < self.nodes[index].frozen_until {
+            return;
+        }
+        let local = self.local(index);
+        let out = self.nodes[index].slots.tick(local);
+        self.send(index, out);
+        // Demand moves from entry to entry.
+        let busy = (self.now / 700) % self.nodes.len() as u64 == index as u64;
+        let arrivals = if busy {
+            4
+        } else {
+            u32::from(self.rng.random_bool(0.05))
+        };
+        let mut waiting = 0;
+        for _ in 0..arrivals {
+            let target = self.rng.random_range(0..TARGETS.len());
+            waiting += u32::from(!self.begin(index, target, local));
+        }
+        let out = self.nodes[index].slots.want(waiting, local);
+        self.send(index, out);
+    }
+
+    fn begin(&mut self, index: usize, target: usize, local: Duration) -> bool {
+        let node = &mut self.nodes[index];
+        let Some(slot) = node.slots.begin(node.keys[target], local) else {
+            return false;
+        };
+        self.begun_on_loan += u64::from(slot.grant.is_some());
+        let longest = u64::try_from(TERMS.longest_request.as_millis()).expect("short");
+        let takes = self.rng.random_range(1..=longest);
+        self.running.push(Running {
+            target,
+            entry: index,
+            life: node.life,
+            slot,
+            ends_at: self.now + takes,
+        });
+        true
+    }
+
+    /// Counts what really runs at each target.
+    fn check(&mut self) {
+        for (target, (_, cap)) in TARGETS.iter().enumerate() {
+            let on_it = |r: &&Running| r.target == target && r.ends_at > self.now;
+            let count = self.running.iter().filter(on_it).count();
+            self.violations += u64::from(count as u64 > u64::from(*cap));
+        }
+    }
+}
+
+#[test]
+fn slots_any_faults_keep_cap() {
+    let mut begun_on_loan = 0;
+    for seed in 0..24 {
+        let count = [3, 6, 9][usize::try_from(seed % 3).unwrap()];
+        let mut fleet = Fleet::new(seed, count, Protections::ALL);
+        fleet.run(true);
+        assert_eq!(fleet.violations, 0, "seed {seed}");
+        begun_on_loan += fleet.begun_on_loan;
+    }
+    assert!(begun_on_loan > 1_000, "loans were in play: {begun_on_loan}");
+}
+
+#[test]
+fn slots_any_faults_without_lease_grace() {
+    let off = Protections {
+        lease_grace: false,
+        ..Protections::ALL
+    };
+    let run = |seed| {
+        let mut fleet = Fleet::new(seed, 3, off);
+        fleet.run(true);
+        fleet.violations
+    };
+    assert!((0..8).map(run).sum::<u64>() > 0);
+}
+
+#[test]
+fn slots_quiet_all_come_home() {
+    let mut fleet = Fleet::new(5, 6, Protections::ALL);
+    fleet.run(true);
+    fleet.now += 5_000;
+    fleet.end_requests();
+    for index in 0..fleet.nodes.len() {
+        let local = fleet.local(index);
+        let node = &mut fleet.nodes[index];
+        node.slots.tick(local);
+        let usable = node.keys.iter().map(|key| node.slots.usable(*key, local));
+        let home = |(name, cap): &(&str, u32)| share(name, *cap, &fleet.names, &fleet.names[index]);
+        assert_eq!(usable.sum::<u32>(), TARGETS.iter().map(home).sum::<u32>());
+    }
+}
+
+#[test]
+fn receive_ask_again_lends_once() {
+    let names: Vec<Box<str>> = vec!["e0".into(), "e1".into()];
+    let mut slots = Slots::new(Entry(0), 1, &names, TERMS, Duration::ZERO);
+    let key = slots.set_target("r1", 8, true);
+    let ask = Message::Ask {
+        life: 1,
+        serial: 1,
+        count: 2,
+    };
+    let first = slots.receive(Entry(1), ask.clone(), Duration::ZERO);
+    assert_eq!(first.len(), 1);
+    assert_eq!(slots.usable(key, Duration::ZERO), 2);
+    assert!(slots.receive(Entry(1), ask, Duration::ZERO).is_empty());
+    assert_eq!(slots.usable(key, Duration::ZERO), 2);
+}
