End a retry's wait once no slot could help it

Cause: a retry waited for a slot up to the deadline, and one freed at that very moment began a try that could not end. Change: the wait ends when less time is left than a quick try takes; the ticker looks. Ruled out: a timer for each waiting retry; the ticker runs anyway while anything waits. Conclusion: both ways out of a wait for a slot are now tested.

--- a/crates/cleat-entry/src/entry/shared.rs
+++ b/crates/cleat-entry/src/entry/shared.rs
@@ -48,7 +48,7 @@
     pub(super) phase: watch::Sender<Phase>,
     pub(super) work: Arc<Work>,
     /// Wakes the ticker when a request begins to wait.
-    pub(super) waiting: Notify,
+    pub(crate) waiting: Notify,
     routes: ArcSwap<Routes>,
     publisher: Mutex<Publisher>,
     random: AtomicU64,
--- a/crates/cleat-entry/src/service/inner.rs
+++ b/crates/cleat-entry/src/service/inner.rs
@@ -119,6 +119,7 @@
     }
 
     pub(super) fn expire(&mut self, now: Duration) {
+        self.retries.expire(now);
         for (ticket, refusal) in self.gate.expire(now) {
             self.refuse_ticket(ticket, refusal);
         }
@@ -178,7 +179,7 @@
     }
 
     fn fill_retries(&mut self, service: &Arc<ServiceState>, now: Duration) {
-        while let Some(exclude) = self.retries.first() {
+        while let Some(exclude) = self.retries.first(now) {
             let Some(target) = self.place(exclude.as_ref()) else {
                 return;
             };
--- a/crates/cleat-entry/src/service/retry.rs
+++ b/crates/cleat-entry/src/service/retry.rs
@@ -2,14 +2,18 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::waiting::Wake;
 use super::{ServiceState, Slot};
 use crate::target::Target;
 
+/// Less time than this is never enough for a try.
+const TRY_TIME_MIN: Duration = Duration::from_millis(1);
+
 /// Retries in order. They go before what waits in the gate: they were admitted
 /// before. The retry budget bounds their number.
 #[derive(Default)]
@@ -20,6 +24,8 @@
 struct Retry {
     /// The target tried before, unless the service has no other.
     exclude: Option<Arc<Target>>,
+    /// A try begun later could not end in time.
+    latest: Duration,
     tx: oneshot::Sender<Wake>,
 }
 
@@ -29,12 +35,18 @@
     }
 
     /// The target that the first retry must not go to, if there is a retry.
-    pub(super) fn first(&mut self) -> Option<Option<Arc<Target>>> {
+    pub(super) fn first(&mut self, now: Duration) -> Option<Option<Arc<Target>>> {
+        self.expire(now);
         self.waiting.retain(|retry| !retry.tx.is_closed());
         let first = self.waiting.front()?;
         Some(first.exclude.clone())
     }
 
+    /// Gives up what could no longer end in time.
+    pub(super) fn expire(&mut self, now: Duration) {
+        self.waiting.retain(|retry| now < retry.latest);
+    }
+
     pub(super) fn take_first(&mut self) -> Option<oneshot::Sender<Wake>> {
         self.waiting.pop_front().map(|retry| retry.tx)
     }
@@ -45,41 +57,57 @@
     }
 }
 
+/// What a retry leads to at once.
+enum Begun {
+    Started(Slot),
+    Waits(oneshot::Receiver<Wake>),
+    Hopeless,
+}
+
 impl ServiceState {
     /// A slot for another try, on another target than `before`, or on the same
-    /// if the service has no other. `None` if there is none until `deadline`.
+    /// if the service has no other. `None` as soon as no slot could lead to an
+    /// answer before `deadline`. `on_wait` is called if there is none at once.
     pub(crate) async fn retry(
         self: &Arc<Self>,
         before: &Arc<Target>,
         deadline: Instant,
+        on_wait: impl FnOnce(),
     ) -> Option<Slot> {
-        let rx = match self.begin_retry(before) {
-            Ok(slot) => return Some(slot),
-            Err(rx) => rx?,
-        };
-        match timeout_at(deadline, rx).await {
-            Ok(Ok(Wake::Start(slot))) => Some(slot),
-            _ => None,
+        match self.begin_retry(before, deadline) {
+            Begun::Started(slot) => Some(slot),
+            Begun::Hopeless => None,
+            Begun::Waits(rx) => {
+                on_wait();
+                match rx.await {
+                    Ok(Wake::Start(slot)) => Some(slot),
+                    // Given up, the sender is dropped.
+                    _ => None,
+                }
+            }
         }
     }
 
-    fn begin_retry(
-        self: &Arc<Self>,
-        before: &Arc<Target>,
-    ) -> Result<Slot, Option<oneshot::Receiver<Wake>>> {
+    fn begin_retry(self: &Arc<Self>, before: &Arc<Target>, deadline: Instant) -> Begun {
         let now = self.now();
         let mut inner = self.lock();
-        if !inner.has_capacity() {
-            return Err(None);
+        let expected = inner.quick_service_time().max(TRY_TIME_MIN);
+        let latest = self.at(deadline).saturating_sub(expected);
+        if !inner.has_capacity() || now >= latest {
+            return Begun::Hopeless;
         }
         inner.look(now);
         let exclude = inner.has_other(before).then_some(before);
         if let Some(target) = inner.place(exclude) {
-            return Ok(Slot::new(Arc::clone(self), target, now));
+            return Begun::Started(Slot::new(Arc::clone(self), target, now));
         }
         let (tx, rx) = oneshot::channel();
-        let exclude = exclude.cloned();
-        inner.retries().waiting.push_back(Retry { exclude, tx });
-        Err(Some(rx))
+        let retry = Retry {
+            exclude: exclude.cloned(),
+            latest,
+            tx,
+        };
+        inner.retries().waiting.push_back(retry);
+        Begun::Waits(rx)
     }
 }
--- a/crates/cleat-entry/src/tries/job.rs
+++ b/crates/cleat-entry/src/tries/job.rs
@@ -113,6 +113,7 @@
             tries_max: u32::try_from(terms.retry.tries).unwrap_or(u32::MAX),
             version: self.version,
             counters: &self.shared.counters,
+            ticker: &self.shared.waiting,
         };
         tries.run(slot).await
     }
--- a/crates/cleat-entry/src/tries/run.rs
+++ b/crates/cleat-entry/src/tries/run.rs
@@ -7,6 +7,7 @@
 use http::Version;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
+use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use super::Answer;
@@ -26,6 +27,8 @@
     /// a body of unknown length.
     pub(super) version: Version,
     pub(super) counters: &'a Counters,
+    /// Told when a retry has to wait.
+    pub(super) ticker: &'a Notify,
 }
 
 /// Where the tries stand.
@@ -59,7 +62,9 @@
                 Step::Done(result) => return result,
                 Step::Again(target) => target,
             };
-            slot = match service.retry(&before, self.terms.deadline).await {
+            let on_wait = || self.ticker.notify_one();
+            let retry = service.retry(&before, self.terms.deadline, on_wait);
+            slot = match retry.await {
                 Some(slot) => slot,
                 None => return progress.give_up(),
             };
--- a/crates/cleat-entry/tests/admission.rs
+++ b/crates/cleat-entry/tests/admission.rs
@@ -279,3 +279,32 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert_eq!(target.count(), 1);
 }
+
+#[tokio::test]
+async fn retry_waits_for_another_target() {
+    let cutting = Target::spawn(|_| vec![Step::Sleep(50), Step::Close]).await;
+    let good = Target::spawn(|_| Step::slow_ok(200, "own")).await;
+    let (entry, _) = entry(&Fleet::with(json!({}), &[&cutting, &good], 1)).await;
+    let replies = many(entry.local_addr(), 2, "").await;
+    // The slot of the good one was taken when the other cut its request.
+    assert!(replies.iter().all(|reply| reply.text() == "own"));
+    assert_eq!((cutting.count(), good.count()), (1, 2));
+}
+
+#[tokio::test]
+async fn retry_given_up_once_it_is_hopeless() {
+    let good = Target::spawn(|_| Step::slow_ok(1_000, "own")).await;
+    let cutting = Target::spawn(|_| vec![Step::Sleep(50), Step::Close]).await;
+    let mut fleet = Fleet::with(json!({}), &[&good], 1);
+    let (entry, _) = entry(&fleet).await;
+    let address = entry.local_addr();
+    let long = tokio::spawn(get(address, "/dock/x", ""));
+    eventually("it runs", || good.in_progress() == 1).await;
+    fleet.announce("t1", cutting.address, 1);
+    entry.publish(&fleet.world);
+    let hurried = get(address, "/dock/x", "celerycleat-deadline-ms: 400\r\n").await;
+    assert_eq!(hurried.summary(), "502 unknown earlier-try");
+    assert_eq!((good.in_progress(), cutting.count()), (1, 1));
+    assert_eq!(long.await.unwrap().text(), "own");
+    assert_eq!(good.count(), 1);
+}
