Split the leader, the log's application and the schedules by job

Change: quorum, replicate and apply are modules of the core; the schedule runner has effects and upkeep apart; faults are injected under conditions. Conclusion: each file has one job.

--- a/crates/cleat-quorum/src/core/durability.rs
+++ b/crates/cleat-quorum/src/core/durability.rs
@@ -31,7 +31,7 @@
     synced: Ticket,
     /// The sync that covers the latest term, vote and snapshot: what every
     /// message rests on.
-    ground: Ticket,
+    critical: Ticket,
     /// The last entry on the disk. Invariant: never beyond the log.
     durable_index: LogIndex,
     /// The last entry at the time of each sync under way.
@@ -45,7 +45,7 @@
             dirty: false,
             issued: Ticket(0),
             synced: Ticket(0),
-            ground: Ticket(0),
+            critical: Ticket(0),
             durable_index,
             syncing: VecDeque::new(),
             deferred: VecDeque::new(),
@@ -62,13 +62,13 @@
     }
 
     /// Notes that this step wrote the term, the vote or a snapshot.
-    pub(crate) fn ground_written(&mut self) {
-        self.ground = Ticket(self.issued.0 + 1);
+    pub(crate) fn critical_written(&mut self) {
+        self.critical = Ticket(self.issued.0 + 1);
     }
 
     /// Whether the latest term, vote and snapshot are on the disk.
-    pub(crate) fn ground_synced(&self) -> bool {
-        self.ground <= self.synced
+    pub(crate) fn critical_synced(&self) -> bool {
+        self.critical <= self.synced
     }
 
     pub(crate) fn defer(&mut self, deferred: Deferred) {
--- a/crates/cleat-quorum/src/core/follower.rs
+++ b/crates/cleat-quorum/src/core/follower.rs
@@ -121,7 +121,7 @@
         if !continues && self.log.last_index() >= image.index && formed {
             self.truncate_from(image.index);
         }
-        self.durability.ground_written();
+        self.durability.critical_written();
         self.write(Write::Snapshot(image.clone()));
         self.log.install(image.clone());
         self.commit = image.index;
@@ -139,7 +139,7 @@
     /// Acknowledges once what is acknowledged is on the disk. A heartbeat
     /// need not wait for entries that are still being synced.
     fn acknowledge(&mut self, to: MemberId, round: u64, verified: LogIndex) {
-        let pending = self.durability.dirty || !self.durability.ground_synced();
+        let pending = self.durability.dirty || !self.durability.critical_synced();
         if pending && self.config.protections.sync_before_send {
             let term = self.hard_state.term;
             self.durability.defer(Deferred::Ack {
@@ -179,7 +179,7 @@
         };
         let message = self.message(to, self.hard_state.term, Body::Ack(ack));
         // What the message rests on must survive a restart.
-        if self.durability.ground_synced() {
+        if self.durability.critical_synced() {
             self.effects.push(super::Effect::Send(message));
         } else {
             self.send_durable(message);
--- a/crates/cleat-quorum/src/core/formation.rs
+++ b/crates/cleat-quorum/src/core/formation.rs
@@ -60,7 +60,7 @@
         for voter in others {
             self.send(voter, Body::Hello(hello));
         }
-        self.found_group();
+        self.form_group();
     }
 
     pub(super) fn on_hello(&mut self, from: MemberId, hello: Hello) {
@@ -102,10 +102,10 @@
         } else {
             self.formation.fresh.shift_remove(&from);
         }
-        self.found_group();
+        self.form_group();
     }
 
-    fn found_group(&mut self) {
+    fn form_group(&mut self) {
         let lowest = self.config.voters().min();
         if self.is_formed() || lowest != Some(self.config.id) {
             return;
@@ -167,7 +167,7 @@
     fn accept_genesis(&mut self, image: Image) {
         let image = Arc::new(image);
         self.group = image.group;
-        self.durability.ground_written();
+        self.durability.critical_written();
         self.write(Write::Snapshot(image.clone()));
         self.commit = image.index;
         self.applied = image.index;
--- a/crates/cleat-quorum/src/core/mod.rs
+++ b/crates/cleat-quorum/src/core/mod.rs
@@ -3,6 +3,7 @@
 //! No clock, socket, thread or global random source is used inside. `now` is
 //! a monotonic duration since any fixed point of this member's life.
 
+mod apply;
 mod config;
 mod durability;
 mod election;
@@ -15,6 +16,8 @@
 mod membership;
 mod message;
 mod progress;
+mod quorum;
+mod replicate;
 mod status;
 mod timing;
 mod types;
@@ -272,7 +275,7 @@
 
     fn set_hard_state(&mut self, hard_state: HardState) {
         self.hard_state = hard_state;
-        self.durability.ground_written();
+        self.durability.critical_written();
         self.write(Write::HardState(hard_state));
     }
 
@@ -364,59 +367,6 @@
         self.config.votes(self.config.id) && self.config.voters().count() == 1
     }
 
-    /// Applies what is committed.
-    fn apply_committed(&mut self) {
-        while self.applied < self.commit {
-            let Some(entry) = self.log.entry(self.applied + 1) else {
-                return;
-            };
-            self.applied += 1;
-            if let Payload::Command(command) = &entry.payload {
-                let effect = Effect::Apply {
-                    index: entry.index,
-                    term: entry.term,
-                    command: command.clone(),
-                };
-                self.effects.push(effect);
-            }
-        }
-        self.ask_for_snapshot();
-    }
-
-    fn ask_for_snapshot(&mut self) {
-        let last = self.log.image_index().max(self.snapshot_asked);
-        if self.applied >= last + self.config.limits.compact_after {
-            self.snapshot_asked = self.applied;
-            self.effects.push(Effect::TakeSnapshot(self.applied));
-        }
-    }
-
-    fn snapshot_taken(&mut self, index: LogIndex, data: Arc<[u8]>) {
-        let outdated = index <= self.log.image_index() || index > self.applied;
-        if outdated || data.len() > self.config.limits.max_snapshot {
-            return;
-        }
-        let Some(term) = self.log.term_at(index) else {
-            return;
-        };
-        let membership = (*self.log.membership_at(index)).clone();
-        let image = Arc::new(Image {
-            index,
-            term,
-            group: self.group,
-            membership,
-            data,
-        });
-        self.write(Write::Snapshot(image.clone()));
-        self.log.compact(image, self.config.limits.keep_entries);
-    }
-
-    fn restore_image(&mut self) {
-        if let Some(image) = self.log.image().filter(|image| image.index > GENESIS_INDEX) {
-            self.effects.push(Effect::Restore(image.clone()));
-        }
-    }
-
     fn release(&mut self) {
         let stamp = self.lease.release();
         if let Some(leader) = self.leader.filter(|leader| *leader != self.config.id) {
--- /dev/null
+++ b/crates/cleat-quorum/src/core/replicate.rs
@@ -0,0 +1,162 @@
+//! How a leader sends entries and snapshots, and takes their acknowledgements.
+
+use super::message::{Ack, AckOutcome, Append, Body, Install, Stamp};
+use super::progress::{Inflight, Progress};
+use super::types::{MemberId, Term};
+use super::{Core, State};
+
+/// After how many heartbeats unanswered entries are sent again.
+const RESEND_HEARTBEATS: u32 = 2;
+
+impl Core {
+    /// Sends a heartbeat to every member, with entries for those that lack some.
+    pub(super) fn broadcast(&mut self) {
+        let due = self.now + self.config.timing.heartbeat;
+        let Some(round) = self.next_round() else {
+            return;
+        };
+        if let State::Leader(leadership) = &mut self.state {
+            leadership.heartbeat_due = due;
+        }
+        for id in self.other_members() {
+            self.send_to(id, round);
+        }
+    }
+
+    /// Sends what a member lacks, unless something is under way to it.
+    pub(super) fn send_pending(&mut self, id: MemberId) {
+        let last = self.log.last_index();
+        let State::Leader(leadership) = &self.state else {
+            return;
+        };
+        let idle = |p: &Progress| p.inflight.is_none() && (p.next <= last || p.needs_image);
+        if leadership.progress.get(&id).is_some_and(idle)
+            && let Some(round) = self.next_round()
+        {
+            self.send_to(id, round);
+        }
+    }
+
+    pub(super) fn next_round(&mut self) -> Option<u64> {
+        let horizon = self.config.timing.election_max;
+        match &mut self.state {
+            State::Leader(leadership) => Some(leadership.next_round(self.now, horizon)),
+            _ => None,
+        }
+    }
+
+    fn send_to(&mut self, id: MemberId, round: u64) {
+        let grants = self.holds_leader_lease() && self.has_committed_own_term();
+        let State::Leader(leadership) = &mut self.state else {
+            return;
+        };
+        let Some(progress) = leadership.progress.get_mut(&id) else {
+            return;
+        };
+        progress.expire(self.now);
+        let echo = progress.live.echo().filter(|_| grants);
+        let idle = progress.inflight.is_none();
+        let cut_off = self.log.term_at(progress.next - 1).is_none();
+        let expires = self.now + self.config.timing.heartbeat * RESEND_HEARTBEATS;
+        if idle && (progress.needs_image || cut_off) {
+            return self.send_image(id, round, echo);
+        }
+        // What is under way arrives first, as a rule; if not, the member
+        // answers that it differs, and that is ignored until the resend.
+        let prev_index = progress.next - 1;
+        let entries = if idle {
+            self.log.batch(progress.next, self.config.limits.max_batch)
+        } else {
+            Vec::new()
+        };
+        if let Some(last) = entries.last() {
+            progress.inflight = Some(Inflight {
+                round,
+                first_index: progress.next,
+                last_index: last.index,
+                expires,
+            });
+            progress.next = last.index + 1;
+        }
+        let append = Append {
+            round,
+            prev_index,
+            // A member that lags behind the log just answers that it differs.
+            prev_term: self.log.term_at(prev_index).unwrap_or_default(),
+            commit: self.commit,
+            echo,
+            entries,
+        };
+        self.send(id, Body::Append(append));
+    }
+
+    fn send_image(&mut self, id: MemberId, round: u64, echo: Option<Stamp>) {
+        let Some(image) = self.log.image().cloned() else {
+            return;
+        };
+        // A snapshot takes longer on the way than entries do.
+        let expires = self.now + self.config.timing.election_max;
+        if let State::Leader(leadership) = &mut self.state
+            && let Some(progress) = leadership.progress.get_mut(&id)
+        {
+            progress.inflight = Some(Inflight {
+                round,
+                first_index: progress.next,
+                last_index: image.index,
+                expires,
+            });
+            progress.next = image.index + 1;
+        }
+        let image = (*image).clone();
+        self.send(
+            id,
+            Body::Install(Install {
+                round,
+                commit: self.commit,
+                echo,
+                image,
+            }),
+        );
+    }
+
+    pub(super) fn on_ack(&mut self, from: MemberId, term: Term, ack: &Ack) {
+        self.observe_term(term);
+        if term < self.hard_state.term {
+            return;
+        }
+        let until = self.now + self.config.timing.lease_window();
+        let State::Leader(leadership) = &mut self.state else {
+            return;
+        };
+        let sent_at = leadership.sent_at(ack.round);
+        let Some(progress) = leadership.progress.get_mut(&from) else {
+            return;
+        };
+        progress.live.acked(ack.stamp, ack.applied, until);
+        // An acknowledgement that was overtaken still tells what its disk
+        // holds, unless another disk has spoken since.
+        let overtaken = ack.round < progress.round;
+        if overtaken && ack.identity != progress.identity {
+            return;
+        }
+        progress.meet(ack.identity);
+        // A member of no group yet may vote soon; no lease can rest on it.
+        if ack.outcome != AckOutcome::Empty {
+            progress.round = progress.round.max(ack.round);
+            progress.round_sent = progress.round_sent.max(sent_at);
+        }
+        progress.take_outcome(ack, overtaken);
+        self.advance_commit();
+        self.confirm_reads();
+        self.send_pending(from);
+        self.maintain_membership();
+    }
+
+    pub(super) fn on_release(&mut self, from: MemberId, stamp: Stamp) {
+        if let State::Leader(leadership) = &mut self.state
+            && let Some(progress) = leadership.progress.get_mut(&from)
+        {
+            progress.live.release(stamp);
+        }
+    }
+}
--- a/crates/cleat-quorum/tests/simulation/check.rs
+++ b/crates/cleat-quorum/tests/simulation/check.rs
@@ -87,7 +87,7 @@
     }
 
     /// Whether the group records another identity of this member.
-    pub(super) fn is_stranger(&self, id: MemberId, identity: u64) -> bool {
+    pub(super) fn is_unrecorded(&self, id: MemberId, identity: u64) -> bool {
         let recorded = self.membership.as_ref().and_then(|m| m.get(id));
         recorded.is_some_and(|member| member.identity != identity)
     }
@@ -173,8 +173,8 @@
 
     pub(super) fn check_send(&self, node: &Node, message: &Message) -> Result<(), Violation> {
         let identity = node.core.as_ref().map_or(0, |core| core.identity());
-        let stranger = self.is_stranger(node.id, identity);
-        if is_vote(&message.body) && stranger {
+        let unrecorded = self.is_unrecorded(node.id, identity);
+        if is_vote(&message.body) && unrecorded {
             return Err(Violation::LostDiskVotes { member: node.id });
         }
         Ok(())
--- /dev/null
+++ b/crates/cleat-quorum/tests/simulation/effects.rs
@@ -0,0 +1,117 @@
+//! The fake network and disks: where a core's effects go.
+
+use cleat_quorum::{Effect, Event, Message, Payload, Ticket, Write};
+use rand::RngExt;
+
+use super::{MILLI, Micros, Occurrence, SECOND, Step, Violation, World};
+
+impl World {
+    pub(super) fn carry_out(&mut self, at: usize, effects: Vec<Effect>) -> Result<(), Violation> {
+        for effect in effects {
+            match effect {
+                Effect::Write(write) => {
+                    self.checker.check_write(&self.nodes[at], &write)?;
+                    let membership = matches!(&write, Write::Append(entries)
+                        if entries.iter().any(|e| matches!(e.payload, Payload::Membership(_))));
+                    self.nodes[at].disk.pending.push_back(write);
+                    if membership {
+                        self.reach(Step::Membership, at, at);
+                    }
+                }
+                Effect::Sync(ticket) => self.start_sync(at, ticket),
+                Effect::Send(message) => self.send(at, &message)?,
+                Effect::Apply {
+                    index,
+                    term,
+                    command,
+                } => {
+                    self.checker
+                        .check_apply(&mut self.nodes[at], index, term, &command)?;
+                }
+                Effect::Restore(image) => self.nodes[at].restore(&image.data),
+                Effect::TakeSnapshot(index) => {
+                    let data = self.nodes[at].snapshot();
+                    self.step(at, Event::SnapshotTaken { index, data })?;
+                }
+                Effect::ReadReady { id, index } => self.checker.check_read(id, index)?,
+                Effect::Accepted { .. }
+                | Effect::Refused(_)
+                | Effect::ReadRefused { .. }
+                | Effect::LostLeadership => {}
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn start_sync(&mut self, at: usize, ticket: Ticket) {
+        let (often, slowest) = self.plan.slow_sync;
+        let longest = if self.rng.random_bool(often) {
+            slowest
+        } else {
+            4 * MILLI
+        };
+        let took = self.rng.random_range(100..longest);
+        let node = &mut self.nodes[at];
+        node.disk.mark_sync(ticket);
+        // Syncs of one disk end in their order.
+        node.disk.busy_until = node.disk.busy_until.max(self.now) + took;
+        let delay = node.disk.busy_until - self.now;
+        let life = node.life;
+        self.after(delay, Occurrence::SyncDone(at, life, ticket));
+    }
+
+    pub(super) fn sync_done(
+        &mut self,
+        at: usize,
+        life: u64,
+        ticket: Ticket,
+    ) -> Result<(), Violation> {
+        let node = &mut self.nodes[at];
+        if node.life != life || node.core.is_none() {
+            return Ok(());
+        }
+        node.disk.finish_sync(ticket);
+        self.reach(Step::Sync, at, at);
+        self.step(at, Event::Synced(ticket))
+    }
+
+    pub(super) fn send(&mut self, at: usize, message: &Message) -> Result<(), Violation> {
+        self.checker.check_send(&self.nodes[at], message)?;
+        let to = usize::from(message.to.0);
+        let step = Step::of(message);
+        let conditions = self.conditions;
+        let lost = self.rng.random_bool(0.005 + conditions.drop);
+        if !self.nodes[at].cut_out.contains(&message.to) && !lost {
+            let copies = 1 + u32::from(self.rng.random_bool(0.01 + conditions.duplicate));
+            for _ in 0..copies {
+                let delay = self.travel_time();
+                self.after(delay, Occurrence::Deliver(message.clone()));
+            }
+        }
+        self.reach(step, at, to);
+        Ok(())
+    }
+
+    pub(super) fn travel_time(&mut self) -> Micros {
+        if self.rng.random_bool(0.003 + self.conditions.delay) {
+            return self.rng.random_range(MILLI..3 * SECOND);
+        }
+        if self.rng.random_bool(self.conditions.reorder) {
+            return self.rng.random_range(MILLI..300 * MILLI);
+        }
+        self.rng.random_range(300..3 * MILLI)
+    }
+
+    /// Strikes the cell's fault when its step is reached, on either side.
+    pub(super) fn reach(&mut self, step: Step, from: usize, to: usize) {
+        let Some((cell, fault)) = self.plan.cell else {
+            return;
+        };
+        let due = self.hits == 0 && cell == step && self.now >= SECOND + self.cell_armed;
+        if due && self.now < self.plan.heal {
+            let node = if self.rng.random_bool(0.5) { from } else { to };
+            let soon = self.rng.random_range(0..4 * MILLI);
+            self.after(soon, Occurrence::InjectCell(node, fault));
+        }
+    }
+}
--- a/crates/cleat-quorum/tests/simulation/fault.rs
+++ b/crates/cleat-quorum/tests/simulation/fault.rs
@@ -1,9 +1,9 @@
-//! The faults, and the named steps of the protocol at which they strike.
+//! The faults, and the named steps of the protocol at which they inject.
 
 use cleat_quorum::{Body, Message, Payload};
 use rand::RngExt;
 
-use super::{CALM, Happening, MILLI, Micros, SECOND, Weather, World};
+use super::{Conditions, MILLI, Micros, NORMAL, Occurrence, SECOND, World};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -90,23 +90,23 @@
     payloads.any(|payload| matches!(payload, Payload::Membership(_)))
 }
 
-const DUPLICATING: Weather = Weather {
+const DUPLICATING: Conditions = Conditions {
     duplicate: 0.5,
-    ..CALM
+    ..NORMAL
 };
-const DELAYING: Weather = Weather {
+const DELAYING: Conditions = Conditions {
     delay: 0.3,
     drop: 0.1,
-    ..CALM
+    ..NORMAL
 };
-const REORDERING: Weather = Weather {
+const REORDERING: Conditions = Conditions {
     reorder: 0.7,
-    ..CALM
+    ..NORMAL
 };
 
 impl World {
-    /// Lets a fault strike; false if it is beyond what may happen.
-    pub(super) fn strike(&mut self, at: usize, fault: Fault) -> bool {
+    /// Lets a fault inject; false if it is beyond what may happen.
+    pub(super) fn inject(&mut self, at: usize, fault: Fault) -> bool {
         let lasts = self.rng.random_range(50 * MILLI..4 * SECOND);
         match fault {
             Fault::Kill => self.kill(at, lasts),
@@ -125,17 +125,17 @@
                     return false;
                 }
                 self.nodes[at].frozen = true;
-                self.after(lasts, Happening::Thaw { node: at });
+                self.after(lasts, Occurrence::Thaw(at));
             }
-            Fault::Duplicate => self.turn(DUPLICATING, lasts),
-            Fault::Delay => self.turn(DELAYING, lasts),
-            Fault::Reorder => self.turn(REORDERING, lasts),
+            Fault::Duplicate => self.set_conditions(DUPLICATING, lasts),
+            Fault::Delay => self.set_conditions(DELAYING, lasts),
+            Fault::Reorder => self.set_conditions(REORDERING, lasts),
             Fault::Second => {
                 self.kill(at, lasts);
                 let node = self.rng.random_range(0..self.nodes.len());
                 let fault = Fault::ALL[self.rng.random_range(0..Fault::ALL.len() - 1)];
                 let soon = lasts + self.rng.random_range(0..SECOND);
-                self.after(soon, Happening::Strike { node, fault });
+                self.after(soon, Occurrence::Inject(node, fault));
             }
         }
         true
@@ -144,7 +144,7 @@
     fn kill(&mut self, at: usize, lasts: Micros) {
         let World { nodes, rng, .. } = self;
         nodes[at].kill(rng);
-        self.after(lasts, Happening::Restart { node: at });
+        self.after(lasts, Occurrence::Restart(at));
     }
 
     fn cut(&mut self, at: usize, cut_in: bool, cut_out: bool, lasts: Micros) {
@@ -162,12 +162,12 @@
                 self.nodes[at].cut_out.insert(id);
             }
         }
-        self.after(lasts, Happening::Uncut { node: at });
+        self.after(lasts, Occurrence::Uncut(at));
     }
 
-    fn turn(&mut self, weather: Weather, lasts: Micros) {
-        self.weather = weather;
-        self.after(lasts, Happening::Calm);
+    fn set_conditions(&mut self, conditions: Conditions, lasts: Micros) {
+        self.conditions = conditions;
+        self.after(lasts, Occurrence::Normal);
     }
 
     /// One voter at a time may lose its disk, and the next only once the
--- a/crates/cleat-quorum/tests/simulation/mod.rs
+++ b/crates/cleat-quorum/tests/simulation/mod.rs
@@ -2,18 +2,16 @@
 //! and the invariants that are checked after every step.
 
 mod check;
+mod effects;
 mod fault;
 mod node;
+mod upkeep;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
-use std::sync::Arc;
 use std::time::Duration;
 
-use cleat_quorum::{
-    Body, Core, CoreConfig, Effect, Event, Limits, MemberConfig, Message, Payload, Protections,
-    Role, Ticket, Write,
-};
+use cleat_quorum::{Body, Event, Message, Protections, Ticket};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -33,7 +31,7 @@
 pub(crate) struct Plan {
     pub(crate) voters: u16,
     pub(crate) learners: u16,
-    /// How many faults strike at random times.
+    /// How many faults inject at random times.
     pub(crate) random_faults: u32,
     /// The faults to choose from.
     pub(crate) faults: &'static [Fault],
@@ -73,35 +71,16 @@
     }
 }
 
-enum Happening {
+enum Occurrence {
     Deliver(Message),
-    SyncDone {
-        node: usize,
-        life: u64,
-        ticket: Ticket,
-    },
-    Timer {
-        node: usize,
-        generation: u64,
-    },
-    Strike {
-        node: usize,
-        fault: Fault,
-    },
-    StrikeCell {
-        node: usize,
-        fault: Fault,
-    },
-    Restart {
-        node: usize,
-    },
-    Thaw {
-        node: usize,
-    },
-    Uncut {
-        node: usize,
-    },
-    Calm,
+    SyncDone(usize, u64, Ticket),
+    Timer(usize, u64),
+    Inject(usize, Fault),
+    InjectCell(usize, Fault),
+    Restart(usize),
+    Thaw(usize),
+    Uncut(usize),
+    Normal,
     KillLeader,
     Client,
     Upkeep(u8),
@@ -109,14 +88,14 @@
 }
 
 #[derive(Clone, Copy)]
-struct Weather {
+struct Conditions {
     drop: f64,
     duplicate: f64,
     delay: f64,
     reorder: f64,
 }
 
-const CALM: Weather = Weather {
+const NORMAL: Conditions = Conditions {
     drop: 0.0,
     duplicate: 0.0,
     delay: 0.0,
@@ -129,14 +108,14 @@
     now: Micros,
     order: u64,
     queue: BinaryHeap<Reverse<(Micros, u64)>>,
-    happenings: BTreeMap<u64, Happening>,
+    occurrences: BTreeMap<u64, Occurrence>,
     nodes: Vec<Node>,
-    weather: Weather,
+    conditions: Conditions,
     cell_armed: Micros,
     /// The members that served when the leader was killed and lapsed later.
     pub(crate) lapsed: BTreeSet<usize>,
     watched: Vec<usize>,
-    /// How often the cell's fault struck at its step.
+    /// How often the cell's fault was injected at its step.
     pub(crate) hits: u32,
     checker: Checker,
 }
@@ -151,7 +130,7 @@
 impl World {
     fn new(seed: u64, plan: Plan) -> World {
         let mut rng = StdRng::seed_from_u64(seed);
-        // Half of the schedules strike while the group is being formed.
+        // Half of the schedules inject while the group is being formed.
         let latest = if rng.random_bool(0.5) {
             SECOND
         } else {
@@ -168,9 +147,9 @@
             now: SECOND,
             order: 0,
             queue: BinaryHeap::new(),
-            happenings: BTreeMap::new(),
+            occurrences: BTreeMap::new(),
             nodes,
-            weather: CALM,
+            conditions: NORMAL,
             cell_armed,
             lapsed: BTreeSet::new(),
             watched: Vec::new(),
@@ -189,27 +168,27 @@
                 .random_range(0..self.plan.heal.saturating_sub(ease).max(1));
             let node = self.rng.random_range(0..self.nodes.len());
             let fault = self.plan.faults[self.rng.random_range(0..self.plan.faults.len())];
-            self.after(at, Happening::Strike { node, fault });
+            self.after(at, Occurrence::Inject(node, fault));
         }
         if self.plan.upkeep {
-            self.after(3 * SECOND, Happening::Upkeep(0));
-            self.after(5 * SECOND, Happening::Upkeep(1));
+            self.after(3 * SECOND, Occurrence::Upkeep(0));
+            self.after(5 * SECOND, Occurrence::Upkeep(1));
         }
         if self.plan.kill_leader {
-            self.after(4 * SECOND, Happening::KillLeader);
+            self.after(4 * SECOND, Occurrence::KillLeader);
         }
         for node in 0..self.nodes.len() {
             let at = self.rng.random_range(0..100 * MILLI);
-            self.after(at, Happening::Restart { node });
+            self.after(at, Occurrence::Restart(node));
         }
-        self.after(0, Happening::Client);
-        self.after(self.plan.heal, Happening::Heal);
+        self.after(0, Occurrence::Client);
+        self.after(self.plan.heal, Occurrence::Heal);
     }
 
-    fn after(&mut self, delay: Micros, happening: Happening) {
+    fn after(&mut self, delay: Micros, occurrence: Occurrence) {
         self.order += 1;
         self.queue.push(Reverse((self.now + delay, self.order)));
-        self.happenings.insert(self.order, happening);
+        self.occurrences.insert(self.order, occurrence);
     }
 
     fn run(&mut self) -> Result<(), Violation> {
@@ -220,8 +199,8 @@
             if at > end {
                 break;
             }
-            if let Some(happening) = self.happenings.remove(&order) {
-                self.happen(happening)?;
+            if let Some(occurrence) = self.occurrences.remove(&order) {
+                self.handle(occurrence)?;
                 self.checker.check_leases(&self.nodes, self.now)?;
                 self.watch_leases();
             }
@@ -261,11 +240,11 @@
         serving && self.nodes.iter().any(|node| leads(&node))
     }
 
-    fn happen(&mut self, happening: Happening) -> Result<(), Violation> {
-        match happening {
-            Happening::Deliver(message) => self.deliver(message),
-            Happening::SyncDone { node, life, ticket } => self.sync_done(node, life, ticket),
-            Happening::Timer { node, generation } => {
+    fn handle(&mut self, occurrence: Occurrence) -> Result<(), Violation> {
+        match occurrence {
+            Occurrence::Deliver(message) => self.deliver(message),
+            Occurrence::SyncDone(node, life, ticket) => self.sync_done(node, life, ticket),
+            Occurrence::Timer(node, generation) => {
                 let due = self.nodes[node].timer == generation;
                 if due {
                     self.step(node, Event::Tick)
@@ -273,34 +252,34 @@
                     Ok(())
                 }
             }
-            Happening::Strike { node, fault } => {
-                self.strike(node, fault);
+            Occurrence::Inject(node, fault) => {
+                self.inject(node, fault);
                 Ok(())
             }
-            Happening::StrikeCell { node, fault } => {
-                if self.hits == 0 && self.strike(node, fault) {
+            Occurrence::InjectCell(node, fault) => {
+                if self.hits == 0 && self.inject(node, fault) {
                     self.hits += 1;
                 }
                 Ok(())
             }
-            Happening::Restart { node } => self.restart(node),
-            Happening::Thaw { node } => self.thaw(node),
-            Happening::Uncut { node } => {
+            Occurrence::Restart(node) => self.restart(node),
+            Occurrence::Thaw(node) => self.thaw(node),
+            Occurrence::Uncut(node) => {
                 self.nodes[node].cut_in.clear();
                 self.nodes[node].cut_out.clear();
                 Ok(())
             }
-            Happening::Calm => {
-                self.weather = CALM;
+            Occurrence::Normal => {
+                self.conditions = NORMAL;
                 Ok(())
             }
-            Happening::KillLeader => {
+            Occurrence::KillLeader => {
                 self.kill_leader();
                 Ok(())
             }
-            Happening::Client => self.client(),
-            Happening::Upkeep(stage) => self.upkeep(stage),
-            Happening::Heal => self.heal(),
+            Occurrence::Client => self.client(),
+            Occurrence::Upkeep(stage) => self.upkeep(stage),
+            Occurrence::Heal => self.heal(),
         }
     }
 
@@ -339,231 +318,7 @@
         node.timer += 1;
         let generation = node.timer;
         let due = node.real(core.deadline()).max(self.now + 1);
-        self.after(
-            due - self.now,
-            Happening::Timer {
-                node: at,
-                generation,
-            },
-        );
-    }
-
-    fn carry_out(&mut self, at: usize, effects: Vec<Effect>) -> Result<(), Violation> {
-        for effect in effects {
-            match effect {
-                Effect::Write(write) => {
-                    self.checker.check_write(&self.nodes[at], &write)?;
-                    let membership = matches!(&write, Write::Append(entries)
-                        if entries.iter().any(|e| matches!(e.payload, Payload::Membership(_))));
-                    self.nodes[at].disk.pending.push_back(write);
-                    if membership {
-                        self.reach(Step::Membership, at, at);
-                    }
-                }
-                Effect::Sync(ticket) => self.start_sync(at, ticket),
-                Effect::Send(message) => self.send(at, &message)?,
-                Effect::Apply {
-                    index,
-                    term,
-                    command,
-                } => {
-                    self.checker
-                        .check_apply(&mut self.nodes[at], index, term, &command)?;
-                }
-                Effect::Restore(image) => self.nodes[at].restore(&image.data),
-                Effect::TakeSnapshot(index) => {
-                    let data = self.nodes[at].snapshot();
-                    self.step(at, Event::SnapshotTaken { index, data })?;
-                }
-                Effect::ReadReady { id, index } => self.checker.check_read(id, index)?,
-                Effect::Accepted { .. }
-                | Effect::Refused(_)
-                | Effect::ReadRefused { .. }
-                | Effect::LostLeadership => {}
-            }
-        }
-        Ok(())
-    }
-
-    fn start_sync(&mut self, at: usize, ticket: Ticket) {
-        let (often, slowest) = self.plan.slow_sync;
-        let longest = if self.rng.random_bool(often) {
-            slowest
-        } else {
-            4 * MILLI
-        };
-        let took = self.rng.random_range(100..longest);
-        let node = &mut self.nodes[at];
-        node.disk.mark_sync(ticket);
-        // Syncs of one disk end in their order.
-        node.disk.busy_until = node.disk.busy_until.max(self.now) + took;
-        let delay = node.disk.busy_until - self.now;
-        let life = node.life;
-        self.after(
-            delay,
-            Happening::SyncDone {
-                node: at,
-                life,
-                ticket,
-            },
-        );
-    }
-
-    fn sync_done(&mut self, at: usize, life: u64, ticket: Ticket) -> Result<(), Violation> {
-        let node = &mut self.nodes[at];
-        if node.life != life || node.core.is_none() {
-            return Ok(());
-        }
-        node.disk.finish_sync(ticket);
-        self.reach(Step::Sync, at, at);
-        self.step(at, Event::Synced(ticket))
-    }
-
-    fn send(&mut self, at: usize, message: &Message) -> Result<(), Violation> {
-        self.checker.check_send(&self.nodes[at], message)?;
-        let to = usize::from(message.to.0);
-        let step = Step::of(message);
-        let weather = self.weather;
-        let lost = self.rng.random_bool(0.005 + weather.drop);
-        if !self.nodes[at].cut_out.contains(&message.to) && !lost {
-            let copies = 1 + u32::from(self.rng.random_bool(0.01 + weather.duplicate));
-            for _ in 0..copies {
-                let delay = self.travel_time();
-                self.after(delay, Happening::Deliver(message.clone()));
-            }
-        }
-        self.reach(step, at, to);
-        Ok(())
-    }
-
-    fn travel_time(&mut self) -> Micros {
-        if self.rng.random_bool(0.003 + self.weather.delay) {
-            return self.rng.random_range(MILLI..3 * SECOND);
-        }
-        if self.rng.random_bool(self.weather.reorder) {
-            return self.rng.random_range(MILLI..300 * MILLI);
-        }
-        self.rng.random_range(300..3 * MILLI)
-    }
-
-    /// Strikes the cell's fault when its step is reached, on either side.
-    fn reach(&mut self, step: Step, from: usize, to: usize) {
-        let Some((cell, fault)) = self.plan.cell else {
-            return;
-        };
-        let due = self.hits == 0 && cell == step && self.now >= SECOND + self.cell_armed;
-        if due && self.now < self.plan.heal {
-            let node = if self.rng.random_bool(0.5) { from } else { to };
-            let soon = self.rng.random_range(0..4 * MILLI);
-            self.after(soon, Happening::StrikeCell { node, fault });
-        }
-    }
-
-    fn client(&mut self) -> Result<(), Violation> {
-        let pause = self.rng.random_range(10 * MILLI..self.plan.client_pause);
-        self.after(pause, Happening::Client);
-        let at = self.rng.random_range(0..self.nodes.len());
-        let count = self.rng.random_range(1..4);
-        let commands = (0..count).map(|_| self.rng.random::<u64>().to_le_bytes());
-        let commands = commands.map(|bytes| Arc::from(bytes.as_slice())).collect();
-        self.step(at, Event::Propose(commands))?;
-        let id = self.checker.start_read();
-        self.step(at, Event::Read(id))
-    }
-
-    fn kill_leader(&mut self) {
-        let now = self.now;
-        let serves = |node: &Node| {
-            node.core
-                .as_ref()
-                .is_some_and(|c| c.in_service(node.local(now)))
-        };
-        let leads = |node: &Node| node.core.as_ref().is_some_and(|c| c.role() == Role::Leader);
-        let Some(leader) = self.nodes.iter().position(leads) else {
-            return;
-        };
-        self.nodes[leader].kill(&mut self.rng);
-        self.watched = (0..self.nodes.len())
-            .filter(|at| serves(&self.nodes[*at]))
-            .collect();
-    }
-
-    fn watch_leases(&mut self) {
-        for at in &self.watched {
-            let node = &self.nodes[*at];
-            let core = node.core.as_ref();
-            if core.is_some_and(|core| !core.in_service(node.local(self.now))) {
-                self.lapsed.insert(*at);
-            }
-        }
-    }
-
-    fn upkeep(&mut self, stage: u8) -> Result<(), Violation> {
-        let last_voter = usize::from(self.plan.voters) - 1;
-        let last = self.nodes.len() - 1;
-        match stage {
-            0 => {
-                self.strike(last_voter, Fault::LostDisk);
-            }
-            1 => {
-                self.after(
-                    100 * MILLI,
-                    Happening::Strike {
-                        node: last,
-                        fault: Fault::Kill,
-                    },
-                );
-                return self.step(last, Event::Release);
-            }
-            _ => {}
-        }
-        Ok(())
-    }
-
-    fn restart(&mut self, at: usize) -> Result<(), Violation> {
-        if self.nodes[at].core.is_some() {
-            return Ok(());
-        }
-        let seed = self.rng.random();
-        let members = self.nodes.iter().map(|node| MemberConfig {
-            id: node.id,
-            votes: node.votes,
-        });
-        let mut config = CoreConfig::new(self.nodes[at].id, members.collect(), seed);
-        config.protections = self.plan.protections;
-        config.limits = Limits {
-            compact_after: 30,
-            keep_entries: 10,
-            max_batch: 80,
-            ..Limits::default()
-        };
-        let identity = self.rng.random();
-        let now = self.now;
-        let node = &mut self.nodes[at];
-        let recovery = node.start(identity);
-        node.core = Some(Core::new(config, recovery, node.local(now)));
-        self.step(at, Event::Tick)
-    }
-
-    fn thaw(&mut self, at: usize) -> Result<(), Violation> {
-        self.nodes[at].frozen = false;
-        let backlog = std::mem::take(&mut self.nodes[at].backlog);
-        for event in backlog {
-            self.step(at, event)?;
-        }
-        self.step(at, Event::Tick)
-    }
-
-    fn heal(&mut self) -> Result<(), Violation> {
-        self.weather = CALM;
-        self.checker.healed_at = Some(self.checker.committed());
-        for at in 0..self.nodes.len() {
-            self.nodes[at].cut_in.clear();
-            self.nodes[at].cut_out.clear();
-            self.thaw(at)?;
-            self.restart(at)?;
-        }
-        Ok(())
+        self.after(due - self.now, Occurrence::Timer(at, generation));
     }
 }
 
--- /dev/null
+++ b/crates/cleat-quorum/tests/simulation/upkeep.rs
@@ -0,0 +1,112 @@
+//! What happens to the group besides random faults.
+
+use std::sync::Arc;
+
+use cleat_quorum::{Core, CoreConfig, Event, Limits, MemberConfig, Role};
+use rand::RngExt;
+
+use super::node::Node;
+use super::{Fault, MILLI, NORMAL, Occurrence, Violation, World};
+
+impl World {
+    pub(super) fn client(&mut self) -> Result<(), Violation> {
+        let pause = self.rng.random_range(10 * MILLI..self.plan.client_pause);
+        self.after(pause, Occurrence::Client);
+        let at = self.rng.random_range(0..self.nodes.len());
+        let count = self.rng.random_range(1..4);
+        let commands = (0..count).map(|_| self.rng.random::<u64>().to_le_bytes());
+        let commands = commands.map(|bytes| Arc::from(bytes.as_slice())).collect();
+        self.step(at, Event::Propose(commands))?;
+        let id = self.checker.start_read();
+        self.step(at, Event::Read(id))
+    }
+
+    pub(super) fn upkeep(&mut self, stage: u8) -> Result<(), Violation> {
+        let last_voter = usize::from(self.plan.voters) - 1;
+        let last = self.nodes.len() - 1;
+        match stage {
+            0 => {
+                self.inject(last_voter, Fault::LostDisk);
+            }
+            1 => {
+                self.after(100 * MILLI, Occurrence::Inject(last, Fault::Kill));
+                return self.step(last, Event::Release);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    pub(super) fn kill_leader(&mut self) {
+        let now = self.now;
+        let serves = |node: &Node| {
+            node.core
+                .as_ref()
+                .is_some_and(|c| c.in_service(node.local(now)))
+        };
+        let leads = |node: &Node| node.core.as_ref().is_some_and(|c| c.role() == Role::Leader);
+        let Some(leader) = self.nodes.iter().position(leads) else {
+            return;
+        };
+        self.nodes[leader].kill(&mut self.rng);
+        self.watched = (0..self.nodes.len())
+            .filter(|at| serves(&self.nodes[*at]))
+            .collect();
+    }
+
+    pub(super) fn watch_leases(&mut self) {
+        for at in &self.watched {
+            let node = &self.nodes[*at];
+            let core = node.core.as_ref();
+            if core.is_some_and(|core| !core.in_service(node.local(self.now))) {
+                self.lapsed.insert(*at);
+            }
+        }
+    }
+
+    pub(super) fn restart(&mut self, at: usize) -> Result<(), Violation> {
+        if self.nodes[at].core.is_some() {
+            return Ok(());
+        }
+        let seed = self.rng.random();
+        let members = self.nodes.iter().map(|node| MemberConfig {
+            id: node.id,
+            votes: node.votes,
+        });
+        let mut config = CoreConfig::new(self.nodes[at].id, members.collect(), seed);
+        config.protections = self.plan.protections;
+        config.limits = Limits {
+            compact_after: 30,
+            keep_entries: 10,
+            max_batch: 80,
+            ..Limits::default()
+        };
+        let identity = self.rng.random();
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        let recovery = node.start(identity);
+        node.core = Some(Core::new(config, recovery, node.local(now)));
+        self.step(at, Event::Tick)
+    }
+
+    pub(super) fn thaw(&mut self, at: usize) -> Result<(), Violation> {
+        self.nodes[at].frozen = false;
+        let backlog = std::mem::take(&mut self.nodes[at].backlog);
+        for event in backlog {
+            self.step(at, event)?;
+        }
+        self.step(at, Event::Tick)
+    }
+
+    pub(super) fn heal(&mut self) -> Result<(), Violation> {
+        self.conditions = NORMAL;
+        self.checker.healed_at = Some(self.checker.committed());
+        for at in 0..self.nodes.len() {
+            self.nodes[at].cut_in.clear();
+            self.nodes[at].cut_out.clear();
+            self.thaw(at)?;
+            self.restart(at)?;
+        }
+        Ok(())
+    }
+}
