Answer without a timer tick; count work that outlives its caller

Cause: a stand-in target slept for zero, which tokio rounds up to the next millisecond, so that every measured latency hid behind it. Work also ended with its connection, which real targets rarely do. Ruled out: a test of the latency (a timed assertion); always detached work (it would change what existing tests count).

--- a/crates/celerycleat/src/commands/config/apply.rs
+++ b/crates/celerycleat/src/commands/config/apply.rs
@@ -66,7 +66,7 @@
         };
         let version = send_change(cx, &change, &layers).await?;
         let json = json!({"version": version, "command_id": command_id});
-        let text = format!("version {version} is in force (command {command_id})");
+        let text = format!("accepted as version {version} (command {command_id})");
         Ok(Report::new(json, text))
     }
 }
--- a/crates/cleat-fakes/benches/path.sh
+++ b/crates/cleat-fakes/benches/path.sh
@@ -48,7 +48,7 @@
 JSON
 sed -i "s|\"data_folder\": \"data\"|\"data_folder\": \"$folder/data\"|" "$folder/settings.json"
 
-"$bin/celerycleatd" --settings "$folder/settings.json" >"$folder/instance" &
+"$bin/celerycleatd" --settings "$folder/settings.json" >"$folder/instance" 2>"$folder/log" &
 instance=$!
 pids="$pids $instance"
 callers=$(field "$folder/instance" callers)
@@ -63,7 +63,8 @@
     --announce "$targets" --slots 64 --connections 256 >"$folder/target" &
 pids="$pids $!"
 target=$(field "$folder/target" address)
-"$bin/cleat-fakes" forwarder --upstream "$target" >"$folder/forwarder" &
+# As many threads as the instance takes: they alone cost processor time.
+"$bin/cleat-fakes" --threads "$(nproc)" forwarder --upstream "$target" >"$folder/forwarder" &
 forwarder_pid=$!
 pids="$pids $forwarder_pid"
 forwarder=$(field "$folder/forwarder" address)
--- a/crates/cleat-fakes/src/target/answer.rs
+++ b/crates/cleat-fakes/src/target/answer.rs
@@ -12,9 +12,11 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use super::Shared;
+use super::behaviour::Behaviour;
 use super::counters::RequestGuard;
 use super::fault::{self, BrokenConnection};
 use super::stream::SharedStream;
+use crate::FakeError;
 
 /// The header by which a request and its answer are matched; echoed.
 pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("request-id");
@@ -36,20 +38,13 @@
     let id = request_id(req.headers());
     let recorded = id.as_ref().filter(|_| shared.options.record_runs);
     let guard = shared.counters.begin_request(recorded.map(text));
-    let query = req.uri().query().unwrap_or_default();
-    let behaviour = match shared
-        .behaviour
-        .load_full()
-        .as_ref()
-        .clone()
-        .with_query(query)
-    {
+    let behaviour = match behaviour(&shared, req.uri().query()) {
         Ok(behaviour) => behaviour,
         Err(e) => return Ok(bad_request(&e.to_string())),
     };
     let received = req.into_body().collect().await;
     let received = received.map_err(|_| BrokenConnection)?.to_bytes();
-    tokio::time::sleep(behaviour.sleep).await;
+    let guard = work(&behaviour, guard).await?;
     let body = match behaviour.bytes {
         Some(bytes) => filled(id.as_ref().map_or("", text), bytes),
         None => received,
@@ -67,6 +62,32 @@
     Ok(answer)
 }
 
+fn behaviour(shared: &Shared, query: Option<&str>) -> Result<Behaviour, FakeError> {
+    let behaviour = Behaviour::clone(&shared.behaviour.load());
+    behaviour.with_query(query.unwrap_or_default())
+}
+
+/// Does the work, and gives the guard back that was held through it.
+async fn work(
+    behaviour: &Behaviour,
+    guard: RequestGuard,
+) -> Result<RequestGuard, BrokenConnection> {
+    let duration = behaviour.sleep;
+    // Even a sleep of zero waits for the timer's next millisecond.
+    if duration.is_zero() {
+        return Ok(guard);
+    }
+    let work = async move {
+        tokio::time::sleep(duration).await;
+        guard
+    };
+    if !behaviour.detached {
+        return Ok(work.await);
+    }
+    // A task of its own goes on when hyper drops the request.
+    tokio::spawn(work).await.map_err(|_| BrokenConnection)
+}
+
 fn request_id(headers: &HeaderMap) -> Option<HeaderValue> {
     let own = headers.get(REQUEST_ID_HEADER);
     own.or_else(|| headers.get(IDEMPOTENCY_KEY)).cloned()
--- a/crates/cleat-fakes/src/target/behaviour.rs
+++ b/crates/cleat-fakes/src/target/behaviour.rs
@@ -31,6 +31,9 @@
     pub bytes: Option<usize>,
     /// How long the work takes.
     pub sleep: Duration,
+    /// Whether the work goes on, and counts as in progress, after the other
+    /// side has gone away; otherwise it ends with the connection.
+    pub detached: bool,
     /// The status, 200 if not given.
     pub status: Option<StatusCode>,
     /// What goes wrong.
@@ -39,7 +42,7 @@
 
 impl Behaviour {
     /// This behaviour changed by the parameters of `query`
-    /// (`bytes=N&sleep_ms=M&status=S&fault=F`); others are ignored.
+    /// (`bytes=N&sleep_ms=M&detached=BOOL&status=S&fault=F`); others are ignored.
     ///
     /// # Errors
     /// [`FakeError::Parameter`]
@@ -59,6 +62,7 @@
         match name {
             "bytes" => self.bytes = Some(value.parse().ok()?),
             "sleep_ms" => self.sleep = Duration::from_millis(value.parse().ok()?),
+            "detached" => self.detached = value.parse().ok()?,
             "status" => self.status = Some(value.parse().ok()?),
             "fault" => self.fault = Some(Fault::parse(value)?),
             _ => {}
--- a/crates/cleat-fakes/tests/target.rs
+++ b/crates/cleat-fakes/tests/target.rs
@@ -70,6 +70,19 @@
     assert_eq!(seen.received, 3);
 }
 
+#[tokio::test]
+async fn detached_work_outlives_its_connection() {
+    let target = target().await;
+    for (detached, left) in [(false, 0), (true, 1)] {
+        let path = format!("/?sleep_ms=600000&detached={detached}");
+        let asked = tokio::spawn(fetch(target.address(), get(&path, "a")));
+        eventually(|| target.counts().in_progress == 1).await;
+        asked.abort();
+        eventually(|| target.counts().connections == 0).await;
+        assert_eq!(target.counts().in_progress, left, "detached={detached}");
+    }
+}
+
 #[tokio::test]
 async fn fault_breaks_the_answer_as_named() {
     let target = target().await;
