Send a change of configuration as a merge patch

Ruled out: compression (another library, and still proportional to the fleet); a tree of pushes (divides the leader's share, not the sum). Change: the instance that takes the change sends the JSON Merge Patch from the expected version, or the whole text where no patch makes it. The compare-and- set on the version fixes the base, so every replica makes the same text.

--- a/crates/cleat-operate/src/operators/config.rs
+++ b/crates/cleat-operate/src/operators/config.rs
@@ -4,6 +4,7 @@
 use cleat_link::MemberReport;
 use cleat_world::{
     Answer as CommandAnswer, ApplyConfig, CommandBody, ConfigAnswer, ConfigRecord, FleetConfig,
+    ProposedConfig, diff,
 };
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
@@ -39,7 +40,10 @@
 
 /// `PUT /config`.
 pub(super) async fn put<C: ControlPlane>(control: &C, req: Request<Incoming>) -> Answer {
-    let change = match read_json(req).await.map(|value| read_change(&value)) {
+    let change = match read_json(req)
+        .await
+        .map(|value| read_change(control, &value))
+    {
         Ok(Ok(change)) => change,
         Ok(Err(faults)) => return invalid(&faults),
         Err(problem) => return problem.into_answer(),
@@ -75,18 +79,42 @@
 
 /// Reads the change; the configuration's own faults are reported relative to
 /// the configuration, the envelope's relative to the envelope.
-fn read_change(value: &Value) -> Result<ApplyConfig, Box<[Fault]>> {
+fn read_change<C: ControlPlane>(control: &C, value: &Value) -> Result<ApplyConfig, Box<[Fault]>> {
     let mut faults = Faults::default();
     let change = read_envelope(value, &mut faults);
-    let change = faults.into_result(change)?;
-    let Some((change, config)) = change else {
+    let Some(envelope) = faults.into_result(change)? else {
         return Err(Box::default());
     };
-    FleetConfig::parse(config)?;
-    Ok(change)
+    FleetConfig::parse(envelope.config)?;
+    Ok(ApplyConfig {
+        expect: envelope.expect,
+        command_id: envelope.command_id,
+        config: propose(control, envelope.expect, envelope.config),
+    })
+}
+
+/// The smallest form that makes `config` out of the version expected, if this
+/// instance has that version.
+fn propose<C: ControlPlane>(control: &C, expect: u64, config: &Value) -> ProposedConfig {
+    let base = control.world(|world| {
+        let same = world.version() == expect && expect > 0;
+        same.then(|| world.config_text().to_owned())
+    });
+    let base = base.and_then(|text| serde_json::from_str::<Value>(&text).ok());
+    match base.and_then(|base| diff(&base, config)) {
+        Some(patch) => ProposedConfig::Patch(patch.to_string().into()),
+        None => ProposedConfig::Whole(config.to_string().into()),
+    }
 }
 
-fn read_envelope<'a>(value: &'a Value, faults: &mut Faults) -> Option<(ApplyConfig, &'a Value)> {
+/// What surrounds a proposed configuration.
+struct Envelope<'a> {
+    expect: u64,
+    command_id: Option<Box<str>>,
+    config: &'a Value,
+}
+
+fn read_envelope<'a>(value: &'a Value, faults: &mut Faults) -> Option<Envelope<'a>> {
     let root = Node::root(value).object(faults)?;
     root.only(&["expect", "command_id", "config"], faults);
     let expect = root.require("expect", faults);
@@ -104,12 +132,11 @@
         Some(text)
     });
     let config = root.require("config", faults)?.value;
-    let change = ApplyConfig {
+    Some(Envelope {
         expect: expect?,
         command_id,
-        config: config.to_string().into(),
-    };
-    Some((change, config))
+        config,
+    })
 }
 
 fn invalid(faults: &[Fault]) -> Answer {
--- a/crates/cleat-world/src/command.rs
+++ b/crates/cleat-world/src/command.rs
@@ -40,8 +40,18 @@
     pub expect: u64,
     /// The identity of the command when it is sent again.
     pub command_id: Option<Box<str>>,
+    /// What is proposed.
+    pub config: ProposedConfig,
+}
+
+/// A configuration as it is sent to every instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ProposedConfig {
     /// The whole configuration as JSON text, overlay already merged in.
-    pub config: Box<str>,
+    Whole(Box<str>),
+    /// Only what differs from the expected version: a JSON Merge Patch as
+    /// text. Most changes are small and configurations are not.
+    Patch(Box<str>),
 }
 
 /// What a target says of itself.
--- a/crates/cleat-world/src/fleet/mod.rs
+++ b/crates/cleat-world/src/fleet/mod.rs
@@ -6,7 +6,7 @@
 mod types;
 
 pub use defaults::default_text;
-pub use merge::merge;
+pub use merge::{diff, merge};
 pub use types::{
     CallerTerms, DataCentre, FleetConfig, Instance, KeyTerms, Pool, Queue, Quota, Retry, Service,
 };
--- a/crates/cleat-world/src/lib.rs
+++ b/crates/cleat-world/src/lib.rs
@@ -15,11 +15,12 @@
 pub use arena::{Arena, Key};
 pub use command::{
     Announce, Announcement, Answer, ApplyConfig, BeginLife, ClaimKey, Command, CommandBody,
-    ConfigAnswer, DecodeError, KeyAnswer, SettleKey, TargetAnswer, Withdraw, WithdrawCause,
+    ConfigAnswer, DecodeError, KeyAnswer, ProposedConfig, SettleKey, TargetAnswer, Withdraw,
+    WithdrawCause,
 };
 pub use fleet::{
     CallerTerms, DataCentre, FleetConfig, Instance, KeyTerms, Pool, Queue, Quota, Retry, Service,
-    default_text, merge,
+    default_text, diff, merge,
 };
 pub use ids::{DataCentreId, InstanceId, PoolId, ServiceId};
 pub use keys::{Claim, ClaimState, KeyTable, Settlement, StoredAnswer};
--- a/crates/cleat-world/src/state/config.rs
+++ b/crates/cleat-world/src/state/config.rs
@@ -6,7 +6,9 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{ApplyConfig, ConfigAnswer, FleetConfig};
+use serde_json::Value;
+
+use crate::{ApplyConfig, ConfigAnswer, FleetConfig, ProposedConfig, merge};
 
 /// How many versions `history` goes back.
 const HISTORY_LENGTH: usize = 64;
@@ -100,26 +102,44 @@
                 winner_command_id: last.and_then(|record| record.command_id.clone()),
             };
         }
-        match read(&change.config) {
-            Ok(fleet) => self.accept(change, fleet, at),
+        let text = self.resulting_text(change.config);
+        match read(&text) {
+            Ok(fleet) => self.accept(text, change.command_id, fleet, at),
             Err(faults) => ConfigAnswer::Invalid { faults },
         }
     }
 
-    fn accept(&mut self, change: ApplyConfig, fleet: FleetConfig, at: Moment) -> ConfigAnswer {
+    /// A patch is relative to the version in force, which is the expected one.
+    fn resulting_text(&self, proposed: ProposedConfig) -> Box<str> {
+        match proposed {
+            ProposedConfig::Whole(text) => text,
+            ProposedConfig::Patch(patch) => {
+                let made = merge(value_of(&self.text), &value_of(&patch));
+                made.to_string().into()
+            }
+        }
+    }
+
+    fn accept(
+        &mut self,
+        text: Box<str>,
+        command_id: Option<Box<str>>,
+        fleet: FleetConfig,
+        at: Moment,
+    ) -> ConfigAnswer {
         self.version += 1;
         self.fleet = Arc::new(fleet);
         self.history.push(ConfigRecord {
             version: self.version,
             index: at.index,
-            command_id: change.command_id,
+            command_id,
             at_ms: at.ms,
-            bytes: change.config.len() as u64,
+            bytes: text.len() as u64,
         });
         if self.history.len() > HISTORY_LENGTH {
             self.history.remove(0);
         }
-        self.text = change.config;
+        self.text = text;
         ConfigAnswer::Accepted {
             version: self.version,
         }
@@ -135,8 +155,11 @@
 }
 
 fn read(text: &str) -> Result<FleetConfig, Box<[Fault]>> {
-    // Proposals are built from a parsed document, so text that is no JSON
-    // reads as null and is refused as a wrong type.
-    let value = serde_json::from_str(text).unwrap_or_default();
-    FleetConfig::parse(&value)
+    FleetConfig::parse(&value_of(text))
+}
+
+/// Proposals are built from parsed documents, so text that is no JSON reads
+/// as null, which is refused as a wrong type.
+fn value_of(text: &str) -> Value {
+    serde_json::from_str(text).unwrap_or_default()
 }
