--- a/crates/cleat-decide/tests/slots.rs
+++ b/crates/cleat-decide/tests/slots.rs
@@ -281,3 +281,40 @@
     assert!(slots.receive(Entry(1), ask, Duration::ZERO).is_empty());
     assert_eq!(slots.usable(key, Duration::ZERO), 2);
 }
+
+/// Carries messages between two entries until none is left.
+fn exchange(nodes: &mut [Slots; 2], from: usize, out: Vec<Outgoing>, now: Duration) {
+    for out in out {
+        let to = out.to.0 as usize;
+        let sender = Entry(u32::try_from(from).expect("two entries"));
+        let answers = nodes[to].receive(sender, out.message, now);
+        exchange(nodes, to, answers, now);
+    }
+}
+
+#[test]
+fn tick_idle_loan_goes_home() {
+    let names: Vec<Box<str>> = vec!["e0".into(), "e1".into()];
+    let start = |index| Slots::new(Entry(index), 1, &names, TERMS, Duration::ZERO);
+    let mut nodes = [start(0), start(1)];
+    let key = nodes[0].set_target("r1", 8, true);
+    let other = nodes[1].set_target("r1", 8, true);
+    let mut now = Duration::ZERO;
+    let out = nodes[1].want(1, now);
+    exchange(&mut nodes, 1, out, now);
+    let split = |nodes: &[Slots; 2], now| (nodes[0].usable(key, now), nodes[1].usable(other, now));
+    assert_eq!(split(&nodes, now), (3, 5));
+
+    let busy: Vec<Slot> = (0..5).filter_map(|_| nodes[1].begin(other, now)).collect();
+    now += TERMS.keep_idle * 2;
+    let out = nodes[1].tick(now);
+    exchange(&mut nodes, 1, out, now);
+    assert_eq!(split(&nodes, now), (3, 5), "a loan in use stays");
+
+    busy.into_iter().for_each(|slot| nodes[1].end(slot, now));
+    now += TERMS.keep_idle;
+    assert!(now < TERMS.lease);
+    let out = nodes[1].tick(now);
+    exchange(&mut nodes, 1, out, now);
+    assert_eq!(split(&nodes, now), (4, 4));
+}
