Keep the times to come back for each caller and within their bound

Cause: every refusal pushed one common end of returns ahead without a bound, so a caller refused thousands of times made others stay away for up to 30 s, and for long after its storm. Ruled out: a bound alone (others would still pay for the storm); no growth of the window (thousands of callers would share three seconds). Change: returns are kept for each caller and bounded by 30 s ahead; those over quota are spread by the quota's own interval. Two tests, seen red before. Conclusion: what a caller is told depends on its own refusals.

--- a/crates/cleat-decide/src/request/gate/flow.rs
+++ b/crates/cleat-decide/src/request/gate/flow.rs
@@ -8,6 +8,7 @@
 use super::Ticket;
 use super::pace::Pace;
 use super::quota::QuotaUse;
+use crate::spread::Returns;
 
 /// Virtual time that one request costs at weight 1. Large, so that heavy
 /// weights still divide it finely.
@@ -36,6 +37,8 @@
     pub(super) waiting: BTreeMap<Place, Ticket>,
     /// How fast its own requests start while some wait.
     pub(super) pace: Pace,
+    /// Its refused requests that are still due to return.
+    pub(super) returns: Returns,
 }
 
 impl Flow {
@@ -46,6 +49,7 @@
             due: 0,
             waiting: BTreeMap::new(),
             pace: Pace::default(),
+            returns: Returns::default(),
         }
     }
 
--- a/crates/cleat-decide/src/request/gate/flows.rs
+++ b/crates/cleat-decide/src/request/gate/flows.rs
@@ -8,6 +8,7 @@
 
 use super::flow::{Flow, FlowId};
 use super::queue::FairQueue;
+use super::quota;
 
 /// Idle callers are looked for when this many more are known than after the
 /// last look.
@@ -53,9 +54,19 @@
         }
     }
 
-    pub(super) fn quota_wait(&self, id: FlowId, now: Duration) -> Option<Duration> {
+    pub(super) fn is_over_quota(&self, id: FlowId, now: Duration) -> bool {
+        self.quota_times(id, now).0 > Duration::ZERO
+    }
+
+    /// How long until the quota allows one more request, and the time between
+    /// two in the long run; zero without a quota.
+    pub(super) fn quota_times(&self, id: FlowId, now: Duration) -> (Duration, Duration) {
         let flow = &self[id];
-        flow.quota_use.wait(&flow.terms.quota?, now)
+        let Some(quota) = flow.terms.quota else {
+            return (Duration::ZERO, Duration::ZERO);
+        };
+        let wait = flow.quota_use.wait(&quota, now);
+        (wait.unwrap_or_default(), quota::interval(&quota))
     }
 
     pub(super) fn charge_quota(&mut self, id: FlowId, now: Duration) {
--- a/crates/cleat-decide/src/request/gate/mod.rs
+++ b/crates/cleat-decide/src/request/gate/mod.rs
@@ -14,7 +14,8 @@
 use cleat_world::Service;
 
 use crate::Protections;
-use crate::spread::Spread;
+use crate::spread::{Returns, Spread};
+use flow::FlowId;
 use flows::Flows;
 use pace::Pace;
 use queue::FairQueue;
@@ -44,6 +45,8 @@
     pace: Pace,
     service_time: ServiceTime,
     spread: Spread,
+    /// Of refusals that are no caller's own.
+    returns: Returns,
     protections: Protections,
 }
 
@@ -63,6 +66,7 @@
             pace: Pace::default(),
             service_time: ServiceTime::default(),
             spread: Spread::new(seed, protections.spread),
+            returns: Returns::default(),
             protections,
         }
     }
@@ -84,12 +88,13 @@
         let flow = self
             .flows
             .enter(self.payer(&arrival), &self.terms, &self.queue, now);
-        if let Some(wait) = self.over_quota(flow, now) {
-            return Arrived::Refuse(self.refuse_after(RefusalReason::OverQuota, wait, now));
+        if self.over_quota(flow, now) {
+            return Arrived::Refuse(self.refuse_caller(flow, RefusalReason::OverQuota, now));
         }
         let starts = free_slots > 0 && self.queue.is_empty();
         if !self.fits(&arrival, flow, starts, now) {
-            return Arrived::Refuse(self.refuse(RefusalReason::CannotFinishInTime, now));
+            let reason = RefusalReason::CannotFinishInTime;
+            return Arrived::Refuse(self.refuse_caller(flow, reason, now));
         }
         if starts {
             self.flows.charge_quota(flow, now);
@@ -136,9 +141,11 @@
         }
         let mut refused = Vec::new();
         while let Some(ticket) = self.queue.expired(now) {
-            self.queue.remove(ticket, &mut self.flows);
-            let refusal = self.refuse(RefusalReason::CannotFinishInTime, now);
-            refused.push((ticket, refusal));
+            let Some(flow) = self.queue.remove(ticket, &mut self.flows) else {
+                break;
+            };
+            let reason = RefusalReason::CannotFinishInTime;
+            refused.push((ticket, self.refuse_caller(flow, reason, now)));
         }
         refused
     }
@@ -162,25 +169,35 @@
     /// A refusal for a cause that the entry found, with a spread time to come
     /// back.
     pub fn refuse(&mut self, reason: RefusalReason, now: Duration) -> Refusal {
-        let interval = self.pace.interval(now);
-        let backlog = interval.saturating_mul(self.queue.len_u32());
-        self.refuse_after(reason, backlog, now)
+        let (backlog, interval) = self.backlog(now);
+        let returns = &mut self.returns;
+        let retry_after = self.spread.next(returns, backlog, interval, now);
+        Refusal {
+            reason,
+            retry_after,
+        }
     }
 
-    fn refuse_after(
-        &mut self,
-        reason: RefusalReason,
-        earliest: Duration,
-        now: Duration,
-    ) -> Refusal {
-        let interval = self.pace.interval(now);
-        let retry_after = self.spread.next(earliest, interval, now);
+    /// A refusal that counts among those of one caller only.
+    fn refuse_caller(&mut self, flow: FlowId, reason: RefusalReason, now: Duration) -> Refusal {
+        let (earliest, interval) = match reason {
+            RefusalReason::OverQuota => self.flows.quota_times(flow, now),
+            _ => self.backlog(now),
+        };
+        let returns = &mut self.flows[flow].returns;
+        let retry_after = self.spread.next(returns, earliest, interval, now);
         Refusal {
             reason,
             retry_after,
         }
     }
 
+    /// How long all that waits takes to start, and one of it.
+    fn backlog(&self, now: Duration) -> (Duration, Duration) {
+        let interval = self.pace.interval(now);
+        (interval.saturating_mul(self.queue.len_u32()), interval)
+    }
+
     /// Without fair queueing all callers share one account.
     fn payer<'a>(&self, arrival: &Arrival<'a>) -> &'a str {
         if self.protections.fair_queue {
@@ -190,21 +207,12 @@
         }
     }
 
-    fn over_quota(&self, flow: flow::FlowId, now: Duration) -> Option<Duration> {
-        if !self.protections.quota {
-            return None;
-        }
-        self.flows.quota_wait(flow, now)
+    fn over_quota(&self, flow: FlowId, now: Duration) -> bool {
+        self.protections.quota && self.flows.is_over_quota(flow, now)
     }
 
     /// Whether the request is likely to finish in time.
-    fn fits(
-        &mut self,
-        arrival: &Arrival<'_>,
-        flow: flow::FlowId,
-        starts: bool,
-        now: Duration,
-    ) -> bool {
+    fn fits(&mut self, arrival: &Arrival<'_>, flow: FlowId, starts: bool, now: Duration) -> bool {
         if !self.protections.deadline {
             return true;
         }
@@ -231,7 +239,7 @@
             .min(remaining / WORK_PART_OF_REMAINING)
     }
 
-    fn wait(&mut self, arrival: &Arrival<'_>, flow: flow::FlowId, now: Duration) -> Arrived {
+    fn wait(&mut self, arrival: &Arrival<'_>, flow: FlowId, now: Duration) -> Arrived {
         let length = usize::try_from(self.terms.queue.length).unwrap_or(usize::MAX);
         let full = self.protections.queue_bound && self.queue.len() >= length;
         let displaced = if full {
@@ -240,7 +248,7 @@
             None
         };
         if full && displaced.is_none() {
-            return Arrived::Refuse(self.refuse(RefusalReason::QueueFull, now));
+            return Arrived::Refuse(self.refuse_caller(flow, RefusalReason::QueueFull, now));
         }
         if self.queue.is_empty() {
             self.pace.busy(now);
@@ -251,11 +259,17 @@
         let (ticket, deadline) = (arrival.ticket, arrival.deadline);
         self.queue
             .push(ticket, deadline, gives_up, flow, &mut self.flows, now);
+        self.displace(displaced, now)
+    }
+
+    fn displace(&mut self, displaced: Option<Ticket>, now: Duration) -> Arrived {
         let Some(displaced) = displaced else {
             return Arrived::Wait;
         };
-        self.queue.remove(displaced, &mut self.flows);
-        let refusal = self.refuse(RefusalReason::Displaced, now);
+        let Some(flow) = self.queue.remove(displaced, &mut self.flows) else {
+            return Arrived::Wait;
+        };
+        let refusal = self.refuse_caller(flow, RefusalReason::Displaced, now);
         Arrived::Displace { displaced, refusal }
     }
 }
--- a/crates/cleat-decide/src/request/gate/queue.rs
+++ b/crates/cleat-decide/src/request/gate/queue.rs
@@ -115,14 +115,13 @@
         Some(ticket)
     }
 
-    /// Takes out a request without charging it; no effect if it does not wait.
-    pub(super) fn remove(&mut self, ticket: Ticket, flows: &mut Flows) {
-        let Some(waiting) = self.tickets.get(&ticket) else {
-            return;
-        };
-        let id = waiting.flow;
+    /// Takes out a request without charging it, and gives its caller; no effect
+    /// if it does not wait.
+    pub(super) fn remove(&mut self, ticket: Ticket, flows: &mut Flows) -> Option<FlowId> {
+        let id = self.tickets.get(&ticket)?.flow;
         self.take(ticket, id, &mut flows[id]);
         self.end_busy_period();
+        Some(id)
     }
 
     /// How long a new request of `id` is likely to wait, when a slot is free
--- a/crates/cleat-decide/src/request/gate/quota.rs
+++ b/crates/cleat-decide/src/request/gate/quota.rs
@@ -30,7 +30,8 @@
     }
 }
 
-fn interval(quota: &Quota) -> Duration {
+/// The time between two requests at the long-run rate.
+pub(super) fn interval(quota: &Quota) -> Duration {
     let per_second = u32::try_from(quota.per_second).unwrap_or(u32::MAX);
     Duration::from_secs(1) / per_second.max(1)
 }
--- a/crates/cleat-decide/src/spread.rs
+++ b/crates/cleat-decide/src/spread.rs
@@ -15,16 +15,21 @@
 #[derive(Debug)]
 pub(crate) struct Spread {
     rng: StdRng,
-    /// Until when earlier refusals come back.
-    returns_until: Duration,
     on: bool,
 }
 
+/// The returns that are still due of those who share a cause.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Returns {
+    /// Invariant: when set, at most [`RETRY_AFTER_MAX`] ahead, so that a storm
+    /// of refusals does not outlast itself.
+    until: Duration,
+}
+
 impl Spread {
     pub(crate) fn new(seed: u64, on: bool) -> Spread {
         Spread {
             rng: StdRng::seed_from_u64(seed),
-            returns_until: Duration::ZERO,
             on,
         }
     }
@@ -33,6 +38,7 @@
     /// `interval` for each caller that is due already.
     pub(crate) fn next(
         &mut self,
+        returns: &mut Returns,
         earliest: Duration,
         interval: Duration,
         now: Duration,
@@ -41,14 +47,16 @@
         if !self.on {
             return earliest;
         }
-        self.returns_until = self.returns_until.max(now + earliest) + interval;
-        let due = self.returns_until.saturating_sub(now + earliest);
+        let until = returns.until.max(now + earliest) + interval;
+        returns.until = until.min(now + RETRY_AFTER_MAX);
+        let due = returns.until.saturating_sub(now + earliest);
         let window = due.max(WINDOW_MIN).min(RETRY_AFTER_MAX - earliest);
         earliest + window.mul_f64(self.rng.random::<f64>())
     }
 
     /// A spread time for a caller whose return no backlog decides.
     pub(crate) fn jitter(&mut self) -> Duration {
-        self.next(Duration::ZERO, Duration::ZERO, Duration::ZERO)
+        let zero = Duration::ZERO;
+        self.next(&mut Returns::default(), zero, zero, zero)
     }
 }
--- a/crates/cleat-decide/tests/gate.rs
+++ b/crates/cleat-decide/tests/gate.rs
@@ -251,3 +251,60 @@
     }
     assert_eq!(model.gate.waiting(), 8, "the bound is what keeps it at 4");
 }
+
+/// The longest that any of a hundred refused requests of `caller` is told to
+/// stay away.
+fn longest_return(model: &mut Model, caller: &str) -> Duration {
+    let refusals = (0..100).filter_map(|_| match model.arrive(caller, ms(60_000)) {
+        Arrived::Refuse(refusal) => Some(refusal.retry_after),
+        _ => None,
+    });
+    refusals.max().unwrap_or_default()
+}
+
+#[test]
+fn refuse_storm_does_not_outlast_itself() {
+    let quota = json!({"quota": {"per_second": 5, "burst": 1}});
+    let terms = json!({"callers": {"batch": quota, "school": quota}});
+    let mut model = Model::new(terms, 3, Protections::ALL);
+    model.now = ms(1_000);
+    for _ in 0..5_000 {
+        model.arrive("batch", ms(60_000));
+    }
+    assert!(
+        longest_return(&mut model, "batch") > ms(20_000),
+        "many are due"
+    );
+    assert!(
+        longest_return(&mut model, "school") < ms(25_000),
+        "few are due"
+    );
+    model.now += ms(60_000);
+    assert!(
+        longest_return(&mut model, "batch") < ms(25_000),
+        "none is due"
+    );
+}
+
+#[test]
+fn refuse_full_queue_storm_is_the_callers_own() {
+    let mut model = Model::new(json!({"queue": {"length": 4}}), 1, Protections::ALL);
+    for _ in 0..5 {
+        model.arrive("batch", ms(900_000));
+    }
+    for _ in 0..30 {
+        model.now += ms(100);
+        model.free_one();
+        model.arrive("batch", ms(900_000));
+    }
+    for _ in 0..5_000 {
+        model.arrive("batch", ms(900_000));
+    }
+    let now = model.now;
+    let mut one = || model.gate.refuse(RefusalReason::NoTarget, now).retry_after;
+    let longest = (0..20).map(|_| one()).max().unwrap();
+    assert!(
+        longest < ms(10_000),
+        "it pays for the storm of another: {longest:?}"
+    );
+}
