Keep the parts of a connection from waking the task that polls them

Cause: hyper's parts wake each other through the task's waker, so one exchange had its task scheduled several times more, often with a thread woken for it. Change: a waker that, during a poll, only makes the poll go round once more. The tests' fleet follows the new form of a proposed configuration. Ruled out: polling parts with a waker that does nothing; hyper registers one waker for its parts and the socket alike.

--- a/crates/cleat-entry/src/upstream/connection.rs
+++ b/crates/cleat-entry/src/upstream/connection.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use super::Failure;
+use super::drive::Drive;
 use super::watched::{Sent, Watched};
 
 /// The most bytes of an answer's header block.
@@ -30,8 +31,14 @@
 /// the drop returns, and no other task has to be woken for an exchange.
 pub(crate) struct Upstream {
     sender: SendRequest<Full<Bytes>>,
-    conn: Connection<TokioIo<Watched>, Full<Bytes>>,
+    life: Life,
     sent: Sent,
+    drive: Drive,
+}
+
+/// The part of a connection that has to be polled.
+struct Life {
+    conn: Connection<TokioIo<Watched>, Full<Bytes>>,
     /// Invariant: once true, `conn` is never polled again.
     ended: bool,
     /// More came than was asked for.
@@ -59,10 +66,13 @@
         let (sender, conn) = handshake.map_err(|_| Failure::NotSent)?;
         Ok(Box::new(Upstream {
             sender,
-            conn,
+            life: Life {
+                conn,
+                ended: false,
+                surplus: false,
+            },
             sent,
-            ended: false,
-            surplus: false,
+            drive: Drive::new(),
         }))
     }
 
@@ -70,8 +80,8 @@
     /// bytes that came without a request.
     pub(crate) fn is_ready(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
-        self.poll_conn(&mut cx);
-        !self.ended && self.sender.is_ready()
+        self.life.poll(&mut cx);
+        !self.life.ended && self.sender.is_ready()
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -84,9 +94,12 @@
     ) -> Result<Response<Incoming>, Failure> {
         self.sent.reset();
         let mut answer = pin!(self.sender.try_send_request(req));
+        let (life, drive) = (&mut self.life, &self.drive);
         let answer = poll_fn(|cx| {
-            self.poll_conn(cx);
-            answer.as_mut().poll(cx)
+            drive.poll(cx, |cx| {
+                life.poll(cx);
+                answer.as_mut().poll(cx)
+            })
         });
         let answer = answer.await;
         answer.map_err(|e| Failure::of(e.error(), e.message().is_none() && self.sent.get()))
@@ -103,11 +116,15 @@
         body: &mut Incoming,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
-        let mut frame = Pin::new(&mut *body).poll_frame(cx);
-        if frame.is_pending() {
-            self.poll_conn(cx);
-            frame = Pin::new(body).poll_frame(cx);
-        }
+        let (life, drive) = (&mut self.life, &self.drive);
+        let frame = drive.poll(cx, |cx| {
+            let frame = Pin::new(&mut *body).poll_frame(cx);
+            if frame.is_ready() {
+                return frame;
+            }
+            life.poll(cx);
+            Pin::new(&mut *body).poll_frame(cx)
+        });
         frame.map(|frame| frame.map(|frame| frame.map_err(|e| Failure::of(&e, true))))
     }
 
@@ -118,15 +135,17 @@
     /// [`Failure::Surplus`]. Bytes that come later are met by
     /// [`Upstream::is_ready`].
     pub(crate) fn settle(&mut self) -> Result<(), Failure> {
-        self.poll_conn(&mut Context::from_waker(Waker::noop()));
-        if self.surplus {
+        self.life.poll(&mut Context::from_waker(Waker::noop()));
+        if self.life.surplus {
             Err(Failure::Surplus)
         } else {
             Ok(())
         }
     }
+}
 
-    fn poll_conn(&mut self, cx: &mut Context<'_>) {
+impl Life {
+    fn poll(&mut self, cx: &mut Context<'_>) {
         if self.ended {
             return;
         }
--- a/crates/cleat-entry/src/upstream/mod.rs
+++ b/crates/cleat-entry/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! One connection to a target, driven by the task that uses it.
 
 mod connection;
+mod drive;
 mod failure;
 mod watched;
 
--- a/crates/cleat-entry/tests/support/fleet.rs
+++ b/crates/cleat-entry/tests/support/fleet.rs
@@ -6,8 +6,8 @@
 
 use cleat_entry::{Entry, EntryConfig, Limits};
 use cleat_world::{
-    Announce, Announcement, Answer, ApplyConfig, Command, CommandBody, ConfigAnswer, TargetAnswer,
-    Withdraw, WithdrawCause, World,
+    Announce, Announcement, Answer, ApplyConfig, Command, CommandBody, ConfigAnswer,
+    ProposedConfig, TargetAnswer, Withdraw, WithdrawCause, World,
 };
 use serde_json::{Value, json};
 
@@ -46,7 +46,7 @@
         let change = ApplyConfig {
             expect: self.world.version(),
             command_id: None,
-            config: config.to_string().into(),
+            config: ProposedConfig::Whole(config.to_string().into()),
         };
         let answer = self.apply(CommandBody::ApplyConfig(change));
         assert!(
