Let the schedules lose no more disks than a group survives

Cause: lost the disks of two voters between their answers and the genesis, and the group never recovered; had not recovered in time since the fake disk gave each waiting sync its own duration. Ruled out: a fault of the protocol. Two of three disks lost is beyond any majority, and nobody was elected; the real disk thread syncs all that waits at once.

--- a/crates/cleat-quorum/src/core/status.rs
+++ b/crates/cleat-quorum/src/core/status.rs
@@ -108,6 +108,16 @@
         self.identity
     }
 
+    /// The last entry known to be committed.
+    pub fn commit(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// The last entry applied.
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
     /// The term and vote.
     pub fn hard_state(&self) -> HardState {
         self.hard_state
--- a/crates/cleat-quorum/tests/simulation/mod.rs
+++ b/crates/cleat-quorum/tests/simulation/mod.rs
@@ -115,6 +115,7 @@
     /// The members that served when the leader was killed and lapsed later.
     pub(crate) lapsed: BTreeSet<usize>,
     watched: Vec<usize>,
+    voter_disks_lost: u32,
     /// How often the cell's fault was injected at its step.
     pub(crate) hits: u32,
     checker: Checker,
@@ -153,6 +154,7 @@
             cell_armed,
             lapsed: BTreeSet::new(),
             watched: Vec::new(),
+            voter_disks_lost: 0,
             hits: 0,
             checker: Checker::default(),
         };
--- a/crates/cleat-quorum/tests/simulation/upkeep.rs
+++ b/crates/cleat-quorum/tests/simulation/upkeep.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 
 use super::node::Node;
-use super::{Fault, MILLI, NORMAL, Occurrence, Violation, World};
+use super::{Fault, MILLI, NORMAL, Occurrence, SECOND, Violation, World};
 
 impl World {
     pub(super) fn client(&mut self) -> Result<(), Violation> {
@@ -100,6 +100,7 @@
 
     pub(super) fn heal(&mut self) -> Result<(), Violation> {
         self.conditions = NORMAL;
+        self.plan.slow_sync = (0.0, SECOND);
         self.checker.healed_at = Some(self.checker.committed());
         for at in 0..self.nodes.len() {
             self.nodes[at].cut_in.clear();
