Keep the directed tests' group in a file of its own

Ruled out: any change to what the tests assert. Change: the group of cores with instant syncs moves to tests/group. Conclusion: the tests read as rules, the harness as a harness.

--- /dev/null
+++ b/crates/cleat-quorum/tests/group/mod.rs
@@ -0,0 +1,129 @@
+//! Cores whose syncs end at once and whose messages arrive in order.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cleat_quorum::{
+    Core, CoreConfig, Effect, Event, HardState, MemberConfig, MemberId, Message, Recovery, Refusal,
+    Role,
+};
+
+const TICK: Duration = Duration::from_millis(10);
+
+/// Cores whose syncs end at once and whose messages arrive in order.
+pub(crate) struct Group {
+    pub(crate) cores: Vec<Core>,
+    pub(crate) now: Duration,
+    pub(crate) queue: VecDeque<Message>,
+    /// Which messages arrive, and with what.
+    pub(crate) passes: fn(&mut Message) -> bool,
+    pub(crate) effects: Vec<Effect>,
+}
+
+impl Group {
+    pub(crate) fn new(
+        voters: u16,
+        learners: u16,
+        adjust: impl Fn(u16, &mut CoreConfig, &mut Recovery),
+    ) -> Group {
+        let member = |id| MemberConfig {
+            id: MemberId(id),
+            votes: id < voters,
+        };
+        let members: Vec<_> = (0..voters + learners).map(member).collect();
+        let start = |id: u16| {
+            let mut config = CoreConfig::new(MemberId(id), members.clone(), u64::from(id) + 1);
+            let mut recovery = Recovery {
+                identity: identity(id),
+                hard_state: HardState::default(),
+                image: None,
+                entries: Vec::new(),
+            };
+            adjust(id, &mut config, &mut recovery);
+            Core::new(config, recovery, Duration::ZERO)
+        };
+        Group {
+            cores: (0..voters + learners).map(start).collect(),
+            now: Duration::ZERO,
+            queue: VecDeque::new(),
+            passes: |_| true,
+            effects: Vec::new(),
+        }
+    }
+
+    pub(crate) fn formed(voters: u16, learners: u16) -> Group {
+        Group::new(voters, learners, |_, _, _| {})
+    }
+
+    pub(crate) fn step(&mut self, at: u16, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for effect in self.cores[usize::from(at)].step(event, self.now) {
+                match effect {
+                    Effect::Sync(ticket) => events.push_back(Event::Synced(ticket)),
+                    Effect::Send(message) => self.queue.push_back(message),
+                    other => self.effects.push(other),
+                }
+            }
+        }
+    }
+
+    pub(crate) fn deliver_all(&mut self) {
+        // A message that is robbed of its entries is answered and sent again
+        // without end, so only so many arrive at one moment.
+        const AT_ONCE: usize = 100;
+        for _ in 0..AT_ONCE {
+            let Some(mut message) = self.queue.pop_front() else {
+                return;
+            };
+            if (self.passes)(&mut message) {
+                self.step(message.to.0, Event::Receive(message));
+            }
+        }
+    }
+
+    pub(crate) fn advance(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            for at in 0..self.cores.len() {
+                if self.cores[at].deadline() <= self.now {
+                    self.step(u16::try_from(at).expect("small"), Event::Tick);
+                }
+                self.deliver_all();
+            }
+        }
+    }
+
+    pub(crate) fn leader(&self) -> u16 {
+        let leads = |core: &Core| core.role() == Role::Leader;
+        let at = self.cores.iter().position(leads).expect("a leader");
+        u16::try_from(at).expect("small")
+    }
+
+    pub(crate) fn core(&self, at: u16) -> &Core {
+        &self.cores[usize::from(at)]
+    }
+
+    pub(crate) fn propose(&mut self, at: u16, command: &[u8]) {
+        self.step(at, Event::Propose(vec![Arc::from(command)]));
+        self.deliver_all();
+    }
+
+    pub(crate) fn refusals(&self) -> Vec<Refusal> {
+        let refused = |effect: &Effect| match effect {
+            Effect::Refused(refusal) => Some(*refusal),
+            _ => None,
+        };
+        self.effects.iter().filter_map(refused).collect()
+    }
+}
+
+pub(crate) fn identity(id: u16) -> u64 {
+    1000 + u64::from(id)
+}
+
+pub(crate) fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
