Keep one timer with each connection

Cause: two timers were made and dropped for each request, each with a lock on the wheel. Change: the deadline's timer stays with the connection to the target and the head's with the caller's; both are only set later, which takes no lock. Ruled out: hyper's own header timeout; it makes a boxed timer for each request.

--- a/crates/cleat-entry/src/entry/accept.rs
+++ b/crates/cleat-entry/src/entry/accept.rs
@@ -9,7 +9,7 @@
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
@@ -102,12 +102,10 @@
     let _ = stream.set_nodelay(true);
     let limits = &shared.cfg.limits;
     let connection = Connection::default();
-    let io = CallerIo::new(stream, limits.caller_stall, connection.clone());
+    let io = CallerIo::new(stream, limits, connection.clone());
     let mut phase = shared.phase.subscribe();
     let service = service_fn(|req| handle(Arc::clone(&shared), connection.clone(), req));
     let conn = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_read)
         .max_header_size(limits.header_bytes * HEADER_FACTOR)
         .serve_connection(TokioIo::new(io), service);
     let mut conn = pin!(conn);
--- a/crates/cleat-entry/src/entry/caller_io.rs
+++ b/crates/cleat-entry/src/entry/caller_io.rs
@@ -10,10 +10,11 @@
 use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
 use super::connection::Connection;
 use super::refusal;
+use crate::config::Limits;
 
 /// Without the bound, a caller that stops reading would hold its answer, and a
 /// draining entry, for ever.
@@ -23,15 +24,17 @@
     /// Runs while the caller takes nothing.
     stall: Option<Pin<Box<Sleep>>>,
     connection: Connection,
+    head: HeadTimer,
     /// What is left to write in place of an automatic answer of hyper.
     replacement: Option<Bytes>,
 }
 
 impl CallerIo {
-    pub(super) fn new(stream: TcpStream, limit: Duration, connection: Connection) -> CallerIo {
+    pub(super) fn new(stream: TcpStream, limits: &Limits, connection: Connection) -> CallerIo {
         CallerIo {
             stream,
-            limit,
+            limit: limits.caller_stall,
+            head: HeadTimer::new(limits.header_read),
             stall: None,
             connection,
             replacement: None,
@@ -82,6 +85,34 @@
     }
 }
 
+/// Bounds how long a caller may take for the head of a request. One timer for
+/// all heads: to set it later takes no lock, to make and drop one does.
+struct HeadTimer {
+    limit: Duration,
+    sleep: Pin<Box<Sleep>>,
+    /// How many requests had come when it was set.
+    requests: Option<u64>,
+}
+
+impl HeadTimer {
+    fn new(limit: Duration) -> HeadTimer {
+        HeadTimer {
+            limit,
+            sleep: Box::pin(sleep(limit)),
+            requests: None,
+        }
+    }
+
+    /// Ready when the limit has passed since `requests` requests had come.
+    fn poll(&mut self, requests: u64, cx: &mut Context<'_>) -> Poll<()> {
+        if self.requests != Some(requests) {
+            self.requests = Some(requests);
+            self.sleep.as_mut().reset(Instant::now() + self.limit);
+        }
+        self.sleep.as_mut().poll(cx)
+    }
+}
+
 impl AsyncRead for CallerIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -89,7 +120,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_pending() && !self.connection.is_busy() {
+            let requests = self.connection.requests();
+            ready!(self.head.poll(requests, cx));
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        ready!(read)?;
         self.connection.note_read(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
--- a/crates/cleat-entry/src/entry/connection.rs
+++ b/crates/cleat-entry/src/entry/connection.rs
@@ -1,6 +1,6 @@
 //! What a caller's socket and the handler of its requests tell each other.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// The most bytes of a head that are kept.
@@ -17,8 +17,8 @@
     /// Whether a handler has a request of this connection, or a byte of its
     /// answer's body is still to be written.
     busy: AtomicBool,
-    /// Whether a handler ever had a request of this connection.
-    begun: AtomicBool,
+    /// How many requests of this connection handlers have had.
+    requests: AtomicU64,
     /// What was read since the last request was handed to a handler.
     head: Mutex<Vec<u8>>,
 }
@@ -29,14 +29,19 @@
     }
 
     pub(super) fn has_begun(&self) -> bool {
-        self.0.begun.load(Ordering::Relaxed)
+        self.requests() > 0
+    }
+
+    /// How many requests of this connection handlers have had.
+    pub(super) fn requests(&self) -> u64 {
+        self.0.requests.load(Ordering::Relaxed)
     }
 
     /// Marks the connection as busy until the last clone of the guard is
     /// dropped.
     pub(super) fn begin(&self) -> Busy {
         self.0.busy.store(true, Ordering::Relaxed);
-        self.0.begun.store(true, Ordering::Relaxed);
+        self.0.requests.fetch_add(1, Ordering::Relaxed);
         Busy {
             _mark: Arc::new(BusyMark(self.clone())),
         }
--- a/crates/cleat-entry/src/service/slot.rs
+++ b/crates/cleat-entry/src/service/slot.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::ServiceState;
 use crate::target::Target;
 use crate::upstream::{Failure, Upstream};
@@ -47,12 +49,20 @@
     ///
     /// # Errors
     /// [`Failure::NotSent`].
-    pub(crate) async fn connect(&mut self, terms: &ConnectTerms) -> Result<(), Failure> {
+    pub(crate) async fn connect(
+        &mut self,
+        terms: &ConnectTerms,
+        deadline: Instant,
+    ) -> Result<(), Failure> {
         let target = self.target.as_ref().ok_or(Failure::NotSent)?;
         let idle = target.take_idle(self.service.now(), terms.idle);
         self.upstream = match idle {
             Some(upstream) => Some(upstream),
-            None => Some(Upstream::open(target.address, terms.connect).await?),
+            None => {
+                let left = deadline.saturating_duration_since(Instant::now());
+                let limit = terms.connect.min(left);
+                Some(Upstream::open(target.address, limit).await?)
+            }
         };
         Ok(())
     }
@@ -62,13 +72,6 @@
         self.upstream.as_deref_mut()
     }
 
-    /// Whether a byte of the current try may have left.
-    pub(crate) fn may_have_sent(&self) -> bool {
-        self.upstream
-            .as_deref()
-            .is_some_and(Upstream::may_have_sent)
-    }
-
     /// Says that the exchange ended by its framing.
     pub(crate) fn set_reusable(&mut self) {
         self.reusable = true;
--- a/crates/cleat-entry/src/tries/exchange.rs
+++ b/crates/cleat-entry/src/tries/exchange.rs
@@ -1,6 +1,7 @@
 //! One try at one target.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -11,7 +12,7 @@
 use crate::request::Outgoing;
 use crate::service::{ConnectTerms, Slot};
 use crate::trace::Trace;
-use crate::upstream::Failure;
+use crate::upstream::{Failure, Upstream};
 
 /// What every try of a request shares.
 pub(super) struct Terms<'a> {
@@ -24,40 +25,42 @@
     pub(super) trace: &'a Trace,
 }
 
-/// Runs one try until it ends or `timer` does.
+/// Runs one try until it ends or its deadline comes.
 ///
 /// # Errors
 /// What provably happened instead of a whole answer.
-pub(super) async fn exchange(
-    slot: &mut Slot,
-    terms: &Terms<'_>,
-    timer: Pin<&mut Sleep>,
-) -> Result<Received, Failure> {
-    match within(timer, run(slot, terms)).await {
-        Some(result) => result,
-        None if slot.may_have_sent() => Err(Failure::Late),
-        None => Err(Failure::NotSent),
-    }
-}
-
-async fn run(slot: &mut Slot, terms: &Terms<'_>) -> Result<Received, Failure> {
+pub(super) async fn exchange(slot: &mut Slot, terms: &Terms<'_>) -> Result<Received, Failure> {
     let target = slot.target().cloned().ok_or(Failure::NotSent)?;
     let chosen = terms.trace.chosen(&target.name);
-    slot.connect(&terms.connect).instrument(chosen).await?;
+    let connecting = slot.connect(&terms.connect, terms.deadline);
+    connecting.instrument(chosen).await?;
     let upstream = slot.upstream().ok_or(Failure::NotSent)?;
-    let request = terms
-        .outgoing
-        .request(target.address, terms.deadline, terms.trace);
+    let mut timer = upstream.take_timer(terms.deadline);
+    let received = within(timer.as_mut(), run(upstream, target.address, terms)).await;
+    upstream.set_timer(timer);
+    let received = match received {
+        Some(received) => received?,
+        None if upstream.may_have_sent() => return Err(Failure::Late),
+        None => return Err(Failure::NotSent),
+    };
+    if matches!(received, Received::Whole(..)) {
+        slot.set_reusable();
+    }
+    Ok(received)
+}
+
+async fn run(
+    upstream: &mut Upstream,
+    address: SocketAddr,
+    terms: &Terms<'_>,
+) -> Result<Received, Failure> {
+    let request = terms.outgoing.request(address, terms.deadline, terms.trace);
     let answer = upstream.send(request).instrument(terms.trace.sent());
     let answer = answer.await?;
     let answered = terms.trace.answered(answer.status().as_u16());
     let method = &terms.outgoing.method;
     let received = receive(upstream, method, answer, terms.answer_limit, terms.memory);
-    let received = received.instrument(answered).await?;
-    if matches!(received, Received::Whole(..)) {
-        slot.set_reusable();
-    }
-    Ok(received)
+    received.instrument(answered).await
 }
 
 /// `work`, or `None` if `timer` ends first.
--- a/crates/cleat-entry/src/tries/run.rs
+++ b/crates/cleat-entry/src/tries/run.rs
@@ -1,6 +1,5 @@
 //! The tries of one request, under one deadline.
 
-use std::pin::{Pin, pin};
 use std::sync::Arc;
 
 use cleat_decide::{FinalOutcome, RequestFacts, UnknownReason, Verdict};
@@ -8,7 +7,7 @@
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 use tokio::sync::Notify;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::Instant;
 
 use super::Answer;
 use super::exchange::{Terms, exchange};
@@ -55,10 +54,9 @@
     /// The final answer to the caller, if it is not a target's.
     pub(super) async fn run(&self, mut slot: Slot) -> Result<Answer, Problem> {
         let service = Arc::clone(slot.service());
-        let mut timer = pin!(sleep_until(self.terms.deadline));
         let mut progress = Progress::default();
         loop {
-            let before = match self.step(slot, &mut progress, timer.as_mut()).await {
+            let before = match self.step(slot, &mut progress).await {
                 Step::Done(result) => return result,
                 Step::Again(target) => target,
             };
@@ -71,10 +69,10 @@
         }
     }
 
-    async fn step(&self, mut slot: Slot, progress: &mut Progress, timer: Pin<&mut Sleep>) -> Step {
+    async fn step(&self, mut slot: Slot, progress: &mut Progress) -> Step {
         progress.tries += 1;
         self.counters.tries.incr();
-        let result = exchange(&mut slot, &self.terms, timer).await;
+        let result = exchange(&mut slot, &self.terms).await;
         match result {
             Ok(Received::Whole(parts, chunks)) => self.whole(slot, parts, chunks, progress),
             Ok(Received::Begun(parts, begun, rest)) => {
--- a/crates/cleat-entry/src/upstream/connection.rs
+++ b/crates/cleat-entry/src/upstream/connection.rs
@@ -16,7 +16,7 @@
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, Sleep, sleep_until, timeout};
 
 use super::Failure;
 use super::drive::Drive;
@@ -34,6 +34,9 @@
     life: Life,
     sent: Sent,
     drive: Drive,
+    /// `None` while an exchange has it. Kept with the connection: to set a
+    /// timer later takes no lock, to make and drop one does.
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 /// The part of a connection that has to be polled.
@@ -73,6 +76,7 @@
             },
             sent,
             drive: Drive::new(),
+            timer: None,
         }))
     }
 
@@ -105,6 +109,22 @@
         answer.map_err(|e| Failure::of(e.error(), e.message().is_none() && self.sent.get()))
     }
 
+    /// Takes the connection's timer, set to `deadline`.
+    pub(crate) fn take_timer(&mut self, deadline: Instant) -> Pin<Box<Sleep>> {
+        match self.timer.take() {
+            Some(mut timer) => {
+                timer.as_mut().reset(deadline);
+                timer
+            }
+            None => Box::pin(sleep_until(deadline)),
+        }
+    }
+
+    /// Gives the timer back.
+    pub(crate) fn set_timer(&mut self, timer: Pin<Box<Sleep>>) {
+        self.timer = Some(timer);
+    }
+
     /// Whether a byte of the current exchange may have left.
     pub(crate) fn may_have_sent(&self) -> bool {
         self.sent.get()
--- a/crates/cleat-entry/tests/input.rs
+++ b/crates/cleat-entry/tests/input.rs
@@ -5,6 +5,7 @@
 
 use serde_json::json;
 use support::{Fleet, Step, Target, call, entry, get, post};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// A request and what it comes to, at a service whose target counts.
 async fn check(raw: &str, expected: &str) {
@@ -175,6 +176,40 @@
     assert!(!target.requests()[1].contains("transfer-encoding"));
 }
 
+#[tokio::test]
+async fn input_head_too_slow() {
+    let target = Target::ok("own").await;
+    let fleet = Fleet::with(json!({}), &[&target], 8);
+    let limits = cleat_entry::Limits {
+        header_read: std::time::Duration::from_millis(200),
+        ..support::limits()
+    };
+    let control = std::sync::Arc::default();
+    let entry = support::entry_with(&fleet, control, "e1", &["e1"], limits).await;
+    let mut stream = support::open(entry.local_addr()).await;
+    let mut read = Vec::new();
+    let request = b"GET /dock/x HTTP/1.1\r\nhost: t\r\n\r\n";
+    for _ in 0..6 {
+        // Each request begins the time anew.
+        tokio::time::sleep(std::time::Duration::from_millis(80)).await;
+        stream.write_all(request).await.unwrap();
+        while !read.ends_with(b"own") {
+            stream.read_buf(&mut read).await.unwrap();
+        }
+        read.clear();
+    }
+    stream.write_all(b"GET /dock/").await.unwrap();
+    let ended = tokio::time::timeout(
+        std::time::Duration::from_secs(10),
+        stream.read_to_end(&mut read),
+    );
+    assert!(
+        ended.await.is_ok(),
+        "an unfinished head ends the connection"
+    );
+    assert_eq!(target.count(), 6);
+}
+
 #[tokio::test]
 async fn input_refusals_spread_the_returns() {
     let (entry, control) = entry(&Fleet::new(json!({}))).await;
