Number each claim of a key and look keys up without claiming

Cause: a settlement names its claim by entry and life only, so a late duplicate of a not-run settlement could end a later claim of the same key; and a refused request with a key cannot say whether an earlier send of it ran. Ruled out: one request a key and instance (narrows the first, does not close it). Change: claims carry a number; KeyTable::look_up says what is known of a key.

--- a/crates/cleat-world/src/command.rs
+++ b/crates/cleat-world/src/command.rs
@@ -115,6 +115,9 @@
     pub entry: Box<str>,
     /// That instance's life.
     pub life: u64,
+    /// A number that no other claim of this life has: a settlement that is
+    /// sent twice or late cannot end a later claim of the same key.
+    pub number: u64,
     /// After this long without a settlement the outcome is unknown, in ms.
     pub hold_ms: u64,
 }
@@ -128,6 +131,8 @@
     pub entry: Box<str>,
     /// That instance's life when it claimed.
     pub life: u64,
+    /// The number of the claim.
+    pub number: u64,
     /// What came of it.
     pub settlement: crate::Settlement,
 }
--- a/crates/cleat-world/src/keys/table.rs
+++ b/crates/cleat-world/src/keys/table.rs
@@ -47,8 +47,8 @@
         let Some(claim) = self.claims.get_mut(&settle.key) else {
             return KeyAnswer::NotHolder;
         };
-        let held = matches!(&claim.state, ClaimState::Pending { entry, life, .. }
-            if *entry == settle.entry && *life == settle.life);
+        let held = matches!(&claim.state, ClaimState::Pending { entry, life, number, .. }
+            if *entry == settle.entry && *life == settle.life && *number == settle.number);
         if !held {
             return KeyAnswer::NotHolder;
         }
@@ -56,6 +56,16 @@
         KeyAnswer::Settled
     }
 
+    /// What is known of a key without claiming it; `None` if no request under
+    /// it can have run.
+    pub fn look_up(&self, key: &str, digest: u64) -> Option<KeyAnswer> {
+        let claim = self.claims.get(key)?;
+        if claim.digest != digest {
+            return Some(KeyAnswer::OtherRequest);
+        }
+        answer(&claim.state)
+    }
+
     /// Ends the claims of earlier lives of `entry`: nobody knows their outcome.
     pub fn end_other_lives(&mut self, entry: &str, life: u64) {
         for claim in self.claims.values_mut() {
@@ -90,6 +100,7 @@
     ClaimState::Pending {
         entry: claim.entry,
         life: claim.life,
+        number: claim.number,
         until_ms: now_ms + claim.hold_ms,
     }
 }
@@ -103,15 +114,25 @@
             known.state = ClaimState::Settled(Settlement::Unknown);
             KeyAnswer::Unknown
         }
-        ClaimState::Pending { entry, .. } => KeyAnswer::InProgress {
-            entry: entry.clone(),
+        state => match answer(state) {
+            Some(answer) => answer,
+            None => {
+                known.state = pending(claim, now_ms);
+                KeyAnswer::Granted
+            }
         },
-        ClaimState::Settled(Settlement::Ran(answer)) => KeyAnswer::Ran(answer.clone()),
-        ClaimState::Settled(Settlement::RanAnswerNotKept) => KeyAnswer::RanAnswerNotKept,
-        ClaimState::Settled(Settlement::Unknown) => KeyAnswer::Unknown,
-        ClaimState::Settled(Settlement::NotRun) => {
-            known.state = pending(claim, now_ms);
-            KeyAnswer::Granted
-        }
+    }
+}
+
+/// What a request under a claimed key is told; `None` if the key is free.
+fn answer(state: &ClaimState) -> Option<KeyAnswer> {
+    match state {
+        ClaimState::Pending { entry, .. } => Some(KeyAnswer::InProgress {
+            entry: entry.clone(),
+        }),
+        ClaimState::Settled(Settlement::Ran(answer)) => Some(KeyAnswer::Ran(answer.clone())),
+        ClaimState::Settled(Settlement::RanAnswerNotKept) => Some(KeyAnswer::RanAnswerNotKept),
+        ClaimState::Settled(Settlement::Unknown) => Some(KeyAnswer::Unknown),
+        ClaimState::Settled(Settlement::NotRun) => None,
     }
 }
--- a/crates/cleat-world/src/keys/types.rs
+++ b/crates/cleat-world/src/keys/types.rs
@@ -22,6 +22,8 @@
         entry: Box<str>,
         /// Its life.
         life: u64,
+        /// The claim's number within that life.
+        number: u64,
         /// From then on the outcome counts as unknown (ms).
         until_ms: u64,
     },
--- a/crates/cleat-world/tests/world.rs
+++ b/crates/cleat-world/tests/world.rs
@@ -75,6 +75,7 @@
                 digest,
                 entry: entry.into(),
                 life: 1,
+                number: self.index,
                 hold_ms: 5_000,
             }),
         );
@@ -84,11 +85,24 @@
         }
     }
 
+    /// Settles the claim that was made by the first command after the
+    /// configuration.
     fn settle(&mut self, entry: &str, life: u64, settlement: Settlement) -> Answer {
+        self.settle_number(1, entry, life, settlement)
+    }
+
+    fn settle_number(
+        &mut self,
+        number: u64,
+        entry: &str,
+        life: u64,
+        settlement: Settlement,
+    ) -> Answer {
         self.run(CommandBody::SettleKey(SettleKey {
             key: "dock\0school\0k".into(),
             entry: entry.into(),
             life,
+            number,
             settlement,
         }))
     }
@@ -221,7 +235,25 @@
     let mut f = Fixture::configured();
     f.claim_at(1_000, "e1", 7);
     f.settle("e1", 1, Settlement::NotRun);
+    assert_eq!(f.world.keys().look_up("dock\0school\0k", 7), None);
     assert_eq!(f.claim_at(1_000, "e2", 7), KeyAnswer::Granted);
+    let busy = KeyAnswer::InProgress { entry: "e2".into() };
+    assert_eq!(f.world.keys().look_up("dock\0school\0k", 7), Some(busy));
+}
+
+#[test]
+fn settle_late_spares_a_later_claim() {
+    let mut f = Fixture::configured();
+    f.claim_at(1_000, "e1", 7);
+    f.settle("e1", 1, Settlement::NotRun);
+    assert_eq!(f.claim_at(1_000, "e1", 7), KeyAnswer::Granted);
+    // The first settlement arrives again; the second claim is in progress.
+    let not_holder = Answer::Key(KeyAnswer::NotHolder);
+    assert_eq!(f.settle("e1", 1, Settlement::NotRun), not_holder);
+    let busy = KeyAnswer::InProgress { entry: "e1".into() };
+    assert_eq!(f.claim_at(1_000, "e2", 7), busy);
+    let settled = Answer::Key(KeyAnswer::Settled);
+    assert_eq!(f.settle_number(3, "e1", 1, Settlement::Unknown), settled);
 }
 
 #[test]
