Give each claim of a key a number of its own

Change: each entry counts its claims; a settlement names the number of its claim. Ruled out: a random number a claim; a count can't repeat within a life. Conclusion: a late duplicate of a settlement ends no later claim of the same key.

--- a/crates/cleat-entry/src/entry/shared.rs
+++ b/crates/cleat-entry/src/entry/shared.rs
@@ -52,6 +52,8 @@
     routes: ArcSwap<Routes>,
     publisher: Mutex<Publisher>,
     random: AtomicU64,
+    /// How many claims this life has made.
+    claims: AtomicU64,
 }
 
 impl<C: Control> Shared<C> {
@@ -68,6 +70,7 @@
             waiting: Notify::new(),
             routes: ArcSwap::default(),
             random: AtomicU64::new(cfg.seed),
+            claims: AtomicU64::new(0),
             publisher: Mutex::new(Publisher::new(epoch)),
             cfg,
         }
@@ -104,6 +107,11 @@
         }
     }
 
+    /// A number that no other claim of this life has.
+    pub(crate) fn claim_number(&self) -> u64 {
+        self.claims.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Accounts a request that begins to wait.
     pub(crate) fn note_wait(&self) {
         self.counters.waited.incr();
--- a/crates/cleat-entry/src/tries/keyed.rs
+++ b/crates/cleat-entry/src/tries/keyed.rs
@@ -60,6 +60,7 @@
             digest: digest(&[method, path, query, &outgoing.body]),
             entry: self.shared.cfg.name.clone(),
             life: self.shared.cfg.life,
+            number: self.shared.claim_number(),
             hold_ms: u64::try_from(hold.as_millis()).unwrap_or(u64::MAX),
         }
     }
--- a/crates/cleat-entry/src/tries/settle.rs
+++ b/crates/cleat-entry/src/tries/settle.rs
@@ -38,6 +38,7 @@
             key: claim.key.clone(),
             entry: claim.entry.clone(),
             life: claim.life,
+            number: claim.number,
             settlement: Settlement::NotRun,
         };
         Claimed {
--- a/crates/cleat-entry/tests/drain.rs
+++ b/crates/cleat-entry/tests/drain.rs
@@ -60,7 +60,7 @@
     eventually("it runs", || target.in_progress() == 1).await;
     call.abort();
     entry.drain().await;
-    let settlements = control.settlements.lock().unwrap();
+    let settlements = control.settled();
     assert!(
         matches!(settlements[..], [Settlement::Ran(_)]),
         "{settlements:?}"
--- a/crates/cleat-entry/tests/keys.rs
+++ b/crates/cleat-entry/tests/keys.rs
@@ -35,7 +35,7 @@
 }
 
 fn settled(control: &FakeControl) -> Vec<Settlement> {
-    control.settlements.lock().unwrap().clone()
+    control.settled()
 }
 
 #[tokio::test]
@@ -120,6 +120,29 @@
     assert_eq!(good.count(), 1);
 }
 
+#[tokio::test]
+async fn key_settled_late_spares_a_later_claim() {
+    let refusing = Target::refusing().await;
+    let slow = Target::spawn(|_| Step::slow_ok(300, "own")).await;
+    let mut fleet = Fleet::with(json!({"retry": {"tries": 1}}), &[&refusing], 8);
+    let (first, second, control) = pair(&fleet).await;
+    let refused = send(&first).await.summary();
+    assert_eq!(refused, "503 not-run targets-unreachable");
+    eventually("it is settled", || settled(&control).len() == 1).await;
+    fleet.withdraw("t0");
+    fleet.announce("t1", slow.address, 8);
+    first.publish(&fleet.world);
+    second.publish(&fleet.world);
+    let running = tokio::spawn(post(first.local_addr(), "/dock/x", KEY, "boat"));
+    eventually("it runs", || slow.in_progress() == 1).await;
+    let late = control.settlements.lock().unwrap()[0].clone();
+    control.table.lock().unwrap().settle(late);
+    let again = send(&second).await;
+    assert_eq!(again.header("celerycleat-replayed"), Some("true"));
+    assert_eq!(running.await.unwrap().status, 200);
+    assert_eq!(slow.count(), 1);
+}
+
 #[tokio::test]
 async fn key_not_claimed_sends_nothing() {
     let target = Target::ok("own").await;
@@ -284,6 +307,7 @@
         digest: probe_digest(&fleet).await,
         entry: "e9".into(),
         life: 1,
+        number: 0,
         hold_ms: 0,
     };
     let terms = *control.terms.lock().unwrap();
--- a/crates/cleat-entry/tests/support/control.rs
+++ b/crates/cleat-entry/tests/support/control.rs
@@ -24,7 +24,7 @@
     pub claims: AtomicU32,
     pub claim_script: Mutex<Script>,
     pub settle_script: Mutex<Script>,
-    pub settlements: Mutex<Vec<Settlement>>,
+    pub settlements: Mutex<Vec<SettleKey>>,
     pub table: Mutex<KeyTable>,
     pub terms: Mutex<KeyTerms>,
     pub last_digest: Mutex<Option<u64>>,
@@ -48,6 +48,12 @@
 }
 
 impl FakeControl {
+    /// What was settled, in order.
+    pub fn settled(&self) -> Vec<Settlement> {
+        let settlements = self.settlements.lock().unwrap();
+        settlements.iter().map(|s| s.settlement.clone()).collect()
+    }
+
     fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis().try_into().unwrap()
     }
@@ -88,8 +94,7 @@
         if script == Script::Refuses {
             return Err(ClaimError::NotClaimed);
         }
-        let settlement = settle.settlement.clone();
-        self.settlements.lock().unwrap().push(settlement);
+        self.settlements.lock().unwrap().push(settle.clone());
         let answer = self.table.lock().unwrap().settle(settle);
         if script == Script::LosesAnswer {
             return Err(ClaimError::OutcomeUnknown);
