Judge the lead by the lead's own lease

Cause: an instance counted as leading while it led and might take requests; the lease for requests outlives the leader's certainty after a cut, so a cut-off leader could renew targets and answer for the members. Ruled out: a shorter lease for requests, which other members rely on. Change: leads() and members_here() ask until when the lead is certain; a directed test holds a leader that serves while its lead is no longer certain.

--- a/crates/cleat-node/src/node.rs
+++ b/crates/cleat-node/src/node.rs
@@ -7,6 +7,7 @@
 use cleat_link::PeerError;
 use cleat_quorum::{ProposeError, Replica, Status};
 use cleat_telemetry::Counters;
+use tokio::sync::Notify;
 
 use crate::leases::LeaseWatch;
 use crate::links::Links;
@@ -30,13 +31,17 @@
     /// The request path of this instance; set once it listens.
     pub(crate) entry: OnceLock<Weak<Entry<Node>>>,
     pub(crate) started: Instant,
+    /// The log index at which this life became known; set once.
+    pub(crate) life_began: OnceLock<u64>,
+    /// Wakes who looks for idle slots on loan.
+    pub(crate) slots_moved: Notify,
 }
 
 impl Node {
-    /// Whether this instance leads and its lead is certain to hold.
+    /// Whether this instance leads and its lead is certain to hold: the lease
+    /// to take requests outlives the lead of an instance that is cut off.
     pub(crate) fn leads(&self) -> bool {
-        let status = self.replica.status();
-        status.is_leader() && status.in_service(Instant::now())
+        self.replica.status().leads(Instant::now())
     }
 
     /// Whether this instance takes requests: its lease holds, and it is the
--- a/crates/cleat-node/src/operator_control.rs
+++ b/crates/cleat-node/src/operator_control.rs
@@ -82,7 +82,7 @@
     /// Every instance as this one sees it, if it leads.
     pub(crate) fn members_here(&self) -> Result<Vec<MemberReport>, PeerError> {
         let status = self.replica.status();
-        if !status.is_leader() || !status.in_service(Instant::now()) {
+        if !status.leads(Instant::now()) {
             let leader = self.leader_name(&status);
             return Err(PeerError::NotLeader { leader });
         }
--- a/crates/cleat-quorum/tests/core.rs
+++ b/crates/cleat-quorum/tests/core.rs
@@ -255,6 +255,20 @@
     );
 }
 
+/// A leader that is cut off may serve longer than it may be sure to lead.
+#[test]
+fn leads_until_ends_before_service() {
+    let mut group = Group::formed(3, 0);
+    group.advance(seconds(3));
+    let leader = group.leader();
+    group.passes = |_| false;
+    group.advance(Duration::from_millis(700));
+    let status = group.core(leader).status();
+    assert_eq!(status.role, Role::Leader);
+    assert!(status.serves_until > Some(group.now));
+    assert!(status.leads_until <= Some(group.now));
+}
+
 #[test]
 fn remove_waits_for_the_lease() {
     let mut group = Group::formed(3, 1);
