--- a/crates/cleat-place/src/estimate.rs
+++ b/crates/cleat-place/src/estimate.rs
@@ -21,7 +21,10 @@
 /// How many tasks a class has at the most before its first reported use.
 const PROBES: usize = 2;
 /// Added on top of the quantile, in percent.
-const MARGIN: u32 = 10;
+const MARGIN: u64 = 10;
+/// Added instead while there are fewer jobs than enough: their spread is not
+/// known yet.
+const MARGIN_EARLY: u64 = 50;
 
 /// What is known of the jobs of one class.
 #[derive(Debug, Clone, Default)]
@@ -62,6 +65,11 @@
         self.seen || self.tasks < PROBES
     }
 
+    /// Whether the use of one of its tasks was ever reported.
+    pub(crate) fn is_seen(&self) -> bool {
+        self.seen
+    }
+
     pub(crate) fn note_seen(&mut self) {
         self.seen = true;
     }
@@ -113,7 +121,12 @@
             return declared;
         };
         let ratio = u64::from(ratio);
-        let with_margin = ratio * u64::from(100 + MARGIN) / 100;
+        let margin = if self.known < ENOUGH {
+            MARGIN_EARLY
+        } else {
+            MARGIN
+        };
+        let with_margin = ratio * (100 + margin) / 100;
         let honest = u64::from(ONE);
         // The margin alone is no reason for more than declared.
         let ratio = if ratio <= honest {
--- a/crates/cleat-place/src/placement/jobs.rs
+++ b/crates/cleat-place/src/placement/jobs.rs
@@ -1,5 +1,7 @@
 //! Jobs come, wait, are refused and end.
 
+use std::time::Duration;
+
 use super::{Placement, Step};
 use crate::effect::{Cause, Effect, End, Limit};
 use crate::estimate::Class;
@@ -155,6 +157,24 @@
         estimate.min(reach).max(job.declared.min(reach))
     }
 
+    /// What to set aside for the job at its start: more memory than it declares
+    /// while nothing is known of its class.
+    pub(super) fn needed_at_first(&self, id: JobId, now: Duration) -> Size {
+        let needed = self.needed(id);
+        let Some(job) = self.jobs.get(id) else {
+            return needed;
+        };
+        let seen = self.class(job.class).is_none_or(Class::is_seen);
+        let patient = now < job.waits_since + self.terms.trust_after;
+        if seen || !patient || !self.terms.protections.probing {
+            return needed;
+        }
+        let memory = needed.memory.saturating_mul(self.terms.distrust);
+        let wary = Size { memory, ..needed };
+        let reach = self.reach(job.declared, job.team);
+        needed.max(wary.min(reach))
+    }
+
     pub(super) fn estimate(&self, job: &Job) -> Size {
         if !self.terms.protections.correction {
             return job.declared;
@@ -165,7 +185,12 @@
             accelerators: 0,
             ..job.peak
         };
-        estimate.max(peak)
+        let corrected = estimate.max(peak);
+        // It may have been killed for want of what its class does not need.
+        if job.failures > 0 || job.parkings > 0 {
+            return corrected.max(job.declared);
+        }
+        corrected
     }
 
     fn is_within_reach(&self, size: Size, team: TeamId) -> bool {
--- a/crates/cleat-place/src/placement/normal.rs
+++ b/crates/cleat-place/src/placement/normal.rs
@@ -93,7 +93,7 @@
             self.set_reason(id, WaitReason::Probe);
             return Try::InVain;
         }
-        let size = self.needed(id);
+        let size = self.needed_at_first(id, step.now);
         if !self.allows_now(team, size) {
             self.set_reason(id, WaitReason::Quota);
             return Try::InVain;
--- a/crates/cleat-place/src/placement/urgent.rs
+++ b/crates/cleat-place/src/placement/urgent.rs
@@ -39,11 +39,13 @@
             return true;
         };
         let size = self.needed(id);
-        if self.allows_now(team, size)
-            && let Some(worker) = self.choose(id, size, step.now)
-        {
-            self.start(id, worker, size, step);
-            return true;
+        for size in [self.needed_at_first(id, step.now), size] {
+            if self.allows_now(team, size)
+                && let Some(worker) = self.choose(id, size, step.now)
+            {
+                self.start(id, worker, size, step);
+                return true;
+            }
         }
         if !self.terms.protections.preemption {
             self.set_reason(id, WaitReason::Capacity);
--- a/crates/cleat-place/src/placement/usage.rs
+++ b/crates/cleat-place/src/placement/usage.rs
@@ -44,6 +44,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
+        let grew = !usage.used.fits(job.peak);
         job.peak = job.peak.max(usage.used);
         let Some(task) = job.task_mut() else {
             return;
@@ -56,9 +57,19 @@
         if let Some(class) = self.class_mut(class) {
             class.note_seen();
         }
+        if grew && self.exceeds_class(id, usage.used) {
+            // Others of its class may be about to start.
+            self.learn(id);
+        }
         self.correct(id, usage.used);
     }
 
+    fn exceeds_class(&self, id: JobId, used: Size) -> bool {
+        let job = self.jobs.get(id);
+        let class = job.and_then(|job| Some((job, self.class(job.class)?)));
+        class.is_some_and(|(job, class)| !used.fits(class.estimate(job.declared)))
+    }
+
     fn is_here(&self, worker: WorkerId, usage: TaskUsage) -> bool {
         let job = self.jobs.get(usage.task.job);
         let task = job.and_then(Job::task);
@@ -78,10 +89,6 @@
         let Some(held) = job.task().map(|task| task.size) else {
             return;
         };
-        if !used.fits(held) {
-            // Others of its class may be about to start.
-            self.learn(id);
-        }
         let size = self.needed(id).min(held).max(used);
         self.resize(id, size);
     }
--- a/crates/cleat-place/src/terms.rs
+++ b/crates/cleat-place/src/terms.rs
@@ -22,6 +22,11 @@
     pub checkpoint_within: Duration,
     /// Work that a checkpoint, a stop and a new start cost besides.
     pub move_overhead: Duration,
+    /// The first tasks of a class get this many times their declared memory
+    /// until they report what they use: no memory is shared out on trust.
+    pub distrust: u32,
+    /// A normal job that waited this long for that is given what it declares.
+    pub trust_after: Duration,
     /// A job that waited this long for room gets the next room on one worker.
     pub hold_after: Duration,
     /// The longest wait that a compaction may claim to save.
@@ -62,6 +67,8 @@
             resend_after: Duration::from_secs(2),
             checkpoint_within: Duration::from_secs(3),
             move_overhead: Duration::from_secs(20),
+            distrust: 4,
+            trust_after: Duration::from_secs(60),
             hold_after: Duration::from_secs(300),
             longest_gain: Duration::from_secs(600),
             stop_before_empty: Duration::from_secs(10),
