Look a key up before its refusal says that nothing ran

Cause: a request with a key that was refused before its claim was decided was told "not run", though an earlier send of it through another instance may have run. Change: such a refusal asks the leader what is known of the key and replays, says "unknown", or says "not run" only for a free key; a look-up that fails is a 504 of its own type with Retry-After. A claim without an answer is taken back first, which shows that the key was free. Ruled out: a claim instead of the look-up; it costs a write and needs a settlement. Open: a send that is still on its way to its claim when the key is looked up may run later. Conclusion: "not run" for a key is now a statement about all its sends that were claimed.

--- a/crates/cleat-entry/src/control.rs
+++ b/crates/cleat-entry/src/control.rs
@@ -19,6 +19,15 @@
         &self,
         settle: SettleKey,
     ) -> impl Future<Output = Result<KeyAnswer, ClaimError>> + Send;
+
+    /// What is known of a key, with all that was claimed and settled before
+    /// the call, without claiming it. `None` if it is free: no request under
+    /// it has run. An error says that it could not be found out.
+    fn look_up(
+        &self,
+        key: &str,
+        digest: u64,
+    ) -> impl Future<Output = Result<Option<KeyAnswer>, ClaimError>> + Send;
 }
 
 /// A claim or settlement without an answer.
--- a/crates/cleat-entry/src/entry/handle.rs
+++ b/crates/cleat-entry/src/entry/handle.rs
@@ -18,9 +18,9 @@
 use crate::control::Control;
 use crate::headers::Outcome;
 use crate::problem::{Problem, ProblemKind};
-use crate::request::{Intake, read_body};
+use crate::request::{Intake, KeyedHead, read_body};
 use crate::trace::Trace;
-use crate::tries::{Answer, Detached, Job};
+use crate::tries::{Answer, Detached, Job, Refused};
 
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
@@ -79,19 +79,59 @@
     received: Instant,
     trace: &Trace,
 ) -> Result<Answer, Problem> {
-    if !shared.control.in_service() {
+    let keyed = KeyedHead::of(&parts, received);
+    let in_service = shared.control.in_service();
+    if !in_service && keyed.is_none() {
         return Err(Problem::new(ProblemKind::NotInService));
     }
+    let job = take(shared, parts, body, received, in_service, trace).await;
+    match (job, keyed) {
+        (Ok(job), _) if job.is_idempotent() => job.run().await,
+        (Ok(job), _) => {
+            let commitment = job.commitment();
+            Detached::new(job.run(), commitment).await
+        }
+        (Err(problem), None) => Err(problem),
+        (Err(problem), Some(head)) => refuse(shared, &head, in_service, problem).await,
+    }
+}
+
+/// Checks the head and reads the rest.
+async fn take<C: Control>(
+    shared: &Arc<Shared<C>>,
+    parts: Parts,
+    body: Incoming,
+    received: Instant,
+    in_service: bool,
+    trace: &Trace,
+) -> Result<Job<C>, Problem> {
     let header_bytes = shared.cfg.limits.header_bytes;
     let intake = Intake::check(parts, &shared.routes(), header_bytes, received)?;
     let limit = intake.terms().body_limit_bytes;
     trace.note_request(intake.method.as_str(), &intake.service, &intake.caller);
     let reading = read_body(body, limit, &shared.request_memory, intake.deadline);
     let body = reading.instrument(trace.received()).await?;
-    let job = Job::new(Arc::clone(shared), intake, body, trace.clone());
-    if job.is_idempotent() {
-        return job.run().await;
-    }
-    let commitment = job.commitment();
-    Detached::new(job.run(), commitment).await
+    let shared = Arc::clone(shared);
+    Ok(Job::new(shared, intake, body, in_service, trace.clone()))
+}
+
+/// The final answer to a request with a key that was not read whole.
+async fn refuse<C: Control>(
+    shared: &Shared<C>,
+    head: &KeyedHead,
+    in_service: bool,
+    problem: Problem,
+) -> Result<Answer, Problem> {
+    // Routes that are not in force prove no mistake of the caller.
+    let problem = if in_service {
+        problem
+    } else {
+        problem.because(ProblemKind::NotInService)
+    };
+    let refused = Refused {
+        key: &head.key,
+        digest: None,
+        deadline: head.deadline,
+    };
+    refused.answer(shared, problem).await
 }
--- a/crates/cleat-entry/src/entry/shared.rs
+++ b/crates/cleat-entry/src/entry/shared.rs
@@ -10,7 +10,7 @@
 use cleat_world::{KeyTerms, World};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 
 use super::work::{Work, WorkToken};
@@ -25,6 +25,9 @@
 /// Times to come back, in seconds.
 const LATER_SECS: Range<u64> = 1..4;
 
+/// More look-ups of keys at once would only burden the leader.
+const LOOK_UPS: usize = 64;
+
 /// Where an entry stands on its way to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Phase {
@@ -45,6 +48,8 @@
     pub(crate) answer_memory: Arc<Memory>,
     pub(crate) request_memory: Arc<Memory>,
     pub(crate) keys_in_hand: Arc<KeysInHand>,
+    /// One permit for each look-up of a key under way.
+    pub(crate) look_ups: Semaphore,
     pub(super) phase: watch::Sender<Phase>,
     pub(super) work: Arc<Work>,
     /// Wakes the ticker when a request begins to wait.
@@ -65,6 +70,7 @@
             answer_memory: Memory::new(cfg.limits.answer_memory_bytes),
             request_memory: Memory::new(cfg.limits.request_memory_bytes),
             keys_in_hand: KeysInHand::new(cfg.limits.claims),
+            look_ups: Semaphore::new(LOOK_UPS),
             phase: watch::Sender::new(Phase::Running),
             work: Arc::default(),
             waiting: Notify::new(),
--- a/crates/cleat-entry/src/problem/kind.rs
+++ b/crates/cleat-entry/src/problem/kind.rs
@@ -69,6 +69,9 @@
     EarlierTry,
     /// A request with the same key is still in progress.
     KeyInProgress,
+    /// The request was refused before its key could be claimed, and whether
+    /// an earlier send of it ran could not be found out.
+    KeyNotLookedUp,
     /// A request with the same key may have run.
     KeyOutcomeUnknown,
     /// A request with the same key ran; its answer was too large to keep.
@@ -103,7 +106,7 @@
             | K::CannotFinishInTime
             | K::NoTarget
             | K::TargetsUnreachable => StatusCode::SERVICE_UNAVAILABLE,
-            K::TargetLate | K::KeyInProgress => StatusCode::GATEWAY_TIMEOUT,
+            K::TargetLate | K::KeyInProgress | K::KeyNotLookedUp => StatusCode::GATEWAY_TIMEOUT,
             K::TargetCut
             | K::AnswerMalformed
             | K::AnswerUnframed
@@ -123,6 +126,13 @@
         }
     }
 
+    /// Whether sending again later, with the same key if there is one, may
+    /// bring another answer.
+    pub(crate) fn has_retry_after(self) -> bool {
+        let waits_for_key = matches!(self, K::KeyInProgress | K::KeyNotLookedUp);
+        waits_for_key || self.outcome() == Outcome::NotRun
+    }
+
     /// The last part of the stable `type`.
     pub fn slug(self) -> &'static str {
         match self {
@@ -156,6 +166,7 @@
             K::AnswerTooLarge => "answer-too-large",
             K::EarlierTry => "earlier-try",
             K::KeyInProgress => "idempotency-key-in-progress",
+            K::KeyNotLookedUp => "idempotency-key-not-looked-up",
             K::KeyOutcomeUnknown => "idempotency-key-outcome-unknown",
             K::KeyAnswerNotKept => "idempotency-key-answer-not-kept",
         }
@@ -196,6 +207,10 @@
             K::AnswerTooLarge => "The answer is too large to pass on by HTTP/1.0.",
             K::EarlierTry => "An earlier try may have run; no later one could be sent.",
             K::KeyInProgress => "A request with this Idempotency-Key is still in progress.",
+            K::KeyNotLookedUp => {
+                "Whether a request with this Idempotency-Key ran could not be found out now; \
+                 send it again with the same key."
+            }
             K::KeyOutcomeUnknown => "A request with this Idempotency-Key may have run.",
             K::KeyAnswerNotKept => {
                 "A request with this Idempotency-Key ran; its answer was too large to keep."
--- a/crates/cleat-entry/src/problem/problem.rs
+++ b/crates/cleat-entry/src/problem/problem.rs
@@ -59,6 +59,15 @@
         }
     }
 
+    /// The same answer for another cause.
+    pub(crate) fn because(self, kind: ProblemKind) -> Problem {
+        Problem {
+            kind,
+            retry_after: None,
+            ..self
+        }
+    }
+
     /// The answer. `later` is when to come back if that was not decided.
     pub(crate) fn into_response(self, later: Duration) -> Response<AnswerBody> {
         let outcome = self.kind.outcome();
@@ -67,7 +76,7 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
         headers.insert(OUTCOME, outcome.value());
-        if outcome == Outcome::NotRun {
+        if self.kind.has_retry_after() {
             headers.insert(RETRY_AFTER, HeaderValue::from(self.retry_seconds(later)));
         }
         if self.closes {
--- /dev/null
+++ b/crates/cleat-entry/src/request/keyed_head.rs
@@ -0,0 +1,39 @@
+//! What can be told of a request with a key from its head alone.
+
+use std::time::Duration;
+
+use cleat_world::KeyTable;
+use http::request::Parts;
+use tokio::time::Instant;
+
+use super::{fields, path};
+
+/// A service's deadline is not known before the head is checked.
+const DEADLINE: Duration = Duration::from_secs(1);
+
+/// The head of a request that a key keeps from running twice.
+pub(crate) struct KeyedHead {
+    /// The key as the table has it.
+    pub(crate) key: Box<str>,
+    pub(crate) deadline: Instant,
+}
+
+impl KeyedHead {
+    /// `None` if the request needs no key, has none, or its key can't be told.
+    pub(crate) fn of(parts: &Parts, received: Instant) -> Option<KeyedHead> {
+        let headers = &parts.headers;
+        let key = fields::key(headers).ok()??;
+        let method = &parts.method;
+        let idempotent = fields::idempotent(headers, method);
+        if idempotent.unwrap_or(method.is_idempotent()) {
+            return None;
+        }
+        let (service, _) = path::split(parts.uri.path())?;
+        let caller = fields::caller(headers).ok()?;
+        let stated = fields::deadline(headers).ok().flatten();
+        Some(KeyedHead {
+            key: KeyTable::scoped(service, &caller, &key),
+            deadline: received + stated.map_or(DEADLINE, |stated| stated.min(DEADLINE)),
+        })
+    }
+}
--- a/crates/cleat-entry/src/request/mod.rs
+++ b/crates/cleat-entry/src/request/mod.rs
@@ -4,10 +4,12 @@
 mod digest;
 mod fields;
 mod intake;
+mod keyed_head;
 mod outgoing;
 mod path;
 
 pub(crate) use body::read_body;
 pub(crate) use digest::digest;
 pub(crate) use intake::Intake;
+pub(crate) use keyed_head::KeyedHead;
 pub(crate) use outgoing::Outgoing;
--- a/crates/cleat-entry/src/tries/claim.rs
+++ b/crates/cleat-entry/src/tries/claim.rs
@@ -21,6 +21,9 @@
     Granted(Claimed<C>),
     /// It ran before; this was the answer.
     Ran(StoredAnswer),
+    /// Nothing of this request was sent, but whether an earlier send of it ran
+    /// is not known.
+    Undecided(ProblemKind),
 }
 
 /// What claiming needs.
@@ -46,11 +49,9 @@
     /// The final answer to the caller.
     pub(super) async fn run(self) -> Result<Claim<C>, Problem> {
         let mut poll = POLL_FIRST;
-        let mut was_in_progress = false;
         loop {
-            match self.look(was_in_progress).await? {
-                Look::Done(claim) => return Ok(claim),
-                Look::InProgress => was_in_progress = true,
+            if let Look::Done(claim) = self.look().await? {
+                return Ok(claim);
             }
             if Instant::now() + poll >= self.deadline {
                 // Nothing is gained by the time that is left.
@@ -61,11 +62,11 @@
         }
     }
 
-    async fn look(&self, was_in_progress: bool) -> Result<Look<C>, Problem> {
+    async fn look(&self) -> Result<Look<C>, Problem> {
         let in_hand = match self.keys.take(&self.claim.key) {
             Ok(in_hand) => in_hand,
             Err(Refused::Held) => return Ok(Look::InProgress),
-            Err(Refused::Full) => return Err(Problem::new(ProblemKind::KeysFull)),
+            Err(Refused::Full) => return Ok(undecided(ProblemKind::KeysFull)),
         };
         // Settled as not run if it is dropped before the answer is known.
         let control = Arc::clone(&self.control);
@@ -77,24 +78,22 @@
                 claimed.forget();
                 existing(other)
             }
-            Err(error) => {
-                if error == ClaimError::NotClaimed {
-                    claimed.forget();
+            Err(ClaimError::NotClaimed) => {
+                claimed.forget();
+                Ok(undecided(ProblemKind::KeyNotClaimed))
+            }
+            Err(ClaimError::OutcomeUnknown) => {
+                if claimed.take_back(self.deadline).await {
+                    return Err(Problem::new(ProblemKind::KeyNotClaimed));
                 }
-                Err(Problem::new(unclaimed(was_in_progress)))
+                Ok(undecided(ProblemKind::KeyNotClaimed))
             }
         }
     }
 }
 
-/// The answer when no claim could be made. A request that was seen in progress
-/// may have run by now.
-fn unclaimed(was_in_progress: bool) -> ProblemKind {
-    if was_in_progress {
-        ProblemKind::KeyInProgress
-    } else {
-        ProblemKind::KeyNotClaimed
-    }
+fn undecided<C: Control>(kind: ProblemKind) -> Look<C> {
+    Look::Done(Claim::Undecided(kind))
 }
 
 /// What an earlier claim of the key means for this request.
--- a/crates/cleat-entry/src/tries/job.rs
+++ b/crates/cleat-entry/src/tries/job.rs
@@ -29,6 +29,9 @@
     pub(super) idempotent: bool,
     pub(super) commitment: Commitment,
     version: Version,
+    /// Whether the instance was in service when the request came. Only a
+    /// request with a key gets here without: it may have run elsewhere.
+    pub(super) in_service: bool,
     pub(super) trace: Trace,
     /// A draining entry waits for it, also when the caller is gone.
     _work: WorkToken,
@@ -39,6 +42,7 @@
         shared: Arc<Shared<C>>,
         intake: Intake,
         body: bytes::Bytes,
+        in_service: bool,
         trace: Trace,
     ) -> Job<C> {
         let outgoing = Outgoing::new(intake.method, intake.uri, intake.headers, body);
@@ -54,6 +58,7 @@
             idempotent: intake.idempotent,
             commitment: Commitment::default(),
             version: intake.version,
+            in_service,
             trace,
         }
     }
--- a/crates/cleat-entry/src/tries/keyed.rs
+++ b/crates/cleat-entry/src/tries/keyed.rs
@@ -8,10 +8,10 @@
 use tracing::Instrument;
 
 use super::claim::{Claim, Claimer};
-use super::{Answer, Job};
+use super::{Answer, Job, Refused};
 use crate::control::Control;
 use crate::headers::Outcome;
-use crate::problem::Problem;
+use crate::problem::{Problem, ProblemKind};
 use crate::request::digest;
 
 /// A claim is held this much longer than its request may take.
@@ -20,11 +20,15 @@
 impl<C: Control> Job<C> {
     /// Claims, runs and settles.
     pub(super) async fn run_keyed(&self, key: &str) -> Result<Answer, Problem> {
+        if !self.in_service {
+            return self.refuse(key, ProblemKind::NotInService).await;
+        }
         self.commitment.commit();
         self.shared.counters.claims.incr();
         let claim = self.claimer(key).run().instrument(self.trace.claimed());
         let mut claimed = match claim.await? {
             Claim::Granted(claimed) => claimed,
+            Claim::Undecided(kind) => return self.refuse(key, kind).await,
             Claim::Ran(stored) => {
                 self.shared.counters.replayed.incr();
                 return Ok(Answer::Replayed(stored));
@@ -38,6 +42,16 @@
         result
     }
 
+    /// The final answer to a request whose claim was not decided.
+    async fn refuse(&self, key: &str, kind: ProblemKind) -> Result<Answer, Problem> {
+        let refused = Refused {
+            key: &self.scoped(key),
+            digest: Some(self.digest()),
+            deadline: self.deadline,
+        };
+        refused.answer(&self.shared, Problem::new(kind)).await
+    }
+
     fn claimer(&self, key: &str) -> Claimer<C> {
         Claimer {
             control: Arc::clone(&self.shared.control),
@@ -49,15 +63,11 @@
     }
 
     fn claim(&self, key: &str) -> ClaimKey {
-        let outgoing = &self.outgoing;
-        let path = outgoing.uri.path().as_bytes();
-        let query = outgoing.uri.query().unwrap_or_default().as_bytes();
-        let method = outgoing.method.as_str().as_bytes();
         let left = self.deadline.saturating_duration_since(Instant::now());
         let hold = left + HOLD_MARGIN;
         ClaimKey {
-            key: KeyTable::scoped(&self.service, &self.caller, key),
-            digest: digest(&[method, path, query, &outgoing.body]),
+            key: self.scoped(key),
+            digest: self.digest(),
             entry: self.shared.cfg.name.clone(),
             life: self.shared.cfg.life,
             number: self.shared.claim_number(),
@@ -65,6 +75,18 @@
         }
     }
 
+    fn scoped(&self, key: &str) -> Box<str> {
+        KeyTable::scoped(&self.service, &self.caller, key)
+    }
+
+    fn digest(&self) -> u64 {
+        let outgoing = &self.outgoing;
+        let path = outgoing.uri.path().as_bytes();
+        let query = outgoing.uri.query().unwrap_or_default().as_bytes();
+        let method = outgoing.method.as_str().as_bytes();
+        digest(&[method, path, query, &outgoing.body])
+    }
+
     fn settlement(&self, result: &Result<Answer, Problem>) -> Settlement {
         let limit = self.shared.key_terms().answer_bytes;
         match result {
--- a/crates/cleat-entry/src/tries/mod.rs
+++ b/crates/cleat-entry/src/tries/mod.rs
@@ -7,6 +7,7 @@
 mod in_hand;
 mod job;
 mod keyed;
+mod look_up;
 mod run;
 mod settle;
 
@@ -14,3 +15,4 @@
 pub(crate) use detached::{Commitment, Detached};
 pub(crate) use in_hand::KeysInHand;
 pub(crate) use job::Job;
+pub(crate) use look_up::Refused;
--- a/crates/cleat-entry/src/tries/settle.rs
+++ b/crates/cleat-entry/src/tries/settle.rs
@@ -5,15 +5,17 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use cleat_world::{ClaimKey, SettleKey, Settlement};
+use cleat_world::{ClaimKey, KeyAnswer, SettleKey, Settlement};
 use tokio::runtime::Handle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::in_hand::InHand;
 use crate::control::Control;
 
 const BACKOFF_FIRST: Duration = Duration::from_millis(50);
 const BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// A caller that gets no claim does not wait longer to have it taken back.
+const TAKE_BACK_LIMIT: Duration = Duration::from_millis(500);
 
 /// A claim that may stand, settled exactly once.
 pub(super) struct Claimed<C: Control> {
@@ -59,6 +61,18 @@
         self.in_hand = None;
     }
 
+    /// Settles a claim that may stand as not run, until `deadline`; whether it
+    /// stood. Then the key was free, so no request under it has run. If that
+    /// stays open, the drop settles on.
+    pub(super) async fn take_back(mut self, deadline: Instant) -> bool {
+        let end = deadline.min(Instant::now() + TAKE_BACK_LIMIT);
+        let settled = timeout_at(end, self.control.settle(self.settle.clone())).await;
+        if matches!(settled, Ok(Ok(_))) {
+            self.forget();
+        }
+        matches!(settled, Ok(Ok(KeyAnswer::Settled)))
+    }
+
     /// Proposes the settlement before it returns; does not wait for its commit.
     ///
     /// Waiting would cost every keyed request another quorum write. Without
--- a/crates/cleat-entry/tests/support/control.rs
+++ b/crates/cleat-entry/tests/support/control.rs
@@ -24,6 +24,7 @@
     pub claims: AtomicU32,
     pub claim_script: Mutex<Script>,
     pub settle_script: Mutex<Script>,
+    pub look_up_script: Mutex<Script>,
     pub settlements: Mutex<Vec<SettleKey>>,
     pub table: Mutex<KeyTable>,
     pub terms: Mutex<KeyTerms>,
@@ -38,6 +39,7 @@
             claims: AtomicU32::new(0),
             claim_script: Mutex::new(Script::Works),
             settle_script: Mutex::new(Script::Works),
+            look_up_script: Mutex::new(Script::Works),
             settlements: Mutex::default(),
             table: Mutex::default(),
             terms: Mutex::default(),
@@ -101,4 +103,14 @@
         }
         Ok(answer)
     }
+
+    async fn look_up(&self, key: &str, digest: u64) -> Result<Option<KeyAnswer>, ClaimError> {
+        let script = *self.look_up_script.lock().unwrap();
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        match script {
+            Script::Works => Ok(self.table.lock().unwrap().look_up(key, digest)),
+            Script::Hangs => std::future::pending().await,
+            Script::Refuses | Script::LosesAnswer => Err(ClaimError::OutcomeUnknown),
+        }
+    }
 }
--- a/crates/cleat-node/src/entry_control.rs
+++ b/crates/cleat-node/src/entry_control.rs
@@ -1,11 +1,17 @@
 //! What the request path asks of control.
 
+use std::time::Duration;
+
 use cleat_entry::{ClaimError, Control};
 use cleat_operate::ControlError;
 use cleat_world::{Answer, ClaimKey, CommandBody, KeyAnswer, SettleKey};
+use tokio::time::timeout;
 
 use crate::node::Node;
 
+/// How long a look-up may take to have what the leader has.
+const LOOK_UP_LIMIT: Duration = Duration::from_millis(500);
+
 impl Control for Node {
     fn in_service(&self) -> bool {
         Node::in_service(self)
@@ -18,6 +24,14 @@
     async fn settle(&self, settle: SettleKey) -> Result<KeyAnswer, ClaimError> {
         self.key_command(CommandBody::SettleKey(settle)).await
     }
+
+    async fn look_up(&self, key: &str, digest: u64) -> Result<Option<KeyAnswer>, ClaimError> {
+        let caught_up = timeout(LOOK_UP_LIMIT, self.catch_up_with_leader()).await;
+        match caught_up {
+            Ok(Ok(())) => Ok(self.world.read(|world| world.keys().look_up(key, digest))),
+            Ok(Err(_)) | Err(_) => Err(ClaimError::OutcomeUnknown),
+        }
+    }
 }
 
 impl Node {
