Hold one place for each instance and budgets through moves and waves

Cause: the configuration alone said which pool an instance is in, so nothing could move it in steps, and no budget was held anywhere. Ruled out: a second memory of command ids beside the configuration's (one for all commands now); starting every declared move at once (it would break the source's budget: such moves wait as ordered); counting an instance that has never served as away (adding capacity would break a promise: it is joining). Change: places with an epoch that fences, waves with fenced steps; apply itself refuses a step, a move or a configuration that would break a budget that holds. Targets on leaving or rebooting instances are refused. Conclusion: one pool each and the budget hold whoever proposes what.

--- a/crates/cleat-node/src/propose.rs
+++ b/crates/cleat-node/src/propose.rs
@@ -176,8 +176,15 @@
 /// Whether the command has the same effect when it is applied twice.
 fn is_repeatable(body: &CommandBody) -> bool {
     match body {
-        CommandBody::ApplyConfig(change) => change.command_id.is_some(),
+        CommandBody::ApplyConfig(_)
+        | CommandBody::MoveInstance(_)
+        | CommandBody::StartWave(_)
+        | CommandBody::PauseWave(_)
+        | CommandBody::ResumeWave(_) => body.command_id().is_some(),
         CommandBody::Announce(_) | CommandBody::SettleKey(_) | CommandBody::BeginLife(_) => true,
-        CommandBody::Withdraw(_) | CommandBody::ClaimKey(_) => false,
+        CommandBody::Withdraw(_)
+        | CommandBody::ClaimKey(_)
+        | CommandBody::AdvanceMove(_)
+        | CommandBody::StepInstance(_) => false,
     }
 }
--- a/crates/cleat-operate/src/http/problem.rs
+++ b/crates/cleat-operate/src/http/problem.rs
@@ -25,6 +25,16 @@
     NoQuorum,
     OutcomeUnknown,
     CommandTooLarge,
+    InstanceAway,
+    UnknownInstance,
+    UnknownPool,
+    CommandIdTaken,
+    OverBudget,
+    MoveInProgress,
+    InMaintenance,
+    NoPlatform,
+    WaveInProgress,
+    NoWave,
 }
 
 impl ProblemKind {
@@ -40,19 +50,40 @@
             ProblemKind::NoQuorum => "no-quorum",
             ProblemKind::OutcomeUnknown => "outcome-unknown",
             ProblemKind::CommandTooLarge => "command-too-large",
+            ProblemKind::InstanceAway => "instance-away",
+            ProblemKind::UnknownInstance => "unknown-instance",
+            ProblemKind::UnknownPool => "unknown-pool",
+            ProblemKind::CommandIdTaken => "command-id-taken",
+            ProblemKind::OverBudget => "over-budget",
+            ProblemKind::MoveInProgress => "move-in-progress",
+            ProblemKind::InMaintenance => "in-maintenance",
+            ProblemKind::NoPlatform => "no-platform",
+            ProblemKind::WaveInProgress => "wave-in-progress",
+            ProblemKind::NoWave => "no-wave",
         }
     }
 
     fn status(self) -> StatusCode {
         match self {
-            ProblemKind::NotFound | ProblemKind::UnknownService => StatusCode::NOT_FOUND,
+            ProblemKind::NotFound
+            | ProblemKind::UnknownService
+            | ProblemKind::UnknownInstance
+            | ProblemKind::UnknownPool => StatusCode::NOT_FOUND,
             ProblemKind::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             ProblemKind::BadRequest => StatusCode::BAD_REQUEST,
             ProblemKind::BodyTooLarge | ProblemKind::CommandTooLarge => {
                 StatusCode::PAYLOAD_TOO_LARGE
             }
             ProblemKind::BadAnnouncement => StatusCode::UNPROCESSABLE_ENTITY,
-            ProblemKind::AddressTaken => StatusCode::CONFLICT,
+            ProblemKind::AddressTaken
+            | ProblemKind::InstanceAway
+            | ProblemKind::CommandIdTaken
+            | ProblemKind::OverBudget
+            | ProblemKind::MoveInProgress
+            | ProblemKind::InMaintenance
+            | ProblemKind::NoPlatform
+            | ProblemKind::WaveInProgress
+            | ProblemKind::NoWave => StatusCode::CONFLICT,
             ProblemKind::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
             ProblemKind::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -70,6 +101,16 @@
             ProblemKind::NoQuorum => "No quorum can be reached; nothing was changed",
             ProblemKind::OutcomeUnknown => "The outcome is unknown",
             ProblemKind::CommandTooLarge => "The change is too large",
+            ProblemKind::InstanceAway => "The instance takes no targets now",
+            ProblemKind::UnknownInstance => "There is no such instance",
+            ProblemKind::UnknownPool => "There is no such pool",
+            ProblemKind::CommandIdTaken => "The command id belongs to another kind of command",
+            ProblemKind::OverBudget => "The availability budget of the pool has no room",
+            ProblemKind::MoveInProgress => "The instance is on its way to another pool",
+            ProblemKind::InMaintenance => "A maintenance wave has the instance",
+            ProblemKind::NoPlatform => "The configuration names no platform",
+            ProblemKind::WaveInProgress => "A maintenance wave of the pool is under way",
+            ProblemKind::NoWave => "No maintenance wave of the pool is under way",
         }
     }
 }
--- /dev/null
+++ b/crates/cleat-operate/src/operators/command_id.rs
@@ -0,0 +1,29 @@
+//! The identity of commands that may be sent again.
+
+use cleat_json::{FaultKind, Faults, Object};
+
+use crate::http::{Answer, Problem, ProblemKind};
+
+/// The longest command id, in bytes.
+const MAX_COMMAND_ID_BYTES: usize = 128;
+
+/// The member `command_id`, if it is there.
+pub(super) fn read_command_id(root: &Object<'_>, faults: &mut Faults) -> Option<Box<str>> {
+    let node = root.get("command_id")?;
+    let text = node.text(faults)?;
+    if text.len() > MAX_COMMAND_ID_BYTES {
+        let kind = FaultKind::BadText {
+            expected: format!("at most {MAX_COMMAND_ID_BYTES} bytes long").into(),
+            found: text.clone(),
+        };
+        faults.add(&node.path, kind);
+    }
+    Some(text)
+}
+
+/// The id was first used with another kind of command, whose answer says
+/// nothing about this one. Nothing was changed.
+pub(super) fn command_id_taken() -> Answer {
+    let detail = "$.command_id was used with another kind of command; choose a new one";
+    Problem::new(ProblemKind::CommandIdTaken, detail).into_answer()
+}
--- a/crates/cleat-operate/src/operators/config.rs
+++ b/crates/cleat-operate/src/operators/config.rs
@@ -11,12 +11,10 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 
+use super::command_id::{command_id_taken, read_command_id};
 use crate::http::{Answer, from_control, json as json_answer, read_json};
 use crate::{ControlError, ControlPlane};
 
-/// The longest command id, in bytes.
-const MAX_COMMAND_ID_BYTES: usize = 128;
-
 #[derive(Serialize)]
 struct FaultBody<'a> {
     path: &'a str,
@@ -57,7 +55,7 @@
 async fn apply<C: ControlPlane>(control: &C, change: ApplyConfig) -> Result<Answer, ControlError> {
     let proposed = control.propose(CommandBody::ApplyConfig(change)).await?;
     let CommandAnswer::Config(answer) = proposed.answer else {
-        return Err(ControlError::OutcomeUnknown);
+        return Ok(command_id_taken());
     };
     match answer {
         ConfigAnswer::Accepted { version } => {
@@ -74,6 +72,9 @@
             Ok(json_answer(StatusCode::CONFLICT, &body))
         }
         ConfigAnswer::Invalid { faults } => Ok(invalid(&faults)),
+        ConfigAnswer::OverBudget { pool, away, budget } => {
+            Ok(invalid(&[over_budget(&pool, away, budget)]))
+        }
     }
 }
 
@@ -119,18 +120,7 @@
     root.only(&["expect", "command_id", "config"], faults);
     let expect = root.require("expect", faults);
     let expect = expect.and_then(|node| node.number(0..=u64::MAX, faults));
-    let command_id = root.get("command_id");
-    let command_id = command_id.and_then(|node| {
-        let text = node.text(faults)?;
-        if text.len() > MAX_COMMAND_ID_BYTES {
-            let kind = cleat_json::FaultKind::BadText {
-                expected: format!("at most {MAX_COMMAND_ID_BYTES} bytes long").into(),
-                found: text.clone(),
-            };
-            faults.add(&node.path, kind);
-        }
-        Some(text)
-    });
+    let command_id = read_command_id(&root, faults);
     let config = root.require("config", faults)?.value;
     Some(Envelope {
         expect: expect?,
@@ -139,6 +129,22 @@
     })
 }
 
+/// The configuration would break the budget of `pool` now.
+fn over_budget(pool: &str, away: u64, budget: u64) -> Fault {
+    let path = cleat_json::Path::root().key("pools").key(pool);
+    Fault {
+        path: path.key("availability_budget").as_str().into(),
+        kind: cleat_json::FaultKind::Conflict {
+            with: path.key("instances").as_str().into(),
+            rule: format!(
+                "{away} instances of the pool would be away now and {budget} may be; \
+                 apply it once they are back, or allow more"
+            )
+            .into(),
+        },
+    }
+}
+
 fn invalid(faults: &[Fault]) -> Answer {
     let faults: Vec<_> = faults.iter().map(fault_body).collect();
     json_answer(StatusCode::UNPROCESSABLE_ENTITY, &json!({"faults": faults}))
--- a/crates/cleat-operate/src/operators/mod.rs
+++ b/crates/cleat-operate/src/operators/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' interface.
 
+mod command_id;
 mod config;
 mod lists;
 mod status;
--- a/crates/cleat-operate/src/targets/mod.rs
+++ b/crates/cleat-operate/src/targets/mod.rs
@@ -142,6 +142,10 @@
         TargetAnswer::WrongDataCentre { data_centre } => bad(format!(
             "$.data_centre must be {data_centre:?}, where the instance is configured"
         )),
+        TargetAnswer::InstanceAway => Err(Problem::new(
+            ProblemKind::InstanceAway,
+            "$.instance moves to another pool or reboots; announce again later",
+        )),
         TargetAnswer::AddressTaken { by } => Err(Problem::new(
             ProblemKind::AddressTaken,
             format!("$.address is that of target {by:?}"),
--- a/crates/cleat-world/src/command.rs
+++ b/crates/cleat-world/src/command.rs
@@ -4,7 +4,10 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use crate::StoredAnswer;
+use crate::{
+    AdvanceMove, MoveAnswer, MoveInstance, PauseWave, ResumeWave, StartWave, StepInstance,
+    StoredAnswer, WaveAnswer,
+};
 
 /// One entry of the replicated log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -31,6 +34,38 @@
     SettleKey(SettleKey),
     /// One of the system's own instances starts a new life.
     BeginLife(BeginLife),
+    /// Move an instance to another pool.
+    MoveInstance(MoveInstance),
+    /// Take a move one phase on.
+    AdvanceMove(AdvanceMove),
+    /// Start a maintenance wave.
+    StartWave(StartWave),
+    /// Pause a maintenance wave.
+    PauseWave(PauseWave),
+    /// Resume a maintenance wave.
+    ResumeWave(ResumeWave),
+    /// Take an instance one step on in a wave.
+    StepInstance(StepInstance),
+}
+
+impl CommandBody {
+    /// The identity of the command when it is sent again, if it has one.
+    pub fn command_id(&self) -> Option<&str> {
+        match self {
+            CommandBody::ApplyConfig(change) => change.command_id.as_deref(),
+            CommandBody::MoveInstance(change) => change.command_id.as_deref(),
+            CommandBody::StartWave(change) => change.command_id.as_deref(),
+            CommandBody::PauseWave(change) => change.command_id.as_deref(),
+            CommandBody::ResumeWave(change) => change.command_id.as_deref(),
+            CommandBody::Announce(_)
+            | CommandBody::Withdraw(_)
+            | CommandBody::ClaimKey(_)
+            | CommandBody::SettleKey(_)
+            | CommandBody::BeginLife(_)
+            | CommandBody::AdvanceMove(_)
+            | CommandBody::StepInstance(_) => None,
+        }
+    }
 }
 
 /// A proposal of a configuration.
@@ -155,6 +190,10 @@
     Target(TargetAnswer),
     /// To [`ClaimKey`] and [`SettleKey`].
     Key(KeyAnswer),
+    /// To [`MoveInstance`] and [`AdvanceMove`].
+    Move(MoveAnswer),
+    /// To the commands about waves.
+    Wave(WaveAnswer),
     /// To a command that always succeeds.
     Done,
     /// The entry could not be read; it changed nothing on any instance.
@@ -181,6 +220,15 @@
         /// Every fault found.
         faults: Box<[Fault]>,
     },
+    /// A pool keeps its budget now and would not keep it afterwards.
+    OverBudget {
+        /// The pool.
+        pool: Box<str>,
+        /// How many of its instances are away.
+        away: u64,
+        /// How many could be.
+        budget: u64,
+    },
 }
 
 /// What an announcement or withdrawal came to.
@@ -209,6 +257,8 @@
         /// The data centre of the instance.
         data_centre: Box<str>,
     },
+    /// The instance moves to another pool or reboots; announce again later.
+    InstanceAway,
     /// Another target has the address.
     AddressTaken {
         /// The target that has it.
--- a/crates/cleat-world/src/fleet/defaults.rs
+++ b/crates/cleat-world/src/fleet/defaults.rs
@@ -20,3 +20,6 @@
 pub(super) const KEY_KEEP_S: u64 = 600;
 pub(super) const KEY_MOST: u64 = 20_000;
 pub(super) const KEY_ANSWER_BYTES: u64 = 16 << 10;
+pub(super) const PROBATION_S: u64 = 60;
+pub(super) const DRAIN_S: u64 = 120;
+pub(super) const REBOOT_S: u64 = 900;
--- a/crates/cleat-world/src/fleet/mod.rs
+++ b/crates/cleat-world/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The fleet configuration: what operators write, checked and typed.
 
 mod defaults;
+mod maintenance;
 mod merge;
 mod parse;
 mod types;
@@ -8,5 +9,6 @@
 pub use defaults::default_text;
 pub use merge::{diff, merge};
 pub use types::{
-    CallerTerms, DataCentre, FleetConfig, Instance, KeyTerms, Pool, Queue, Quota, Retry, Service,
+    CallerTerms, DataCentre, FleetConfig, Instance, KeyTerms, MaintenanceTerms, Pool, Queue, Quota,
+    Retry, Service,
 };
--- a/crates/cleat-world/src/fleet/parse.rs
+++ b/crates/cleat-world/src/fleet/parse.rs
@@ -4,10 +4,10 @@
 use indexmap::IndexMap;
 use serde_json::Value;
 
-use super::defaults;
 use super::types::{
     CallerTerms, DataCentre, FleetConfig, Instance, KeyTerms, Pool, Queue, Quota, Retry, Service,
 };
+use super::{defaults, maintenance};
 use crate::{Arena, InstanceId, PoolId};
 
 const MAX_COUNT: u64 = 1_000_000;
@@ -31,7 +31,14 @@
     let Some(root) = Node::root(value).object(faults) else {
         return config;
     };
-    let keys = ["data_centres", "pools", "services", "targets", "keys"];
+    let keys = [
+        "data_centres",
+        "pools",
+        "services",
+        "targets",
+        "keys",
+        "platform",
+    ];
     root.only(&keys, faults);
     for key in ["data_centres", "pools", "services"] {
         root.require(key, faults);
@@ -41,6 +48,7 @@
     read_services(&root, &mut config, faults);
     config.target_lease_ms = read_target_lease(&root, faults);
     config.keys = read_key_terms(&root, faults);
+    config.platform = maintenance::read_platform(&root, faults);
     config
 }
 
@@ -56,10 +64,12 @@
 fn read_pools(root: &Object<'_>, config: &mut FleetConfig, faults: &mut Faults) {
     let mut seen = IndexMap::new();
     for (name, object) in root.objects("pools", faults) {
-        object.only(&["instances", "availability_budget"], faults);
+        object.only(&["instances", "availability_budget", "maintenance"], faults);
+        let terms = maintenance::read_terms(&object, faults);
         let pool = Pool {
             availability_budget: 0,
             instances: Vec::new(),
+            maintenance: terms,
         };
         let Ok(pool_id) = config.pools.add(name, pool) else {
             continue;
@@ -70,6 +80,7 @@
         let pool = Pool {
             availability_budget,
             instances,
+            maintenance: terms,
         };
         config.pools.replace(pool_id, pool);
     }
@@ -240,7 +251,7 @@
 }
 
 /// The member object `key`, if it is there, with unknown keys reported.
-fn child<'a>(
+pub(super) fn child<'a>(
     key: &str,
     keys: &[&str],
     parent: &Object<'a>,
--- a/crates/cleat-world/src/fleet/types.rs
+++ b/crates/cleat-world/src/fleet/types.rs
@@ -1,5 +1,7 @@
 //! The typed configuration.
 
+use std::net::SocketAddr;
+
 use indexmap::IndexMap;
 
 use super::defaults;
@@ -22,6 +24,8 @@
     pub target_lease_ms: u64,
     /// What is kept of idempotency keys.
     pub keys: KeyTerms,
+    /// Where the platform that drains and reboots instances listens.
+    pub platform: Option<SocketAddr>,
 }
 
 /// A data centre, a failure domain.
@@ -39,6 +43,30 @@
     pub availability_budget: u64,
     /// Its instances as configured.
     pub instances: Vec<InstanceId>,
+    /// How its instances are maintained.
+    pub maintenance: MaintenanceTerms,
+}
+
+/// How the instances of a pool are maintained. Times in seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MaintenanceTerms {
+    /// How long an instance has to serve after its reboot before it counts
+    /// as available.
+    pub probation_s: u64,
+    /// After this long, an instance that is not drained has failed.
+    pub drain_s: u64,
+    /// After this long, an instance that is not back has failed.
+    pub reboot_s: u64,
+}
+
+impl Default for MaintenanceTerms {
+    fn default() -> Self {
+        MaintenanceTerms {
+            probation_s: defaults::PROBATION_S,
+            drain_s: defaults::DRAIN_S,
+            reboot_s: defaults::REBOOT_S,
+        }
+    }
 }
 
 /// A machine that runs targets.
--- a/crates/cleat-world/src/lib.rs
+++ b/crates/cleat-world/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod ids;
 mod keys;
+mod maintenance;
 mod state;
 
 pub use arena::{Arena, Key};
@@ -19,9 +20,13 @@
     WithdrawCause,
 };
 pub use fleet::{
-    CallerTerms, DataCentre, FleetConfig, Instance, KeyTerms, Pool, Queue, Quota, Retry, Service,
-    default_text, diff, merge,
+    CallerTerms, DataCentre, FleetConfig, Instance, KeyTerms, MaintenanceTerms, Pool, Queue, Quota,
+    Retry, Service, default_text, diff, merge,
 };
 pub use ids::{DataCentreId, InstanceId, PoolId, ServiceId};
 pub use keys::{Claim, ClaimState, KeyTable, Settlement, StoredAnswer};
-pub use state::{ConfigRecord, RestoreError, Target, World};
+pub use maintenance::{
+    AdvanceMove, MoveAnswer, MoveInstance, PauseWave, Phase, Place, ResumeWave, StartWave, Step,
+    StepInstance, StepState, Wave, WaveAnswer,
+};
+pub use state::{Availability, ConfigRecord, RestoreError, Target, World};
--- a/crates/cleat-world/src/state/apply.rs
+++ b/crates/cleat-world/src/state/apply.rs
@@ -2,39 +2,123 @@
 
 use super::World;
 use super::config::Moment;
-use crate::{Answer, ApplyConfig, BeginLife, Command, CommandBody, ConfigAnswer};
+use super::targets::Places;
+use crate::{
+    Announce, Answer, ApplyConfig, Availability, BeginLife, Command, CommandBody, ConfigAnswer,
+    FleetConfig, Phase, TargetAnswer,
+};
 
 impl World {
-    /// Applies the command at log index `index` and gives its answer.
+    /// Applies the command at log index `index` and gives its answer. A
+    /// command id that was used before gets its first answer again.
     pub fn apply(&mut self, index: u64, command: Command) -> Answer {
         self.now_ms = self.now_ms.max(command.at_ms);
-        match command.body {
-            CommandBody::ApplyConfig(change) => Answer::Config(self.apply_config(change, index)),
-            CommandBody::Announce(announce) => {
-                self.generation += 1;
-                let fleet = &self.config.fleet;
-                Answer::Target(self.targets.announce(announce, fleet, index))
-            }
-            CommandBody::Withdraw(withdraw) => {
-                self.generation += 1;
-                Answer::Target(self.targets.withdraw(&withdraw))
-            }
+        let Some(id) = command.body.command_id().map(Box::from) else {
+            return self.change(index, command.body);
+        };
+        if let Some(first) = self.memory.recall(&id, self.now_ms) {
+            return first;
+        }
+        let answer = self.change(index, command.body);
+        self.memory.keep(id, answer.clone(), self.now_ms);
+        answer
+    }
+
+    fn change(&mut self, index: u64, body: CommandBody) -> Answer {
+        match body {
             CommandBody::ClaimKey(claim) => {
                 let terms = self.config.fleet.keys;
-                Answer::Key(self.keys.claim(claim, terms, self.now_ms))
+                return Answer::Key(self.keys.claim(claim, terms, self.now_ms));
+            }
+            CommandBody::SettleKey(settle) => return Answer::Key(self.keys.settle(settle)),
+            CommandBody::BeginLife(begin) => return self.begin_life(begin),
+            _ => {}
+        }
+        // All that follows may concern the request path.
+        self.generation += 1;
+        match body {
+            CommandBody::ApplyConfig(change) => Answer::Config(self.apply_config(change, index)),
+            CommandBody::Announce(announce) => Answer::Target(self.announce(announce, index)),
+            CommandBody::Withdraw(withdraw) => Answer::Target(self.targets.withdraw(&withdraw)),
+            CommandBody::MoveInstance(change) => Answer::Move(self.move_instance(&change, index)),
+            CommandBody::AdvanceMove(change) => Answer::Move(self.advance_move(&change, index)),
+            CommandBody::StartWave(change) => Answer::Wave(self.start_wave(&change, index)),
+            CommandBody::PauseWave(change) => Answer::Wave(self.pause_wave(&change.pool, true)),
+            CommandBody::ResumeWave(change) => Answer::Wave(self.pause_wave(&change.pool, false)),
+            CommandBody::StepInstance(change) => Answer::Wave(self.step_instance(&change, index)),
+            CommandBody::ClaimKey(_) | CommandBody::SettleKey(_) | CommandBody::BeginLife(_) => {
+                Answer::Done
             }
-            CommandBody::SettleKey(settle) => Answer::Key(self.keys.settle(settle)),
-            CommandBody::BeginLife(begin) => self.begin_life(begin),
         }
     }
 
     fn apply_config(&mut self, change: ApplyConfig, index: u64) -> ConfigAnswer {
-        let before = self.config.version;
+        let proposal = match self.config.check(&change) {
+            Ok(proposal) => proposal,
+            Err(refusal) => return refusal,
+        };
+        if let Err(refusal) = self.check_budgets(&proposal.fleet) {
+            return refusal;
+        }
         let ms = self.now_ms;
-        let answer = self.config.apply(change, Moment { index, ms });
-        if self.config.version != before {
-            self.generation += 1;
-            self.targets.keep_valid(&self.config.fleet);
+        let at = Moment { index, ms };
+        let answer = self.config.accept(proposal, change.command_id, at);
+        self.place_all(index);
+        let places = Places {
+            fleet: &self.config.fleet,
+            places: &self.places,
+            waves: &self.waves,
+        };
+        self.targets.keep_valid(&places);
+        answer
+    }
+
+    /// Refuses a budget that holds now and would not hold afterwards. Moves
+    /// that the configuration declares wait for room, so they break none.
+    fn check_budgets(&self, fleet: &FleetConfig) -> Result<(), ConfigAnswer> {
+        for (_, name, pool) in fleet.pools.iter() {
+            if !self.availability(name).is_some_and(Availability::holds) {
+                continue;
+            }
+            let budget = pool.availability_budget;
+            let away = self.away_under(fleet, name);
+            if away > budget {
+                let pool = name.into();
+                return Err(ConfigAnswer::OverBudget { pool, away, budget });
+            }
+        }
+        Ok(())
+    }
+
+    /// How many of the pool's present instances would be away under `fleet`.
+    /// One that is removed, or whose services are, is no longer promised.
+    fn away_under(&self, fleet: &FleetConfig, pool: &str) -> u64 {
+        let places = Places {
+            fleet,
+            places: &self.places,
+            waves: &self.waves,
+        };
+        let stays = |instance: &str| fleet.instances.find(instance).is_some();
+        let present = self.places_in(pool).map(|(instance, _)| instance);
+        let away = present.filter(|instance| {
+            stays(instance) && (self.is_away(instance) || self.targets.displaces(instance, &places))
+        });
+        away.count() as u64
+    }
+
+    fn announce(&mut self, announce: Announce, index: u64) -> TargetAnswer {
+        let instance = announce.announcement.instance.clone();
+        let places = Places {
+            fleet: &self.config.fleet,
+            places: &self.places,
+            waves: &self.waves,
+        };
+        let answer = self.targets.announce(announce, &places, index);
+        if let TargetAnswer::Announced { .. } = answer
+            && let Some(place) = self.places.get_mut(&instance)
+            && place.phase == Phase::Joining
+        {
+            place.enter(Phase::Member, index);
         }
         answer
     }
--- /dev/null
+++ b/crates/cleat-world/src/state/budget.rs
@@ -0,0 +1,94 @@
+//! How many instances of a pool are away, and how many may be.
+
+use super::World;
+use crate::{Phase, Place, Step};
+
+/// What a pool has and may lack.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Availability {
+    /// Its instances, on the move out of it or not.
+    pub instances: u64,
+    /// How many of them are away, for whatever cause.
+    pub away: u64,
+    /// How many have joined and not served yet; they do not count as away.
+    pub joining: u64,
+    /// How many may be away at once.
+    pub budget: u64,
+}
+
+impl Availability {
+    /// Whether no more instances are away than the budget allows.
+    pub fn holds(self) -> bool {
+        self.away <= self.budget
+    }
+
+    /// Whether one more instance may be away.
+    pub fn has_room(self) -> bool {
+        self.away < self.budget
+    }
+}
+
+impl World {
+    /// What the pool has and may lack; `None` for an unknown pool.
+    pub fn availability(&self, pool: &str) -> Option<Availability> {
+        let budget = self.config.fleet.pools.by_name(pool)?.availability_budget;
+        let mut found = Availability {
+            instances: 0,
+            away: 0,
+            joining: 0,
+            budget,
+        };
+        for (instance, place) in self.places_in(pool) {
+            found.instances += 1;
+            found.joining += u64::from(self.is_joining(instance, place));
+            found.away += u64::from(self.is_away(instance));
+        }
+        Some(found)
+    }
+
+    /// The instances of the pool with their places.
+    pub fn places_in<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = (&'a str, &'a Place)> {
+        let places = self.places.iter();
+        let here = places.filter(move |(_, place)| &*place.pool == pool);
+        here.map(|(instance, place)| (&**instance, place))
+    }
+
+    /// Whether the instance counts against the budget of its pool.
+    pub fn is_away(&self, instance: &str) -> bool {
+        let Some(place) = self.places.get(instance) else {
+            return false;
+        };
+        if self.step_of(instance, place).is_some_and(Step::is_away) {
+            return true;
+        }
+        match place.phase {
+            Phase::Joining => false,
+            Phase::Member | Phase::Ordered { .. } => !self.has_target(instance),
+            Phase::Leaving { .. } | Phase::Drained { .. } => true,
+        }
+    }
+
+    /// Whether a target on the instance is announced.
+    pub fn has_target(&self, instance: &str) -> bool {
+        let mut targets = self.targets.by_name.values();
+        targets.any(|target| &*target.announcement.instance == instance)
+    }
+
+    /// The step of an instance in the wave of its pool.
+    pub(super) fn step_of(&self, instance: &str, place: &Place) -> Option<Step> {
+        self.waves.get(&place.pool)?.step(instance)
+    }
+
+    fn is_joining(&self, instance: &str, place: &Place) -> bool {
+        place.phase == Phase::Joining && !self.is_away(instance)
+    }
+
+    /// Whether the pool may do without the instance too: it is away already,
+    /// or the budget has room for one more.
+    pub(super) fn may_spare(&self, instance: &str, pool: &str) -> Result<(), Availability> {
+        match self.availability(pool) {
+            Some(found) if !self.is_away(instance) && !found.has_room() => Err(found),
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/cleat-world/src/state/config.rs
+++ b/crates/cleat-world/src/state/config.rs
@@ -1,9 +1,8 @@
-//! The configuration in force, its history, and command ids.
+//! The configuration in force and its history.
 
 use std::sync::Arc;
 
 use cleat_json::Fault;
-use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use serde_json::Value;
@@ -12,12 +11,6 @@
 
 /// How many versions `history` goes back.
 const HISTORY_LENGTH: usize = 64;
-/// How many command ids are remembered with their answers: more than a day's
-/// changes at the size planned for.
-const COMMAND_IDS: usize = 4_096;
-/// How long a command id is remembered, in milliseconds: a week.
-const COMMAND_ID_AGE_MS: u64 = 7 * 24 * 60 * 60 * 1_000;
-
 /// One accepted version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigRecord {
@@ -42,11 +35,10 @@
     pub(super) ms: u64,
 }
 
-/// An answer remembered for a command that is sent again.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct Remembered {
-    at_ms: u64,
-    answer: ConfigAnswer,
+/// A configuration that was read and found valid.
+pub(super) struct Proposal {
+    pub(super) text: Box<str>,
+    pub(super) fleet: FleetConfig,
 }
 
 /// The part of the state that concerns the configuration.
@@ -59,33 +51,12 @@
     pub(super) text: Box<str>,
     /// The newest last, at most [`HISTORY_LENGTH`].
     pub(super) history: Vec<ConfigRecord>,
-    /// In the order of arrival, bounded by age and count.
-    remembered: IndexMap<Box<str>, Remembered>,
     /// `text` as read; derived, so it is not in snapshots.
     #[serde(skip)]
     pub(super) fleet: Arc<FleetConfig>,
 }
 
 impl ConfigState {
-    pub(super) fn apply(&mut self, change: ApplyConfig, at: Moment) -> ConfigAnswer {
-        self.forget_old(at.ms);
-        let first = change
-            .command_id
-            .as_ref()
-            .and_then(|id| self.remembered.get(id));
-        if let Some(first) = first {
-            return first.answer.clone();
-        }
-        let id = change.command_id.clone();
-        let answer = self.decide(change, at);
-        if let Some(id) = id {
-            let answer = answer.clone();
-            let at_ms = at.ms;
-            self.remembered.insert(id, Remembered { at_ms, answer });
-        }
-        answer
-    }
-
     /// Reads `text` again after a snapshot was restored.
     pub(super) fn reread(&mut self) -> Result<(), Box<[Fault]>> {
         if self.version > 0 {
@@ -94,39 +65,44 @@
         Ok(())
     }
 
-    fn decide(&mut self, change: ApplyConfig, at: Moment) -> ConfigAnswer {
+    /// Reads a proposal without changing anything.
+    ///
+    /// # Errors
+    /// The answer that refuses it.
+    pub(super) fn check(&self, change: &ApplyConfig) -> Result<Proposal, ConfigAnswer> {
         if change.expect != self.version {
             let last = self.history.last();
-            return ConfigAnswer::Refused {
+            return Err(ConfigAnswer::Refused {
                 winner: self.version,
                 winner_command_id: last.and_then(|record| record.command_id.clone()),
-            };
+            });
         }
-        let text = self.resulting_text(change.config);
+        let text = self.resulting_text(&change.config);
         match read(&text) {
-            Ok(fleet) => self.accept(text, change.command_id, fleet, at),
-            Err(faults) => ConfigAnswer::Invalid { faults },
+            Ok(fleet) => Ok(Proposal { text, fleet }),
+            Err(faults) => Err(ConfigAnswer::Invalid { faults }),
         }
     }
 
     /// A patch is relative to the version in force, which is the expected one.
-    fn resulting_text(&self, proposed: ProposedConfig) -> Box<str> {
+    fn resulting_text(&self, proposed: &ProposedConfig) -> Box<str> {
         match proposed {
-            ProposedConfig::Whole(text) => text,
+            ProposedConfig::Whole(text) => text.clone(),
             ProposedConfig::Patch(patch) => {
-                let made = merge(value_of(&self.text), &value_of(&patch));
+                let made = merge(value_of(&self.text), &value_of(patch));
                 made.to_string().into()
             }
         }
     }
 
-    fn accept(
+    /// Brings a checked proposal into force.
+    pub(super) fn accept(
         &mut self,
-        text: Box<str>,
+        proposal: Proposal,
         command_id: Option<Box<str>>,
-        fleet: FleetConfig,
         at: Moment,
     ) -> ConfigAnswer {
+        let Proposal { text, fleet } = proposal;
         self.version += 1;
         self.fleet = Arc::new(fleet);
         self.history.push(ConfigRecord {
@@ -144,14 +120,6 @@
             version: self.version,
         }
     }
-
-    fn forget_old(&mut self, at_ms: u64) {
-        let values = self.remembered.values();
-        let old = values.take_while(|r| r.at_ms + COMMAND_ID_AGE_MS <= at_ms);
-        let too_old = old.count();
-        let too_many = self.remembered.len().saturating_sub(COMMAND_IDS - 1);
-        self.remembered.drain(..too_old.max(too_many));
-    }
 }
 
 fn read(text: &str) -> Result<FleetConfig, Box<[Fault]>> {
--- a/crates/cleat-world/src/state/mod.rs
+++ b/crates/cleat-world/src/state/mod.rs
@@ -1,10 +1,15 @@
 //! The replicated state and how commands change it.
 
 mod apply;
+mod budget;
 mod config;
+mod memory;
+mod places;
 mod targets;
+mod waves;
 mod world;
 
+pub use budget::Availability;
 pub use config::ConfigRecord;
 pub use targets::Target;
 pub use world::{RestoreError, World};
--- a/crates/cleat-world/src/state/targets.rs
+++ b/crates/cleat-world/src/state/targets.rs
@@ -3,7 +3,9 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{Announce, Announcement, FleetConfig, TargetAnswer, Withdraw, WithdrawCause};
+use crate::{
+    Announce, Announcement, FleetConfig, Place, Step, TargetAnswer, Wave, Withdraw, WithdrawCause,
+};
 
 /// A target that takes requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,10 +26,10 @@
     pub(super) fn announce(
         &mut self,
         announce: Announce,
-        fleet: &FleetConfig,
+        places: &Places<'_>,
         index: u64,
     ) -> TargetAnswer {
-        if let Err(refusal) = self.check(&announce, fleet) {
+        if let Err(refusal) = self.check(&announce, places) {
             return refusal;
         }
         let known = self.by_name.get(&announce.name);
@@ -40,7 +42,7 @@
         self.by_name.insert(announce.name, target);
         TargetAnswer::Announced {
             incarnation,
-            lease_ms: fleet.target_lease_ms,
+            lease_ms: places.fleet.target_lease_ms,
         }
     }
 
@@ -57,13 +59,28 @@
     }
 
     /// Drops what a new configuration no longer has a place for.
-    pub(super) fn keep_valid(&mut self, fleet: &FleetConfig) {
-        let valid = |target: &Target| check_place(&target.announcement, fleet).is_ok();
+    pub(super) fn keep_valid(&mut self, places: &Places<'_>) {
+        let valid = |target: &Target| places.check(&target.announcement).is_ok();
         self.by_name.retain(|_, target| valid(target));
     }
 
-    fn check(&self, announce: &Announce, fleet: &FleetConfig) -> Result<(), TargetAnswer> {
-        check_place(&announce.announcement, fleet)?;
+    /// Whether targets run on the instance and none of them could stay.
+    pub(super) fn displaces(&self, instance: &str, places: &Places<'_>) -> bool {
+        let targets = self.by_name.values();
+        let mut here = targets
+            .filter(|target| &*target.announcement.instance == instance)
+            .peekable();
+        here.peek().is_some() && here.all(|target| places.refuses(&target.announcement))
+    }
+
+    /// Drops what runs on an instance that leaves or reboots.
+    pub(super) fn drop_instance(&mut self, instance: &str) {
+        let elsewhere = |target: &Target| &*target.announcement.instance != instance;
+        self.by_name.retain(|_, target| elsewhere(target));
+    }
+
+    fn check(&self, announce: &Announce, places: &Places<'_>) -> Result<(), TargetAnswer> {
+        places.check(&announce.announcement)?;
         let address = announce.announcement.address;
         let mut others = self
             .by_name
@@ -76,20 +93,48 @@
     }
 }
 
-/// Whether the configuration has a place for the target.
-fn check_place(announcement: &Announcement, fleet: &FleetConfig) -> Result<(), TargetAnswer> {
-    let service = fleet.services.by_name(&announcement.service);
-    let service = service.ok_or(TargetAnswer::UnknownService)?;
-    let instance = fleet.instances.by_name(&announcement.instance);
-    let instance = instance.ok_or(TargetAnswer::UnknownInstance)?;
-    if instance.pool != service.pool {
-        let pool = fleet.pools.name(instance.pool).into();
-        return Err(TargetAnswer::WrongPool { pool });
+/// Where a target may run.
+pub(super) struct Places<'a> {
+    pub(super) fleet: &'a FleetConfig,
+    pub(super) places: &'a IndexMap<Box<str>, Place>,
+    pub(super) waves: &'a IndexMap<Box<str>, Wave>,
+}
+
+impl Places<'_> {
+    /// Whether there is a place for the target: it is the pool that the
+    /// instance is in now which counts, not the configured one.
+    fn check(&self, announcement: &Announcement) -> Result<(), TargetAnswer> {
+        let fleet = self.fleet;
+        let service = fleet.services.by_name(&announcement.service);
+        let service = service.ok_or(TargetAnswer::UnknownService)?;
+        let instance = fleet.instances.by_name(&announcement.instance);
+        let place = self.places.get(&announcement.instance);
+        let (Some(instance), Some(place)) = (instance, place) else {
+            return Err(TargetAnswer::UnknownInstance);
+        };
+        if &*place.pool != fleet.pools.name(service.pool) {
+            let pool = place.pool.clone();
+            return Err(TargetAnswer::WrongPool { pool });
+        }
+        let data_centre = fleet.data_centres.name(instance.data_centre);
+        if data_centre != &*announcement.data_centre {
+            let data_centre = data_centre.into();
+            return Err(TargetAnswer::WrongDataCentre { data_centre });
+        }
+        if !place.phase.takes_targets() || self.reboots(&announcement.instance, &place.pool) {
+            return Err(TargetAnswer::InstanceAway);
+        }
+        Ok(())
     }
-    let data_centre = fleet.data_centres.name(instance.data_centre);
-    if data_centre != &*announcement.data_centre {
-        let data_centre = data_centre.into();
-        return Err(TargetAnswer::WrongDataCentre { data_centre });
+
+    /// Whether the place is wrong, not the service gone.
+    fn refuses(&self, announcement: &Announcement) -> bool {
+        let checked = self.check(announcement);
+        matches!(checked, Err(refusal) if refusal != TargetAnswer::UnknownService)
+    }
+
+    fn reboots(&self, instance: &str, pool: &str) -> bool {
+        let wave = self.waves.get(pool);
+        wave.and_then(|wave| wave.step(instance)) == Some(Step::Rebooting)
     }
-    Ok(())
 }
--- a/crates/cleat-world/src/state/world.rs
+++ b/crates/cleat-world/src/state/world.rs
@@ -8,22 +8,30 @@
 use snafu::{ResultExt, Snafu};
 
 use super::config::{ConfigRecord, ConfigState};
+use super::memory::Memory;
 use super::targets::{Target, Targets};
 use crate::command::to_bytes;
-use crate::{FleetConfig, KeyTable};
+use crate::{FleetConfig, KeyTable, Place, Step, Wave};
 
 /// The state that every instance computes from the replicated log.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct World {
     /// The latest time any command carried (ms). Invariant: never runs back.
     pub(super) now_ms: u64,
-    /// Grows with each change of the configuration or the targets.
+    /// Grows with each change of the configuration, the targets, or the
+    /// places and maintenance of instances.
     pub(super) generation: u64,
     pub(super) config: ConfigState,
     pub(super) targets: Targets,
     pub(super) keys: KeyTable,
     /// The current life of each of the system's own instances.
     pub(super) lives: IndexMap<Box<str>, u64>,
+    /// The place of each configured instance. Invariant: one each.
+    pub(super) places: IndexMap<Box<str>, Place>,
+    /// The latest maintenance wave of each pool.
+    pub(super) waves: IndexMap<Box<str>, Wave>,
+    /// The answers of commands that may be sent again.
+    pub(super) memory: Memory,
 }
 
 /// A snapshot that could not be restored.
@@ -82,6 +90,29 @@
         &self.targets.by_name
     }
 
+    /// The targets that take requests: those on instances that do not drain
+    /// or reboot. Targets on instances that leave their pool are withdrawn.
+    pub fn serving_targets(&self) -> impl Iterator<Item = (&Box<str>, &Target)> {
+        let targets = self.targets.by_name.iter();
+        targets.filter(|(_, target)| !self.is_hidden(&target.announcement.instance))
+    }
+
+    /// The place of each configured instance.
+    pub fn places(&self) -> &IndexMap<Box<str>, Place> {
+        &self.places
+    }
+
+    /// The latest maintenance wave of each pool.
+    pub fn waves(&self) -> &IndexMap<Box<str>, Wave> {
+        &self.waves
+    }
+
+    fn is_hidden(&self, instance: &str) -> bool {
+        let place = self.places.get(instance);
+        let step = place.and_then(|place| self.step_of(instance, place));
+        step.is_some_and(Step::hides_targets)
+    }
+
     /// The claimed idempotency keys.
     pub fn keys(&self) -> &KeyTable {
         &self.keys
