Hold targets back that are far slower than most

Cause: the entry chose among targets without cleat-decide's bound on slowness, so a burst that made the quick targets look busy went to one ten times slower. Change: each look at the targets ends with eject_slow; its bound on ejection holds. Ruled out: to eject on a timer; the look goes over all targets anyway.

--- a/crates/cleat-entry/src/service/inner.rs
+++ b/crates/cleat-entry/src/service/inner.rs
@@ -6,7 +6,7 @@
 
 use cleat_decide::{
     Arrival, Arrived, Candidate, Gate, Refusal, RefusalReason, RetryBudget, Ticket, choose,
-    free_slots,
+    eject_slow, free_slots,
 };
 use cleat_world::Service;
 use rand::rngs::SmallRng;
@@ -141,6 +141,7 @@
         let candidates = self.targets.iter().map(|target| target.candidate(now));
         self.candidates.clear();
         self.candidates.extend(candidates);
+        eject_slow(&mut self.candidates);
     }
 
     /// Chooses a target and takes a slot of it. Call [`Inner::look`] before.
