Bound the bytes of kept answers

Ruled out: refusing keys at the bound (an answer that is not kept is honest: the request is told unknown and never runs again). Change: all kept answers together take at most 4 MiB; the oldest are given up. At the bound a settlement looks through the keys from the oldest: not measured. Conclusion: the state is bounded by count and bytes.

--- a/crates/cleat-world/src/keys/table.rs
+++ b/crates/cleat-world/src/keys/table.rs
@@ -5,6 +5,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Claim, ClaimState, Settlement};
+
+/// The most bytes that all kept answers take together. Above it the oldest
+/// are given up, so that a snapshot of the state stays small enough to send;
+/// their keys stay, and their requests never run again.
+const ANSWERS_BYTES: usize = 4 << 20;
 use crate::{ClaimKey, KeyAnswer, KeyTerms, SettleKey};
 
 /// Every key claimed within the time it is kept.
@@ -16,6 +21,8 @@
 pub struct KeyTable {
     /// Invariant: in the order of `claimed_at_ms`.
     claims: IndexMap<Box<str>, Claim>,
+    /// The bytes of all kept answers. Invariant: at most [`ANSWERS_BYTES`].
+    answers_bytes: usize,
 }
 
 impl KeyTable {
@@ -53,6 +60,8 @@
             return KeyAnswer::NotHolder;
         }
         claim.state = ClaimState::Settled(settle.settlement);
+        self.answers_bytes += claim.answer_bytes();
+        self.give_up_oldest_answers();
         KeyAnswer::Settled
     }
 
@@ -92,7 +101,25 @@
         let young = |claim: &Claim| claim.claimed_at_ms + keep_ms > now_ms;
         let old = self.claims.values().take_while(|claim| !young(claim));
         let count = old.count();
-        self.claims.drain(..count);
+        let freed: usize = self
+            .claims
+            .drain(..count)
+            .map(|(_, c)| c.answer_bytes())
+            .sum();
+        self.answers_bytes -= freed;
+    }
+
+    fn give_up_oldest_answers(&mut self) {
+        let mut claims = self.claims.values_mut();
+        while self.answers_bytes > ANSWERS_BYTES
+            && let Some(claim) = claims.next()
+        {
+            let bytes = claim.answer_bytes();
+            if bytes > 0 {
+                claim.state = ClaimState::Settled(Settlement::RanAnswerNotKept);
+                self.answers_bytes -= bytes;
+            }
+        }
     }
 }
 
--- a/crates/cleat-world/src/keys/types.rs
+++ b/crates/cleat-world/src/keys/types.rs
@@ -13,6 +13,16 @@
     pub state: ClaimState,
 }
 
+impl Claim {
+    /// The bytes of the answer kept with it.
+    pub(super) fn answer_bytes(&self) -> usize {
+        match &self.state {
+            ClaimState::Settled(Settlement::Ran(answer)) => answer.size(),
+            _ => 0,
+        }
+    }
+}
+
 /// Where a claim stands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimState {
--- a/crates/cleat-world/tests/world.rs
+++ b/crates/cleat-world/tests/world.rs
@@ -2,8 +2,8 @@
 
 use cleat_world::{
     Announce, Announcement, Answer, ApplyConfig, BeginLife, ClaimKey, Command, CommandBody,
-    ConfigAnswer, KeyAnswer, ProposedConfig, SettleKey, Settlement, StoredAnswer, TargetAnswer,
-    Withdraw, WithdrawCause, World,
+    ConfigAnswer, KeyAnswer, KeyTable, KeyTerms, ProposedConfig, SettleKey, Settlement,
+    StoredAnswer, TargetAnswer, Withdraw, WithdrawCause, World,
 };
 use serde_json::{Value, json};
 
@@ -301,3 +301,46 @@
     assert_eq!(made, wanted);
     assert_eq!(cleat_world::diff(&base, &json!({"a": {"b": null}})), None);
 }
+
+#[test]
+fn answers_over_the_bound_give_up_the_oldest() {
+    const MIB: usize = 1 << 20;
+    let mut table = KeyTable::default();
+    let mut run = |number: u64, at_ms| {
+        let key: Box<str> = format!("k{number}").into();
+        let claim = ClaimKey {
+            key: key.clone(),
+            digest: 7,
+            entry: "e1".into(),
+            life: 1,
+            number,
+            hold_ms: 5_000,
+        };
+        let answer = StoredAnswer {
+            status: 200,
+            headers: vec![],
+            body: vec![0; 3 * MIB / 2].into(),
+        };
+        assert_eq!(
+            table.claim(claim, KeyTerms::default(), at_ms),
+            KeyAnswer::Granted
+        );
+        table.settle(SettleKey {
+            key: key.clone(),
+            entry: "e1".into(),
+            life: 1,
+            number,
+            settlement: Settlement::Ran(answer),
+        });
+        (table.look_up("k1", 7), table.look_up(&key, 7))
+    };
+    assert!(matches!(run(1, 0).0, Some(KeyAnswer::Ran(_))));
+    assert!(matches!(run(2, 0).0, Some(KeyAnswer::Ran(_))));
+    let (oldest, newest) = run(3, 0);
+    assert_eq!(oldest, Some(KeyAnswer::RanAnswerNotKept));
+    assert!(matches!(newest, Some(KeyAnswer::Ran(_))));
+    // What has been forgotten with its key takes no memory any more.
+    let (oldest, newest) = run(4, 700_000);
+    assert_eq!(oldest, None);
+    assert!(matches!(newest, Some(KeyAnswer::Ran(_))));
+}
