Count requests where statsd looks

Cause: the instance bound its entry with a registry of its own, so the request path's numbers never reached statsd; Limits::trace_percent had no effect any more. Change: the entry counts in the instance's registry; the dead limit is gone. Ruled out: to merge two registries at each push; one is simpler and was meant. Figures: start_counts_where_it_was_told counts 0 requests before and 1 after.

--- a/crates/cleat-entry/src/config.rs
+++ b/crates/cleat-entry/src/config.rs
@@ -51,8 +51,6 @@
     /// How long a draining entry still takes requests, answering each with
     /// `Connection: close`, so that no request is lost on its way.
     pub linger: Duration,
-    /// Has no effect: the ratio that `cleat-telemetry` was started with decides.
-    pub trace_percent: u8,
 }
 
 const KIB: usize = 1_024;
@@ -73,7 +71,6 @@
             header_read: Duration::from_secs(30),
             caller_stall: Duration::from_secs(30),
             linger: Duration::from_millis(500),
-            trace_percent: 1,
         }
     }
 }
--- a/crates/cleat-entry/tests/support/fleet.rs
+++ b/crates/cleat-entry/tests/support/fleet.rs
@@ -97,7 +97,6 @@
 pub fn limits() -> Limits {
     Limits {
         linger: Duration::ZERO,
-        trace_percent: 0,
         ..Limits::default()
     }
 }
--- a/crates/cleat-node/src/instance.rs
+++ b/crates/cleat-node/src/instance.rs
@@ -232,12 +232,9 @@
         listen: settings.listen.callers,
         entries,
         seed: rand::random(),
-        limits: Limits {
-            trace_percent: settings.trace.ratio_percent,
-            ..Limits::default()
-        },
+        limits: Limits::default(),
     };
-    let entry = Entry::bind(cfg, node.clone()).await;
+    let entry = Entry::bind_with(cfg, node.clone(), &node.counters).await;
     let entry = Arc::new(entry.context(ListenCallersSnafu)?);
     let published = Arc::downgrade(&entry);
     node.world.subscribe(Box::new(move |world| {
