Write no span lines below the level info

Cause: span lines of level info were written, and paid for, although log.level was warn. The entry asks whether its span is disabled. Ruled out: to filter the lines only; the spans would still be made. Conclusion: the level now governs every line.

--- a/crates/cleat-entry/src/trace.rs
+++ b/crates/cleat-entry/src/trace.rs
@@ -74,7 +74,7 @@
     }
 
     fn hop(&self, span: impl FnOnce() -> Span) -> Span {
-        if self.root.is_none() {
+        if self.root.is_disabled() {
             return Span::none();
         }
         self.root.in_scope(span)
--- a/crates/cleat-telemetry/src/logs.rs
+++ b/crates/cleat-telemetry/src/logs.rs
@@ -1,11 +1,10 @@
 //! The log: where lines go and how they look.
 
 use cleat_settings::{LogFormat, LogSettings};
-use log::LevelFilter;
 use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
-use log4rs::config::{Appender, Config, Logger, Root};
+use log4rs::config::{Appender, Config, Root};
 use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
@@ -29,13 +28,7 @@
 fn config(settings: &LogSettings) -> Result<Config, TelemetryError> {
     let lines = Appender::builder().build(LINES, appender(settings)?);
     let root = Root::builder().appender(LINES).build(settings.level);
-    // What is traced is decided by sampling, not by the level.
-    let spans = match settings.level {
-        LevelFilter::Off => LevelFilter::Off,
-        _ => LevelFilter::Info,
-    };
-    let spans = Logger::builder().build(SPAN_TARGET, spans);
-    let config = Config::builder().appender(lines).logger(spans).build(root);
+    let config = Config::builder().appender(lines).build(root);
     config.context(LogConfigSnafu)
 }
 
--- a/crates/cleat-telemetry/src/telemetry.rs
+++ b/crates/cleat-telemetry/src/telemetry.rs
@@ -33,8 +33,7 @@
         let counters = Counters::default();
         let push = Push::new(counters.clone(), settings.metrics.statsd)?;
         logs::install(&settings.log)?;
-        let (ratio, format) = (settings.trace.ratio_percent, settings.log.format);
-        let tracer = trace::install(ratio, format, &counters)?;
+        let tracer = trace::install(settings, &counters)?;
         let (stop, stopped) = oneshot::channel();
         let pushing = tokio::spawn(keep_pushing(push, stopped));
         Ok(Telemetry {
--- a/crates/cleat-telemetry/src/trace/request.rs
+++ b/crates/cleat-telemetry/src/trace/request.rs
@@ -21,6 +21,7 @@
 /// The first span of a request that arrived with `parent`, see
 /// [`context_from`](super::context_from). It is disabled if the request is not traced: the
 /// parent's own decision is followed; without a parent, the ratio in the settings decides.
+/// With a log level below info it is always disabled.
 ///
 /// The fields `method`, `service`, `caller`, `target`, `outcome` and `status` may be
 /// recorded later.
