Share the slots of targets between the entries by demand

Cause: each entry had a static part of a target's slots, so work waited at one entry while slots were idle at another.

Ruled out: an owner for each target (a hop on every request); lending connections too (a frozen borrower cannot close its own, so the entries' parts of the connections stay static and bound what each can borrow).

Change: the slots' state machine runs on each entry for each service; its messages go over the link in batches and may be lost. A target that was announced before this life began keeps its slots at home unused until the leases and requests of an earlier life are over; an entry that is alone has all at once. The lease is looked at again right before the first byte is written. Loans made for shorter requests than the borrower allows go back. A slot whose exchange was closed in the middle stays in use for 100 ms more: before, also with static parts, a target with 8 slots had up to 10 requests in progress, since it notices a closed connection later than the entry that closed it.

Figures: messages and waiting not measured yet.

--- a/crates/celerycleatd/tests/support/mod.rs
+++ b/crates/celerycleatd/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! A fleet of daemons as separate processes, each with a settings file.
+#![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
 mod daemon;
 mod fleet;
--- a/crates/cleat-decide/src/slots/held.rs
+++ b/crates/cleat-decide/src/slots/held.rs
@@ -12,8 +12,10 @@
     pub(super) home: u32,
     /// Requests in progress on slots at home.
     pub(super) home_busy: u32,
-    /// Until when loans of an earlier life may be out.
+    /// Until when loans and requests of an earlier life may be out.
     pub(super) home_from: Duration,
+    /// Whether no earlier life had to do with the target.
+    pub(super) fresh: bool,
     /// Loans out, with the time at which the slot is back without a return.
     pub(super) lent: IndexMap<GrantId, Duration>,
     pub(super) borrowed: IndexMap<GrantId, Borrowed>,
@@ -74,6 +76,13 @@
         out
     }
 
+    /// Lets no further request start on what is on loan here.
+    pub(super) fn close_loans(&mut self) {
+        for borrowed in self.borrowed.values_mut() {
+            borrowed.until = Duration::ZERO;
+        }
+    }
+
     /// Takes back loans whose time has passed on any clock.
     pub(super) fn reclaim(&mut self, now: Duration) {
         self.lent.retain(|_, back_at| now < *back_at);
--- a/crates/cleat-decide/src/slots/peers.rs
+++ b/crates/cleat-decide/src/slots/peers.rs
@@ -14,7 +14,7 @@
 /// One other entry.
 #[derive(Debug, Default)]
 pub(super) struct Peer {
-    /// The serial of the last ask of its present life.
+    /// The life and serial of its last ask.
     pub(super) heard: Option<(u64, u64)>,
     idle: u32,
     hinted_at: Option<Duration>,
@@ -62,9 +62,12 @@
         Some(ask)
     }
 
-    /// Whether an ask is new; remembers it.
+    /// Whether an ask is new; remembers it. Lives have no order: an ask of an
+    /// earlier one that comes late is answered to nobody, and what is lent by
+    /// it comes back when its time is over.
     pub(super) fn is_new(&mut self, life: u64, serial: u64) -> bool {
-        if self.heard.is_some_and(|heard| heard >= (life, serial)) {
+        let old = |heard: (u64, u64)| heard.0 == life && heard.1 >= serial;
+        if self.heard.is_some_and(old) {
             return false;
         }
         self.heard = Some((life, serial));
--- a/crates/cleat-decide/src/slots/sharing.rs
+++ b/crates/cleat-decide/src/slots/sharing.rs
@@ -27,8 +27,8 @@
 }
 
 impl Slots {
-    /// The slots of an entry that starts now, in a `life` later than all its
-    /// earlier ones.
+    /// The slots of an entry that starts now, in a `life` that it never had
+    /// before.
     pub fn new(
         me: Entry,
         life: u64,
@@ -72,12 +72,57 @@
             Some(index) => index,
             None => self.add(name, fresh),
         };
+        let started_at = self.started_at;
         let held = &mut self.targets[index];
         held.home = home;
         held.leaving = false;
+        if fresh && !held.fresh {
+            held.fresh = true;
+            held.home_from = started_at;
+        }
         TargetKey(u32::try_from(index).unwrap_or(u32::MAX))
     }
 
+    /// Leaves the target's slots at home unused until what an earlier holder
+    /// that is not known here may run on them has ended.
+    pub fn hold_back(&mut self, target: TargetKey, now: Duration) {
+        let until = now + self.reclaim_after();
+        if let Some(held) = self.held_mut(target) {
+            held.home_from = held.home_from.max(until);
+        }
+    }
+
+    /// Requests may run for up to `longest` from now on. A lower value changes
+    /// nothing: longer requests may still be on their way. Loans made for
+    /// shorter requests end.
+    pub fn set_longest_request(&mut self, longest: Duration) {
+        if longest <= self.terms.longest_request {
+            return;
+        }
+        self.terms.longest_request = longest;
+        let settled = self.started_at + self.reclaim_after();
+        for held in self.targets.values_mut() {
+            held.close_loans();
+            if !held.fresh {
+                held.home_from = held.home_from.max(settled);
+            }
+        }
+    }
+
+    /// Until when the request that took `slot` may be begun at the target;
+    /// `None` for no bound. To be looked at again right before its first byte
+    /// is written.
+    pub fn begin_until(&self, slot: Slot) -> Option<Duration> {
+        let grant = slot.grant?;
+        let borrowed = self.held(slot.target)?.borrowed.get(&grant);
+        Some(borrowed.map_or(Duration::ZERO, |borrowed| borrowed.until))
+    }
+
+    /// Whether anything is on loan here, so that [`Slots::tick`] has work.
+    pub fn has_borrowed(&self) -> bool {
+        self.targets.values().any(|held| !held.borrowed.is_empty())
+    }
+
     /// The target takes no new work; what runs on it and what is lent stays
     /// accounted for.
     pub fn remove_target(&mut self, name: &str) {
@@ -186,6 +231,7 @@
         let settled = self.started_at + self.reclaim_after();
         let held = Held {
             home_from: if fresh { self.started_at } else { settled },
+            fresh,
             ..Held::default()
         };
         self.targets.insert_full(name.into(), held).0
@@ -254,6 +300,7 @@
         Some(Grant {
             id,
             target: name.clone(),
+            longest_request: self.terms.longest_request,
         })
     }
 
@@ -277,7 +324,9 @@
         };
         let mut unwanted = Vec::new();
         for grant in grants {
-            let Some(held) = self.targets.get_mut(&grant.target) else {
+            let enough = grant.longest_request >= self.terms.longest_request;
+            let held = self.targets.get_mut(&grant.target);
+            let Some(held) = held.filter(|_| enough) else {
                 unwanted.push(grant.id);
                 continue;
             };
--- a/crates/cleat-decide/src/slots/types.rs
+++ b/crates/cleat-decide/src/slots/types.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// The most that two clocks' rates differ, as a part: 1 / 50.
 const DRIFT_PART: u32 = 50;
 
 /// An entry, by its position among all configured entries.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Entry(pub u32);
 
 /// A target, by its position in the order in which an entry learned of it.
@@ -15,7 +17,7 @@
 pub struct TargetKey(pub u32);
 
 /// One loan of one slot.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct GrantId {
     /// The home of the slot.
     pub lender: Entry,
@@ -40,7 +42,8 @@
 pub struct SlotTerms {
     /// For how long a borrower may start requests on a slot.
     pub lease: Duration,
-    /// The longest that a request may run.
+    /// The longest that a request may run. Never lowered in a life, see
+    /// [`Slots::set_longest_request`](crate::Slots::set_longest_request).
     pub longest_request: Duration,
     /// For how long a borrower keeps a slot that it does not use.
     pub keep_idle: Duration,
@@ -56,7 +59,7 @@
 }
 
 /// What entries say to each other.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Asks for slots.
     Ask {
@@ -86,12 +89,14 @@
 }
 
 /// One lent slot as the message names it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
     /// The loan.
     pub id: GrantId,
     /// The target's name.
     pub target: Box<str>,
+    /// The longest request for which the lender waits after the lease.
+    pub longest_request: Duration,
 }
 
 /// A message to send.
--- a/crates/cleat-decide/tests/slots.rs
+++ b/crates/cleat-decide/tests/slots.rs
@@ -318,3 +318,43 @@
     exchange(&mut nodes, 1, out, now);
     assert_eq!(split(&nodes, now), (4, 4));
 }
+
+#[test]
+fn borrow_grant_for_shorter_requests_goes_back() {
+    let names: Vec<Box<str>> = vec!["e0".into(), "e1".into()];
+    let start = |index| Slots::new(Entry(index), 1, &names, TERMS, Duration::ZERO);
+    let mut nodes = [start(0), start(1)];
+    let now = Duration::ZERO;
+    let lender = nodes[0].set_target("r1", 8, true);
+    let borrower = nodes[1].set_target("r1", 8, true);
+    let out = nodes[1].want(1, now);
+    exchange(&mut nodes, 1, out, now);
+    assert_eq!(nodes[1].usable(borrower, now), 5);
+
+    // The borrower learns first that requests may take longer.
+    nodes[1].set_longest_request(TERMS.longest_request * 2);
+    assert_eq!(nodes[1].usable(borrower, now), 4, "the loan ends");
+    let later = now + Duration::from_millis(200);
+    let out = nodes[1].tick(later);
+    exchange(&mut nodes, 1, out, later);
+    let out = nodes[1].want(1, later);
+    exchange(&mut nodes, 1, out, later);
+    assert_eq!(nodes[1].usable(borrower, later), 4);
+    assert_eq!(nodes[0].usable(lender, later), 4);
+}
+
+#[test]
+fn begin_until_loan_is_bounded() {
+    let names: Vec<Box<str>> = vec!["e0".into(), "e1".into()];
+    let start = |index| Slots::new(Entry(index), 1, &names, TERMS, Duration::ZERO);
+    let mut nodes = [start(0), start(1)];
+    let now = Duration::from_millis(10);
+    nodes[0].set_target("r1", 2, true);
+    let key = nodes[1].set_target("r1", 2, true);
+    let out = nodes[1].want(1, now);
+    exchange(&mut nodes, 1, out, now);
+    let home = nodes[1].begin(key, now).expect("the slot at home");
+    assert_eq!(nodes[1].begin_until(home), None);
+    let loan = nodes[1].begin(key, now).expect("the loan");
+    assert_eq!(nodes[1].begin_until(loan), Some(now + TERMS.lease));
+}
--- a/crates/cleat-entry/src/control.rs
+++ b/crates/cleat-entry/src/control.rs
@@ -11,6 +11,13 @@
     /// is in force. Cheap: asked for every request.
     fn in_service(&self) -> bool;
 
+    /// The log index at which this life became known, `None` while it is not:
+    /// an earlier life may have begun work at targets announced before, never
+    /// at those announced later. By default there was no earlier life.
+    fn life_began(&self) -> Option<u64> {
+        Some(0)
+    }
+
     /// Claims an idempotency key.
     fn claim(&self, claim: ClaimKey) -> impl Future<Output = Result<KeyAnswer, ClaimError>> + Send;
 
--- a/crates/cleat-entry/src/entry/entry.rs
+++ b/crates/cleat-entry/src/entry/entry.rs
@@ -2,18 +2,21 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
+use cleat_decide::Message;
 use cleat_telemetry::Counters;
 use cleat_world::World;
 use indexmap::IndexMap;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 
 use super::shared::{Phase, Shared};
 use super::{accept, drain, tick};
 use crate::config::EntryConfig;
 use crate::control::Control;
+use crate::target::SlotMessage;
 
 /// A running entry. Dropping it closes its listener and lets requests in
 /// progress finish; [`Entry::drain`] also waits for them.
@@ -83,6 +86,31 @@
         self.shared.publish(world);
     }
 
+    /// What this entry has to say to others about slots; `None` if it was taken
+    /// before. While nobody sends it, the entry has its own part of the slots.
+    pub fn slot_messages(&self) -> Option<mpsc::Receiver<SlotMessage>> {
+        let messages = self.shared.slot_messages.lock();
+        messages.unwrap_or_else(PoisonError::into_inner).take()
+    }
+
+    /// Handles what the entry `from` says about the slots of `service`.
+    pub fn receive_slots(&self, from: &str, service: &str, message: Message) {
+        if let Some(route) = self.shared.routes().find(service) {
+            route.state.receive_slots(from, message);
+        }
+    }
+
+    /// Gives back borrowed slots that are idle. Says whether any is left; then
+    /// it has to be called again within a few tens of milliseconds.
+    pub fn tick_slots(&self) -> bool {
+        let routes = self.shared.routes();
+        let mut borrowed = false;
+        for route in routes.services.values() {
+            borrowed |= route.state.tick_slots();
+        }
+        borrowed
+    }
+
     /// Every number of the registry it counts in, by name.
     pub fn counters(&self) -> IndexMap<Box<str>, u64> {
         self.shared.measure();
--- a/crates/cleat-entry/src/entry/shared.rs
+++ b/crates/cleat-entry/src/entry/shared.rs
@@ -10,7 +10,7 @@
 use cleat_world::{KeyTerms, World};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, watch};
 use tokio::time::Instant;
 
 use super::work::{Work, WorkToken};
@@ -20,8 +20,13 @@
 use crate::counters::Counters;
 use crate::route::{Publisher, Routes};
 use crate::service::ConnectTerms;
+use crate::target::SlotMessage;
 use crate::tries::KeysInHand;
 
+/// Messages about slots that wait to be sent; more are lost, which only costs
+/// time.
+const SLOT_MESSAGES: usize = 1_024;
+
 /// Times to come back, in seconds.
 const LATER_SECS: Range<u64> = 1..4;
 
@@ -54,6 +59,8 @@
     pub(super) work: Arc<Work>,
     /// Wakes the ticker when a request begins to wait.
     pub(crate) waiting: Notify,
+    /// What is to be said to other entries about slots, until it is taken.
+    pub(super) slot_messages: Mutex<Option<mpsc::Receiver<SlotMessage>>>,
     routes: ArcSwap<Routes>,
     publisher: Mutex<Publisher>,
     random: AtomicU64,
@@ -64,6 +71,7 @@
 impl<C: Control> Shared<C> {
     pub(super) fn new(cfg: EntryConfig, control: Arc<C>, counters: &Registry) -> Shared<C> {
         let epoch = Instant::now();
+        let (outbox, slot_messages) = mpsc::channel(SLOT_MESSAGES);
         Shared {
             control,
             counters: Counters::new(counters),
@@ -74,10 +82,11 @@
             phase: watch::Sender::new(Phase::Running),
             work: Arc::default(),
             waiting: Notify::new(),
+            slot_messages: Mutex::new(Some(slot_messages)),
             routes: ArcSwap::default(),
             random: AtomicU64::new(cfg.seed),
             claims: AtomicU64::new(0),
-            publisher: Mutex::new(Publisher::new(epoch)),
+            publisher: Mutex::new(Publisher::new(epoch, outbox)),
             cfg,
         }
     }
@@ -85,7 +94,7 @@
     pub(super) fn publish(&self, world: &World) {
         let publisher = self.publisher.lock();
         let mut publisher = publisher.unwrap_or_else(PoisonError::into_inner);
-        if let Some(routes) = publisher.update(world, &self.cfg) {
+        if let Some(routes) = publisher.update(world, &self.cfg, self.control.life_began()) {
             self.routes.store(Arc::new(routes));
         }
     }
--- a/crates/cleat-entry/src/lib.rs
+++ b/crates/cleat-entry/src/lib.rs
@@ -23,3 +23,4 @@
 pub use control::{ClaimError, Control};
 pub use entry::{BindError, Entry};
 pub use problem::ProblemKind;
+pub use target::SlotMessage;
--- a/crates/cleat-entry/src/route/publisher.rs
+++ b/crates/cleat-entry/src/route/publisher.rs
@@ -7,12 +7,13 @@
 use cleat_decide::share;
 use cleat_world::{Service, Target as Announced, World};
 use indexmap::IndexMap;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::{Route, Routes};
 use crate::config::EntryConfig;
-use crate::service::ServiceState;
-use crate::target::{Slots, Target};
+use crate::service::{CLOSE_GRACE, ServiceState};
+use crate::target::{ServiceSlots, SlotMessage, Slots, Target};
 
 /// What of the state the routes are made from: the version of the
 /// configuration and the announcements, each named by its log index.
@@ -31,29 +32,42 @@
     targets: IndexMap<(Box<str>, SocketAddr), Arc<Target>>,
     /// By name of the target; kept until its last request has finished.
     slots: IndexMap<Box<str>, Arc<Slots>>,
+    /// By service. Kept for good: what was lent is known here only.
+    sharing: IndexMap<Box<str>, Arc<ServiceSlots>>,
+    outbox: mpsc::Sender<SlotMessage>,
 }
 
 type Grouped = IndexMap<Box<str>, Vec<Arc<Target>>>;
 
 impl Publisher {
-    pub(crate) fn new(epoch: Instant) -> Publisher {
+    pub(crate) fn new(epoch: Instant, outbox: mpsc::Sender<SlotMessage>) -> Publisher {
         Publisher {
             epoch,
             source: Source::default(),
             services: IndexMap::new(),
             targets: IndexMap::new(),
             slots: IndexMap::new(),
+            sharing: IndexMap::new(),
+            outbox,
         }
     }
 
     /// The routes of `world`, or `None` if they are those of the call before.
     /// From its return on no request begins by what the world no longer has.
-    pub(crate) fn update(&mut self, world: &World, cfg: &EntryConfig) -> Option<Routes> {
+    pub(crate) fn update(
+        &mut self,
+        world: &World,
+        cfg: &EntryConfig,
+        life_began: Option<u64>,
+    ) -> Option<Routes> {
         if !self.source.take_over(world) {
             return None;
         }
-        let mut grouped = self.update_targets(world, cfg);
         let fleet = world.fleet();
+        for (_, name, terms) in fleet.services.iter() {
+            self.update_sharing(name, terms, cfg);
+        }
+        let mut grouped = self.update_targets(world, cfg, life_began);
         let mut routes = Routes {
             services: IndexMap::with_capacity(fleet.services.len()),
             keys: fleet.keys,
@@ -68,6 +82,17 @@
         Some(routes)
     }
 
+    fn update_sharing(&mut self, name: &str, terms: &Service, cfg: &EntryConfig) {
+        let longest = Duration::from_millis(terms.deadline_ms) + CLOSE_GRACE;
+        if let Some(sharing) = self.sharing.get(name) {
+            sharing.set_longest_request(longest);
+            return;
+        }
+        let outbox = self.outbox.clone();
+        let sharing = ServiceSlots::new(name, cfg, longest, self.epoch, outbox);
+        self.sharing.insert(name.into(), Arc::new(sharing));
+    }
+
     fn update_service(
         &mut self,
         name: &str,
@@ -77,49 +102,99 @@
     ) -> Arc<ServiceState> {
         let count = self.services.len() as u64;
         let epoch = self.epoch;
-        let state = self.services.entry(name.into());
-        let new = || Arc::new(ServiceState::new(terms, seed.wrapping_add(count), epoch));
-        let state = Arc::clone(state.or_insert_with(new));
+        let state = match self.services.get(name) {
+            Some(state) => Arc::clone(state),
+            None => {
+                let slots = Arc::clone(&self.sharing[name]);
+                let seed = seed.wrapping_add(count);
+                Arc::new(ServiceState::new(terms, slots, seed, epoch))
+            }
+        };
+        self.services.insert(name.into(), Arc::clone(&state));
         state.update(terms, targets);
         state
     }
 
     /// Withdraws what is gone and groups what is there by service.
-    fn update_targets(&mut self, world: &World, cfg: &EntryConfig) -> Grouped {
+    fn update_targets(
+        &mut self,
+        world: &World,
+        cfg: &EntryConfig,
+        life_began: Option<u64>,
+    ) -> Grouped {
         let now = self.epoch.elapsed();
         let mut before = std::mem::take(&mut self.targets);
         let mut grouped = Grouped::new();
-        for (name, announced) in world.targets() {
-            let target = self.target(name, announced, &mut before, cfg, now);
+        for (name, announced) in world.serving_targets() {
+            // Alone, an entry has lent nothing, and its end cut off its requests.
+            let alone = cfg.entries.len() == 1;
+            let fresh = alone || life_began.is_some_and(|began| announced.incarnation > began);
+            let slots = self.slots_of(name, announced, cfg, fresh);
+            let target = self.target(name, announced, slots, &mut before, cfg, now);
             let service = announced.announcement.service.clone();
             grouped.entry(service).or_default().push(target);
         }
         for target in before.values() {
             target.withdraw();
         }
+        for (name, slots) in &self.slots {
+            if !world.targets().contains_key(name) {
+                slots.service().remove_target(name);
+            }
+        }
         let shared = |slots: &Arc<Slots>| Arc::strong_count(slots) > 1;
         self.slots
             .retain(|_, slots| shared(slots) || slots.in_flight() > 0);
         grouped
     }
 
+    /// The slots of a target as it announced itself.
+    fn slots_of(
+        &mut self,
+        name: &str,
+        announced: &Announced,
+        cfg: &EntryConfig,
+        fresh: bool,
+    ) -> Arc<Slots> {
+        let said = &announced.announcement;
+        let cap = said.slots.min(said.connections);
+        let service = &self.sharing[&said.service];
+        let known = self.slots.get(name).cloned();
+        let slots = match known {
+            Some(slots) if Arc::ptr_eq(slots.service(), service) => {
+                service.set_cap(name, cap, fresh);
+                slots
+            }
+            moved => {
+                let slots = Arc::new(service.target(name, cap, fresh));
+                if let Some(before) = moved {
+                    before.service().remove_target(name);
+                    service.hold_back(slots.key());
+                }
+                slots
+            }
+        };
+        slots.set_connections(share(name, said.connections, &cfg.entries, &cfg.name));
+        self.slots.insert(name.into(), Arc::clone(&slots));
+        slots
+    }
+
     fn target(
         &mut self,
         name: &str,
         announced: &Announced,
+        slots: Arc<Slots>,
         before: &mut IndexMap<(Box<str>, SocketAddr), Arc<Target>>,
         cfg: &EntryConfig,
         now: Duration,
     ) -> Arc<Target> {
         let said = &announced.announcement;
-        let cap = said.slots.min(said.connections);
-        let slots = self.slots.entry(name.into()).or_default();
-        slots.set_share(share(name, cap, &cfg.entries, &cfg.name));
         let id = (Box::from(name), said.address);
-        let known = before.swap_remove(&id);
+        let same = |target: &Arc<Target>| Arc::ptr_eq(&target.slots, &slots);
+        let known = before.get(&id).is_some_and(same);
+        let known = known.then(|| before.swap_remove(&id)).flatten();
         let target = known.unwrap_or_else(|| {
             let local = said.data_centre == cfg.data_centre;
-            let slots = Arc::clone(slots);
             Arc::new(Target::new(name.into(), said.address, local, slots, now))
         });
         self.targets.insert(id, Arc::clone(&target));
@@ -142,10 +217,13 @@
     /// Whether `world` differs. Cheap: it is asked after every change of the
     /// state, and most concern only idempotency keys.
     fn take_over(&mut self, world: &World) -> bool {
-        let incarnations = || world.targets().values().map(|target| target.incarnation);
-        let same = self.version == world.version()
-            && self.incarnations.len() == world.targets().len()
-            && self.incarnations.iter().copied().eq(incarnations());
+        let incarnations = || {
+            world
+                .serving_targets()
+                .map(|(_, target)| target.incarnation)
+        };
+        let same =
+            self.version == world.version() && self.incarnations.iter().copied().eq(incarnations());
         if !same {
             self.version = world.version();
             self.incarnations = incarnations().collect();
--- a/crates/cleat-entry/src/service/admission.rs
+++ b/crates/cleat-entry/src/service/admission.rs
@@ -59,6 +59,7 @@
             Arrived::Wait | Arrived::Displace { .. } => {
                 let (tx, rx) = oneshot::channel();
                 inner.wait(ticket, tx);
+                self.slots().want(inner.waiting());
                 let waiting = Waiting::new(Arc::clone(self), ticket, rx);
                 Ok(Admission::Waits(waiting))
             }
--- a/crates/cleat-entry/src/service/inner.rs
+++ b/crates/cleat-entry/src/service/inner.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use super::retry::Retries;
+use super::slot::Placed;
 use super::waiting::Wake;
 use super::{ServiceState, Slot};
 use crate::target::Target;
@@ -65,15 +66,23 @@
 
     /// Whether any target could ever take a request of this entry.
     pub(super) fn has_capacity(&self) -> bool {
-        self.targets.iter().any(|target| target.slots.share() > 0)
+        self.targets
+            .iter()
+            .any(|target| target.slots.connections() > 0)
     }
 
     /// Whether a target other than `target` could take a request.
     pub(super) fn has_other(&self, target: &Arc<Target>) -> bool {
-        let other = |t: &Arc<Target>| !Arc::ptr_eq(t, target) && t.slots.share() > 0;
+        let other = |t: &Arc<Target>| !Arc::ptr_eq(t, target) && t.slots.connections() > 0;
         self.targets.iter().any(other)
     }
 
+    /// How many requests wait for a slot.
+    pub(super) fn waiting(&self) -> u32 {
+        let waiting = self.gate.waiting() + self.retries.len();
+        u32::try_from(waiting).unwrap_or(u32::MAX)
+    }
+
     pub(super) fn is_waiting(&self) -> bool {
         self.gate.waiting() > 0 || !self.retries.is_empty()
     }
@@ -145,16 +154,17 @@
     }
 
     /// Chooses a target and takes a slot of it. Call [`Inner::look`] before.
-    pub(super) fn place(&mut self, exclude: Option<&Arc<Target>>) -> Option<Arc<Target>> {
+    pub(super) fn place(&mut self, exclude: Option<&Arc<Target>>) -> Option<Placed> {
         let is_excluded = |target: &Arc<Target>| exclude.is_some_and(|e| Arc::ptr_eq(e, target));
         let exclude = exclude.and_then(|_| self.targets.iter().position(is_excluded));
         loop {
             let index = choose(&self.candidates, exclude, self.random.next_u64())?;
             let target = &self.targets[index];
             let candidate = &mut self.candidates[index];
-            if target.acquire() {
+            if let Some(taken) = target.acquire() {
                 candidate.in_flight += 1;
-                return Some(Arc::clone(target));
+                let target = Arc::clone(target);
+                return Some(Placed { target, taken });
             }
             candidate.share = 0;
         }
--- a/crates/cleat-entry/src/service/mod.rs
+++ b/crates/cleat-entry/src/service/mod.rs
@@ -8,4 +8,4 @@
 mod waiting;
 
 pub(crate) use slot::{ConnectTerms, Slot};
-pub(crate) use state::ServiceState;
+pub(crate) use state::{CLOSE_GRACE, ServiceState};
--- a/crates/cleat-entry/src/service/retry.rs
+++ b/crates/cleat-entry/src/service/retry.rs
@@ -34,6 +34,10 @@
         self.waiting.is_empty()
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// The target that the first retry must not go to, if there is a retry.
     pub(super) fn first(&mut self, now: Duration) -> Option<Option<Arc<Target>>> {
         self.expire(now);
@@ -108,6 +112,7 @@
             tx,
         };
         inner.retries().waiting.push_back(retry);
+        self.slots().want(inner.waiting());
         Begun::Waits(rx)
     }
 }
--- a/crates/cleat-entry/src/service/slot.rs
+++ b/crates/cleat-entry/src/service/slot.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::ServiceState;
-use crate::target::Target;
+use crate::target::{Taken, Target};
 use crate::upstream::{Failure, Upstream};
 
 /// A slot of a target, with the connection that uses it.
@@ -17,6 +17,7 @@
     service: Arc<ServiceState>,
     /// `None` once given back.
     target: Option<Arc<Target>>,
+    taken: Taken,
     upstream: Option<Box<Upstream>>,
     /// Whether the exchange ended so that the connection can serve another.
     reusable: bool,
@@ -25,10 +26,11 @@
 
 impl Slot {
     /// Wraps a slot that was taken of `target`.
-    pub(super) fn new(service: Arc<ServiceState>, target: Arc<Target>, now: Duration) -> Slot {
+    pub(super) fn new(service: Arc<ServiceState>, placed: Placed, now: Duration) -> Slot {
         Slot {
             service,
-            target: Some(target),
+            target: Some(placed.target),
+            taken: placed.taken,
             upstream: None,
             reusable: false,
             since: now,
@@ -56,14 +58,16 @@
     ) -> Result<(), Failure> {
         let target = self.target.as_ref().ok_or(Failure::NotSent)?;
         let idle = target.take_idle(self.service.now(), terms.idle);
-        self.upstream = match idle {
-            Some(upstream) => Some(upstream),
+        let upstream = match idle {
+            Some(upstream) => upstream,
             None => {
                 let left = deadline.saturating_duration_since(Instant::now());
                 let limit = terms.connect.min(left);
-                Some(Upstream::open(target.address, limit).await?)
+                Upstream::open(target.address, limit).await?
             }
         };
+        upstream.set_begin_until(self.taken.begin_until);
+        self.upstream = Some(upstream);
         Ok(())
     }
 
@@ -85,13 +89,19 @@
     /// slot.
     pub(super) fn disarm(&mut self, now: Duration) -> Released {
         let target = self.target.take();
-        if let Some(upstream) = self.upstream.take()
+        let upstream = self.upstream.take();
+        let unfinished = upstream.as_ref().is_some_and(|u| u.is_unfinished());
+        let lingers = unfinished && !self.reusable;
+        if let Some(upstream) = upstream
             && self.reusable
             && let Some(target) = &target
         {
             target.keep_idle(upstream, now);
         }
-        Released(target)
+        Released {
+            held: target.map(|target| (target, self.taken)),
+            lingers,
+        }
     }
 }
 
@@ -100,11 +110,17 @@
         if self.target.is_some() {
             let now = self.service.now();
             let released = self.disarm(now);
-            self.service.freed(&released);
+            self.service.freed(released);
         }
     }
 }
 
+/// A target with a slot of it.
+pub(super) struct Placed {
+    pub(super) target: Arc<Target>,
+    pub(super) taken: Taken,
+}
+
 /// How connections to targets are opened and kept.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ConnectTerms {
@@ -116,7 +132,12 @@
 
 /// A slot still to be given back, without its connection.
 #[must_use]
-pub(super) struct Released(Option<Arc<Target>>);
+pub(super) struct Released {
+    held: Option<(Arc<Target>, Taken)>,
+    /// Its connection was closed in mid-exchange: the target works on until it
+    /// notices.
+    lingers: bool,
+}
 
 impl Released {
     pub(super) fn record(
@@ -125,14 +146,20 @@
         latency: Duration,
         now: Duration,
     ) {
-        if let Some(target) = &self.0 {
+        if let Some((target, _)) = &self.held {
             target.record(outcome, latency, now);
         }
     }
 
-    pub(super) fn release(&self) {
-        if let Some(target) = &self.0 {
-            target.release();
+    /// Whether the target needs time to notice that it is to stop. Asked once:
+    /// the time is over when it is asked again.
+    pub(super) fn take_lingering(&mut self) -> bool {
+        std::mem::take(&mut self.lingers)
+    }
+
+    pub(super) fn release(self) {
+        if let Some((target, taken)) = self.held {
+            target.release(taken);
         }
     }
 }
--- a/crates/cleat-entry/src/service/state.rs
+++ b/crates/cleat-entry/src/service/state.rs
@@ -4,14 +4,19 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cleat_decide::{AttemptOutcome, RequestFacts, Ticket, Verdict, verdict};
+use cleat_decide::{AttemptOutcome, Message, RequestFacts, Ticket, Verdict, verdict};
 use cleat_world::Service;
-use tokio::time::Instant;
+use tokio::runtime::Handle;
+use tokio::time::{Instant, sleep};
 
 use super::Slot;
 use super::inner::Inner;
 use super::slot::Released;
-use crate::target::Target;
+use crate::target::{ServiceSlots, Target};
+
+/// How long a target may take to notice that a connection was closed or its
+/// deadline came. Until then its slot is in use.
+pub(crate) const CLOSE_GRACE: Duration = Duration::from_millis(100);
 
 /// One service as this entry serves it, kept from one version of the routes
 /// to the next.
@@ -19,19 +24,45 @@
     /// The zero of the decisions' clock.
     epoch: Instant,
     tickets: AtomicU64,
+    slots: Arc<ServiceSlots>,
     /// Held for decisions only, never across I/O.
     inner: Mutex<Inner>,
 }
 
 impl ServiceState {
-    pub(crate) fn new(terms: &Service, seed: u64, epoch: Instant) -> ServiceState {
+    pub(crate) fn new(
+        terms: &Service,
+        slots: Arc<ServiceSlots>,
+        seed: u64,
+        epoch: Instant,
+    ) -> ServiceState {
         ServiceState {
             epoch,
             tickets: AtomicU64::new(0),
+            slots,
             inner: Mutex::new(Inner::new(terms, seed)),
         }
     }
 
+    /// The slots of the targets, shared with the other entries.
+    pub(super) fn slots(&self) -> &ServiceSlots {
+        &self.slots
+    }
+
+    /// Handles a message about slots of the entry `from`.
+    pub(crate) fn receive_slots(self: &Arc<Self>, from: &str, message: Message) {
+        self.slots.receive(from, message);
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.fill(self, None, now);
+        self.slots.want(inner.waiting());
+    }
+
+    /// Gives back slots on loan that are not used. Says whether any is left.
+    pub(crate) fn tick_slots(&self) -> bool {
+        self.slots.tick()
+    }
+
     /// The time on the decisions' clock.
     pub(crate) fn now(&self) -> Duration {
         self.epoch.elapsed()
@@ -86,6 +117,7 @@
         }
         inner.expire(now);
         inner.fill(self, None, now);
+        self.slots.want(inner.waiting());
         inner.is_waiting()
     }
 
@@ -101,8 +133,11 @@
         let target = slot.disarm(now);
         target.record(outcome, latency, now);
         let sample = outcome.is_success().then_some(latency);
+        let target = self.linger(target);
         let mut inner = self.lock();
-        target.release();
+        if let Some(target) = target {
+            target.release();
+        }
         facts.expected = inner.quick_service_time();
         let verdict = verdict(&outcome, facts, inner.budget());
         inner.fill(self, sample, now);
@@ -110,13 +145,33 @@
     }
 
     /// A slot was given back without an outcome.
-    pub(super) fn freed(self: &Arc<Self>, target: &Released) {
+    pub(super) fn freed(self: &Arc<Self>, target: Released) {
+        let Some(target) = self.linger(target) else {
+            return;
+        };
         let now = self.now();
         let mut inner = self.lock();
         target.release();
         inner.fill(self, None, now);
     }
 
+    /// Keeps a slot whose target may still work until it must have noticed
+    /// that it is to stop; gives any other slot back to the caller.
+    fn linger(self: &Arc<Self>, mut target: Released) -> Option<Released> {
+        if !target.take_lingering() {
+            return Some(target);
+        }
+        let Ok(runtime) = Handle::try_current() else {
+            return Some(target);
+        };
+        let service = Arc::clone(self);
+        runtime.spawn(async move {
+            sleep(CLOSE_GRACE).await;
+            service.freed(target);
+        });
+        None
+    }
+
     pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/cleat-entry/src/target/slots.rs
+++ b/crates/cleat-entry/src/target/slots.rs
@@ -1,26 +1,73 @@
 //! The slots of one target that this entry may use.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use cleat_decide::TargetKey;
+use tokio::time::Instant;
+
+use super::ServiceSlots;
+
 /// Counts the requests in progress at the target of one name.
 ///
 /// Outlives announcements: requests begun before a target announced itself
-/// anew still hold its slots.
-#[derive(Debug, Default)]
+/// anew still hold its slots. Slots move between entries by demand;
+/// connections do not, so that a frozen entry's open ones still count.
+#[derive(Debug)]
 pub(crate) struct Slots {
-    /// Invariant: never raised to more than `share`. It may stay above a share
-    /// that was lowered until requests finish.
+    service: Arc<ServiceSlots>,
+    key: TargetKey,
+    /// Invariant: never raised to more than `connections`. It may stay above a
+    /// share that was lowered until requests finish.
     in_flight: AtomicU32,
-    share: AtomicU32,
+    /// This entry's part of the target's connections.
+    connections: AtomicU32,
+    /// How many requests of this entry the target could have in progress as
+    /// things stood lately. A hint for the choice: only a slot that was taken
+    /// counts.
+    usable: Arc<AtomicU32>,
+}
+
+/// A slot that was taken.
+#[derive(Debug, Clone, Copy)]
+#[must_use = "a slot that is not given back is lost"]
+pub(crate) struct Taken {
+    pub(super) slot: cleat_decide::Slot,
+    /// The request may not be begun at the target from then on.
+    pub(crate) begin_until: Option<Instant>,
 }
 
 impl Slots {
-    pub(crate) fn set_share(&self, share: u32) {
-        self.share.store(share, Ordering::Release);
+    pub(super) fn new(service: Arc<ServiceSlots>, key: TargetKey, usable: Arc<AtomicU32>) -> Slots {
+        Slots {
+            service,
+            key,
+            in_flight: AtomicU32::new(0),
+            connections: AtomicU32::new(0),
+            usable,
+        }
+    }
+
+    pub(crate) fn service(&self) -> &Arc<ServiceSlots> {
+        &self.service
+    }
+
+    pub(crate) fn key(&self) -> TargetKey {
+        self.key
+    }
+
+    pub(crate) fn set_connections(&self, connections: u32) {
+        self.connections.store(connections, Ordering::Release);
+    }
+
+    /// The most requests that this entry could ever have in progress here.
+    pub(crate) fn connections(&self) -> u32 {
+        self.connections.load(Ordering::Acquire)
     }
 
+    /// How many requests of this entry may be in progress here now.
     pub(crate) fn share(&self) -> u32 {
-        self.share.load(Ordering::Acquire)
+        self.usable.load(Ordering::Acquire).min(self.connections())
     }
 
     pub(crate) fn in_flight(&self) -> u32 {
@@ -28,17 +75,23 @@
     }
 
     /// Takes a slot if one is free.
-    pub(super) fn acquire(&self) -> bool {
-        let share = self.share();
-        let more = |count: u32| (count < share).then_some(count + 1);
-        let taken = self
+    pub(super) fn acquire(&self) -> Option<Taken> {
+        let connections = self.connections();
+        let more = |count: u32| (count < connections).then_some(count + 1);
+        let counted = self
             .in_flight
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
-        taken.is_ok()
+        counted.ok()?;
+        let taken = self.service.begin(self.key);
+        if taken.is_none() {
+            self.in_flight.fetch_sub(1, Ordering::AcqRel);
+        }
+        taken
     }
 
     /// Gives back a slot that [`Slots::acquire`] took.
-    pub(super) fn release(&self) {
+    pub(super) fn release(&self, taken: Taken) {
+        self.service.end(taken);
         self.in_flight.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/cleat-entry/src/target/target.rs
+++ b/crates/cleat-entry/src/target/target.rs
@@ -7,8 +7,8 @@
 
 use cleat_decide::{AttemptOutcome, Candidate, Health};
 
-use super::Slots;
 use super::idle::Idle;
+use super::{Slots, Taken};
 use crate::upstream::Upstream;
 
 /// What this entry knows of a target, kept from one version of the routes to
@@ -58,13 +58,16 @@
     }
 
     /// Takes a slot, unless the target is withdrawn or none is free.
-    pub(crate) fn acquire(&self) -> bool {
-        !self.withdrawn.load(Ordering::Acquire) && self.slots.acquire()
+    pub(crate) fn acquire(&self) -> Option<Taken> {
+        if self.withdrawn.load(Ordering::Acquire) {
+            return None;
+        }
+        self.slots.acquire()
     }
 
     /// Gives back a slot.
-    pub(crate) fn release(&self) {
-        self.slots.release();
+    pub(crate) fn release(&self, taken: Taken) {
+        self.slots.release(taken);
     }
 
     /// Accounts a try that took `latency`.
@@ -73,17 +76,17 @@
     }
 
     /// An unused connection. Whoever holds a slot takes one before opening
-    /// another, so connections never outnumber the share.
+    /// another, so connections never outnumber this entry's part of them.
     pub(crate) fn take_idle(&self, now: Duration, age_max: Duration) -> Option<Box<Upstream>> {
         self.idle.take(now, age_max)
     }
 
     pub(crate) fn keep_idle(&self, upstream: Box<Upstream>, now: Duration) {
-        self.idle.keep(upstream, now, self.slots.share());
+        self.idle.keep(upstream, now, self.slots.connections());
     }
 
     pub(crate) fn sweep(&self, now: Duration, age_max: Duration) {
-        self.idle.sweep(now, age_max, self.slots.share());
+        self.idle.sweep(now, age_max, self.slots.connections());
     }
 
     /// Begins nothing new here and closes unused connections; requests in
--- a/crates/cleat-entry/src/upstream/connection.rs
+++ b/crates/cleat-entry/src/upstream/connection.rs
@@ -125,6 +125,17 @@
         self.timer = Some(timer);
     }
 
+    /// Whether the target may work on an exchange: a byte of it may have left,
+    /// and the target did not end the connection.
+    pub(crate) fn is_unfinished(&self) -> bool {
+        self.sent.get() && !self.life.ended
+    }
+
+    /// The next exchange may not begin from `until` on.
+    pub(crate) fn set_begin_until(&self, until: Option<Instant>) {
+        self.sent.set_begin_until(until);
+    }
+
     /// Whether a byte of the current exchange may have left.
     pub(crate) fn may_have_sent(&self) -> bool {
         self.sent.get()
--- a/crates/cleat-entry/src/upstream/mod.rs
+++ b/crates/cleat-entry/src/upstream/mod.rs
@@ -3,6 +3,8 @@
 mod connection;
 mod drive;
 mod failure;
+#[cfg(test)]
+mod tests;
 mod watched;
 
 pub(crate) use connection::Upstream;
--- /dev/null
+++ b/crates/cleat-entry/src/upstream/tests.rs
@@ -0,0 +1,35 @@
+//! What may leave on a connection.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, timeout};
+
+use super::{Failure, Upstream};
+
+#[tokio::test]
+async fn send_after_the_lease_sends_no_byte() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let opening = Upstream::open(address, Duration::from_secs(5));
+    let (upstream, accepted) = tokio::join!(opening, listener.accept());
+    let (mut upstream, mut target) = (upstream.unwrap(), accepted.unwrap().0);
+
+    // The lease ends between the choice of the connection and the write.
+    upstream.set_begin_until(Some(Instant::now()));
+    let req = Request::get("/").header("host", "t1");
+    let sent = upstream.send(req.body(Full::<Bytes>::default()).unwrap());
+    // Only a test that fails waits: the target never answers.
+    let sent = timeout(Duration::from_secs(5), sent).await;
+    assert_eq!(sent.expect("an end").unwrap_err(), Failure::NotSent);
+    drop(upstream);
+    let mut received = Vec::new();
+    // Only the end of the connection arrives.
+    let _ = target.read_to_end(&mut received).await;
+    assert!(received.is_empty());
+}
--- a/crates/cleat-link/src/handler.rs
+++ b/crates/cleat-link/src/handler.rs
@@ -7,7 +7,7 @@
 use cleat_world::CommandBody;
 use tarpc::context::Context;
 
-use crate::{MemberReport, Peer, PeerError, Proposed, Renewal, RenewalOutcome};
+use crate::{MemberReport, Peer, PeerError, Proposed, Renewal, RenewalOutcome, SlotMessage};
 
 /// The methods of [`Peer`] with futures that may move between threads, which
 /// the trait made by tarpc does not promise.
@@ -15,6 +15,9 @@
     /// See [`Peer::deliver`].
     fn deliver(&self, messages: Vec<Message>);
 
+    /// See [`Peer::slots`].
+    fn slots(&self, from: &str, messages: Vec<SlotMessage>);
+
     /// See [`Peer::propose`].
     fn propose(
         &self,
@@ -48,6 +51,10 @@
         self.0.deliver(messages);
     }
 
+    async fn slots(self, _: Context, from: Box<str>, messages: Vec<SlotMessage>) {
+        self.0.slots(&from, messages);
+    }
+
     async fn propose(self, _: Context, body: CommandBody) -> Result<Proposed, PeerError> {
         self.0.propose(body).await
     }
--- a/crates/cleat-link/src/lib.rs
+++ b/crates/cleat-link/src/lib.rs
@@ -13,5 +13,7 @@
 pub use codec::{LinkTraffic, TrafficSnapshot};
 pub use handler::Handler;
 pub use link::{CallError, Link, LinkConfig};
-pub use peer::{MemberReport, Peer, PeerClient, PeerError, Proposed, Renewal, RenewalOutcome};
+pub use peer::{
+    MemberReport, Peer, PeerClient, PeerError, Proposed, Renewal, RenewalOutcome, SlotMessage,
+};
 pub use server::{PeerListener, ServeError};
--- a/crates/cleat-link/src/link.rs
+++ b/crates/cleat-link/src/link.rs
@@ -17,7 +17,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::codec::transport;
-use crate::{LinkTraffic, MemberReport, PeerClient, PeerError, Proposed, Renewal, RenewalOutcome};
+use crate::{
+    LinkTraffic, MemberReport, PeerClient, PeerError, Proposed, Renewal, RenewalOutcome,
+    SlotMessage,
+};
 
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -147,6 +150,18 @@
         self.call(limit, call).await
     }
 
+    /// See [`Peer::slots`](crate::Peer::slots). Messages that could not be
+    /// sent or taken within `limit` are lost.
+    pub async fn slots(&self, from: &str, messages: Vec<SlotMessage>, limit: Duration) {
+        let Some(client) = self.client.load_full() else {
+            return;
+        };
+        let sent = client.slots(context_for(limit), from.into(), messages);
+        if let Err(error) = sent.await {
+            log::debug!("messages on slots to {} may be lost: {error}", self.name);
+        }
+    }
+
     /// See [`Peer::members`](crate::Peer::members).
     ///
     /// # Errors
--- a/crates/cleat-link/src/peer.rs
+++ b/crates/cleat-link/src/peer.rs
@@ -45,6 +45,15 @@
     pub votes: bool,
 }
 
+/// A message about the slots of one service's targets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotMessage {
+    /// The service.
+    pub service: Box<str>,
+    /// What one instance says to the other.
+    pub message: cleat_decide::Message,
+}
+
 /// Why another instance did not do what it was asked.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Snafu)]
 #[snafu(visibility(pub))]
@@ -77,6 +86,10 @@
     /// Takes consensus messages; their answers are messages of their own.
     async fn deliver(messages: Vec<Message>);
 
+    /// Takes messages about slots of the instance `from`; their answers are
+    /// messages of their own.
+    async fn slots(from: Box<str>, messages: Vec<SlotMessage>);
+
     /// Proposes a command; the leader answers once it is applied.
     async fn propose(body: CommandBody) -> Result<Proposed, PeerError>;
 
--- a/crates/cleat-link/tests/link.rs
+++ b/crates/cleat-link/tests/link.rs
@@ -6,7 +6,7 @@
 
 use cleat_link::{
     CallError, Handler, Link, LinkConfig, LinkTraffic, MemberReport, PeerError, PeerListener,
-    Proposed, Renewal, RenewalOutcome,
+    Proposed, Renewal, RenewalOutcome, SlotMessage,
 };
 use cleat_quorum::Message;
 use cleat_world::CommandBody;
@@ -21,6 +21,8 @@
 impl Handler for Leader {
     fn deliver(&self, _: Vec<Message>) {}
 
+    fn slots(&self, _: &str, _: Vec<SlotMessage>) {}
+
     async fn propose(&self, _: CommandBody) -> Result<Proposed, PeerError> {
         Err(PeerError::NotLeader {
             leader: Some("e3".into()),
--- a/crates/cleat-node/src/entry_control.rs
+++ b/crates/cleat-node/src/entry_control.rs
@@ -17,6 +17,10 @@
         Node::in_service(self)
     }
 
+    fn life_began(&self) -> Option<u64> {
+        self.life_began.get().copied()
+    }
+
     async fn claim(&self, claim: ClaimKey) -> Result<KeyAnswer, ClaimError> {
         self.key_command(CommandBody::ClaimKey(claim)).await
     }
--- a/crates/cleat-node/src/instance.rs
+++ b/crates/cleat-node/src/instance.rs
@@ -23,6 +23,7 @@
 use crate::member::Members;
 use crate::node::Node;
 use crate::renewals::{self, Renewals};
+use crate::slots;
 use crate::world::{SharedWorld, new_life};
 
 /// The pause before a new life is announced again.
@@ -123,12 +124,13 @@
             operators: operators.local_addr(),
             peers: peers.local_addr(),
         };
-        let tasks = vec![
+        let mut tasks = vec![
             peers.serve(node.clone(), node.links.traffic().clone()),
             tokio::spawn(leases::watch(node.clone())),
             tokio::spawn(renewals::send(node.clone(), waiting)),
             tokio::spawn(begin_life(node.clone())),
         ];
+        tasks.extend(slots::spawn(&node, &entry));
         let servers = vec![
             Operators::spawn(operators, node.clone()),
             Targets::spawn(targets, node.clone()),
@@ -187,6 +189,8 @@
         counters,
         entry: OnceLock::new(),
         started: Instant::now(),
+        life_began: OnceLock::new(),
+        slots_moved: tokio::sync::Notify::new(),
     };
     Ok((Arc::new(node), waiting))
 }
@@ -256,7 +260,11 @@
     while !node.is_current_life() {
         let body = CommandBody::BeginLife(begin.clone());
         match node.propose_anywhere(body).await {
-            Ok(_) => return,
+            Ok(proposed) => {
+                // Only this task sets it.
+                let _ = node.life_began.set(proposed.index);
+                return;
+            }
             Err(error) => warn!("not in the fleet yet: {error}"),
         }
         tokio::time::sleep(BEGIN_LIFE_PAUSE).await;
--- a/crates/cleat-node/src/lib.rs
+++ b/crates/cleat-node/src/lib.rs
@@ -14,6 +14,7 @@
 mod peer_handler;
 mod propose;
 mod renewals;
+mod slots;
 mod world;
 
 pub use instance::{Addresses, Instance, StartError};
--- a/crates/cleat-node/src/peer_handler.rs
+++ b/crates/cleat-node/src/peer_handler.rs
@@ -1,6 +1,8 @@
 //! What this instance answers to the others.
 
-use cleat_link::{Handler, MemberReport, PeerError, Proposed, Renewal, RenewalOutcome};
+use cleat_link::{
+    Handler, MemberReport, PeerError, Proposed, Renewal, RenewalOutcome, SlotMessage,
+};
 use cleat_quorum::Message;
 use cleat_world::CommandBody;
 
@@ -13,6 +15,10 @@
         }
     }
 
+    fn slots(&self, from: &str, messages: Vec<SlotMessage>) {
+        self.receive_slots(from, messages);
+    }
+
     async fn propose(&self, body: CommandBody) -> Result<Proposed, PeerError> {
         self.propose_here(body).await
     }
