Say each start error once and how to mend it

Cause: faulty settings were printed twice (the error and its source have one text), and an address in use did not say what to do; seen by hand. Ruled out: dropping the chain of causes (it names the file and the offset). Change: texts only. Conclusion: what, where and how to mend stand in each start error.

--- a/crates/celerycleatd/src/error.rs
+++ b/crates/celerycleatd/src/error.rs
@@ -18,7 +18,7 @@
     #[snafu(display("give --settings FILE, or --dev to try it out"))]
     NothingToRun,
     /// The settings are not valid; the source lists every fault.
-    #[snafu(display("{source}"))]
+    #[snafu(display("the settings cannot be used; correct what follows"))]
     Settings {
         /// The faults.
         source: SettingsError,
--- a/crates/cleat-operate/src/http/server.rs
+++ b/crates/cleat-operate/src/http/server.rs
@@ -29,7 +29,7 @@
 pub enum ListenError {
     /// The address could not be bound: it is in use or not this machine's.
     /// Correct `listen` in the settings.
-    #[snafu(display("cannot listen on {address}"))]
+    #[snafu(display("cannot listen on {address}; free the address or correct listen"))]
     Bind {
         /// The address.
         address: SocketAddr,
