Decide moves and maintenance waves in a pure core

Cause: places and waves stood in the replicated state and nothing took them on. Ruled out: times in the replicated state (clocks of leaders differ; a new leader waits anew instead); starting by budget alone (a rack lost in the middle would break it: room is left for the worst rack); an instance that failed for good (a wave stayed stuck on it: it returns as skipped once it has proved itself). Change: the reconciler, its shell, and the platform as a trait with an HTTP client; effects carry a token of instance, action and committed step.

--- /dev/null
+++ b/crates/cleat-maintain/src/platform/mod.rs
@@ -0,0 +1,7 @@
+//! The platform that drains and reboots instances.
+
+mod client;
+mod types;
+
+pub use client::HttpPlatform;
+pub use types::{Action, Platform, PlatformError, Report, Token};
--- /dev/null
+++ b/crates/cleat-maintain/src/run.rs
@@ -0,0 +1,179 @@
+//! Carrying out what was decided, on an instance while it leads.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cleat_world::{CommandBody, World};
+use log::{info, warn};
+use snafu::Snafu;
+use tokio::task::JoinSet;
+
+use crate::{Effect, Event, Platform, Reconciler};
+
+/// How often it is looked whether something can go on.
+const TICK: Duration = Duration::from_millis(200);
+/// The most effects in progress at once: what the platform and the log are
+/// asked stays bounded however many pools are under maintenance.
+const MOST_IN_PROGRESS: usize = 32;
+
+/// The log did not take a command, or its outcome is unknown. It is decided
+/// anew from the state.
+#[derive(Debug, Snafu)]
+#[snafu(display("this instance does not lead any more, or reaches no quorum"))]
+pub struct ControlLost;
+
+/// The replicated state and log as this instance has them.
+pub trait Control: Send + Sync + 'static {
+    /// The term in which this instance leads, while it certainly does.
+    fn leading_term(&self) -> Option<u64>;
+
+    /// Reads the local replica.
+    fn world<R>(&self, read: impl FnOnce(&World) -> R) -> R;
+
+    /// Proposes a command here and waits until it is applied.
+    fn propose(&self, body: CommandBody) -> impl Future<Output = Result<(), ControlLost>> + Send;
+
+    /// Waits until `index` is in force wherever requests are taken.
+    fn wait_in_force(&self, index: u64) -> impl Future<Output = Result<(), ControlLost>> + Send;
+}
+
+/// Takes moves and waves on while this instance leads; never returns.
+pub async fn run<C: Control, P: Platform>(control: Arc<C>, platform: Arc<P>) {
+    let mut shell = Shell::new(control, platform);
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => shell.tick(),
+            Some(ended) = shell.tasks.join_next() => shell.ended(ended.ok()),
+        }
+    }
+}
+
+/// How an effect ended.
+struct Ended {
+    term: u64,
+    effect: Effect,
+    event: Option<Event>,
+}
+
+struct Shell<C, P> {
+    control: Arc<C>,
+    platform: Arc<P>,
+    started: Instant,
+    /// The term that `reconciler` decides in.
+    term: Option<u64>,
+    reconciler: Reconciler,
+    tasks: JoinSet<Ended>,
+    in_progress: Vec<Effect>,
+    /// Ended since the last tick: not begun again before the next, so that
+    /// an effect that takes long is asked for at the pace of the ticks.
+    resting: Vec<Effect>,
+}
+
+impl<C: Control, P: Platform> Shell<C, P> {
+    fn new(control: Arc<C>, platform: Arc<P>) -> Shell<C, P> {
+        Shell {
+            control,
+            platform,
+            started: Instant::now(),
+            term: None,
+            reconciler: Reconciler::default(),
+            tasks: JoinSet::new(),
+            in_progress: Vec::new(),
+            resting: Vec::new(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.resting.clear();
+        self.on(Event::Tick);
+    }
+
+    fn on(&mut self, event: Event) {
+        let term = self.control.leading_term();
+        if term != self.term {
+            self.restart(term);
+        }
+        let Some(term) = term else {
+            return;
+        };
+        let now = self.started.elapsed();
+        let reconciler = &mut self.reconciler;
+        let effects = self.control.world(|world| reconciler.on(event, world, now));
+        for effect in effects {
+            self.begin(effect, term);
+        }
+    }
+
+    /// A new leader knows nothing of what an earlier one saw.
+    fn restart(&mut self, term: Option<u64>) {
+        self.term = term;
+        self.reconciler = Reconciler::default();
+        self.tasks.abort_all();
+        self.in_progress.clear();
+        self.resting.clear();
+    }
+
+    fn begin(&mut self, effect: Effect, term: u64) {
+        let known = self.in_progress.contains(&effect) || self.resting.contains(&effect);
+        if known || self.in_progress.len() >= MOST_IN_PROGRESS {
+            return;
+        }
+        self.in_progress.push(effect.clone());
+        let (control, platform) = (self.control.clone(), self.platform.clone());
+        self.tasks.spawn(async move {
+            let event = perform(&*control, &*platform, &effect, term).await;
+            Ended {
+                term,
+                effect,
+                event,
+            }
+        });
+    }
+
+    fn ended(&mut self, ended: Option<Ended>) {
+        // An aborted task belongs to an earlier term.
+        let Some(ended) = ended.filter(|ended| Some(ended.term) == self.term) else {
+            return;
+        };
+        self.in_progress.retain(|effect| *effect != ended.effect);
+        self.resting.push(ended.effect);
+        if let Some(event) = ended.event {
+            self.on(event);
+        }
+    }
+}
+
+async fn perform<C: Control, P: Platform>(
+    control: &C,
+    platform: &P,
+    effect: &Effect,
+    term: u64,
+) -> Option<Event> {
+    match effect {
+        Effect::Propose(body) => {
+            info!("maintenance: {body:?}");
+            let proposed = control.propose(body.clone()).await;
+            proposed.ok().map(|()| Event::Tick)
+        }
+        Effect::AwaitInForce { index } => {
+            let waited = control.wait_in_force(*index).await;
+            waited.ok().map(|()| Event::InForce { index: *index })
+        }
+        Effect::Act(token) => {
+            let at = control.world(|world| world.fleet().platform)?;
+            match platform.act(at, token, term).await {
+                Ok(report) => {
+                    let token = token.clone();
+                    Some(Event::Reported { token, report })
+                }
+                Err(error) => {
+                    warn!("{token}: {error}");
+                    None
+                }
+            }
+        }
+    }
+}
--- a/crates/cleat-world/src/maintenance/wave.rs
+++ b/crates/cleat-world/src/maintenance/wave.rs
@@ -37,14 +37,17 @@
     Probation,
     /// Maintained.
     Done,
-    /// It could not be maintained.
+    /// It could not be maintained, and counts as away until it has proved
+    /// itself.
     Failed,
+    /// It serves again after a failure, without having been maintained.
+    Skipped,
 }
 
 impl Step {
     /// Whether an instance in this step counts as away.
     pub fn is_away(self) -> bool {
-        !matches!(self, Step::Waiting | Step::Done)
+        !matches!(self, Step::Waiting | Step::Done | Step::Skipped)
     }
 
     /// Whether targets on the instance get no requests.
@@ -52,9 +55,9 @@
         matches!(self, Step::Draining | Step::Rebooting)
     }
 
-    /// Whether nothing more happens to the instance in this wave.
+    /// Whether the wave has nothing left to do with the instance.
     pub fn is_final(self) -> bool {
-        matches!(self, Step::Done | Step::Failed)
+        matches!(self, Step::Done | Step::Failed | Step::Skipped)
     }
 
     /// Whether the step `to` may follow.
@@ -65,12 +68,13 @@
                 | (Step::Draining, Step::Rebooting | Step::Failed)
                 | (Step::Rebooting, Step::Probation | Step::Failed)
                 | (Step::Probation, Step::Done | Step::Failed)
+                | (Step::Failed, Step::Skipped)
         )
     }
 }
 
 impl Wave {
-    /// Whether every instance is done or failed.
+    /// Whether every instance is done, failed or skipped.
     pub fn has_ended(&self) -> bool {
         self.instances.values().all(|state| state.step.is_final())
     }
--- a/crates/cleat-world/src/state/budget.rs
+++ b/crates/cleat-world/src/state/budget.rs
@@ -70,8 +70,7 @@
 
     /// Whether a target on the instance is announced.
     pub fn has_target(&self, instance: &str) -> bool {
-        let mut targets = self.targets.by_name.values();
-        targets.any(|target| &*target.announcement.instance == instance)
+        self.targets.any_on(instance)
     }
 
     /// The step of an instance in the wave of its pool.
--- a/crates/cleat-world/src/state/targets.rs
+++ b/crates/cleat-world/src/state/targets.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub(super) struct Targets {
     pub(super) by_name: IndexMap<Box<str>, Target>,
+    /// How many run on each instance. Invariant: as in `by_name`, no zeros.
+    on_instance: IndexMap<Box<str>, u32>,
 }
 
 impl Targets {
@@ -40,6 +42,7 @@
             incarnation,
         };
         self.by_name.insert(announce.name, target);
+        self.recount();
         TargetAnswer::Announced {
             incarnation,
             lease_ms: places.fleet.target_lease_ms,
@@ -54,6 +57,7 @@
         };
         if meant {
             self.by_name.shift_remove(&withdraw.name);
+            self.recount();
         }
         TargetAnswer::Withdrawn
     }
@@ -62,6 +66,7 @@
     pub(super) fn keep_valid(&mut self, places: &Places<'_>) {
         let valid = |target: &Target| places.check(&target.announcement).is_ok();
         self.by_name.retain(|_, target| valid(target));
+        self.recount();
     }
 
     /// Whether targets run on the instance and none of them could stay.
@@ -77,6 +82,22 @@
     pub(super) fn drop_instance(&mut self, instance: &str) {
         let elsewhere = |target: &Target| &*target.announcement.instance != instance;
         self.by_name.retain(|_, target| elsewhere(target));
+        self.recount();
+    }
+
+    /// Whether a target runs on the instance; asked for each instance
+    /// whenever a budget is looked at.
+    pub(super) fn any_on(&self, instance: &str) -> bool {
+        self.on_instance.contains_key(instance)
+    }
+
+    /// Announcements are rare and already cost as much as this.
+    fn recount(&mut self) {
+        self.on_instance.clear();
+        for target in self.by_name.values() {
+            let instance = target.announcement.instance.clone();
+            *self.on_instance.entry(instance).or_default() += 1;
+        }
     }
 
     fn check(&self, announce: &Announce, places: &Places<'_>) -> Result<(), TargetAnswer> {
