Carry a step's effects out before the next step

Synced together, the group was reported under the earlier ticket; the member then waited for ever with its votes, until another write came. Conclusion: tickets reach the disk in order.

--- a/crates/cleat-quorum/src/core/event.rs
+++ b/crates/cleat-quorum/src/core/event.rs
@@ -50,7 +50,7 @@
     Snapshot(Arc<Image>),
 }
 
-/// What has to be done, in order.
+/// What has to be done, in order, and before the next step.
 ///
 /// A message that rests on a write is not among the effects of the step that
 /// wrote: the core holds it back until [`Event::Synced`] confirms the ticket
--- a/crates/cleat-quorum/src/core/status.rs
+++ b/crates/cleat-quorum/src/core/status.rs
@@ -150,9 +150,9 @@
         self.config.limits.max_command
     }
 
-    /// The last entry in the latest snapshot.
-    pub fn image_index(&self) -> LogIndex {
-        self.log.image_index()
+    /// The largest snapshot of the state machine in bytes.
+    pub fn max_snapshot(&self) -> usize {
+        self.config.limits.max_snapshot
     }
 
     /// The entry before the first in memory, and the last entry of the log.
--- a/crates/cleat-quorum/src/driver/task.rs
+++ b/crates/cleat-quorum/src/driver/task.rs
@@ -169,16 +169,21 @@
     }
 
     fn step(&mut self, event: Event) -> Result<(), Failure> {
-        let now = Instant::now() - self.origin;
-        let effects = self.core.step(event, now);
-        for effect in effects {
-            self.carry_out(effect)?;
+        let mut next = Some(event);
+        while let Some(event) = next.take() {
+            let now = Instant::now() - self.origin;
+            for effect in self.core.step(event, now) {
+                // The effects of one step come before those of the next: the
+                // tickets of syncs must reach the disk in order.
+                next = self.carry_out(effect)?.or(next);
+            }
         }
         self.publish();
         Ok(())
     }
 
-    fn carry_out(&mut self, effect: Effect) -> Result<(), Failure> {
+    /// Carries out an effect; gives the event that it leads to.
+    fn carry_out(&mut self, effect: Effect) -> Result<Option<Event>, Failure> {
         match effect {
             Effect::Write(write) => self.writes.push(write),
             Effect::Sync(ticket) => {
@@ -197,9 +202,9 @@
             }
             Effect::Restore(image) => self.outputs.machine.restore(&image.data)?,
             Effect::TakeSnapshot(index) => {
-                let data = self.outputs.machine.snapshot().into();
-                self.step(Event::SnapshotTaken { index, data })?;
-                self.warn_of_snapshot(index);
+                let data: Arc<[u8]> = self.outputs.machine.snapshot().into();
+                self.warn_of_snapshot(index, &data);
+                return Ok(Some(Event::SnapshotTaken { index, data }));
             }
             Effect::Accepted { first, term } => {
                 let proposals = std::mem::take(&mut self.proposals);
@@ -212,11 +217,11 @@
             }
             Effect::LostLeadership => self.waiters.lost_leadership(),
         }
-        Ok(())
+        Ok(None)
     }
 
-    fn warn_of_snapshot(&self, index: u64) {
-        if self.core.image_index() < index {
+    fn warn_of_snapshot(&self, index: u64, data: &[u8]) {
+        if data.len() > self.core.max_snapshot() {
             warn!("the snapshot at entry {index} is over the limit; the log is not compacted");
         }
     }
--- /dev/null
+++ b/crates/cleat-quorum/tests/slow_disk.rs
@@ -0,0 +1,158 @@
+//! A replica whose disk is slow, driven by messages alone.
+
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::Duration;
+
+use cleat_quorum::{
+    Append, Body, Entry, GENESIS_INDEX, HardState, Image, Limits, Machine, Member, MemberConfig,
+    MemberId, Membership, Message, Payload, Recovery, Replica, ReplicaConfig, RestoreError, Store,
+    StoreError, Transport, VoteRequest, Write,
+};
+use tokio::time::{sleep, timeout};
+
+const GROUP: u32 = 7;
+const TERM: u64 = 1;
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct Nothing;
+
+impl Machine for Nothing {
+    fn apply(&mut self, _: u64, _: &[u8]) -> Box<[u8]> {
+        Box::default()
+    }
+
+    fn snapshot(&self) -> Box<[u8]> {
+        Box::default()
+    }
+
+    fn restore(&mut self, _: &[u8]) -> Result<(), RestoreError> {
+        Ok(())
+    }
+}
+
+/// Each sync waits until the test allows it.
+struct Gated(mpsc::Receiver<()>);
+
+impl Store for Gated {
+    fn write(&mut self, _: &Write) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        let _ = self.0.recv();
+        Ok(())
+    }
+}
+
+#[derive(Clone, Default)]
+struct Sent(Arc<Mutex<Vec<Message>>>);
+
+impl Transport for Sent {
+    fn send(&self, _: MemberId, message: Message) {
+        self.0.lock().expect("not poisoned").push(message);
+    }
+}
+
+fn follower(compact_after: u64) -> (ReplicaConfig, Recovery) {
+    let members = (0..3).map(|id| MemberConfig {
+        id: MemberId(id),
+        votes: true,
+    });
+    let limits = Limits {
+        compact_after,
+        ..Limits::default()
+    };
+    let cfg = ReplicaConfig::new(MemberId(1), members.collect(), 1).with_limits(limits);
+    let members = (0..3).map(|id| Member {
+        id: MemberId(id),
+        identity: u64::from(id),
+        votes: true,
+    });
+    let membership = Membership {
+        members: members.collect(),
+        retired: Vec::new(),
+    };
+    let image = Image {
+        index: GENESIS_INDEX,
+        term: 0,
+        group: GROUP,
+        membership,
+        data: Arc::from([]),
+    };
+    let recovery = Recovery {
+        identity: 1,
+        hard_state: HardState {
+            term: TERM,
+            voted_for: None,
+        },
+        image: Some(Arc::new(image)),
+        entries: Vec::new(),
+    };
+    (cfg, recovery)
+}
+
+fn message(from: u16, term: u64, body: Body) -> Message {
+    Message {
+        group: GROUP,
+        from: MemberId(from),
+        to: MemberId(1),
+        term,
+        body,
+    }
+}
+
+/// An append of one entry after `index`; what is before it is committed.
+fn append(index: u64) -> Message {
+    let entry = Entry {
+        index: index + 1,
+        term: TERM,
+        payload: Payload::Noop,
+    };
+    let append = Append {
+        round: index,
+        prev_index: index,
+        prev_term: if index == GENESIS_INDEX { 0 } else { TERM },
+        commit: index,
+        echo: None,
+        entries: vec![entry],
+    };
+    message(0, TERM, Body::Append(append))
+}
+
+/// A snapshot falls due in the step that writes an entry, while the disk is
+/// busy: both must count as synced, or the member never votes again.
+#[tokio::test]
+async fn step_snapshot_during_slow_sync() {
+    let (cfg, recovery) = follower(1);
+    let (allow, gate) = mpsc::channel();
+    let sent = Sent::default();
+    let replica = Replica::spawn_on(cfg, recovery, Gated(gate), sent.clone(), Nothing);
+    let replica = replica.expect("the replica starts");
+    for index in GENESIS_INDEX..GENESIS_INDEX + 3 {
+        replica.deliver(append(index));
+        let applied = replica.wait_applied(index, LIMIT).await;
+        applied.expect("what is committed is applied");
+    }
+    for _ in 0..20 {
+        allow.send(()).expect("the disk waits");
+    }
+    let asks = || {
+        let req = VoteRequest {
+            pre: true,
+            last_index: GENESIS_INDEX + 3,
+            last_term: TERM,
+            voter_identity: 1,
+        };
+        replica.deliver(message(2, TERM + 1, Body::VoteRequest(req)));
+    };
+    let voted = async {
+        let granted = |message: &Message| matches!(&message.body, Body::VoteReply(r) if r.granted);
+        while !sent.0.lock().expect("not poisoned").iter().any(granted) {
+            asks();
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(LIMIT, voted)
+        .await
+        .expect("it votes once the leader is silent");
+}
