Let operators move instances and start, pause and resume waves

Cause: the pure core had no way in and nothing ran it. Ruled out: running it on every instance (only a leader whose lease holds acts); a wait until a move has ended before it is answered (it may take minutes; the list of instances shows it). Change: POST /instances/NAME/move, POST /maintenance/POOL/start|pause|resume, GET /maintenance with what each wave waits for; lists show the place that the state knows and count what is away by the rule of the budget.

--- a/crates/cleat-node/src/instance.rs
+++ b/crates/cleat-node/src/instance.rs
@@ -8,6 +8,7 @@
 use cleat_entry::{Entry, EntryConfig, Limits};
 use cleat_link::PeerListener;
 use cleat_log::Journal;
+use cleat_maintain::HttpPlatform;
 use cleat_operate::{Listener, Operators, RunningServer, Targets};
 use cleat_quorum::{MemberConfig, Replica, ReplicaConfig};
 use cleat_settings::Settings;
@@ -129,6 +130,7 @@
             tokio::spawn(leases::watch(node.clone())),
             tokio::spawn(renewals::send(node.clone(), waiting)),
             tokio::spawn(begin_life(node.clone())),
+            tokio::spawn(cleat_maintain::run(node.clone(), Arc::new(HttpPlatform))),
         ];
         tasks.extend(slots::spawn(&node, &entry));
         let servers = vec![
--- a/crates/cleat-node/src/lib.rs
+++ b/crates/cleat-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod leases;
 mod links;
 mod machine;
+mod maintenance;
 mod member;
 mod node;
 mod operator_control;
--- /dev/null
+++ b/crates/cleat-node/src/maintenance.rs
@@ -0,0 +1,30 @@
+//! What moves and waves ask of control.
+
+use std::time::Instant;
+
+use cleat_maintain::{Control, ControlLost};
+use cleat_world::{CommandBody, World};
+
+use crate::node::Node;
+
+impl Control for Node {
+    fn leading_term(&self) -> Option<u64> {
+        let status = self.replica.status();
+        let leads = status.is_leader() && status.in_service(Instant::now());
+        leads.then(|| status.term())
+    }
+
+    fn world<R>(&self, read: impl FnOnce(&World) -> R) -> R {
+        self.world.read(read)
+    }
+
+    async fn propose(&self, body: CommandBody) -> Result<(), ControlLost> {
+        let proposed = self.propose_here(body).await;
+        proposed.map(|_| ()).map_err(|_| ControlLost)
+    }
+
+    async fn wait_in_force(&self, index: u64) -> Result<(), ControlLost> {
+        let waited = self.wait_in_force_here(index).await;
+        waited.map_err(|_| ControlLost)
+    }
+}
--- a/crates/cleat-operate/src/operators/config.rs
+++ b/crates/cleat-operate/src/operators/config.rs
@@ -145,7 +145,7 @@
     }
 }
 
-fn invalid(faults: &[Fault]) -> Answer {
+pub(super) fn invalid(faults: &[Fault]) -> Answer {
     let faults: Vec<_> = faults.iter().map(fault_body).collect();
     json_answer(StatusCode::UNPROCESSABLE_ENTITY, &json!({"faults": faults}))
 }
--- a/crates/cleat-operate/src/operators/lists.rs
+++ b/crates/cleat-operate/src/operators/lists.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 
-use cleat_world::{Target, World};
+use cleat_world::{Phase, Target, World};
 use http::StatusCode;
 use serde::Serialize;
 use serde_json::json;
 
+use super::moves::text_of;
 use crate::ControlPlane;
 use crate::http::{Answer, from_control, json as json_answer};
 
@@ -14,8 +15,10 @@
 struct PoolBody<'a> {
     name: &'a str,
     availability_budget: u64,
-    instances: usize,
-    away: usize,
+    instances: u64,
+    away: u64,
+    /// Those that have joined and not served yet; they do not count as away.
+    joining: u64,
 }
 
 #[derive(Serialize)]
@@ -25,6 +28,12 @@
     data_centre: &'a str,
     rack: &'a str,
     targets: usize,
+    /// How far a move is.
+    phase: &'static str,
+    /// The pool it moves to.
+    moves_to: Option<&'a str>,
+    /// How far the wave of the pool is with it.
+    maintenance: Option<&'static str>,
 }
 
 #[derive(Serialize)]
@@ -39,7 +48,8 @@
     incarnation: u64,
 }
 
-/// `GET /pools`. An instance counts as away while no target runs on it.
+/// `GET /pools`. An instance that has served counts as away while no target
+/// runs on it, it leaves the pool, or it is under maintenance.
 pub(super) async fn pools<C: ControlPlane>(control: &C) -> Answer {
     read(control, |world| {
         let pools: Vec<_> = pool_bodies(world).collect();
@@ -77,31 +87,46 @@
 }
 
 fn pool_bodies(world: &World) -> impl Iterator<Item = PoolBody<'_>> {
-    let fleet = world.fleet();
-    fleet.pools.iter().map(move |(_, name, pool)| {
-        let names = pool.instances.iter().map(|id| fleet.instances.name(*id));
-        let away = names.filter(|name| targets_on(world, name) == 0).count();
-        PoolBody {
+    let pools = world.fleet().pools.iter();
+    pools.filter_map(move |(_, name, _)| {
+        let found = world.availability(name)?;
+        Some(PoolBody {
             name,
-            availability_budget: pool.availability_budget,
-            instances: pool.instances.len(),
-            away,
-        }
+            availability_budget: found.budget,
+            instances: found.instances,
+            away: found.away,
+            joining: found.joining,
+        })
     })
 }
 
 fn instance_bodies(world: &World) -> impl Iterator<Item = InstanceBody<'_>> {
     let fleet = world.fleet();
-    fleet
-        .instances
-        .iter()
-        .map(move |(_, name, instance)| InstanceBody {
+    let instances = fleet.instances.iter();
+    instances.filter_map(move |(_, name, instance)| {
+        let place = world.places().get(name)?;
+        let wave = world.waves().get(&place.pool);
+        Some(InstanceBody {
             name,
-            pool: fleet.pools.name(instance.pool),
+            pool: &place.pool,
             data_centre: fleet.data_centres.name(instance.data_centre),
             rack: &instance.rack,
             targets: targets_on(world, name),
+            phase: phase_text(&place.phase),
+            moves_to: place.phase.destination(),
+            maintenance: wave.and_then(|wave| wave.step(name)).map(text_of),
         })
+    })
+}
+
+fn phase_text(phase: &Phase) -> &'static str {
+    match phase {
+        Phase::Joining => "joining",
+        Phase::Member => "member",
+        Phase::Ordered { .. } => "ordered",
+        Phase::Leaving { .. } => "leaving",
+        Phase::Drained { .. } => "drained",
+    }
 }
 
 fn targets_on(world: &World, instance: &str) -> usize {
--- /dev/null
+++ b/crates/cleat-operate/src/operators/maintenance.rs
@@ -0,0 +1,161 @@
+//! Maintenance waves: starting, pausing, resuming and showing them.
+
+use cleat_json::{Fault, Faults, Node};
+use cleat_maintain::{Waiting, waiting};
+use cleat_world::{
+    Answer as CommandAnswer, CommandBody, PauseWave, ResumeWave, StartWave, Wave, WaveAnswer, World,
+};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use super::command_id::{command_id_taken, read_command_id};
+use super::config::invalid;
+use super::moves::text_of;
+use crate::ControlPlane;
+use crate::http::{Answer, Problem, ProblemKind, from_control, json as json_answer, read_json};
+
+/// What an operator wants of a wave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verb {
+    Start,
+    Pause,
+    Resume,
+}
+
+impl Verb {
+    /// The verb of a path, if it is one.
+    pub(super) fn of(word: &str) -> Option<Verb> {
+        match word {
+            "start" => Some(Verb::Start),
+            "pause" => Some(Verb::Pause),
+            "resume" => Some(Verb::Resume),
+            _ => None,
+        }
+    }
+
+    fn command(self, pool: &str, command_id: Option<Box<str>>) -> CommandBody {
+        let pool = pool.into();
+        match self {
+            Verb::Start => CommandBody::StartWave(StartWave { pool, command_id }),
+            Verb::Pause => CommandBody::PauseWave(PauseWave { pool, command_id }),
+            Verb::Resume => CommandBody::ResumeWave(ResumeWave { pool, command_id }),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct WaveBody<'a> {
+    pool: &'a str,
+    wave: u64,
+    state: &'static str,
+    /// Absent while an instance is taken, and once the wave has ended.
+    waiting_for: Option<Waiting>,
+    instances: Vec<InstanceBody<'a>>,
+}
+
+#[derive(Serialize)]
+struct InstanceBody<'a> {
+    name: &'a str,
+    step: &'static str,
+}
+
+/// `POST /maintenance/POOL/VERB`.
+pub(super) async fn post<C: ControlPlane>(
+    control: &C,
+    pool: &str,
+    verb: Verb,
+    req: Request<Incoming>,
+) -> Answer {
+    let command_id = match read_json(req).await {
+        Ok(value) => read_id(&value),
+        Err(problem) => return problem.into_answer(),
+    };
+    let command_id = match command_id {
+        Ok(command_id) => command_id,
+        Err(faults) => return invalid(&faults),
+    };
+    match control.propose(verb.command(pool, command_id)).await {
+        Ok(proposed) => match proposed.answer {
+            CommandAnswer::Wave(answer) => to_answer(pool, &answer),
+            _ => command_id_taken(),
+        },
+        Err(error) => from_control(&error).into_answer(),
+    }
+}
+
+fn read_id(value: &Value) -> Result<Option<Box<str>>, Box<[Fault]>> {
+    let mut faults = Faults::default();
+    let command_id = Node::root(value).object(&mut faults).and_then(|root| {
+        root.only(&["command_id"], &mut faults);
+        read_command_id(&root, &mut faults)
+    });
+    faults.into_result(command_id)
+}
+
+fn to_answer(pool: &str, answer: &WaveAnswer) -> Answer {
+    let done = |state: &str| json_answer(StatusCode::OK, &json!({"pool": pool, "state": state}));
+    let refuse = |kind, detail: String| Problem::new(kind, detail).into_answer();
+    match answer {
+        WaveAnswer::Started { wave } => {
+            let body = json!({"pool": pool, "state": "started", "wave": wave});
+            json_answer(StatusCode::OK, &body)
+        }
+        WaveAnswer::Paused => done("paused"),
+        WaveAnswer::Resumed => done("resumed"),
+        WaveAnswer::UnknownPool => refuse(
+            ProblemKind::UnknownPool,
+            format!("there is no pool {pool:?}; correct the name"),
+        ),
+        WaveAnswer::NoPlatform => refuse(
+            ProblemKind::NoPlatform,
+            "state $.platform.address in the configuration; without it nothing can drain \
+             or reboot an instance"
+                .to_owned(),
+        ),
+        WaveAnswer::InProgress { wave } => refuse(
+            ProblemKind::WaveInProgress,
+            format!("wave {wave} of {pool:?} has not ended; see 'maintenance status'"),
+        ),
+        WaveAnswer::NoWave => refuse(
+            ProblemKind::NoWave,
+            format!("no wave of {pool:?} is under way; start one"),
+        ),
+        WaveAnswer::Stepped { .. } | WaveAnswer::OverBudget { .. } | WaveAnswer::Stale => {
+            command_id_taken()
+        }
+    }
+}
+
+/// `GET /maintenance`: the latest wave of each pool and what it waits for.
+pub(super) async fn show<C: ControlPlane>(control: &C) -> Answer {
+    if let Err(error) = control.catch_up().await {
+        return from_control(&error).into_answer();
+    }
+    control.world(|world| {
+        let waves = world.waves().iter();
+        let waves: Vec<_> = waves
+            .map(|(pool, wave)| wave_body(world, pool, wave))
+            .collect();
+        json_answer(StatusCode::OK, &json!({"waves": waves}))
+    })
+}
+
+fn wave_body<'a>(world: &World, pool: &'a str, wave: &'a Wave) -> WaveBody<'a> {
+    let instances = wave.instances.iter().map(|(name, state)| InstanceBody {
+        name,
+        step: text_of(state.step),
+    });
+    WaveBody {
+        pool,
+        wave: wave.id,
+        state: match (wave.has_ended(), wave.paused) {
+            (true, _) => "ended",
+            (false, true) => "paused",
+            (false, false) => "running",
+        },
+        waiting_for: waiting(world, pool),
+        instances: instances.collect(),
+    }
+}
--- a/crates/cleat-operate/src/operators/mod.rs
+++ b/crates/cleat-operate/src/operators/mod.rs
@@ -3,6 +3,8 @@
 mod command_id;
 mod config;
 mod lists;
+mod maintenance;
+mod moves;
 mod status;
 
 use std::sync::Arc;
@@ -31,6 +33,8 @@
         let control = &*self.control;
         let path = req.uri().path().to_owned();
         match (req.method().clone(), path.as_str()) {
+            (Method::POST, path) => post(control, path, req).await,
+            (Method::GET, "/maintenance") => maintenance::show(control).await,
             (Method::PUT, "/config") => config::put(control, req).await,
             (Method::GET, "/config") => config::show(control).await,
             (Method::GET, "/config/history") => config::history(control).await,
@@ -45,6 +49,21 @@
     }
 }
 
+/// What is changed by a command on one object.
+async fn post<C: ControlPlane>(control: &C, path: &str, req: Request<Incoming>) -> Answer {
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    match segments[..] {
+        ["instances", name, "move"] => return moves::post(control, name, req).await,
+        ["maintenance", pool, word] => {
+            if let Some(verb) = maintenance::Verb::of(word) {
+                return maintenance::post(control, pool, verb, req).await;
+            }
+        }
+        _ => {}
+    }
+    refuse(&Method::POST, path)
+}
+
 fn refuse(method: &Method, path: &str) -> Answer {
     let known = [
         "/config",
@@ -52,6 +71,7 @@
         "/config/status",
         "/pools",
         "/instances",
+        "/maintenance",
         "/targets",
         "/status",
         "/metrics-snapshot",
