Let learners ask for their leases

Cause: the leader of 9 instances sent 3.75 KB/s and received 4.04 KB/s while standing still; a node may spend 2 KB/s. Learners got every heartbeat although only voters detect a dead leader. Change: a learner asks when its lease is 450 ms old, the leader echoes at once, and an echo of its latest stamp needs no answer; unasked it hears every fourth heartbeat, or all while it lags. Removed members are acknowledged no more.

--- a/crates/cleat-quorum/src/core/follower.rs
+++ b/crates/cleat-quorum/src/core/follower.rs
@@ -4,9 +4,9 @@
 
 use super::durability::Deferred;
 use super::event::Write;
-use super::message::{Ack, AckOutcome, Append, Body, Install, Stamp};
+use super::message::{Ack, AckOutcome, Append, Body, Install, NO_ROUND, Stamp};
 use super::types::{Entry, Image, LogIndex, MemberId, Term};
-use super::{Core, State};
+use super::{Core, State, Timing};
 
 impl Core {
     pub(super) fn on_append(&mut self, from: MemberId, term: Term, append: Append) {
@@ -19,8 +19,14 @@
             let hint = self.mismatch_hint(append.prev_index);
             return self.ack(from, append.round, AckOutcome::Mismatch(hint));
         }
+        let plain = append.entries.is_empty() && self.lease.is_latest(append.echo);
+        let applied = self.applied;
         self.merge(append.entries);
         self.commit_to(append.commit.min(last_sent));
+        // The echo tells that the leader has all that a learner could answer.
+        if plain && self.applied == applied && !self.is_voter() {
+            return;
+        }
         // A committed prefix agrees with every later leader's log.
         let verified = last_sent.max(self.commit);
         self.acknowledge(from, append.round, verified);
@@ -69,11 +75,28 @@
         } else {
             self.now
         };
-        let until = start + self.config.timing.lease;
+        let Timing { lease, renewal, .. } = self.config.timing;
+        let until = start + lease;
+        self.renewal_due = self.renewal_due.max(start + renewal);
         self.lease
             .extend(until, commit, self.now, protections.renewal_gate);
     }
 
+    /// Whether this member renews its lease by asking. Learners detect no
+    /// dead leader, so they need fewer heartbeats than voters; and a lease that
+    /// is asked for is echoed at once, so it runs longer after the last one.
+    pub(super) fn asks_for_lease(&self) -> bool {
+        let follows = matches!(self.state, State::Follower) && self.leader.is_some();
+        follows && self.is_formed() && !self.is_voter() && self.lease.released().is_none()
+    }
+
+    pub(super) fn ask_for_lease(&mut self) {
+        self.renewal_due = self.now + self.config.timing.heartbeat;
+        if let Some(leader) = self.leader {
+            self.ack_verified(leader, NO_ROUND, self.commit);
+        }
+    }
+
     fn agrees_at(&self, index: LogIndex, term: Term) -> bool {
         index <= self.commit || self.log.term_at(index) == Some(term)
     }
@@ -164,7 +187,6 @@
 
     /// Tells the leader of an earlier term that a later one began.
     fn acknowledge_term(&mut self, to: MemberId, outcome: AckOutcome) {
-        const NO_ROUND: u64 = 0;
         self.ack(to, NO_ROUND, outcome);
     }
 
--- a/crates/cleat-quorum/src/core/leader.rs
+++ b/crates/cleat-quorum/src/core/leader.rs
@@ -39,7 +39,7 @@
             return self.become_follower();
         }
         if self.now >= self.deadline() {
-            self.broadcast();
+            self.heartbeat();
         }
         self.maintain_membership();
     }
@@ -114,7 +114,7 @@
         }
         let round = leadership.upcoming_round();
         leadership.reads.push(PendingRead { id, round });
-        self.broadcast();
+        self.heartbeat();
     }
 
     pub(super) fn other_members(&self) -> Vec<MemberId> {
--- a/crates/cleat-quorum/src/core/lease.rs
+++ b/crates/cleat-quorum/src/core/lease.rs
@@ -49,6 +49,11 @@
         self.current()
     }
 
+    /// Whether nothing was sent after the echoed stamp.
+    pub(crate) fn is_latest(&self, echo: Option<Stamp>) -> bool {
+        echo == Some(self.current())
+    }
+
     fn current(&self) -> Stamp {
         Stamp {
             life: self.life,
--- a/crates/cleat-quorum/src/core/message.rs
+++ b/crates/cleat-quorum/src/core/message.rs
@@ -69,10 +69,14 @@
     pub entries: Vec<Entry>,
 }
 
+/// The round of an acknowledgement that answers nothing. From a learner it
+/// asks the leader to renew the lease at once.
+pub(crate) const NO_ROUND: u64 = 0;
+
 /// What a member holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ack {
-    /// The round that is acknowledged.
+    /// The round that is acknowledged; 0 if none is.
     pub round: u64,
     /// The identity of the sender's disk.
     #[serde(with = "postcard::fixint::le")]
--- a/crates/cleat-quorum/src/core/mod.rs
+++ b/crates/cleat-quorum/src/core/mod.rs
@@ -100,6 +100,8 @@
     election_due: Duration,
     durability: Durability,
     lease: MemberLease,
+    /// When a learner asks for its lease anew.
+    renewal_due: Duration,
     formation: Formation,
     /// The last entry for which a snapshot was asked for.
     snapshot_asked: LogIndex,
@@ -130,6 +132,7 @@
             sticky_until,
             election_due: now,
             lease: MemberLease::new(life),
+            renewal_due: now,
             formation: Formation::new(now),
             snapshot_asked: 0,
             effects: Vec::new(),
@@ -166,6 +169,7 @@
         match &self.state {
             State::Leader(leadership) => leadership.heartbeat_due,
             _ if !self.is_formed() => self.formation.hello_due(),
+            _ if self.asks_for_lease() => self.renewal_due.min(self.election_due),
             _ => self.election_due,
         }
     }
@@ -175,8 +179,17 @@
             self.tick_leader();
         } else if !self.is_formed() {
             self.tick_unformed();
-        } else if self.now >= self.election_due {
-            self.start_pre_vote();
+        } else {
+            self.tick_follower();
+        }
+    }
+
+    fn tick_follower(&mut self) {
+        if self.now >= self.election_due {
+            return self.start_pre_vote();
+        }
+        if self.asks_for_lease() && self.now >= self.renewal_due {
+            self.ask_for_lease();
         }
     }
 
@@ -299,12 +312,16 @@
         let Timing {
             election_min,
             election_max,
+            renewal,
             ..
         } = self.config.timing;
         let wait = self
             .rng
             .random_range(election_min..=election_max.max(election_min));
-        self.election_due = self.now + wait;
+        // A learner elects nobody, and hears the leader less often.
+        let learner = !self.is_voter();
+        let patience = if learner { renewal } else { Duration::ZERO };
+        self.election_due = self.now + wait + patience;
     }
 
     /// Sets when to try again if the election under way fails. The leader is
--- a/crates/cleat-quorum/src/core/progress.rs
+++ b/crates/cleat-quorum/src/core/progress.rs
@@ -36,6 +36,8 @@
     pub(crate) round: u64,
     /// When that round left.
     pub(crate) round_sent: Option<Duration>,
+    /// When anything was last sent to the member.
+    pub(crate) sent_at: Duration,
     pub(crate) live: Liveness,
 }
 
@@ -49,6 +51,7 @@
             inflight: None,
             round: 0,
             round_sent: None,
+            sent_at: Duration::ZERO,
             live,
         }
     }
@@ -64,6 +67,13 @@
         self.round_sent = None;
     }
 
+    /// Whether the member lacks entries or is not known to have applied all
+    /// that is committed.
+    pub(crate) fn lags(&self, last: LogIndex, commit: LogIndex) -> bool {
+        let sending = self.inflight.is_some() || self.needs_image;
+        sending || self.next <= last || self.live.applied() < commit
+    }
+
     pub(crate) fn expire(&mut self, now: Duration) {
         if let Some(inflight) = self.inflight
             && inflight.expires <= now
--- a/crates/cleat-quorum/src/core/replicate.rs
+++ b/crates/cleat-quorum/src/core/replicate.rs
@@ -1,16 +1,30 @@
 //! How a leader sends entries and snapshots, and takes their acknowledgements.
 
-use super::message::{Ack, AckOutcome, Append, Body, Install, Stamp};
+use super::message::{Ack, AckOutcome, Append, Body, Install, NO_ROUND, Stamp};
 use super::progress::{Inflight, Progress};
 use super::types::{MemberId, Term};
 use super::{Core, State};
 
 /// After how many heartbeats unanswered entries are sent again.
 const RESEND_HEARTBEATS: u32 = 2;
+/// How many heartbeats apart a learner hears from the leader unasked.
+const LEARNER_HEARTBEATS: u32 = 4;
 
 impl Core {
     /// Sends a heartbeat to every member, with entries for those that lack some.
     pub(super) fn broadcast(&mut self) {
+        let members = self.other_members();
+        self.send_round(&members);
+    }
+
+    /// Sends a heartbeat to every member that needs one now.
+    pub(super) fn heartbeat(&mut self) {
+        let mut members = self.other_members();
+        members.retain(|id| self.needs_heartbeat(*id));
+        self.send_round(&members);
+    }
+
+    fn send_round(&mut self, members: &[MemberId]) {
         let due = self.now + self.config.timing.heartbeat;
         let Some(round) = self.next_round() else {
             return;
@@ -18,11 +32,35 @@
         if let State::Leader(leadership) = &mut self.state {
             leadership.heartbeat_due = due;
         }
-        for id in self.other_members() {
+        for id in members {
+            self.send_to(*id, round);
+        }
+    }
+
+    /// Echoes the stamp of a learner that asks; the heartbeats stay due as
+    /// they are.
+    fn renew(&mut self, id: MemberId) {
+        if let Some(round) = self.next_round() {
             self.send_to(id, round);
         }
     }
 
+    /// Whether a member needs every heartbeat. A learner that serves and lacks
+    /// nothing asks by itself; it gets a few in case it does not know whom.
+    fn needs_heartbeat(&self, id: MemberId) -> bool {
+        let State::Leader(leadership) = &self.state else {
+            return false;
+        };
+        let Some(progress) = leadership.progress.get(&id) else {
+            return false;
+        };
+        let votes = self.log.membership().get(id).is_some_and(|m| m.votes);
+        let served =
+            progress.live.is_live(self.now) && !progress.lags(self.log.last_index(), self.commit);
+        let spared = progress.sent_at + self.config.timing.heartbeat * LEARNER_HEARTBEATS;
+        votes || !served || self.now >= spared
+    }
+
     /// Sends what a member lacks, unless something is under way to it.
     pub(super) fn send_pending(&mut self, id: MemberId) {
         let last = self.log.last_index();
@@ -54,6 +92,7 @@
             return;
         };
         progress.expire(self.now);
+        progress.sent_at = self.now;
         let echo = progress.live.echo().filter(|_| grants);
         let idle = progress.inflight.is_none();
         let cut_off = self.log.term_at(progress.next - 1).is_none();
@@ -124,6 +163,11 @@
         if term < self.hard_state.term {
             return;
         }
+        // A removed member that still asks gets no lease, so nobody waits for
+        // more than those that it had.
+        if self.log.membership().get(from).is_none() {
+            return;
+        }
         let until = self.now + self.config.timing.lease_window();
         let State::Leader(leadership) = &mut self.state else {
             return;
@@ -148,7 +192,11 @@
         progress.take_outcome(ack, overtaken);
         self.advance_commit();
         self.confirm_reads();
-        self.send_pending(from);
+        if ack.round == NO_ROUND {
+            self.renew(from);
+        } else {
+            self.send_pending(from);
+        }
         self.maintain_membership();
     }
 
--- a/crates/cleat-quorum/src/core/timing.rs
+++ b/crates/cleat-quorum/src/core/timing.rs
@@ -15,6 +15,9 @@
     pub election_max: Duration,
     /// How long a member serves after a send that the leader confirmed.
     pub lease: Duration,
+    /// How old a learner's lease may become before the learner asks the leader
+    /// to renew it.
+    pub renewal: Duration,
     /// By how many percent two clocks may run apart.
     pub drift_percent: u32,
 }
@@ -26,6 +29,7 @@
             election_min: Duration::from_millis(600),
             election_max: Duration::from_millis(1100),
             lease: Duration::from_millis(1500),
+            renewal: Duration::from_millis(450),
             drift_percent: 5,
         }
     }
--- a/crates/cleat-quorum/tests/core.rs
+++ b/crates/cleat-quorum/tests/core.rs
@@ -3,6 +3,7 @@
 mod group;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use cleat_quorum::{
@@ -255,6 +256,26 @@
     );
 }
 
+/// A learner renews its lease by asking: two messages at a time, and never
+/// less than a second of lease left.
+#[test]
+fn ask_for_lease_idle_learner() {
+    static MESSAGES: AtomicU32 = AtomicU32::new(0);
+    let mut group = Group::formed(3, 1);
+    group.advance(seconds(3));
+    group.passes = |message| {
+        let learners = message.from.0 == 3 || message.to.0 == 3;
+        MESSAGES.fetch_add(u32::from(learners), Ordering::Relaxed);
+        true
+    };
+    for _ in 0..90 {
+        group.advance(Duration::from_millis(100));
+        let until = group.core(3).status().serves_until;
+        assert!(until > Some(group.now + seconds(1)));
+    }
+    assert!(MESSAGES.load(Ordering::Relaxed) <= 2 * 9000 / 450);
+}
+
 /// A leader that is cut off may serve longer than it may be sure to lead.
 #[test]
 fn leads_until_ends_before_service() {
