Add the commands and a platform stand-in for moves and waves

Cause: operators had no command for moves and waves, and no test had a platform. Ruled out: a second loop over servers beside that of 'config apply' (both now share the rule about doubt); pools as a required word for pause and resume (without one, every wave that it concerns). Change: instance move, maintenance start|status|pause|resume; the list of instances shows how far each is; a stand-in platform, also as a process. Conclusion: the whole path can be tried on real daemons.

--- a/crates/celerycleat/src/client/change.rs
+++ b/crates/celerycleat/src/client/change.rs
@@ -1,16 +1,18 @@
 //! Changing: what became of it must be known before anything else is tried.
 
+use std::fmt;
+
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use super::exchange::exchange;
-use super::{Answer, Attempt, Failure, Problem};
+use super::in_turn::{Verdict, send_in_turn};
+use super::{Answer, Failure, Problem};
 use crate::CliError;
 use crate::commands::Context;
 use crate::documents::Layers;
-use crate::error::{NoServerNamedSnafu, NoServerReachedSnafu, OutcomeUnknownSnafu};
 
 /// A change of the configuration.
 #[derive(Debug, Serialize)]
@@ -32,36 +34,23 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct Invalid {
-    faults: Vec<RemoteFault>,
+pub(super) struct Invalid {
+    pub(super) faults: Vec<RemoteFault>,
 }
 
 #[derive(Debug, Deserialize)]
-struct RemoteFault {
+pub(super) struct RemoteFault {
     path: Box<str>,
     message: Box<str>,
 }
 
-/// What one server's answer means for the change.
-enum Verdict {
-    /// In force as this version.
-    Accepted(u64),
-    /// Decided by the replicated state: final wherever else it was sent.
-    Lost(CliError),
-    /// This server found it invalid and did not propose it.
-    Invalid(CliError),
-    /// This server could not propose it; another one may.
-    NotProposed(CliError),
-    /// This server can't tell.
-    Unknown(Failure),
+impl fmt::Display for RemoteFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.path, self.message)
+    }
 }
 
-/// Sends `change` to the servers in turn, always under its one command id,
-/// and returns the accepted version.
-///
-/// Invariant: once a server may have received it without a final answer, only
-/// an answer from the replicated state ends the doubt; a later server that
-/// refuses on its own does not.
+/// Sends `change` to the servers in turn and returns the accepted version.
 pub(crate) async fn send_change(
     cx: &Context<'_>,
     change: &Change<'_>,
@@ -69,42 +58,13 @@
 ) -> Result<u64, CliError> {
     // Plain JSON data always serializes.
     let body = Bytes::from(serde_json::to_vec(change).unwrap_or_default());
-    let mut attempts = Vec::new();
-    let mut refusal = None;
-    let mut in_doubt = false;
-    for server in cx.servers {
-        let failure = match send(server, body.clone(), layers).await {
-            Verdict::Accepted(version) => return Ok(version),
-            Verdict::Lost(error) => return Err(error),
-            Verdict::Invalid(error) if !in_doubt => return Err(error),
-            Verdict::Invalid(error) | Verdict::NotProposed(error) => {
-                refusal = Some(error);
-                continue;
-            }
-            Verdict::Unknown(failure) => failure,
-        };
-        in_doubt |= !failure.is_unsent();
-        let server = server.clone();
-        attempts.push(Attempt { server, failure });
-    }
-    if in_doubt {
-        let command_id = change.command_id;
-        return OutcomeUnknownSnafu {
-            command_id,
-            attempts,
-        }
-        .fail();
-    }
-    if let Some(refusal) = refusal {
-        return Err(refusal);
-    }
-    if attempts.is_empty() {
-        return NoServerNamedSnafu.fail();
-    }
-    NoServerReachedSnafu { attempts }.fail()
+    send_in_turn(cx, change.command_id, async |server| {
+        send(server, body.clone(), layers).await
+    })
+    .await
 }
 
-async fn send(server: &str, body: Bytes, layers: &Layers) -> Verdict {
+async fn send(server: &str, body: Bytes, layers: &Layers) -> Verdict<u64> {
     let judged = match exchange(server, Method::PUT, "/config", body).await {
         Ok(answer) => judge(server, &answer, layers),
         Err(failure) => Err(failure),
@@ -112,10 +72,10 @@
     judged.unwrap_or_else(Verdict::Unknown)
 }
 
-fn judge(server: &str, answer: &Answer, layers: &Layers) -> Result<Verdict, Failure> {
+fn judge(server: &str, answer: &Answer, layers: &Layers) -> Result<Verdict<u64>, Failure> {
     let verdict = match answer.status {
-        StatusCode::OK => Verdict::Accepted(answer.read::<Accepted>()?.version),
-        StatusCode::CONFLICT => Verdict::Lost(lost(server, answer.read()?)),
+        StatusCode::OK => Verdict::Done(answer.read::<Accepted>()?.version),
+        StatusCode::CONFLICT => Verdict::Decided(lost(server, answer.read()?)),
         StatusCode::UNPROCESSABLE_ENTITY => {
             let invalid = answer.read()?;
             Verdict::Invalid(located(&invalid, layers))
--- a/crates/celerycleat/src/client/problem.rs
+++ b/crates/celerycleat/src/client/problem.rs
@@ -5,9 +5,14 @@
 use super::{Answer, Failure};
 use crate::CliError;
 
+/// The type of the problem of a path that a server does not know.
+const UNKNOWN_PATH: &str = "urn:celerycleat:problem:not-found";
+
 /// A server's error.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Problem {
+    #[serde(default)]
+    r#type: Box<str>,
     title: Box<str>,
     #[serde(default)]
     detail: Box<str>,
@@ -19,6 +24,11 @@
         answer.read()
     }
 
+    /// Whether the server knows no such path; says nothing of the objects.
+    pub(super) fn is_unknown_path(&self) -> bool {
+        &*self.r#type == UNKNOWN_PATH
+    }
+
     /// It leaves open what became of the request.
     pub(super) fn into_failure(self, answer: &Answer) -> Failure {
         Failure::Problem {
--- a/crates/celerycleat/src/commands/config/apply.rs
+++ b/crates/celerycleat/src/commands/config/apply.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use serde_json::json;
 
+use super::super::command_id::command_id;
 use super::super::{Command, Context, Example};
 use crate::arguments::text;
 use crate::client::{Change, send_change};
@@ -55,10 +56,7 @@
         if cx.servers.is_empty() {
             return NoServerNamedSnafu.fail();
         }
-        let command_id = match &self.command_id {
-            Some(id) => id.clone(),
-            None => announce_id(random_id()),
-        };
+        let command_id = command_id(self.command_id.as_deref());
         let change = Change {
             expect: self.expect,
             command_id: &command_id,
@@ -70,14 +68,3 @@
         Ok(Report::new(json, text))
     }
 }
-
-fn random_id() -> Box<str> {
-    format!("{:032x}", rand::random::<u128>()).into()
-}
-
-/// Printed before anything is sent, so that the change can be repeated safely
-/// whatever happens to this process.
-fn announce_id(id: Box<str>) -> Box<str> {
-    eprintln!("command id: {id}");
-    id
-}
--- a/crates/celerycleat/src/commands/instance/list.rs
+++ b/crates/celerycleat/src/commands/instance/list.rs
@@ -25,6 +25,12 @@
     data_centre: Box<str>,
     rack: Box<str>,
     targets: u64,
+    #[serde(default)]
+    phase: Box<str>,
+    #[serde(default)]
+    moves_to: Option<Box<str>>,
+    #[serde(default)]
+    maintenance: Option<Box<str>>,
 }
 
 impl Command for List {
@@ -45,7 +51,14 @@
 }
 
 fn describe(found: &Instances) -> Box<str> {
-    let mut table = Table::new(["INSTANCE", "POOL", "DATA CENTRE", "RACK", "TARGETS"]);
+    let mut table = Table::new([
+        "INSTANCE",
+        "POOL",
+        "DATA CENTRE",
+        "RACK",
+        "TARGETS",
+        "STATE",
+    ]);
     for instance in &found.instances {
         table.row([
             &instance.name,
@@ -53,7 +66,17 @@
             &instance.data_centre,
             &instance.rack,
             &instance.targets,
+            &state(instance),
         ]);
     }
     table.render()
 }
+
+/// Where it is in a move, else in a wave.
+fn state(instance: &Instance) -> Box<str> {
+    match (&instance.moves_to, &instance.maintenance) {
+        (Some(to), _) => format!("{} to {to}", instance.phase).into(),
+        (None, Some(step)) => format!("{}, {step}", instance.phase).into(),
+        (None, None) => instance.phase.clone(),
+    }
+}
--- a/crates/celerycleat/src/commands/mod.rs
+++ b/crates/celerycleat/src/commands/mod.rs
@@ -1,8 +1,10 @@
 //! One command a file.
 
 mod command;
+mod command_id;
 mod config;
 mod instance;
+mod maintenance;
 mod pool;
 mod settings;
 mod status;
@@ -28,6 +30,8 @@
     Pool(pool::PoolGroup),
     /// `instance …`
     Instance(instance::InstanceGroup),
+    /// `maintenance …`
+    Maintenance(maintenance::MaintenanceGroup),
     /// `target …`
     Target(target::TargetGroup),
     /// `status`
@@ -41,6 +45,7 @@
             Subcommand::Config(group) => group.run(cx).await,
             Subcommand::Pool(group) => group.run(cx).await,
             Subcommand::Instance(group) => group.run(cx).await,
+            Subcommand::Maintenance(group) => group.run(cx).await,
             Subcommand::Target(group) => group.run(cx).await,
             Subcommand::Status(command) => command.run(cx).await,
         }
--- a/crates/celerycleat/src/commands/table.rs
+++ b/crates/celerycleat/src/commands/table.rs
@@ -2,7 +2,8 @@
 
 use super::command::CommandEntry;
 use super::config::{Apply, Check, History, Show, Status as ConfigStatus};
-use super::instance::List as InstanceList;
+use super::instance::{List as InstanceList, Move};
+use super::maintenance::{Pause, Resume, Start, Status as MaintenanceStatus};
 use super::pool::List as PoolList;
 use super::settings::Default as SettingsDefault;
 use super::status::Status;
@@ -19,6 +20,11 @@
         CommandEntry::of::<ConfigStatus>(),
         CommandEntry::of::<PoolList>(),
         CommandEntry::of::<InstanceList>(),
+        CommandEntry::of::<Move>(),
+        CommandEntry::of::<Start>(),
+        CommandEntry::of::<MaintenanceStatus>(),
+        CommandEntry::of::<Pause>(),
+        CommandEntry::of::<Resume>(),
         CommandEntry::of::<TargetList>(),
         CommandEntry::of::<Status>(),
     ]
--- a/crates/celerycleat/tests/servers.rs
+++ b/crates/celerycleat/tests/servers.rs
@@ -173,7 +173,8 @@
         (
             "instance list",
             "/instances",
-            r#"{"instances":[{"name":"r1","pool":"runners","data_centre":"dc1","rack":"k1","targets":2}]}"#,
+            r#"{"instances":[{"name":"r1","pool":"runners","data_centre":"dc1","rack":"k1","targets":2,
+                "phase":"leaving","moves_to":"spare","maintenance":null}]}"#,
         ),
         (
             "target list",
--- a/crates/cleat-fakes/src/commands/mod.rs
+++ b/crates/cleat-fakes/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod forwarder;
 mod load;
 mod output;
+mod platform;
 mod target;
 
 use argh::FromArgs;
@@ -26,6 +27,7 @@
 #[argh(subcommand)]
 enum Subcommand {
     Target(target::TargetCommand),
+    Platform(platform::PlatformCommand),
     Load(load::LoadCommand),
     Forwarder(forwarder::ForwarderCommand),
     BenchPath(bench_path::BenchPathCommand),
@@ -63,6 +65,7 @@
     runtime.block_on(async {
         match arguments.command {
             Subcommand::Target(command) => command.run().await,
+            Subcommand::Platform(command) => command.run().await,
             Subcommand::Load(command) => command.run().await,
             Subcommand::Forwarder(command) => command.run().await,
             Subcommand::BenchPath(command) => command.run().await,
--- a/crates/cleat-fakes/src/lib.rs
+++ b/crates/cleat-fakes/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod forwarder;
 mod load;
+mod platform;
 mod process;
 mod target;
 
@@ -16,6 +17,7 @@
 pub use error::FakeError;
 pub use forwarder::Forwarder;
 pub use load::{LatencySummary, LoadOptions, LoadReport, Pace, run_load};
+pub use platform::{EffectKind, PlatformOptions, RecordedEffect, StandInPlatform};
 pub use process::ProcessUsage;
 pub use target::{
     Behaviour, Fault, NAME_HEADER, REQUEST_ID_HEADER, StandInTarget, TargetCounts, TargetOptions,
