Hand the lead over before a leader stops

Cause: each upgrade of a leader left the group without one for an election time-out. Ruled out: a lead taken back after a failed hand-over, since a delayed request may still elect another, so the leader steps down instead; a stop that does not wait for the next leader, which then could not be told of the release; a successor chosen beforehand, which may be frozen. Change: a stopping leader takes no more commands, trusts its lease no longer, and tells the first caught-up voter that answers a later round to stand for election; voters grant that vote while they would refuse others. The driver shows the end of the lease before anyone is told, and stops once the next leader is known, in a second at most. Conclusion: a graceful stop costs no election time-out.

--- a/crates/cleat-quorum/src/core/config.rs
+++ b/crates/cleat-quorum/src/core/config.rs
@@ -65,6 +65,8 @@
     pub log_check: bool,
     /// A new leader waits for the leases that its predecessor granted.
     pub inherited_leases: bool,
+    /// A leader that hands its lead over trusts its lease no longer.
+    pub transfer_ends_lease: bool,
 }
 
 impl Default for Protections {
@@ -79,6 +81,7 @@
             own_term_commit: true,
             log_check: true,
             inherited_leases: true,
+            transfer_ends_lease: true,
         }
     }
 }
--- a/crates/cleat-quorum/src/core/election.rs
+++ b/crates/cleat-quorum/src/core/election.rs
@@ -18,12 +18,13 @@
         self.state = State::PreCandidate {
             votes: BTreeSet::new(),
         };
-        self.ask_for_votes(true);
+        self.ask_for_votes(true, false);
         self.count_vote(self.config.id);
     }
 
-    /// Starts an election in the next term.
-    fn start_election(&mut self) {
+    /// Starts an election in the next term. `transfer` tells that the leader of
+    /// this term asked for it.
+    pub(super) fn start_election(&mut self, transfer: bool) {
         let term = self.hard_state.term + 1;
         self.set_hard_state(HardState {
             term,
@@ -34,7 +35,7 @@
             votes: BTreeSet::new(),
             asked_at: self.now,
         };
-        self.ask_for_votes(false);
+        self.ask_for_votes(false, transfer);
         if self.config.protections.sync_before_send {
             self.durability.defer(Deferred::OwnVote { term });
         } else {
@@ -42,13 +43,14 @@
         }
     }
 
-    fn ask_for_votes(&mut self, pre: bool) {
+    fn ask_for_votes(&mut self, pre: bool, transfer: bool) {
         let term = self.hard_state.term + Term::from(pre);
         let membership = self.log.membership().clone();
         let own = self.config.id;
         for voter in membership.voters().filter(|voter| voter.id != own) {
             let req = VoteRequest {
                 pre,
+                transfer,
                 last_index: self.log.last_index(),
                 last_term: self.log.last_term(),
                 voter_identity: voter.identity,
@@ -65,7 +67,7 @@
             State::PreCandidate { votes } => {
                 votes.insert(from);
                 if votes.len() >= quorum {
-                    self.start_election();
+                    self.start_election(false);
                 }
             }
             State::Candidate { votes, asked_at } => {
@@ -80,7 +82,10 @@
     }
 
     pub(super) fn on_vote_request(&mut self, from: MemberId, term: Term, req: &VoteRequest) {
-        if !self.may_vote(req) || self.is_sticky() {
+        // A lead that was handed over is no reason to refuse; in any later
+        // term the request is outdated.
+        let handed_over = req.transfer && !req.pre;
+        if !self.may_vote(req) || (self.is_sticky() && !handed_over) {
             return;
         }
         if term < self.hard_state.term {
--- a/crates/cleat-quorum/src/core/event.rs
+++ b/crates/cleat-quorum/src/core/event.rs
@@ -33,6 +33,9 @@
     },
     /// An operator removes a member for good.
     Remove(MemberId),
+    /// This member is about to stop: if it leads, it takes no more commands
+    /// and hands its lead over. There is no way back within the term.
+    HandOver,
     /// This member is about to stop and gives up its lease.
     Release,
 }
--- a/crates/cleat-quorum/src/core/leader.rs
+++ b/crates/cleat-quorum/src/core/leader.rs
@@ -35,7 +35,7 @@
 
     pub(super) fn tick_leader(&mut self) {
         let contact = self.quorum_contact();
-        if self.now > contact + self.config.timing.election_max {
+        if self.now > contact + self.config.timing.election_max || self.transfer_failed() {
             return self.become_follower();
         }
         if self.now >= self.deadline() {
@@ -83,6 +83,9 @@
                 leader: self.leader,
             });
         }
+        if self.is_handing_over() {
+            return Err(Refusal::NotLeader { leader: None });
+        }
         if self.now >= self.quorum_contact() + self.config.timing.election_min {
             return Err(Refusal::NoQuorum);
         }
--- a/crates/cleat-quorum/src/core/message.rs
+++ b/crates/cleat-quorum/src/core/message.rs
@@ -50,6 +50,9 @@
     Genesis(Image),
     /// A member gives up its lease before a graceful stop.
     Release(Stamp),
+    /// The leader of this term hands its lead over: the receiver is to stand
+    /// for election at once.
+    TimeoutNow,
 }
 
 /// The entries after `prev_index`, the commit index, and the lease.
@@ -105,6 +108,9 @@
 pub struct VoteRequest {
     /// Only asks whether a vote would be granted; binds nobody.
     pub pre: bool,
+    /// The leader of the term before gave its lead up for this candidate, so
+    /// no live leader relies on the receiver to refuse.
+    pub transfer: bool,
     /// The candidate's last entry.
     pub last_index: LogIndex,
     /// The term of that entry.
--- a/crates/cleat-quorum/src/core/mod.rs
+++ b/crates/cleat-quorum/src/core/mod.rs
@@ -20,6 +20,7 @@
 mod replicate;
 mod status;
 mod timing;
+mod transfer;
 mod types;
 
 use std::collections::BTreeSet;
@@ -155,6 +156,7 @@
             Event::Read(id) => self.read(id),
             Event::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
             Event::Remove(id) => self.remove(id),
+            Event::HandOver => self.hand_over(),
             Event::Release => self.release(),
         }
         self.renew_own_lease();
@@ -224,6 +226,7 @@
             Body::VoteRequest(req) => self.on_vote_request(from, term, &req),
             Body::VoteReply(reply) => self.on_vote_reply(from, term, &reply),
             Body::Release(stamp) => self.on_release(from, stamp),
+            Body::TimeoutNow => self.on_timeout_now(from, term),
             Body::Hello(_) | Body::Genesis(_) => {}
         }
     }
--- a/crates/cleat-quorum/src/core/progress.rs
+++ b/crates/cleat-quorum/src/core/progress.rs
@@ -124,6 +124,17 @@
     pub(crate) round: u64,
 }
 
+/// A lead that is being handed over.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Transfer {
+    /// The first round whose acknowledgement makes a voter the successor.
+    pub(crate) round: u64,
+    /// Whether a voter was told to stand for election since the last heartbeat.
+    pub(crate) told: bool,
+    /// When the leader steps down if nobody took over.
+    pub(crate) until: Duration,
+}
+
 /// The state that only a leader has.
 #[derive(Debug)]
 pub(crate) struct Leadership {
@@ -136,6 +147,11 @@
     pub(crate) asked_at: Duration,
     pub(crate) heartbeat_due: Duration,
     pub(crate) reads: Vec<PendingRead>,
+    /// Set for the rest of the term once the lead is handed over.
+    ///
+    /// Invariant: while set, the leader's lease counts as lapsed, since voters
+    /// grant the successor their vote at any time.
+    pub(crate) transfer: Option<Transfer>,
     round: u64,
     /// When the recent rounds left, ascending and without gaps.
     rounds: VecDeque<(u64, Duration)>,
@@ -149,6 +165,7 @@
             asked_at,
             heartbeat_due: Duration::ZERO,
             reads: Vec::new(),
+            transfer: None,
             round: 0,
             rounds: VecDeque::new(),
         }
--- a/crates/cleat-quorum/src/core/quorum.rs
+++ b/crates/cleat-quorum/src/core/quorum.rs
@@ -105,13 +105,19 @@
     /// Whether this member leads and no other leader can have been elected by
     /// `now`.
     pub fn holds_leader_lease_at(&self, now: Duration) -> bool {
-        let lease = self.config.timing.leader_lease();
-        self.quorum_sent(now).is_some_and(|sent| now < sent + lease)
+        self.lease_from(now)
+            .is_some_and(|sent| now < sent + self.config.timing.leader_lease())
+    }
+
+    /// When the leader's lease began; none if it may not be trusted.
+    fn lease_from(&self, now: Duration) -> Option<Duration> {
+        let ended = self.is_handing_over() && self.config.protections.transfer_ends_lease;
+        self.quorum_sent(now).filter(|_| !ended)
     }
 
     pub(super) fn leads_until(&self) -> Option<Duration> {
         let sent = self
-            .quorum_sent(self.now)
+            .lease_from(self.now)
             .filter(|_| self.has_committed_own_term());
         sent.map(|sent| sent + self.config.timing.leader_lease())
     }
--- a/crates/cleat-quorum/src/core/replicate.rs
+++ b/crates/cleat-quorum/src/core/replicate.rs
@@ -31,6 +31,9 @@
         };
         if let State::Leader(leadership) = &mut self.state {
             leadership.heartbeat_due = due;
+            if let Some(transfer) = &mut leadership.transfer {
+                transfer.told = false;
+            }
         }
         for id in members {
             self.send_to(*id, round);
@@ -192,6 +195,7 @@
         progress.take_outcome(ack, overtaken);
         self.advance_commit();
         self.confirm_reads();
+        self.offer_lead(from, ack.round);
         if ack.round == NO_ROUND {
             self.renew(from);
         } else {
--- a/crates/cleat-quorum/src/driver/replica.rs
+++ b/crates/cleat-quorum/src/driver/replica.rs
@@ -216,7 +216,8 @@
         self.status.load_full()
     }
 
-    /// Gives up the lease and ends the member.
+    /// Hands the lead over, gives up the lease and ends the member. A leader
+    /// takes a second at most to hand over.
     pub async fn stop(&self) {
         // A full queue means that a stop is under way already.
         let _ = self.stop.try_send(());
--- a/crates/cleat-quorum/src/driver/task.rs
+++ b/crates/cleat-quorum/src/driver/task.rs
@@ -1,6 +1,7 @@
 //! The task that owns the core.
 
 use std::sync::{Arc, mpsc as std_mpsc};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use log::{error, info, warn};
@@ -20,6 +21,8 @@
 
 /// How many requests one step groups at most.
 const GROUP: usize = 256;
+/// How long a stop waits for the next leader at most.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(1_000);
 /// How many messages are taken before the task looks elsewhere.
 const MESSAGES: usize = 64;
 
@@ -61,6 +64,8 @@
     proposals: Vec<Proposal>,
     removal: Option<Reply<(), ProposeError>>,
     role: Role,
+    /// When a stop ends at the latest; none unless the lead is handed over.
+    stop_by: Option<Instant>,
 }
 
 impl<T: Transport, M: Machine> Task<T, M> {
@@ -74,6 +79,7 @@
             waiters: Waiters::default(),
             proposals: Vec::new(),
             removal: None,
+            stop_by: None,
         }
     }
 
@@ -96,7 +102,7 @@
         loop {
             let deadline = self.deadline();
             tokio::select! {
-                _ = inputs.stop.recv() => return self.step(Event::Release),
+                _ = inputs.stop.recv(), if self.stop_by.is_none() => self.begin_stop()?,
                 synced = inputs.synced.recv() => {
                     let ticket = synced.ok_or(Failure::DiskGone)??;
                     self.step(Event::Synced(ticket))?;
@@ -117,16 +123,37 @@
                 }
                 () = sleep_until(deadline) => self.step(Event::Tick)?,
             }
-            self.waiters
-                .check_in_force(&self.core, self.origin, Instant::now());
+            let now = Instant::now();
+            self.waiters.check_in_force(&self.core, self.origin, now);
+            if self.stop_by.is_some_and(|limit| self.may_stop(limit, now)) {
+                return self.step(Event::Release);
+            }
         }
     }
 
     fn deadline(&self) -> Instant {
         let core = self.origin + self.core.deadline();
-        self.waiters
-            .deadline()
-            .map_or(core, |deadline| deadline.min(core))
+        let others = [self.waiters.deadline(), self.stop_by];
+        others.into_iter().flatten().fold(core, Instant::min)
+    }
+
+    /// A leader hands its lead over before it stops.
+    fn begin_stop(&mut self) -> Result<(), Failure> {
+        self.step(Event::HandOver)?;
+        let now = Instant::now();
+        let limit = if self.core.is_handing_over() {
+            HAND_OVER_LIMIT
+        } else {
+            Duration::ZERO
+        };
+        self.stop_by = Some(now + limit);
+        Ok(())
+    }
+
+    /// The next leader has to be known, so that it is told of the release.
+    fn may_stop(&self, limit: Instant, now: Instant) -> bool {
+        let replaced = !self.core.is_handing_over() && self.core.status().leader.is_some();
+        replaced || now >= limit
     }
 
     /// Takes requests; all proposals among them become one group.
--- a/crates/cleat-quorum/tests/replica.rs
+++ b/crates/cleat-quorum/tests/replica.rs
@@ -278,6 +278,27 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_hands_the_lead_over() {
+    let group = Group::start(3, 1);
+    group.insist("a").await;
+    let leader = group.leader().expect("a leader");
+    let old = group.replica(leader);
+    let term = old.status().term();
+    old.stop().await;
+    // It ends only after another member leads, in a later term.
+    assert!(old.status().term() > term);
+    let refused = old.propose(b"b".as_slice().into()).await;
+    assert_eq!(refused, Err(ProposeError::Stopped));
+    group.wires.set(leader, None);
+    let index = group.insist("b").await;
+    for id in (0..group.members).filter(|id| *id != leader) {
+        group.wait_applied(id, index).await;
+        let commands = group.machines[usize::from(id)].all();
+        assert_eq!(commands, [b"a", b"b"], "member {id}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn propose_without_quorum() {
     let group = Group::start(3, 0);
--- a/crates/cleat-quorum/tests/schedules.rs
+++ b/crates/cleat-quorum/tests/schedules.rs
@@ -98,6 +98,7 @@
 fn schedule_leader_dies() {
     let plan = Plan {
         kill_leader: true,
+        hand_overs: 0,
         random_faults: 0,
         ..Plan::default()
     };
@@ -120,6 +121,34 @@
     );
 }
 
+/// A lead that is handed over is missing for some round trips and a sync,
+/// not for an election time-out.
+#[test]
+fn schedule_leader_hands_over() {
+    let plan = Plan {
+        hand_overs: 1,
+        random_faults: 0,
+        slow_sync: (0.0, SECOND),
+        ..Plan::default()
+    };
+    let results = run_all(seeds(200), move |seed| {
+        run(seed, plan).map(|world| world.without_leader)
+    });
+    let times = results
+        .into_iter()
+        .map(|(_, times)| times.expect("no fault"));
+    let mut times: Vec<_> = times.flatten().collect();
+    times.sort_unstable();
+    assert!(times.len() >= 190, "{} of 200 handed over", times.len());
+    let at = |percent| times[(times.len() - 1) * percent / 100];
+    let (median, late, last) = (at(50), at(95), at(100));
+    println!(
+        "{} leads handed over: none for {median} us at p50, {late} at p95, {last} at most",
+        times.len()
+    );
+    assert!(late < SECOND / 10, "{late} us");
+}
+
 /// Every fault at every step: the schedule must reach the step, and the group
 /// must hold its invariants and recover.
 #[test]
@@ -240,6 +269,21 @@
     });
 }
 
+#[test]
+fn protection_transfer_ends_lease() {
+    let plan = without(PAUSES, |p| p.transfer_ends_lease = false);
+    let plan = Plan {
+        cell: Some((Step::TimeoutNow, Fault::CutBoth)),
+        hand_overs: 4,
+        random_faults: 0,
+        slow_sync: (0.0, SECOND),
+        ..plan
+    };
+    assert_red("transfer ends lease", plan, |v| {
+        matches!(v, Violation::TwoLeaderLeases)
+    });
+}
+
 #[test]
 fn protection_lease_from_send() {
     let plan = without(PAUSES, |p| p.lease_from_send = false);
--- a/crates/cleat-quorum/tests/simulation/fault.rs
+++ b/crates/cleat-quorum/tests/simulation/fault.rs
@@ -48,12 +48,13 @@
     Ack,
     Install,
     Release,
+    TimeoutNow,
     Membership,
     Sync,
 }
 
 impl Step {
-    pub(crate) const ALL: [Step; 12] = [
+    pub(crate) const ALL: [Step; 13] = [
         Step::Hello,
         Step::Genesis,
         Step::PreVote,
@@ -64,6 +65,7 @@
         Step::Ack,
         Step::Install,
         Step::Release,
+        Step::TimeoutNow,
         Step::Membership,
         Step::Sync,
     ];
@@ -81,6 +83,7 @@
             Body::Ack(_) => Step::Ack,
             Body::Install(_) => Step::Install,
             Body::Release(_) => Step::Release,
+            Body::TimeoutNow => Step::TimeoutNow,
         }
     }
 }
--- a/crates/cleat-quorum/tests/simulation/mod.rs
+++ b/crates/cleat-quorum/tests/simulation/mod.rs
@@ -45,6 +45,8 @@
     pub(crate) client_pause: Micros,
     /// Kills the leader four seconds after the start, until the heal.
     pub(crate) kill_leader: bool,
+    /// How often the leader hands its lead over, at random times.
+    pub(crate) hand_overs: u32,
     /// When all faults end.
     pub(crate) heal: Micros,
     /// Whether the group must recover after that.
@@ -64,6 +66,7 @@
             upkeep: false,
             client_pause: 120 * MILLI,
             kill_leader: false,
+            hand_overs: 2,
             heal: 7 * SECOND,
             liveness: true,
             protections: Protections::default(),
@@ -82,6 +85,7 @@
     Uncut(usize),
     Normal,
     KillLeader,
+    HandOver,
     Client,
     Upkeep(u8),
     Heal,
@@ -114,6 +118,10 @@
     cell_armed: Micros,
     /// The members that served when the leader was killed and lapsed later.
     pub(crate) lapsed: BTreeSet<usize>,
+    /// When a lead was last handed over, by whom, and how long until another
+    /// member led.
+    handed_over: Option<(Micros, usize)>,
+    pub(crate) without_leader: Vec<Micros>,
     watched: Vec<usize>,
     voter_disks_lost: u32,
     /// How often the cell's fault was injected at its step.
@@ -153,6 +161,8 @@
             conditions: NORMAL,
             cell_armed,
             lapsed: BTreeSet::new(),
+            handed_over: None,
+            without_leader: Vec::new(),
             watched: Vec::new(),
             voter_disks_lost: 0,
             hits: 0,
@@ -179,6 +189,10 @@
         if self.plan.kill_leader {
             self.after(4 * SECOND, Occurrence::KillLeader);
         }
+        for _ in 0..self.plan.hand_overs {
+            let at = self.rng.random_range(2 * SECOND..6 * SECOND);
+            self.after(at, Occurrence::HandOver);
+        }
         for node in 0..self.nodes.len() {
             let at = self.rng.random_range(0..100 * MILLI);
             self.after(at, Occurrence::Restart(node));
@@ -205,6 +219,7 @@
                 self.handle(occurrence)?;
                 self.checker.check_leases(&self.nodes, self.now)?;
                 self.watch_leases();
+                self.watch_lead();
             }
             let healed = self.now > self.plan.heal + SECOND;
             if healed && (!self.plan.liveness || self.recovered()) {
@@ -279,6 +294,7 @@
                 self.kill_leader();
                 Ok(())
             }
+            Occurrence::HandOver => self.hand_over(),
             Occurrence::Client => self.client(),
             Occurrence::Upkeep(stage) => self.upkeep(stage),
             Occurrence::Heal => self.heal(),
--- a/crates/cleat-quorum/tests/simulation/upkeep.rs
+++ b/crates/cleat-quorum/tests/simulation/upkeep.rs
@@ -54,6 +54,31 @@
             .collect();
     }
 
+    pub(super) fn hand_over(&mut self) -> Result<(), Violation> {
+        let Some(leader) = self.certain_leader() else {
+            return Ok(());
+        };
+        self.handed_over = Some((self.now, leader));
+        self.step(leader, Event::HandOver)
+    }
+
+    /// The leader that may be sure of its lead, and of all that is committed.
+    fn certain_leader(&self) -> Option<usize> {
+        self.nodes.iter().position(|node| {
+            let until = node.core.as_ref().and_then(|c| c.status().leads_until);
+            !node.frozen && until.is_some_and(|until| node.local(self.now) < until)
+        })
+    }
+
+    pub(super) fn watch_lead(&mut self) {
+        if let Some((since, old)) = self.handed_over
+            && self.certain_leader().is_some_and(|leader| leader != old)
+        {
+            self.without_leader.push(self.now - since);
+            self.handed_over = None;
+        }
+    }
+
     pub(super) fn watch_leases(&mut self) {
         for at in &self.watched {
             let node = &self.nodes[*at];
--- a/crates/cleat-quorum/tests/slow_disk.rs
+++ b/crates/cleat-quorum/tests/slow_disk.rs
@@ -139,6 +139,7 @@
     let asks = || {
         let req = VoteRequest {
             pre: true,
+            transfer: false,
             last_index: GENESIS_INDEX + 3,
             last_term: TERM,
             voter_identity: 1,
