Shrink the future of a request to a third

Cause: the future that hyper stores for each request was 15,608 bytes, copied twice, since it had room for the keyed run and twice for the run itself. Change: the keyed run and the run of what must not run twice are boxed outside of it. Ruled out: a box for every run; the common one would pay for it. Conclusion: kept for the memory of each connection.

--- a/crates/cleat-entry/src/entry/handle.rs
+++ b/crates/cleat-entry/src/entry/handle.rs
@@ -20,7 +20,7 @@
 use crate::problem::{Problem, ProblemKind};
 use crate::request::{Intake, KeyedHead, read_body};
 use crate::trace::Trace;
-use crate::tries::{Answer, Detached, Job, Refused};
+use crate::tries::{Answer, Job, Refused};
 
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
@@ -87,10 +87,7 @@
     let job = take(shared, parts, body, received, in_service, trace).await;
     match (job, keyed) {
         (Ok(job), _) if job.is_idempotent() => job.run().await,
-        (Ok(job), _) => {
-            let commitment = job.commitment();
-            Detached::new(job.run(), commitment).await
-        }
+        (Ok(job), _) => job.detached().await,
         (Err(problem), None) => Err(problem),
         (Err(problem), Some(head)) => refuse(shared, &head, in_service, problem).await,
     }
--- a/crates/cleat-entry/src/tries/detached.rs
+++ b/crates/cleat-entry/src/tries/detached.rs
@@ -23,21 +23,23 @@
     }
 }
 
-/// A future that, once committed, is carried on by a task of its own when it
-/// is dropped before its end.
-pub(crate) struct Detached<F: Future<Output = T> + Send + 'static, T: Send + 'static> {
-    work: Option<Pin<Box<F>>>,
+/// Work that, once committed, is carried on by a task of its own when it is
+/// dropped before its end.
+pub(crate) struct Detached<T: Send + 'static> {
+    work: Option<Work<T>>,
     commitment: Commitment,
 }
 
-impl<F: Future<Output = T> + Send + 'static, T: Send + 'static> Detached<F, T> {
-    pub(crate) fn new(work: F, commitment: Commitment) -> Self {
-        let work = Some(Box::pin(work));
+type Work<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+impl<T: Send + 'static> Detached<T> {
+    pub(super) fn new(work: Work<T>, commitment: Commitment) -> Self {
+        let work = Some(work);
         Detached { work, commitment }
     }
 }
 
-impl<F: Future<Output = T> + Send + 'static, T: Send + 'static> Future for Detached<F, T> {
+impl<T: Send + 'static> Future for Detached<T> {
     type Output = T;
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<T> {
@@ -52,7 +54,7 @@
     }
 }
 
-impl<F: Future<Output = T> + Send + 'static, T: Send + 'static> Drop for Detached<F, T> {
+impl<T: Send + 'static> Drop for Detached<T> {
     fn drop(&mut self) {
         let Some(work) = self.work.take() else {
             return;
--- a/crates/cleat-entry/src/tries/job.rs
+++ b/crates/cleat-entry/src/tries/job.rs
@@ -6,9 +6,10 @@
 use tokio::time::Instant;
 use tracing::Instrument;
 
+use super::Answer;
+use super::detached::{Commitment, Detached};
 use super::exchange::Terms;
 use super::run::Tries;
-use super::{Answer, Commitment};
 use crate::control::Control;
 use crate::entry::{Shared, WorkToken};
 use crate::problem::{Problem, ProblemKind};
@@ -63,9 +64,11 @@
         }
     }
 
-    /// What tells whether the work has to go on without its caller.
-    pub(crate) fn commitment(&self) -> Commitment {
-        self.commitment.clone()
+    /// As [`Job::run`], but what has to run to its end does so without its
+    /// caller. Not `async`, so that the future is only ever in its box.
+    pub(crate) fn detached(self) -> Detached<Result<Answer, Problem>> {
+        let commitment = self.commitment.clone();
+        Detached::new(Box::pin(self.run()), commitment)
     }
 
     /// Whether a second run does no harm.
@@ -79,7 +82,8 @@
     /// The final answer to the caller, if it is not a target's.
     pub(crate) async fn run(self) -> Result<Answer, Problem> {
         match &self.key {
-            Some(key) if !self.idempotent => self.run_keyed(key).await,
+            // Boxed, because it is large and seldom needed.
+            Some(key) if !self.idempotent => Box::pin(self.run_keyed(key)).await,
             _ => {
                 let slot = self.admit().await?;
                 self.send(slot).await
--- a/crates/cleat-entry/src/tries/mod.rs
+++ b/crates/cleat-entry/src/tries/mod.rs
@@ -12,7 +12,6 @@
 mod settle;
 
 pub(crate) use answer::Answer;
-pub(crate) use detached::{Commitment, Detached};
 pub(crate) use in_hand::KeysInHand;
 pub(crate) use job::Job;
 pub(crate) use look_up::Refused;
