Cut the target's path out of the caller's

Cause: path and query were formatted into a new text for each request with a query. Change: the rest of the caller's path and query is parsed as it stands; a slash is set before it only if the path is the service alone. Ruled out: to share the caller's bytes; http gives no way to cut a Uri without a copy.

--- a/crates/cleat-entry/src/request/intake.rs
+++ b/crates/cleat-entry/src/request/intake.rs
@@ -52,10 +52,10 @@
         if parts.method == Method::CONNECT {
             return Err(Problem::closing(ProblemKind::UnsupportedTarget));
         }
-        let (service, rest) = path::split(parts.uri.path()).ok_or_else(unsupported)?;
+        let service = path::service(parts.uri.path()).ok_or_else(unsupported)?;
         let route = routes.find(service);
         let route = route.ok_or(Problem::new(ProblemKind::UnknownService))?;
-        let uri = path::rest_uri(rest, parts.uri.query()).ok_or_else(unsupported)?;
+        let uri = path::rest_uri(&parts.uri, service).ok_or_else(unsupported)?;
         let most = Duration::from_millis(route.terms.deadline_ms);
         let fields = Fields::of(&headers);
         let stated = fields.deadline()?;
--- a/crates/cleat-entry/src/request/keyed_head.rs
+++ b/crates/cleat-entry/src/request/keyed_head.rs
@@ -29,7 +29,7 @@
         if idempotent.unwrap_or(method.is_idempotent()) {
             return None;
         }
-        let (service, _) = path::split(parts.uri.path())?;
+        let service = path::service(parts.uri.path())?;
         let caller = fields.caller().ok()?;
         let stated = fields.deadline().ok().flatten();
         Some(KeyedHead {
--- a/crates/cleat-entry/src/request/path.rs
+++ b/crates/cleat-entry/src/request/path.rs
@@ -3,19 +3,19 @@
 use http::Uri;
 use http::uri::PathAndQuery;
 
-/// Splits `/SERVICE/REST…` into the service and `/REST…`, which may be empty.
-pub(super) fn split(path: &str) -> Option<(&str, &str)> {
-    let path = path.strip_prefix('/')?;
-    let end = path.find('/').unwrap_or(path.len());
-    Some(path.split_at(end))
+/// The service of `/SERVICE/REST…`, where `/REST…` may be empty.
+pub(super) fn service(path: &str) -> Option<&str> {
+    path.strip_prefix('/')?.split('/').next()
 }
 
-/// What the target is asked for: the rest of the path with the query.
-pub(super) fn rest_uri(rest: &str, query: Option<&str>) -> Option<Uri> {
-    let rest = if rest.is_empty() { "/" } else { rest };
-    let target: PathAndQuery = match query {
-        None => rest.parse().ok()?,
-        Some(query) => format!("{rest}?{query}").try_into().ok()?,
+/// What the target is asked for: what follows `service` in `uri`.
+pub(super) fn rest_uri(uri: &Uri, service: &str) -> Option<Uri> {
+    let begin = "/".len() + service.len();
+    let rest = uri.path_and_query()?.as_str().get(begin..)?;
+    let target: PathAndQuery = if rest.starts_with('/') {
+        rest.parse().ok()?
+    } else {
+        format!("/{rest}").try_into().ok()?
     };
     Some(target.into())
 }
