Ask for slots only where they help, and less often in an overload

Ruled out: an exact count of free slots before each choice, which would still race with a message that lends one.

Change: a request takes its slot before the gate decides on its start, and waits if there is none. What waits asks for no more slots than the entry has connections for.

--- a/crates/cleat-decide/src/slots/peers.rs
+++ b/crates/cleat-decide/src/slots/peers.rs
@@ -8,6 +8,9 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 /// What a peer said of its idle slots counts for this long.
 const HINT_AGE_MAX: Duration = Duration::from_millis(50);
+/// That a peer has nothing to lend counts for longer each time it says so, up
+/// to this long: in an overload of all, asking only costs messages.
+const REFUSED_AGE_MAX: Duration = Duration::from_millis(200);
 /// What is assumed of a peer of which nothing fresh is known.
 const IDLE_ASSUMED: u32 = 1;
 
@@ -18,6 +21,8 @@
     pub(super) heard: Option<(u64, u64)>,
     idle: u32,
     hinted_at: Option<Duration>,
+    /// How long the last hint counts.
+    hint_age: Duration,
     /// The ask that waits for an answer.
     ask: Option<Ask>,
 }
@@ -36,7 +41,7 @@
         if self.pending(now) > 0 {
             return 0;
         }
-        let fresh = self.hinted_at.is_some_and(|at| now < at + HINT_AGE_MAX);
+        let fresh = self.hinted_at.is_some_and(|at| now < at + self.hint_age);
         if fresh {
             self.idle
         } else {
@@ -54,9 +59,21 @@
         self.ask = Some(ask);
     }
 
-    /// Ends the ask `serial`, if it is the one under way.
-    pub(super) fn answered(&mut self, serial: u64, idle: u32, now: Duration) -> Option<Ask> {
+    /// Ends the ask `serial`, if it is the one under way: whether slots were
+    /// granted, and how many more are idle.
+    pub(super) fn answered(
+        &mut self,
+        serial: u64,
+        granted: bool,
+        idle: u32,
+        now: Duration,
+    ) -> Option<Ask> {
         let ask = self.ask.take_if(|ask| ask.serial == serial)?;
+        self.hint_age = if granted {
+            HINT_AGE_MAX
+        } else {
+            (self.hint_age * 2).clamp(HINT_AGE_MAX, REFUSED_AGE_MAX)
+        };
         self.idle = idle;
         self.hinted_at = Some(now);
         Some(ask)
--- a/crates/cleat-decide/src/slots/sharing.rs
+++ b/crates/cleat-decide/src/slots/sharing.rs
@@ -319,7 +319,8 @@
             return Vec::new();
         }
         let peer = self.peers.get_mut(from.0 as usize);
-        let Some(asked) = peer.and_then(|peer| peer.answered(ask, idle, now)) else {
+        let Some(asked) = peer.and_then(|peer| peer.answered(ask, !grants.is_empty(), idle, now))
+        else {
             return Vec::new();
         };
         let mut unwanted = Vec::new();
--- a/crates/cleat-entry/src/service/admission.rs
+++ b/crates/cleat-entry/src/service/admission.rs
@@ -45,21 +45,19 @@
             deadline: self.at(deadline),
         };
         let mut inner = self.lock();
-        match inner.arrive(arrival, now) {
+        let (arrived, placed) = inner.arrive(arrival, now);
+        if let (Arrived::Start, Some(placed)) = (arrived, placed) {
+            let slot = Slot::new(Arc::clone(self), placed, now);
+            return Ok(Admission::Started(slot));
+        }
+        match arrived {
             Arrived::Refuse(refusal) => Err(refusal),
-            Arrived::Start => match inner.place(None) {
-                Some(target) => {
-                    let slot = Slot::new(Arc::clone(self), target, now);
-                    Ok(Admission::Started(slot))
-                }
-                // Taken meanwhile by requests of another service that had the
-                // target before.
-                None => Err(inner.refuse(RefusalReason::NoTarget, now)),
-            },
+            // The gate starts nothing while nothing is free.
+            Arrived::Start => Err(inner.refuse(RefusalReason::NoTarget, now)),
             Arrived::Wait | Arrived::Displace { .. } => {
                 let (tx, rx) = oneshot::channel();
                 inner.wait(ticket, tx);
-                self.slots().want(inner.waiting());
+                self.slots().want(inner.missing());
                 let waiting = Waiting::new(Arc::clone(self), ticket, rx);
                 Ok(Admission::Waits(waiting))
             }
--- a/crates/cleat-entry/src/service/inner.rs
+++ b/crates/cleat-entry/src/service/inner.rs
@@ -77,10 +77,15 @@
         self.targets.iter().any(other)
     }
 
-    /// How many requests wait for a slot.
-    pub(super) fn waiting(&self) -> u32 {
+    /// How many slots of other entries would help what waits.
+    pub(super) fn missing(&self) -> u32 {
         let waiting = self.gate.waiting() + self.retries.len();
-        u32::try_from(waiting).unwrap_or(u32::MAX)
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        if waiting == 0 {
+            return 0;
+        }
+        let headroom = self.targets.iter().map(|target| target.slots.headroom());
+        waiting.min(headroom.sum())
     }
 
     pub(super) fn is_waiting(&self) -> bool {
@@ -99,18 +104,34 @@
         self.gate.refuse(reason, now)
     }
 
-    /// Decides on a new request.
-    pub(super) fn arrive(&mut self, arrival: Arrival<'_>, now: Duration) -> Arrived {
+    /// Decides on a new request. One that starts has a slot.
+    pub(super) fn arrive(
+        &mut self,
+        arrival: Arrival<'_>,
+        now: Duration,
+    ) -> (Arrived, Option<Placed>) {
         if !self.has_capacity() {
-            return Arrived::Refuse(self.refuse(RefusalReason::NoTarget, now));
+            let refusal = self.refuse(RefusalReason::NoTarget, now);
+            return (Arrived::Refuse(refusal), None);
         }
         self.look(now);
         let free = free_slots(&self.candidates);
+        // A slot that looks free may be lent this moment.
+        let starts = free > 0 && self.gate.waiting() == 0;
+        let placed = starts.then(|| self.place(None)).flatten();
+        let free = if placed.is_some() { free } else { 0 };
         let arrived = self.gate.arrive(arrival, free, now);
         if let Arrived::Displace { displaced, refusal } = arrived {
             self.refuse_ticket(displaced, refusal);
         }
-        arrived
+        match (arrived, placed) {
+            (Arrived::Start, placed) => (arrived, placed),
+            (arrived, Some(unused)) => {
+                unused.target.release(unused.taken);
+                (arrived, None)
+            }
+            (arrived, None) => (arrived, None),
+        }
     }
 
     pub(super) fn wait(&mut self, ticket: Ticket, tx: oneshot::Sender<Wake>) {
--- a/crates/cleat-entry/src/service/retry.rs
+++ b/crates/cleat-entry/src/service/retry.rs
@@ -112,7 +112,7 @@
             tx,
         };
         inner.retries().waiting.push_back(retry);
-        self.slots().want(inner.waiting());
+        self.slots().want(inner.missing());
         Begun::Waits(rx)
     }
 }
--- a/crates/cleat-entry/src/service/state.rs
+++ b/crates/cleat-entry/src/service/state.rs
@@ -55,7 +55,7 @@
         let now = self.now();
         let mut inner = self.lock();
         inner.fill(self, None, now);
-        self.slots.want(inner.waiting());
+        self.slots.want(inner.missing());
     }
 
     /// Gives back slots on loan that are not used. Says whether any is left.
@@ -117,7 +117,7 @@
         }
         inner.expire(now);
         inner.fill(self, None, now);
-        self.slots.want(inner.waiting());
+        self.slots.want(inner.missing());
         inner.is_waiting()
     }
 
--- a/crates/cleat-entry/src/target/slots.rs
+++ b/crates/cleat-entry/src/target/slots.rs
@@ -70,6 +70,13 @@
         self.usable.load(Ordering::Acquire).min(self.connections())
     }
 
+    /// How many slots more this entry could use if others lent them.
+    pub(crate) fn headroom(&self) -> u32 {
+        let usable = self.usable.load(Ordering::Acquire);
+        self.connections()
+            .saturating_sub(usable.max(self.in_flight()))
+    }
+
     pub(crate) fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Acquire)
     }
--- a/crates/cleat-node/src/slots.rs
+++ b/crates/cleat-node/src/slots.rs
@@ -20,7 +20,7 @@
 /// How long one call may take before its messages count as lost.
 const CALL_LIMIT: Duration = Duration::from_millis(200);
 /// How often idle slots on loan are looked for.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
 /// The same while nothing is on loan here. A message ends the pause.
 const REST: Duration = Duration::from_secs(1);
 
