Summarize the slopes in the bench itself

Cause: medians, spreads and slopes were worked out by hand from the raw lines. Ruled out: a script beside it (another language to keep). Change: the bench prints them as # lines after the raw JSON lines. Conclusion: docs/CAPACITY.md is made from one command.

--- a/crates/celerycleatd/benches/slopes/main.rs
+++ b/crates/celerycleatd/benches/slopes/main.rs
@@ -1,9 +1,9 @@
 //! Measures what control costs each role, by count: the slopes behind
-//! docs/CAPACITY.md. Prints one JSON line a role, size and repeat.
+//! docs/CAPACITY.md. Prints one JSON line a daemon, size and repeat, then medians,
+//! spreads and slopes.
 //!
 //! `cargo bench -p celerycleatd --bench slopes [-- members|targets|config|keys]`
 
-#[allow(dead_code, unused_imports)]
 #[path = "../../tests/support/mod.rs"]
 mod support;
 
@@ -11,6 +11,7 @@
 mod keys;
 mod members;
 mod sample;
+mod summary;
 mod targets;
 
 use std::future::Future;
@@ -34,6 +35,7 @@
         maybe(run("config"), config::measure()).await;
         maybe(run("keys"), keys::measure()).await;
     });
+    summary::print();
 }
 
 async fn maybe(run: bool, measure: impl Future<Output = ()>) {
--- a/crates/celerycleatd/benches/slopes/sample.rs
+++ b/crates/celerycleatd/benches/slopes/sample.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use serde_json::{Value, json};
 
+use crate::summary::{self, Usage};
 use crate::support::Fleet;
 
 /// One daemon at one moment.
@@ -49,6 +50,14 @@
                 "rss_bytes": now.rss_bytes,
             });
             println!("{line}");
+            let unit = if events > 0 { events as f64 } else { seconds };
+            let usage = Usage {
+                cpu_us: (now.cpu_ns - before.cpu_ns) as f64 / 1_000.0 / unit,
+                sent_bytes: (now.sent - before.sent) as f64 / unit,
+                received_bytes: (now.received - before.received) as f64 / unit,
+                rss_mb: now.rss_bytes as f64 / 1e6,
+            };
+            summary::add(what, &now.role, size, usage);
         }
     }
 }
