Format the texts of start errors

Cause: a long line in cleat-link stood against the formatter. Ruled out: nothing. Change: format only. Conclusion: the formatter is clean again.

--- a/crates/cleat-link/src/server.rs
+++ b/crates/cleat-link/src/server.rs
@@ -18,7 +18,9 @@
 pub enum ServeError {
     /// The address could not be bound: it is in use or not this machine's.
     /// Correct `listen.peers` in the settings.
-    #[snafu(display("cannot listen for other instances on {address}; free the address or correct listen.peers"))]
+    #[snafu(display(
+        "cannot listen for other instances on {address}; free the address or correct listen.peers"
+    ))]
     Bind {
         /// The address.
         address: SocketAddr,
