Count the guards of a busy connection

Cause: each request allocated a mark whose last clone told that the connection was idle; of two requests whose bytes overlapped the first to end said so for both. Change: the guards are counted in the connection; the last one to go clears the head. Ruled out: to drop the guards; unwritten bytes must hold off the timer of the next head. The 50 tests of input, drain, answers and forward pass.

--- a/crates/cleat-entry/src/entry/connection.rs
+++ b/crates/cleat-entry/src/entry/connection.rs
@@ -1,6 +1,6 @@
 //! What a caller's socket and the handler of its requests tell each other.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// The most bytes of a head that are kept.
@@ -14,9 +14,9 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// Whether a handler has a request of this connection, or a byte of its
-    /// answer's body is still to be written.
-    busy: AtomicBool,
+    /// How many guards there are: a handler has a request of this connection,
+    /// or a byte of its answer's body is still to be written.
+    busy: AtomicUsize,
     /// How many requests of this connection handlers have had.
     requests: AtomicU64,
     /// What was read since the last request was handed to a handler.
@@ -25,7 +25,7 @@
 
 impl Connection {
     pub(super) fn is_busy(&self) -> bool {
-        self.0.busy.load(Ordering::Relaxed)
+        self.0.busy.load(Ordering::Relaxed) > 0
     }
 
     pub(super) fn has_begun(&self) -> bool {
@@ -40,11 +40,8 @@
     /// Marks the connection as busy until the last clone of the guard is
     /// dropped.
     pub(super) fn begin(&self) -> Busy {
-        self.0.busy.store(true, Ordering::Relaxed);
         self.0.requests.fetch_add(1, Ordering::Relaxed);
-        Busy {
-            _mark: Arc::new(BusyMark(self.clone())),
-        }
+        Busy::new(self.clone())
     }
 
     /// Takes note of bytes that were read.
@@ -75,18 +72,31 @@
     }
 }
 
-/// A busy connection.
-#[derive(Debug, Clone)]
-pub(super) struct Busy {
-    _mark: Arc<BusyMark>,
+/// A busy connection. A count in it, since a mark of its own for each request
+/// would have to be allocated.
+#[derive(Debug)]
+pub(super) struct Busy(Connection);
+
+impl Busy {
+    fn new(connection: Connection) -> Busy {
+        connection.0.busy.fetch_add(1, Ordering::Relaxed);
+        Busy(connection)
+    }
 }
 
-#[derive(Debug)]
-struct BusyMark(Connection);
+impl Clone for Busy {
+    fn clone(&self) -> Busy {
+        Busy::new(self.0.clone())
+    }
+}
 
-impl Drop for BusyMark {
+impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.head().clear();
-        self.0.0.busy.store(false, Ordering::Relaxed);
+        let Connection(state) = &self.0;
+        if state.busy.load(Ordering::Relaxed) == 1 {
+            // First, or what is read next would be lost.
+            self.0.head().clear();
+        }
+        state.busy.fetch_sub(1, Ordering::Relaxed);
     }
 }
