Share the recovered group between tests

Change: what a member of an existing group recovers is one module for two tests; the runner's match and the list of faults are shorter.

--- a/crates/cleat-quorum/tests/core.rs
+++ b/crates/cleat-quorum/tests/core.rs
@@ -2,50 +2,16 @@
 
 mod group;
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use cleat_quorum::{
-    Ack, AckOutcome, Append, Body, Core, Entry, Event, GENESIS_INDEX, HardState, Image, Limits,
-    Member, MemberId, Membership, Message, Payload, Recovery, Refusal, Role, Stamp, Term,
+    Ack, AckOutcome, Append, Body, Core, Event, GENESIS_INDEX, HardState, Limits, MemberId,
+    Message, Refusal, Role, Stamp,
 };
 
-use group::{Group, identity, seconds};
-
-/// A member of an existing group with hand-made entries after the genesis.
-fn recover(recovery: &mut Recovery, voters: u16, term: Term, terms: &[Term]) {
-    let member = |id| Member {
-        id: MemberId(id),
-        identity: identity(id),
-        votes: true,
-    };
-    let membership = Membership {
-        members: (0..voters).map(member).collect(),
-        retired: Vec::new(),
-    };
-    let data = Arc::from([]);
-    let image = Image {
-        index: GENESIS_INDEX,
-        term: 0,
-        group: 7,
-        membership,
-        data,
-    };
-    recovery.image = Some(Arc::new(image));
-    recovery.hard_state = HardState {
-        term,
-        voted_for: None,
-    };
-    let entries = (GENESIS_INDEX + 1..).zip(terms);
-    recovery.entries = entries
-        .map(|(index, term)| Entry {
-            index,
-            term: *term,
-            payload: Payload::Noop,
-        })
-        .collect();
-}
+use group::recovery::{identity, recover};
+use group::{Group, seconds};
 
 /// Figure 8 of the Raft paper: an entry of term 2 reaches a majority under
 /// the leader of term 4, while another member holds an entry of term 3.
--- a/crates/cleat-quorum/tests/group/mod.rs
+++ b/crates/cleat-quorum/tests/group/mod.rs
@@ -1,5 +1,7 @@
 //! Cores whose syncs end at once and whose messages arrive in order.
 
+pub(crate) mod recovery;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +11,8 @@
     Role,
 };
 
+use recovery::identity;
+
 const TICK: Duration = Duration::from_millis(10);
 
 /// Cores whose syncs end at once and whose messages arrive in order.
@@ -120,10 +124,6 @@
     }
 }
 
-pub(crate) fn identity(id: u16) -> u64 {
-    1000 + u64::from(id)
-}
-
 pub(crate) fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
 }
--- /dev/null
+++ b/crates/cleat-quorum/tests/group/recovery.rs
@@ -0,0 +1,48 @@
+//! What members of an existing group find on their disks.
+
+use std::sync::Arc;
+
+use cleat_quorum::{
+    Entry, GENESIS_INDEX, HardState, Image, Member, MemberId, Membership, Payload, Recovery, Term,
+};
+
+/// The group that is recovered.
+pub(crate) const GROUP: u32 = 7;
+
+pub(crate) fn identity(id: u16) -> u64 {
+    1000 + u64::from(id)
+}
+
+/// A member of an existing group with hand-made entries after the genesis.
+pub(crate) fn recover(recovery: &mut Recovery, voters: u16, term: Term, terms: &[Term]) {
+    let member = |id| Member {
+        id: MemberId(id),
+        identity: identity(id),
+        votes: true,
+    };
+    let membership = Membership {
+        members: (0..voters).map(member).collect(),
+        retired: Vec::new(),
+    };
+    let data = Arc::from([]);
+    let image = Image {
+        index: GENESIS_INDEX,
+        term: 0,
+        group: GROUP,
+        membership,
+        data,
+    };
+    recovery.image = Some(Arc::new(image));
+    recovery.hard_state = HardState {
+        term,
+        voted_for: None,
+    };
+    let entries = (GENESIS_INDEX + 1..).zip(terms);
+    recovery.entries = entries
+        .map(|(index, term)| Entry {
+            index,
+            term: *term,
+            payload: Payload::Noop,
+        })
+        .collect();
+}
--- a/crates/cleat-quorum/tests/simulation/fault.rs
+++ b/crates/cleat-quorum/tests/simulation/fault.rs
@@ -21,18 +21,13 @@
 }
 
 impl Fault {
-    pub(crate) const ALL: [Fault; 10] = [
-        Fault::Kill,
-        Fault::LostDisk,
-        Fault::CutIn,
-        Fault::CutOut,
-        Fault::CutBoth,
-        Fault::Freeze,
-        Fault::Duplicate,
-        Fault::Delay,
-        Fault::Reorder,
-        Fault::Second,
-    ];
+    pub(crate) const ALL: [Fault; 10] = {
+        use Fault::{CutBoth, CutIn, CutOut, Delay, Duplicate};
+        use Fault::{Freeze, Kill, LostDisk, Reorder, Second};
+        [
+            Kill, LostDisk, CutIn, CutOut, CutBoth, Freeze, Duplicate, Delay, Reorder, Second,
+        ]
+    };
 }
 
 /// The steps of the protocol.
--- a/crates/cleat-quorum/tests/simulation/mod.rs
+++ b/crates/cleat-quorum/tests/simulation/mod.rs
@@ -259,46 +259,30 @@
 
     fn handle(&mut self, occurrence: Occurrence) -> Result<(), Violation> {
         match occurrence {
-            Occurrence::Deliver(message) => self.deliver(message),
-            Occurrence::SyncDone(node, life, ticket) => self.sync_done(node, life, ticket),
-            Occurrence::Timer(node, generation) => {
-                let due = self.nodes[node].timer == generation;
-                if due {
-                    self.step(node, Event::Tick)
-                } else {
-                    Ok(())
-                }
-            }
-            Occurrence::Inject(node, fault) => {
-                self.inject(node, fault);
-                Ok(())
+            Occurrence::Deliver(message) => self.deliver(message)?,
+            Occurrence::SyncDone(node, life, ticket) => self.sync_done(node, life, ticket)?,
+            Occurrence::Timer(node, generation) if self.nodes[node].timer == generation => {
+                self.step(node, Event::Tick)?;
             }
+            Occurrence::Timer(..) => {}
+            Occurrence::Inject(node, fault) => drop(self.inject(node, fault)),
             Occurrence::InjectCell(node, fault) => {
-                if self.hits == 0 && self.inject(node, fault) {
-                    self.hits += 1;
-                }
-                Ok(())
+                self.hits += u32::from(self.hits == 0 && self.inject(node, fault));
             }
-            Occurrence::Restart(node) => self.restart(node),
-            Occurrence::Thaw(node) => self.thaw(node),
+            Occurrence::Restart(node) => self.restart(node)?,
+            Occurrence::Thaw(node) => self.thaw(node)?,
             Occurrence::Uncut(node) => {
                 self.nodes[node].cut_in.clear();
                 self.nodes[node].cut_out.clear();
-                Ok(())
-            }
-            Occurrence::Normal => {
-                self.conditions = NORMAL;
-                Ok(())
             }
-            Occurrence::KillLeader => {
-                self.kill_leader();
-                Ok(())
-            }
-            Occurrence::HandOver => self.hand_over(),
-            Occurrence::Client => self.client(),
-            Occurrence::Upkeep(stage) => self.upkeep(stage),
-            Occurrence::Heal => self.heal(),
+            Occurrence::Normal => self.conditions = NORMAL,
+            Occurrence::KillLeader => self.kill_leader(),
+            Occurrence::HandOver => self.hand_over()?,
+            Occurrence::Client => self.client()?,
+            Occurrence::Upkeep(stage) => self.upkeep(stage)?,
+            Occurrence::Heal => self.heal()?,
         }
+        Ok(())
     }
 
     fn deliver(&mut self, message: Message) -> Result<(), Violation> {
--- a/crates/cleat-quorum/tests/slow_disk.rs
+++ b/crates/cleat-quorum/tests/slow_disk.rs
@@ -1,16 +1,19 @@
 //! A replica whose disk is slow, driven by messages alone.
 
+#[path = "group/recovery.rs"]
+mod recovery;
+
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::Duration;
 
 use cleat_quorum::{
-    Append, Body, Entry, GENESIS_INDEX, HardState, Image, Limits, Machine, Member, MemberConfig,
-    MemberId, Membership, Message, Payload, Recovery, Replica, ReplicaConfig, RestoreError, Store,
-    StoreError, Transport, VoteRequest, Write,
+    Append, Body, Entry, GENESIS_INDEX, HardState, Limits, Machine, MemberConfig, MemberId,
+    Message, Payload, Recovery, Replica, ReplicaConfig, RestoreError, Store, StoreError, Transport,
+    VoteRequest, Write,
 };
+use recovery::{GROUP, identity, recover};
 use tokio::time::{sleep, timeout};
 
-const GROUP: u32 = 7;
 const TERM: u64 = 1;
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -63,31 +66,13 @@
         ..Limits::default()
     };
     let cfg = ReplicaConfig::new(MemberId(1), members.collect(), 1).with_limits(limits);
-    let members = (0..3).map(|id| Member {
-        id: MemberId(id),
-        identity: u64::from(id),
-        votes: true,
-    });
-    let membership = Membership {
-        members: members.collect(),
-        retired: Vec::new(),
-    };
-    let image = Image {
-        index: GENESIS_INDEX,
-        term: 0,
-        group: GROUP,
-        membership,
-        data: Arc::from([]),
-    };
-    let recovery = Recovery {
-        identity: 1,
-        hard_state: HardState {
-            term: TERM,
-            voted_for: None,
-        },
-        image: Some(Arc::new(image)),
+    let mut recovery = Recovery {
+        identity: identity(1),
+        hard_state: HardState::default(),
+        image: None,
         entries: Vec::new(),
     };
+    recover(&mut recovery, 3, TERM, &[]);
     (cfg, recovery)
 }
 
@@ -142,7 +127,7 @@
             transfer: false,
             last_index: GENESIS_INDEX + 3,
             last_term: TERM,
-            voter_identity: 1,
+            voter_identity: identity(1),
         };
         replica.deliver(message(2, TERM + 1, Body::VoteRequest(req)));
     };
