Format the start error of the entry

Cause: one line was longer than rustfmt leaves it, so the check of the format failed. Change: the line is broken; no word changes. Ruled out: nothing else was to be weighed.

--- a/crates/cleat-entry/src/entry/entry.rs
+++ b/crates/cleat-entry/src/entry/entry.rs
@@ -31,7 +31,9 @@
 pub enum BindError {
     /// The address can't be listened on: another process has it, or it is not
     /// of this machine. Change `listen.callers` in the settings.
-    #[snafu(display("cannot listen for callers on {address}; free the address or correct listen.callers"))]
+    #[snafu(display(
+        "cannot listen for callers on {address}; free the address or correct listen.callers"
+    ))]
     Listen {
         /// The address.
         address: SocketAddr,
