Strike each step of a request with each fault

Cause: the request path was proved case by case; no table said which step meets which fault, so a gap could not be seen. Ruled out: a paused clock, because the entries run in runtimes of their own so that one can be killed; pinned outcomes, because some cells end honestly in either of two ways. Change: a test of 9 steps, 8 faults and 2 kinds of request (a claim needs a key, so 136 cells), each with its invariants and a check that its fault struck. Seen red with a protection off, by edits undone at once: at most once, claim, settlement as unknown, proof of "not sent", deadline of a try, slots given back, request memory given back, whole bodies, settlement proposed, refusal at once. Not seen red: reuse of an abandoned connection (0 cells). Conclusion: no violation found in these cells.

--- /dev/null
+++ b/crates/cleat-entry/tests/matrix_support/caller.rs
@@ -0,0 +1,57 @@
+//! A caller that tells a broken answer from a whole one.
+
+use std::sync::Arc;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::{Script, Step};
+use crate::support::Reply;
+
+/// More than a target's receive buffer: its head arrives without it.
+pub const BODY: usize = 512 * 1_024;
+
+/// One answer and nothing after it, or how it failed to come.
+pub type Ended = Result<Reply, &'static str>;
+
+/// Sends a request and reads to the end; a probe with a script can be struck
+/// in mid-body.
+pub async fn exchange(
+    stream: &mut TcpStream,
+    id: &str,
+    keyed: bool,
+    script: Option<Arc<Script>>,
+) -> Ended {
+    let (method, key) = if keyed {
+        ("POST", "idempotency-key: k\r\n")
+    } else {
+        ("GET", "")
+    };
+    let body = vec![b'b'; if id == "block" { 4 } else { BODY }];
+    let head = format!(
+        "{method} /dock/x HTTP/1.1\r\nhost: t\r\nconnection: close\r\nx-id: {id}\r\n{key}\
+         celerycleat-caller: school\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let (half, rest) = body.split_at(body.len() / 2);
+    let mut bytes = Vec::new();
+    // An early answer or a reset ends the sending.
+    let _ = stream.write_all(&[head.as_bytes(), half].concat()).await;
+    if let Some(script) = script {
+        script.reach(Step::Received).await;
+    }
+    let _ = stream.write_all(rest).await;
+    let _ = stream.read_to_end(&mut bytes).await;
+    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
+    let end = end.ok_or("broken")?;
+    let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
+    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+    let body = bytes[end + 4..].to_vec();
+    let reply = Reply { status, head, body };
+    let stated: usize = reply.header("content-length").unwrap().parse().unwrap();
+    if reply.body.len() < stated {
+        Err("broken")
+    } else {
+        Ok(reply)
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/tests/matrix_support/script.rs
@@ -0,0 +1,161 @@
+//! Where a cell's fault strikes, and what the targets saw.
+
+use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+
+use cleat_entry::{ClaimError, Control};
+use cleat_world::{ClaimKey, KeyAnswer, SettleKey};
+use tokio::sync::watch;
+
+use crate::support::FakeControl;
+
+/// A step of a request, in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Step {
+    /// The instance has the head and half of the body.
+    Received,
+    /// The claim stands; its answer is on the way.
+    Claimed,
+    Queued,
+    Connecting,
+    /// The target read no more than the head.
+    HeadSent,
+    BodySent,
+    AnswerHead,
+    /// The target wrote half of the body.
+    AnswerBody,
+    /// The answer is whole; a settlement is on the way.
+    Settled,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    KillTarget,
+    KillInstance,
+    Reset,
+    Freeze,
+    BlackHole,
+    Delay,
+    Duplicate,
+    Second,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Not idempotent, with a key.
+    Keyed,
+    Get,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct Cell {
+    pub kind: Kind,
+    pub step: Step,
+    pub fault: Fault,
+}
+
+impl Cell {
+    /// Whether a target has the request.
+    pub fn at_target(self) -> bool {
+        (Step::HeadSent..=Step::AnswerBody).contains(&self.step)
+    }
+
+    /// Whether the second fault strikes the retry of the same request.
+    pub fn strikes_retry(self) -> bool {
+        self.fault == Fault::Second && self.kind == Kind::Get && self.at_target()
+    }
+
+    pub fn kills_instance(self) -> bool {
+        self.fault == Fault::KillInstance || self.fault == Fault::Second && !self.strikes_retry()
+    }
+
+    pub fn is_silent(self) -> bool {
+        matches!(self.fault, Fault::Freeze | Fault::BlackHole)
+    }
+}
+
+pub struct Script {
+    pub cell: Cell,
+    /// Where the probe is struck and how often it still is.
+    plan: Mutex<(Step, u32)>,
+    pub struck: AtomicU32,
+    pub go: watch::Sender<bool>,
+    /// The target that was struck last.
+    pub struck_target: Mutex<usize>,
+    /// Cloned by each exchange at a target.
+    pub busy: Arc<()>,
+    log: Mutex<Vec<String>>,
+}
+
+impl Script {
+    pub fn new(cell: Cell) -> Script {
+        Script {
+            cell,
+            plan: Mutex::new((cell.step, 1 + u32::from(cell.strikes_retry()))),
+            struck: AtomicU32::new(0),
+            go: watch::Sender::new(false),
+            struck_target: Mutex::default(),
+            busy: Arc::default(),
+            log: Mutex::default(),
+        }
+    }
+
+    /// Has the probe struck once more.
+    pub fn plan(&self, step: Step) {
+        *self.plan.lock().unwrap() = (step, 1);
+    }
+
+    /// Called where the probe comes by. If the fault is planned there, waits
+    /// until it is in force.
+    pub async fn reach(&self, step: Step) -> bool {
+        match &mut *self.plan.lock().unwrap() {
+            (planned, left) if *planned == step && *left > 0 => *left -= 1,
+            _ => return false,
+        }
+        self.struck.fetch_add(1, SeqCst);
+        self.go.subscribe().wait_for(|go| *go).await.unwrap();
+        true
+    }
+
+    pub fn note(&self, what: &str, id: &str) {
+        self.log.lock().unwrap().push(format!("{what} {id}"));
+    }
+
+    /// How often targets "saw" the head of a request or "ran" it.
+    pub fn count(&self, what: &str, id: &str) -> usize {
+        let line = format!("{what} {id}");
+        self.log
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|l| **l == line)
+            .count()
+    }
+}
+
+/// Consensus that stops at the probe's claim and settlement.
+pub struct Gated {
+    pub inner: FakeControl,
+    pub script: Arc<Script>,
+}
+
+impl Control for Gated {
+    fn in_service(&self) -> bool {
+        self.inner.in_service()
+    }
+
+    async fn claim(&self, claim: ClaimKey) -> Result<KeyAnswer, ClaimError> {
+        let answer = self.inner.claim(claim).await;
+        self.script.reach(Step::Claimed).await;
+        answer
+    }
+
+    async fn settle(&self, settle: SettleKey) -> Result<KeyAnswer, ClaimError> {
+        self.script.reach(Step::Settled).await;
+        self.inner.settle(settle).await
+    }
+
+    async fn look_up(&self, key: &str, digest: u64) -> Result<Option<KeyAnswer>, ClaimError> {
+        self.inner.look_up(key, digest).await
+    }
+}
--- /dev/null
+++ b/crates/cleat-entry/tests/matrix_support/world.rs
@@ -0,0 +1,350 @@
+//! One cell's world, its fault and its invariants.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+
+use cleat_entry::{Entry, EntryConfig, Limits};
+use cleat_world::{KeyAnswer, KeyTable};
+use serde_json::json;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+use super::{
+    BODY, Cell, Ended, Fault, Gated, Kind, Mode, Script, Step, Target, exchange, own_answer,
+};
+use crate::support::{self, FakeControl, Fleet};
+
+/// The deadline in cells whose fault says nothing, and in all others.
+const SHORT: Duration = Duration::from_millis(700);
+const LONG: Duration = Duration::from_secs(20);
+/// An answer after this waited for a deadline, or missed a short one.
+const LATE: Duration = Duration::from_secs(7);
+const DELAY: Duration = Duration::from_millis(100);
+
+/// What was checked, or the invariant that broke.
+pub type Checked<T = ()> = Result<T, String>;
+
+/// The targets, entries and control of one cell.
+pub struct World {
+    cell: Cell,
+    pub script: Arc<Script>,
+    control: Arc<Gated>,
+    fleet: Fleet,
+    targets: Vec<Target>,
+    pub first: Entry<Gated>,
+    /// The first entry's own, so that it can be killed.
+    runtime: Option<Runtime>,
+    second: Entry<Gated>,
+    reset_caller: watch::Sender<bool>,
+}
+
+async fn bind(name: &str, control: Arc<Gated>) -> Entry<Gated> {
+    let cfg = EntryConfig {
+        name: name.into(),
+        data_centre: "dc1".into(),
+        life: 1,
+        listen: ([127, 0, 0, 1], 0).into(),
+        entries: ["e1", "e2"].map(Box::from).to_vec(),
+        seed: 7,
+        limits: Limits {
+            connect: Duration::from_secs(3),
+            // Too little for two bodies.
+            request_memory_bytes: BODY * 3 / 2,
+            ..support::limits()
+        },
+    };
+    Entry::bind(cfg, control).await.unwrap()
+}
+
+impl World {
+    pub async fn new(cell: Cell) -> World {
+        let script = Arc::new(Script::new(cell));
+        let full = cell.step == Step::Connecting;
+        let mode = if full { Mode::Full } else { Mode::Open };
+        let deadline = if cell.is_silent() { SHORT } else { LONG };
+        let deadline = u64::try_from(deadline.as_millis()).unwrap();
+        let mut fleet = Fleet::new(json!({"deadline_ms": deadline}));
+        let mut targets = Vec::new();
+        for number in 0..2 {
+            let target = Target::spawn(number, &script, mode).await;
+            // One slot for each entry.
+            fleet.announce(&format!("t{number}"), target.address, 2);
+            targets.push(target);
+        }
+        let inner = FakeControl::default();
+        let control = Arc::new(Gated {
+            inner,
+            script: Arc::clone(&script),
+        });
+        let runtime = Runtime::new().unwrap();
+        let first = runtime
+            .spawn(bind("e1", Arc::clone(&control)))
+            .await
+            .unwrap();
+        let second = bind("e2", Arc::clone(&control)).await;
+        first.publish(&fleet.world);
+        second.publish(&fleet.world);
+        let (runtime, reset_caller) = (Some(runtime), watch::Sender::new(false));
+        World {
+            cell,
+            script,
+            control,
+            fleet,
+            targets,
+            first,
+            runtime,
+            second,
+            reset_caller,
+        }
+    }
+
+    /// Sends a request; the first send of the probe can be struck in mid-body.
+    pub fn send(&self, entry: &Entry<Gated>, id: &'static str) -> JoinHandle<Ended> {
+        let first = id == "probe" && entry.local_addr() == self.first.local_addr();
+        let script = first.then(|| Arc::clone(&self.script));
+        let mut reset = self.reset_caller.subscribe();
+        let keyed = self.cell.kind == Kind::Keyed && id == "probe";
+        let address = entry.local_addr();
+        tokio::spawn(async move {
+            let mut stream = support::open(address).await;
+            let reset = async { drop(reset.wait_for(|reset| *reset && first).await) };
+            let ended = tokio::select! {
+                ended = timeout(LATE, exchange(&mut stream, id, keyed, script)) => ended,
+                () = reset => Ok(Err("gone")),
+            };
+            stream.set_zero_linger().unwrap();
+            ended.unwrap_or(Err("hung"))
+        })
+    }
+
+    /// Waits until the probe stands at the cell's step.
+    pub async fn at_step(&self) -> Checked {
+        let count = |name: &str| self.first.counters()[name];
+        let struck = || self.script.struck.load(SeqCst) == 1;
+        until("the probe is at its step", || match self.cell.step {
+            Step::Queued => count("entry.waited") == 1,
+            Step::Connecting => count("entry.tries") == 1,
+            Step::Received => struck() && count("entry.requests") == 1,
+            _ => struck(),
+        })
+        .await
+    }
+
+    fn set_targets(&self, mode: Mode) {
+        for target in &self.targets {
+            target.mode.send_replace(mode);
+        }
+    }
+
+    /// Puts the fault in force and lets go on what it leaves. Returns the
+    /// duplicate, if that is the fault.
+    pub async fn strike(&mut self) -> Checked<Option<JoinHandle<Ended>>> {
+        let (at_target, step) = (self.cell.at_target(), self.cell.step);
+        let connecting = step == Step::Connecting;
+        let mut twin = None;
+        match self.cell.fault {
+            _ if self.cell.kills_instance() => self.kill().await?,
+            Fault::Delay => sleep(DELAY).await,
+            Fault::Duplicate => twin = Some(self.duplicate().await?),
+            // A target strikes by itself.
+            Fault::Freeze if at_target => return Ok(None),
+            _ if at_target => {}
+            Fault::KillTarget => {
+                self.set_targets(Mode::Dead);
+                for target in &self.targets {
+                    refuses(target.address).await?;
+                }
+            }
+            Fault::Reset if step >= Step::Connecting => self.set_targets(Mode::Resets),
+            Fault::Reset => drop(self.reset_caller.send_replace(true)),
+            Fault::Freeze if !connecting => self.set_targets(Mode::Frozen),
+            Fault::BlackHole if !connecting => self.set_targets(Mode::Hole),
+            _ => {}
+        }
+        let opens = matches!(self.cell.fault, Fault::Delay | Fault::Duplicate);
+        if connecting && (opens || self.cell.kills_instance()) {
+            self.set_targets(Mode::Open);
+        }
+        self.script.go.send_replace(true);
+        Ok(twin)
+    }
+
+    async fn kill(&mut self) -> Checked {
+        self.runtime.take().unwrap().shutdown_background();
+        refuses(self.first.local_addr()).await?;
+        // The replicated state learns that the life is over.
+        let mut table = self.control.inner.table.lock().unwrap();
+        table.end_other_lives("e1", 2);
+        Ok(())
+    }
+
+    async fn duplicate(&self) -> Checked<JoinHandle<Ended>> {
+        let keyed = self.cell.kind == Kind::Keyed;
+        let twin = self.send(&self.second, if keyed { "probe" } else { "twin" });
+        let came = || self.second.counters()["entry.requests"] == 1;
+        until("the duplicate came", came).await?;
+        // Time enough to run, were it not held.
+        sleep(DELAY).await;
+        Ok(twin)
+    }
+
+    /// The invariants of one answer; a body that targets saw `before` it was
+    /// sent says nothing about it.
+    pub fn check(&self, ended: &Ended, id: &str, before: usize) -> Checked<String> {
+        let reply = match ended {
+            Ok(reply) => reply,
+            Err("hung") => return Err("no final answer in time".into()),
+            Err(broken) => return Ok((*broken).into()),
+        };
+        ensure(reply.looks_whole(), "more came than one answer")?;
+        let saw = self.script.count("saw", id);
+        match reply.outcome() {
+            "answered" => {
+                ensure(reply.text() == own_answer(id), "not its own whole answer")?;
+                ensure(self.script.count("ran", id) > 0, "answered without a run")?;
+            }
+            "not-run" => {
+                ensure(
+                    reply.header("retry-after").is_some(),
+                    "no time to come back",
+                )?;
+                ensure(
+                    saw == before,
+                    &format!("not-run, but seen: {}", reply.summary()),
+                )?;
+            }
+            outcome => ensure(outcome == "unknown", outcome)?,
+        }
+        Ok(reply.outcome().into())
+    }
+
+    /// The caller comes again through the other entry, if need be twice.
+    pub async fn send_again(&self, ends: &mut Vec<String>) -> Checked {
+        let second = self.cell.fault == Fault::Second;
+        let keyed = self.cell.kind == Kind::Keyed;
+        let claims = &self.control.inner.claim_script;
+        if second && keyed {
+            *claims.lock().unwrap() = support::Script::LosesAnswer;
+            ends.push(self.send_once_more().await?);
+            ensure(
+                self.second.counters()["entry.claims"] == 1,
+                "no second strike",
+            )?;
+            *claims.lock().unwrap() = support::Script::Works;
+        } else if second {
+            self.script.plan(Step::BodySent);
+        }
+        let struck = self.script.struck.load(SeqCst);
+        ends.push(self.send_once_more().await?);
+        let again = self.script.struck.load(SeqCst) - struck;
+        ensure(again == u32::from(second && !keyed), "no second strike")
+    }
+
+    async fn send_once_more(&self) -> Checked<String> {
+        let saw = self.script.count("saw", "probe");
+        let ended = self.send(&self.second, "probe").await.unwrap();
+        // Under a key that a target saw, "not run" would be a lie.
+        let before = if self.cell.kind == Kind::Keyed {
+            0
+        } else {
+            saw
+        };
+        self.check(&ended, "probe", before)
+    }
+
+    /// Every slot, byte and key is given back.
+    pub async fn check_rest(&mut self) -> Checked {
+        let struck = *self.script.struck_target.lock().unwrap();
+        let alive = [struck, 1 - struck]
+            .into_iter()
+            .find(|t| !self.targets[*t].is_dead());
+        for target in [0, 1].into_iter().filter(|t| Some(*t) != alive) {
+            self.fleet.withdraw(&format!("t{target}"));
+        }
+        if alive.is_none() {
+            let fresh = Target::spawn(2, &self.script, Mode::Open).await;
+            self.fleet.announce("t2", fresh.address, 2);
+            self.targets.push(fresh);
+        }
+        for target in self.targets.iter().filter(|t| !t.is_dead()) {
+            target.mode.send_replace(Mode::Open);
+        }
+        until("targets rest", || Arc::strong_count(&self.script.busy) == 1).await?;
+        let entries = [&self.first, &self.second];
+        for entry in entries
+            .into_iter()
+            .skip(usize::from(self.cell.kills_instance()))
+        {
+            entry.publish(&self.fleet.world);
+            self.check_next(entry).await?;
+            let drained = timeout(LATE, entry.drain()).await;
+            drained.map_err(|_| "work is left")?;
+            ensure(
+                entry.counters()["entry.answer_bytes_held"] == 0,
+                "memory is left",
+            )?;
+        }
+        until("the key is settled", || !self.is_pending()).await
+    }
+
+    /// The next request is served by the one target, with its one slot.
+    async fn check_next(&self, entry: &Entry<Gated>) -> Checked {
+        for _ in 0..20 {
+            let before = self.script.count("saw", "next");
+            let next = self.send(entry, "next").await.unwrap();
+            if self.check(&next, "next", before)? == "answered" {
+                return Ok(());
+            }
+            sleep(DELAY).await;
+        }
+        Err("the next request is not served".into())
+    }
+
+    fn is_pending(&self) -> bool {
+        let digest = *self.control.inner.last_digest.lock().unwrap();
+        let key = KeyTable::scoped("dock", "school", "k");
+        let table = self.control.inner.table.lock().unwrap();
+        let found = digest.and_then(|digest| table.look_up(&key, digest));
+        matches!(found, Some(KeyAnswer::InProgress { .. }))
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+        self.set_targets(Mode::Dead);
+    }
+}
+
+pub fn ensure(holds: bool, what: &str) -> Checked {
+    if holds { Ok(()) } else { Err(what.into()) }
+}
+
+/// Waits until a kill is complete.
+async fn refuses(address: SocketAddr) -> Checked {
+    for _ in 0..100 {
+        let connect = tokio::net::TcpStream::connect(address);
+        if matches!(timeout(DELAY, connect).await, Ok(Err(_))) {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    Err("connections are not refused".into())
+}
+
+/// Polls until `check` holds.
+pub async fn until(what: &str, mut check: impl FnMut() -> bool) -> Checked {
+    for _ in 0..2_000 {
+        if check() {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    Err(format!("never: {what}"))
+}
