Measure waves; plan once a tick and serve every pool in turn

Cause: each answer of the platform had the whole state planned anew, so with 89 pools under maintenance the measurement itself did not end; and the bound on effects in progress always favoured the same pools. Ruled out: a plan for each pool (the state is looked through in a millisecond a tick, which is enough). Change: answers are noted and used at the next tick, every 500 ms; what does not fit under the bound is queued, from another start at each tick. The queue under a platform that hangs has no test of its own yet.

--- a/crates/cleat-maintain/src/plan/reconciler.rs
+++ b/crates/cleat-maintain/src/plan/reconciler.rs
@@ -11,7 +11,7 @@
 /// Something that happened.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
-    /// Time passed, or the state changed.
+    /// Time passed.
     Tick,
     /// Everything up to this log index is in force wherever requests are
     /// taken.
@@ -54,15 +54,22 @@
 impl Reconciler {
     /// Takes in `event` and gives what is to be done next. `now` is
     /// monotonic, since any fixed moment of this leader.
+    ///
+    /// Only [`Event::Tick`] looks at the whole state; the others are kept for
+    /// it, since hundreds of them may come between two ticks.
     pub fn on(&mut self, event: Event, world: &World, now: Duration) -> Vec<Effect> {
         match event {
-            Event::Tick => {}
+            Event::Tick => return self.plan(world, now),
             Event::InForce { index } => self.watches.note_in_force(index, now),
             Event::Reported { token, report } => {
                 self.watches
                     .note_report(&token.instance, token.epoch, report);
             }
         }
+        Vec::new()
+    }
+
+    fn plan(&mut self, world: &World, now: Duration) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.plan_moves(world, now, &mut effects);
         self.plan_waves(world, now, &mut effects);
--- a/crates/cleat-maintain/src/run.rs
+++ b/crates/cleat-maintain/src/run.rs
@@ -1,5 +1,6 @@
 //! Carrying out what was decided, on an instance while it leads.
 
+use std::collections::VecDeque;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,7 +13,7 @@
 use crate::{Effect, Event, Platform, Reconciler};
 
 /// How often it is looked whether something can go on.
-const TICK: Duration = Duration::from_millis(200);
+const TICK: Duration = Duration::from_millis(500);
 /// The most effects in progress at once: what the platform and the log are
 /// asked stays bounded however many pools are under maintenance.
 const MOST_IN_PROGRESS: usize = 32;
@@ -70,6 +71,9 @@
     /// Ended since the last tick: not begun again before the next, so that
     /// an effect that takes long is asked for at the pace of the ticks.
     resting: Vec<Effect>,
+    /// Decided at the last tick and not begun yet.
+    queued: VecDeque<Effect>,
+    ticks: usize,
 }
 
 impl<C: Control, P: Platform> Shell<C, P> {
@@ -83,11 +87,15 @@
             tasks: JoinSet::new(),
             in_progress: Vec::new(),
             resting: Vec::new(),
+            queued: VecDeque::new(),
+            ticks: 0,
         }
     }
 
     fn tick(&mut self) {
         self.resting.clear();
+        self.queued.clear();
+        self.ticks = self.ticks.wrapping_add(1);
         self.on(Event::Tick);
     }
 
@@ -96,13 +104,29 @@
         if term != self.term {
             self.restart(term);
         }
-        let Some(term) = term else {
+        if term.is_none() {
             return;
-        };
+        }
         let now = self.started.elapsed();
         let reconciler = &mut self.reconciler;
         let effects = self.control.world(|world| reconciler.on(event, world, now));
-        for effect in effects {
+        if !effects.is_empty() {
+            self.queued = effects.into();
+            // Whoever comes late in the order is not always served last.
+            let length = self.queued.len();
+            self.queued.rotate_left(self.ticks % length);
+        }
+        self.fill();
+    }
+
+    /// Begins what is queued, as far as the bound allows.
+    fn fill(&mut self) {
+        let Some(term) = self.term else {
+            return;
+        };
+        while self.in_progress.len() < MOST_IN_PROGRESS
+            && let Some(effect) = self.queued.pop_front()
+        {
             self.begin(effect, term);
         }
     }
@@ -114,11 +138,12 @@
         self.tasks.abort_all();
         self.in_progress.clear();
         self.resting.clear();
+        self.queued.clear();
     }
 
     fn begin(&mut self, effect: Effect, term: u64) {
         let known = self.in_progress.contains(&effect) || self.resting.contains(&effect);
-        if known || self.in_progress.len() >= MOST_IN_PROGRESS {
+        if known {
             return;
         }
         self.in_progress.push(effect.clone());
@@ -140,8 +165,9 @@
         };
         self.in_progress.retain(|effect| *effect != ended.effect);
         self.resting.push(ended.effect);
-        if let Some(event) = ended.event {
-            self.on(event);
+        match ended.event {
+            Some(event) => self.on(event),
+            None => self.fill(),
         }
     }
 }
@@ -155,8 +181,9 @@
     match effect {
         Effect::Propose(body) => {
             info!("maintenance: {body:?}");
-            let proposed = control.propose(body.clone()).await;
-            proposed.ok().map(|()| Event::Tick)
+            // Whatever came of it, the next tick decides from the state.
+            let _ = control.propose(body.clone()).await;
+            None
         }
         Effect::AwaitInForce { index } => {
             let waited = control.wait_in_force(*index).await;
