--- a/crates/celerycleatd/benches/slots/main.rs
+++ b/crates/celerycleatd/benches/slots/main.rs
@@ -7,7 +7,6 @@
 //! A target that takes no more connections than it has slots leaves each
 //! instance its static part of both.
 
-#[allow(dead_code, unused_imports)]
 #[path = "../../tests/support/mod.rs"]
 mod support;
 
--- a/crates/celerycleatd/tests/slots.rs
+++ b/crates/celerycleatd/tests/slots.rs
@@ -144,3 +144,24 @@
     }
     assert_cap(&target);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_all_restarted_come_back() {
+    let (mut fleet, target) = fleet_with_target().await;
+    let borrower = Load::start(fleet.daemons["e1"].callers, LONG);
+    wait_in_progress(&target, CAP).await;
+    for name in fleet.names() {
+        fleet.daemons[&name].kill();
+    }
+    borrower.stop().await;
+    for name in fleet.names() {
+        fleet.start_daemon(&name);
+    }
+    for name in fleet.names() {
+        fleet.wait_ready(&name).await;
+        let load = Load::start(fleet.daemons[&name].callers, QUICK);
+        wait_in_progress(&target, CAP).await;
+        load.stop().await;
+    }
+    assert_cap(&target);
+}
