--- a/crates/cleat-maintain/src/run.rs
+++ b/crates/cleat-maintain/src/run.rs
@@ -3,12 +3,13 @@
 use std::collections::VecDeque;
 use std::future::Future;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cleat_world::{CommandBody, World};
 use log::{info, warn};
 use snafu::Snafu;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::{Effect, Event, Platform, Reconciler};
 
@@ -68,9 +69,6 @@
     reconciler: Reconciler,
     tasks: JoinSet<Ended>,
     in_progress: Vec<Effect>,
-    /// Ended since the last tick: not begun again before the next, so that
-    /// an effect that takes long is asked for at the pace of the ticks.
-    resting: Vec<Effect>,
     /// Decided at the last tick and not begun yet.
     queued: VecDeque<Effect>,
     ticks: usize,
@@ -86,14 +84,12 @@
             reconciler: Reconciler::default(),
             tasks: JoinSet::new(),
             in_progress: Vec::new(),
-            resting: Vec::new(),
             queued: VecDeque::new(),
             ticks: 0,
         }
     }
 
     fn tick(&mut self) {
-        self.resting.clear();
         self.queued.clear();
         self.ticks = self.ticks.wrapping_add(1);
         self.on(Event::Tick);
@@ -137,13 +133,11 @@
         self.reconciler = Reconciler::default();
         self.tasks.abort_all();
         self.in_progress.clear();
-        self.resting.clear();
         self.queued.clear();
     }
 
     fn begin(&mut self, effect: Effect, term: u64) {
-        let known = self.in_progress.contains(&effect) || self.resting.contains(&effect);
-        if known {
+        if self.in_progress.contains(&effect) {
             return;
         }
         self.in_progress.push(effect.clone());
@@ -164,7 +158,6 @@
             return;
         };
         self.in_progress.retain(|effect| *effect != ended.effect);
-        self.resting.push(ended.effect);
         match ended.event {
             Some(event) => self.on(event),
             None => self.fill(),
