--- a/crates/cleat-node/src/maintenance.rs
+++ b/crates/cleat-node/src/maintenance.rs
@@ -10,7 +10,7 @@
 impl Control for Node {
     fn leading_term(&self) -> Option<u64> {
         let status = self.replica.status();
-        let leads = status.is_leader() && status.in_service(Instant::now());
+        let leads = status.leads(Instant::now());
         leads.then(|| status.term())
     }
 
