--- a/crates/celerycleatd/src/check.rs
+++ b/crates/celerycleatd/src/check.rs
@@ -2,14 +2,14 @@
 
 use std::path::Path;
 
-use cleat_settings::Settings;
+use cleat_settings::AnySettings;
 use snafu::ResultExt;
 
 use crate::error::{DaemonError, SettingsSnafu};
 
 /// Checks the settings without starting anything.
 pub(crate) fn check(path: &Path) -> Result<(), DaemonError> {
-    Settings::read(path).context(SettingsSnafu)?;
+    AnySettings::read(path).context(SettingsSnafu)?;
     println!("{} is valid", path.display());
     Ok(())
 }
--- a/crates/celerycleatd/src/error.rs
+++ b/crates/celerycleatd/src/error.rs
@@ -35,6 +35,18 @@
         /// Why.
         source: StartError,
     },
+    /// A control instance could not start; nothing was changed.
+    #[snafu(display("the control instance cannot start"))]
+    Control {
+        /// Why.
+        source: cleat_control::StartError,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("cannot listen"))]
+    Listen {
+        /// Why.
+        source: cleat_http::ListenError,
+    },
     /// The temporary data folder of `--dev` could not be made. Check that the
     /// folder for temporary files can be written.
     #[snafu(display("no temporary data folder can be made"))]
--- a/crates/celerycleatd/src/lib.rs
+++ b/crates/celerycleatd/src/lib.rs
@@ -6,6 +6,7 @@
 mod dev_target;
 mod error;
 mod http_json;
+mod roles;
 mod run;
 
 pub use args::Args;
--- /dev/null
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -0,0 +1,86 @@
+//! A control instance.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cleat_control::{ControlConfig, ControlNode, PeerAddress};
+use cleat_http::Listener;
+use cleat_jobs::SchedulerConfig;
+use cleat_platform::{ControlSide, HttpWorkers, WorkerLimits};
+use cleat_quorum::Timing;
+use cleat_settings::{AnySettings, ControlSettings};
+use snafu::ResultExt;
+
+use super::{Life, seed_keys, start_events, until_told_to_stop, watch};
+use crate::error::{ControlSnafu, DaemonError, ListenSnafu};
+
+/// How long a voter that another has replaced may be silent before it stops
+/// counting: longer than a restart, shorter than the next loss is likely.
+const REPLACE_AFTER: Duration = Duration::from_secs(3);
+/// How long a stopping instance passes calls on before it closes, so that
+/// callers with an old list still get answers.
+const LINGER: Duration = Duration::from_millis(1_500);
+
+/// Runs it until it is told to stop.
+pub(crate) async fn run(settings: ControlSettings, file: &Path) -> Result<(), DaemonError> {
+    let events = start_events()?;
+    let workers = HttpWorkers::new(WorkerLimits::default());
+    let node = ControlNode::start(config(&settings), workers, events.clone()).await;
+    let node = Arc::new(node.context(ControlSnafu)?);
+    let listener = Listener::bind(settings.listen).await.context(ListenSnafu)?;
+    let side = ControlSide::new(node.clone(), settings.listen);
+    let server = listener.spawn(Arc::new(side));
+    let (name, role) = (&*settings.name, "control");
+    let version = env!("CARGO_PKG_VERSION");
+    events.emit(&Life::Started {
+        name,
+        role,
+        version,
+    });
+    let (seeds, log, own) = (node.clone(), events.clone(), settings.name.clone());
+    watch::spawn(file.to_owned(), move |changed| {
+        if let AnySettings::Control(changed) = changed {
+            let keys = seed_keys(&changed.seeds);
+            log.emit(&Life::Reloaded {
+                name: &own,
+                seeds: keys.len(),
+            });
+            seeds.set_seeds(keys);
+        }
+    })?;
+    until_told_to_stop().await?;
+    events.emit(&Life::Stopping { name });
+    node.hand_over().await;
+    tokio::time::sleep(LINGER).await;
+    server.stop().await;
+    events.emit(&Life::Stopped { name });
+    events.flush();
+    Ok(())
+}
+
+fn config(settings: &ControlSettings) -> ControlConfig {
+    let (port, _) = settings.internal_ports;
+    let timing = settings.timing;
+    let mut scheduler = SchedulerConfig::default();
+    if let Some(lease) = timing.worker_lease_ms {
+        scheduler.lease = Duration::from_millis(lease);
+    }
+    if let Some(remember) = timing.remember_ms {
+        scheduler.remember = Duration::from_millis(remember);
+    }
+    ControlConfig {
+        name: settings.name.clone(),
+        id: PeerAddress::key(settings.ip),
+        listen: SocketAddr::new(settings.ip.into(), port),
+        address: PeerAddress { port },
+        seeds: seed_keys(&settings.seeds),
+        may_found: settings.first_start,
+        voters: 2 * settings.losses_to_bear + 1,
+        replace_after: REPLACE_AFTER,
+        data_folder: settings.data_folder.clone(),
+        timing: Timing::default(),
+        scheduler,
+    }
+}
--- /dev/null
+++ b/crates/celerycleatd/src/roles/gateway.rs
@@ -0,0 +1,84 @@
+//! A gateway.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cleat_control::{Gateway, GatewayConfig, PeerAddress};
+use cleat_http::Listener;
+use cleat_platform::{CallerSide, Readiness, ReadySide};
+use cleat_settings::{AnySettings, GatewaySettings};
+use snafu::ResultExt;
+use tokio::time::sleep;
+
+use super::{Life, seed_keys, start_events, until_told_to_stop, watch};
+use crate::error::{DaemonError, ListenSnafu};
+
+/// How often the gateway makes sure that it finds the leader.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// How long it looks before it says that it is not ready: an election takes
+/// 1.1 s at most, as a rule.
+const PROBE_LIMIT: Duration = Duration::from_millis(1_500);
+/// How long callers are still taken after a stop was asked for. The platform
+/// asks once a second and turns away after two refusals.
+const LINGER: Duration = Duration::from_millis(2_500);
+
+/// Runs it until it is told to stop.
+pub(crate) async fn run(settings: GatewaySettings, file: &Path) -> Result<(), DaemonError> {
+    let events = start_events()?;
+    let (port, _) = settings.internal_ports;
+    let gateway = Arc::new(Gateway::open(GatewayConfig {
+        seeds: seed_keys(&settings.seeds),
+        address: PeerAddress { port },
+    }));
+    let readiness = Readiness::default();
+    let ready = Listener::bind(settings.ready).await.context(ListenSnafu)?;
+    let callers = Listener::bind(settings.callers)
+        .await
+        .context(ListenSnafu)?;
+    let ready = ready.spawn(Arc::new(ReadySide(readiness.clone())));
+    let side = Arc::new(CallerSide::new(gateway.clone()));
+    let callers = callers.spawn(side.clone());
+    let (name, role) = (&*settings.name, "gateway");
+    let version = env!("CARGO_PKG_VERSION");
+    events.emit(&Life::Started {
+        name,
+        role,
+        version,
+    });
+    let (seeds, log, own) = (gateway.clone(), events.clone(), settings.name.clone());
+    watch::spawn(file.to_owned(), move |changed| {
+        if let AnySettings::Gateway(changed) = changed {
+            let keys = seed_keys(&changed.seeds);
+            log.emit(&Life::Reloaded {
+                name: &own,
+                seeds: keys.len(),
+            });
+            seeds.set_seeds(keys);
+        }
+    })?;
+    let probing = tokio::spawn(probe(gateway, readiness.clone()));
+    until_told_to_stop().await?;
+    events.emit(&Life::Stopping { name });
+    probing.abort();
+    readiness.set(false);
+    side.begin_stop();
+    sleep(LINGER).await;
+    callers.stop().await;
+    ready.stop().await;
+    events.emit(&Life::Stopped { name });
+    events.flush();
+    Ok(())
+}
+
+/// Keeps the readiness true while a leader is found.
+async fn probe(gateway: Arc<Gateway>, readiness: Readiness) {
+    loop {
+        let found = gateway.finds_leader(PROBE_LIMIT).await;
+        if readiness.get() != found {
+            log::info!("ready: {found}");
+        }
+        readiness.set(found);
+        sleep(PROBE_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/celerycleatd/src/roles/mod.rs
@@ -0,0 +1,62 @@
+//! Running a control instance or a gateway.
+
+mod control;
+mod gateway;
+mod watch;
+
+pub(crate) use control::run as run_control;
+pub(crate) use gateway::run as run_gateway;
+
+use std::net::SocketAddrV4;
+
+use cleat_control::PeerAddress;
+use cleat_telemetry::{EventLog, install_logs};
+use log::LevelFilter;
+use serde::Serialize;
+use snafu::ResultExt;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::{DaemonError, ProcessSnafu, TelemetrySnafu};
+
+/// A change of the process's own life.
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(crate) enum Life<'a> {
+    /// It listens.
+    Started {
+        name: &'a str,
+        role: &'a str,
+        version: &'static str,
+    },
+    /// It was told to stop.
+    Stopping { name: &'a str },
+    /// It ends.
+    Stopped { name: &'a str },
+    /// Its settings changed.
+    Reloaded { name: &'a str, seeds: usize },
+}
+
+fn start_events() -> Result<EventLog, DaemonError> {
+    let events = EventLog::spawn().context(ProcessSnafu)?;
+    install_logs(&events, LevelFilter::Info).context(TelemetrySnafu)?;
+    Ok(events)
+}
+
+/// The keys of the seeds.
+fn seed_keys(seeds: &[SocketAddrV4]) -> Vec<cleat_quorum::MemberId> {
+    seeds
+        .iter()
+        .map(|seed| PeerAddress::key(*seed.ip()))
+        .collect()
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn until_told_to_stop() -> Result<(), DaemonError> {
+    let mut terminate = signal(SignalKind::terminate()).context(ProcessSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(ProcessSnafu)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/celerycleatd/src/run.rs
+++ b/crates/celerycleatd/src/run.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use cleat_node::Instance;
-use cleat_settings::Settings;
+use cleat_settings::{AnySettings, Settings};
 use cleat_telemetry::Telemetry;
 use serde_json::json;
 use snafu::ResultExt;
@@ -12,7 +12,7 @@
 
 use crate::error::{DaemonError, NothingToRunSnafu, ProcessSnafu, SettingsSnafu};
 use crate::error::{StartSnafu, TelemetrySnafu};
-use crate::{Args, check, dev};
+use crate::{Args, check, dev, roles};
 
 /// Does what the command line says and gives the exit code.
 pub fn main() -> ExitCode {
@@ -56,12 +56,35 @@
 }
 
 fn run(path: &Path) -> Result<(), DaemonError> {
-    let settings = Settings::read(path).context(SettingsSnafu)?;
-    block_on(async {
-        let running = start(&settings).await?;
-        print_ready(&settings, &running.instance);
-        running.until_signal().await
-    })
+    match AnySettings::read(path).context(SettingsSnafu)? {
+        AnySettings::Instance(settings) => block_on(async {
+            let running = start(&settings).await?;
+            print_ready(&settings, &running.instance);
+            running.until_signal().await
+        }),
+        AnySettings::Control(settings) => {
+            block_on_cores(settings.cores, roles::run_control(settings, path))
+        }
+        AnySettings::Gateway(settings) => {
+            block_on_cores(settings.cores, roles::run_gateway(settings, path))
+        }
+    }
+}
+
+/// Runs `future` on one thread where there is one core: others would only
+/// wait for it, and each hand-over between threads costs a wake-up.
+fn block_on_cores<F>(cores: usize, future: F) -> Result<(), DaemonError>
+where
+    F: Future<Output = Result<(), DaemonError>>,
+{
+    if cores > 1 {
+        return block_on(future);
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ProcessSnafu)?;
+    runtime.block_on(future)
 }
 
 /// Runs `future` on several threads.
--- /dev/null
+++ b/crates/cleat-control/src/leader.rs
@@ -0,0 +1,185 @@
+//! Finding the leader and asking it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use cleat_link::{CallError, ControlCall, ControlError, ControlReply, LinkTraffic};
+use cleat_quorum::MemberId;
+use snafu::Snafu;
+use tokio::time::{Instant, sleep};
+
+use crate::PeerAddress;
+use crate::links::Links;
+
+/// How long one instance may take before another is asked. Above the time of a
+/// commit on a slow disk (some 30 ms), below that of an election (1.1 s).
+const TRY_LIMIT: Duration = Duration::from_millis(600);
+/// The pause after an instance that knows no leader: a fraction of an election.
+const NO_LEADER_PAUSE: Duration = Duration::from_millis(40);
+/// No leader is known.
+const NOBODY: u32 = 0;
+
+/// What a gateway is told.
+#[derive(Clone, Debug)]
+pub struct GatewayConfig {
+    /// Control instances to begin with.
+    pub seeds: Vec<MemberId>,
+    /// How they are reached.
+    pub address: PeerAddress,
+}
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum AskError {
+    /// No leader took it in time; it had no effect and has none later.
+    #[snafu(display("no leader took the call in time"))]
+    NotDone,
+    /// It may have had an effect. Repeating it is safe.
+    #[snafu(display("the outcome of the call is not known"))]
+    Unknown,
+    /// The leader will never take it.
+    #[snafu(display("{source}"))]
+    Refused {
+        /// Why.
+        source: ControlError,
+    },
+}
+
+/// Asks the leader, whoever it is.
+#[derive(Debug)]
+pub struct Gateway {
+    seeds: ArcSwap<Vec<MemberId>>,
+    links: Arc<Links>,
+    /// The key of the leader as last heard of.
+    leader: AtomicU32,
+}
+
+/// What one try came to.
+enum Try {
+    Answered(ControlReply),
+    /// Ask this instance.
+    Elsewhere(MemberId),
+    /// Ask any other.
+    NoLeader {
+        may_be_done: bool,
+    },
+    Refused(ControlError),
+}
+
+impl Gateway {
+    /// Opens links to the seeds. Needs a tokio runtime.
+    pub fn open(cfg: GatewayConfig) -> Gateway {
+        let links = Arc::new(Links::new(cfg.address, Arc::new(LinkTraffic::default())));
+        let gateway = Gateway::over(links, cfg.seeds);
+        for seed in gateway.seeds.load().iter() {
+            gateway.links.to(*seed);
+        }
+        gateway
+    }
+
+    pub(crate) fn over(links: Arc<Links>, seeds: Vec<MemberId>) -> Gateway {
+        Gateway {
+            seeds: ArcSwap::from_pointee(seeds),
+            links,
+            leader: AtomicU32::new(NOBODY),
+        }
+    }
+
+    /// Replaces the instances to begin with.
+    pub fn set_seeds(&self, seeds: Vec<MemberId>) {
+        self.seeds.store(Arc::new(seeds));
+    }
+
+    /// Sets who leads, if that is known from elsewhere.
+    pub(crate) fn expect_leader(&self, leader: Option<MemberId>) {
+        if let Some(MemberId(key)) = leader {
+            self.leader.store(key, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether a leader answers now.
+    pub async fn finds_leader(&self, limit: Duration) -> bool {
+        self.ask(ControlCall::Leader, limit).await.is_ok()
+    }
+
+    /// Asks the leader, and again whoever leads next, until the limit.
+    ///
+    /// # Errors
+    /// See [`AskError`].
+    pub async fn ask(&self, call: ControlCall, limit: Duration) -> Result<ControlReply, AskError> {
+        let deadline = Instant::now() + limit;
+        let mut may_be_done = false;
+        let mut next_seed = 0;
+        let mut at = self.known_leader();
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(unanswered(may_be_done));
+            }
+            let target = at.take().unwrap_or_else(|| {
+                next_seed += 1;
+                self.seed(next_seed)
+            });
+            match self.try_at(target, call.clone(), left.min(TRY_LIMIT)).await {
+                Try::Answered(reply) => {
+                    self.leader.store(target.0, Ordering::Relaxed);
+                    return Ok(reply);
+                }
+                Try::Refused(source) => return Err(AskError::Refused { source }),
+                Try::Elsewhere(leader) if leader != target => at = Some(leader),
+                Try::Elsewhere(_) => sleep(NO_LEADER_PAUSE).await,
+                Try::NoLeader { may_be_done: maybe } => {
+                    may_be_done |= maybe;
+                    // The others may already know a better one.
+                    let _ = self.leader.compare_exchange(
+                        target.0,
+                        NOBODY,
+                        Ordering::Relaxed,
+                        Ordering::Relaxed,
+                    );
+                    sleep(NO_LEADER_PAUSE.min(left)).await;
+                }
+            }
+        }
+    }
+
+    async fn try_at(&self, target: MemberId, call: ControlCall, limit: Duration) -> Try {
+        match self.links.to(target).ask(call, limit).await {
+            Ok(reply) => Try::Answered(reply),
+            Err(CallError::NotSent { .. }) => Try::NoLeader { may_be_done: false },
+            Err(CallError::NoAnswer { .. }) => Try::NoLeader { may_be_done: true },
+            Err(CallError::Refused { source, .. }) => match source {
+                ControlError::NotLeader { leader: Some(key) } => Try::Elsewhere(MemberId(key)),
+                ControlError::NotLeader { leader: None }
+                | ControlError::NoQuorum
+                | ControlError::Stopping => Try::NoLeader { may_be_done: false },
+                ControlError::OutcomeUnknown => Try::NoLeader { may_be_done: true },
+                ControlError::TooLarge => Try::Refused(source),
+            },
+        }
+    }
+
+    fn known_leader(&self) -> Option<MemberId> {
+        match self.leader.load(Ordering::Relaxed) {
+            NOBODY => None,
+            key => Some(MemberId(key)),
+        }
+    }
+
+    fn seed(&self, turn: usize) -> MemberId {
+        // The settings refuse an empty list.
+        let seeds = self.seeds.load();
+        let seed = seeds.get(turn % seeds.len().max(1));
+        seed.copied().unwrap_or(MemberId(NOBODY))
+    }
+}
+
+fn unanswered(may_be_done: bool) -> AskError {
+    if may_be_done {
+        AskError::Unknown
+    } else {
+        AskError::NotDone
+    }
+}
--- /dev/null
+++ b/crates/cleat-control/src/lib.rs
@@ -0,0 +1,22 @@
+//! Control instances and gateways: the shells around `cleat-jobs`.
+//!
+//! A [`ControlNode`] holds the replicated state and, while it leads, runs the
+//! jobs of all pools. A [`Gateway`] stands before callers and finds the
+//! leader. Both speak [`ControlCall`](cleat_link::ControlCall)s; what the
+//! platform speaks is translated elsewhere, behind [`WorkerClient`].
+
+mod address;
+mod clock;
+mod error;
+mod leader;
+mod links;
+mod machine;
+mod node;
+mod owner;
+mod platform;
+
+pub use address::PeerAddress;
+pub use error::StartError;
+pub use leader::{AskError, Gateway, GatewayConfig};
+pub use node::{ControlConfig, ControlNode};
+pub use platform::{HoldError, WorkerClient};
--- /dev/null
+++ b/crates/cleat-control/src/links.rs
@@ -0,0 +1,53 @@
+//! Links to other control instances, opened when first needed.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cleat_link::{ControlClient, Link, LinkConfig, LinkTraffic};
+use cleat_quorum::{MemberId, Message, Transport};
+use indexmap::IndexMap;
+
+use crate::PeerAddress;
+
+/// A link to a control instance.
+pub(crate) type ControlLink = Link<ControlClient>;
+
+/// One link to each control instance that was ever needed.
+#[derive(Debug)]
+pub(crate) struct Links {
+    address: PeerAddress,
+    traffic: Arc<LinkTraffic>,
+    by_id: Mutex<IndexMap<MemberId, Arc<ControlLink>>>,
+}
+
+impl Links {
+    pub(crate) fn new(address: PeerAddress, traffic: Arc<LinkTraffic>) -> Links {
+        Links {
+            address,
+            traffic,
+            by_id: Mutex::new(IndexMap::new()),
+        }
+    }
+
+    /// The link to an instance. It may not be connected yet.
+    pub(crate) fn to(&self, id: MemberId) -> Arc<ControlLink> {
+        let mut by_id = self.by_id.lock().unwrap_or_else(PoisonError::into_inner);
+        let link = by_id.entry(id).or_insert_with(|| {
+            let address = self.address.of(id);
+            let cfg = LinkConfig {
+                name: address.to_string().into(),
+                address,
+            };
+            Arc::new(Link::spawn(cfg, self.traffic.clone()))
+        });
+        link.clone()
+    }
+}
+
+/// Consensus messages over the links.
+pub(crate) struct LinkTransport(pub(crate) Arc<Links>);
+
+impl Transport for LinkTransport {
+    fn send(&self, to: MemberId, message: Message) {
+        self.0.to(to).send(message);
+    }
+}
--- /dev/null
+++ b/crates/cleat-control/src/node/answer.rs
@@ -0,0 +1,199 @@
+//! How the leader answers calls.
+
+use std::sync::Arc;
+
+use cleat_jobs::{
+    Answer, Catalogue, Command, ControlState, Event, JobId, JobSpec, JobState, Queue,
+};
+use cleat_link::{ControlCall, ControlError, ControlReply, JobView};
+use cleat_quorum::ProposeError;
+
+use super::Shared;
+
+/// A call that needs a commit, or its answer.
+enum Step {
+    Answer(ControlReply),
+    Commit(Command),
+}
+
+/// What a path leads to.
+enum Place {
+    NoConfiguration,
+    NoSuchQueue,
+    Queue(Arc<Queue>),
+    NotAJob,
+    Job(Arc<Queue>, JobId),
+}
+
+impl Shared {
+    pub(crate) async fn answer(&self, call: ControlCall) -> Result<ControlReply, ControlError> {
+        let status = self.replica.status();
+        if !status.is_leader() {
+            let leader = status.leader().map(|id| id.0);
+            return Err(ControlError::NotLeader { leader });
+        }
+        // A leader that others may have replaced can't be sure of anything.
+        if !self.leads() || !self.state.read(|state| state.founded) {
+            return Err(ControlError::NoQuorum);
+        }
+        match self.first_step(call)? {
+            Step::Answer(reply) => Ok(reply),
+            Step::Commit(command) => self.commit(&command).await,
+        }
+    }
+
+    fn first_step(&self, call: ControlCall) -> Result<Step, ControlError> {
+        let step = match call {
+            ControlCall::Leader => Step::Answer(ControlReply::Leading),
+            ControlCall::Submit { host, path, spec } => self.submit(&host, &path, spec),
+            ControlCall::Look { host, path } => Step::Answer(self.look(&host, &path)?),
+            ControlCall::Cancel { host, path } => self.cancel(&host, &path),
+            ControlCall::Beat(beat) => Step::Answer(self.hand_over(Event::Beat(beat))?),
+            ControlCall::Left { worker } => Step::Answer(self.hand_over(Event::Left { worker })?),
+            ControlCall::Configure(catalogue) => self.configure(catalogue),
+            ControlCall::Configuration => Step::Answer(self.configuration()),
+            ControlCall::StartWave {
+                wave,
+                machines,
+                duration_ms,
+                max_at_once,
+            } => Step::Commit(Command::StartWave {
+                wave,
+                machines,
+                duration_ms,
+                max_at_once,
+            }),
+            ControlCall::Wave { wave } => Step::Answer(self.wave(wave)),
+        };
+        Ok(step)
+    }
+
+    /// Gives an event to the owner. It has to be there: whoever hears `Done`
+    /// relies on it.
+    fn hand_over(&self, event: Event) -> Result<ControlReply, ControlError> {
+        if self.state.send(event) {
+            Ok(ControlReply::Done)
+        } else {
+            Err(ControlError::NoQuorum)
+        }
+    }
+
+    fn submit(&self, host: &str, path: &str, spec: Arc<JobSpec>) -> Step {
+        self.state.read(|state| match place(state, host, path) {
+            Place::NoConfiguration => Step::Answer(ControlReply::NoConfiguration),
+            Place::NoSuchQueue => Step::Answer(ControlReply::NoSuchQueue),
+            Place::Queue(_) | Place::NotAJob => Step::Answer(ControlReply::NotAJob),
+            // Sent again: it is stored already.
+            Place::Job(_, id) if state.job_state(id).is_some() => Step::Answer(ControlReply::Done),
+            Place::Job(queue, id) => Step::Commit(Command::Submit { id, queue, spec }),
+        })
+    }
+
+    fn look(&self, host: &str, path: &str) -> Result<ControlReply, ControlError> {
+        self.state.read(|state| match place(state, host, path) {
+            Place::NoConfiguration => Ok(ControlReply::NoConfiguration),
+            Place::NoSuchQueue => Ok(ControlReply::NoSuchQueue),
+            Place::NotAJob => Ok(ControlReply::NotAJob),
+            Place::Queue(queue) => {
+                let count =
+                    |s: &cleat_jobs::Scheduler| s.waiting(state, &queue.host, &queue.prefix);
+                let waiting = self.with_scheduler(count).ok_or(ControlError::NoQuorum)?;
+                Ok(ControlReply::Waiting(waiting as u64))
+            }
+            Place::Job(_, id) => Ok(self.job(state, id)),
+        })
+    }
+
+    fn job(&self, state: &ControlState, id: JobId) -> ControlReply {
+        let Some(known) = state.job_state(id) else {
+            return ControlReply::NoSuchJob;
+        };
+        let begun = self.with_scheduler(|scheduler| scheduler.has_begun(id));
+        ControlReply::Job(JobView::of(known, begun.unwrap_or_default()))
+    }
+
+    fn cancel(&self, host: &str, path: &str) -> Step {
+        self.state.read(|state| match place(state, host, path) {
+            Place::NoConfiguration => Step::Answer(ControlReply::NoConfiguration),
+            Place::NoSuchQueue => Step::Answer(ControlReply::NoSuchQueue),
+            Place::Queue(_) | Place::NotAJob => Step::Answer(ControlReply::NotAJob),
+            Place::Job(_, id) => match state.job_state(id) {
+                None => Step::Answer(ControlReply::NoSuchJob),
+                Some(JobState::Active) => Step::Commit(Command::Cancel { id }),
+                Some(JobState::Cancelled) => Step::Answer(ControlReply::Done),
+                Some(_) => Step::Answer(ControlReply::Over),
+            },
+        })
+    }
+
+    fn configure(&self, catalogue: Arc<Catalogue>) -> Step {
+        let held = self.state.read(|state| {
+            let held = state.catalogue.as_ref();
+            held.is_some_and(|held| held.version >= catalogue.version)
+        });
+        if held {
+            Step::Answer(ControlReply::Done)
+        } else {
+            Step::Commit(Command::Configure(catalogue))
+        }
+    }
+
+    fn configuration(&self) -> ControlReply {
+        let catalogue = self.state.read(|state| state.catalogue.clone());
+        catalogue.map_or(ControlReply::NoConfiguration, |catalogue| {
+            ControlReply::Configuration {
+                version: catalogue.version,
+                document: catalogue.document.clone(),
+            }
+        })
+    }
+
+    fn wave(&self, wave: u64) -> ControlReply {
+        let completed = self
+            .state
+            .read(|state| state.waves.get(&wave).map(|wave| wave.is_completed()));
+        completed.map_or(ControlReply::NoSuchWave, |completed| ControlReply::Wave {
+            completed,
+        })
+    }
+
+    async fn commit(&self, command: &Command) -> Result<ControlReply, ControlError> {
+        let applied = self.replica.propose(command.encode()).await;
+        let applied = applied.map_err(|error| refusal(&error))?;
+        Ok(match Answer::decode(&applied.answer) {
+            Some(Answer::Done) => ControlReply::Done,
+            Some(Answer::NoSuchJob) => ControlReply::NoSuchJob,
+            Some(Answer::Over(_)) => ControlReply::Over,
+            None => return Err(ControlError::OutcomeUnknown),
+        })
+    }
+}
+
+fn place(state: &ControlState, host: &str, path: &str) -> Place {
+    let Some(catalogue) = &state.catalogue else {
+        return Place::NoConfiguration;
+    };
+    let Some(queue) = catalogue.route(host, path) else {
+        return Place::NoSuchQueue;
+    };
+    let name = &path[queue.prefix.len()..];
+    if name.is_empty() {
+        return Place::Queue(queue.clone());
+    }
+    match name.parse() {
+        Ok(id) => Place::Job(queue.clone(), id),
+        Err(_) => Place::NotAJob,
+    }
+}
+
+pub(crate) fn refusal(error: &ProposeError) -> ControlError {
+    match error {
+        ProposeError::NotLeader { leader } => ControlError::NotLeader {
+            leader: leader.map(|id| id.0),
+        },
+        ProposeError::NoQuorum => ControlError::NoQuorum,
+        ProposeError::OutcomeUnknown => ControlError::OutcomeUnknown,
+        ProposeError::TooLarge { .. } => ControlError::TooLarge,
+        ProposeError::Stopped => ControlError::Stopping,
+    }
+}
--- /dev/null
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -0,0 +1,97 @@
+//! Carrying out what the scheduler decided.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use cleat_jobs::{Command, Effect, Event, HoldOrder, OrderAnswer, TaskOrder};
+use log::warn;
+use tokio::time::sleep;
+
+use super::{Calls, OwnerTask, TICK};
+use crate::clock::boot_time;
+use crate::platform::{HoldError, WorkerClient};
+
+/// A call under way, and the event that it ends with, if any.
+pub(super) type Call = Pin<Box<dyn Future<Output = Option<Event>> + Send>>;
+
+impl<W: WorkerClient> OwnerTask<W> {
+    /// False if another owner is known to have taken over.
+    pub(super) fn carry_out(&self, effect: Effect, calls: &Calls) -> bool {
+        match effect {
+            Effect::Hold {
+                worker,
+                address,
+                order,
+            } => calls.push(self.hold(worker, address, order)),
+            Effect::Order {
+                worker,
+                address,
+                token,
+                order,
+            } => calls.push(self.order(worker, address, token, order)),
+            Effect::Propose(command) => calls.push(self.propose(command)),
+            Effect::Tell(decision) => self.shared.events.emit(&decision),
+            Effect::Fenced { worker } => {
+                warn!("worker {worker} knows a later owner; this one gives no more orders");
+                return false;
+            }
+        }
+        true
+    }
+
+    fn hold(&self, worker: Box<str>, address: Box<str>, order: HoldOrder) -> Call {
+        let (shared, workers) = (self.shared.clone(), self.workers.clone());
+        Box::pin(async move {
+            let sent_at = boot_time();
+            // Only a certain leader gives orders: another may have begun.
+            if !shared.leads() {
+                sleep(TICK).await;
+                let other_life = false;
+                return Some(Event::HoldFailed { worker, other_life });
+            }
+            Some(match workers.hold(&worker, &address, order).await {
+                Ok(answer) => Event::HoldAnswered {
+                    worker,
+                    sent_at,
+                    answer,
+                },
+                Err(error) => Event::HoldFailed {
+                    worker,
+                    other_life: error == HoldError::OtherLife,
+                },
+            })
+        })
+    }
+
+    fn order(&self, worker: Box<str>, address: Box<str>, token: u64, order: TaskOrder) -> Call {
+        let (shared, workers) = (self.shared.clone(), self.workers.clone());
+        Box::pin(async move {
+            let answer = if shared.leads() {
+                workers.order(&worker, &address, token, &order).await
+            } else {
+                sleep(TICK).await;
+                OrderAnswer::NotSent
+            };
+            Some(Event::Ordered {
+                worker,
+                order,
+                answer,
+            })
+        })
+    }
+
+    fn propose(&self, command: Command) -> Call {
+        let shared = self.shared.clone();
+        Box::pin(async move {
+            match shared.replica.propose(command.encode()).await {
+                Ok(_) => None,
+                Err(error) => {
+                    warn!("a command of the owner was not committed: {error}");
+                    sleep(TICK).await;
+                    let command = Arc::new(command);
+                    Some(Event::ProposalFailed { command })
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/cleat-control/src/platform.rs
@@ -0,0 +1,34 @@
+//! What this crate needs of the platform.
+
+use std::future::Future;
+
+use cleat_jobs::{HoldAnswer, HoldOrder, OrderAnswer, TaskOrder};
+
+/// Why a hold has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldError {
+    /// Another life of a worker answers at the address.
+    OtherLife,
+    /// There was no answer, or none that can be read.
+    NoAnswer,
+}
+
+/// Speaks to workers.
+pub trait WorkerClient: Send + Sync + 'static {
+    /// Asks a worker to go on and what it runs.
+    fn hold(
+        &self,
+        worker: &str,
+        address: &str,
+        order: HoldOrder,
+    ) -> impl Future<Output = Result<HoldAnswer, HoldError>> + Send;
+
+    /// Tells a worker something about a run.
+    fn order(
+        &self,
+        worker: &str,
+        address: &str,
+        token: u64,
+        order: &TaskOrder,
+    ) -> impl Future<Output = OrderAnswer> + Send;
+}
--- a/crates/cleat-operate/src/http/server.rs
+++ b/crates/cleat-http/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::Answer;
+use crate::Answer;
 
 /// How long a client may take to send its header block.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -39,7 +39,8 @@
 }
 
 /// Answers requests.
-pub(crate) trait Handler: Send + Sync + 'static {
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
     fn handle(&self, req: Request<Incoming>) -> impl Future<Output = Answer> + Send;
 }
 
@@ -70,7 +71,8 @@
         self.local_addr
     }
 
-    pub(crate) fn spawn<H: Handler>(self, handler: Arc<H>) -> RunningServer {
+    /// Starts to answer.
+    pub fn spawn<H: Handler>(self, handler: Arc<H>) -> RunningServer {
         let (stop, stopping) = watch::channel(());
         let task = tokio::spawn(accept(self.listener, handler, stopping));
         RunningServer { stop, task }
--- /dev/null
+++ b/crates/cleat-jobs/src/lib.rs
@@ -0,0 +1,27 @@
+//! Jobs of many tasks: what is replicated of them, and who runs what where.
+//!
+//! [`ControlState`] is what a majority of disks holds: accepted jobs, ends of
+//! tasks, the configuration. [`Scheduler`] is the owner's side: a pure
+//! `(state, event, now) -> effects` that starts tasks on workers, stops them
+//! and learns of their ends. A new owner builds it from the replicated state
+//! and from what the workers list.
+
+mod catalogue;
+mod ids;
+mod job;
+mod schedule;
+mod size;
+mod state;
+
+pub use catalogue::{Advice, Catalogue, CatalogueError, Pool, Queue};
+pub use ids::{JobId, ParseTaskError, Run, StepId, TaskId};
+pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
+pub use schedule::{
+    Adviser, Beat, Decision, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer, Order,
+    OrderAnswer, RunningTask, Scheduler, SchedulerConfig, TaskOrder, WorkerState,
+};
+pub use size::Size;
+pub use state::{
+    Answer, Command, ControlState, DecodeError, End, EndKind, EndedJob, Job, JobState, Occurrence,
+    Owner, StepProgress, TaskEnd, Wave, WorkerRecord,
+};
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -0,0 +1,59 @@
+//! One run of a task as its owner sees it.
+
+use std::time::Duration;
+
+use super::worker::WorkerKey;
+use crate::{Run, Size};
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The start is on its way.
+    Starting,
+    /// The worker answered that it runs.
+    Running {
+        /// When the owner knew. A list that was asked for later has to name it.
+        known_at: Duration,
+    },
+    /// The start has no answer, so the worker is told to stop the run before
+    /// it is started elsewhere.
+    InDoubt {
+        /// When the last stop was sent.
+        stop_sent: Duration,
+    },
+    /// The worker answered the stop. A list that was asked for later tells
+    /// whether the run had come to an end before.
+    Closed {
+        /// When the answer came.
+        at: Duration,
+    },
+    /// The worker is told to stop the run.
+    Stopping {
+        /// When the last stop was sent.
+        stop_sent: Duration,
+    },
+    /// The worker listed the end; it is being committed.
+    Ended,
+}
+
+/// One run.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) run: Run,
+    pub(crate) worker: WorkerKey,
+    pub(crate) phase: Phase,
+    /// What it takes up on its worker. Invariant: counted in the worker's
+    /// `used` unless the phase is `Ended`.
+    pub(crate) footprint: Size,
+    /// When the start was sent, or when the run was adopted.
+    pub(crate) began: Duration,
+    /// The latest checkpoint seen.
+    pub(crate) checkpoint: Box<str>,
+}
+
+impl Attempt {
+    /// Whether the run still takes up room.
+    pub(crate) fn holds_room(&self) -> bool {
+        self.phase != Phase::Ended
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -0,0 +1,134 @@
+//! What a scheduler decided, as it is logged.
+
+use serde::Serialize;
+
+use super::OrderAnswer;
+use crate::state::EndKind;
+
+/// One decision with what decided it. Field names are the same in all events.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Decision {
+    /// A run was ordered.
+    Start {
+        /// The task.
+        task: Box<str>,
+        /// The run.
+        run: u64,
+        /// Where.
+        worker: Box<str>,
+        /// What was free there before, in thousandths of a core.
+        free_cpu_milli: u64,
+        /// How long the task waited for a place, in milliseconds.
+        waited_ms: u64,
+        /// Whether it resumes from a checkpoint.
+        resumes: bool,
+    },
+    /// A start was refused, or its answer did not come.
+    StartFailed {
+        /// The task.
+        task: Box<str>,
+        /// The run.
+        run: u64,
+        /// Where.
+        worker: Box<str>,
+        /// What came back.
+        answer: Box<str>,
+    },
+    /// A run was told to stop.
+    Stop {
+        /// The task.
+        task: Box<str>,
+        /// The run.
+        run: u64,
+        /// Where.
+        worker: Box<str>,
+        /// Why.
+        reason: StopReason,
+    },
+    /// A worker listed an end.
+    Ended {
+        /// The task.
+        task: Box<str>,
+        /// The run.
+        run: u64,
+        /// Where.
+        worker: Box<str>,
+        /// How.
+        kind: EndKind,
+        /// How long it ran as far as this owner knows, in milliseconds.
+        ran_ms: u64,
+    },
+    /// A run is taken as over without a listed end.
+    Lost {
+        /// The task.
+        task: Box<str>,
+        /// The run.
+        run: u64,
+        /// Where.
+        worker: Box<str>,
+        /// Why.
+        reason: LossReason,
+    },
+    /// A run of an earlier owner is kept.
+    Adopted {
+        /// The task.
+        task: Box<str>,
+        /// The run.
+        run: u64,
+        /// Where.
+        worker: Box<str>,
+    },
+    /// A job is over.
+    JobOver {
+        /// The job.
+        job: Box<str>,
+        /// Its state.
+        state: crate::JobState,
+    },
+    /// A worker is believed to be in another state.
+    Worker {
+        /// The worker.
+        worker: Box<str>,
+        /// Its pool.
+        pool: Box<str>,
+        /// What it is believed to be.
+        state: super::WorkerState,
+        /// How long ago it last answered, in milliseconds.
+        silent_ms: u64,
+    },
+}
+
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StopReason {
+    /// Its job is over.
+    JobOver,
+    /// Its start has no answer: it must not be carried out later.
+    InDoubt,
+    /// Nobody asked for it, or another run has taken its place.
+    Stray,
+    /// Its worker is about to end.
+    Draining,
+    /// It makes no progress.
+    Stuck,
+}
+
+/// Why a run is taken as over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LossReason {
+    /// The lease of its worker ran out.
+    Lapsed,
+    /// Its worker's life is over.
+    WorkerGone,
+    /// Its worker lists it neither as running nor as ended.
+    Vanished,
+}
+
+impl OrderAnswer {
+    pub(crate) fn name(self) -> Box<str> {
+        format!("{self:?}").into()
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/event.rs
@@ -0,0 +1,246 @@
+//! What goes into a scheduler and what comes out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Decision;
+use crate::state::{Command, WorkerRecord};
+use crate::{JobSpec, Run, StepId, TaskId};
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed.
+    Tick {
+        /// The time of day, in milliseconds since the Unix epoch.
+        wall_ms: u64,
+    },
+    /// A command was applied to the replicated state.
+    Applied {
+        /// The command.
+        command: Arc<Command>,
+    },
+    /// A worker's heartbeat.
+    Beat(Beat),
+    /// A worker says that it ends.
+    Left {
+        /// Its name.
+        worker: Box<str>,
+    },
+    /// A worker answered [`Effect::Hold`].
+    HoldAnswered {
+        /// Its name.
+        worker: Box<str>,
+        /// When the hold was sent.
+        sent_at: Duration,
+        /// What it lists.
+        answer: HoldAnswer,
+    },
+    /// A hold has no answer.
+    HoldFailed {
+        /// The worker.
+        worker: Box<str>,
+        /// Whether another life answered at its address: this one is over.
+        other_life: bool,
+    },
+    /// What became of [`Effect::Order`].
+    Ordered {
+        /// The worker.
+        worker: Box<str>,
+        /// What it was told.
+        order: TaskOrder,
+        /// What it answered.
+        answer: OrderAnswer,
+    },
+    /// A proposed command was not committed, or it is not known.
+    ProposalFailed {
+        /// The command.
+        command: Arc<Command>,
+    },
+}
+
+/// A worker's heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Beat {
+    /// Who and what it is.
+    pub record: WorkerRecord,
+    /// Whether it is about to end and takes no new work.
+    pub draining: bool,
+    /// For how long it goes on at least while it drains, in milliseconds.
+    pub drain_remaining_ms: u64,
+    /// Counts the worker's heartbeats; a lower one is late.
+    pub sequence: u64,
+}
+
+/// What a worker lists.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HoldAnswer {
+    /// The worker's steady clock, in milliseconds.
+    pub clock_ms: u64,
+    /// The runs under way.
+    pub running: Vec<RunningTask>,
+    /// The ends that were not acknowledged, by rising number; at most
+    /// `more_ended` says whether there are others.
+    pub ended: Vec<EndedRun>,
+    /// Whether more ends follow those listed.
+    pub more_ended: bool,
+    /// Whether the worker did nothing since it knows a later owner.
+    pub fenced: bool,
+}
+
+/// One run under way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningTask {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: Run,
+    /// Its latest checkpoint; empty if there is none.
+    pub checkpoint: Box<str>,
+    /// At what share of its pace it works, in percent.
+    pub percent: u64,
+    /// For a task that serves users, the tail of its response times in
+    /// milliseconds; else the processor time in use, in thousandths of a core.
+    pub load: u64,
+}
+
+/// One end that a worker lists.
+pub type EndedRun = crate::state::TaskEnd;
+
+/// How a worker is asked to go on and what it runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldOrder {
+    /// The fencing token.
+    pub token: u64,
+    /// Ends up to this one are in the replicated state.
+    pub acked: u64,
+    /// The new end of the worker's lease, on its clock; none while its clock
+    /// is not known.
+    pub deadline_ms: Option<u64>,
+    /// How long the answer may wait for an end.
+    pub wait: Duration,
+}
+
+/// What is done with one run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Start it.
+    Start {
+        /// What the task is told.
+        spec: Arc<JobSpec>,
+        /// Where to resume; empty at the beginning.
+        checkpoint: Box<str>,
+        /// The end of the worker's lease, on its clock in milliseconds.
+        deadline_ms: u64,
+        /// The adviser's permission, where its queue needs one.
+        ticket: Option<Box<str>>,
+    },
+    /// Stop it.
+    Stop,
+    /// Let it work at this share of its pace, in percent.
+    Pace(u8),
+}
+
+/// An order about one run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskOrder {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: Run,
+    /// What is done with it.
+    pub order: Order,
+}
+
+/// What a worker answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is carried out, or was before.
+    Done,
+    /// The worker knows a later owner.
+    Fenced,
+    /// A run of the task that is not lower was stopped or ended there.
+    Old,
+    /// The lease of the order was over when it arrived.
+    Late,
+    /// There is no room.
+    NoRoom,
+    /// The ticket is not valid there.
+    NoTicket,
+    /// The worker is not well and did nothing.
+    Unwell,
+    /// The worker can't read the order; repeating it is of no use.
+    Unreadable,
+    /// Another life answered: this one is over.
+    OtherLife,
+    /// The order was not sent.
+    NotSent,
+    /// There was no answer. The order may be carried out, also later.
+    Unknown,
+}
+
+impl OrderAnswer {
+    /// Whether it is certain that the order never has an effect.
+    pub fn never_runs(self) -> bool {
+        !matches!(self, OrderAnswer::Done | OrderAnswer::Unknown)
+    }
+}
+
+/// An adviser's answer for a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Adviser {
+    /// The step.
+    pub step: StepId,
+    /// Workers that may run it, each with a ticket.
+    pub good: Vec<(Box<str>, Box<str>)>,
+}
+
+/// What the platform answered about a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineAnswer {
+    /// It is done or under way.
+    Done,
+    /// A later owner has ordered something for that machine.
+    Fenced,
+    /// The machine is not up.
+    Busy,
+    /// The order makes no sense to the platform.
+    Refused,
+    /// There was no answer, or too much was asked at once.
+    Unknown,
+}
+
+/// What has to be done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Ask a worker to go on, and for what it runs. Answered by
+    /// [`Event::HoldAnswered`] or [`Event::HoldFailed`].
+    Hold {
+        /// The worker.
+        worker: Box<str>,
+        /// Its address.
+        address: Box<str>,
+        /// What it is asked.
+        order: HoldOrder,
+    },
+    /// Tell a worker something about a run. Answered by [`Event::Ordered`].
+    Order {
+        /// The worker.
+        worker: Box<str>,
+        /// Its address.
+        address: Box<str>,
+        /// The fencing token.
+        token: u64,
+        /// What it is told.
+        order: TaskOrder,
+    },
+    /// Commit a command.
+    Propose(Command),
+    /// Write a line to the log.
+    Tell(Decision),
+    /// A worker knows a later owner: this one must stop giving orders.
+    Fenced {
+        /// The worker.
+        worker: Box<str>,
+    },
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/hold.rs
@@ -0,0 +1,350 @@
+//! Holds: how a worker goes on, and how its owner learns of ends.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+
+use super::attempt::Phase;
+use super::decision::{LossReason, StopReason};
+use super::event::{HoldAnswer, HoldOrder, RunningTask};
+use super::worker::{ClockReading, WorkerKey, WorkerState, millis};
+use super::{Beat, Decision, Effect, Scheduler};
+use crate::state::{Command, ControlState, EndKind, TaskEnd};
+use crate::{Run, TaskId};
+
+/// How long after a failed hold the next one is sent. Short against the
+/// lease, long against the time of a call (some milliseconds).
+const HOLD_RETRY: Duration = Duration::from_millis(300);
+/// How long a worker may be silent before it counts as such: a hold, its
+/// wait, and one lost call.
+const SILENT_AFTER: Duration = Duration::from_millis(1_600);
+
+impl Scheduler {
+    /// Sends a hold to each worker for which one is due.
+    pub(super) fn send_holds(&mut self) {
+        for key in self.workers.keys() {
+            let worker = &self.workers[key];
+            if !worker.holding && worker.hold_due <= self.now {
+                self.send_hold(key);
+            }
+        }
+    }
+
+    fn send_hold(&mut self, key: WorkerKey) {
+        let lease = millis(self.cfg.lease);
+        let now = self.now;
+        let worker = &mut self.workers[key];
+        // The first call learns the clock, and the runs, at once.
+        let known = worker
+            .clock_ms(now)
+            .filter(|_| worker.state != WorkerState::Unseen);
+        let deadline_ms = known.map(|clock| clock + lease);
+        let wait = if deadline_ms.is_some() {
+            self.cfg.hold_wait
+        } else {
+            Duration::ZERO
+        };
+        worker.granted_ms = worker.granted_ms.max(deadline_ms.unwrap_or_default());
+        worker.holding = true;
+        let order = HoldOrder {
+            token: self.owner.token,
+            acked: worker.acked,
+            deadline_ms,
+            wait,
+        };
+        self.effects.push(Effect::Hold {
+            worker: worker.record.name.clone(),
+            address: worker.record.address.clone(),
+            order,
+        });
+    }
+
+    pub(super) fn hold_answered(
+        &mut self,
+        state: &ControlState,
+        worker: &str,
+        sent_at: Duration,
+        answer: HoldAnswer,
+    ) {
+        let Some(key) = self.workers.key(worker) else {
+            return;
+        };
+        if answer.fenced {
+            self.workers[key].holding = false;
+            self.workers[key].hold_due = self.now + HOLD_RETRY;
+            return self.effects.push(Effect::Fenced {
+                worker: worker.into(),
+            });
+        }
+        self.hear(key, answer.clock_ms);
+        self.take_ends(key, &answer.ended);
+        let listed: IndexSet<(TaskId, Run)> = answer
+            .running
+            .iter()
+            .map(|listed| (listed.task, listed.run))
+            .collect();
+        for listed in &answer.running {
+            self.take_listed(state, key, listed);
+        }
+        if !answer.more_ended {
+            self.find_vanished(key, sent_at, &listed);
+        }
+        self.strays
+            .retain(|(at, task, run), _| *at != key || listed.contains(&(*task, *run)));
+        self.workers[key].holding = false;
+        self.send_hold(key);
+    }
+
+    /// Notes that a worker answered, with its clock.
+    fn hear(&mut self, key: WorkerKey, clock_ms: u64) {
+        let now = self.now;
+        let lease = millis(self.cfg.lease);
+        let worker = &mut self.workers[key];
+        if worker.state == WorkerState::Unseen {
+            // An earlier owner can't have granted more than this.
+            worker.granted_ms = worker.granted_ms.max(clock_ms + lease);
+        }
+        worker.clock = Some(ClockReading {
+            worker_ms: clock_ms,
+            at: now,
+        });
+        worker.heard_at = Some(now);
+        self.believe(key, WorkerState::Live);
+    }
+
+    pub(super) fn believe(&mut self, key: WorkerKey, state: WorkerState) {
+        let worker = &mut self.workers[key];
+        if worker.state == state {
+            return;
+        }
+        worker.state = state;
+        let silent = worker.heard_at.map_or(Duration::ZERO, |at| self.now - at);
+        let decision = Decision::Worker {
+            worker: worker.record.name.clone(),
+            pool: worker.record.pool.clone(),
+            state,
+            silent_ms: millis(silent),
+        };
+        self.tell(decision);
+        self.dirty = true;
+    }
+
+    /// Frees the room of what ended, and has new ends committed.
+    fn take_ends(&mut self, key: WorkerKey, ended: &[TaskEnd]) {
+        let proposed = self.workers[key].proposed;
+        let ends: Vec<TaskEnd> = ended
+            .iter()
+            .filter(|end| end.number > proposed)
+            .cloned()
+            .collect();
+        let Some(last) = ends.last() else {
+            return;
+        };
+        self.workers[key].proposed = last.number;
+        for end in &ends {
+            self.take_end(key, end);
+        }
+        let worker = self.worker_name(key);
+        self.propose(Command::Ends { worker, ends });
+        self.dirty = true;
+    }
+
+    fn take_end(&mut self, key: WorkerKey, listed: &TaskEnd) {
+        let end = &listed.end;
+        let Some(attempt) = self.attempts.get_mut(&end.task) else {
+            return;
+        };
+        if attempt.worker != key || attempt.run != end.run || !attempt.holds_room() {
+            return;
+        }
+        attempt.phase = Phase::Ended;
+        let (footprint, began) = (attempt.footprint, attempt.began);
+        if !end.checkpoint.is_empty() {
+            attempt.checkpoint = end.checkpoint.clone();
+        }
+        self.workers[key].used -= footprint;
+        let worker = self.worker_name(key);
+        self.tell(Decision::Ended {
+            task: end.task.to_string().into(),
+            run: end.run.0,
+            worker,
+            kind: end.kind,
+            ran_ms: millis(self.now - began),
+        });
+        if end.kind == EndKind::Done {
+            self.workers[key].failed_jobs = 0;
+        }
+    }
+
+    /// Compares a run that a worker lists with what is known of its task.
+    fn take_listed(&mut self, state: &ControlState, key: WorkerKey, listed: &RunningTask) {
+        let now = self.now;
+        if let Some(attempt) = self.attempts.get_mut(&listed.task)
+            && attempt.worker == key
+            && attempt.run == listed.run
+        {
+            if !listed.checkpoint.is_empty() {
+                attempt.checkpoint = listed.checkpoint.clone();
+            }
+            if attempt.phase == Phase::Starting {
+                attempt.phase = Phase::Running { known_at: now };
+            }
+            return;
+        }
+        if !self.adopt(state, key, listed) {
+            self.stop_stray(key, listed.task, listed.run);
+        }
+    }
+
+    /// Finds runs that a list asked for after they were known does not name.
+    fn find_vanished(
+        &mut self,
+        key: WorkerKey,
+        sent_at: Duration,
+        listed: &IndexSet<(TaskId, Run)>,
+    ) {
+        let missing = |(task, attempt): (&TaskId, &super::Attempt)| {
+            let due = match attempt.phase {
+                Phase::Running { known_at } => known_at < sent_at,
+                Phase::Closed { at } => at < sent_at,
+                _ => false,
+            };
+            let gone = due && attempt.worker == key && !listed.contains(&(*task, attempt.run));
+            gone.then_some(*task)
+        };
+        let vanished: Vec<TaskId> = self.attempts.iter().filter_map(missing).collect();
+        for task in vanished {
+            self.lose(task, LossReason::Vanished);
+        }
+    }
+
+    pub(super) fn hold_failed(&mut self, worker: &str, other_life: bool) {
+        let Some(key) = self.workers.key(worker) else {
+            return;
+        };
+        if other_life {
+            return self.life_over(key);
+        }
+        let now = self.now;
+        let worker = &mut self.workers[key];
+        worker.holding = false;
+        worker.hold_due = now + HOLD_RETRY;
+    }
+
+    /// Finds the workers that fell silent, and those whose lease is over.
+    pub(super) fn watch_workers(&mut self) {
+        for key in self.workers.keys() {
+            let worker = &self.workers[key];
+            match worker.state {
+                WorkerState::Unseen if self.now > self.taken_over_at + self.unseen_limit() => {
+                    self.believe(key, WorkerState::Lapsed);
+                }
+                WorkerState::Live if self.is_silent(key) => self.believe(key, WorkerState::Silent),
+                WorkerState::Silent if worker.is_lapsed(self.now, self.cfg.drift_percent) => {
+                    self.believe(key, WorkerState::Lapsed);
+                    self.lose_all(key, LossReason::Lapsed);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// How long after a takeover the leases of earlier owners are over. They
+    /// granted them before, and a call may have been on its way for a while.
+    fn unseen_limit(&self) -> Duration {
+        self.cfg.lapse() + SILENT_AFTER
+    }
+
+    fn is_silent(&self, key: WorkerKey) -> bool {
+        let heard_at = self.workers[key].heard_at.unwrap_or_default();
+        self.now > heard_at + self.cfg.hold_wait + SILENT_AFTER
+    }
+
+    /// The life of a worker is over, and all that ran there with it.
+    pub(super) fn life_over(&mut self, key: WorkerKey) {
+        self.believe(key, WorkerState::Gone);
+        self.lose_all(key, LossReason::WorkerGone);
+        let name = self.worker_name(key);
+        self.workers.remove(&name);
+        self.strays.retain(|(at, ..), _| *at != key);
+        self.propose(Command::RemoveWorkers { names: vec![name] });
+    }
+
+    pub(super) fn lose_all(&mut self, key: WorkerKey, reason: LossReason) {
+        let here = |(task, attempt): (&TaskId, &super::Attempt)| {
+            (attempt.worker == key && attempt.holds_room()).then_some(*task)
+        };
+        let lost: Vec<TaskId> = self.attempts.iter().filter_map(here).collect();
+        for task in lost {
+            self.lose(task, reason);
+        }
+    }
+
+    /// Takes a run as over: its task may be started again.
+    pub(super) fn lose(&mut self, task: TaskId, reason: LossReason) {
+        let Some(attempt) = self.attempts.swap_remove(&task) else {
+            return;
+        };
+        let key = attempt.worker;
+        if attempt.holds_room() {
+            self.workers[key].used -= attempt.footprint;
+        }
+        let worker = self.worker_name(key);
+        self.tell(Decision::Lost {
+            task: task.to_string().into(),
+            run: attempt.run.0,
+            worker,
+            reason,
+        });
+        self.requeue(task, key, attempt.checkpoint);
+    }
+
+    /// Lets a task of an active step wait for a start again.
+    pub(super) fn requeue(&mut self, task: TaskId, from: WorkerKey, checkpoint: Box<str>) {
+        if let Some(step) = self.steps.get_mut(&task.step) {
+            step.take_off(from);
+            step.pending.insert(task.index);
+            step.keep_checkpoint(task.index, checkpoint);
+        }
+        self.dirty = true;
+    }
+
+    fn stop_stray(&mut self, key: WorkerKey, task: TaskId, run: Run) {
+        let last = self.strays.get(&(key, task, run));
+        if last.is_some_and(|last| self.now < *last + HOLD_RETRY) {
+            return;
+        }
+        self.strays.insert((key, task, run), self.now);
+        self.send_stop(key, task, run, StopReason::Stray);
+    }
+
+    pub(super) fn beat(&mut self, state: &ControlState, beat: Beat) {
+        let name = beat.record.name.clone();
+        let Some(key) = self.workers.key(&name) else {
+            return self.meet(state, name, beat);
+        };
+        let worker = &mut self.workers[key];
+        if beat.sequence < worker.last_sequence {
+            return;
+        }
+        worker.last_sequence = beat.sequence;
+        if worker.draining != beat.draining {
+            worker.draining = beat.draining;
+            self.dirty = true;
+        }
+        if worker.state == WorkerState::Lapsed && !worker.holding {
+            worker.hold_due = self.now;
+            self.send_holds();
+        }
+    }
+
+    /// A worker that is not known is recorded before it gets any order, so
+    /// that the next owner asks it as well.
+    fn meet(&mut self, state: &ControlState, name: Box<str>, beat: Beat) {
+        let asked = self.announced.contains_key(&name);
+        if !asked && !state.workers.contains_key(&name) {
+            self.propose(Command::AddWorker(beat.record.clone()));
+        }
+        self.announced.insert(name, beat);
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -0,0 +1,227 @@
+//! The owner's decisions: which task runs where, and when it is stopped.
+//!
+//! Pure: no clock, socket, thread or random source. `now` is a duration since
+//! any fixed point of the owner's life, on a clock that also counts while the
+//! machine is suspended.
+
+mod attempt;
+mod decision;
+mod event;
+mod hold;
+mod ledger;
+mod orders;
+mod place;
+mod step;
+mod takeover;
+mod tick;
+mod worker;
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+pub use decision::Decision;
+pub use event::{
+    Adviser, Beat, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer, Order,
+    OrderAnswer, RunningTask, TaskOrder,
+};
+pub use worker::WorkerState;
+
+use crate::state::{Command, ControlState, Owner};
+use crate::{JobId, Run, StepId, TaskId};
+use attempt::Attempt;
+use step::ActiveStep;
+use worker::{WorkerKey, Workers};
+
+/// The durations of the scheduler. All owners use the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SchedulerConfig {
+    /// How long a worker may go on without hearing from its owner.
+    pub lease: Duration,
+    /// How long a worker's answer to a hold may wait for an end.
+    pub hold_wait: Duration,
+    /// By how many percent a worker's clock may be slow.
+    pub drift_percent: u32,
+    /// How long a job that is over is remembered.
+    pub remember: Duration,
+    /// How much earlier than due an occurrence may start.
+    pub early: Duration,
+}
+
+impl Default for SchedulerConfig {
+    fn default() -> Self {
+        SchedulerConfig {
+            // Covers a change of owner: silence of the old one (1.1 s at
+            // most), an election, and the first hold of the new one.
+            lease: Duration::from_millis(4_000),
+            // Four renewals a lease.
+            hold_wait: Duration::from_millis(1_000),
+            drift_percent: 2,
+            remember: Duration::from_secs(240),
+            early: Duration::ZERO,
+        }
+    }
+}
+
+impl SchedulerConfig {
+    /// When a lease is over for certain that was granted at time 0, also on a
+    /// slow clock.
+    pub(crate) fn lapse(&self) -> Duration {
+        self.stretched(self.lease)
+    }
+
+    /// How long a duration of a worker's clock may take at most.
+    pub(crate) fn stretched(&self, span: Duration) -> Duration {
+        span * 100 / (100 - self.drift_percent.min(99))
+    }
+}
+
+/// The owner's view of the workers and of what runs on them.
+#[derive(Debug)]
+pub struct Scheduler {
+    cfg: SchedulerConfig,
+    owner: Owner,
+    taken_over_at: Duration,
+    now: Duration,
+    /// The time of day, in milliseconds since the Unix epoch; 0 while unknown.
+    wall_ms: u64,
+    workers: Workers,
+    /// Workers whose record was proposed and is not applied yet.
+    announced: IndexMap<Box<str>, Beat>,
+    /// The steps with tasks that are not done and wait for no other step.
+    steps: IndexMap<StepId, ActiveStep>,
+    /// The runs that this owner knows of: one a task at most.
+    attempts: IndexMap<TaskId, Attempt>,
+    /// Runs that should not be there, with the time of the last stop sent.
+    strays: IndexMap<(WorkerKey, TaskId, Run), Duration>,
+    /// Jobs that are not over.
+    live: IndexSet<JobId>,
+    /// Jobs of which a task has started.
+    begun: IndexSet<JobId>,
+    /// How many starts each task has had from this owner.
+    starts: IndexMap<TaskId, u32>,
+    /// Occurrences that are not due yet, with their time of day.
+    timed: IndexMap<(JobId, u32), u64>,
+    /// Jobs that are over, oldest first, with the time since which they are.
+    over: std::collections::VecDeque<(Duration, JobId)>,
+    /// Set while something may have made room or work.
+    dirty: bool,
+    effects: Vec<Effect>,
+}
+
+impl Scheduler {
+    /// Begins the ownership that the state names. Nothing is sent yet.
+    ///
+    /// Returns nothing if the state names no owner.
+    pub fn new(cfg: SchedulerConfig, state: &ControlState, now: Duration) -> Option<Scheduler> {
+        let owner = state.owner?;
+        let mut scheduler = Scheduler {
+            cfg,
+            owner,
+            taken_over_at: now,
+            now,
+            wall_ms: 0,
+            workers: Workers::default(),
+            announced: IndexMap::new(),
+            steps: IndexMap::new(),
+            attempts: IndexMap::new(),
+            strays: IndexMap::new(),
+            live: IndexSet::new(),
+            begun: IndexSet::new(),
+            starts: IndexMap::new(),
+            timed: IndexMap::new(),
+            over: std::collections::VecDeque::new(),
+            dirty: true,
+            effects: Vec::new(),
+        };
+        scheduler.inherit(state);
+        Some(scheduler)
+    }
+
+    /// The ownership that this scheduler acts under.
+    pub fn owner(&self) -> Owner {
+        self.owner
+    }
+
+    /// Takes what happened and gives what has to be done. The state may be
+    /// ahead of the events.
+    pub fn handle(
+        &mut self,
+        state: &ControlState,
+        events: impl IntoIterator<Item = Event>,
+        now: Duration,
+    ) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        for event in events {
+            self.take(state, event);
+        }
+        if std::mem::take(&mut self.dirty) {
+            self.place(state);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn take(&mut self, state: &ControlState, event: Event) {
+        match event {
+            Event::Tick { wall_ms } => self.tick(state, wall_ms),
+            Event::Applied { command } => self.applied(state, &command),
+            Event::Beat(beat) => self.beat(state, beat),
+            Event::Left { worker } => self.left(&worker),
+            Event::HoldAnswered {
+                worker,
+                sent_at,
+                answer,
+            } => self.hold_answered(state, &worker, sent_at, answer),
+            Event::HoldFailed { worker, other_life } => self.hold_failed(&worker, other_life),
+            Event::Ordered {
+                worker,
+                order,
+                answer,
+            } => self.ordered(state, &worker, &order, answer),
+            Event::ProposalFailed { command } => self.proposal_failed(&command),
+        }
+    }
+
+    /// Whether a task of the job has started, as far as this owner knows.
+    pub fn has_begun(&self, id: JobId) -> bool {
+        self.begun.contains(&id)
+    }
+
+    /// How many of a queue's jobs have no task that has started.
+    pub fn waiting(&self, state: &ControlState, host: &str, prefix: &str) -> usize {
+        let waits = |(id, job): &(&JobId, &crate::Job)| {
+            *job.queue.host == *host
+                && *job.queue.prefix == *prefix
+                && !self.begun.contains(*id)
+                && job.occurrences.is_empty()
+        };
+        state.jobs.iter().filter(waits).count()
+    }
+
+    fn applied(&mut self, state: &ControlState, command: &Command) {
+        match command {
+            Command::Submit { id, .. } => self.activate_job(state, *id),
+            Command::Cancel { id } => self.job_over(state, *id),
+            Command::Ends { worker, ends } => self.ends_noted(state, worker, ends),
+            Command::AddWorker(record) => self.worker_added(record),
+            Command::RemoveWorkers { names } => self.workers_removed(names),
+            Command::Configure(_)
+            | Command::StartWave { .. }
+            | Command::Maintained { .. }
+            | Command::LeftWave { .. } => self.dirty = true,
+            Command::Found | Command::TakeOver { .. } | Command::Forget { .. } => {}
+        }
+    }
+
+    fn propose(&mut self, command: Command) {
+        self.effects.push(Effect::Propose(command));
+    }
+
+    fn tell(&mut self, decision: Decision) {
+        self.effects.push(Effect::Tell(decision));
+    }
+
+    fn worker_name(&self, key: WorkerKey) -> Box<str> {
+        self.workers[key].record.name.clone()
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -0,0 +1,299 @@
+//! Which task starts on which worker.
+
+use super::attempt::{Attempt, Phase};
+use super::event::{Order as Ordered, TaskOrder};
+use super::step::Order;
+use super::worker::{Worker, WorkerKey, millis};
+use super::{Decision, Scheduler};
+use crate::state::{ControlState, Job};
+use crate::{Run, Size, StepId, StepSpec, TaskId};
+
+/// How many run numbers each owner has for a task: an owner that lasts for a
+/// day and restarts a task each second stays below it.
+const RUNS_AN_OWNER: u64 = 1 << 20;
+/// How many steps in a row may find no place before a pass over a pool ends.
+/// Bounds the time of a pass while a pool is full: some 10 us.
+const MISFITS: usize = 40;
+
+/// The workers of a pool that take work, during one pass.
+struct Candidates {
+    keys: Vec<WorkerKey>,
+}
+
+impl Scheduler {
+    /// Starts what has a place, pool by pool.
+    pub(super) fn place(&mut self, state: &ControlState) {
+        let mut ready: Vec<(Order, StepId)> = self
+            .steps
+            .iter()
+            .filter(|(_, step)| !step.pending.is_empty())
+            .map(|(id, step)| (step.order, *id))
+            .collect();
+        if ready.is_empty() {
+            return;
+        }
+        ready.sort_unstable();
+        let mut pools: indexmap::IndexMap<Box<str>, (Candidates, usize)> =
+            indexmap::IndexMap::new();
+        for (_, id) in ready {
+            let Some(step) = self.steps.get(&id) else {
+                continue;
+            };
+            let pool = step.pool.clone();
+            let (candidates, misfits) = pools
+                .entry(pool)
+                .or_insert_with_key(|pool| (self.candidates(pool), 0));
+            if candidates.keys.is_empty() || *misfits >= MISFITS {
+                continue;
+            }
+            let keys = std::mem::take(&mut candidates.keys);
+            let left = self.place_step(state, id, &keys);
+            if let Some((candidates, misfits)) = pools.get_mut(&*self.steps[&id].pool) {
+                candidates.keys = keys;
+                *misfits += usize::from(left);
+            }
+        }
+    }
+
+    fn candidates(&self, pool: &str) -> Candidates {
+        let takes = |worker: &Worker| *worker.record.pool == *pool && worker.takes_work(self.now);
+        let keys = self.workers.iter().filter(|(_, worker)| takes(worker));
+        Candidates {
+            keys: keys.map(|(key, _)| key).collect(),
+        }
+    }
+
+    /// Starts tasks of a step as far as there is room; whether some are left.
+    fn place_step(&mut self, state: &ControlState, id: StepId, keys: &[WorkerKey]) -> bool {
+        let Some(job) = state.jobs.get(&id.job) else {
+            return false;
+        };
+        let Some(spec) = job.step(id) else {
+            return false;
+        };
+        let step = &self.steps[&id];
+        if step.inherited && !self.knows_all_runs(&step.pool) {
+            return false;
+        }
+        // Permissions are asked for by a part that is not built yet.
+        if job.queue.advice.is_some() {
+            return false;
+        }
+        let pending: Vec<u32> = step.pending.iter().copied().collect();
+        if spec.gang {
+            return self.place_gang(id, job, spec, &pending, keys);
+        }
+        for index in pending {
+            let Some(key) = self.choose(id, index, spec, keys) else {
+                return true;
+            };
+            self.start(
+                id.task(index),
+                job,
+                spec,
+                key,
+                self.next_run(id.task(index)),
+            );
+        }
+        false
+    }
+
+    /// Starts the tasks of a gang together, under one run number, or none.
+    fn place_gang(
+        &mut self,
+        id: StepId,
+        job: &Job,
+        spec: &StepSpec,
+        pending: &[u32],
+        keys: &[WorkerKey],
+    ) -> bool {
+        if pending.len() < spec.count as usize {
+            return false;
+        }
+        let mut places = Vec::with_capacity(pending.len());
+        for index in pending {
+            let Some(key) = self.choose(id, *index, spec, keys) else {
+                break;
+            };
+            // Reserved for the rest of the search.
+            self.workers[key].used += spec.footprint();
+            if let Some(step) = self.steps.get_mut(&id) {
+                *step.placed.entry(key).or_default() += 1;
+            }
+            places.push((*index, key));
+        }
+        for (_, key) in &places {
+            self.workers[*key].used -= spec.footprint();
+            if let Some(step) = self.steps.get_mut(&id) {
+                step.take_off(*key);
+            }
+        }
+        if places.len() < pending.len() {
+            return true;
+        }
+        let runs = pending.iter().map(|index| self.next_run(id.task(*index)));
+        let run = runs.max().unwrap_or_default();
+        for (index, key) in places {
+            self.start(id.task(index), job, spec, key, run);
+        }
+        false
+    }
+
+    /// The worker for a task: near its data, and with the least room to spare,
+    /// so that large tasks find theirs.
+    fn choose(
+        &self,
+        id: StepId,
+        index: u32,
+        spec: &StepSpec,
+        keys: &[WorkerKey],
+    ) -> Option<WorkerKey> {
+        let step = self.steps.get(&id)?;
+        let footprint = spec.footprint();
+        let rack = self.preferred_rack(id, spec, keys);
+        let rank = |key: &WorkerKey| {
+            let worker = &self.workers[*key];
+            let room = worker.room();
+            let far = rack.is_some() && worker.record.rack.as_deref() != rack;
+            let failed = step.failed_on.get(&index) == Some(key);
+            let left = room.saturating_sub(footprint);
+            (failed, far, left.cpu_milli, left.memory_mb, *key)
+        };
+        let fits = |key: &&WorkerKey| {
+            let worker = &self.workers[**key];
+            let labelled = spec
+                .required_label
+                .as_ref()
+                .is_none_or(|label| worker.has_label(label));
+            let placed = step.placed.get(*key).copied().unwrap_or_default();
+            let apart = spec.max_per_worker.is_none_or(|most| placed < most);
+            labelled && apart && footprint.fits(worker.room())
+        };
+        keys.iter()
+            .filter(fits)
+            .min_by_key(|key| rank(key))
+            .copied()
+    }
+
+    /// The rack that a step's tasks should be on, if it matters.
+    fn preferred_rack<'a>(
+        &'a self,
+        id: StepId,
+        spec: &'a StepSpec,
+        keys: &[WorkerKey],
+    ) -> Option<&'a str> {
+        if let Some(rack) = &spec.data_rack {
+            return Some(rack);
+        }
+        if !spec.rack_local {
+            return None;
+        }
+        let placed = self.steps.get(&id)?.placed.iter();
+        let mut taken = placed.filter(|(_, count)| **count > 0).map(|(key, _)| *key);
+        if let Some(key) = taken.next() {
+            return self.workers[key].record.rack.as_deref();
+        }
+        self.roomiest_rack(keys)
+    }
+
+    fn roomiest_rack(&self, keys: &[WorkerKey]) -> Option<&str> {
+        let mut rooms: indexmap::IndexMap<&str, u64> = indexmap::IndexMap::new();
+        for key in keys {
+            let worker = &self.workers[*key];
+            if let Some(rack) = worker.record.rack.as_deref() {
+                *rooms.entry(rack).or_default() += worker.room().cpu_milli;
+            }
+        }
+        rooms
+            .into_iter()
+            .max_by_key(|(_, room)| *room)
+            .map(|(rack, _)| rack)
+    }
+
+    /// A number above all that the task has had, from this owner or another.
+    fn next_run(&self, task: TaskId) -> Run {
+        let started = self.starts.get(&task).copied().unwrap_or_default();
+        let base = u64::from(self.owner.ordinal) * RUNS_AN_OWNER;
+        Run(base + u64::from(started) + 1)
+    }
+
+    fn start(&mut self, task: TaskId, job: &Job, spec: &StepSpec, key: WorkerKey, run: Run) {
+        let base = u64::from(self.owner.ordinal) * RUNS_AN_OWNER;
+        let count = u32::try_from(run.0 - base).unwrap_or(u32::MAX);
+        self.starts.insert(task, count);
+        self.begun.insert(task.job());
+        let footprint = spec.footprint();
+        let checkpoint = self.checkpoint(task, job, spec);
+        let free = self.workers[key].room();
+        let Some(deadline_ms) = self.grant(key) else {
+            return;
+        };
+        self.workers[key].used += footprint;
+        let Some(step) = self.steps.get_mut(&task.step) else {
+            return;
+        };
+        step.place(task.index, key);
+        let waited_ms = millis(self.now - step.since);
+        let attempt = Attempt {
+            run,
+            worker: key,
+            phase: Phase::Starting,
+            footprint,
+            began: self.now,
+            checkpoint: checkpoint.clone(),
+        };
+        self.attempts.insert(task, attempt);
+        self.tell_start(task, run, key, free, waited_ms, !checkpoint.is_empty());
+        let order = Ordered::Start {
+            spec: job.spec.clone(),
+            checkpoint,
+            deadline_ms,
+            ticket: None,
+        };
+        self.send_order(key, TaskOrder { task, run, order });
+    }
+
+    fn tell_start(
+        &mut self,
+        task: TaskId,
+        run: Run,
+        key: WorkerKey,
+        free: Size,
+        waited_ms: u64,
+        resumes: bool,
+    ) {
+        let worker = self.worker_name(key);
+        self.tell(Decision::Start {
+            task: task.to_string().into(),
+            run: run.0,
+            worker,
+            free_cpu_milli: free.cpu_milli,
+            waited_ms,
+            resumes,
+        });
+    }
+
+    /// Extends the worker's lease; gives its new end on the worker's clock.
+    fn grant(&mut self, key: WorkerKey) -> Option<u64> {
+        let lease = millis(self.cfg.lease);
+        let worker = &mut self.workers[key];
+        let until = worker.clock_ms(self.now)? + lease;
+        worker.granted_ms = worker.granted_ms.max(until);
+        Some(until)
+    }
+
+    /// The latest checkpoint of a task, from the replicated state or as this
+    /// owner saw it.
+    fn checkpoint(&self, task: TaskId, job: &Job, spec: &StepSpec) -> Box<str> {
+        let key = if spec.gang { 0 } else { task.index };
+        let seen = self
+            .steps
+            .get(&task.step)
+            .and_then(|step| step.checkpoint(key));
+        let stored = || {
+            job.progress(task.step)
+                .and_then(|step| step.checkpoint(key))
+        };
+        seen.or_else(stored).unwrap_or_default().into()
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -0,0 +1,158 @@
+//! Steps that may run, and how they become ready.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::worker::WorkerKey;
+use super::{Decision, Scheduler};
+use crate::state::{ControlState, Job};
+use crate::{JobId, StepId};
+
+/// A step whose tasks may be started.
+#[derive(Clone, Debug)]
+pub(crate) struct ActiveStep {
+    /// Where it stands in its pool's order; lower goes first.
+    pub(crate) order: Order,
+    pub(crate) pool: Box<str>,
+    /// The tasks that run nowhere and are not done.
+    pub(crate) pending: BTreeSet<u32>,
+    /// Since when it is active.
+    pub(crate) since: Duration,
+    /// Whether an earlier owner may have started its tasks, so that one that
+    /// no worker lists may still run on a worker that has not answered.
+    pub(crate) inherited: bool,
+    /// How many of its tasks run on each worker.
+    pub(crate) placed: IndexMap<WorkerKey, u32>,
+    /// The worker on which a task failed last.
+    pub(crate) failed_on: IndexMap<u32, WorkerKey>,
+    /// The latest checkpoint that this owner saw of a task.
+    checkpoints: IndexMap<u32, Box<str>>,
+}
+
+/// Which step goes first: the more urgent, then the one that came first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Order {
+    pub(crate) priority: u32,
+    /// Steps that run until they are cancelled go before others.
+    pub(crate) ends: bool,
+    pub(crate) accepted_at: u64,
+    pub(crate) step: StepId,
+}
+
+impl ActiveStep {
+    pub(crate) fn place(&mut self, index: u32, worker: WorkerKey) {
+        self.pending.remove(&index);
+        *self.placed.entry(worker).or_default() += 1;
+    }
+
+    /// Keeps a checkpoint; an empty one says nothing.
+    pub(crate) fn keep_checkpoint(&mut self, index: u32, checkpoint: Box<str>) {
+        if !checkpoint.is_empty() {
+            self.checkpoints.insert(index, checkpoint);
+        }
+    }
+
+    pub(crate) fn checkpoint(&self, index: u32) -> Option<&str> {
+        self.checkpoints.get(&index).map(|text| &**text)
+    }
+
+    pub(crate) fn take_off(&mut self, worker: WorkerKey) {
+        if let Some(count) = self.placed.get_mut(&worker) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
+impl Scheduler {
+    /// Makes the steps of a job that wait for nothing ready.
+    pub(super) fn activate_job(&mut self, state: &ControlState, id: JobId) {
+        let Some(job) = state.jobs.get(&id) else {
+            return;
+        };
+        self.live.insert(id);
+        for occurrence in 0..job.spec.occurrences() {
+            if job.is_occurrence_done(occurrence) {
+                continue;
+            }
+            match job.spec.repeat {
+                Some(repeat) if !self.is_due(repeat.due_ms(occurrence)) => {
+                    let due_ms = repeat.due_ms(occurrence);
+                    self.timed.insert((id, occurrence), due_ms);
+                }
+                _ => self.activate_occurrence(id, job, occurrence),
+            }
+        }
+    }
+
+    /// Whether a time of day has come; never while it is not known.
+    pub(super) fn is_due(&self, due_ms: u64) -> bool {
+        let early = super::worker::millis(self.cfg.early);
+        self.wall_ms > 0 && self.wall_ms.saturating_add(early) >= due_ms
+    }
+
+    pub(super) fn activate_occurrence(&mut self, id: JobId, job: &Job, occurrence: u32) {
+        let steps = 0..job.spec.steps.len();
+        for step in steps.map_while(|step| u16::try_from(step).ok()) {
+            let step = StepId {
+                job: id,
+                occurrence,
+                step,
+            };
+            self.activate_step(step, job);
+        }
+    }
+
+    /// Makes a step ready if it is due and not done.
+    pub(super) fn activate_step(&mut self, id: StepId, job: &Job) {
+        let known = self.steps.contains_key(&id);
+        if known || job.is_step_done(id) || !job.is_step_due(id) {
+            return;
+        }
+        let Some(spec) = job.step(id) else {
+            return;
+        };
+        let unstarted = |index: &u32| {
+            !job.is_task_done(id, *index) && !self.attempts.contains_key(&id.task(*index))
+        };
+        let step = ActiveStep {
+            order: Order {
+                priority: job.queue.priority,
+                ends: !spec.long_running,
+                accepted_at: job.accepted_at,
+                step: id,
+            },
+            pool: job.queue.pool.clone(),
+            pending: (0..spec.count).filter(unstarted).collect(),
+            since: self.now,
+            inherited: job.accepted_at < self.owner.token,
+            placed: IndexMap::new(),
+            failed_on: IndexMap::new(),
+            checkpoints: IndexMap::new(),
+        };
+        self.steps.insert(id, step);
+        self.dirty = true;
+    }
+
+    /// Takes a job that is over out of everything; its runs are stopped.
+    pub(super) fn job_over(&mut self, state: &ControlState, id: JobId) {
+        let Some(ended) = state.ended.get(&id) else {
+            return;
+        };
+        if !self.live.swap_remove(&id) {
+            return;
+        }
+        self.over.push_back((self.now, id));
+        self.tell(Decision::JobOver {
+            job: id.to_string().into(),
+            state: ended.state,
+        });
+        self.steps.retain(|step, _| step.job != id);
+        self.timed.retain(|(job, _), _| *job != id);
+        self.starts.retain(|task, _| task.job() != id);
+        self.begun.swap_remove(&id);
+        self.stop_job(id);
+        self.dirty = true;
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -0,0 +1,81 @@
+//! How a new owner learns what an earlier one had started.
+//!
+//! Every worker of the replicated state is asked with the new token, which
+//! shuts the earlier owner out. Until all workers of a pool have answered, or
+//! the leases that the earlier owner can have granted are over, no task is
+//! started there that the earlier owner may have started.
+
+use super::attempt::{Attempt, Phase};
+use super::event::RunningTask;
+use super::worker::{WorkerKey, WorkerState};
+use super::{Decision, Scheduler};
+use crate::state::ControlState;
+
+impl Scheduler {
+    pub(super) fn inherit(&mut self, state: &ControlState) {
+        for record in state.workers.values() {
+            self.workers.add(record.clone(), self.now);
+        }
+        let jobs: Vec<_> = state.jobs.keys().copied().collect();
+        for (id, job) in &state.jobs {
+            if !job.occurrences.is_empty() {
+                self.begun.insert(*id);
+            }
+        }
+        for id in jobs {
+            self.activate_job(state, id);
+        }
+        let over = state.ended.keys().map(|id| (self.now, *id));
+        self.over.extend(over);
+        self.send_holds();
+    }
+
+    /// Whether nothing that an earlier owner started in the pool can be
+    /// unknown any more.
+    pub(super) fn knows_all_runs(&self, pool: &str) -> bool {
+        let mut workers = self.workers.iter();
+        workers
+            .all(|(_, worker)| *worker.record.pool != *pool || worker.state != WorkerState::Unseen)
+    }
+
+    /// Takes over a run that a worker lists, if its task waits for a start.
+    /// Says whether it did.
+    pub(super) fn adopt(
+        &mut self,
+        state: &ControlState,
+        key: WorkerKey,
+        listed: &RunningTask,
+    ) -> bool {
+        let task = listed.task;
+        let Some(job) = state.jobs.get(&task.job()) else {
+            return false;
+        };
+        let known = self.attempts.contains_key(&task) || job.is_task_done(task.step, task.index);
+        let Some(spec) = job.step(task.step).filter(|_| !known) else {
+            return false;
+        };
+        let Some(step) = self.steps.get_mut(&task.step) else {
+            return false;
+        };
+        step.place(task.index, key);
+        let footprint = spec.footprint();
+        let attempt = Attempt {
+            run: listed.run,
+            worker: key,
+            phase: Phase::Running { known_at: self.now },
+            footprint,
+            began: self.now,
+            checkpoint: listed.checkpoint.clone(),
+        };
+        self.workers[key].used += footprint;
+        self.begun.insert(task.job());
+        self.attempts.insert(task, attempt);
+        let worker = self.worker_name(key);
+        self.tell(Decision::Adopted {
+            task: task.to_string().into(),
+            run: listed.run.0,
+            worker,
+        });
+        true
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -0,0 +1,170 @@
+//! The owner's view of one worker.
+
+use std::ops::{Index, IndexMut};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::Size;
+use crate::state::WorkerRecord;
+
+/// A worker of the arena. Keys are never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct WorkerKey(u32);
+
+/// What a worker is believed to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WorkerState {
+    /// It has not answered this owner; an earlier owner's runs may be there.
+    Unseen,
+    /// It answers.
+    Live,
+    /// It does not answer; what runs there may go on until its lease is over.
+    Silent,
+    /// It does not answer and its lease is over: nothing runs there.
+    Lapsed,
+    /// Its life is over.
+    Gone,
+}
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClockReading {
+    pub(crate) worker_ms: u64,
+    /// When it arrived; the worker's clock shows at least `worker_ms` since.
+    pub(crate) at: Duration,
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) record: WorkerRecord,
+    pub(crate) state: WorkerState,
+    pub(crate) draining: bool,
+    pub(crate) last_sequence: u64,
+    pub(crate) clock: Option<ClockReading>,
+    /// The latest end of its lease that was ever sent, on its own clock.
+    pub(crate) granted_ms: u64,
+    /// When it last answered.
+    pub(crate) heard_at: Option<Duration>,
+    /// Whether a hold is under way.
+    pub(crate) holding: bool,
+    /// When the next hold is due while none is under way.
+    pub(crate) hold_due: Duration,
+    /// Ends up to this number were proposed.
+    pub(crate) proposed: u64,
+    /// Ends up to this number are in the replicated state.
+    pub(crate) acked: u64,
+    /// What its runs take up.
+    pub(crate) used: Size,
+    /// How many jobs in a row have failed here for the first time.
+    pub(crate) failed_jobs: u32,
+    /// Until when nothing is started here, since it failed too much.
+    pub(crate) shunned_until: Duration,
+}
+
+impl Worker {
+    fn new(record: WorkerRecord, now: Duration) -> Worker {
+        Worker {
+            acked: record.noted,
+            proposed: record.noted,
+            record,
+            state: WorkerState::Unseen,
+            draining: false,
+            last_sequence: 0,
+            clock: None,
+            granted_ms: 0,
+            heard_at: None,
+            holding: false,
+            hold_due: now,
+            used: Size::default(),
+            failed_jobs: 0,
+            shunned_until: Duration::ZERO,
+        }
+    }
+
+    /// What is free.
+    pub(crate) fn room(&self) -> Size {
+        self.record.capacity.saturating_sub(self.used)
+    }
+
+    pub(crate) fn has_label(&self, label: &str) -> bool {
+        self.record.labels.iter().any(|have| **have == *label)
+    }
+
+    /// Whether work may be started here.
+    pub(crate) fn takes_work(&self, now: Duration) -> bool {
+        self.state == WorkerState::Live && !self.draining && now >= self.shunned_until
+    }
+
+    /// What its clock shows by now, as far as is known.
+    pub(crate) fn clock_ms(&self, now: Duration) -> Option<u64> {
+        let reading = self.clock?;
+        let since = now.saturating_sub(reading.at);
+        Some(reading.worker_ms.saturating_add(millis(since)))
+    }
+
+    /// Whether its clock shows, for certain, that its lease is over.
+    pub(crate) fn is_lapsed(&self, now: Duration, drift_percent: u32) -> bool {
+        let Some(reading) = self.clock else {
+            return false;
+        };
+        let since = now.saturating_sub(reading.at) * (100 - drift_percent.min(99)) / 100;
+        reading.worker_ms.saturating_add(millis(since)) > self.granted_ms
+    }
+}
+
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// All workers of this owner's time, by name and key.
+#[derive(Debug, Default)]
+pub(crate) struct Workers {
+    arena: Vec<Worker>,
+    by_name: IndexMap<Box<str>, WorkerKey>,
+}
+
+impl Workers {
+    pub(crate) fn add(&mut self, record: WorkerRecord, now: Duration) -> WorkerKey {
+        // A worker is a life of a process; far fewer than 2^32 come in a day.
+        let key = WorkerKey(u32::try_from(self.arena.len()).unwrap_or(u32::MAX));
+        self.by_name.insert(record.name.clone(), key);
+        self.arena.push(Worker::new(record, now));
+        key
+    }
+
+    pub(crate) fn key(&self, name: &str) -> Option<WorkerKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Forgets the name; the key stays valid for what still refers to it.
+    pub(crate) fn remove(&mut self, name: &str) -> Option<WorkerKey> {
+        self.by_name.swap_remove(name)
+    }
+
+    /// The workers that are not removed.
+    pub(crate) fn keys(&self) -> Vec<WorkerKey> {
+        self.by_name.values().copied().collect()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        self.by_name.values().map(|key| (*key, &self[*key]))
+    }
+}
+
+impl Index<WorkerKey> for Workers {
+    type Output = Worker;
+
+    fn index(&self, key: WorkerKey) -> &Worker {
+        &self.arena[key.0 as usize]
+    }
+}
+
+impl IndexMut<WorkerKey> for Workers {
+    fn index_mut(&mut self, key: WorkerKey) -> &mut Worker {
+        &mut self.arena[key.0 as usize]
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/state/apply.rs
@@ -0,0 +1,157 @@
+//! Applying commands. Nothing but the state and the command decides.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::command::{Command, TaskEnd};
+use super::job::{EndedJob, Job, JobState};
+use super::{ControlState, Owner, Wave, WorkerRecord};
+use crate::{Catalogue, JobId, JobSpec, Queue};
+
+/// What a command came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// It holds now, or held before.
+    Done,
+    /// There is no such job.
+    NoSuchJob,
+    /// The job is over and can't be cancelled any more.
+    Over(JobState),
+}
+
+impl Answer {
+    /// The answer as bytes.
+    pub fn encode(self) -> Box<[u8]> {
+        // Plain data of our own: writing it into a growing vector can't fail.
+        postcard::to_stdvec(&self).unwrap_or_default().into()
+    }
+
+    /// Reads [`encode`](Self::encode) back; none for anything else.
+    pub fn decode(bytes: &[u8]) -> Option<Answer> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
+
+impl ControlState {
+    /// Applies the command at a position of the log.
+    pub fn apply(&mut self, index: u64, command: Command) -> Answer {
+        match command {
+            Command::Found => self.founded = true,
+            Command::TakeOver { member } => self.take_over(index, member),
+            Command::Configure(catalogue) => self.configure(catalogue),
+            Command::Submit { id, queue, spec } => self.submit(index, id, queue, spec),
+            Command::Cancel { id } => return self.cancel(id),
+            Command::Ends { worker, ends } => self.note_ends(&worker, &ends),
+            Command::AddWorker(record) => self.add_worker(record),
+            Command::RemoveWorkers { names } => {
+                for name in names {
+                    self.workers.swap_remove(&name);
+                }
+            }
+            Command::Forget { ids } => {
+                for id in ids {
+                    self.ended.swap_remove(&id);
+                }
+            }
+            Command::StartWave {
+                wave,
+                machines,
+                duration_ms,
+                max_at_once,
+            } => {
+                let new = Wave {
+                    waiting: machines.into_iter().collect(),
+                    maintained: indexmap::IndexSet::new(),
+                    duration_ms,
+                    max_at_once,
+                };
+                self.waves.entry(wave).or_insert(new);
+            }
+            Command::Maintained { wave, machine } => self.leave_waiting(wave, machine, true),
+            Command::LeftWave { wave, machine } => self.leave_waiting(wave, machine, false),
+        }
+        Answer::Done
+    }
+
+    fn take_over(&mut self, index: u64, member: u32) {
+        let ordinal = self.owner.map_or(0, |owner| owner.ordinal + 1);
+        self.owner = Some(Owner {
+            member,
+            token: index,
+            ordinal,
+        });
+    }
+
+    /// The highest version wins, whatever the order of arrival.
+    fn configure(&mut self, catalogue: Arc<Catalogue>) {
+        let held = self.catalogue.as_ref().map(|held| held.version);
+        if held.is_none_or(|held| catalogue.version > held) {
+            self.catalogue = Some(catalogue);
+        }
+    }
+
+    fn submit(&mut self, index: u64, id: JobId, queue: Arc<Queue>, spec: Arc<JobSpec>) {
+        if self.job_state(id).is_none() {
+            self.jobs.insert(id, Job::new(queue, spec, index));
+        }
+    }
+
+    fn cancel(&mut self, id: JobId) -> Answer {
+        match self.job_state(id) {
+            None => Answer::NoSuchJob,
+            Some(JobState::Active) => {
+                self.end_job(id, JobState::Cancelled);
+                Answer::Done
+            }
+            Some(JobState::Cancelled) => Answer::Done,
+            Some(state) => Answer::Over(state),
+        }
+    }
+
+    fn end_job(&mut self, id: JobId, state: JobState) {
+        self.jobs.swap_remove(&id);
+        self.ended.insert(id, EndedJob { state });
+    }
+
+    /// Ends that were noted before, from this worker's life, count once.
+    fn note_ends(&mut self, worker: &str, ends: &[TaskEnd]) {
+        let Some(record) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let before = record.noted;
+        if let Some(last) = ends.last() {
+            record.noted = before.max(last.number);
+        }
+        for TaskEnd { end, .. } in ends.iter().filter(|end| end.number > before) {
+            let id = end.task.job();
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let state = job.note(end);
+            if state != JobState::Active {
+                self.end_job(id, state);
+            }
+        }
+    }
+
+    fn add_worker(&mut self, record: WorkerRecord) {
+        match self.workers.get_mut(&record.name) {
+            Some(known) => {
+                let noted = known.noted;
+                *known = WorkerRecord { noted, ..record };
+            }
+            None => drop(self.workers.insert(record.name.clone(), record)),
+        }
+    }
+
+    fn leave_waiting(&mut self, wave: u64, machine: Box<str>, maintained: bool) {
+        let Some(wave) = self.waves.get_mut(&wave) else {
+            return;
+        };
+        let waited = wave.waiting.shift_remove(&machine);
+        if waited && maintained {
+            wave.maintained.insert(machine);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/state/job.rs
@@ -0,0 +1,225 @@
+//! Jobs as they are replicated.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::command::{End, EndKind};
+use crate::{JobSpec, Queue, StepId, StepSpec};
+
+const WORD_BITS: u32 = 64;
+
+/// What callers are told of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// Accepted and not over.
+    Active,
+    /// All tasks are done.
+    Completed,
+    /// A task failed as often as its queue allows.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+/// A job that is not over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// The queue that it came through.
+    pub queue: Arc<Queue>,
+    /// What it asks for.
+    pub spec: Arc<JobSpec>,
+    /// The position in the log at which it was accepted.
+    pub accepted_at: u64,
+    /// Occurrences of which an end was noted, by number.
+    pub occurrences: IndexMap<u32, Occurrence>,
+    /// How many occurrences are done; those are dropped from `occurrences`.
+    pub occurrences_done: Vec<u64>,
+}
+
+/// A job that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedJob {
+    /// How it ended; never [`JobState::Active`].
+    pub state: JobState,
+}
+
+/// How far one occurrence of a job is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Occurrence {
+    /// One for each step.
+    pub steps: Vec<StepProgress>,
+}
+
+/// How far one step is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepProgress {
+    /// A bit for each task that is done.
+    done: Vec<u64>,
+    /// How many bits are set.
+    done_count: u32,
+    /// How often each task has failed; a gang counts as its task 0.
+    failures: IndexMap<u32, u32>,
+    /// The latest checkpoint of each task; a gang's is kept at its task 0.
+    checkpoints: IndexMap<u32, Box<str>>,
+}
+
+impl StepProgress {
+    /// Whether a task is done.
+    pub fn is_done(&self, index: u32) -> bool {
+        is_set(&self.done, index)
+    }
+
+    /// How many tasks are done.
+    pub fn done_count(&self) -> u32 {
+        self.done_count
+    }
+
+    /// How often a task has failed.
+    pub fn failures(&self, index: u32) -> u32 {
+        self.failures.get(&index).copied().unwrap_or_default()
+    }
+
+    /// The latest checkpoint of a task.
+    pub fn checkpoint(&self, index: u32) -> Option<&str> {
+        self.checkpoints.get(&index).map(|text| &**text)
+    }
+
+    fn set_done(&mut self, index: u32) {
+        if set(&mut self.done, index) {
+            self.done_count += 1;
+        }
+    }
+}
+
+fn is_set(words: &[u64], index: u32) -> bool {
+    let word = words.get((index / WORD_BITS) as usize);
+    word.is_some_and(|word| word >> (index % WORD_BITS) & 1 == 1)
+}
+
+/// Sets a bit; whether it was clear.
+fn set(words: &mut Vec<u64>, index: u32) -> bool {
+    let at = (index / WORD_BITS) as usize;
+    if words.len() <= at {
+        words.resize(at + 1, 0);
+    }
+    let mask = 1 << (index % WORD_BITS);
+    let was_clear = words[at] & mask == 0;
+    words[at] |= mask;
+    was_clear
+}
+
+impl Job {
+    pub(crate) fn new(queue: Arc<Queue>, spec: Arc<JobSpec>, accepted_at: u64) -> Job {
+        Job {
+            queue,
+            spec,
+            accepted_at,
+            occurrences: IndexMap::new(),
+            occurrences_done: Vec::new(),
+        }
+    }
+
+    /// What a step asks for.
+    pub fn step(&self, id: StepId) -> Option<&StepSpec> {
+        let known = id.occurrence < self.spec.occurrences();
+        let step = self.spec.steps.get(usize::from(id.step));
+        step.filter(|_| known)
+    }
+
+    /// How far a step is; none if no end of its occurrence was noted, or if
+    /// the occurrence is done.
+    pub fn progress(&self, id: StepId) -> Option<&StepProgress> {
+        let occurrence = self.occurrences.get(&id.occurrence)?;
+        occurrence.steps.get(usize::from(id.step))
+    }
+
+    /// Whether all tasks of an occurrence are done.
+    pub fn is_occurrence_done(&self, occurrence: u32) -> bool {
+        is_set(&self.occurrences_done, occurrence)
+    }
+
+    /// Whether a task is done.
+    pub fn is_task_done(&self, id: StepId, index: u32) -> bool {
+        let done = self.progress(id).is_some_and(|step| step.is_done(index));
+        done || self.is_occurrence_done(id.occurrence)
+    }
+
+    /// Whether all tasks of a step are done.
+    pub fn is_step_done(&self, id: StepId) -> bool {
+        let count = self.step(id).map_or(0, |step| step.count);
+        let done = self
+            .progress(id)
+            .is_some_and(|step| step.done_count >= count);
+        done || self.is_occurrence_done(id.occurrence)
+    }
+
+    /// Whether a step waits for none that is not done.
+    pub fn is_step_due(&self, id: StepId) -> bool {
+        self.step(id).is_some_and(|spec| {
+            let mut after = spec.after.iter();
+            after.all(|step| self.is_step_done(StepId { step: *step, ..id }))
+        })
+    }
+
+    /// Notes an end and says whether that ended the job.
+    pub(crate) fn note(&mut self, end: &End) -> JobState {
+        let id = end.task.step;
+        let Some(spec) = self.step(id) else {
+            return JobState::Active;
+        };
+        if end.task.index >= spec.count || self.is_occurrence_done(id.occurrence) {
+            return JobState::Active;
+        }
+        let (gang, lasts, count) = (spec.gang, spec.long_running, spec.count);
+        let limit = self.queue.max_attempts.max(1);
+        let steps = self.spec.steps.len();
+        let occurrence = self.occurrences.entry(id.occurrence).or_default();
+        occurrence.steps.resize_with(steps, StepProgress::default);
+        let step = &mut occurrence.steps[usize::from(id.step)];
+        let key = if gang { 0 } else { end.task.index };
+        match end.kind {
+            EndKind::Done if gang => (0..count).for_each(|index| step.set_done(index)),
+            EndKind::Done if !lasts => step.set_done(end.task.index),
+            EndKind::Failed if !lasts => *step.failures.entry(key).or_default() += 1,
+            _ => {}
+        }
+        if step.is_done(key) {
+            step.checkpoints.swap_remove(&key);
+        } else if !end.checkpoint.is_empty() {
+            step.checkpoints.insert(key, end.checkpoint.clone());
+        }
+        if step.failures(key) >= limit && !step.is_done(key) {
+            return JobState::Failed;
+        }
+        self.close_occurrence(id.occurrence)
+    }
+
+    /// Drops an occurrence that is done; says whether it was the last.
+    fn close_occurrence(&mut self, occurrence: u32) -> JobState {
+        let steps = 0..self.spec.steps.len();
+        let ids = steps.map_while(|step| u16::try_from(step).ok());
+        // The job's own id does not matter here.
+        let id = |step| StepId {
+            job: crate::JobId(0),
+            occurrence,
+            step,
+        };
+        if !ids.map(id).all(|id| self.is_step_done(id)) {
+            return JobState::Active;
+        }
+        self.occurrences.shift_remove(&occurrence);
+        set(&mut self.occurrences_done, occurrence);
+        let done: u32 = self
+            .occurrences_done
+            .iter()
+            .map(|word| word.count_ones())
+            .sum();
+        if done >= self.spec.occurrences() {
+            JobState::Completed
+        } else {
+            JobState::Active
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/state/mod.rs
@@ -0,0 +1,78 @@
+//! The replicated state and the commands that change it.
+
+mod apply;
+mod command;
+mod job;
+mod wave;
+mod worker;
+
+pub use apply::Answer;
+pub use command::{Command, DecodeError, End, EndKind, TaskEnd};
+pub use job::{EndedJob, Job, JobState, Occurrence, StepProgress};
+pub use wave::Wave;
+pub use worker::WorkerRecord;
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::state::command::DecodeSnafu;
+use crate::{Catalogue, JobId};
+
+/// Who gives orders to the workers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// The member of the group.
+    pub member: u32,
+    /// The fencing token: the position in the log at which it took over.
+    ///
+    /// Invariant: unique, and higher than that of every owner before.
+    pub token: u64,
+    /// Which owner it is, counted from 0. A task's run numbers begin anew,
+    /// above all earlier ones, with each owner.
+    pub ordinal: u32,
+}
+
+/// Everything that a majority of the disks holds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ControlState {
+    /// Whether the group once had all the voters it needs; before, nothing is
+    /// acknowledged.
+    pub founded: bool,
+    /// The current owner.
+    pub owner: Option<Owner>,
+    /// The configuration in force; none before the first.
+    pub catalogue: Option<Arc<Catalogue>>,
+    /// The workers that may have been given orders, by name.
+    pub workers: IndexMap<Box<str>, WorkerRecord>,
+    /// The jobs that are not over, in the order in which they were accepted.
+    pub jobs: IndexMap<JobId, Job>,
+    /// The jobs that are over, until they are forgotten.
+    pub ended: IndexMap<JobId, EndedJob>,
+    /// The maintenance waves, by number.
+    pub waves: IndexMap<u64, Wave>,
+}
+
+impl ControlState {
+    /// The state of a job, over or not.
+    pub fn job_state(&self, id: JobId) -> Option<JobState> {
+        let active = self.jobs.get(&id).map(|_| JobState::Active);
+        active.or_else(|| self.ended.get(&id).map(|job| job.state))
+    }
+
+    /// The whole state as bytes.
+    pub fn snapshot(&self) -> Box<[u8]> {
+        // Plain data of our own: writing it into a growing vector can't fail.
+        postcard::to_stdvec(self).unwrap_or_default().into()
+    }
+
+    /// Reads [`snapshot`](Self::snapshot) back.
+    ///
+    /// # Errors
+    /// [`DecodeError`] if the bytes are of another version.
+    pub fn restore(data: &[u8]) -> Result<ControlState, DecodeError> {
+        postcard::from_bytes(data).context(DecodeSnafu { what: "snapshot" })
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/state/worker.rs
@@ -0,0 +1,31 @@
+//! What is remembered of a worker.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Size;
+
+/// One life of a worker. A new owner asks each of them what it runs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRecord {
+    /// The name of this life; a restarted worker has another.
+    pub name: Box<str>,
+    /// Where it takes orders, `IP:PORT`.
+    pub address: Box<str>,
+    /// The pool that it works for.
+    pub pool: Box<str>,
+    /// The machine that it runs on, if it says so.
+    pub machine: Option<Box<str>>,
+    /// Its data centre.
+    pub data_centre: Box<str>,
+    /// What it can hold.
+    pub capacity: Size,
+    /// Its labels, its rack among them.
+    pub labels: Vec<Box<str>>,
+    /// Its rack, if it names one.
+    pub rack: Option<Box<str>>,
+    /// The number of the last end that was noted.
+    ///
+    /// Invariant: never falls, so an end that is listed again, to this owner
+    /// or the next, counts once.
+    pub noted: u64,
+}
--- /dev/null
+++ b/crates/cleat-link/src/control.rs
@@ -0,0 +1,198 @@
+//! What a gateway or a control instance asks of a control instance.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use cleat_jobs::{Beat, Catalogue, JobSpec, JobState};
+use cleat_quorum::Message;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use tarpc::context::Context;
+
+/// A call that the leader answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ControlCall {
+    /// Who leads.
+    Leader,
+    /// A job to store.
+    Submit {
+        /// The host that the caller named.
+        host: Box<str>,
+        /// The path that it named: a queue's prefix and the job's id.
+        path: Box<str>,
+        /// What the job asks for.
+        spec: Arc<JobSpec>,
+    },
+    /// The state of a job, or of a queue if the path is its prefix.
+    Look {
+        /// As in `Submit`.
+        host: Box<str>,
+        /// As in `Submit`.
+        path: Box<str>,
+    },
+    /// A job to cancel.
+    Cancel {
+        /// As in `Submit`.
+        host: Box<str>,
+        /// As in `Submit`.
+        path: Box<str>,
+    },
+    /// A worker's heartbeat.
+    Beat(Beat),
+    /// A worker's last word.
+    Left {
+        /// Its name.
+        worker: Box<str>,
+    },
+    /// A configuration to put into force.
+    Configure(Arc<Catalogue>),
+    /// The configuration in force.
+    Configuration,
+    /// Machines to maintain.
+    StartWave {
+        /// The operator's number.
+        wave: u64,
+        /// The machines.
+        machines: Vec<Box<str>>,
+        /// Within which time, in milliseconds.
+        duration_ms: u64,
+        /// How many may be down for it at once.
+        max_at_once: u32,
+    },
+    /// How far a wave is.
+    Wave {
+        /// The operator's number.
+        wave: u64,
+    },
+}
+
+/// What a job is said to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobView {
+    /// Accepted; no task has started.
+    Queued,
+    /// Some task has started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// Cancelled by its caller.
+    Cancelled,
+}
+
+impl JobView {
+    /// The view of a job whose tasks have started, or not.
+    pub fn of(state: JobState, begun: bool) -> JobView {
+        match state {
+            JobState::Active if begun => JobView::Running,
+            JobState::Active => JobView::Queued,
+            JobState::Completed => JobView::Completed,
+            JobState::Failed => JobView::Failed,
+            JobState::Cancelled => JobView::Cancelled,
+        }
+    }
+}
+
+/// The answer to a [`ControlCall`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ControlReply {
+    /// This instance leads.
+    Leading,
+    /// It is stored, noted or in force.
+    Done,
+    /// The state of a job.
+    Job(JobView),
+    /// How many jobs of a queue have not begun.
+    Waiting(u64),
+    /// No queue has this host and path.
+    NoSuchQueue,
+    /// The queue has no such job.
+    NoSuchJob,
+    /// The path names no job.
+    NotAJob,
+    /// The job was over before it could be cancelled.
+    Over,
+    /// The operator's document that is in force.
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// The document as it came.
+        document: Box<str>,
+    },
+    /// There is no configuration yet.
+    NoConfiguration,
+    /// Whether a wave is completed.
+    Wave {
+        /// Whether each machine has begun its maintenance.
+        completed: bool,
+    },
+    /// There is no such wave.
+    NoSuchWave,
+}
+
+/// Why a control instance did not do what it was asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Snafu)]
+#[snafu(visibility(pub))]
+pub enum ControlError {
+    /// It does not lead. Nothing was changed; ask the leader.
+    #[snafu(display("this instance does not lead"))]
+    NotLeader {
+        /// The key of the leader it knows of.
+        leader: Option<u32>,
+    },
+    /// It can't be sure, or no majority can be reached. Nothing was changed;
+    /// try again later.
+    #[snafu(display("no quorum; nothing was changed"))]
+    NoQuorum,
+    /// It was proposed, and the lead was lost before the outcome was known.
+    /// Repeating it is safe.
+    #[snafu(display("the outcome is unknown"))]
+    OutcomeUnknown,
+    /// It is too large for the log.
+    #[snafu(display("the command is too large for the log"))]
+    TooLarge,
+    /// The instance is stopping. Ask another one.
+    #[snafu(display("this instance is stopping"))]
+    Stopping,
+}
+
+/// The service that each control instance offers.
+#[tarpc::service]
+pub trait Control {
+    /// Takes consensus messages; their answers are messages of their own.
+    async fn deliver(messages: Vec<Message>);
+
+    /// Answers a call if this instance leads.
+    async fn ask(call: ControlCall) -> Result<ControlReply, ControlError>;
+}
+
+/// The methods of [`Control`] with futures that may move between threads.
+pub trait ControlHandler: Send + Sync + 'static {
+    /// See [`Control::deliver`].
+    fn deliver(&self, messages: Vec<Message>);
+
+    /// See [`Control::ask`].
+    fn ask(
+        &self,
+        call: ControlCall,
+    ) -> impl Future<Output = Result<ControlReply, ControlError>> + Send;
+}
+
+pub(crate) struct ControlAdapter<H>(pub(crate) Arc<H>);
+
+impl<H> Clone for ControlAdapter<H> {
+    fn clone(&self) -> Self {
+        ControlAdapter(self.0.clone())
+    }
+}
+
+impl<H: ControlHandler> Control for ControlAdapter<H> {
+    async fn deliver(self, _: Context, messages: Vec<Message>) {
+        self.0.deliver(messages);
+    }
+
+    async fn ask(self, _: Context, call: ControlCall) -> Result<ControlReply, ControlError> {
+        self.0.ask(call).await
+    }
+}
--- a/crates/cleat-link/src/lib.rs
+++ b/crates/cleat-link/src/lib.rs
@@ -4,13 +4,19 @@
 //! when it breaks. Consensus messages are sent without waiting and may be
 //! lost; calls say whether they may have arrived.
 
+mod channel;
 mod codec;
+mod control;
 mod handler;
 mod link;
 mod peer;
 mod server;
 
+pub use channel::Channel;
 pub use codec::{LinkTraffic, TrafficSnapshot};
+pub use control::{
+    Control, ControlCall, ControlClient, ControlError, ControlHandler, ControlReply, JobView,
+};
 pub use handler::Handler;
 pub use link::{CallError, Link, LinkConfig};
 pub use peer::{
--- a/crates/cleat-link/src/link.rs
+++ b/crates/cleat-link/src/link.rs
@@ -9,17 +9,17 @@
 use cleat_quorum::Message;
 use cleat_world::CommandBody;
 use snafu::Snafu;
-use tarpc::client::{self, RpcError};
+use tarpc::client::RpcError;
 use tarpc::context;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::codec::transport;
+use crate::channel::Channel;
 use crate::{
-    LinkTraffic, MemberReport, PeerClient, PeerError, Proposed, Renewal, RenewalOutcome,
-    SlotMessage,
+    ControlCall, ControlClient, ControlError, ControlReply, LinkTraffic, MemberReport, PeerClient,
+    PeerError, Proposed, Renewal, RenewalOutcome, SlotMessage,
 };
 
 /// How long opening a connection may take.
@@ -44,7 +44,7 @@
 
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
-pub enum CallError {
+pub enum CallError<E: std::error::Error + 'static = PeerError> {
     /// There is no connection, so the call was not sent. Try another
     /// instance, or again later.
     #[snafu(display("not connected to {name}"))]
@@ -64,22 +64,22 @@
         /// The other instance.
         name: Box<str>,
         /// Why.
-        source: PeerError,
+        source: E,
     },
 }
 
 /// A connection to one other instance that is opened again when it breaks.
 #[derive(Debug)]
-pub struct Link {
+pub struct Link<C = PeerClient> {
     name: Box<str>,
     messages: mpsc::Sender<Message>,
-    client: Arc<ArcSwapOption<PeerClient>>,
+    client: Arc<ArcSwapOption<C>>,
     task: JoinHandle<()>,
 }
 
-impl Link {
+impl<C: Channel> Link<C> {
     /// Starts to connect and keeps connecting until the link is dropped.
-    pub fn spawn(cfg: LinkConfig, traffic: Arc<LinkTraffic>) -> Link {
+    pub fn spawn(cfg: LinkConfig, traffic: Arc<LinkTraffic>) -> Link<C> {
         let (messages, rx) = mpsc::channel(MESSAGE_QUEUE);
         let client = Arc::new(ArcSwapOption::empty());
         let name = cfg.name.clone();
@@ -109,6 +109,44 @@
         let _ = self.messages.try_send(message);
     }
 
+    async fn call<T, E, F, Fut>(&self, limit: Duration, call: F) -> Result<T, CallError<E>>
+    where
+        E: std::error::Error + 'static,
+        F: FnOnce(Arc<C>, context::Context) -> Fut,
+        Fut: Future<Output = Result<Result<T, E>, RpcError>>,
+    {
+        let name = self.name.clone();
+        let Some(client) = self.client.load_full() else {
+            return Err(CallError::NotSent { name });
+        };
+        match call(client, context_for(limit)).await {
+            Ok(Ok(value)) => Ok(value),
+            Ok(Err(source)) => Err(CallError::Refused { name, source }),
+            Err(error) => {
+                log::debug!("call to {name} failed: {error}");
+                Err(CallError::NoAnswer { name })
+            }
+        }
+    }
+}
+
+impl Link<ControlClient> {
+    /// See [`Control::ask`](crate::Control::ask).
+    ///
+    /// # Errors
+    /// [`CallError`]; only `NoAnswer` and `OutcomeUnknown` may have changed
+    /// anything.
+    pub async fn ask(
+        &self,
+        call: ControlCall,
+        limit: Duration,
+    ) -> Result<ControlReply, CallError<ControlError>> {
+        let ask = |c: Arc<ControlClient>, cx| async move { c.ask(cx, call).await };
+        self.call(limit, ask).await
+    }
+}
+
+impl Link<PeerClient> {
     /// See [`Peer::propose`](crate::Peer::propose).
     ///
     /// # Errors
@@ -170,28 +208,9 @@
         let call = |c: Arc<PeerClient>, cx| async move { c.members(cx).await };
         self.call(limit, call).await
     }
-
-    async fn call<T, F, Fut>(&self, limit: Duration, call: F) -> Result<T, CallError>
-    where
-        F: FnOnce(Arc<PeerClient>, context::Context) -> Fut,
-        Fut: Future<Output = Result<Result<T, PeerError>, RpcError>>,
-    {
-        let name = self.name.clone();
-        let Some(client) = self.client.load_full() else {
-            return Err(CallError::NotSent { name });
-        };
-        match call(client, context_for(limit)).await {
-            Ok(Ok(value)) => Ok(value),
-            Ok(Err(source)) => Err(CallError::Refused { name, source }),
-            Err(error) => {
-                log::debug!("call to {name} failed: {error}");
-                Err(CallError::NoAnswer { name })
-            }
-        }
-    }
 }
 
-impl Drop for Link {
+impl<C> Drop for Link<C> {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -204,14 +223,14 @@
     cx
 }
 
-struct Runner {
+struct Runner<C> {
     cfg: LinkConfig,
     traffic: Arc<LinkTraffic>,
-    client: Arc<ArcSwapOption<PeerClient>>,
+    client: Arc<ArcSwapOption<C>>,
     messages: mpsc::Receiver<Message>,
 }
 
-impl Runner {
+impl<C: Channel> Runner<C> {
     async fn run(mut self) {
         loop {
             if let Some(client) = self.connect().await {
@@ -226,17 +245,16 @@
         }
     }
 
-    async fn connect(&self) -> Option<PeerClient> {
+    async fn connect(&self) -> Option<C> {
         let opening = TcpStream::connect(self.cfg.address);
         let stream = timeout(CONNECT_TIMEOUT, opening).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let transport = transport(stream, self.traffic.clone());
-        Some(PeerClient::new(client::Config::default(), transport).spawn())
+        Some(C::over(stream, self.traffic.clone()))
     }
 
     /// Sends messages until the connection breaks, or the link is dropped
     /// (`true`).
-    async fn pump(&mut self, client: &PeerClient) -> bool {
+    async fn pump(&mut self, client: &C) -> bool {
         let mut batch = Vec::new();
         loop {
             if self.messages.recv_many(&mut batch, MESSAGE_QUEUE).await == 0 {
--- a/crates/cleat-link/src/server.rs
+++ b/crates/cleat-link/src/server.rs
@@ -10,8 +10,9 @@
 use tokio::task::JoinHandle;
 
 use crate::codec::transport;
+use crate::control::ControlAdapter;
 use crate::handler::Adapter;
-use crate::{Handler, LinkTraffic, Peer};
+use crate::{Control, ControlHandler, Handler, LinkTraffic, Peer};
 
 /// Why the listener could not start.
 #[derive(Debug, Snafu)]
@@ -58,24 +59,44 @@
 
     /// Answers with `handler` until the returned task is aborted.
     pub fn serve<H: Handler>(self, handler: Arc<H>, traffic: Arc<LinkTraffic>) -> JoinHandle<()> {
+        self.accept(move |stream| {
+            let channel = BaseChannel::with_defaults(transport(stream, traffic.clone()));
+            let requests = channel.execute(Adapter(handler.clone()).serve());
+            tokio::spawn(requests.for_each(|request| async move {
+                tokio::spawn(request);
+            }));
+        })
+    }
+
+    /// Answers with the `handler` of a control instance until the returned
+    /// task is aborted.
+    pub fn serve_control<H: ControlHandler>(
+        self,
+        handler: Arc<H>,
+        traffic: Arc<LinkTraffic>,
+    ) -> JoinHandle<()> {
+        self.accept(move |stream| {
+            let channel = BaseChannel::with_defaults(transport(stream, traffic.clone()));
+            let requests = channel.execute(ControlAdapter(handler.clone()).serve());
+            tokio::spawn(requests.for_each(|request| async move {
+                tokio::spawn(request);
+            }));
+        })
+    }
+
+    fn accept(self, serve: impl Fn(TcpStream) + Send + 'static) -> JoinHandle<()> {
         tokio::spawn(async move {
             loop {
                 match self.listener.accept().await {
-                    Ok((stream, _)) => serve_connection(stream, handler.clone(), &traffic),
+                    Ok((stream, _)) => {
+                        if let Err(error) = stream.set_nodelay(true) {
+                            log::debug!("cannot set TCP_NODELAY: {error}");
+                        }
+                        serve(stream);
+                    }
                     Err(error) => log::warn!("cannot accept another instance: {error}"),
                 }
             }
         })
     }
 }
-
-fn serve_connection<H: Handler>(stream: TcpStream, handler: Arc<H>, traffic: &Arc<LinkTraffic>) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("cannot set TCP_NODELAY: {error}");
-    }
-    let channel = BaseChannel::with_defaults(transport(stream, traffic.clone()));
-    let requests = channel.execute(Adapter(handler).serve());
-    tokio::spawn(requests.for_each(|request| async move {
-        tokio::spawn(request);
-    }));
-}
--- a/crates/cleat-log/src/record.rs
+++ b/crates/cleat-log/src/record.rs
@@ -21,7 +21,7 @@
     /// The newest term this instance has seen.
     pub term: u64,
     /// Who got this instance's vote in `term`, if anyone.
-    pub voted_for: Option<u16>,
+    pub voted_for: Option<u32>,
 }
 
 /// The state that results from every record up to `index`.
--- a/crates/cleat-log/tests/journal.rs
+++ b/crates/cleat-log/tests/journal.rs
@@ -88,7 +88,7 @@
 enum Op {
     Append(u8),
     Truncate(u8),
-    Vote(u16),
+    Vote(u32),
     Sync,
     Snapshot(u8),
     Reopen,
@@ -98,7 +98,7 @@
     prop_oneof![
         4 => (0..9u8).prop_map(Op::Append),
         1 => (0..9u8).prop_map(Op::Truncate),
-        1 => (0..9u16).prop_map(Op::Vote),
+        1 => (0..9u32).prop_map(Op::Vote),
         2 => Just(Op::Sync),
         1 => (0..9u8).prop_map(Op::Snapshot),
         1 => Just(Op::Reopen),
--- a/crates/cleat-log/tests/scaffold/mod.rs
+++ b/crates/cleat-log/tests/scaffold/mod.rs
@@ -20,7 +20,7 @@
     }
 }
 
-pub(crate) fn vote(term: u64, voted_for: u16) -> HardState {
+pub(crate) fn vote(term: u64, voted_for: u32) -> HardState {
     let voted_for = Some(voted_for);
     HardState { term, voted_for }
 }
--- a/crates/cleat-node/src/member.rs
+++ b/crates/cleat-node/src/member.rs
@@ -96,5 +96,5 @@
 pub(crate) fn member_id(name: &str) -> MemberId {
     let hash = crc32fast::hash(name.as_bytes());
     let [a, b, c, d] = hash.to_be_bytes();
-    MemberId(u16::from_be_bytes([a ^ c, b ^ d]))
+    MemberId(u32::from(u16::from_be_bytes([a ^ c, b ^ d])))
 }
--- a/crates/cleat-operate/src/http/mod.rs
+++ b/crates/cleat-operate/src/http/mod.rs
@@ -2,11 +2,8 @@
 
 mod problem;
 mod request;
-mod respond;
-mod server;
 
+pub(crate) use cleat_http::{Answer, Handler, json};
+pub use cleat_http::{ListenError, Listener, RunningServer};
 pub(crate) use problem::{Problem, ProblemKind, from_control};
 pub(crate) use request::read_json;
-pub(crate) use respond::{Answer, json};
-pub(crate) use server::Handler;
-pub use server::{ListenError, Listener, RunningServer};
--- a/crates/cleat-operate/src/http/problem.rs
+++ b/crates/cleat-operate/src/http/problem.rs
@@ -4,8 +4,8 @@
 use http::{HeaderValue, StatusCode};
 use serde::Serialize;
 
-use super::respond::{Answer, typed};
 use crate::ControlError;
+use cleat_http::{Answer, typed};
 
 const MEDIA_TYPE: &str = "application/problem+json";
 const TYPE_PREFIX: &str = "urn:celerycleat:problem:";
--- a/crates/cleat-operate/src/http/request.rs
+++ b/crates/cleat-operate/src/http/request.rs
@@ -1,7 +1,7 @@
 //! Reading requests.
 
+use cleat_http::{BodyError, read_body};
 use http::Request;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde_json::Value;
 
@@ -13,18 +13,14 @@
 
 /// The body as JSON.
 pub(crate) async fn read_json(req: Request<Incoming>) -> Result<Value, Problem> {
-    let body = Limited::new(req.into_body(), MAX_BODY_BYTES);
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let detail = format!("the body is larger than {MAX_BODY_BYTES} bytes");
-            return Err(Problem::new(ProblemKind::BodyTooLarge, detail));
-        }
-        Err(error) => {
-            let detail = format!("the body broke off: {error}");
-            return Err(Problem::new(ProblemKind::BadRequest, detail));
-        }
-    };
+    let body = read_body(req.into_body(), MAX_BODY_BYTES).await;
+    let body = body.map_err(|error| {
+        let kind = match error {
+            BodyError::TooLarge { .. } => ProblemKind::BodyTooLarge,
+            BodyError::BrokeOff { .. } => ProblemKind::BadRequest,
+        };
+        Problem::new(kind, error.to_string())
+    })?;
     serde_json::from_slice(&body).map_err(|error| {
         let detail = format!("the body is not JSON: {error}");
         Problem::new(ProblemKind::BadRequest, detail)
--- a/crates/cleat-quorum/examples/group_commit.rs
+++ b/crates/cleat-quorum/examples/group_commit.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-const VOTERS: u16 = 3;
+const VOTERS: u32 = 3;
 const COMMAND_BYTES: usize = 256;
 const RUN: Duration = Duration::from_secs(3);
 const PROPOSERS: [usize; 6] = [1, 4, 16, 64, 256, 1024];
@@ -48,7 +48,7 @@
 impl Transport for Direct {
     fn send(&self, to: MemberId, message: Message) {
         if let Some(replicas) = self.0.get() {
-            replicas[usize::from(to.0)].deliver(message);
+            replicas[to.0 as usize].deliver(message);
         }
     }
 }
--- a/crates/cleat-quorum/examples/idle_traffic.rs
+++ b/crates/cleat-quorum/examples/idle_traffic.rs
@@ -13,8 +13,8 @@
 };
 use tokio::time::sleep;
 
-const MEMBERS: u16 = 9;
-const VOTERS: u16 = 3;
+const MEMBERS: u32 = 9;
+const VOTERS: u32 = 3;
 const SETTLE: Duration = Duration::from_secs(5);
 const RUN: Duration = Duration::from_secs(10);
 
@@ -53,7 +53,7 @@
         self.sent.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
         self.sent.messages.fetch_add(1, Ordering::Relaxed);
         if let Some(replicas) = self.group.get() {
-            replicas[usize::from(to.0)].deliver(message);
+            replicas[to.0 as usize].deliver(message);
         }
     }
 }
--- a/crates/cleat-quorum/src/core/config.rs
+++ b/crates/cleat-quorum/src/core/config.rs
@@ -1,5 +1,7 @@
 //! What a core is told at construction.
 
+use std::time::Duration;
+
 use super::timing::Timing;
 use super::types::MemberId;
 
@@ -42,6 +44,20 @@
     }
 }
 
+/// How a group grows from a few seeds, where the settings do not list every
+/// member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Joining {
+    /// Whether this member may found a group with the other seeds. False for
+    /// a member that starts later: its empty disk may be a lost one.
+    pub may_found: bool,
+    /// How many voters the group keeps. Members beyond them vote too, but
+    /// lose their place when they fall silent.
+    pub voters: usize,
+    /// How long a voter beyond that number may be silent.
+    pub silence: Duration,
+}
+
 /// Switches that turn single protections off, so that a test can show that
 /// its check notices. Never changed outside tests.
 #[doc(hidden)]
@@ -93,6 +109,8 @@
     pub id: MemberId,
     /// All members by the settings, this one included.
     pub members: Vec<MemberConfig>,
+    /// Set where members join by themselves; `members` then lists the seeds.
+    pub joining: Option<Joining>,
     /// Time-outs and leases.
     pub timing: Timing,
     /// Bounds on memory and message size.
@@ -110,6 +128,7 @@
         CoreConfig {
             id,
             members,
+            joining: None,
             timing: Timing::default(),
             limits: Limits::default(),
             seed,
@@ -124,6 +143,11 @@
             .map(|member| member.id)
     }
 
+    /// Whether this member may take part in the foundation of a group.
+    pub(crate) fn may_found(&self) -> bool {
+        self.votes(self.id) && self.joining.is_none_or(|joining| joining.may_found)
+    }
+
     pub(crate) fn votes(&self, id: MemberId) -> bool {
         self.voters().any(|voter| voter == id)
     }
--- a/crates/cleat-quorum/src/core/election.rs
+++ b/crates/cleat-quorum/src/core/election.rs
@@ -12,6 +12,8 @@
     pub(super) fn start_pre_vote(&mut self) {
         self.retry_election();
         self.leader = None;
+        // The group may have removed this member while it was away.
+        self.ask_to_join();
         if !self.is_voter() {
             return;
         }
--- a/crates/cleat-quorum/src/core/formation.rs
+++ b/crates/cleat-quorum/src/core/formation.rs
@@ -47,8 +47,8 @@
             return;
         }
         self.formation.hello_due = self.now + self.config.timing.heartbeat;
-        if !self.config.votes(self.config.id) {
-            return;
+        if !self.config.may_found() {
+            return self.ask_to_join();
         }
         let own = self.config.id;
         let others: Vec<MemberId> = self.config.voters().filter(|id| *id != own).collect();
@@ -73,7 +73,7 @@
     }
 
     fn answer_hello(&mut self, from: MemberId, hello: Hello) {
-        let fresh = !self.is_formed();
+        let fresh = !self.is_formed() && self.config.may_found();
         let answer = Hello {
             identity: self.identity,
             fresh,
@@ -107,7 +107,7 @@
 
     fn form_group(&mut self) {
         let lowest = self.config.voters().min();
-        if self.is_formed() || lowest != Some(self.config.id) {
+        if self.is_formed() || !self.config.may_found() || lowest != Some(self.config.id) {
             return;
         }
         let Some(membership) = self.founding_membership() else {
--- a/crates/cleat-quorum/src/core/membership.rs
+++ b/crates/cleat-quorum/src/core/membership.rs
@@ -39,19 +39,21 @@
             return;
         }
         let membership = self.log.membership().clone();
-        let change = self
-            .config
-            .members
+        let wanted = self.wanted_members();
+        let change = wanted
             .iter()
-            .find_map(|configured| self.next_record(&membership, configured.id));
+            .find_map(|id| self.next_record(&membership, *id));
         if let Some(member) = change {
             self.change_membership(membership.with(member));
+        } else if let Some(id) = self.silent_surplus(&membership) {
+            self.change_membership(membership.without(id));
         }
     }
 
     /// The record of a member that differs from what it should be, if any.
     fn next_record(&self, membership: &Membership, id: MemberId) -> Option<Member> {
-        if id == self.config.id || membership.retired.contains(&id) {
+        let retired = membership.retired.contains(&id) && !self.joiners.contains(&id);
+        if id == self.config.id || retired {
             return None;
         }
         let Some(record) = membership.get(id) else {
@@ -68,7 +70,7 @@
         let identity = progress.identity;
         let caught_up =
             progress.matched > 0 && progress.matched + CAUGHT_UP_GAP >= self.log.last_index();
-        if !self.config.votes(id) || !caught_up || !progress.live.is_live(self.now) {
+        if !self.wants_vote(id) || !caught_up || !progress.live.is_live(self.now) {
             return None;
         }
         let lost_disk = record.votes && record.identity != identity;
--- a/crates/cleat-quorum/src/core/message.rs
+++ b/crates/cleat-quorum/src/core/message.rs
@@ -53,6 +53,9 @@
     /// The leader of this term hands its lead over: the receiver is to stand
     /// for election at once.
     TimeoutNow,
+    /// A member that belongs to no group, or that no leader speaks to, asks
+    /// to be taken in. Whoever gets it passes it on to its leader.
+    Join(MemberId),
 }
 
 /// The entries after `prev_index`, the commit index, and the lease.
--- a/crates/cleat-quorum/src/core/mod.rs
+++ b/crates/cleat-quorum/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod event;
 mod follower;
 mod formation;
+mod joining;
 mod leader;
 mod lease;
 mod log;
@@ -30,7 +31,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-pub use config::{CoreConfig, Limits, MemberConfig, Protections};
+pub use config::{CoreConfig, Joining, Limits, MemberConfig, Protections};
 pub use event::{Effect, Event, Refusal, Ticket, Write};
 pub use message::{
     Ack, AckOutcome, Append, Body, Hello, Install, Message, Stamp, VoteReply, VoteRequest,
@@ -104,6 +105,8 @@
     /// When a learner asks for its lease anew.
     renewal_due: Duration,
     formation: Formation,
+    /// Members that asked this leader to take them in.
+    joiners: BTreeSet<MemberId>,
     /// The last entry for which a snapshot was asked for.
     snapshot_asked: LogIndex,
     effects: Vec<Effect>,
@@ -135,6 +138,7 @@
             lease: MemberLease::new(life),
             renewal_due: now,
             formation: Formation::new(now),
+            joiners: BTreeSet::new(),
             snapshot_asked: 0,
             effects: Vec::new(),
             config,
@@ -209,6 +213,7 @@
         match body {
             Body::Hello(hello) => return self.on_hello(from, hello),
             Body::Genesis(image) => return self.on_genesis(from, image),
+            Body::Join(id) => return self.on_join(from, id),
             _ => {}
         }
         if !self.is_formed() {
@@ -227,7 +232,7 @@
             Body::VoteReply(reply) => self.on_vote_reply(from, term, &reply),
             Body::Release(stamp) => self.on_release(from, stamp),
             Body::TimeoutNow => self.on_timeout_now(from, term),
-            Body::Hello(_) | Body::Genesis(_) => {}
+            Body::Hello(_) | Body::Genesis(_) | Body::Join(_) => {}
         }
     }
 
@@ -384,7 +389,7 @@
         if self.is_formed() {
             return self.is_voter() && self.log.membership().voters().count() == 1;
         }
-        self.config.votes(self.config.id) && self.config.voters().count() == 1
+        self.config.may_found() && self.config.voters().count() == 1
     }
 
     fn release(&mut self) {
--- a/crates/cleat-quorum/src/core/types.rs
+++ b/crates/cleat-quorum/src/core/types.rs
@@ -4,9 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The key of a member: its place in the settings of every instance.
+/// The key of a member, the same on every instance: derived from its name, or
+/// from its address where the settings do not list the members.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct MemberId(pub u16);
+pub struct MemberId(pub u32);
 
 /// A position in the replicated log, counted from 1.
 pub type LogIndex = u64;
--- a/crates/cleat-quorum/src/driver/config.rs
+++ b/crates/cleat-quorum/src/driver/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of a replica.
 
-use crate::core::{CoreConfig, Limits, MemberConfig, MemberId, Timing};
+use crate::core::{CoreConfig, Joining, Limits, MemberConfig, MemberId, Timing};
 
 /// Everything a replica is told at its start.
 #[derive(Clone, Debug)]
@@ -16,6 +16,13 @@
         ReplicaConfig { core }
     }
 
+    /// Lets members join that `members` does not list; see [`Joining`].
+    #[must_use]
+    pub fn with_joining(mut self, joining: Joining) -> ReplicaConfig {
+        self.core.joining = Some(joining);
+        self
+    }
+
     /// Replaces the time-outs and leases; they must be equal on all members.
     #[must_use]
     pub fn with_timing(mut self, timing: Timing) -> ReplicaConfig {
--- a/crates/cleat-quorum/tests/core.rs
+++ b/crates/cleat-quorum/tests/core.rs
@@ -146,11 +146,7 @@
     group.advance(seconds(3));
     let lost = (group.leader() + 1) % 3;
     let fresh = Group::new(3, 0, |_, _, recovery| recovery.identity += 7777);
-    group.cores[usize::from(lost)] = fresh
-        .cores
-        .into_iter()
-        .nth(usize::from(lost))
-        .expect("a core");
+    group.cores[lost as usize] = fresh.cores.into_iter().nth(lost as usize).expect("a core");
     group.step(lost, Event::Tick);
     assert_eq!(group.core(lost).role(), Role::Unformed);
     group.advance(seconds(3));
--- a/crates/cleat-quorum/tests/group/mod.rs
+++ b/crates/cleat-quorum/tests/group/mod.rs
@@ -27,16 +27,16 @@
 
 impl Group {
     pub(crate) fn new(
-        voters: u16,
-        learners: u16,
-        adjust: impl Fn(u16, &mut CoreConfig, &mut Recovery),
+        voters: u32,
+        learners: u32,
+        adjust: impl Fn(u32, &mut CoreConfig, &mut Recovery),
     ) -> Group {
         let member = |id| MemberConfig {
             id: MemberId(id),
             votes: id < voters,
         };
         let members: Vec<_> = (0..voters + learners).map(member).collect();
-        let start = |id: u16| {
+        let start = |id: u32| {
             let mut config = CoreConfig::new(MemberId(id), members.clone(), u64::from(id) + 1);
             let mut recovery = Recovery {
                 identity: identity(id),
@@ -56,14 +56,14 @@
         }
     }
 
-    pub(crate) fn formed(voters: u16, learners: u16) -> Group {
+    pub(crate) fn formed(voters: u32, learners: u32) -> Group {
         Group::new(voters, learners, |_, _, _| {})
     }
 
-    pub(crate) fn step(&mut self, at: u16, event: Event) {
+    pub(crate) fn step(&mut self, at: u32, event: Event) {
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
-            for effect in self.cores[usize::from(at)].step(event, self.now) {
+            for effect in self.cores[at as usize].step(event, self.now) {
                 match effect {
                     Effect::Sync(ticket) => events.push_back(Event::Synced(ticket)),
                     Effect::Send(message) => self.queue.push_back(message),
@@ -93,24 +93,24 @@
             self.now += TICK;
             for at in 0..self.cores.len() {
                 if self.cores[at].deadline() <= self.now {
-                    self.step(u16::try_from(at).expect("small"), Event::Tick);
+                    self.step(u32::try_from(at).expect("small"), Event::Tick);
                 }
                 self.deliver_all();
             }
         }
     }
 
-    pub(crate) fn leader(&self) -> u16 {
+    pub(crate) fn leader(&self) -> u32 {
         let leads = |core: &Core| core.role() == Role::Leader;
         let at = self.cores.iter().position(leads).expect("a leader");
-        u16::try_from(at).expect("small")
+        u32::try_from(at).expect("small")
     }
 
-    pub(crate) fn core(&self, at: u16) -> &Core {
-        &self.cores[usize::from(at)]
+    pub(crate) fn core(&self, at: u32) -> &Core {
+        &self.cores[at as usize]
     }
 
-    pub(crate) fn propose(&mut self, at: u16, command: &[u8]) {
+    pub(crate) fn propose(&mut self, at: u32, command: &[u8]) {
         self.step(at, Event::Propose(vec![Arc::from(command)]));
         self.deliver_all();
     }
--- a/crates/cleat-quorum/tests/group/recovery.rs
+++ b/crates/cleat-quorum/tests/group/recovery.rs
@@ -9,12 +9,12 @@
 /// The group that is recovered.
 pub(crate) const GROUP: u32 = 7;
 
-pub(crate) fn identity(id: u16) -> u64 {
+pub(crate) fn identity(id: u32) -> u64 {
     1000 + u64::from(id)
 }
 
 /// A member of an existing group with hand-made entries after the genesis.
-pub(crate) fn recover(recovery: &mut Recovery, voters: u16, term: Term, terms: &[Term]) {
+pub(crate) fn recover(recovery: &mut Recovery, voters: u32, term: Term, terms: &[Term]) {
     let member = |id| Member {
         id: MemberId(id),
         identity: identity(id),
--- a/crates/cleat-quorum/tests/replica.rs
+++ b/crates/cleat-quorum/tests/replica.rs
@@ -46,16 +46,16 @@
 struct Wires(Arc<Mutex<Vec<Option<Arc<Replica>>>>>);
 
 impl Wires {
-    fn get(&self, id: u16) -> Option<Arc<Replica>> {
+    fn get(&self, id: u32) -> Option<Arc<Replica>> {
         self.0
             .lock()
             .expect("not poisoned")
-            .get(usize::from(id))?
+            .get(id as usize)?
             .clone()
     }
 
-    fn set(&self, id: u16, replica: Option<Replica>) {
-        self.0.lock().expect("not poisoned")[usize::from(id)] = replica.map(Arc::new);
+    fn set(&self, id: u32, replica: Option<Replica>) {
+        self.0.lock().expect("not poisoned")[id as usize] = replica.map(Arc::new);
     }
 }
 
@@ -69,23 +69,23 @@
 
 struct Group {
     dir: TempDir,
-    voters: u16,
-    members: u16,
+    voters: u32,
+    members: u32,
     wires: Wires,
     machines: Vec<Commands>,
 }
 
 impl Group {
-    fn start(voters: u16, learners: u16) -> Group {
+    fn start(voters: u32, learners: u32) -> Group {
         let members = voters + learners;
         let wires = Wires::default();
         wires
             .0
             .lock()
             .expect("not poisoned")
-            .resize(usize::from(members), None);
+            .resize(members as usize, None);
         let dir = tempfile::tempdir().expect("a folder");
-        let machines = vec![Commands::default(); usize::from(members)];
+        let machines = vec![Commands::default(); members as usize];
         let mut group = Group {
             dir,
             voters,
@@ -99,7 +99,7 @@
         group
     }
 
-    fn config(&self, id: u16) -> ReplicaConfig {
+    fn config(&self, id: u32) -> ReplicaConfig {
         let member = |id| MemberConfig {
             id: MemberId(id),
             votes: id < self.voters,
@@ -113,13 +113,13 @@
         ReplicaConfig::new(MemberId(id), members, rand::random()).with_limits(limits)
     }
 
-    fn folder(&self, id: u16) -> Box<Path> {
+    fn folder(&self, id: u32) -> Box<Path> {
         self.dir.path().join(format!("e{id}")).into()
     }
 
-    fn spawn(&mut self, id: u16) {
+    fn spawn(&mut self, id: u32) {
         let machine = Commands::default();
-        self.machines[usize::from(id)] = machine.clone();
+        self.machines[id as usize] = machine.clone();
         let (cfg, wires) = (self.config(id), self.wires.clone());
         let replica = if id < self.voters {
             let disk = Journal::open(&self.folder(id), "e").expect("the journal opens");
@@ -132,7 +132,7 @@
     }
 
     /// Ends a member without a word to the others.
-    async fn kill(&self, id: u16) {
+    async fn kill(&self, id: u32) {
         let Some(replica) = self.wires.get(id) else {
             return;
         };
@@ -140,19 +140,19 @@
         drop(replica);
     }
 
-    async fn reopen(&mut self, id: u16) {
+    async fn reopen(&mut self, id: u32) {
         // The disk thread of the last life may still hold the folder's lock.
         let folder = self.folder(id);
         until(|| Journal::open(&folder, "e").is_ok()).await;
         self.spawn(id);
     }
 
-    fn replica(&self, id: u16) -> Arc<Replica> {
+    fn replica(&self, id: u32) -> Arc<Replica> {
         self.wires.get(id).expect("the member runs")
     }
 
-    fn leader(&self) -> Option<u16> {
-        let leads = |id: &u16| {
+    fn leader(&self) -> Option<u32> {
+        let leads = |id: &u32| {
             let replica = self.wires.get(*id);
             replica.is_some_and(|replica| {
                 let status = replica.status();
@@ -182,7 +182,7 @@
         }
     }
 
-    async fn wait_applied(&self, id: u16, index: u64) {
+    async fn wait_applied(&self, id: u32, index: u64) {
         let waited = self.replica(id).wait_applied(index, LIMIT).await;
         waited.expect("the entry is applied");
     }
@@ -261,7 +261,7 @@
         .await
         .expect("in force everywhere");
     until(|| (0..3).all(|id| group.replica(id).status().role() != Role::Learner)).await;
-    let expected = group.machines[usize::from(leader)].all();
+    let expected = group.machines[leader as usize].all();
     for command in &acknowledged {
         assert!(
             expected.iter().any(|found| found == command.as_bytes()),
@@ -270,11 +270,7 @@
     }
     for id in 0..group.members {
         group.wait_applied(id, index).await;
-        assert_eq!(
-            group.machines[usize::from(id)].all(),
-            expected,
-            "member {id}"
-        );
+        assert_eq!(group.machines[id as usize].all(), expected, "member {id}");
     }
 }
 
@@ -294,7 +290,7 @@
     let index = group.insist("b").await;
     for id in (0..group.members).filter(|id| *id != leader) {
         group.wait_applied(id, index).await;
-        let commands = group.machines[usize::from(id)].all();
+        let commands = group.machines[id as usize].all();
         assert_eq!(commands, [b"a", b"b"], "member {id}");
     }
 }
--- a/crates/cleat-quorum/tests/simulation/effects.rs
+++ b/crates/cleat-quorum/tests/simulation/effects.rs
@@ -71,7 +71,7 @@
 
     pub(super) fn send(&mut self, at: usize, message: &Message) -> Result<(), Violation> {
         self.checker.check_send(&self.nodes[at], message)?;
-        let to = usize::from(message.to.0);
+        let to = message.to.0 as usize;
         let step = Step::of(message);
         let conditions = self.conditions;
         let lost = self.rng.random_bool(0.005 + conditions.drop);
--- a/crates/cleat-quorum/tests/simulation/fault.rs
+++ b/crates/cleat-quorum/tests/simulation/fault.rs
@@ -67,7 +67,7 @@
 
     pub(crate) fn of(message: &Message) -> Step {
         match &message.body {
-            Body::Hello(_) => Step::Hello,
+            Body::Hello(_) | Body::Join(_) => Step::Hello,
             Body::Genesis(_) => Step::Genesis,
             Body::VoteRequest(req) if req.pre => Step::PreVote,
             Body::VoteRequest(_) => Step::VoteRequest,
--- a/crates/cleat-quorum/tests/simulation/mod.rs
+++ b/crates/cleat-quorum/tests/simulation/mod.rs
@@ -29,8 +29,8 @@
 /// What a schedule is made of.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Plan {
-    pub(crate) voters: u16,
-    pub(crate) learners: u16,
+    pub(crate) voters: u32,
+    pub(crate) learners: u32,
     /// How many faults inject at random times.
     pub(crate) random_faults: u32,
     /// The faults to choose from.
@@ -251,7 +251,7 @@
                 let voters = core.membership().voters().count();
                 status.commit > goal
                     && core.in_force(status.commit, node.local(now))
-                    && voters == usize::from(self.plan.voters)
+                    && voters == self.plan.voters as usize
             })
         };
         serving && self.nodes.iter().any(|node| leads(&node))
@@ -286,7 +286,7 @@
     }
 
     fn deliver(&mut self, message: Message) -> Result<(), Violation> {
-        let to = usize::from(message.to.0);
+        let to = message.to.0 as usize;
         if self.nodes[to].cut_in.contains(&message.from) {
             return Ok(());
         }
--- a/crates/cleat-quorum/tests/simulation/node.rs
+++ b/crates/cleat-quorum/tests/simulation/node.rs
@@ -99,7 +99,7 @@
 }
 
 impl Node {
-    pub(super) fn new(id: u16, votes: bool, rng: &mut StdRng) -> Node {
+    pub(super) fn new(id: u32, votes: bool, rng: &mut StdRng) -> Node {
         Node {
             id: MemberId(id),
             votes,
--- a/crates/cleat-quorum/tests/simulation/upkeep.rs
+++ b/crates/cleat-quorum/tests/simulation/upkeep.rs
@@ -22,7 +22,7 @@
     }
 
     pub(super) fn upkeep(&mut self, stage: u8) -> Result<(), Violation> {
-        let last_voter = usize::from(self.plan.voters) - 1;
+        let last_voter = self.plan.voters as usize - 1;
         let last = self.nodes.len() - 1;
         match stage {
             0 => {
--- a/crates/cleat-quorum/tests/slow_disk.rs
+++ b/crates/cleat-quorum/tests/slow_disk.rs
@@ -76,7 +76,7 @@
     (cfg, recovery)
 }
 
-fn message(from: u16, term: u64, body: Body) -> Message {
+fn message(from: u32, term: u64, body: Body) -> Message {
     Message {
         group: GROUP,
         from: MemberId(from),
--- a/crates/cleat-settings/src/lib.rs
+++ b/crates/cleat-settings/src/lib.rs
@@ -4,10 +4,12 @@
 mod defaults;
 mod error;
 mod read;
+mod roles;
 mod settings;
 
 pub use defaults::default_text;
 pub use error::SettingsError;
+pub use roles::{AnySettings, ControlSettings, GatewaySettings, TimingSettings};
 pub use settings::{
     Listen, LogFormat, LogSettings, MetricsSettings, Peer, Settings, TraceSettings,
 };
--- /dev/null
+++ b/crates/cleat-settings/src/roles/control.rs
@@ -0,0 +1,54 @@
+//! The settings of a control instance.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+
+use serde::Deserialize;
+
+/// The settings of one control instance. Unknown keys are errors.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Always `control`.
+    pub role: Box<str>,
+    /// Its name; its data folder is bound to it.
+    pub name: Box<str>,
+    /// Where it runs.
+    pub data_centre: Box<str>,
+    /// Its address, under which the other instances know it.
+    pub ip: Ipv4Addr,
+    /// Where workers and operators call.
+    pub listen: SocketAddr,
+    /// The ports that instances may use among each other; the first is used
+    /// for calls, the last for metrics.
+    pub internal_ports: (u16, u16),
+    /// Instances to begin with, as workers and operators call them.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Whether the whole fleet starts for the first time, on empty disks.
+    pub first_start: bool,
+    /// How many instances with a disk may be lost at once.
+    pub losses_to_bear: usize,
+    /// Where it keeps its part of the state.
+    pub data_folder: PathBuf,
+    /// How many processor cores it has; 1 runs all on one thread.
+    #[serde(default = "one")]
+    pub cores: usize,
+    /// Durations that differ between platforms.
+    #[serde(default)]
+    pub timing: TimingSettings,
+}
+
+/// Durations, in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TimingSettings {
+    /// How long a worker may go on without hearing from its owner. At most
+    /// what the platform's workers accept.
+    pub worker_lease_ms: Option<u64>,
+    /// How long a job that is over is remembered.
+    pub remember_ms: Option<u64>,
+}
+
+fn one() -> usize {
+    1
+}
--- a/crates/cleat-settings/src/settings.rs
+++ b/crates/cleat-settings/src/settings.rs
@@ -48,6 +48,11 @@
         read::text(text, Path::new("settings"))
     }
 
+    /// As [`parse`](Self::parse), for a text that stands in `file`.
+    pub(crate) fn parse_file(text: &str, file: &Path) -> Result<Settings, SettingsError> {
+        read::text(text, file)
+    }
+
     /// The embedded defaults: one instance on loopback, without peers or a data folder,
     /// on ports that the system chooses. The same as [`default_text`](crate::default_text).
     pub fn dev() -> Settings {
--- /dev/null
+++ b/crates/cleat-telemetry/src/appender.rs
@@ -0,0 +1,50 @@
+//! Lines of the `log` macros, written as events.
+
+use std::fmt;
+
+use log::{LevelFilter, Record};
+use log4rs::append::Append;
+use log4rs::config::{Appender, Config, Root};
+use serde::Serialize;
+use snafu::ResultExt;
+
+use crate::error::{AlreadyStartedSnafu, LogConfigSnafu};
+use crate::{EventLog, TelemetryError};
+
+const LINES: &str = "lines";
+
+/// One line of a `log` macro.
+#[derive(Serialize)]
+#[serde(tag = "event", rename = "log")]
+struct LogLine<'a> {
+    level: &'static str,
+    part: &'a str,
+    text: fmt::Arguments<'a>,
+}
+
+impl Append for EventLog {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        self.emit(&LogLine {
+            level: record.level().as_str(),
+            part: record.target(),
+            text: *record.args(),
+        });
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+/// Sends the lines of the `log` macros the way of the events, so that they
+/// never wait for a reader either.
+///
+/// # Errors
+/// See [`TelemetryError`].
+pub fn install_logs(events: &EventLog, level: LevelFilter) -> Result<(), TelemetryError> {
+    let lines = Appender::builder().build(LINES, Box::new(events.clone()));
+    let root = Root::builder().appender(LINES).build(level);
+    let config = Config::builder().appender(lines).build(root);
+    let config = config.context(LogConfigSnafu)?;
+    let installed = log4rs::init_config(config);
+    installed.map(drop).or_else(|_| AlreadyStartedSnafu.fail())
+}
--- /dev/null
+++ b/crates/cleat-telemetry/src/events.rs
@@ -0,0 +1,162 @@
+//! Structured lines on standard output: one for each decision.
+//!
+//! Lines wait in a bounded buffer for a thread of their own, so a reader that
+//! doesn't read holds nothing up. Lines that find the buffer full are counted,
+//! and the count is written once there is room.
+
+use std::io::{self, Write};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde::Serialize;
+
+/// How many bytes may wait. At 200 bytes a line and 2,000 lines a second,
+/// which is the busiest second planned for, this holds more than two seconds.
+const BUFFER_BYTES: usize = 1 << 20;
+/// How long the writer lets lines gather, so that many share one write.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// How long the end of the process may wait for its last lines.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
+/// Where decisions are written.
+#[derive(Clone, Debug)]
+pub struct EventLog {
+    buffer: Option<Arc<Buffer>>,
+}
+
+#[derive(Debug, Default)]
+struct Buffer {
+    lines: Mutex<Lines>,
+    filled: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct Lines {
+    bytes: Vec<u8>,
+    /// Lines left out since the last write.
+    dropped: u64,
+    /// Whether lines were taken and are not written yet.
+    writing: bool,
+}
+
+#[derive(Serialize)]
+struct Line<'a, T> {
+    /// Milliseconds since the Unix epoch.
+    time_ms: u64,
+    #[serde(flatten)]
+    event: &'a T,
+}
+
+#[derive(Serialize)]
+#[serde(tag = "event", rename = "lines_dropped")]
+struct Dropped {
+    count: u64,
+}
+
+impl EventLog {
+    /// Starts to write to standard output.
+    ///
+    /// # Errors
+    /// The thread can't be started; raise the limit of threads.
+    pub fn spawn() -> io::Result<EventLog> {
+        let buffer = Arc::new(Buffer::default());
+        let writer = buffer.clone();
+        thread::Builder::new()
+            .name("events".into())
+            .spawn(move || write_all(&writer))?;
+        Ok(EventLog {
+            buffer: Some(buffer),
+        })
+    }
+
+    /// Writes nothing.
+    pub fn disabled() -> EventLog {
+        EventLog { buffer: None }
+    }
+
+    /// Waits until the lines so far are written, or for as long as a reader
+    /// may take that still reads.
+    pub fn flush(&self) {
+        let Some(buffer) = &self.buffer else {
+            return;
+        };
+        let deadline = Instant::now() + FLUSH_LIMIT;
+        let is_empty = || {
+            let lines = buffer.lines.lock().unwrap_or_else(PoisonError::into_inner);
+            lines.bytes.is_empty() && !lines.writing
+        };
+        while !is_empty() && Instant::now() < deadline {
+            thread::sleep(GATHER / 4);
+        }
+    }
+
+    /// Adds one line. Never waits for the reader.
+    pub fn emit<T: Serialize>(&self, event: &T) {
+        let Some(buffer) = &self.buffer else {
+            return;
+        };
+        let time_ms = wall_ms();
+        let mut lines = buffer.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if lines.bytes.len() >= BUFFER_BYTES {
+            lines.dropped += 1;
+            return;
+        }
+        lines.add(&Line { time_ms, event });
+        drop(lines);
+        buffer.filled.notify_one();
+    }
+}
+
+impl Lines {
+    fn add<T: Serialize>(&mut self, line: &T) {
+        let start = self.bytes.len();
+        if let Err(error) = serde_json::to_writer(&mut self.bytes, line) {
+            self.bytes.truncate(start);
+            log::warn!("an event can't be written: {error}");
+            return;
+        }
+        self.bytes.push(b'\n');
+    }
+}
+
+fn write_all(buffer: &Buffer) {
+    let mut out = io::stdout();
+    loop {
+        let bytes = take(buffer);
+        // Without a reader there is nothing left to say, and nowhere to say it.
+        if out.write_all(&bytes).and_then(|()| out.flush()).is_err() {
+            return;
+        }
+        let mut lines = buffer.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.writing = false;
+        drop(lines);
+        thread::sleep(GATHER);
+    }
+}
+
+/// Waits for lines and takes them all.
+fn take(buffer: &Buffer) -> Vec<u8> {
+    let mut lines = buffer.lines.lock().unwrap_or_else(PoisonError::into_inner);
+    while lines.bytes.is_empty() {
+        lines = buffer
+            .filled
+            .wait(lines)
+            .unwrap_or_else(PoisonError::into_inner);
+    }
+    if lines.dropped > 0 {
+        let count = std::mem::take(&mut lines.dropped);
+        let event = &Dropped { count };
+        let time_ms = wall_ms();
+        lines.add(&Line { time_ms, event });
+    }
+    lines.writing = true;
+    std::mem::take(&mut lines.bytes)
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since.map(|since| since.as_millis()).unwrap_or_default();
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
--- a/crates/cleat-telemetry/src/lib.rs
+++ b/crates/cleat-telemetry/src/lib.rs
@@ -10,14 +10,18 @@
 //! it. No span data, trace id or context is made for it; a `tracing` macro then costs
 //! one look at the thread's current span.
 
+mod appender;
 mod counters;
 mod error;
+mod events;
 mod logs;
 mod push;
 mod telemetry;
 mod trace;
 
+pub use appender::install_logs;
 pub use counters::{Counter, Counters, Gauge};
 pub use error::TelemetryError;
+pub use events::EventLog;
 pub use telemetry::Telemetry;
 pub use trace::{context_from, inject, request_span};
