Move machines after the demand and carry out maintenance waves

Ruled out: more room by tighter placement alone: the pools were full. A hold waits for the commit of the ends that the one before listed, so it acknowledges them.

--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -8,7 +8,7 @@
 use cleat_control::{ControlConfig, ControlNode, PeerAddress};
 use cleat_http::Listener;
 use cleat_jobs::SchedulerConfig;
-use cleat_platform::{ControlSide, HttpWorkers, WorkerLimits};
+use cleat_platform::{ControlSide, HttpMachines, HttpWorkers, WorkerLimits};
 use cleat_quorum::Timing;
 use cleat_settings::{AnySettings, ControlSettings};
 use snafu::ResultExt;
@@ -27,7 +27,8 @@
 pub(crate) async fn run(settings: ControlSettings, file: &Path) -> Result<(), DaemonError> {
     let events = start_events()?;
     let workers = HttpWorkers::new(WorkerLimits::default());
-    let node = ControlNode::start(config(&settings), workers, events.clone()).await;
+    let machines = HttpMachines::new(settings.machines.clone(), settings.name.clone());
+    let node = ControlNode::start(config(&settings), workers, machines, events.clone()).await;
     let node = Arc::new(node.context(ControlSnafu)?);
     let listener = Listener::bind(settings.listen).await.context(ListenSnafu)?;
     let side = ControlSide::new(node.clone(), settings.listen);
--- a/crates/cleat-control/src/lib.rs
+++ b/crates/cleat-control/src/lib.rs
@@ -19,4 +19,4 @@
 pub use error::StartError;
 pub use leader::{AskError, Gateway, GatewayConfig};
 pub use node::{ControlConfig, ControlNode};
-pub use platform::{HoldError, WorkerClient};
+pub use platform::{HoldError, MachineClient, WorkerClient};
--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -23,7 +23,7 @@
 use crate::leader::Gateway;
 use crate::links::{LinkTransport, Links};
 use crate::machine::{JobsMachine, SharedState};
-use crate::{AskError, PeerAddress, StartError, WorkerClient, owner};
+use crate::{AskError, MachineClient, PeerAddress, StartError, WorkerClient, owner};
 
 /// What the parts of a control instance share.
 pub(crate) struct Shared {
@@ -67,6 +67,7 @@
     pub async fn start(
         cfg: ControlConfig,
         workers: impl WorkerClient,
+        machines: impl MachineClient,
         events: EventLog,
     ) -> Result<ControlNode, StartError> {
         let listener = PeerListener::bind(cfg.listen).await.context(ListenSnafu)?;
@@ -85,7 +86,7 @@
             scheduler: Mutex::new(None),
             events,
         });
-        let owner = owner::spawn(shared.clone(), cfg.scheduler, workers);
+        let owner = owner::spawn(shared.clone(), cfg.scheduler, workers, machines);
         let handler = Arc::new(PeerSide(shared.clone()));
         let serving = listener.serve_control(handler, traffic);
         Ok(ControlNode {
--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -3,18 +3,20 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
-use cleat_jobs::{Command, Effect, Event, HoldOrder, OrderAnswer, TaskOrder};
+use cleat_jobs::{
+    Command, Effect, Event, HoldOrder, MachineAnswer, MachineOrder, OrderAnswer, TaskOrder,
+};
 use log::warn;
 use tokio::time::sleep;
 
 use super::{Calls, OwnerTask, TICK};
 use crate::clock::boot_time;
-use crate::platform::{HoldError, WorkerClient};
+use crate::platform::{HoldError, MachineClient, WorkerClient};
 
 /// A call under way, and the event that it ends with, if any.
 pub(super) type Call = Pin<Box<dyn Future<Output = Option<Event>> + Send>>;
 
-impl<W: WorkerClient> OwnerTask<W> {
+impl<W: WorkerClient, M: MachineClient> OwnerTask<W, M> {
     /// False if another owner is known to have taken over.
     pub(super) fn carry_out(&self, effect: Effect, calls: &Calls) -> bool {
         match effect {
@@ -29,6 +31,12 @@
                 token,
                 order,
             } => calls.push(self.order(worker, address, token, order)),
+            Effect::ListMachines => calls.push(self.list_machines()),
+            Effect::OrderMachine {
+                machine,
+                token,
+                order,
+            } => calls.push(self.order_machine(machine, token, order)),
             Effect::Propose(command) => calls.push(self.propose(command)),
             Effect::Tell(decision) => self.shared.events.emit(&decision),
             Effect::Fenced { worker } => {
@@ -49,10 +57,12 @@
                 let other_life = false;
                 return Some(Event::HoldFailed { worker, other_life });
             }
+            let acked = order.acked;
             Some(match workers.hold(&worker, &address, order).await {
                 Ok(answer) => Event::HoldAnswered {
                     worker,
                     sent_at,
+                    acked,
                     answer,
                 },
                 Err(error) => Event::HoldFailed {
@@ -80,6 +90,35 @@
         })
     }
 
+    fn list_machines(&self) -> Call {
+        let (shared, machines) = (self.shared.clone(), self.machines.clone());
+        Box::pin(async move {
+            let sent_at = boot_time();
+            let machines = if shared.leads() {
+                machines.list().await
+            } else {
+                None
+            };
+            Some(Event::MachinesListed { sent_at, machines })
+        })
+    }
+
+    fn order_machine(&self, machine: Box<str>, token: u64, order: MachineOrder) -> Call {
+        let (shared, machines) = (self.shared.clone(), self.machines.clone());
+        Box::pin(async move {
+            let answer = if shared.leads() {
+                machines.order(&machine, token, &order).await
+            } else {
+                MachineAnswer::Unknown
+            };
+            Some(Event::MachineOrdered {
+                machine,
+                order,
+                answer,
+            })
+        })
+    }
+
     fn propose(&self, command: Command) -> Call {
         let shared = self.shared.clone();
         Box::pin(async move {
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::{boot_time, wall_ms};
 use crate::node::Shared;
-use crate::platform::WorkerClient;
+use crate::platform::{MachineClient, WorkerClient};
 use effects::Call;
 
 /// How often an instance that does not lead looks whether it does by now: well
@@ -27,29 +27,32 @@
 const BATCH: usize = 256;
 
 /// Starts the task.
-pub(crate) fn spawn<W: WorkerClient>(
+pub(crate) fn spawn<W: WorkerClient, M: MachineClient>(
     shared: Arc<Shared>,
     cfg: SchedulerConfig,
     workers: W,
+    machines: M,
 ) -> JoinHandle<()> {
     let owner = OwnerTask {
         shared,
         cfg,
         workers: Arc::new(workers),
+        machines: Arc::new(machines),
     };
     tokio::spawn(owner.run())
 }
 
-struct OwnerTask<W> {
+struct OwnerTask<W, M> {
     shared: Arc<Shared>,
     cfg: SchedulerConfig,
     workers: Arc<W>,
+    machines: Arc<M>,
 }
 
 /// Calls under way.
 type Calls = FuturesUnordered<Call>;
 
-impl<W: WorkerClient> OwnerTask<W> {
+impl<W: WorkerClient, M: MachineClient> OwnerTask<W, M> {
     async fn run(self) {
         loop {
             if self.shared.leads() {
--- a/crates/cleat-control/src/platform.rs
+++ b/crates/cleat-control/src/platform.rs
@@ -2,7 +2,9 @@
 
 use std::future::Future;
 
-use cleat_jobs::{HoldAnswer, HoldOrder, OrderAnswer, TaskOrder};
+use cleat_jobs::{
+    HoldAnswer, HoldOrder, MachineAnswer, MachineOrder, MachineView, OrderAnswer, TaskOrder,
+};
 
 /// Why a hold has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,6 +15,20 @@
     NoAnswer,
 }
 
+/// Speaks to the platform about machines.
+pub trait MachineClient: Send + Sync + 'static {
+    /// All machines; none if there was no whole answer.
+    fn list(&self) -> impl Future<Output = Option<Vec<MachineView>>> + Send;
+
+    /// Orders something for a machine.
+    fn order(
+        &self,
+        machine: &str,
+        token: u64,
+        order: &MachineOrder,
+    ) -> impl Future<Output = MachineAnswer> + Send;
+}
+
 /// Speaks to workers.
 pub trait WorkerClient: Send + Sync + 'static {
     /// Asks a worker to go on and what it runs.
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -17,8 +17,9 @@
 pub use ids::{JobId, ParseTaskError, Run, StepId, TaskId};
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
-    Adviser, Beat, Decision, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer, Order,
-    OrderAnswer, RunningTask, Scheduler, SchedulerConfig, TaskOrder, WorkerState,
+    Adviser, Beat, Decision, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer,
+    MachineOrder, MachineState, MachineView, Order, OrderAnswer, RunningTask, Scheduler,
+    SchedulerConfig, TaskOrder, WorkerState,
 };
 pub use size::Size;
 pub use state::{
--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use super::Scheduler;
 use super::worker::WorkerKey;
-use crate::{Run, Size};
+use crate::{Run, Size, TaskId};
 
 /// How far a run is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +48,8 @@
     pub(crate) footprint: Size,
     /// When the start was sent, or when the run was adopted.
     pub(crate) began: Duration,
+    /// Whether its worker lists it as working at its full pace.
+    pub(crate) at_work: bool,
     /// The latest checkpoint seen.
     pub(crate) checkpoint: Box<str>,
 }
@@ -57,3 +60,24 @@
         self.phase != Phase::Ended
     }
 }
+
+impl Scheduler {
+    /// Adds a run that takes up room on its worker.
+    pub(super) fn add_attempt(&mut self, task: TaskId, attempt: Attempt) {
+        let worker = &mut self.workers[attempt.worker];
+        worker.used += attempt.footprint;
+        worker.runs += 1;
+        self.attempts.insert(task, attempt);
+    }
+
+    /// Removes a run and frees its room.
+    pub(super) fn remove_attempt(&mut self, task: TaskId) -> Option<Attempt> {
+        let attempt = self.attempts.swap_remove(&task)?;
+        let worker = &mut self.workers[attempt.worker];
+        worker.runs -= 1;
+        if attempt.holds_room() {
+            worker.used -= attempt.footprint;
+        }
+        Some(attempt)
+    }
+}
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::OrderAnswer;
+use super::{MachineOrder, OrderAnswer};
 use crate::state::EndKind;
 
 /// One decision with what decided it. Field names are the same in all events.
@@ -86,6 +86,24 @@
         /// Its state.
         state: crate::JobState,
     },
+    /// A machine was ordered elsewhere, or down.
+    Machine {
+        /// The machine.
+        machine: Box<str>,
+        /// Its pool.
+        pool: Box<str>,
+        /// Where it goes; none for maintenance.
+        to_pool: Option<Box<str>>,
+        /// The wave that asks for its maintenance.
+        wave: Option<u64>,
+    },
+    /// The platform's answer to that.
+    MachineAnswered {
+        /// The machine.
+        machine: Box<str>,
+        /// The answer.
+        answer: super::MachineAnswer,
+    },
     /// A worker is believed to be in another state.
     Worker {
         /// The worker.
@@ -99,6 +117,28 @@
     },
 }
 
+impl Decision {
+    pub(super) fn machine(name: &str, pool: &str, order: &MachineOrder) -> Decision {
+        let (to_pool, wave) = match order {
+            MachineOrder::Move { pool } => (Some(pool.clone()), None),
+            MachineOrder::Maintain { wave } => (None, Some(*wave)),
+        };
+        Decision::Machine {
+            machine: name.into(),
+            pool: pool.into(),
+            to_pool,
+            wave,
+        }
+    }
+
+    pub(super) fn machine_answer(name: &str, answer: super::MachineAnswer) -> Decision {
+        Decision::MachineAnswered {
+            machine: name.into(),
+            answer,
+        }
+    }
+}
+
 /// Why a run is stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cleat-jobs/src/schedule/event.rs
+++ b/crates/cleat-jobs/src/schedule/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Decision;
+use super::{Decision, MachineOrder, MachineView};
 use crate::state::{Command, WorkerRecord};
 use crate::{JobSpec, Run, StepId, TaskId};
 
@@ -33,6 +33,8 @@
         worker: Box<str>,
         /// When the hold was sent.
         sent_at: Duration,
+        /// The ends that it acknowledged.
+        acked: u64,
         /// What it lists.
         answer: HoldAnswer,
     },
@@ -52,6 +54,22 @@
         /// What it answered.
         answer: OrderAnswer,
     },
+    /// The platform's answer to [`Effect::ListMachines`].
+    MachinesListed {
+        /// When it was asked.
+        sent_at: Duration,
+        /// All machines; none if there was no whole answer.
+        machines: Option<Vec<MachineView>>,
+    },
+    /// What became of [`Effect::OrderMachine`].
+    MachineOrdered {
+        /// The machine.
+        machine: Box<str>,
+        /// What was ordered.
+        order: MachineOrder,
+        /// What the platform answered.
+        answer: MachineAnswer,
+    },
     /// A proposed command was not committed, or it is not known.
     ProposalFailed {
         /// The command.
@@ -196,7 +214,8 @@
 }
 
 /// What the platform answered about a machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum MachineAnswer {
     /// It is done or under way.
     Done,
@@ -234,6 +253,17 @@
         /// What it is told.
         order: TaskOrder,
     },
+    /// Ask the platform for all machines.
+    ListMachines,
+    /// Tell the platform something about a machine.
+    OrderMachine {
+        /// The machine.
+        machine: Box<str>,
+        /// The fencing token.
+        token: u64,
+        /// What it is told.
+        order: MachineOrder,
+    },
     /// Commit a command.
     Propose(Command),
     /// Write a line to the log.
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -0,0 +1,93 @@
+//! Machines as the platform lists them.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::Serialize;
+
+use crate::Size;
+
+/// What the platform says of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MachineState {
+    /// It works, or could.
+    Up,
+    /// It is on its way to another pool.
+    Moving,
+    /// It is being maintained.
+    Maintained,
+    /// It is away for another cause.
+    Down,
+}
+
+/// One machine as listed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MachineView {
+    /// Its name, which stays.
+    pub name: Box<str>,
+    /// The pool that it works for.
+    pub pool: Box<str>,
+    /// What it does.
+    pub state: MachineState,
+    /// The worker that runs there, if one does.
+    pub worker: Option<Box<str>>,
+    /// What it can hold.
+    pub capacity: Size,
+    /// Its labels.
+    pub labels: Vec<Box<str>>,
+}
+
+/// What is done with a machine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MachineOrder {
+    /// It goes to another pool.
+    Move {
+        /// The pool.
+        pool: Box<str>,
+    },
+    /// It is maintained.
+    Maintain {
+        /// The wave that asks for it.
+        wave: u64,
+    },
+}
+
+/// An order under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Ordered {
+    pub(crate) order: MachineOrder,
+    /// When it was sent last.
+    pub(crate) sent: Duration,
+    /// When the platform said that it is under way.
+    pub(crate) accepted: Option<Duration>,
+}
+
+/// One machine.
+#[derive(Clone, Debug)]
+pub(crate) struct Machine {
+    pub(crate) view: MachineView,
+    pub(crate) ordered: Option<Ordered>,
+    /// Since when nothing runs there.
+    pub(crate) idle_since: Option<Duration>,
+    /// The wave for which it is being emptied.
+    pub(crate) emptied_for: Option<u64>,
+    /// Since when the platform does not list it.
+    pub(crate) missing_since: Option<Duration>,
+}
+
+/// All machines that the platform listed.
+#[derive(Debug, Default)]
+pub(crate) struct Machines {
+    pub(crate) by_name: IndexMap<Box<str>, Machine>,
+    /// When the latest list was asked for; none before the first.
+    pub(crate) listed_at: Option<Duration>,
+    /// Whether a list is under way.
+    pub(crate) listing: bool,
+    /// When the next list is due.
+    pub(crate) list_due: Duration,
+    /// Moves that the platform refuses: the pool takes other machines.
+    pub(crate) refused: IndexSet<(Box<str>, Box<str>)>,
+    /// When each wave became known here.
+    pub(crate) wave_known: IndexMap<u64, Duration>,
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! Machines: which pool they work for, and when they are maintained.
+
+mod demand;
+mod evacuate;
+mod machine;
+mod moves;
+mod orders;
+mod waves;
+
+pub(super) use machine::Machines;
+pub use machine::{MachineOrder, MachineState, MachineView};
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -0,0 +1,246 @@
+//! Lists of machines, orders about them, and what becomes of both.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+
+use super::machine::{Machine, MachineOrder, MachineState, MachineView, Ordered};
+use crate::schedule::event::MachineAnswer;
+use crate::schedule::{Decision, Effect, Scheduler};
+use crate::state::{Command, ControlState};
+
+/// How often the machines are listed; a list is one call for 200 machines.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The same while an order is under way, so that its end is seen soon.
+const LIST_INTERVAL_BUSY: Duration = Duration::from_millis(400);
+/// How long after an order without a clear answer it is repeated. It is
+/// idempotent.
+const ORDER_RETRY: Duration = Duration::from_millis(700);
+/// How long an accepted order may take until the machine is listed as up. The
+/// platform needs 1.5 to 2 s.
+const ORDER_LIMIT: Duration = Duration::from_secs(8);
+
+impl Scheduler {
+    /// Looks after machines: called at each tick.
+    pub(in crate::schedule) fn tend_machines(&mut self, state: &ControlState) {
+        self.list_machines();
+        if self.machines.listed_at.is_none() {
+            return;
+        }
+        self.watch_idle();
+        self.settle_orders();
+        self.run_waves(state);
+        self.evacuate(state);
+        self.move_machines(state);
+    }
+
+    fn list_machines(&mut self) {
+        if self.machines.listing || self.now < self.machines.list_due {
+            return;
+        }
+        self.machines.listing = true;
+        self.effects.push(Effect::ListMachines);
+    }
+
+    pub(in crate::schedule) fn machines_listed(
+        &mut self,
+        sent_at: Duration,
+        list: Option<Vec<MachineView>>,
+    ) {
+        let mut machines = self.machines.by_name.values();
+        let busy = machines.any(|machine| machine.ordered.is_some());
+        let interval = if busy {
+            LIST_INTERVAL_BUSY
+        } else {
+            LIST_INTERVAL
+        };
+        self.machines.listing = false;
+        self.machines.list_due = self.now + interval;
+        let Some(list) = list else {
+            return;
+        };
+        self.machines.listed_at = Some(sent_at);
+        let names: IndexSet<Box<str>> = list.iter().map(|view| view.name.clone()).collect();
+        for view in list {
+            self.take_view(view, sent_at);
+        }
+        let now = self.now;
+        for (name, machine) in &mut self.machines.by_name {
+            if !names.contains(name) && machine.missing_since.is_none() {
+                machine.missing_since = Some(now);
+            }
+        }
+    }
+
+    fn take_view(&mut self, view: MachineView, sent_at: Duration) {
+        let Some(machine) = self.machines.by_name.get_mut(&view.name) else {
+            let machine = Machine {
+                ordered: None,
+                idle_since: None,
+                emptied_for: None,
+                missing_since: None,
+                view,
+            };
+            self.machines
+                .by_name
+                .insert(machine.view.name.clone(), machine);
+            return;
+        };
+        machine.missing_since = None;
+        // A list that was asked for before an order took effect is outdated.
+        let accepted = machine.ordered.as_ref().map(|ordered| ordered.accepted);
+        match accepted {
+            None => machine.view = view,
+            Some(Some(accepted)) if accepted < sent_at => machine.view = view,
+            Some(_) => {}
+        }
+    }
+
+    /// Ends the orders whose machine is up again, and repeats those that
+    /// have no clear answer.
+    fn settle_orders(&mut self) {
+        let listed_at = self.machines.listed_at.unwrap_or_default();
+        let names: Vec<Box<str>> = self.machines.by_name.keys().cloned().collect();
+        for name in names {
+            let machine = &mut self.machines.by_name[&name];
+            let Some(ordered) = &machine.ordered else {
+                continue;
+            };
+            match ordered.accepted {
+                Some(at) => {
+                    let up = machine.view.state == MachineState::Up && listed_at > at;
+                    if up || self.now > at + ORDER_LIMIT {
+                        machine.ordered = None;
+                        machine.idle_since = None;
+                    }
+                }
+                None if self.now >= ordered.sent + ORDER_RETRY => {
+                    let order = ordered.order.clone();
+                    self.send_machine_order(&name, order);
+                }
+                None => {}
+            }
+        }
+    }
+
+    pub(super) fn order_machine(&mut self, name: &str, order: MachineOrder) {
+        if let Some(worker) = self.worker_on(name) {
+            self.workers[worker].cordoned = true;
+        }
+        self.send_machine_order(name, order);
+    }
+
+    fn send_machine_order(&mut self, name: &str, order: MachineOrder) {
+        let now = self.now;
+        let Some(machine) = self.machines.by_name.get_mut(name) else {
+            return;
+        };
+        machine.ordered = Some(Ordered {
+            order: order.clone(),
+            sent: now,
+            accepted: None,
+        });
+        let decision = Decision::machine(name, &machine.view.pool, &order);
+        self.tell(decision);
+        self.effects.push(Effect::OrderMachine {
+            machine: name.into(),
+            token: self.owner.token,
+            order,
+        });
+    }
+
+    /// The worker that runs on a machine.
+    pub(super) fn worker_on(&self, name: &str) -> Option<crate::schedule::worker::WorkerKey> {
+        let machine = self.machines.by_name.get(name)?;
+        self.workers.key(machine.view.worker.as_deref()?)
+    }
+
+    pub(in crate::schedule) fn machine_ordered(
+        &mut self,
+        name: &str,
+        order: &MachineOrder,
+        answer: MachineAnswer,
+    ) {
+        let now = self.now;
+        let Some(machine) = self.machines.by_name.get_mut(name) else {
+            return;
+        };
+        let Some(ordered) = machine
+            .ordered
+            .as_mut()
+            .filter(|known| known.order == *order)
+        else {
+            return;
+        };
+        if ordered.accepted.is_some() {
+            return;
+        }
+        self.effects
+            .push(Effect::Tell(Decision::machine_answer(name, answer)));
+        match answer {
+            MachineAnswer::Done => {
+                ordered.accepted = Some(now);
+                self.machine_left(name, order);
+            }
+            MachineAnswer::Unknown => {}
+            MachineAnswer::Fenced => self.effects.push(Effect::Fenced {
+                worker: name.into(),
+            }),
+            MachineAnswer::Busy | MachineAnswer::Refused => {
+                machine.ordered = None;
+                if answer == MachineAnswer::Refused
+                    && let MachineOrder::Move { pool } = order
+                {
+                    let pair = (name.into(), pool.clone());
+                    self.machines.refused.insert(pair);
+                }
+                if let Some(worker) = self.worker_on(name) {
+                    self.workers[worker].cordoned = false;
+                }
+            }
+        }
+    }
+
+    /// A machine has gone down for an order: its worker's life is over.
+    fn machine_left(&mut self, name: &str, order: &MachineOrder) {
+        if let Some(worker) = self.worker_on(name) {
+            self.life_over(worker);
+        }
+        let Some(machine) = self.machines.by_name.get_mut(name) else {
+            return;
+        };
+        machine.view.worker = None;
+        match order {
+            MachineOrder::Move { pool } => {
+                machine.view.pool = pool.clone();
+                machine.view.state = MachineState::Moving;
+            }
+            MachineOrder::Maintain { wave } => {
+                machine.view.state = MachineState::Maintained;
+                machine.emptied_for = None;
+                let wave = *wave;
+                let machine = name.into();
+                self.propose(Command::Maintained { wave, machine });
+            }
+        }
+        self.machines.list_due = self.machines.list_due.min(self.now + LIST_INTERVAL_BUSY);
+    }
+
+    /// Notes since when each machine has been idle.
+    fn watch_idle(&mut self) {
+        let idle: Vec<(Box<str>, bool)> = self
+            .machines
+            .by_name
+            .iter()
+            .map(|(name, machine)| (name.clone(), self.is_idle(machine)))
+            .collect();
+        for (name, idle) in idle {
+            let machine = &mut self.machines.by_name[&name];
+            machine.idle_since = match machine.idle_since {
+                _ if !idle => None,
+                None => Some(self.now),
+                since => since,
+            };
+        }
+    }
+}
--- a/crates/cleat-jobs/src/schedule/hold.rs
+++ b/crates/cleat-jobs/src/schedule/hold.rs
@@ -15,6 +15,9 @@
 /// How long after a failed hold the next one is sent. Short against the
 /// lease, long against the time of a call (some milliseconds).
 const HOLD_RETRY: Duration = Duration::from_millis(300);
+/// How long the next hold waits for the commit of ends at most: a commit takes
+/// some 10 ms, and a hold that comes later acknowledges them as well.
+const COMMIT_LIMIT: Duration = Duration::from_millis(100);
 /// How long a worker may be silent before it counts as such: a hold, its
 /// wait, and one lost call.
 const SILENT_AFTER: Duration = Duration::from_millis(1_600);
@@ -64,6 +67,7 @@
         state: &ControlState,
         worker: &str,
         sent_at: Duration,
+        acked: u64,
         answer: HoldAnswer,
     ) {
         let Some(key) = self.workers.key(worker) else {
@@ -91,8 +95,18 @@
         }
         self.strays
             .retain(|(at, task, run), _| *at != key || listed.contains(&(*task, *run)));
-        self.workers[key].holding = false;
-        self.send_hold(key);
+        let has_strays = self.strays.keys().any(|(at, ..)| *at == key);
+        let now = self.now;
+        let worker = &mut self.workers[key];
+        worker.has_strays = has_strays;
+        worker.confirmed = worker.confirmed.max(acked);
+        worker.holding = false;
+        // The next hold acknowledges what is being committed.
+        if worker.proposed > worker.acked {
+            worker.hold_due = now + COMMIT_LIMIT;
+        } else {
+            self.send_hold(key);
+        }
     }
 
     /// Notes that a worker answered, with its clock.
@@ -186,6 +200,7 @@
             if !listed.checkpoint.is_empty() {
                 attempt.checkpoint = listed.checkpoint.clone();
             }
+            attempt.at_work = listed.percent >= 100;
             if attempt.phase == Phase::Starting {
                 attempt.phase = Phase::Running { known_at: now };
             }
@@ -282,13 +297,10 @@
 
     /// Takes a run as over: its task may be started again.
     pub(super) fn lose(&mut self, task: TaskId, reason: LossReason) {
-        let Some(attempt) = self.attempts.swap_remove(&task) else {
+        let Some(attempt) = self.remove_attempt(task) else {
             return;
         };
         let key = attempt.worker;
-        if attempt.holds_room() {
-            self.workers[key].used -= attempt.footprint;
-        }
         let worker = self.worker_name(key);
         self.tell(Decision::Lost {
             task: task.to_string().into(),
--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -73,6 +73,7 @@
             let worker = &mut self.workers[key];
             worker.acked = worker.acked.max(last.number);
             worker.proposed = worker.proposed.max(last.number);
+            worker.hold_due = self.now;
         }
         let mut jobs = IndexSet::new();
         for TaskEnd { end, .. } in ends {
@@ -82,6 +83,7 @@
         for id in jobs {
             self.go_on(state, id);
         }
+        self.send_holds();
         self.dirty = true;
     }
 
@@ -91,12 +93,8 @@
         let Some(attempt) = known.filter(|attempt| attempt.run == end.run) else {
             return;
         };
-        let (at, held_room, footprint) = (attempt.worker, attempt.holds_room(), attempt.footprint);
-        let checkpoint = attempt.checkpoint.clone();
-        self.attempts.swap_remove(&end.task);
-        if held_room {
-            self.workers[at].used -= footprint;
-        }
+        let (at, checkpoint) = (attempt.worker, attempt.checkpoint.clone());
+        self.remove_attempt(end.task);
         if end.kind == EndKind::Failed {
             self.blame(key.unwrap_or(at), end);
         }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod decision;
 mod event;
+mod fleet;
 mod hold;
 mod ledger;
 mod orders;
@@ -25,11 +26,13 @@
     Adviser, Beat, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer, Order,
     OrderAnswer, RunningTask, TaskOrder,
 };
+pub use fleet::{MachineOrder, MachineState, MachineView};
 pub use worker::WorkerState;
 
 use crate::state::{Command, ControlState, Owner};
 use crate::{JobId, Run, StepId, TaskId};
 use attempt::Attempt;
+use fleet::Machines;
 use step::ActiveStep;
 use worker::{WorkerKey, Workers};
 
@@ -104,6 +107,7 @@
     timed: IndexMap<(JobId, u32), u64>,
     /// Jobs that are over, oldest first, with the time since which they are.
     over: std::collections::VecDeque<(Duration, JobId)>,
+    machines: Machines,
     /// Set while something may have made room or work.
     dirty: bool,
     effects: Vec<Effect>,
@@ -131,6 +135,7 @@
             starts: IndexMap::new(),
             timed: IndexMap::new(),
             over: std::collections::VecDeque::new(),
+            machines: Machines::default(),
             dirty: true,
             effects: Vec::new(),
         };
@@ -170,14 +175,21 @@
             Event::HoldAnswered {
                 worker,
                 sent_at,
+                acked,
                 answer,
-            } => self.hold_answered(state, &worker, sent_at, answer),
+            } => self.hold_answered(state, &worker, sent_at, acked, answer),
             Event::HoldFailed { worker, other_life } => self.hold_failed(&worker, other_life),
             Event::Ordered {
                 worker,
                 order,
                 answer,
             } => self.ordered(state, &worker, &order, answer),
+            Event::MachinesListed { sent_at, machines } => self.machines_listed(sent_at, machines),
+            Event::MachineOrdered {
+                machine,
+                order,
+                answer,
+            } => self.machine_ordered(&machine, &order, answer),
             Event::ProposalFailed { command } => self.proposal_failed(&command),
         }
     }
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -153,12 +153,9 @@
 
     /// Takes back a start that certainly has no effect.
     fn withdraw(&mut self, state: &ControlState, task: TaskId) {
-        let Some(attempt) = self.attempts.swap_remove(&task) else {
+        let Some(attempt) = self.remove_attempt(task) else {
             return;
         };
-        if attempt.holds_room() {
-            self.workers[attempt.worker].used -= attempt.footprint;
-        }
         if state.jobs.contains_key(&task.job()) {
             self.requeue(task, attempt.worker, attempt.checkpoint);
         }
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -1,5 +1,7 @@
 //! Which task starts on which worker.
 
+use indexmap::IndexMap;
+
 use super::attempt::{Attempt, Phase};
 use super::event::{Order as Ordered, TaskOrder};
 use super::step::Order;
@@ -15,9 +17,11 @@
 /// Bounds the time of a pass while a pool is full: some 10 us.
 const MISFITS: usize = 40;
 
-/// The workers of a pool that take work, during one pass.
-struct Candidates {
-    keys: Vec<WorkerKey>,
+/// A pass over one pool.
+struct Pass {
+    candidates: Vec<WorkerKey>,
+    /// How many steps found no place for all their tasks.
+    misfits: usize,
 }
 
 impl Scheduler {
@@ -33,34 +37,30 @@
             return;
         }
         ready.sort_unstable();
-        let mut pools: indexmap::IndexMap<Box<str>, (Candidates, usize)> =
-            indexmap::IndexMap::new();
+        let mut pools: IndexMap<Box<str>, Pass> = IndexMap::new();
         for (_, id) in ready {
             let Some(step) = self.steps.get(&id) else {
                 continue;
             };
-            let pool = step.pool.clone();
-            let (candidates, misfits) = pools
-                .entry(pool)
-                .or_insert_with_key(|pool| (self.candidates(pool), 0));
-            if candidates.keys.is_empty() || *misfits >= MISFITS {
+            let pass = pools
+                .entry(step.pool.clone())
+                .or_insert_with_key(|pool| Pass {
+                    candidates: self.candidates(pool),
+                    misfits: 0,
+                });
+            if pass.candidates.is_empty() || pass.misfits >= MISFITS {
                 continue;
             }
-            let keys = std::mem::take(&mut candidates.keys);
-            let left = self.place_step(state, id, &keys);
-            if let Some((candidates, misfits)) = pools.get_mut(&*self.steps[&id].pool) {
-                candidates.keys = keys;
-                *misfits += usize::from(left);
-            }
+            let left = self.place_step(state, id, &pass.candidates);
+            pass.misfits += usize::from(left);
         }
     }
 
-    fn candidates(&self, pool: &str) -> Candidates {
+    /// The workers of a pool that take work.
+    pub(super) fn candidates(&self, pool: &str) -> Vec<WorkerKey> {
         let takes = |worker: &Worker| *worker.record.pool == *pool && worker.takes_work(self.now);
         let keys = self.workers.iter().filter(|(_, worker)| takes(worker));
-        Candidates {
-            keys: keys.map(|(key, _)| key).collect(),
-        }
+        keys.map(|(key, _)| key).collect()
     }
 
     /// Starts tasks of a step as far as there is room; whether some are left.
@@ -141,7 +141,7 @@
 
     /// The worker for a task: near its data, and with the least room to spare,
     /// so that large tasks find theirs.
-    fn choose(
+    pub(super) fn choose(
         &self,
         id: StepId,
         index: u32,
@@ -197,7 +197,7 @@
     }
 
     fn roomiest_rack(&self, keys: &[WorkerKey]) -> Option<&str> {
-        let mut rooms: indexmap::IndexMap<&str, u64> = indexmap::IndexMap::new();
+        let mut rooms: IndexMap<&str, u64> = IndexMap::new();
         for key in keys {
             let worker = &self.workers[*key];
             if let Some(rack) = worker.record.rack.as_deref() {
@@ -220,15 +220,14 @@
     fn start(&mut self, task: TaskId, job: &Job, spec: &StepSpec, key: WorkerKey, run: Run) {
         let base = u64::from(self.owner.ordinal) * RUNS_AN_OWNER;
         let count = u32::try_from(run.0 - base).unwrap_or(u32::MAX);
-        self.starts.insert(task, count);
-        self.begun.insert(task.job());
         let footprint = spec.footprint();
         let checkpoint = self.checkpoint(task, job, spec);
         let free = self.workers[key].room();
         let Some(deadline_ms) = self.grant(key) else {
             return;
         };
-        self.workers[key].used += footprint;
+        self.starts.insert(task, count);
+        self.begun.insert(task.job());
         let Some(step) = self.steps.get_mut(&task.step) else {
             return;
         };
@@ -240,9 +239,10 @@
             phase: Phase::Starting,
             footprint,
             began: self.now,
+            at_work: false,
             checkpoint: checkpoint.clone(),
         };
-        self.attempts.insert(task, attempt);
+        self.add_attempt(task, attempt);
         self.tell_start(task, run, key, free, waited_ms, !checkpoint.is_empty());
         let order = Ordered::Start {
             spec: job.spec.clone(),
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -8,7 +8,7 @@
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
 use crate::state::{ControlState, Job};
-use crate::{JobId, StepId};
+use crate::{JobId, Size, StepId};
 
 /// A step whose tasks may be started.
 #[derive(Clone, Debug)]
@@ -23,6 +23,8 @@
     /// Whether an earlier owner may have started its tasks, so that one that
     /// no worker lists may still run on a worker that has not answered.
     pub(crate) inherited: bool,
+    /// What each of its tasks takes up.
+    pub(crate) footprint: Size,
     /// How many of its tasks run on each worker.
     pub(crate) placed: IndexMap<WorkerKey, u32>,
     /// The worker on which a task failed last.
@@ -127,6 +129,7 @@
             pending: (0..spec.count).filter(unstarted).collect(),
             since: self.now,
             inherited: job.accepted_at < self.owner.token,
+            footprint: spec.footprint(),
             placed: IndexMap::new(),
             failed_on: IndexMap::new(),
             checkpoints: IndexMap::new(),
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -65,11 +65,11 @@
             phase: Phase::Running { known_at: self.now },
             footprint,
             began: self.now,
+            at_work: listed.percent >= 100,
             checkpoint: listed.checkpoint.clone(),
         };
-        self.workers[key].used += footprint;
         self.begun.insert(task.job());
-        self.attempts.insert(task, attempt);
+        self.add_attempt(task, attempt);
         let worker = self.worker_name(key);
         self.tell(Decision::Adopted {
             task: task.to_string().into(),
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -15,6 +15,7 @@
         self.repeat_stops();
         self.start_due(state);
         self.forget_old();
+        self.tend_machines(state);
         // Pauses may have ended.
         self.dirty = true;
     }
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -57,6 +57,15 @@
     pub(crate) proposed: u64,
     /// Ends up to this number are in the replicated state.
     pub(crate) acked: u64,
+    /// The last hold that was answered acknowledged ends up to this number.
+    pub(crate) confirmed: u64,
+    /// Whether nothing is started here, since its machine is to go elsewhere.
+    pub(crate) cordoned: bool,
+    /// Whether it lists runs that should not be there.
+    pub(crate) has_strays: bool,
+    /// How many runs it is known to have, those included whose end is being
+    /// committed.
+    pub(crate) runs: usize,
     /// What its runs take up.
     pub(crate) used: Size,
     /// How many jobs in a row have failed here for the first time.
@@ -70,6 +79,10 @@
         Worker {
             acked: record.noted,
             proposed: record.noted,
+            confirmed: record.noted,
+            cordoned: false,
+            has_strays: false,
+            runs: 0,
             record,
             state: WorkerState::Unseen,
             draining: false,
@@ -96,7 +109,8 @@
 
     /// Whether work may be started here.
     pub(crate) fn takes_work(&self, now: Duration) -> bool {
-        self.state == WorkerState::Live && !self.draining && now >= self.shunned_until
+        let stays = !self.draining && !self.cordoned;
+        self.state == WorkerState::Live && stays && now >= self.shunned_until
     }
 
     /// What its clock shows by now, as far as is known.
--- a/crates/cleat-settings/src/roles/control.rs
+++ b/crates/cleat-settings/src/roles/control.rs
@@ -30,6 +30,9 @@
     pub losses_to_bear: usize,
     /// Where it keeps its part of the state.
     pub data_folder: PathBuf,
+    /// Where the platform answers calls about machines, if it does.
+    #[serde(default)]
+    pub machines: Option<Box<str>>,
     /// How many processor cores it has; 1 runs all on one thread.
     #[serde(default = "one")]
     pub cores: usize,
--- a/crates/cleat-telemetry/src/appender.rs
+++ b/crates/cleat-telemetry/src/appender.rs
@@ -4,7 +4,7 @@
 
 use log::{LevelFilter, Record};
 use log4rs::append::Append;
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 use serde::Serialize;
 use snafu::ResultExt;
 
@@ -12,6 +12,8 @@
 use crate::{EventLog, TelemetryError};
 
 const LINES: &str = "lines";
+/// The library for calls between instances, which logs each of them.
+const CALLS: &str = "tarpc";
 
 /// One line of a `log` macro.
 #[derive(Serialize)]
@@ -43,7 +45,9 @@
 pub fn install_logs(events: &EventLog, level: LevelFilter) -> Result<(), TelemetryError> {
     let lines = Appender::builder().build(LINES, Box::new(events.clone()));
     let root = Root::builder().appender(LINES).build(level);
-    let config = Config::builder().appender(lines).build(root);
+    // One line a call, with the inner workings of calls between instances.
+    let calls = Logger::builder().build(CALLS, LevelFilter::Warn);
+    let config = Config::builder().appender(lines).logger(calls).build(root);
     let config = config.context(LogConfigSnafu)?;
     let installed = log4rs::init_config(config);
     installed.map(drop).or_else(|_| AlreadyStartedSnafu.fail())
