Keep inherited ends and silent workers from running a task twice or never

Ruled out: late answers of the workers; the logs show the new owner's start between list and commit. Change: a listed end without a run of ours keeps its task; a worker that leaves a hold unanswered gets no more time, no starts, and its tasks count as away.

--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -38,7 +38,7 @@
                 continue;
             };
             balance.needed += worker.used.cpu_milli;
-            let stays = worker.state == WorkerState::Live && !worker.draining && !worker.cordoned;
+            let stays = worker.answers() && !worker.draining && !worker.cordoned;
             if stays {
                 balance.offered += worker.record.capacity.cpu_milli;
                 balance.workers += 1;
--- a/crates/cleat-jobs/src/schedule/fleet/evacuate.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/evacuate.rs
@@ -54,7 +54,8 @@
     fn is_at_work(&self, task: TaskId) -> bool {
         let attempt = self.attempts.get(&task);
         attempt.is_some_and(|attempt| {
-            matches!(attempt.phase, Phase::Running { .. }) && attempt.at_work
+            let running = matches!(attempt.phase, Phase::Running { .. });
+            running && attempt.at_work && self.workers[attempt.worker].answers()
         })
     }
 
--- a/crates/cleat-jobs/src/schedule/hold.rs
+++ b/crates/cleat-jobs/src/schedule/hold.rs
@@ -15,12 +15,13 @@
 /// How long after a failed hold the next one is sent. Short against the
 /// lease, long against the time of a call (some milliseconds).
 const HOLD_RETRY: Duration = Duration::from_millis(300);
+/// The same after the first failure: a connection may have been reset.
+const FIRST_RETRY: Duration = Duration::from_millis(20);
 /// How long the next hold waits for the commit of ends at most: a commit takes
 /// some 10 ms, and a hold that comes later acknowledges them as well.
 const COMMIT_LIMIT: Duration = Duration::from_millis(100);
-/// How long a worker may be silent before it counts as such: a hold, its
-/// wait, and one lost call.
-const SILENT_AFTER: Duration = Duration::from_millis(1_600);
+/// How long a worker may leave holds unanswered before it counts as silent.
+const SILENT_AFTER: Duration = Duration::from_millis(800);
 
 impl Scheduler {
     /// Sends a hold to each worker for which one is due.
@@ -38,9 +39,7 @@
         let now = self.now;
         let worker = &mut self.workers[key];
         // The first call learns the clock, and the runs, at once.
-        let known = worker
-            .clock_ms(now)
-            .filter(|_| worker.state != WorkerState::Unseen);
+        let known = worker.clock_ms(now).filter(|_| worker.answers());
         let deadline_ms = known.map(|clock| clock + lease);
         let wait = if deadline_ms.is_some() {
             self.cfg.hold_wait
@@ -99,6 +98,7 @@
         let now = self.now;
         let worker = &mut self.workers[key];
         worker.has_strays = has_strays;
+        worker.listed_whole |= !answer.more_ended;
         worker.confirmed = worker.confirmed.max(acked);
         worker.holding = false;
         // The next hold acknowledges what is being committed.
@@ -123,6 +123,7 @@
             at: now,
         });
         worker.heard_at = Some(now);
+        worker.doubted_since = None;
         self.believe(key, WorkerState::Live);
     }
 
@@ -166,8 +167,11 @@
     fn take_end(&mut self, key: WorkerKey, listed: &TaskEnd) {
         let end = &listed.end;
         let Some(attempt) = self.attempts.get_mut(&end.task) else {
-            return;
+            return self.await_inherited_end(key, end);
         };
+        if attempt.phase == Phase::Ended && attempt.worker == key && attempt.run < end.run {
+            attempt.run = end.run;
+        }
         if attempt.worker != key || attempt.run != end.run || !attempt.holds_room() {
             return;
         }
@@ -243,7 +247,9 @@
         let now = self.now;
         let worker = &mut self.workers[key];
         worker.holding = false;
-        worker.hold_due = now + HOLD_RETRY;
+        let first = worker.doubted_since.is_none();
+        worker.doubted_since.get_or_insert(now);
+        worker.hold_due = now + if first { FIRST_RETRY } else { HOLD_RETRY };
     }
 
     /// Finds the workers that fell silent, and those whose lease is over.
@@ -271,8 +277,8 @@
     }
 
     fn is_silent(&self, key: WorkerKey) -> bool {
-        let heard_at = self.workers[key].heard_at.unwrap_or_default();
-        self.now > heard_at + self.cfg.hold_wait + SILENT_AFTER
+        let doubted = self.workers[key].doubted_since;
+        doubted.is_some_and(|since| self.now > since + SILENT_AFTER)
     }
 
     /// The life of a worker is over, and all that ran there with it.
--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -22,6 +22,7 @@
         let worker = &mut self.workers[key];
         // No earlier owner knew it, so nothing can run there.
         worker.state = worker::WorkerState::Silent;
+        worker.listed_whole = true;
         if let Some(beat) = beat {
             worker.draining = beat.draining;
             worker.last_sequence = beat.sequence;
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -9,7 +9,8 @@
 use super::event::RunningTask;
 use super::worker::{WorkerKey, WorkerState};
 use super::{Decision, Scheduler};
-use crate::state::ControlState;
+use crate::Size;
+use crate::state::{ControlState, End};
 
 impl Scheduler {
     pub(super) fn inherit(&mut self, state: &ControlState) {
@@ -34,8 +35,29 @@
     /// unknown any more.
     pub(super) fn knows_all_runs(&self, pool: &str) -> bool {
         let mut workers = self.workers.iter();
-        workers
-            .all(|(_, worker)| *worker.record.pool != *pool || worker.state != WorkerState::Unseen)
+        workers.all(|(_, worker)| *worker.record.pool != *pool || worker.is_known())
+    }
+
+    /// Keeps a task from being started while the end of a run that an earlier
+    /// owner started is being committed: the task may be done by it.
+    pub(super) fn await_inherited_end(&mut self, key: WorkerKey, end: &End) {
+        let Some(step) = self.steps.get_mut(&end.task.step) else {
+            return;
+        };
+        if !step.pending.contains(&end.task.index) {
+            return;
+        }
+        step.place(end.task.index, key);
+        let attempt = Attempt {
+            run: end.run,
+            worker: key,
+            phase: Phase::Ended,
+            footprint: Size::default(),
+            began: self.now,
+            at_work: false,
+            checkpoint: end.checkpoint.clone(),
+        };
+        self.add_attempt(end.task, attempt);
     }
 
     /// Takes over a run that a worker lists, if its task waits for a start.
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -49,6 +49,10 @@
     pub(crate) granted_ms: u64,
     /// When it last answered.
     pub(crate) heard_at: Option<Duration>,
+    /// Since when it leaves holds unanswered. Meanwhile its lease is not
+    /// extended, since calls without an answer may arrive all the same and
+    /// would put off the moment at which its lease is over for certain.
+    pub(crate) doubted_since: Option<Duration>,
     /// Whether a hold is under way.
     pub(crate) holding: bool,
     /// When the next hold is due while none is under way.
@@ -61,6 +65,8 @@
     pub(crate) confirmed: u64,
     /// Whether nothing is started here, since its machine is to go elsewhere.
     pub(crate) cordoned: bool,
+    /// Whether it has listed all its runs and ends to this owner.
+    pub(crate) listed_whole: bool,
     /// Whether it lists runs that should not be there.
     pub(crate) has_strays: bool,
     /// How many runs it is known to have, those included whose end is being
@@ -82,6 +88,7 @@
             confirmed: record.noted,
             cordoned: false,
             has_strays: false,
+            listed_whole: false,
             runs: 0,
             record,
             state: WorkerState::Unseen,
@@ -90,6 +97,7 @@
             clock: None,
             granted_ms: 0,
             heard_at: None,
+            doubted_since: None,
             holding: false,
             hold_due: now,
             used: Size::default(),
@@ -107,10 +115,25 @@
         self.record.labels.iter().any(|have| **have == *label)
     }
 
+    /// Whether it answers, as far as is known.
+    pub(crate) fn answers(&self) -> bool {
+        self.state == WorkerState::Live && self.doubted_since.is_none()
+    }
+
     /// Whether work may be started here.
     pub(crate) fn takes_work(&self, now: Duration) -> bool {
         let stays = !self.draining && !self.cordoned;
-        self.state == WorkerState::Live && stays && now >= self.shunned_until
+        self.answers() && stays && now >= self.shunned_until
+    }
+
+    /// Whether nothing that an earlier owner started here can be unknown: it
+    /// listed all of it, or its lease is over.
+    pub(crate) fn is_known(&self) -> bool {
+        match self.state {
+            WorkerState::Unseen => false,
+            WorkerState::Live | WorkerState::Silent => self.listed_whole,
+            WorkerState::Lapsed | WorkerState::Gone => true,
+        }
     }
 
     /// What its clock shows by now, as far as is known.
