Open links anew that go silent without a reset

Ruled out: the election (0.8 s after the restart) and the owner's start. Change: a call without an answer makes the link probe its connection, and open a new one if that has no answer either.

--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -7,7 +7,7 @@
 
 use super::attempt::{Attempt, Phase};
 use super::event::RunningTask;
-use super::worker::{WorkerKey, WorkerState};
+use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
 use crate::Size;
 use crate::state::{ControlState, End};
--- a/crates/cleat-link/src/link.rs
+++ b/crates/cleat-link/src/link.rs
@@ -12,7 +12,7 @@
 use tarpc::client::RpcError;
 use tarpc::context;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -27,6 +27,10 @@
 /// How long the other side may take to accept a batch of messages; past it
 /// the connection counts as dead and is opened anew.
 const DELIVER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long the other side may take to answer an empty batch after a call had
+/// no answer in time. A connection can go silent for good, with nothing to
+/// show it; some 100 times a round trip between data centres.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// The pause before a broken connection is opened again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Messages that wait for the connection; more are dropped, since consensus
@@ -74,6 +78,8 @@
     name: Box<str>,
     messages: mpsc::Sender<Message>,
     client: Arc<ArcSwapOption<C>>,
+    /// Told when a call had no answer.
+    doubt: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -83,10 +89,12 @@
         let (messages, rx) = mpsc::channel(MESSAGE_QUEUE);
         let client = Arc::new(ArcSwapOption::empty());
         let name = cfg.name.clone();
+        let doubt = Arc::new(Notify::new());
         let runner = Runner {
             cfg,
             traffic,
             client: client.clone(),
+            doubt: doubt.clone(),
             messages: rx,
         };
         let task = tokio::spawn(runner.run());
@@ -94,6 +102,7 @@
             name,
             messages,
             client,
+            doubt,
             task,
         }
     }
@@ -124,6 +133,7 @@
             Ok(Err(source)) => Err(CallError::Refused { name, source }),
             Err(error) => {
                 log::debug!("call to {name} failed: {error}");
+                self.doubt.notify_one();
                 Err(CallError::NoAnswer { name })
             }
         }
@@ -227,6 +237,7 @@
     cfg: LinkConfig,
     traffic: Arc<LinkTraffic>,
     client: Arc<ArcSwapOption<C>>,
+    doubt: Arc<Notify>,
     messages: mpsc::Receiver<Message>,
 }
 
@@ -257,11 +268,17 @@
     async fn pump(&mut self, client: &C) -> bool {
         let mut batch = Vec::new();
         loop {
-            if self.messages.recv_many(&mut batch, MESSAGE_QUEUE).await == 0 {
-                return true;
-            }
+            let limit = tokio::select! {
+                count = self.messages.recv_many(&mut batch, MESSAGE_QUEUE) => {
+                    if count == 0 {
+                        return true;
+                    }
+                    DELIVER_TIMEOUT
+                }
+                () = self.doubt.notified() => PROBE_TIMEOUT,
+            };
             let messages = std::mem::take(&mut batch);
-            let cx = context_for(DELIVER_TIMEOUT);
+            let cx = context_for(limit);
             if let Err(error) = client.deliver(cx, messages).await {
                 log::debug!("link to {} broke: {error}", self.cfg.name);
                 return false;
--- a/crates/cleat-telemetry/src/appender.rs
+++ b/crates/cleat-telemetry/src/appender.rs
@@ -12,7 +12,8 @@
 use crate::{EventLog, TelemetryError};
 
 const LINES: &str = "lines";
-/// The library for calls between instances, which logs each of them.
+/// The library for calls between instances, which logs each of them and each
+/// that has no answer; whoever calls reports that where it matters.
 const CALLS: &str = "tarpc";
 
 /// One line of a `log` macro.
@@ -45,8 +46,7 @@
 pub fn install_logs(events: &EventLog, level: LevelFilter) -> Result<(), TelemetryError> {
     let lines = Appender::builder().build(LINES, Box::new(events.clone()));
     let root = Root::builder().appender(LINES).build(level);
-    // One line a call, with the inner workings of calls between instances.
-    let calls = Logger::builder().build(CALLS, LevelFilter::Warn);
+    let calls = Logger::builder().build(CALLS, LevelFilter::Off);
     let config = Config::builder().appender(lines).logger(calls).build(root);
     let config = config.context(LogConfigSnafu)?;
     let installed = log4rs::init_config(config);
