Run the scheduler on seeded schedules of owners, workers and faults

Change: a model of workers (leases, fences, lists, closed runs), commits, orders and a check of the promises, driven by seeds; six protections can be switched off, each of which the check notices.

--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -18,8 +18,8 @@
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
     Adviser, Beat, Decision, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer,
-    MachineOrder, MachineState, MachineView, Order, OrderAnswer, RunningTask, Scheduler,
-    SchedulerConfig, TaskOrder, WorkerState,
+    MachineOrder, MachineState, MachineView, Order, OrderAnswer, Protections, RunningTask,
+    Scheduler, SchedulerConfig, TaskOrder, WorkerState,
 };
 pub use size::Size;
 pub use state::{
--- a/crates/cleat-jobs/src/schedule/hold.rs
+++ b/crates/cleat-jobs/src/schedule/hold.rs
@@ -39,7 +39,8 @@
         let now = self.now;
         let worker = &mut self.workers[key];
         // The first call learns the clock, and the runs, at once.
-        let known = worker.clock_ms(now).filter(|_| worker.answers());
+        let blind = !self.cfg.protections.no_blind_grants;
+        let known = worker.clock_ms(now).filter(|_| worker.answers() || blind);
         let deadline_ms = known.map(|clock| clock + lease);
         let wait = if deadline_ms.is_some() {
             self.cfg.hold_wait
@@ -261,7 +262,7 @@
                     self.believe(key, WorkerState::Lapsed);
                 }
                 WorkerState::Live if self.is_silent(key) => self.believe(key, WorkerState::Silent),
-                WorkerState::Silent if worker.is_lapsed(self.now, self.cfg.drift_percent) => {
+                WorkerState::Silent if self.is_over(key) => {
                     self.believe(key, WorkerState::Lapsed);
                     self.lose_all(key, LossReason::Lapsed);
                 }
@@ -276,6 +277,12 @@
         self.cfg.lapse() + SILENT_AFTER
     }
 
+    /// Whether a silent worker's lease is over.
+    fn is_over(&self, key: WorkerKey) -> bool {
+        let lapsed = self.workers[key].is_lapsed(self.now, self.cfg.drift_percent);
+        lapsed || !self.cfg.protections.lease_first
+    }
+
     fn is_silent(&self, key: WorkerKey) -> bool {
         let doubted = self.workers[key].doubted_since;
         doubted.is_some_and(|since| self.now > since + SILENT_AFTER)
@@ -329,7 +336,8 @@
 
     fn stop_stray(&mut self, key: WorkerKey, task: TaskId, run: Run) {
         let last = self.strays.get(&(key, task, run));
-        if last.is_some_and(|last| self.now < *last + HOLD_RETRY) {
+        let off = !self.cfg.protections.stop_strays;
+        if off || last.is_some_and(|last| self.now < *last + HOLD_RETRY) {
             return;
         }
         self.strays.insert((key, task, run), self.now);
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod orders;
 mod place;
+mod protections;
 mod step;
 mod takeover;
 mod tick;
@@ -27,6 +28,7 @@
     OrderAnswer, RunningTask, TaskOrder,
 };
 pub use fleet::{MachineOrder, MachineState, MachineView};
+pub use protections::Protections;
 pub use worker::WorkerState;
 
 use crate::state::{Command, ControlState, Owner};
@@ -49,6 +51,9 @@
     pub remember: Duration,
     /// How much earlier than due an occurrence may start.
     pub early: Duration,
+    /// Test-only switches.
+    #[doc(hidden)]
+    pub protections: Protections,
 }
 
 impl Default for SchedulerConfig {
@@ -62,6 +67,7 @@
             drift_percent: 2,
             remember: Duration::from_secs(240),
             early: Duration::ZERO,
+            protections: Protections::default(),
         }
     }
 }
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -142,7 +142,7 @@
             worker,
             answer: answer.name(),
         });
-        if !answer.never_runs() {
+        if !answer.never_runs() && self.cfg.protections.close_doors {
             return self.stop(order.task, StopReason::InDoubt);
         }
         if matches!(answer, OrderAnswer::NoRoom | OrderAnswer::Unwell) {
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -72,7 +72,8 @@
             return false;
         };
         let step = &self.steps[&id];
-        if step.inherited && !self.knows_all_runs(&step.pool) {
+        let waits = step.inherited && self.cfg.protections.known_runs_first;
+        if waits && !self.knows_all_runs(&step.pool) {
             return false;
         }
         // Permissions are asked for by a part that is not built yet.
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -44,7 +44,8 @@
         let Some(step) = self.steps.get_mut(&end.task.step) else {
             return;
         };
-        if !step.pending.contains(&end.task.index) {
+        let waits = self.cfg.protections.inherited_ends;
+        if !waits || !step.pending.contains(&end.task.index) {
             return;
         }
         step.place(end.task.index, key);
--- /dev/null
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -0,0 +1,142 @@
+//! Seeded schedules of owners, workers and faults.
+
+mod simulation;
+
+use cleat_jobs::Protections;
+use simulation::{Fault, Plan, Violation, run};
+
+/// Seeds of the plans that have to hold.
+const SEEDS: u64 = 60;
+/// Seeds that are tried until a plan without a protection breaks a promise.
+const SEEDS_WITHOUT: u64 = 300;
+
+fn assert_holds(plan: &Plan) {
+    for seed in 0..SEEDS {
+        if let Err(violation) = run(plan, seed) {
+            panic!("seed {seed}: {violation}");
+        }
+    }
+}
+
+fn assert_red(plan: &Plan, expected: fn(&Violation) -> bool) {
+    let found = (0..SEEDS_WITHOUT).find_map(|seed| run(plan, seed).err().filter(expected));
+    assert!(
+        found.is_some(),
+        "the check must notice the missing protection"
+    );
+}
+
+fn runs_twice(violation: &Violation) -> bool {
+    matches!(
+        violation,
+        Violation::RunsTwice { .. } | Violation::StartsDone { .. }
+    )
+}
+
+fn stuck(violation: &Violation) -> bool {
+    matches!(violation, Violation::NotFinished { .. })
+}
+
+#[test]
+fn schedule_calm() {
+    assert_holds(&Plan::with(&[]));
+}
+
+#[test]
+fn schedule_owner_dies() {
+    assert_holds(&Plan::with(&[Fault::OwnerDies]));
+}
+
+#[test]
+fn schedule_worker_cut_off() {
+    assert_holds(&Plan::with(&[Fault::WorkerCut]));
+}
+
+#[test]
+fn schedule_worker_restarts() {
+    assert_holds(&Plan::with(&[Fault::WorkerRestarts]));
+}
+
+#[test]
+fn schedule_late_orders() {
+    assert_holds(&Plan::with(&[Fault::LateOrders]));
+}
+
+#[test]
+fn schedule_lost_answers() {
+    assert_holds(&Plan::with(&[Fault::LostAnswers]));
+}
+
+#[test]
+fn schedule_cancels() {
+    assert_holds(&Plan::with(&[Fault::Cancels]));
+}
+
+#[test]
+fn schedule_everything_at_once() {
+    assert_holds(&Plan::with(&Fault::ALL));
+}
+
+/// Each pair of faults, and each fault twice.
+#[test]
+fn matrix_pairs_of_faults() {
+    for first in Fault::ALL {
+        for second in Fault::ALL {
+            for seed in 0..6 {
+                let plan = Plan::with(&[first, second]);
+                if let Err(violation) = run(&plan, seed) {
+                    panic!("{first:?} and {second:?}, seed {seed}: {violation}");
+                }
+            }
+        }
+    }
+}
+
+fn without(faults: &[Fault], change: impl FnOnce(&mut Protections)) -> Plan {
+    let mut plan = Plan::with(faults);
+    change(&mut plan.protections);
+    plan
+}
+
+#[test]
+fn protection_known_runs_first() {
+    let plan = without(&[Fault::OwnerDies], |p| p.known_runs_first = false);
+    assert_red(&plan, runs_twice);
+}
+
+#[test]
+fn protection_inherited_ends() {
+    let plan = without(&[Fault::OwnerDies], |p| p.inherited_ends = false);
+    assert_red(&plan, runs_twice);
+}
+
+#[test]
+fn protection_close_doors() {
+    let plan = without(&[Fault::LateOrders], |p| p.close_doors = false);
+    assert_red(&plan, runs_twice);
+}
+
+#[test]
+fn protection_lease_first() {
+    let plan = without(&[Fault::WorkerCut], |p| p.lease_first = false);
+    assert_red(&plan, runs_twice);
+}
+
+#[test]
+fn protection_no_blind_grants() {
+    let plan = without(&[Fault::WorkerLost], |p| p.no_blind_grants = false);
+    assert_red(&plan, stuck);
+}
+
+#[test]
+fn protection_stop_strays() {
+    let plan = without(
+        &[Fault::Cancels, Fault::LateOrders, Fault::OwnerDies],
+        |p| {
+            p.stop_strays = false;
+        },
+    );
+    assert_red(&plan, |violation| {
+        matches!(violation, Violation::RunsCancelled { .. })
+    });
+}
--- /dev/null
+++ b/crates/cleat-jobs/tests/simulation/check.rs
@@ -0,0 +1,42 @@
+//! The promises.
+
+use std::fmt;
+
+use cleat_jobs::{JobId, Run, TaskId};
+
+/// A broken promise.
+#[derive(Clone, Debug)]
+pub(crate) enum Violation {
+    /// Two runs of a task at the same time.
+    RunsTwice { task: TaskId, ms: u128 },
+    /// A task that is done was started again.
+    StartsDone { task: TaskId, ms: u128 },
+    /// A step was started before one that it waits for was done.
+    OutOfOrder { task: TaskId, ms: u128 },
+    /// A run number did not rise.
+    RunFalls { task: TaskId, run: Run, after: Run },
+    /// A task was started more often after failures than its queue allows.
+    OverBudget { task: TaskId },
+    /// A cancelled job still runs.
+    RunsCancelled { task: TaskId, ms: u128 },
+    /// A job was neither done nor failed in time after the last fault.
+    NotFinished { job: JobId },
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Violation::RunsTwice { task, ms } => write!(f, "{task} runs twice at {ms} ms"),
+            Violation::StartsDone { task, ms } => write!(f, "{task} is done, started at {ms} ms"),
+            Violation::OutOfOrder { task, ms } => write!(f, "{task} starts too soon at {ms} ms"),
+            Violation::RunFalls { task, run, after } => {
+                write!(f, "{task} has run {run} after {after}")
+            }
+            Violation::OverBudget { task } => write!(f, "{task} starts after its last attempt"),
+            Violation::RunsCancelled { task, ms } => {
+                write!(f, "{task} of a cancelled job runs at {ms} ms")
+            }
+            Violation::NotFinished { job } => write!(f, "{job} is not finished"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/tests/simulation/mod.rs
@@ -0,0 +1,10 @@
+//! Owners, workers and faults on one seeded schedule, and what must hold.
+
+mod check;
+mod plan;
+mod worker;
+mod world;
+
+pub(crate) use check::Violation;
+pub(crate) use plan::{Fault, Plan};
+pub(crate) use world::run;
--- /dev/null
+++ b/crates/cleat-jobs/tests/simulation/worker.rs
@@ -0,0 +1,206 @@
+//! A model of a worker: what it runs, under which lease, for which owner.
+
+use std::time::Duration;
+
+use cleat_jobs::{
+    End, EndKind, HoldAnswer, HoldOrder, Order, OrderAnswer, Run, RunningTask, Size, TaskEnd,
+    TaskId, TaskOrder, WorkerRecord,
+};
+use indexmap::IndexMap;
+
+/// One run on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct SimRun {
+    pub(crate) run: Run,
+    pub(crate) ends_at: Duration,
+    pub(crate) kind: EndKind,
+    pub(crate) size: Size,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct SimWorker {
+    pub(crate) record: WorkerRecord,
+    pub(crate) up: bool,
+    /// Until when nothing reaches it or leaves it.
+    pub(crate) cut_until: Duration,
+    /// How fast its clock is, in percent.
+    pub(crate) clock_percent: u32,
+    pub(crate) clock_offset_ms: u64,
+    pub(crate) token: u64,
+    pub(crate) deadline_ms: u64,
+    pub(crate) runs: IndexMap<TaskId, SimRun>,
+    /// The highest run of each task that was stopped or ended here.
+    pub(crate) closed: IndexMap<TaskId, Run>,
+    pub(crate) ended: Vec<TaskEnd>,
+    pub(crate) numbers: u64,
+    pub(crate) sequence: u64,
+}
+
+impl SimWorker {
+    pub(crate) fn new(record: WorkerRecord, clock_percent: u32, clock_offset_ms: u64) -> SimWorker {
+        SimWorker {
+            record,
+            up: true,
+            cut_until: Duration::ZERO,
+            clock_percent,
+            clock_offset_ms,
+            token: 0,
+            deadline_ms: 0,
+            runs: IndexMap::new(),
+            closed: IndexMap::new(),
+            ended: Vec::new(),
+            numbers: 0,
+            sequence: 0,
+        }
+    }
+
+    pub(crate) fn clock_ms(&self, now: Duration) -> u64 {
+        let ms = u64::try_from(now.as_millis()).expect("a short run");
+        self.clock_offset_ms + ms * u64::from(self.clock_percent) / 100
+    }
+
+    pub(crate) fn reachable(&self, now: Duration) -> bool {
+        self.up && now >= self.cut_until
+    }
+
+    /// Ends what is due, and everything once the lease is over.
+    pub(crate) fn advance(&mut self, now: Duration) {
+        let lapsed = self.clock_ms(now) > self.deadline_ms;
+        let due: Vec<(TaskId, EndKind)> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| lapsed || run.ends_at <= now)
+            .map(|(task, run)| {
+                let kind = if run.ends_at <= now {
+                    run.kind
+                } else {
+                    EndKind::Lapsed
+                };
+                (*task, kind)
+            })
+            .collect();
+        for (task, kind) in due {
+            self.end(task, kind);
+        }
+    }
+
+    fn end(&mut self, task: TaskId, kind: EndKind) {
+        let Some(run) = self.runs.swap_remove(&task) else {
+            return;
+        };
+        self.close(task, run.run);
+        self.numbers += 1;
+        let end = End {
+            task,
+            run: run.run,
+            kind,
+            checkpoint: "".into(),
+        };
+        let number = self.numbers;
+        self.ended.push(TaskEnd { number, end });
+    }
+
+    fn close(&mut self, task: TaskId, run: Run) {
+        let closed = self.closed.entry(task).or_insert(run);
+        *closed = (*closed).max(run);
+    }
+
+    fn used(&self) -> Size {
+        self.runs
+            .values()
+            .fold(Size::default(), |sum, run| sum + run.size)
+    }
+
+    /// Carries an order out. A start tells how long and how it will run.
+    pub(crate) fn order(
+        &mut self,
+        now: Duration,
+        token: u64,
+        order: &TaskOrder,
+        planned: &SimRun,
+    ) -> OrderAnswer {
+        self.advance(now);
+        if token < self.token {
+            return OrderAnswer::Fenced;
+        }
+        self.token = token;
+        let TaskOrder { task, run, order } = order;
+        match order {
+            Order::Start { deadline_ms, .. } => self.start(now, *task, *run, *deadline_ms, planned),
+            Order::Stop => {
+                let there = self.runs.get(task).is_some_and(|known| known.run == *run);
+                if there {
+                    self.end(*task, EndKind::Stopped);
+                }
+                self.close(*task, *run);
+                OrderAnswer::Done
+            }
+            Order::Pace(_) => OrderAnswer::Done,
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        task: TaskId,
+        run: Run,
+        deadline_ms: u64,
+        planned: &SimRun,
+    ) -> OrderAnswer {
+        if self.clock_ms(now) > deadline_ms {
+            return OrderAnswer::Late;
+        }
+        self.deadline_ms = self.deadline_ms.max(deadline_ms);
+        if let Some(known) = self.runs.get(&task) {
+            return if known.run == run {
+                OrderAnswer::Done
+            } else {
+                OrderAnswer::Old
+            };
+        }
+        if self.closed.get(&task).is_some_and(|closed| run <= *closed) {
+            return OrderAnswer::Old;
+        }
+        if !planned
+            .size
+            .fits(self.record.capacity.saturating_sub(self.used()))
+        {
+            return OrderAnswer::NoRoom;
+        }
+        self.runs.insert(task, planned.clone());
+        OrderAnswer::Done
+    }
+
+    /// Takes a hold; the caller decides when it is answered.
+    pub(crate) fn hold(&mut self, now: Duration, order: &HoldOrder) -> bool {
+        self.advance(now);
+        if order.token < self.token {
+            return false;
+        }
+        self.token = order.token;
+        if let Some(deadline_ms) = order.deadline_ms {
+            self.deadline_ms = self.deadline_ms.max(deadline_ms);
+        }
+        self.ended.retain(|end| end.number > order.acked);
+        true
+    }
+
+    pub(crate) fn list(&mut self, now: Duration) -> HoldAnswer {
+        self.advance(now);
+        let running = |(task, run): (&TaskId, &SimRun)| RunningTask {
+            task: *task,
+            run: run.run,
+            checkpoint: "".into(),
+            percent: 100,
+            load: 0,
+        };
+        HoldAnswer {
+            clock_ms: self.clock_ms(now),
+            running: self.runs.iter().map(running).collect(),
+            ended: self.ended.clone(),
+            more_ended: false,
+            fenced: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -0,0 +1,621 @@
+//! The world: one clock, one replicated state, one owner at a time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cleat_jobs::{
+    Beat, Catalogue, Command, ControlState, Effect, EndKind, Event, HoldOrder, JobId, JobSpec,
+    JobState, Order, OrderAnswer, Pool, Queue, Run, Scheduler, SchedulerConfig, Size, StepSpec,
+    TaskId, TaskOrder, WorkerRecord,
+};
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::check::Violation;
+use super::plan::{Fault, Plan};
+use super::worker::{SimRun, SimWorker};
+
+/// Faults come until then.
+const FAULTS_END: Duration = Duration::from_secs(12);
+/// By then everything has to be finished: a lease, late orders and the work.
+const END: Duration = Duration::from_secs(60);
+/// How long a cancelled job may run on: late starts included.
+const CANCEL_LIMIT: Duration = Duration::from_secs(4);
+const TICK: Duration = Duration::from_millis(50);
+const BEAT: Duration = Duration::from_millis(1_500);
+const WORKERS: usize = 4;
+const JOBS: u64 = 12;
+const MAX_ATTEMPTS: u32 = 3;
+const CAPACITY: Size = Size {
+    cpu_milli: 8_000,
+    memory_mb: 8_000,
+    gpu: 0,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What happens at some time.
+enum Happening {
+    Tick,
+    Beat(usize),
+    Submit(JobId),
+    Cancel(JobId),
+    Fault(Fault),
+    TakeOver,
+    /// A command of the owner with this ordinal is committed.
+    Commit(u32, Command),
+    Hold(u32, usize, Box<str>, HoldOrder, Duration),
+    HoldDue(u32, usize, Box<str>, u64, Duration),
+    Order(u32, usize, Box<str>, u64, TaskOrder, bool),
+    Tell(u32, Event),
+}
+
+struct World {
+    plan: Plan,
+    rng: StdRng,
+    now: Duration,
+    queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
+    happenings: Vec<Option<Happening>>,
+    state: ControlState,
+    index: u64,
+    owner: Option<Scheduler>,
+    workers: Vec<SimWorker>,
+    lives: u64,
+    accepted: IndexMap<TaskId, Run>,
+    cancelled: IndexMap<JobId, Duration>,
+    /// Tasks that never succeed.
+    hopeless: Vec<JobId>,
+}
+
+/// Runs a schedule to its end.
+pub(crate) fn run(plan: &Plan, seed: u64) -> Result<(), Violation> {
+    let mut world = World::new(plan.clone(), seed);
+    while let Some(Reverse((at, _, slot))) = world.queue.pop() {
+        if at > END {
+            break;
+        }
+        world.now = at;
+        if let Some(happening) = world.happenings[slot].take() {
+            world.happen(happening)?;
+        }
+    }
+    world.check_end()
+}
+
+impl World {
+    fn new(plan: Plan, seed: u64) -> World {
+        let mut world = World {
+            plan,
+            rng: StdRng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            happenings: Vec::new(),
+            state: ControlState::default(),
+            index: 1,
+            owner: None,
+            workers: Vec::new(),
+            lives: 0,
+            accepted: IndexMap::new(),
+            cancelled: IndexMap::new(),
+            hopeless: Vec::new(),
+        };
+        world.begin();
+        world
+    }
+
+    fn begin(&mut self) {
+        self.apply(Command::Found);
+        self.apply(Command::Configure(Arc::new(catalogue())));
+        for at in 0..WORKERS {
+            let worker = self.new_life(at);
+            self.workers.push(worker);
+            self.after(ms(10 * at as u64), Happening::Beat(at));
+        }
+        self.after(Duration::ZERO, Happening::TakeOver);
+        self.after(Duration::ZERO, Happening::Tick);
+        for job in 0..JOBS {
+            let at = ms(self.rng.random_range(100..10_000));
+            self.after(at, Happening::Submit(JobId(job)));
+            let lasts = self.lasts(JobId(job));
+            if self.plan.has(Fault::Cancels) && (lasts || self.rng.random_bool(0.4)) {
+                let later = at + ms(self.rng.random_range(1..3_000));
+                self.after(later, Happening::Cancel(JobId(job)));
+            }
+        }
+        let faults = self.plan.faults.clone();
+        for fault in faults {
+            for _ in 0..2 {
+                let at = ms(self.rng.random_range(500..12_000));
+                self.after(at, Happening::Fault(fault));
+            }
+        }
+    }
+
+    /// Whether a job runs until it is cancelled.
+    fn lasts(&self, id: JobId) -> bool {
+        self.plan.has(Fault::Cancels) && id.0.is_multiple_of(4)
+    }
+
+    fn new_life(&mut self, at: usize) -> SimWorker {
+        self.lives += 1;
+        let record = WorkerRecord {
+            name: format!("w{at}-{}", self.lives).into(),
+            address: format!("10.0.0.{at}:1").into(),
+            pool: "pool".into(),
+            machine: None,
+            data_centre: "dc1".into(),
+            capacity: CAPACITY,
+            labels: Vec::new(),
+            rack: None,
+            noted: 0,
+        };
+        let percent = self.rng.random_range(98..=100);
+        SimWorker::new(record, percent, 1_000 * self.lives)
+    }
+
+    fn after(&mut self, delay: Duration, happening: Happening) {
+        let slot = self.happenings.len();
+        self.happenings.push(Some(happening));
+        let key = (self.now + delay, slot as u64, slot);
+        self.queue.push(Reverse(key));
+    }
+
+    fn delay(&mut self) -> Duration {
+        Duration::from_micros(self.rng.random_range(200..6_000))
+    }
+
+    fn happen(&mut self, happening: Happening) -> Result<(), Violation> {
+        match happening {
+            Happening::Tick => {
+                self.after(TICK, Happening::Tick);
+                self.check_workers()?;
+                let wall_ms = 1 + u64::try_from(self.now.as_millis()).expect("short");
+                self.feed(Event::Tick { wall_ms });
+            }
+            Happening::Beat(at) => self.beat(at),
+            Happening::Submit(id) => self.submit(id),
+            Happening::Cancel(id) => self.cancel(id),
+            Happening::Fault(fault) => self.strike(fault),
+            Happening::TakeOver => self.take_over(),
+            Happening::Commit(ordinal, command) => self.commit(ordinal, command),
+            Happening::Hold(ordinal, at, life, order, sent) => {
+                self.hold(ordinal, at, life, &order, sent);
+            }
+            Happening::HoldDue(ordinal, at, life, acked, sent) => {
+                self.hold_due(ordinal, at, life, acked, sent);
+            }
+            Happening::Order(ordinal, at, life, token, order, answered) => {
+                self.order(ordinal, at, life, token, order, answered)?;
+            }
+            Happening::Tell(ordinal, event) => {
+                if self.ordinal() == Some(ordinal) {
+                    self.feed(event);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn ordinal(&self) -> Option<u32> {
+        self.owner.as_ref().map(|owner| owner.owner().ordinal)
+    }
+
+    fn apply(&mut self, command: Command) {
+        self.index += 1;
+        self.state.apply(self.index, command.clone());
+        let command = Arc::new(command);
+        self.feed(Event::Applied { command });
+    }
+
+    fn feed(&mut self, event: Event) {
+        let Some(mut owner) = self.owner.take() else {
+            return;
+        };
+        let effects = owner.handle(&self.state, [event], self.now);
+        let ordinal = owner.owner().ordinal;
+        self.owner = Some(owner);
+        for effect in effects {
+            self.carry_out(ordinal, effect);
+        }
+    }
+
+    fn carry_out(&mut self, ordinal: u32, effect: Effect) {
+        let delay = self.delay();
+        match effect {
+            Effect::Hold {
+                worker,
+                address,
+                order,
+            } => {
+                let at = place(&address);
+                self.after(delay, Happening::Hold(ordinal, at, worker, order, self.now));
+            }
+            Effect::Order {
+                worker,
+                address,
+                token,
+                order,
+            } => self.send_order(ordinal, place(&address), worker, token, order),
+            Effect::Propose(command) => {
+                let delay = ms(self.rng.random_range(5..20));
+                self.after(delay, Happening::Commit(ordinal, command));
+            }
+            Effect::Fenced { .. } => self.owner = None,
+            Effect::Tell(_) | Effect::ListMachines | Effect::OrderMachine { .. } => {}
+        }
+    }
+
+    /// An order arrives soon, or late and without an answer.
+    fn send_order(
+        &mut self,
+        ordinal: u32,
+        at: usize,
+        life: Box<str>,
+        token: u64,
+        order: TaskOrder,
+    ) {
+        let late =
+            self.plan.has(Fault::LateOrders) && self.in_faults() && self.rng.random_bool(0.1);
+        let lost =
+            self.plan.has(Fault::LostAnswers) && self.in_faults() && self.rng.random_bool(0.1);
+        let delay = if late {
+            ms(self.rng.random_range(2_000..12_000))
+        } else {
+            self.delay()
+        };
+        if late || lost {
+            let event = unanswered(&life, &order);
+            self.after(ms(400), Happening::Tell(ordinal, event));
+        }
+        let answered = !late && !lost;
+        let arrives = Happening::Order(ordinal, at, life, token, order, answered);
+        self.after(delay, arrives);
+    }
+
+    fn in_faults(&self) -> bool {
+        self.now < FAULTS_END
+    }
+
+    fn beat(&mut self, at: usize) {
+        self.after(BEAT, Happening::Beat(at));
+        let worker = &mut self.workers[at];
+        if !worker.reachable(self.now) {
+            return;
+        }
+        worker.sequence += 1;
+        let beat = Beat {
+            record: worker.record.clone(),
+            draining: false,
+            drain_remaining_ms: 0,
+            sequence: worker.sequence,
+        };
+        self.feed(Event::Beat(beat));
+    }
+
+    fn submit(&mut self, id: JobId) {
+        if self.owner.is_none() {
+            return self.after(ms(300), Happening::Submit(id));
+        }
+        if self.rng.random_bool(0.1) {
+            self.hopeless.push(id);
+        }
+        let queue = self.state.catalogue.as_ref().expect("configured").queues[0].clone();
+        let lasts = self.lasts(id);
+        let spec = Arc::new(spec(&mut self.rng, lasts));
+        self.apply(Command::Submit { id, queue, spec });
+    }
+
+    fn cancel(&mut self, id: JobId) {
+        if self.owner.is_none() || self.state.job_state(id).is_none() {
+            return self.after(ms(300), Happening::Cancel(id));
+        }
+        if self.state.job_state(id) == Some(JobState::Active) {
+            self.cancelled.insert(id, self.now);
+        }
+        self.apply(Command::Cancel { id });
+    }
+
+    fn strike(&mut self, fault: Fault) {
+        let at = self.rng.random_range(0..WORKERS);
+        match fault {
+            Fault::OwnerDies => {
+                self.owner = None;
+                self.settle_commits();
+                let delay = ms(self.rng.random_range(50..3_000));
+                self.after(delay, Happening::TakeOver);
+            }
+            Fault::WorkerCut => {
+                self.workers[at].cut_until = self.now + ms(self.rng.random_range(300..9_000));
+            }
+            Fault::WorkerLost => {
+                // One stays, or nothing can be finished.
+                if at > 0 {
+                    self.workers[at].up = false;
+                }
+            }
+            Fault::WorkerRestarts => {
+                if self.workers[at].up {
+                    let life = self.new_life(at);
+                    self.workers[at] = life;
+                }
+            }
+            Fault::LateOrders | Fault::LostAnswers | Fault::Cancels => {}
+        }
+    }
+
+    /// What a lost owner proposed was committed, or never will be.
+    fn settle_commits(&mut self) {
+        for slot in 0..self.happenings.len() {
+            if !matches!(self.happenings[slot], Some(Happening::Commit(..))) {
+                continue;
+            }
+            let Some(Happening::Commit(_, command)) = self.happenings[slot].take() else {
+                continue;
+            };
+            if self.rng.random_bool(0.5) {
+                self.apply(command);
+            }
+        }
+    }
+
+    fn take_over(&mut self) {
+        if self.owner.is_some() {
+            return;
+        }
+        self.apply(Command::TakeOver { member: 1 });
+        let cfg = SchedulerConfig {
+            protections: self.plan.protections,
+            ..SchedulerConfig::default()
+        };
+        self.owner = Scheduler::new(cfg, &self.state, self.now);
+    }
+
+    fn commit(&mut self, ordinal: u32, command: Command) {
+        if self.ordinal() == Some(ordinal) {
+            self.apply(command);
+        }
+    }
+
+    fn hold(&mut self, ordinal: u32, at: usize, life: Box<str>, order: &HoldOrder, sent: Duration) {
+        let now = self.now;
+        let worker = &mut self.workers[at];
+        if !worker.reachable(now) {
+            let event = Event::HoldFailed {
+                worker: life,
+                other_life: false,
+            };
+            return self.after(order.wait + ms(500), Happening::Tell(ordinal, event));
+        }
+        if worker.record.name != life {
+            let event = Event::HoldFailed {
+                worker: life,
+                other_life: true,
+            };
+            let delay = self.delay();
+            return self.after(delay, Happening::Tell(ordinal, event));
+        }
+        if !worker.hold(now, order) {
+            return;
+        }
+        let wait = if worker.ended.is_empty() {
+            let next = worker.runs.values().map(|run| run.ends_at).min();
+            next.map_or(order.wait, |at| at.saturating_sub(now).min(order.wait))
+        } else {
+            Duration::ZERO
+        };
+        let due = Happening::HoldDue(ordinal, at, life, order.acked, sent);
+        self.after(wait, due);
+    }
+
+    fn hold_due(&mut self, ordinal: u32, at: usize, life: Box<str>, acked: u64, sent: Duration) {
+        let now = self.now;
+        let delay = self.delay();
+        let worker = &mut self.workers[at];
+        let event = if worker.reachable(now) && worker.record.name == life {
+            Event::HoldAnswered {
+                worker: life,
+                sent_at: sent,
+                acked,
+                answer: worker.list(now),
+            }
+        } else {
+            Event::HoldFailed {
+                worker: life,
+                other_life: false,
+            }
+        };
+        self.after(delay, Happening::Tell(ordinal, event));
+    }
+
+    fn order(
+        &mut self,
+        ordinal: u32,
+        at: usize,
+        life: Box<str>,
+        token: u64,
+        order: TaskOrder,
+        answered: bool,
+    ) -> Result<(), Violation> {
+        let now = self.now;
+        let planned = self.planned(&order);
+        let worker = &mut self.workers[at];
+        let answer = if !worker.reachable(now) {
+            let event = unanswered(&life, &order);
+            self.after(ms(400), Happening::Tell(ordinal, event));
+            return Ok(());
+        } else if worker.record.name != life {
+            OrderAnswer::OtherLife
+        } else {
+            let there = worker.runs.contains_key(&order.task);
+            let answer = worker.order(now, token, &order, &planned);
+            let started = matches!(order.order, Order::Start { .. }) && answer == OrderAnswer::Done;
+            if started && !there {
+                self.check_start(at, &order)?;
+            }
+            answer
+        };
+        if answered {
+            let event = Event::Ordered {
+                worker: life,
+                order,
+                answer,
+            };
+            let delay = self.delay();
+            self.after(delay, Happening::Tell(ordinal, event));
+        }
+        Ok(())
+    }
+
+    fn planned(&mut self, order: &TaskOrder) -> SimRun {
+        let hopeless = self.hopeless.contains(&order.task.job());
+        let kind = if hopeless || self.rng.random_bool(0.03) {
+            EndKind::Failed
+        } else {
+            EndKind::Done
+        };
+        let size = match &order.order {
+            Order::Start { spec, .. } => spec.steps[usize::from(order.task.step.step)].footprint(),
+            _ => Size::default(),
+        };
+        let span = if self.lasts(order.task.job()) {
+            END
+        } else {
+            ms(self.rng.random_range(50..1_500))
+        };
+        SimRun {
+            run: order.run,
+            ends_at: self.now + span,
+            kind,
+            size,
+        }
+    }
+
+    fn check_start(&mut self, at: usize, order: &TaskOrder) -> Result<(), Violation> {
+        let (task, run, now) = (order.task, order.run, self.now);
+        let ms = now.as_millis();
+        for (other, worker) in self.workers.iter_mut().enumerate() {
+            worker.advance(now);
+            if other != at && worker.up && worker.runs.contains_key(&task) {
+                return Err(Violation::RunsTwice { task, ms });
+            }
+        }
+        if let Some(after) = self
+            .accepted
+            .insert(task, run)
+            .filter(|after| run <= *after)
+        {
+            return Err(Violation::RunFalls { task, run, after });
+        }
+        let Some(job) = self.state.jobs.get(&task.job()) else {
+            return Ok(());
+        };
+        if job.is_task_done(task.step, task.index) {
+            return Err(Violation::StartsDone { task, ms });
+        }
+        if !job.is_step_due(task.step) {
+            return Err(Violation::OutOfOrder { task, ms });
+        }
+        let failures = job
+            .progress(task.step)
+            .map_or(0, |step| step.failures(task.index));
+        if failures >= MAX_ATTEMPTS {
+            return Err(Violation::OverBudget { task });
+        }
+        Ok(())
+    }
+
+    /// Nothing of a cancelled job may go on, but on a worker that was not
+    /// reachable.
+    fn check_workers(&mut self) -> Result<(), Violation> {
+        let (now, ms) = (self.now, self.now.as_millis());
+        if self.now < FAULTS_END + ms_of_late_orders() + CANCEL_LIMIT || self.owner.is_none() {
+            return Ok(());
+        }
+        for worker in &mut self.workers {
+            worker.advance(now);
+            for task in worker.runs.keys() {
+                if worker.up && self.cancelled.contains_key(&task.job()) {
+                    return Err(Violation::RunsCancelled { task: *task, ms });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn check_end(&self) -> Result<(), Violation> {
+        match self.state.jobs.keys().next() {
+            Some(job) => Err(Violation::NotFinished { job: *job }),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The latest that an order is carried out after it was sent.
+fn ms_of_late_orders() -> Duration {
+    ms(12_000)
+}
+
+fn unanswered(life: &str, order: &TaskOrder) -> Event {
+    Event::Ordered {
+        worker: life.into(),
+        order: order.clone(),
+        answer: OrderAnswer::Unknown,
+    }
+}
+
+fn place(address: &str) -> usize {
+    let digits = address.trim_start_matches("10.0.0.");
+    let (at, _) = digits.split_once(':').expect("an address of ours");
+    at.parse().expect("a number")
+}
+
+fn catalogue() -> Catalogue {
+    let queue = Queue {
+        name: "queue".into(),
+        host: "host".into(),
+        prefix: "/queue/".into(),
+        pool: "pool".into(),
+        priority: 0,
+        max_attempts: MAX_ATTEMPTS,
+        stretch: 1.5,
+        target_latency_ms: 500,
+        timeout_ms: 3_000,
+        advice: None,
+    };
+    let pool = Pool {
+        name: "pool".into(),
+        guards_capacity: true,
+        spare: false,
+        health_path: "/health".into(),
+    };
+    Catalogue::new(1, vec![queue], vec![pool], "{}".into()).expect("a valid catalogue")
+}
+
+fn spec(rng: &mut StdRng, lasts: bool) -> JobSpec {
+    let steps = (0..rng.random_range(1..4u16)).map(|step| StepSpec {
+        count: rng.random_range(1..6),
+        size: Size {
+            cpu_milli: rng.random_range(500..3_000),
+            memory_mb: rng.random_range(100..2_000),
+            gpu: 0,
+        },
+        estimate_ms: 500,
+        after: if step > 0 && !lasts {
+            vec![step - 1]
+        } else {
+            Vec::new()
+        },
+        long_running: lasts,
+        ..StepSpec::default()
+    });
+    JobSpec {
+        specification: "".into(),
+        steps: steps.collect(),
+        repeat: None,
+    }
+}
