--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -3,56 +3,121 @@
 use indexmap::IndexMap;
 
 use super::machine::{Machine, MachineOrder, MachineState};
+use crate::Size;
 use crate::schedule::Scheduler;
+use crate::schedule::timing::Prospect;
 use crate::schedule::worker::WorkerState;
 use crate::state::ControlState;
 
-/// The processor time of a pool, in thousandths of a core.
+/// Of the work that will be late anyway, the share in percent that machines
+/// are brought for. It is worth less than a tenth, but has to end some time.
+const LATE_PERCENT: u64 = 30;
+
+/// What a pool needs and has.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Balance {
-    /// What its tasks take up that run, or could.
-    pub(super) needed: u64,
+    /// What its tasks take up that run, or should.
+    pub(super) needed: Size,
     /// What its workers offer, those on their way included.
-    pub(super) offered: u64,
+    pub(super) offered: Size,
     /// How many workers that is.
     pub(super) workers: usize,
 }
 
+impl Balance {
+    fn offer(&mut self, size: Size) {
+        self.offered += size;
+        self.workers += 1;
+    }
+
+    /// This without a machine of that size.
+    pub(super) fn without(&self, size: Size) -> Balance {
+        Balance {
+            needed: self.needed,
+            offered: self.offered - size,
+            workers: self.workers.saturating_sub(1),
+        }
+    }
+
+    /// This with a machine of that size more.
+    pub(super) fn with(&self, size: Size) -> Balance {
+        let mut balance = *self;
+        balance.offer(size);
+        balance
+    }
+
+    /// Whether tasks of this size in all find room, with `percent` of it left
+    /// unused since tasks differ in size.
+    pub(super) fn suffices(&self, percent: u64) -> bool {
+        let stretch = |part: u64| part + part * percent / 100;
+        let needed = Size {
+            cpu_milli: stretch(self.needed.cpu_milli),
+            memory_mb: stretch(self.needed.memory_mb),
+            gpu: self.needed.gpu,
+        };
+        needed.fits(self.offered)
+    }
+
+    /// By how much the need exceeds the offer, in thousandths of the offer
+    /// and one machine more.
+    pub(super) fn lack_milli(&self) -> u64 {
+        let part = |needed: u64, offered: u64| {
+            needed.saturating_sub(offered) * 1_000 / offered.max(1)
+        };
+        let cpu = part(self.needed.cpu_milli, self.offered.cpu_milli);
+        cpu.max(part(self.needed.memory_mb, self.offered.memory_mb))
+    }
+}
+
 impl Scheduler {
     /// The balance of each pool that queues use.
-    pub(super) fn balances(&self, state: &ControlState) -> IndexMap<Box<str>, Balance> {
+    pub(super) fn balances(&mut self, state: &ControlState) -> IndexMap<Box<str>, Balance> {
         let mut pools: IndexMap<Box<str>, Balance> = IndexMap::new();
         if let Some(catalogue) = &state.catalogue {
             for queue in &catalogue.queues {
                 pools.entry(queue.pool.clone()).or_default();
             }
         }
+        self.add_work(&mut pools);
+        self.add_workers(&mut pools);
+        for (pool, balance) in &mut pools {
+            let forecast = self.times.forecast(pool, self.now) + self.lasting(pool);
+            balance.needed.cpu_milli = balance.needed.cpu_milli.max(forecast.cpu_milli);
+            balance.needed.memory_mb = balance.needed.memory_mb.max(forecast.memory_mb);
+        }
+        pools
+    }
+
+    fn add_work(&self, pools: &mut IndexMap<Box<str>, Balance>) {
         for step in self.steps.values() {
-            let count = step.pending.len() as u64;
-            if let Some(balance) = pools.get_mut(&step.pool) {
-                balance.needed += step.footprint.cpu_milli * count;
+            let Some(balance) = pools.get_mut(&step.pool) else {
+                continue;
+            };
+            let mut count = step.pending.len() as u64;
+            if self.step_prospect(step) != Prospect::InTime {
+                count = (count * LATE_PERCENT).div_ceil(100);
             }
+            balance.needed += step.footprint.times(count);
         }
+    }
+
+    fn add_workers(&self, pools: &mut IndexMap<Box<str>, Balance>) {
         for (_, worker) in self.workers.iter() {
             let Some(balance) = pools.get_mut(&worker.record.pool) else {
                 continue;
             };
-            balance.needed += worker.used.cpu_milli;
-            let stays = worker.answers() && !worker.draining && !worker.cordoned;
-            if stays {
-                balance.offered += worker.record.capacity.cpu_milli;
-                balance.workers += 1;
+            balance.needed += worker.used;
+            if worker.answers() && !worker.draining && !worker.cordoned {
+                balance.offer(worker.record.capacity);
             }
         }
         for machine in self.machines.by_name.values() {
             if let Some(pool) = self.arrives_in(machine)
                 && let Some(balance) = pools.get_mut(pool)
             {
-                balance.offered += machine.view.capacity.cpu_milli;
-                balance.workers += 1;
+                balance.offer(machine.view.capacity);
             }
         }
-        pools
     }
 
     /// The pool in which a machine is about to have a worker.
@@ -72,4 +137,14 @@
             || (view.state == MachineState::Up && view.worker.is_some() && !known);
         arrives.then_some(&*view.pool)
     }
+
+    /// What the tasks of a pool take up that run until they are cancelled.
+    fn lasting(&self, pool: &str) -> Size {
+        let steps = self.steps.values();
+        let lasting = steps.filter(|step| *step.pool == *pool && !step.order.ends);
+        lasting.fold(Size::default(), |sum, step| {
+            let placed: u32 = step.placed.values().sum();
+            sum + step.footprint.times(u64::from(placed))
+        })
+    }
 }
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use super::demand::Balance;
 use super::machine::{Machine, MachineOrder, MachineState};
 use crate::schedule::Scheduler;
@@ -16,42 +18,29 @@
 /// 12 in runs with full pools.
 const FRAGMENTATION_PERCENT: u64 = 10;
 
-/// A pool that lacks machines.
-struct Lack {
-    pool: Box<str>,
-    cpu_milli: u64,
-}
+/// The balance of each pool that queues use.
+type Balances = IndexMap<Box<str>, Balance>;
 
 impl Scheduler {
     /// Moves idle machines to pools whose tasks find no room, and back to the
     /// spare pool once they stay idle.
     pub(super) fn move_machines(&mut self, state: &ControlState) {
         let mut balances = self.balances(state);
-        let mut lacks: Vec<Lack> = balances
-            .iter()
-            .map(|(pool, balance)| lack(pool, balance))
-            .filter(|lack| lack.cpu_milli > 0)
-            .collect();
-        lacks.sort_by_key(|lack| std::cmp::Reverse(lack.cpu_milli));
-        for mut lack in lacks {
-            while lack.cpu_milli > 0
-                && let Some(name) = self.donor(state, &lack.pool, &balances)
-            {
-                let cpu = self.give(&name, &lack.pool, &mut balances);
-                lack.cpu_milli = lack.cpu_milli.saturating_sub(cpu);
-            }
+        while let Some(pool) = most_lacking(&balances) {
+            let Some(name) = self.donor(state, &pool, &balances) else {
+                // Nothing can be done for it; others may still find a donor.
+                balances.swap_remove(&pool);
+                continue;
+            };
+            self.give(&name, &pool, &mut balances);
         }
+        let mut balances = self.balances(state);
         self.send_back(state, &mut balances);
     }
 
-    /// An idle machine for a pool: a spare one, else one of a pool that has
-    /// more than it needs.
-    fn donor(
-        &self,
-        state: &ControlState,
-        pool: &str,
-        balances: &indexmap::IndexMap<Box<str>, Balance>,
-    ) -> Option<Box<str>> {
+    /// An idle machine for a pool: a spare one, else one of the pool that has
+    /// most to spare.
+    fn donor(&self, state: &ControlState, pool: &str, balances: &Balances) -> Option<Box<str>> {
         let rank = |machine: &Machine| {
             let view = &machine.view;
             if *view.pool == *pool || !self.may_move(machine, pool) {
@@ -60,10 +49,9 @@
             if is_spare(state, &view.pool) {
                 return Some((0, 0));
             }
-            let balance = balances.get(&view.pool)?;
-            let rest = balance.offered.saturating_sub(view.capacity.cpu_milli);
-            let spares = balance.workers > 1 && rest >= with_room(balance.needed);
-            let surplus = rest - balance.needed.min(rest);
+            let rest = balances.get(&view.pool)?.without(view.capacity);
+            let spares = rest.workers > 0 && rest.suffices(FRAGMENTATION_PERCENT);
+            let surplus = rest.offered.cpu_milli.saturating_sub(rest.needed.cpu_milli);
             spares.then_some((1, u64::MAX - surplus))
         };
         let machines = self.machines.by_name.iter();
@@ -100,51 +88,37 @@
             && !worker.has_strays
     }
 
-    fn give(
-        &mut self,
-        name: &str,
-        pool: &str,
-        balances: &mut indexmap::IndexMap<Box<str>, Balance>,
-    ) -> u64 {
+    fn give(&mut self, name: &str, pool: &str, balances: &mut Balances) {
         let Some(machine) = self.machines.by_name.get(name) else {
-            return u64::MAX;
+            return;
         };
-        let cpu = machine.view.capacity.cpu_milli.max(1);
+        let size = machine.view.capacity;
         if let Some(from) = balances.get_mut(&machine.view.pool) {
-            from.offered = from.offered.saturating_sub(cpu);
-            from.workers = from.workers.saturating_sub(1);
+            *from = from.without(size);
         }
         if let Some(to) = balances.get_mut(pool) {
-            to.offered += cpu;
-            to.workers += 1;
+            *to = to.with(size);
         }
         self.order_machine(name, MachineOrder::Move { pool: pool.into() });
-        cpu
     }
 
     /// Sends machines back that stay idle, but for one of each pool.
-    fn send_back(
-        &mut self,
-        state: &ControlState,
-        balances: &mut indexmap::IndexMap<Box<str>, Balance>,
-    ) {
+    fn send_back(&mut self, state: &ControlState, balances: &mut Balances) {
         let Some(spare) = spare_pool(state) else {
             return;
         };
         let names: Vec<Box<str>> = self.machines.by_name.keys().cloned().collect();
         for name in names {
             let machine = &self.machines.by_name[&name];
-            let pool = machine.view.pool.clone();
-            let cpu = machine.view.capacity.cpu_milli;
-            let idle = machine
-                .idle_since
-                .is_some_and(|since| self.now >= since + IDLE_LIMIT);
-            let Some(balance) = balances.get(&pool) else {
+            let size = machine.view.capacity;
+            let since = machine.idle_since;
+            let idle = since.is_some_and(|since| self.now >= since + IDLE_LIMIT);
+            let Some(balance) = balances.get(&machine.view.pool) else {
                 continue;
             };
             // One machine stays free for what comes next.
-            let rest = balance.offered.saturating_sub(2 * cpu);
-            let spares = balance.workers > 2 && rest >= with_room(balance.needed);
+            let rest = balance.without(size).without(size);
+            let spares = rest.workers > 0 && rest.suffices(FRAGMENTATION_PERCENT);
             if idle && spares && self.may_move(machine, &spare) {
                 self.give(&name, &spare, balances);
             }
@@ -152,16 +126,13 @@
     }
 }
 
-fn lack(pool: &str, balance: &Balance) -> Lack {
-    Lack {
-        pool: pool.into(),
-        cpu_milli: with_room(balance.needed).saturating_sub(balance.offered),
-    }
-}
-
-/// What has to be offered so that tasks of this size in all find room.
-fn with_room(needed: u64) -> u64 {
-    needed + needed * FRAGMENTATION_PERCENT / 100
+/// The pool that lacks most, if any does.
+fn most_lacking(balances: &Balances) -> Option<Box<str>> {
+    let lacking = balances
+        .iter()
+        .filter(|(_, balance)| !balance.suffices(FRAGMENTATION_PERCENT));
+    let most = lacking.max_by_key(|(_, balance)| balance.lack_milli());
+    most.map(|(pool, _)| pool.clone())
 }
 
 pub(super) fn is_spare(state: &ControlState, pool: &str) -> bool {
--- a/crates/cleat-jobs/src/schedule/hold.rs
+++ b/crates/cleat-jobs/src/schedule/hold.rs
@@ -9,7 +9,7 @@
 use super::event::{HoldAnswer, HoldOrder, RunningTask};
 use super::worker::{ClockReading, WorkerKey, WorkerState, millis};
 use super::{Beat, Decision, Effect, Scheduler};
-use crate::state::{Command, ControlState, EndKind, TaskEnd};
+use crate::state::{Command, ControlState, End, EndKind, TaskEnd};
 use crate::{Run, TaskId};
 
 /// How long after a failed hold the next one is sent. Short against the
@@ -81,7 +81,7 @@
             });
         }
         self.hear(key, answer.clock_ms);
-        self.take_ends(key, &answer.ended);
+        self.take_ends(state, key, &answer.ended);
         let listed: IndexSet<(TaskId, Run)> = answer
             .running
             .iter()
@@ -146,7 +146,7 @@
     }
 
     /// Frees the room of what ended, and has new ends committed.
-    fn take_ends(&mut self, key: WorkerKey, ended: &[TaskEnd]) {
+    fn take_ends(&mut self, state: &ControlState, key: WorkerKey, ended: &[TaskEnd]) {
         let proposed = self.workers[key].proposed;
         let ends: Vec<TaskEnd> = ended
             .iter()
@@ -158,14 +158,14 @@
         };
         self.workers[key].proposed = last.number;
         for end in &ends {
-            self.take_end(key, end);
+            self.take_end(state, key, end);
         }
         let worker = self.worker_name(key);
         self.propose(Command::Ends { worker, ends });
         self.dirty = true;
     }
 
-    fn take_end(&mut self, key: WorkerKey, listed: &TaskEnd) {
+    fn take_end(&mut self, state: &ControlState, key: WorkerKey, listed: &TaskEnd) {
         let end = &listed.end;
         let Some(attempt) = self.attempts.get_mut(&end.task) else {
             return self.await_inherited_end(key, end);
@@ -192,6 +192,18 @@
         });
         if end.kind == EndKind::Done {
             self.workers[key].failed_jobs = 0;
+            self.learn(state, end, self.now.saturating_sub(began));
+        }
+    }
+
+    /// Learns from a run how long its queue's tasks take. One that resumed
+    /// from a checkpoint says little, but few do.
+    fn learn(&mut self, state: &ControlState, end: &End, ran: Duration) {
+        let Some(job) = state.jobs.get(&end.task.job()) else {
+            return;
+        };
+        if let Some(spec) = job.step(end.task.step) {
+            self.times.learn(&job.queue.name, spec.estimate_ms, ran);
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -16,6 +16,7 @@
 mod step;
 mod takeover;
 mod tick;
+mod timing;
 mod worker;
 
 use std::time::Duration;
@@ -36,6 +37,7 @@
 use attempt::Attempt;
 use fleet::Machines;
 use step::ActiveStep;
+use timing::{Objective, Times};
 use worker::{WorkerKey, Workers};
 
 /// The durations of the scheduler. All owners use the same.
@@ -114,6 +116,9 @@
     /// Jobs that are over, oldest first, with the time since which they are.
     over: std::collections::VecDeque<(Duration, JobId)>,
     machines: Machines,
+    /// When each job that is not over should be done.
+    objectives: IndexMap<JobId, Objective>,
+    times: Times,
     /// Set while something may have made room or work.
     dirty: bool,
     effects: Vec<Effect>,
@@ -142,6 +147,8 @@
             timed: IndexMap::new(),
             over: std::collections::VecDeque::new(),
             machines: Machines::default(),
+            objectives: IndexMap::new(),
+            times: Times::default(),
             dirty: true,
             effects: Vec::new(),
         };
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -4,7 +4,8 @@
 
 use super::attempt::{Attempt, Phase};
 use super::event::{Order as Ordered, TaskOrder};
-use super::step::Order;
+use super::step::{ActiveStep, Order};
+use super::timing::Prospect;
 use super::worker::{Worker, WorkerKey, millis};
 use super::{Decision, Scheduler};
 use crate::state::{ControlState, Job};
@@ -27,18 +28,19 @@
 impl Scheduler {
     /// Starts what has a place, pool by pool.
     pub(super) fn place(&mut self, state: &ControlState) {
-        let mut ready: Vec<(Order, StepId)> = self
+        let mut ready: Vec<(Prospect, Order, StepId)> = self
             .steps
             .iter()
             .filter(|(_, step)| !step.pending.is_empty())
-            .map(|(id, step)| (step.order, *id))
+            .map(|(id, step)| (self.step_prospect(step), step.order, *id))
             .collect();
         if ready.is_empty() {
             return;
         }
-        ready.sort_unstable();
+        // The queue's class first, then what can still be in time.
+        ready.sort_unstable_by_key(|(prospect, order, _)| (order.priority, *prospect, *order));
         let mut pools: IndexMap<Box<str>, Pass> = IndexMap::new();
-        for (_, id) in ready {
+        for (_, _, id) in ready {
             let Some(step) = self.steps.get(&id) else {
                 continue;
             };
@@ -56,6 +58,15 @@
         }
     }
 
+    pub(super) fn step_prospect(&self, step: &ActiveStep) -> Prospect {
+        // A step that runs until it is cancelled has no end to be late with.
+        if step.order.ends {
+            self.prospect(step.order.step.job, step.left)
+        } else {
+            Prospect::InTime
+        }
+    }
+
     /// The workers of a pool that take work.
     pub(super) fn candidates(&self, pool: &str) -> Vec<WorkerKey> {
         let takes = |worker: &Worker| *worker.record.pool == *pool && worker.takes_work(self.now);
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -25,6 +25,8 @@
     pub(crate) inherited: bool,
     /// What each of its tasks takes up.
     pub(crate) footprint: Size,
+    /// How long the longest chain from this step on takes, itself included.
+    pub(crate) left: Duration,
     /// How many of its tasks run on each worker.
     pub(crate) placed: IndexMap<WorkerKey, u32>,
     /// The worker on which a task failed last.
@@ -33,12 +35,15 @@
     checkpoints: IndexMap<u32, Box<str>>,
 }
 
-/// Which step goes first: the more urgent, then the one that came first.
+/// Which step goes first, as far as it does not change with time: the more
+/// urgent, then the one that came first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Order {
     pub(crate) priority: u32,
     /// Steps that run until they are cancelled go before others.
     pub(crate) ends: bool,
+    /// Until when its job should be done, and which came first.
+    pub(crate) due: Duration,
     pub(crate) accepted_at: u64,
     pub(crate) step: StepId,
 }
@@ -74,6 +79,7 @@
             return;
         };
         self.live.insert(id);
+        self.meet_job(id, job);
         for occurrence in 0..job.spec.occurrences() {
             if job.is_occurrence_done(occurrence) {
                 continue;
@@ -118,10 +124,15 @@
         let unstarted = |index: &u32| {
             !job.is_task_done(id, *index) && !self.attempts.contains_key(&id.task(*index))
         };
+        let objective = self.objectives.get(&id.job);
+        let due = objective.map_or(self.now, |objective| objective.since + objective.span);
+        let chain = self.times.chain(&job.queue.name, &job.spec);
+        let left = chain.get(usize::from(id.step)).copied().unwrap_or_default();
         let step = ActiveStep {
             order: Order {
                 priority: job.queue.priority,
                 ends: !spec.long_running,
+                due,
                 accepted_at: job.accepted_at,
                 step: id,
             },
@@ -130,6 +141,7 @@
             since: self.now,
             inherited: job.accepted_at < self.owner.token,
             footprint: spec.footprint(),
+            left,
             placed: IndexMap::new(),
             failed_on: IndexMap::new(),
             checkpoints: IndexMap::new(),
@@ -155,6 +167,7 @@
         self.timed.retain(|(job, _), _| *job != id);
         self.starts.retain(|task, _| task.job() != id);
         self.begun.swap_remove(&id);
+        self.objectives.swap_remove(&id);
         self.stop_job(id);
         self.dirty = true;
     }
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -0,0 +1,175 @@
+//! How long work takes, and until when a job is worth doing first.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::Scheduler;
+use super::worker::millis;
+use crate::state::Job;
+use crate::{JobId, JobSpec, Queue, Size};
+
+/// The weight of one observed task in the ratio of its queue: some 20 tasks,
+/// which a queue has within a second, make it.
+const RATIO_WEIGHT: f64 = 0.05;
+/// Estimates are off by a factor of three either way where they are bad;
+/// beyond that a single task says nothing.
+const RATIO_RANGE: (f64, f64) = (0.2, 5.0);
+/// How many times its objective a job may take and still be worth something.
+const WORTHLESS_AFTER: u32 = 3;
+/// Over what time the arriving work is measured. Short against the time that a
+/// machine needs to come (1.5 s), long enough for some ten jobs of a busy
+/// queue.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(600);
+
+/// How urgent a job is by its time alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Prospect {
+    /// It can be done within its objective.
+    InTime,
+    /// It will be late, and is worth little.
+    Late,
+    /// It is worth nothing any more.
+    TooLate,
+}
+
+/// When a job should be done.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Objective {
+    /// When it was accepted, as far as this owner knows.
+    pub(crate) since: Duration,
+    /// How long it may take to be in time.
+    pub(crate) span: Duration,
+}
+
+/// What was learned of a queue.
+#[derive(Clone, Copy, Debug)]
+struct QueueTimes {
+    /// How much longer its tasks take than their estimates say.
+    ratio: f64,
+}
+
+/// Work that arrived in a pool.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: Duration,
+    /// Thousandths of a core, times milliseconds.
+    cpu_ms: u64,
+    /// MB, times milliseconds.
+    memory_ms: u64,
+}
+
+/// What is learned of queues and pools.
+#[derive(Debug, Default)]
+pub(crate) struct Times {
+    queues: IndexMap<Box<str>, QueueTimes>,
+    arrivals: IndexMap<Box<str>, VecDeque<Arrival>>,
+}
+
+impl Times {
+    fn ratio(&self, queue: &str) -> f64 {
+        self.queues.get(queue).map_or(1.0, |times| times.ratio)
+    }
+
+    /// Takes a task that was done into account.
+    pub(crate) fn learn(&mut self, queue: &str, estimate_ms: u64, ran: Duration) {
+        if estimate_ms == 0 {
+            return;
+        }
+        let (low, high) = RATIO_RANGE;
+        #[allow(clippy::cast_precision_loss)]
+        let seen = (millis(ran) as f64 / estimate_ms as f64).clamp(low, high);
+        let times = self
+            .queues
+            .entry(queue.into())
+            .or_insert(QueueTimes { ratio: 1.0 });
+        times.ratio += RATIO_WEIGHT * (seen - times.ratio);
+    }
+
+    /// How long a task of this estimate takes in a queue.
+    pub(crate) fn expect(&self, queue: &str, estimate_ms: u64) -> Duration {
+        Duration::from_millis(estimate_ms).mul_f64(self.ratio(queue))
+    }
+
+    /// How long the longest chain of a job's steps takes from each step on,
+    /// the step included.
+    pub(crate) fn chain(&self, queue: &str, spec: &JobSpec) -> Vec<Duration> {
+        let mut from = vec![Duration::ZERO; spec.steps.len()];
+        for at in (0..spec.steps.len()).rev() {
+            let after = spec.steps.iter().enumerate().skip(at + 1);
+            let later = after
+                .filter(|(_, step)| step.after.iter().any(|on| usize::from(*on) == at))
+                .map(|(next, _)| from[next])
+                .max();
+            let own = self.expect(queue, spec.steps[at].estimate_ms);
+            from[at] = own + later.unwrap_or_default();
+        }
+        from
+    }
+
+    fn arrive(&mut self, queue: &Queue, spec: &JobSpec, now: Duration) {
+        let mut arrival = Arrival {
+            at: now,
+            cpu_ms: 0,
+            memory_ms: 0,
+        };
+        for step in spec.steps.iter().filter(|step| !step.long_running) {
+            let ms = millis(self.expect(&queue.name, step.estimate_ms)) * u64::from(step.count);
+            let size = step.footprint();
+            arrival.cpu_ms += size.cpu_milli * ms;
+            arrival.memory_ms += size.memory_mb * ms;
+        }
+        let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
+        arrivals.push_back(arrival);
+    }
+
+    /// What a pool's tasks will take up if work goes on arriving as it did.
+    pub(crate) fn forecast(&mut self, pool: &str, now: Duration) -> Size {
+        let Some(arrivals) = self.arrivals.get_mut(pool) else {
+            return Size::default();
+        };
+        while arrivals
+            .pop_front_if(|arrival| arrival.at + ARRIVAL_WINDOW < now)
+            .is_some()
+        {}
+        let window = millis(ARRIVAL_WINDOW);
+        let sum = |part: fn(&Arrival) -> u64| arrivals.iter().map(part).sum::<u64>() / window;
+        Size {
+            cpu_milli: sum(|arrival| arrival.cpu_ms),
+            memory_mb: sum(|arrival| arrival.memory_ms),
+            gpu: 0,
+        }
+    }
+}
+
+impl Scheduler {
+    /// Notes when a job came and until when it should be done.
+    pub(super) fn meet_job(&mut self, id: JobId, job: &Job) {
+        let queue = &job.queue;
+        let chain = self.times.chain(&queue.name, &job.spec);
+        let longest = chain.into_iter().max().unwrap_or_default();
+        let latency = Duration::from_millis(queue.target_latency_ms);
+        let span = longest.mul_f64(queue.stretch.max(1.0)) + latency;
+        let since = self.now;
+        self.objectives.insert(id, Objective { since, span });
+        if job.accepted_at > self.owner.token {
+            self.times.arrive(queue, &job.spec, self.now);
+        }
+    }
+
+    /// Whether a job can be in time if this much of it is still to be done.
+    pub(super) fn prospect(&self, id: JobId, left: Duration) -> Prospect {
+        let Some(objective) = self.objectives.get(&id) else {
+            return Prospect::InTime;
+        };
+        let done = self.now + left;
+        if done <= objective.since + objective.span {
+            Prospect::InTime
+        } else if done <= objective.since + objective.span * WORTHLESS_AFTER {
+            Prospect::Late
+        } else {
+            Prospect::TooLate
+        }
+    }
+}
--- a/crates/cleat-jobs/src/size.rs
+++ b/crates/cleat-jobs/src/size.rs
@@ -31,6 +31,16 @@
         }
     }
 
+    /// This much for each of `count` tasks.
+    #[must_use]
+    pub fn times(self, count: u64) -> Size {
+        Size {
+            cpu_milli: self.cpu_milli * count,
+            memory_mb: self.memory_mb * count,
+            gpu: self.gpu * count,
+        }
+    }
+
     /// What is left of this without `other`; nothing of a resource where
     /// `other` has more.
     #[must_use]
--- /dev/null
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -0,0 +1,246 @@
+//! What several tests need: small jobs, queues, workers and an owner.
+
+#![allow(dead_code)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cleat_jobs::{
+    Beat, Catalogue, Command, ControlState, Effect, End, EndKind, Event, HoldAnswer, JobId, JobSpec,
+    Order, OrderAnswer, Pool, Queue, Run, RunningTask, Scheduler, SchedulerConfig, Size, StepId,
+    StepSpec, TaskEnd, TaskId, TaskOrder, WorkerRecord,
+};
+
+pub(crate) fn queue(name: &str, pool: &str) -> Queue {
+    Queue {
+        name: name.into(),
+        host: "host".into(),
+        prefix: format!("/{name}/").into(),
+        pool: pool.into(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.5,
+        target_latency_ms: 500,
+        timeout_ms: 3_000,
+        advice: None,
+    }
+}
+
+pub(crate) fn pool(name: &str, spare: bool) -> Pool {
+    Pool {
+        name: name.into(),
+        guards_capacity: true,
+        spare,
+        health_path: "/health".into(),
+    }
+}
+
+pub(crate) fn catalogue(version: u64) -> Arc<Catalogue> {
+    let queues = vec![queue("q", "a"), queue("r", "b")];
+    let pools = vec![pool("a", false), pool("b", false), pool("spare", true)];
+    Arc::new(Catalogue::new(version, queues, pools, "{}".into()).expect("valid"))
+}
+
+pub(crate) fn step(count: u32, cpu_milli: u64) -> StepSpec {
+    StepSpec {
+        count,
+        size: Size {
+            cpu_milli,
+            memory_mb: 100,
+            gpu: 0,
+        },
+        estimate_ms: 500,
+        ..StepSpec::default()
+    }
+}
+
+pub(crate) fn job(steps: Vec<StepSpec>) -> Arc<JobSpec> {
+    Arc::new(JobSpec {
+        specification: "what to do".into(),
+        steps,
+        repeat: None,
+    })
+}
+
+pub(crate) fn task(job: u64, step: u16, index: u32) -> TaskId {
+    let step = StepId {
+        job: JobId(job),
+        occurrence: 0,
+        step,
+    };
+    step.task(index)
+}
+
+pub(crate) fn record(name: &str, pool: &str) -> WorkerRecord {
+    WorkerRecord {
+        name: name.into(),
+        address: format!("{name}:1").into(),
+        pool: pool.into(),
+        machine: Some(format!("m-{name}").into()),
+        data_centre: "dc1".into(),
+        capacity: Size {
+            cpu_milli: 8_000,
+            memory_mb: 8_000,
+            gpu: 0,
+        },
+        labels: vec!["kind".into(), "rack".into()],
+        rack: Some("rack".into()),
+        noted: 0,
+    }
+}
+
+pub(crate) fn end(number: u64, task: TaskId, run: u64, kind: EndKind) -> TaskEnd {
+    let end = End {
+        task,
+        run: Run(run),
+        kind,
+        checkpoint: "".into(),
+    };
+    TaskEnd { number, end }
+}
+
+pub(crate) fn ends(worker: &str, ends: Vec<TaskEnd>) -> Command {
+    Command::Ends {
+        worker: worker.into(),
+        ends,
+    }
+}
+
+/// A replicated state and its owner, step by step.
+pub(crate) struct Bed {
+    pub(crate) state: ControlState,
+    pub(crate) owner: Scheduler,
+    pub(crate) now: Duration,
+    index: u64,
+}
+
+impl Bed {
+    /// An owner over workers `w1` and `w2` of pool `a`, which have answered.
+    pub(crate) fn new() -> Bed {
+        Bed::with_workers(&["w1", "w2"])
+    }
+
+    pub(crate) fn with_workers(workers: &[&str]) -> Bed {
+        let mut state = ControlState::default();
+        state.apply(1, Command::Found);
+        state.apply(2, Command::Configure(catalogue(1)));
+        state.apply(3, Command::TakeOver { member: 1 });
+        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO);
+        let mut bed = Bed {
+            state,
+            owner: owner.expect("owned"),
+            now: Duration::ZERO,
+            index: 3,
+        };
+        for worker in workers {
+            bed.add_worker(worker, "a");
+        }
+        bed
+    }
+
+    /// The next owner, which knows what is in the state only.
+    pub(crate) fn replace_owner(&mut self) {
+        self.index += 1;
+        self.state.apply(self.index, Command::TakeOver { member: 2 });
+        let owner = Scheduler::new(SchedulerConfig::default(), &self.state, self.now);
+        self.owner = owner.expect("owned");
+    }
+
+    pub(crate) fn add_worker(&mut self, name: &str, pool: &str) -> Vec<Effect> {
+        let beat = Beat {
+            record: record(name, pool),
+            draining: false,
+            drain_remaining_ms: 0,
+            sequence: 1,
+        };
+        self.feed(Event::Beat(beat));
+        self.apply(Command::AddWorker(record(name, pool)));
+        self.answer_hold(name, HoldAnswer::default())
+    }
+
+    pub(crate) fn feed(&mut self, event: Event) -> Vec<Effect> {
+        self.owner.handle(&self.state, [event], self.now)
+    }
+
+    pub(crate) fn apply(&mut self, command: Command) -> Vec<Effect> {
+        self.index += 1;
+        self.state.apply(self.index, command.clone());
+        let command = Arc::new(command);
+        self.feed(Event::Applied { command })
+    }
+
+    pub(crate) fn submit(&mut self, id: u64, steps: Vec<StepSpec>) -> Vec<Effect> {
+        let queue = self.state.catalogue.as_ref().expect("configured").queues[0].clone();
+        let (id, spec) = (JobId(id), job(steps));
+        self.apply(Command::Submit { id, queue, spec })
+    }
+
+    pub(crate) fn tick(&mut self, later: Duration) -> Vec<Effect> {
+        self.now += later;
+        self.feed(Event::Tick { wall_ms: 1 })
+    }
+
+    pub(crate) fn answer_hold(&mut self, worker: &str, mut answer: HoldAnswer) -> Vec<Effect> {
+        answer.clock_ms = 1_000 + u64::try_from(self.now.as_millis()).expect("short");
+        self.feed(Event::HoldAnswered {
+            worker: worker.into(),
+            sent_at: self.now,
+            acked: 0,
+            answer,
+        })
+    }
+
+    pub(crate) fn fail_hold(&mut self, worker: &str) -> Vec<Effect> {
+        self.feed(Event::HoldFailed {
+            worker: worker.into(),
+            other_life: false,
+        })
+    }
+
+    pub(crate) fn answer(&mut self, worker: &str, order: &TaskOrder, answer: OrderAnswer) -> Vec<Effect> {
+        self.feed(Event::Ordered {
+            worker: worker.into(),
+            order: order.clone(),
+            answer,
+        })
+    }
+}
+
+pub(crate) fn running(task: TaskId, run: u64) -> RunningTask {
+    RunningTask {
+        task,
+        run: Run(run),
+        checkpoint: "".into(),
+        percent: 100,
+        load: 0,
+    }
+}
+
+/// The starts among effects, with their workers.
+pub(crate) fn starts(effects: &[Effect]) -> Vec<(Box<str>, TaskOrder)> {
+    orders(effects, |order| matches!(order, Order::Start { .. }))
+}
+
+/// The stops among effects, with their workers.
+pub(crate) fn stops(effects: &[Effect]) -> Vec<(Box<str>, TaskOrder)> {
+    orders(effects, |order| matches!(order, Order::Stop))
+}
+
+fn orders(effects: &[Effect], wanted: fn(&Order) -> bool) -> Vec<(Box<str>, TaskOrder)> {
+    let order = |effect: &Effect| match effect {
+        Effect::Order { worker, order, .. } if wanted(&order.order) => {
+            Some((worker.clone(), order.clone()))
+        }
+        _ => None,
+    };
+    effects.iter().filter_map(order).collect()
+}
+
+/// The commands among effects.
+pub(crate) fn proposals(effects: &[Effect]) -> Vec<Command> {
+    let command = |effect: &Effect| match effect {
+        Effect::Propose(command) => Some(command.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(command).collect()
+}
--- /dev/null
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -0,0 +1,241 @@
+//! Single rules of the scheduler, each with the events that need it.
+
+mod scaffold;
+
+use std::time::Duration;
+
+use cleat_jobs::{Command, EndKind, Event, HoldAnswer, JobId, OrderAnswer, StepSpec};
+use scaffold::{Bed, end, ends, proposals, running, starts, step, stops, task};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn ended(ends: Vec<cleat_jobs::TaskEnd>) -> HoldAnswer {
+    HoldAnswer {
+        ended: ends,
+        ..HoldAnswer::default()
+    }
+}
+
+#[test]
+fn submit_starts_all_tasks_at_once() {
+    let mut bed = Bed::new();
+    let started = starts(&bed.submit(1, vec![step(3, 1_000)]));
+    assert_eq!(started.len(), 3);
+    assert!(started.iter().all(|(_, order)| order.run.0 == 1));
+}
+
+#[test]
+fn submit_beyond_the_room_waits() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let started = starts(&bed.submit(1, vec![step(3, 4_000)]));
+    assert_eq!(started.len(), 2, "8 cores hold two of 4");
+}
+
+#[test]
+fn end_listed_frees_the_room_at_once() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    bed.submit(1, vec![step(3, 4_000)]);
+    let answer = HoldAnswer {
+        running: vec![running(task(1, 0, 1), 1)],
+        ended: vec![end(1, task(1, 0, 0), 1, EndKind::Done)],
+        ..HoldAnswer::default()
+    };
+    let effects = bed.answer_hold("w1", answer);
+    assert_eq!(starts(&effects).len(), 1, "the third takes the place of the first");
+    let committed = proposals(&effects);
+    assert!(matches!(committed[..], [Command::Ends { .. }]), "{committed:?}");
+}
+
+#[test]
+fn next_step_starts_once_ends_are_committed() {
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 1_000)
+    };
+    let mut bed = Bed::new();
+    bed.submit(1, vec![step(1, 1_000), second]);
+    let listed = vec![end(1, task(1, 0, 0), 1, EndKind::Done)];
+    let before = bed.answer_hold("w1", ended(listed.clone()));
+    assert!(starts(&before).is_empty());
+    let after = bed.apply(ends("w1", listed));
+    assert_eq!(starts(&after)[0].1.task, task(1, 1, 0));
+}
+
+/// The end of a run that an earlier owner started is listed, but not in the
+/// state yet.
+#[test]
+fn takeover_listed_end_keeps_its_task() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    bed.submit(1, vec![step(1, 1_000)]);
+    bed.replace_owner();
+    let listed = vec![end(1, task(1, 0, 0), 1, EndKind::Done)];
+    let effects = bed.answer_hold("w1", ended(listed));
+    assert!(starts(&effects).is_empty(), "its end is being committed");
+}
+
+#[test]
+fn takeover_waits_for_every_worker_of_the_pool() {
+    let mut bed = Bed::new();
+    bed.submit(1, vec![step(1, 1_000)]);
+    bed.replace_owner();
+    let one = bed.answer_hold("w1", HoldAnswer::default());
+    assert!(starts(&one).is_empty(), "w2 may run it");
+    let listed = HoldAnswer {
+        running: vec![running(task(1, 0, 0), 1)],
+        ..HoldAnswer::default()
+    };
+    let both = bed.answer_hold("w2", listed);
+    assert!(starts(&both).is_empty(), "it runs on w2");
+}
+
+#[test]
+fn takeover_new_jobs_need_not_wait() {
+    let mut bed = Bed::new();
+    bed.replace_owner();
+    bed.answer_hold("w1", HoldAnswer::default());
+    let started = starts(&bed.submit(1, vec![step(1, 1_000)]));
+    assert_eq!(started.len(), 1, "no earlier owner can have started it");
+}
+
+#[test]
+fn takeover_run_numbers_rise() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let first = starts(&bed.submit(1, vec![step(1, 1_000)]))[0].1.run;
+    bed.replace_owner();
+    let second = starts(&bed.answer_hold("w1", HoldAnswer::default()))[0].1.run;
+    assert!(second > first, "{second} after {first}");
+}
+
+#[test]
+fn start_without_answer_is_stopped_before_another() {
+    let mut bed = Bed::new();
+    let (worker, order) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    let effects = bed.answer(&worker, &order, OrderAnswer::Unknown);
+    assert!(starts(&effects).is_empty(), "it may run");
+    let (_, stop) = stops(&effects).remove(0);
+    bed.answer(&worker, &stop, OrderAnswer::Done);
+    bed.now += ms(10);
+    let effects = bed.answer_hold(&worker, HoldAnswer::default());
+    let (_, again) = starts(&effects).remove(0);
+    assert!(again.run > order.run);
+}
+
+#[test]
+fn start_refused_for_room_goes_elsewhere() {
+    let mut bed = Bed::new();
+    let (worker, order) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    let effects = bed.answer(&worker, &order, OrderAnswer::NoRoom);
+    let (other, _) = starts(&effects).remove(0);
+    assert_ne!(other, worker);
+}
+
+/// Calls without an answer may arrive, so they put off the end of a lease.
+#[test]
+fn silent_worker_gets_no_more_time() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    bed.submit(1, vec![step(1, 1_000)]);
+    bed.fail_hold("w1");
+    let effects = bed.tick(ms(400));
+    let deadlines = effects.iter().filter_map(|effect| match effect {
+        cleat_jobs::Effect::Hold { order, .. } => Some(order.deadline_ms),
+        _ => None,
+    });
+    assert_eq!(deadlines.collect::<Vec<_>>(), vec![None]);
+}
+
+#[test]
+fn silent_worker_loses_its_tasks_after_its_lease() {
+    let mut bed = Bed::new();
+    let (silent, _) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    let other = if &*silent == "w1" { "w2" } else { "w1" };
+    bed.fail_hold(&silent);
+    let mut again = Vec::new();
+    let mut waited = Duration::ZERO;
+    while again.is_empty() && waited < ms(10_000) {
+        waited += ms(100);
+        let effects = bed.tick(ms(100));
+        again = starts(&effects);
+        bed.answer_hold(other, HoldAnswer::default());
+        bed.fail_hold(&silent);
+    }
+    assert!(waited >= ms(4_000), "not before the lease is over: {waited:?}");
+    assert_eq!(&*again[0].0, other);
+}
+
+#[test]
+fn cancel_stops_what_runs() {
+    let mut bed = Bed::new();
+    let started = starts(&bed.submit(1, vec![step(2, 1_000)]));
+    for (worker, order) in &started {
+        bed.answer(worker, order, OrderAnswer::Done);
+    }
+    let effects = bed.apply(Command::Cancel { id: JobId(1) });
+    assert_eq!(stops(&effects).len(), 2);
+}
+
+/// A start of a cancelled job that the worker carried out late.
+#[test]
+fn cancel_stops_what_a_worker_lists_later() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    bed.submit(1, vec![step(1, 1_000)]);
+    bed.apply(Command::Cancel { id: JobId(1) });
+    bed.replace_owner();
+    let listed = HoldAnswer {
+        running: vec![running(task(1, 0, 0), 1)],
+        ..HoldAnswer::default()
+    };
+    let effects = bed.answer_hold("w1", listed);
+    assert_eq!(stops(&effects)[0].1.task, task(1, 0, 0));
+}
+
+#[test]
+fn other_life_frees_its_tasks_at_once() {
+    let mut bed = Bed::new();
+    let (gone, _) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    let effects = bed.feed(Event::HoldFailed {
+        worker: gone.clone(),
+        other_life: true,
+    });
+    let (other, _) = starts(&effects).remove(0);
+    assert_ne!(other, gone);
+}
+
+#[test]
+fn max_per_worker_spreads_a_step() {
+    let apart = StepSpec {
+        max_per_worker: Some(1),
+        ..step(3, 100)
+    };
+    let mut bed = Bed::new();
+    let started = starts(&bed.submit(1, vec![apart]));
+    let mut workers: Vec<_> = started.into_iter().map(|(worker, _)| worker).collect();
+    workers.sort();
+    workers.dedup();
+    assert_eq!(workers.len(), 2, "two of three have a worker of their own");
+}
+
+#[test]
+fn gang_starts_whole_or_not_at_all() {
+    let gang = |count| StepSpec {
+        gang: true,
+        ..step(count, 3_000)
+    };
+    let mut bed = Bed::new();
+    assert!(starts(&bed.submit(1, vec![gang(5)])).is_empty(), "only 4 fit");
+    let started = starts(&bed.submit(2, vec![gang(4)]));
+    assert_eq!(started.len(), 4);
+    assert!(started.iter().all(|(_, order)| order.run == started[0].1.run));
+}
+
+#[test]
+fn required_label_is_kept() {
+    let needs = |label: &str| StepSpec {
+        required_label: Some(label.into()),
+        ..step(1, 100)
+    };
+    let mut bed = Bed::new();
+    assert!(starts(&bed.submit(1, vec![needs("gpu")])).is_empty());
+    assert_eq!(starts(&bed.submit(2, vec![needs("kind")])).len(), 1);
+}
--- /dev/null
+++ b/crates/cleat-jobs/tests/state.rs
@@ -0,0 +1,185 @@
+//! What commands do to the replicated state.
+
+mod scaffold;
+
+use cleat_jobs::{
+    Answer, Catalogue, Command, ControlState, EndKind, JobId, JobState, StepSpec, TaskId,
+};
+use scaffold::{catalogue, end, ends, job, pool, queue, record, step, task};
+
+fn with_job(steps: Vec<StepSpec>) -> ControlState {
+    let mut state = ControlState::default();
+    state.apply(1, Command::Configure(catalogue(1)));
+    state.apply(2, Command::AddWorker(record("w1", "a")));
+    let queue = state.catalogue.as_ref().expect("configured").queues[0].clone();
+    let (id, spec) = (JobId(7), job(steps));
+    state.apply(3, Command::Submit { id, queue, spec });
+    state
+}
+
+fn note(state: &mut ControlState, number: u64, task: TaskId, kind: EndKind) {
+    state.apply(10 + number, ends("w1", vec![end(number, task, number, kind)]));
+}
+
+#[test]
+fn apply_submit_twice_stays_one_job() {
+    let mut state = with_job(vec![step(2, 100)]);
+    note(&mut state, 1, task(7, 0, 0), EndKind::Done);
+    let before = state.clone();
+    let queue = state.catalogue.as_ref().expect("configured").queues[0].clone();
+    let (id, spec) = (JobId(7), job(vec![step(5, 100)]));
+    assert_eq!(state.apply(20, Command::Submit { id, queue, spec }), Answer::Done);
+    assert_eq!(state, before);
+}
+
+#[test]
+fn apply_ends_complete_the_job() {
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 100)
+    };
+    let mut state = with_job(vec![step(2, 100), second]);
+    note(&mut state, 1, task(7, 0, 0), EndKind::Done);
+    assert!(!state.jobs[&JobId(7)].is_step_due(task(7, 1, 0).step));
+    note(&mut state, 2, task(7, 0, 1), EndKind::Done);
+    assert!(state.jobs[&JobId(7)].is_step_due(task(7, 1, 0).step));
+    note(&mut state, 3, task(7, 1, 0), EndKind::Done);
+    assert_eq!(state.job_state(JobId(7)), Some(JobState::Completed));
+}
+
+#[test]
+fn apply_ends_listed_again_count_once() {
+    let mut state = with_job(vec![step(1, 100)]);
+    note(&mut state, 1, task(7, 0, 0), EndKind::Failed);
+    note(&mut state, 1, task(7, 0, 0), EndKind::Failed);
+    assert_eq!(state.job_state(JobId(7)), Some(JobState::Active), "one of two attempts");
+    note(&mut state, 2, task(7, 0, 0), EndKind::Failed);
+    assert_eq!(state.job_state(JobId(7)), Some(JobState::Failed));
+}
+
+#[test]
+fn apply_ends_other_kinds_cost_no_attempt() {
+    let mut state = with_job(vec![step(1, 100)]);
+    let kinds = [EndKind::Stopped, EndKind::Lapsed, EndKind::Broken, EndKind::Alone];
+    for (number, kind) in (1..).zip(kinds) {
+        note(&mut state, number, task(7, 0, 0), kind);
+    }
+    assert_eq!(state.job_state(JobId(7)), Some(JobState::Active));
+}
+
+#[test]
+fn apply_ends_long_running_never_ends_the_job() {
+    let lasting = StepSpec {
+        long_running: true,
+        ..step(1, 100)
+    };
+    let mut state = with_job(vec![lasting]);
+    for (number, kind) in (1..).zip([EndKind::Done, EndKind::Failed, EndKind::Failed]) {
+        note(&mut state, number, task(7, 0, 0), kind);
+    }
+    assert_eq!(state.job_state(JobId(7)), Some(JobState::Active));
+}
+
+#[test]
+fn apply_ends_one_member_stands_for_the_gang() {
+    let gang = StepSpec {
+        gang: true,
+        ..step(3, 100)
+    };
+    let mut state = with_job(vec![gang]);
+    note(&mut state, 1, task(7, 0, 2), EndKind::Done);
+    assert_eq!(state.job_state(JobId(7)), Some(JobState::Completed));
+}
+
+#[test]
+fn apply_ends_unknown_task_changes_nothing() {
+    let mut state = with_job(vec![step(1, 100)]);
+    note(&mut state, 1, task(7, 3, 0), EndKind::Done);
+    note(&mut state, 2, task(7, 0, 9), EndKind::Done);
+    note(&mut state, 3, task(8, 0, 0), EndKind::Done);
+    assert_eq!(state.job_state(JobId(7)), Some(JobState::Active));
+}
+
+#[test]
+fn apply_cancel_answers() {
+    let mut state = with_job(vec![step(1, 100)]);
+    let unknown = JobId(8);
+    assert_eq!(state.apply(20, Command::Cancel { id: unknown }), Answer::NoSuchJob);
+    let id = JobId(7);
+    assert_eq!(state.apply(21, Command::Cancel { id }), Answer::Done);
+    assert_eq!(state.apply(22, Command::Cancel { id }), Answer::Done, "sent again");
+    assert_eq!(state.job_state(id), Some(JobState::Cancelled));
+}
+
+#[test]
+fn apply_cancel_completed_job_stays_completed() {
+    let mut state = with_job(vec![step(1, 100)]);
+    note(&mut state, 1, task(7, 0, 0), EndKind::Done);
+    let answer = state.apply(20, Command::Cancel { id: JobId(7) });
+    assert_eq!(answer, Answer::Over(JobState::Completed));
+}
+
+#[test]
+fn apply_configure_highest_version_wins() {
+    let mut state = ControlState::default();
+    for version in [3, 9, 7] {
+        state.apply(version, Command::Configure(catalogue(version)));
+    }
+    assert_eq!(state.catalogue.expect("configured").version, 9);
+}
+
+#[test]
+fn apply_take_over_tokens_rise() {
+    let mut state = ControlState::default();
+    state.apply(4, Command::TakeOver { member: 1 });
+    let first = state.owner.expect("owned");
+    state.apply(9, Command::TakeOver { member: 1 });
+    let second = state.owner.expect("owned");
+    assert!(second.token > first.token);
+    assert_eq!((first.ordinal, second.ordinal), (0, 1));
+}
+
+#[test]
+fn snapshot_restores_everything() {
+    let mut state = with_job(vec![step(2, 100)]);
+    note(&mut state, 1, task(7, 0, 1), EndKind::Done);
+    state.apply(30, Command::TakeOver { member: 1 });
+    let restored = ControlState::restore(&state.snapshot()).expect("our own bytes");
+    assert_eq!(restored, state);
+}
+
+#[test]
+fn snapshot_of_another_kind_is_refused() {
+    assert!(ControlState::restore(b"not a snapshot, but some text").is_err());
+}
+
+#[test]
+fn route_longest_prefix_of_the_host() {
+    let mut short = queue("q", "a");
+    short.prefix = "/x/".into();
+    let mut long = queue("r", "a");
+    long.prefix = "/x/y/".into();
+    let queues = vec![short, long];
+    let catalogue = Catalogue::new(1, queues, vec![pool("a", false)], "".into()).expect("valid");
+    let name = |host, path| catalogue.route(host, path).map(|queue| &*queue.name);
+    assert_eq!(name("host", "/x/y/7"), Some("r"));
+    assert_eq!(name("host", "/x/7"), Some("q"));
+    assert_eq!(name("other", "/x/7"), None);
+    assert_eq!(name("host", "/z/7"), None);
+}
+
+#[test]
+fn catalogue_faults_are_refused() {
+    let pools = || vec![pool("a", false)];
+    let made = |queues| Catalogue::new(1, queues, pools(), "".into()).map_err(|e| e.to_string());
+    let unknown = made(vec![queue("q", "nowhere")]).expect_err("no such pool");
+    assert!(unknown.contains("nowhere"), "{unknown}");
+    let mut twin = queue("r", "a");
+    twin.prefix = "/q/".into();
+    let twice = made(vec![queue("q", "a"), twin]).expect_err("the same place");
+    assert!(twice.contains("same host"), "{twice}");
+    let mut endless = queue("q", "a");
+    endless.timeout_ms = 0;
+    let zero = made(vec![endless]).expect_err("no time-out");
+    assert!(zero.contains("time-out"), "{zero}");
+}
