Count each machine once, forecast more steadily, send idle machines back sooner

Cause: 28 to 38 machines stood in a pool that used 13 to 18 of them: rises that were chance brought machines, emptied workers were known as empty only after the next hold (up to 1 s), and machines that had just arrived counted twice. Ruled out: slow release alone (a shorter idle limit without the rest). Change: a rise is twice the steady rate of 2 s; the hold that acknowledges an empty worker's last ends does not wait; the idle limit is 0.9 s.

--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -97,6 +97,25 @@
         /// The wave that asks for its maintenance.
         wave: Option<u64>,
     },
+    /// What a pool needs and has, once a second while it has work.
+    Pool {
+        /// The pool.
+        pool: Box<str>,
+        /// What runs or should, in thousandths of a core.
+        needed_cpu_milli: u64,
+        /// The same in MB.
+        needed_memory_mb: u64,
+        /// What its workers take up now, in thousandths of a core.
+        used_cpu_milli: u64,
+        /// What its workers offer, those on their way included.
+        offered_cpu_milli: u64,
+        /// The same in MB.
+        offered_memory_mb: u64,
+        /// How many workers that is.
+        workers: usize,
+        /// How many tasks wait for room.
+        waiting: u64,
+    },
     /// The platform's answer to that.
     MachineAnswered {
         /// The machine.
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -1,18 +1,22 @@
 //! How much each pool needs and has.
 
-use indexmap::IndexMap;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
 
 use super::machine::{Machine, MachineOrder, MachineState};
 use crate::Size;
-use crate::schedule::Scheduler;
 use crate::schedule::timing::Prospect;
-use crate::schedule::worker::WorkerState;
+use crate::schedule::{Decision, Scheduler};
 use crate::state::ControlState;
 
 /// Of the work that will be late anyway, the share in percent that machines
 /// are brought for. It is worth less than a tenth, but has to end some time.
 const LATE_PERCENT: u64 = 30;
 
+/// How often the balances are logged.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What a pool needs and has.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Balance {
@@ -22,6 +26,10 @@
     pub(super) offered: Size,
     /// How many workers that is.
     pub(super) workers: usize,
+    /// What runs.
+    used: Size,
+    /// How many tasks wait for room.
+    waiting: u64,
 }
 
 impl Balance {
@@ -33,9 +41,9 @@
     /// This without a machine of that size.
     pub(super) fn without(&self, size: Size) -> Balance {
         Balance {
-            needed: self.needed,
             offered: self.offered - size,
             workers: self.workers.saturating_sub(1),
+            ..*self
         }
     }
 
@@ -61,9 +69,8 @@
     /// By how much the need exceeds the offer, in thousandths of the offer
     /// and one machine more.
     pub(super) fn lack_milli(&self) -> u64 {
-        let part = |needed: u64, offered: u64| {
-            needed.saturating_sub(offered) * 1_000 / offered.max(1)
-        };
+        let part =
+            |needed: u64, offered: u64| needed.saturating_sub(offered) * 1_000 / offered.max(1);
         let cpu = part(self.needed.cpu_milli, self.offered.cpu_milli);
         cpu.max(part(self.needed.memory_mb, self.offered.memory_mb))
     }
@@ -88,12 +95,33 @@
         pools
     }
 
+    /// Writes the balances to the log, once a second.
+    pub(super) fn tell_balances(&mut self, balances: &IndexMap<Box<str>, Balance>) {
+        if self.now < self.balances_told + TELL_INTERVAL {
+            return;
+        }
+        self.balances_told = self.now;
+        for (pool, balance) in balances.iter().filter(|(_, b)| b.needed.cpu_milli > 0) {
+            self.tell(Decision::Pool {
+                pool: pool.clone(),
+                needed_cpu_milli: balance.needed.cpu_milli,
+                needed_memory_mb: balance.needed.memory_mb,
+                used_cpu_milli: balance.used.cpu_milli,
+                offered_cpu_milli: balance.offered.cpu_milli,
+                offered_memory_mb: balance.offered.memory_mb,
+                workers: balance.workers,
+                waiting: balance.waiting,
+            });
+        }
+    }
+
     fn add_work(&self, pools: &mut IndexMap<Box<str>, Balance>) {
         for step in self.steps.values() {
             let Some(balance) = pools.get_mut(&step.pool) else {
                 continue;
             };
             let mut count = step.pending.len() as u64;
+            balance.waiting += count;
             if self.step_prospect(step) != Prospect::InTime {
                 count = (count * LATE_PERCENT).div_ceil(100);
             }
@@ -102,17 +130,27 @@
     }
 
     fn add_workers(&self, pools: &mut IndexMap<Box<str>, Balance>) {
+        let (mut at_work, mut leaving) = (IndexSet::new(), IndexSet::new());
         for (_, worker) in self.workers.iter() {
-            let Some(balance) = pools.get_mut(&worker.record.pool) else {
+            let record = &worker.record;
+            let Some(balance) = pools.get_mut(&record.pool) else {
                 continue;
             };
             balance.needed += worker.used;
+            balance.used += worker.used;
             if worker.answers() && !worker.draining && !worker.cordoned {
-                balance.offer(worker.record.capacity);
+                balance.offer(record.capacity);
+                at_work.extend(record.machine.as_deref());
+            } else if worker.answers() {
+                leaving.extend(record.machine.as_deref());
             }
         }
-        for machine in self.machines.by_name.values() {
-            if let Some(pool) = self.arrives_in(machine)
+        for (name, machine) in &self.machines.by_name {
+            let stays = machine.ordered.is_none() && leaving.contains(&**name);
+            if stays || at_work.contains(&**name) {
+                continue;
+            }
+            if let Some(pool) = arrives_in(machine)
                 && let Some(balance) = pools.get_mut(pool)
             {
                 balance.offer(machine.view.capacity);
@@ -120,24 +158,6 @@
         }
     }
 
-    /// The pool in which a machine is about to have a worker.
-    fn arrives_in<'a>(&self, machine: &'a Machine) -> Option<&'a str> {
-        if let Some(ordered) = &machine.ordered {
-            return match &ordered.order {
-                MachineOrder::Move { pool } => Some(pool),
-                MachineOrder::Maintain { .. } => Some(&machine.view.pool),
-            };
-        }
-        let view = &machine.view;
-        let known = view.worker.as_deref().is_some_and(|worker| {
-            let key = self.workers.key(worker);
-            key.is_some_and(|key| self.workers[key].state == WorkerState::Live)
-        });
-        let arrives = matches!(view.state, MachineState::Moving | MachineState::Maintained)
-            || (view.state == MachineState::Up && view.worker.is_some() && !known);
-        arrives.then_some(&*view.pool)
-    }
-
     /// What the tasks of a pool take up that run until they are cancelled.
     fn lasting(&self, pool: &str) -> Size {
         let steps = self.steps.values();
@@ -148,3 +168,20 @@
         })
     }
 }
+
+/// The pool in which a machine without a known worker is about to have one.
+fn arrives_in(machine: &Machine) -> Option<&str> {
+    let view = &machine.view;
+    if let Some(ordered) = &machine.ordered {
+        return match &ordered.order {
+            MachineOrder::Move { pool } => Some(pool),
+            MachineOrder::Maintain { .. } => Some(&view.pool),
+        };
+    }
+    let arrives = match view.state {
+        MachineState::Moving | MachineState::Maintained => true,
+        MachineState::Up => view.worker.is_some(),
+        MachineState::Down => false,
+    };
+    arrives.then_some(&*view.pool)
+}
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -13,7 +13,7 @@
 /// How long a machine stays without work before it goes back to the spare
 /// pool. A move costs about as much as a machine for this time, so waiting it
 /// out costs at most twice the optimum (the ski rental).
-const IDLE_LIMIT: Duration = Duration::from_millis(1_200);
+const IDLE_LIMIT: Duration = Duration::from_millis(900);
 /// What tasks of different sizes leave unused of a worker, in percent: 8 to
 /// 12 in runs with full pools.
 const FRAGMENTATION_PERCENT: u64 = 10;
@@ -26,6 +26,7 @@
     /// spare pool once they stay idle.
     pub(super) fn move_machines(&mut self, state: &ControlState) {
         let mut balances = self.balances(state);
+        self.tell_balances(&balances);
         while let Some(pool) = most_lacking(&balances) {
             let Some(name) = self.donor(state, &pool, &balances) else {
                 // Nothing can be done for it; others may still find a donor.
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -100,6 +100,7 @@
     /// have no clear answer.
     fn settle_orders(&mut self) {
         let listed_at = self.machines.listed_at.unwrap_or_default();
+        let back = self.machines_back();
         let names: Vec<Box<str>> = self.machines.by_name.keys().cloned().collect();
         for name in names {
             let machine = &mut self.machines.by_name[&name];
@@ -108,7 +109,8 @@
             };
             match ordered.accepted {
                 Some(at) => {
-                    let up = machine.view.state == MachineState::Up && listed_at > at;
+                    let listed = machine.view.state == MachineState::Up && listed_at > at;
+                    let up = listed || back.contains(&name);
                     if up || self.now > at + ORDER_LIMIT {
                         machine.ordered = None;
                         machine.idle_since = None;
@@ -123,6 +125,13 @@
         }
     }
 
+    /// The machines whose order was accepted and whose new worker answers.
+    fn machines_back(&self) -> IndexSet<Box<str>> {
+        let workers = self.workers.iter().filter(|(_, worker)| worker.answers());
+        let on = workers.filter_map(|(_, worker)| worker.record.machine.clone());
+        on.collect()
+    }
+
     pub(super) fn order_machine(&mut self, name: &str, order: MachineOrder) {
         if let Some(worker) = self.worker_on(name) {
             self.workers[worker].cordoned = true;
--- a/crates/cleat-jobs/src/schedule/hold.rs
+++ b/crates/cleat-jobs/src/schedule/hold.rs
@@ -42,7 +42,10 @@
         let blind = !self.cfg.protections.no_blind_grants;
         let known = worker.clock_ms(now).filter(|_| worker.answers() || blind);
         let deadline_ms = known.map(|clock| clock + lease);
-        let wait = if deadline_ms.is_some() {
+        // An empty worker may move once its last ends are acknowledged for
+        // certain; waiting for that answer would cost up to a second a move.
+        let empties = worker.runs == 0 && worker.acked > worker.confirmed;
+        let wait = if deadline_ms.is_some() && !empties {
             self.cfg.hold_wait
         } else {
             Duration::ZERO
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -119,6 +119,8 @@
     /// When each job that is not over should be done.
     objectives: IndexMap<JobId, Objective>,
     times: Times,
+    /// When the balances of the pools were logged last.
+    balances_told: Duration,
     /// Set while something may have made room or work.
     dirty: bool,
     effects: Vec<Effect>,
@@ -149,6 +151,7 @@
             machines: Machines::default(),
             objectives: IndexMap::new(),
             times: Times::default(),
+            balances_told: now,
             dirty: true,
             effects: Vec::new(),
         };
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -18,10 +18,16 @@
 const RATIO_RANGE: (f64, f64) = (0.2, 5.0);
 /// How many times its objective a job may take and still be worth something.
 const WORTHLESS_AFTER: u32 = 3;
-/// Over what time the arriving work is measured. Short against the time that a
-/// machine needs to come (1.5 s), long enough for some ten jobs of a busy
-/// queue.
-const ARRIVAL_WINDOW: Duration = Duration::from_millis(600);
+/// Over what time the arriving work is measured to notice a rise. Short
+/// against the time that a machine needs to come (1.5 s), long enough for some
+/// ten jobs of a busy queue.
+const RISE_WINDOW: Duration = Duration::from_millis(600);
+/// Over what time it is measured otherwise: long enough that chance makes a
+/// tenth of it, shorter than demand lasts.
+const STEADY_WINDOW: Duration = Duration::from_millis(2_000);
+/// How much more than in the long window, in percent, has to arrive in the
+/// short one to count as a rise: above what chance makes of some ten jobs.
+const RISE_PERCENT: u64 = 200;
 
 /// How urgent a job is by its time alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -130,19 +136,36 @@
             return Size::default();
         };
         while arrivals
-            .pop_front_if(|arrival| arrival.at + ARRIVAL_WINDOW < now)
+            .pop_front_if(|arrival| arrival.at + STEADY_WINDOW < now)
             .is_some()
         {}
-        let window = millis(ARRIVAL_WINDOW);
-        let sum = |part: fn(&Arrival) -> u64| arrivals.iter().map(part).sum::<u64>() / window;
-        Size {
-            cpu_milli: sum(|arrival| arrival.cpu_ms),
-            memory_mb: sum(|arrival| arrival.memory_ms),
-            gpu: 0,
+        let steady = rate(arrivals, STEADY_WINDOW, now);
+        let rise = rate(arrivals, RISE_WINDOW, now);
+        if rise.cpu_milli * 100 > steady.cpu_milli * RISE_PERCENT {
+            rise
+        } else {
+            steady
         }
     }
 }
 
+/// What the work of the last `window` takes up if it goes on like that.
+fn rate(arrivals: &VecDeque<Arrival>, window: Duration, now: Duration) -> Size {
+    let recent = arrivals
+        .iter()
+        .rev()
+        .take_while(|arrival| arrival.at + window >= now);
+    let (cpu_ms, memory_ms) = recent.fold((0, 0), |(cpu, memory), arrival| {
+        (cpu + arrival.cpu_ms, memory + arrival.memory_ms)
+    });
+    let window = millis(window);
+    Size {
+        cpu_milli: cpu_ms / window,
+        memory_mb: memory_ms / window,
+        gpu: 0,
+    }
+}
+
 impl Scheduler {
     /// Notes when a job came and until when it should be done.
     pub(super) fn meet_job(&mut self, id: JobId, job: &Job) {
--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Beat, Catalogue, Command, ControlState, Effect, End, EndKind, Event, HoldAnswer, JobId, JobSpec,
-    Order, OrderAnswer, Pool, Queue, Run, RunningTask, Scheduler, SchedulerConfig, Size, StepId,
-    StepSpec, TaskEnd, TaskId, TaskOrder, WorkerRecord,
+    Beat, Catalogue, Command, ControlState, Effect, End, EndKind, Event, HoldAnswer, JobId,
+    JobSpec, Order, OrderAnswer, Pool, Queue, Run, RunningTask, Scheduler, SchedulerConfig, Size,
+    StepId, StepSpec, TaskEnd, TaskId, TaskOrder, WorkerRecord,
 };
 
 pub(crate) fn queue(name: &str, pool: &str) -> Queue {
@@ -141,7 +141,8 @@
     /// The next owner, which knows what is in the state only.
     pub(crate) fn replace_owner(&mut self) {
         self.index += 1;
-        self.state.apply(self.index, Command::TakeOver { member: 2 });
+        self.state
+            .apply(self.index, Command::TakeOver { member: 2 });
         let owner = Scheduler::new(SchedulerConfig::default(), &self.state, self.now);
         self.owner = owner.expect("owned");
     }
@@ -197,7 +198,12 @@
         })
     }
 
-    pub(crate) fn answer(&mut self, worker: &str, order: &TaskOrder, answer: OrderAnswer) -> Vec<Effect> {
+    pub(crate) fn answer(
+        &mut self,
+        worker: &str,
+        order: &TaskOrder,
+        answer: OrderAnswer,
+    ) -> Vec<Effect> {
         self.feed(Event::Ordered {
             worker: worker.into(),
             order: order.clone(),
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -43,9 +43,16 @@
         ..HoldAnswer::default()
     };
     let effects = bed.answer_hold("w1", answer);
-    assert_eq!(starts(&effects).len(), 1, "the third takes the place of the first");
+    assert_eq!(
+        starts(&effects).len(),
+        1,
+        "the third takes the place of the first"
+    );
     let committed = proposals(&effects);
-    assert!(matches!(committed[..], [Command::Ends { .. }]), "{committed:?}");
+    assert!(
+        matches!(committed[..], [Command::Ends { .. }]),
+        "{committed:?}"
+    );
 }
 
 #[test]
@@ -104,7 +111,9 @@
     let mut bed = Bed::with_workers(&["w1"]);
     let first = starts(&bed.submit(1, vec![step(1, 1_000)]))[0].1.run;
     bed.replace_owner();
-    let second = starts(&bed.answer_hold("w1", HoldAnswer::default()))[0].1.run;
+    let second = starts(&bed.answer_hold("w1", HoldAnswer::default()))[0]
+        .1
+        .run;
     assert!(second > first, "{second} after {first}");
 }
 
@@ -160,7 +169,10 @@
         bed.answer_hold(other, HoldAnswer::default());
         bed.fail_hold(&silent);
     }
-    assert!(waited >= ms(4_000), "not before the lease is over: {waited:?}");
+    assert!(
+        waited >= ms(4_000),
+        "not before the lease is over: {waited:?}"
+    );
     assert_eq!(&*again[0].0, other);
 }
 
@@ -223,10 +235,17 @@
         ..step(count, 3_000)
     };
     let mut bed = Bed::new();
-    assert!(starts(&bed.submit(1, vec![gang(5)])).is_empty(), "only 4 fit");
+    assert!(
+        starts(&bed.submit(1, vec![gang(5)])).is_empty(),
+        "only 4 fit"
+    );
     let started = starts(&bed.submit(2, vec![gang(4)]));
     assert_eq!(started.len(), 4);
-    assert!(started.iter().all(|(_, order)| order.run == started[0].1.run));
+    assert!(
+        started
+            .iter()
+            .all(|(_, order)| order.run == started[0].1.run)
+    );
 }
 
 #[test]
--- a/crates/cleat-jobs/tests/state.rs
+++ b/crates/cleat-jobs/tests/state.rs
@@ -18,7 +18,10 @@
 }
 
 fn note(state: &mut ControlState, number: u64, task: TaskId, kind: EndKind) {
-    state.apply(10 + number, ends("w1", vec![end(number, task, number, kind)]));
+    state.apply(
+        10 + number,
+        ends("w1", vec![end(number, task, number, kind)]),
+    );
 }
 
 #[test]
@@ -28,7 +31,10 @@
     let before = state.clone();
     let queue = state.catalogue.as_ref().expect("configured").queues[0].clone();
     let (id, spec) = (JobId(7), job(vec![step(5, 100)]));
-    assert_eq!(state.apply(20, Command::Submit { id, queue, spec }), Answer::Done);
+    assert_eq!(
+        state.apply(20, Command::Submit { id, queue, spec }),
+        Answer::Done
+    );
     assert_eq!(state, before);
 }
 
@@ -52,7 +58,11 @@
     let mut state = with_job(vec![step(1, 100)]);
     note(&mut state, 1, task(7, 0, 0), EndKind::Failed);
     note(&mut state, 1, task(7, 0, 0), EndKind::Failed);
-    assert_eq!(state.job_state(JobId(7)), Some(JobState::Active), "one of two attempts");
+    assert_eq!(
+        state.job_state(JobId(7)),
+        Some(JobState::Active),
+        "one of two attempts"
+    );
     note(&mut state, 2, task(7, 0, 0), EndKind::Failed);
     assert_eq!(state.job_state(JobId(7)), Some(JobState::Failed));
 }
@@ -60,7 +70,12 @@
 #[test]
 fn apply_ends_other_kinds_cost_no_attempt() {
     let mut state = with_job(vec![step(1, 100)]);
-    let kinds = [EndKind::Stopped, EndKind::Lapsed, EndKind::Broken, EndKind::Alone];
+    let kinds = [
+        EndKind::Stopped,
+        EndKind::Lapsed,
+        EndKind::Broken,
+        EndKind::Alone,
+    ];
     for (number, kind) in (1..).zip(kinds) {
         note(&mut state, number, task(7, 0, 0), kind);
     }
@@ -104,10 +119,17 @@
 fn apply_cancel_answers() {
     let mut state = with_job(vec![step(1, 100)]);
     let unknown = JobId(8);
-    assert_eq!(state.apply(20, Command::Cancel { id: unknown }), Answer::NoSuchJob);
+    assert_eq!(
+        state.apply(20, Command::Cancel { id: unknown }),
+        Answer::NoSuchJob
+    );
     let id = JobId(7);
     assert_eq!(state.apply(21, Command::Cancel { id }), Answer::Done);
-    assert_eq!(state.apply(22, Command::Cancel { id }), Answer::Done, "sent again");
+    assert_eq!(
+        state.apply(22, Command::Cancel { id }),
+        Answer::Done,
+        "sent again"
+    );
     assert_eq!(state.job_state(id), Some(JobState::Cancelled));
 }
 
