--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -9,6 +9,33 @@
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Decision {
+    /// A job is to be run.
+    Accepted {
+        /// The job.
+        job: Box<str>,
+        /// Its queue.
+        queue: Box<str>,
+        /// The pool that runs it.
+        pool: Box<str>,
+        /// The queue's class of urgency.
+        priority: u32,
+        /// How many steps it has.
+        steps: usize,
+        /// How many tasks these have together.
+        tasks: u32,
+        /// Whether a step runs until the job is cancelled.
+        long_running: bool,
+        /// Whether a step takes only the processor time that others leave.
+        fills: bool,
+        /// Whether a step is a gang.
+        gang: bool,
+        /// Whether starts need the adviser's permission.
+        advised: bool,
+        /// How long it may take to be in time, in milliseconds.
+        objective_ms: u64,
+        /// Whether an earlier owner may have started it.
+        inherited: bool,
+    },
     /// A run was ordered.
     Start {
         /// The task.
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use super::Scheduler;
+use super::{Decision, Scheduler};
 use super::worker::millis;
 use crate::state::Job;
 use crate::{JobId, JobSpec, Queue, Size};
@@ -176,11 +176,30 @@
         let span = longest.mul_f64(queue.stretch.max(1.0)) + latency;
         let since = self.now;
         self.objectives.insert(id, Objective { since, span });
+        self.tell_accepted(id, job, span);
         if job.accepted_at > self.owner.token {
             self.times.arrive(queue, &job.spec, self.now);
         }
     }
 
+    fn tell_accepted(&mut self, id: JobId, job: &Job, span: Duration) {
+        let (queue, steps) = (&job.queue, &job.spec.steps);
+        self.tell(Decision::Accepted {
+            job: id.to_string().into(),
+            queue: queue.name.clone(),
+            pool: queue.pool.clone(),
+            priority: queue.priority,
+            steps: steps.len(),
+            tasks: steps.iter().map(|step| step.count).sum(),
+            long_running: job.spec.is_long_running(),
+            fills: steps.iter().any(|step| step.fills),
+            gang: steps.iter().any(|step| step.gang),
+            advised: queue.advice.is_some(),
+            objective_ms: millis(span),
+            inherited: job.accepted_at < self.owner.token,
+        });
+    }
+
     /// Whether a job can be in time if this much of it is still to be done.
     pub(super) fn prospect(&self, id: JobId, left: Duration) -> Prospect {
         let Some(objective) = self.objectives.get(&id) else {
