Share machines between pools that all lack some

Cause: under more demand than there is room, a pool whose queue never ended kept 38 machines while another had 1 and 1,575 tasks waiting. Ruled out: counting the backlog as need (it is; but idle machines to move there were none). Change: machines of the pool whose need is met best are emptied and moved to the one whose need is met least, as long as that evens them out; work that is worth nothing any more brings few machines.

--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -13,6 +13,8 @@
 /// Of the work that will be late anyway, the share in percent that machines
 /// are brought for. It is worth less than a tenth, but has to end some time.
 const LATE_PERCENT: u64 = 30;
+/// The same for work that is worth nothing any more.
+const TOO_LATE_PERCENT: u64 = 5;
 
 /// How often the balances are logged.
 const TELL_INTERVAL: Duration = Duration::from_secs(1);
@@ -66,6 +68,17 @@
         needed.fits(self.offered)
     }
 
+    /// Which part of the need is met, in thousandths; that of the resource
+    /// that lacks most.
+    pub(super) fn met_milli(&self) -> u64 {
+        let part = |needed: u64, offered: u64| match needed {
+            0 => u64::MAX,
+            _ => offered * 1_000 / needed,
+        };
+        let cpu = part(self.needed.cpu_milli, self.offered.cpu_milli);
+        cpu.min(part(self.needed.memory_mb, self.offered.memory_mb))
+    }
+
     /// By how much the need exceeds the offer, in thousandths of the offer
     /// and one machine more.
     pub(super) fn lack_milli(&self) -> u64 {
@@ -122,9 +135,12 @@
             };
             let mut count = step.pending.len() as u64;
             balance.waiting += count;
-            if self.step_prospect(step) != Prospect::InTime {
-                count = (count * LATE_PERCENT).div_ceil(100);
-            }
+            let percent = match self.step_prospect(step) {
+                Prospect::InTime => 100,
+                Prospect::Late => LATE_PERCENT,
+                Prospect::TooLate => TOO_LATE_PERCENT,
+            };
+            count = (count * percent).div_ceil(100);
             balance.needed += step.footprint.times(count);
         }
     }
@@ -146,6 +162,10 @@
             }
         }
         for (name, machine) in &self.machines.by_name {
+            if let Some(balance) = machine.reserved_for.as_ref().and_then(|p| pools.get_mut(p)) {
+                balance.offer(machine.view.capacity);
+                continue;
+            }
             let stays = machine.ordered.is_none() && leaving.contains(&**name);
             if stays || at_work.contains(&**name) {
                 continue;
--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -72,6 +72,8 @@
     pub(crate) idle_since: Option<Duration>,
     /// The wave for which it is being emptied.
     pub(crate) emptied_for: Option<u64>,
+    /// The pool to which it goes once it is empty.
+    pub(crate) reserved_for: Option<Box<str>>,
     /// Since when the platform does not list it.
     pub(crate) missing_since: Option<Duration>,
 }
--- a/crates/cleat-jobs/src/schedule/fleet/mod.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod machine;
 mod moves;
 mod orders;
+mod reserve;
 mod waves;
 
 pub(super) use machine::Machines;
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::demand::Balance;
 use super::machine::{Machine, MachineOrder, MachineState};
@@ -16,10 +16,10 @@
 const IDLE_LIMIT: Duration = Duration::from_millis(900);
 /// What tasks of different sizes leave unused of a worker, in percent: 8 to
 /// 12 in runs with full pools.
-const FRAGMENTATION_PERCENT: u64 = 10;
+pub(super) const FRAGMENTATION_PERCENT: u64 = 10;
 
 /// The balance of each pool that queues use.
-type Balances = IndexMap<Box<str>, Balance>;
+pub(super) type Balances = IndexMap<Box<str>, Balance>;
 
 impl Scheduler {
     /// Moves idle machines to pools whose tasks find no room, and back to the
@@ -27,14 +27,17 @@
     pub(super) fn move_machines(&mut self, state: &ControlState) {
         let mut balances = self.balances(state);
         self.tell_balances(&balances);
-        while let Some(pool) = most_lacking(&balances) {
-            let Some(name) = self.donor(state, &pool, &balances) else {
-                // Nothing can be done for it; others may still find a donor.
-                balances.swap_remove(&pool);
-                continue;
-            };
-            self.give(&name, &pool, &mut balances);
+        let mut without_donor = IndexSet::new();
+        while let Some(pool) = most_lacking(&balances, &without_donor) {
+            match self.donor(state, &pool, &balances) {
+                Some(name) => self.give(&name, &pool, &mut balances),
+                None => drop(without_donor.insert(pool)),
+            }
+        }
+        for pool in without_donor {
+            self.reserve(&pool, &mut balances);
         }
+        self.move_reserved(&balances);
         let mut balances = self.balances(state);
         self.send_back(state, &mut balances);
     }
@@ -64,7 +67,9 @@
     fn may_move(&self, machine: &Machine, pool: &str) -> bool {
         let view = &machine.view;
         let refused = (view.name.clone(), pool.into());
-        let free = machine.ordered.is_none() && machine.emptied_for.is_none();
+        let free = machine.ordered.is_none()
+            && machine.emptied_for.is_none()
+            && machine.reserved_for.is_none();
         let up = view.state == MachineState::Up && machine.missing_since.is_none();
         free && up && !self.machines.refused.contains(&refused) && self.is_idle(machine)
     }
@@ -128,9 +133,10 @@
 }
 
 /// The pool that lacks most, if any does.
-fn most_lacking(balances: &Balances) -> Option<Box<str>> {
+fn most_lacking(balances: &Balances, except: &IndexSet<Box<str>>) -> Option<Box<str>> {
     let lacking = balances
         .iter()
+        .filter(|(pool, _)| !except.contains(*pool))
         .filter(|(_, balance)| !balance.suffices(FRAGMENTATION_PERCENT));
     let most = lacking.max_by_key(|(_, balance)| balance.lack_milli());
     most.map(|(pool, _)| pool.clone())
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -78,6 +78,7 @@
                 ordered: None,
                 idle_since: None,
                 emptied_for: None,
+                reserved_for: None,
                 missing_since: None,
                 view,
             };
@@ -197,6 +198,7 @@
             }),
             MachineAnswer::Busy | MachineAnswer::Refused => {
                 machine.ordered = None;
+                machine.reserved_for = None;
                 if answer == MachineAnswer::Refused
                     && let MachineOrder::Move { pool } = order
                 {
@@ -221,6 +223,7 @@
         machine.view.worker = None;
         match order {
             MachineOrder::Move { pool } => {
+                machine.reserved_for = None;
                 machine.view.pool = pool.clone();
                 machine.view.state = MachineState::Moving;
             }
--- a/crates/cleat-quorum/tests/joining.rs
+++ b/crates/cleat-quorum/tests/joining.rs
@@ -23,10 +23,14 @@
 
 /// Five members that are told of the three seeds only.
 fn seeded(extra: u32, founds: fn(u32) -> bool) -> Group {
-    Group::new(SEEDS as u32, MEMBERS - SEEDS as u32 + extra, |id, config, _| {
-        config.members.truncate(SEEDS);
-        config.joining = Some(joining(founds(id)));
-    })
+    Group::new(
+        SEEDS as u32,
+        MEMBERS - SEEDS as u32 + extra,
+        |id, config, _| {
+            config.members.truncate(SEEDS);
+            config.joining = Some(joining(founds(id)));
+        },
+    )
 }
 
 fn voters(group: &Group) -> Vec<u32> {
