Ask the adviser, pace what fills, and give operators their commands for jobs

Cause: queues with advice were never served, work that fills was never paced, and operators had no way to see or change jobs but the platform's. Change: permissions of the adviser (asked about few, roomy workers, one call a step); pacing by the tails that workers list; the operators' interface for jobs and workers; celerycleat job submit|status|list|cancel, worker list, and explain, which tells the story of one name from logs.

--- a/crates/celerycleat/src/commands/mod.rs
+++ b/crates/celerycleat/src/commands/mod.rs
@@ -3,13 +3,16 @@
 mod command;
 mod command_id;
 mod config;
+mod explain;
 mod instance;
+mod job;
 mod maintenance;
 mod pool;
 mod settings;
 mod status;
 mod table;
 mod target;
+mod worker;
 
 use argh::FromArgs;
 
@@ -34,6 +37,12 @@
     Maintenance(maintenance::MaintenanceGroup),
     /// `target …`
     Target(target::TargetGroup),
+    /// `job …`
+    Job(job::JobGroup),
+    /// `worker …`
+    Worker(worker::WorkerGroup),
+    /// `explain`
+    Explain(explain::Explain),
     /// `status`
     Status(status::Status),
 }
@@ -47,6 +56,9 @@
             Subcommand::Instance(group) => group.run(cx).await,
             Subcommand::Maintenance(group) => group.run(cx).await,
             Subcommand::Target(group) => group.run(cx).await,
+            Subcommand::Job(group) => group.run(cx).await,
+            Subcommand::Worker(group) => group.run(cx).await,
+            Subcommand::Explain(command) => command.run(cx).await,
             Subcommand::Status(command) => command.run(cx).await,
         }
     }
--- a/crates/celerycleat/src/commands/table.rs
+++ b/crates/celerycleat/src/commands/table.rs
@@ -2,12 +2,15 @@
 
 use super::command::CommandEntry;
 use super::config::{Apply, Check, History, Show, Status as ConfigStatus};
+use super::explain::Explain;
 use super::instance::{List as InstanceList, Move};
+use super::job::{Cancel, List as JobList, Status as JobStatus, Submit};
 use super::maintenance::{Pause, Resume, Start, Status as MaintenanceStatus};
 use super::pool::List as PoolList;
 use super::settings::Default as SettingsDefault;
 use super::status::Status;
 use super::target::List as TargetList;
+use super::worker::List as WorkerList;
 
 /// Every command with its usage and examples.
 pub fn command_table() -> Vec<CommandEntry> {
@@ -26,6 +29,12 @@
         CommandEntry::of::<Pause>(),
         CommandEntry::of::<Resume>(),
         CommandEntry::of::<TargetList>(),
+        CommandEntry::of::<Submit>(),
+        CommandEntry::of::<JobStatus>(),
+        CommandEntry::of::<JobList>(),
+        CommandEntry::of::<Cancel>(),
+        CommandEntry::of::<WorkerList>(),
+        CommandEntry::of::<Explain>(),
         CommandEntry::of::<Status>(),
     ]
 }
--- /dev/null
+++ b/crates/celerycleat/src/explain/mod.rs
@@ -0,0 +1,6 @@
+//! The story of one name in structured logs.
+
+mod line;
+mod story;
+
+pub(crate) use story::Story;
--- a/crates/celerycleat/src/lib.rs
+++ b/crates/celerycleat/src/lib.rs
@@ -9,6 +9,7 @@
 mod commands;
 mod documents;
 mod error;
+mod explain;
 mod output;
 mod run;
 
--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cleat_control::{ControlConfig, ControlNode, PeerAddress};
+use cleat_control::{ControlConfig, ControlNode, PeerAddress, PlatformClients};
 use cleat_http::Listener;
 use cleat_jobs::SchedulerConfig;
-use cleat_platform::{ControlSide, HttpMachines, HttpWorkers, WorkerLimits};
+use cleat_operate::JobOperators;
+use cleat_platform::{ControlSide, HttpAdviser, HttpMachines, HttpWorkers, WorkerLimits};
 use cleat_quorum::Timing;
 use cleat_settings::{AnySettings, ControlSettings};
 use snafu::ResultExt;
@@ -26,13 +27,23 @@
 /// Runs it until it is told to stop.
 pub(crate) async fn run(settings: ControlSettings, file: &Path) -> Result<(), DaemonError> {
     let events = start_events()?;
-    let workers = HttpWorkers::new(WorkerLimits::default());
-    let machines = HttpMachines::new(settings.machines.clone(), settings.name.clone());
-    let node = ControlNode::start(config(&settings), workers, machines, events.clone()).await;
+    let clients = PlatformClients {
+        workers: HttpWorkers::new(WorkerLimits::default()),
+        machines: HttpMachines::new(settings.machines.clone(), settings.name.clone()),
+        adviser: HttpAdviser::new(settings.adviser.clone()),
+    };
+    let node = ControlNode::start(config(&settings), clients, events.clone()).await;
     let node = Arc::new(node.context(ControlSnafu)?);
     let listener = Listener::bind(settings.listen).await.context(ListenSnafu)?;
     let side = ControlSide::new(node.clone(), settings.listen);
     let server = listener.spawn(Arc::new(side));
+    let operators = match settings.operators {
+        None => None,
+        Some(address) => {
+            let listener = Listener::bind(address).await.context(ListenSnafu)?;
+            Some(JobOperators::spawn(listener, node.clone()))
+        }
+    };
     let (name, role) = (&*settings.name, "control");
     let version = env!("CARGO_PKG_VERSION");
     events.emit(&Life::Started {
@@ -56,6 +67,9 @@
     node.hand_over().await;
     tokio::time::sleep(LINGER).await;
     server.stop().await;
+    if let Some(operators) = operators {
+        operators.stop().await;
+    }
     events.emit(&Life::Stopped { name });
     events.flush();
     Ok(())
--- a/crates/cleat-control/src/leader.rs
+++ b/crates/cleat-control/src/leader.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use cleat_link::{CallError, ControlCall, ControlError, ControlReply, LinkTraffic};
+use cleat_link::{AskError, CallError, ControlCall, ControlError, ControlReply, LinkTraffic};
 use cleat_quorum::MemberId;
-use snafu::Snafu;
 use tokio::time::{Instant, sleep};
 
 use crate::PeerAddress;
@@ -30,23 +29,6 @@
     pub address: PeerAddress,
 }
 
-/// Why a call has no answer.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-pub enum AskError {
-    /// No leader took it in time; it had no effect and has none later.
-    #[snafu(display("no leader took the call in time"))]
-    NotDone,
-    /// It may have had an effect. Repeating it is safe.
-    #[snafu(display("the outcome of the call is not known"))]
-    Unknown,
-    /// The leader will never take it.
-    #[snafu(display("{source}"))]
-    Refused {
-        /// Why.
-        source: ControlError,
-    },
-}
-
 /// Asks the leader, whoever it is.
 #[derive(Debug)]
 pub struct Gateway {
--- a/crates/cleat-control/src/lib.rs
+++ b/crates/cleat-control/src/lib.rs
@@ -17,6 +17,6 @@
 
 pub use address::PeerAddress;
 pub use error::StartError;
-pub use leader::{AskError, Gateway, GatewayConfig};
+pub use leader::{Gateway, GatewayConfig};
 pub use node::{ControlConfig, ControlNode};
-pub use platform::{HoldError, MachineClient, WorkerClient};
+pub use platform::{AdviceClient, HoldError, MachineClient, PlatformClients, WorkerClient};
--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use cleat_jobs::{
-    Answer, Catalogue, Command, ControlState, Event, JobId, JobSpec, JobState, Queue,
+    Answer, Catalogue, Command, ControlState, Event, Job, JobId, JobSpec, JobState, Queue,
+    Scheduler, WorkerView,
 };
-use cleat_link::{ControlCall, ControlError, ControlReply, JobView};
+use cleat_link::{ControlCall, ControlError, ControlReply, JobLine, JobView, Overview, WorkerLine};
 use cleat_quorum::ProposeError;
 
 use super::Shared;
@@ -48,6 +49,12 @@
             ControlCall::Submit { host, path, spec } => self.submit(&host, &path, spec),
             ControlCall::Look { host, path } => Step::Answer(self.look(&host, &path)?),
             ControlCall::Cancel { host, path } => self.cancel(&host, &path),
+            ControlCall::SubmitTo { queue, id, spec } => self.submit_to(&queue, id, spec),
+            ControlCall::LookAt { id } => {
+                Step::Answer(self.state.read(|state| self.job(state, id)))
+            }
+            ControlCall::CancelJob { id } => self.state.read(|state| cancel_job(state, id)),
+            ControlCall::Overview => Step::Answer(self.overview()?),
             ControlCall::Beat(beat) => Step::Answer(self.hand_over(Event::Beat(beat))?),
             ControlCall::Left { worker } => Step::Answer(self.hand_over(Event::Left { worker })?),
             ControlCall::Configure(catalogue) => self.configure(catalogue),
@@ -117,15 +124,47 @@
             Place::NoConfiguration => Step::Answer(ControlReply::NoConfiguration),
             Place::NoSuchQueue => Step::Answer(ControlReply::NoSuchQueue),
             Place::Queue(_) | Place::NotAJob => Step::Answer(ControlReply::NotAJob),
-            Place::Job(_, id) => match state.job_state(id) {
-                None => Step::Answer(ControlReply::NoSuchJob),
-                Some(JobState::Active) => Step::Commit(Command::Cancel { id }),
-                Some(JobState::Cancelled) => Step::Answer(ControlReply::Done),
-                Some(_) => Step::Answer(ControlReply::Over),
-            },
+            Place::Job(_, id) => cancel_job(state, id),
+        })
+    }
+
+    fn submit_to(&self, queue: &str, id: JobId, spec: Arc<JobSpec>) -> Step {
+        self.state.read(|state| {
+            let Some(catalogue) = &state.catalogue else {
+                return Step::Answer(ControlReply::NoConfiguration);
+            };
+            let mut queues = catalogue.queues.iter();
+            match queues.find(|known| *known.name == *queue) {
+                None => Step::Answer(ControlReply::NoSuchQueue),
+                Some(_) if state.job_state(id).is_some() => Step::Answer(ControlReply::Done),
+                Some(queue) => {
+                    let queue = queue.clone();
+                    Step::Commit(Command::Submit { id, queue, spec })
+                }
+            }
         })
     }
 
+    fn overview(&self) -> Result<ControlReply, ControlError> {
+        let overview = self.state.read(|state| {
+            self.with_scheduler(|scheduler| Overview {
+                jobs: state
+                    .jobs
+                    .iter()
+                    .map(|(id, job)| job_line(*id, job, scheduler))
+                    .collect(),
+                ended: state.ended.len() as u64,
+                workers: scheduler
+                    .workers()
+                    .map(|worker| worker_line(&worker))
+                    .collect(),
+            })
+        });
+        let mut overview = overview.ok_or(ControlError::NoQuorum)?;
+        overview.jobs.sort_by_key(|job| job.id);
+        Ok(ControlReply::Overview(overview))
+    }
+
     fn configure(&self, catalogue: Arc<Catalogue>) -> Step {
         let held = self.state.read(|state| {
             let held = state.catalogue.as_ref();
@@ -169,6 +208,39 @@
     }
 }
 
+fn cancel_job(state: &ControlState, id: JobId) -> Step {
+    match state.job_state(id) {
+        None => Step::Answer(ControlReply::NoSuchJob),
+        Some(JobState::Active) => Step::Commit(Command::Cancel { id }),
+        Some(JobState::Cancelled) => Step::Answer(ControlReply::Done),
+        Some(_) => Step::Answer(ControlReply::Over),
+    }
+}
+
+fn job_line(id: JobId, job: &Job, scheduler: &Scheduler) -> JobLine {
+    let tasks = job.spec.steps.iter().map(|step| u64::from(step.count));
+    JobLine {
+        id,
+        queue: job.queue.name.clone(),
+        pool: job.queue.pool.clone(),
+        tasks: tasks.sum(),
+        done: job.done_count(),
+        running: scheduler.running(id) as u64,
+    }
+}
+
+fn worker_line(worker: &WorkerView<'_>) -> WorkerLine {
+    WorkerLine {
+        name: worker.record.name.clone(),
+        pool: worker.record.pool.clone(),
+        machine: worker.record.machine.clone(),
+        state: worker.state,
+        runs: worker.runs as u64,
+        used_cpu_milli: worker.used.cpu_milli,
+        cpu_milli: worker.record.capacity.cpu_milli,
+    }
+}
+
 fn place(state: &ControlState, host: &str, path: &str) -> Place {
     let Some(catalogue) = &state.catalogue else {
         return Place::NoConfiguration;
--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -11,9 +11,10 @@
 
 use cleat_jobs::Scheduler;
 use cleat_link::{
-    ControlCall, ControlError, ControlHandler, ControlReply, LinkTraffic, PeerListener,
+    AskError, ControlCall, ControlError, ControlHandler, ControlReply, LinkTraffic, PeerListener,
 };
 use cleat_log::Journal;
+use cleat_operate::JobControl;
 use cleat_quorum::{BootTime, Joining, MemberConfig, MemberId, Message, Replica, ReplicaConfig};
 use cleat_telemetry::EventLog;
 use snafu::ResultExt;
@@ -23,7 +24,9 @@
 use crate::leader::Gateway;
 use crate::links::{LinkTransport, Links};
 use crate::machine::{JobsMachine, SharedState};
-use crate::{AskError, MachineClient, PeerAddress, StartError, WorkerClient, owner};
+use crate::{
+    AdviceClient, MachineClient, PeerAddress, PlatformClients, StartError, WorkerClient, owner,
+};
 
 /// What the parts of a control instance share.
 pub(crate) struct Shared {
@@ -66,8 +69,7 @@
     /// See [`StartError`].
     pub async fn start(
         cfg: ControlConfig,
-        workers: impl WorkerClient,
-        machines: impl MachineClient,
+        clients: PlatformClients<impl WorkerClient, impl MachineClient, impl AdviceClient>,
         events: EventLog,
     ) -> Result<ControlNode, StartError> {
         let listener = PeerListener::bind(cfg.listen).await.context(ListenSnafu)?;
@@ -86,7 +88,7 @@
             scheduler: Mutex::new(None),
             events,
         });
-        let owner = owner::spawn(shared.clone(), cfg.scheduler, workers, machines);
+        let owner = owner::spawn(shared.clone(), cfg.scheduler, clients);
         let handler = Arc::new(PeerSide(shared.clone()));
         let serving = listener.serve_control(handler, traffic);
         Ok(ControlNode {
@@ -140,6 +142,12 @@
     }
 }
 
+impl JobControl for ControlNode {
+    async fn ask(&self, call: ControlCall, limit: Duration) -> Result<ControlReply, AskError> {
+        ControlNode::ask(self, call, limit).await
+    }
+}
+
 impl Drop for ControlNode {
     fn drop(&mut self) {
         for task in &self.tasks {
--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -4,19 +4,19 @@
 use std::sync::Arc;
 
 use cleat_jobs::{
-    Command, Effect, Event, HoldOrder, MachineAnswer, MachineOrder, OrderAnswer, TaskOrder,
+    Command, Effect, Event, HoldOrder, MachineAnswer, MachineOrder, OrderAnswer, StepId, TaskOrder,
 };
 use log::warn;
 use tokio::time::sleep;
 
 use super::{Calls, OwnerTask, TICK};
 use crate::clock::boot_time;
-use crate::platform::{HoldError, MachineClient, WorkerClient};
+use crate::platform::{AdviceClient, HoldError, MachineClient, WorkerClient};
 
 /// A call under way, and the event that it ends with, if any.
 pub(super) type Call = Pin<Box<dyn Future<Output = Option<Event>> + Send>>;
 
-impl<W: WorkerClient, M: MachineClient> OwnerTask<W, M> {
+impl<W: WorkerClient, M: MachineClient, A: AdviceClient> OwnerTask<W, M, A> {
     /// False if another owner is known to have taken over.
     pub(super) fn carry_out(&self, effect: Effect, calls: &Calls) -> bool {
         match effect {
@@ -31,6 +31,7 @@
                 token,
                 order,
             } => calls.push(self.order(worker, address, token, order)),
+            Effect::Advise { step, workers } => calls.push(self.advise(step, workers)),
             Effect::ListMachines => calls.push(self.list_machines()),
             Effect::OrderMachine {
                 machine,
@@ -90,6 +91,20 @@
         })
     }
 
+    fn advise(&self, step: StepId, asked: Vec<Box<str>>) -> Call {
+        let adviser = self.adviser.clone();
+        Box::pin(async move {
+            let sent_at = boot_time();
+            let good = adviser.advise(step, &asked).await;
+            Some(Event::Advised {
+                step,
+                sent_at,
+                asked,
+                good,
+            })
+        })
+    }
+
     fn list_machines(&self) -> Call {
         let (shared, machines) = (self.shared.clone(), self.machines.clone());
         Box::pin(async move {
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::{boot_time, wall_ms};
 use crate::node::Shared;
-use crate::platform::{MachineClient, WorkerClient};
+use crate::platform::{AdviceClient, MachineClient, PlatformClients, WorkerClient};
 use effects::Call;
 
 /// How often an instance that does not lead looks whether it does by now: well
@@ -27,32 +27,33 @@
 const BATCH: usize = 256;
 
 /// Starts the task.
-pub(crate) fn spawn<W: WorkerClient, M: MachineClient>(
+pub(crate) fn spawn<W: WorkerClient, M: MachineClient, A: AdviceClient>(
     shared: Arc<Shared>,
     cfg: SchedulerConfig,
-    workers: W,
-    machines: M,
+    clients: PlatformClients<W, M, A>,
 ) -> JoinHandle<()> {
     let owner = OwnerTask {
         shared,
         cfg,
-        workers: Arc::new(workers),
-        machines: Arc::new(machines),
+        workers: Arc::new(clients.workers),
+        machines: Arc::new(clients.machines),
+        adviser: Arc::new(clients.adviser),
     };
     tokio::spawn(owner.run())
 }
 
-struct OwnerTask<W, M> {
+struct OwnerTask<W, M, A> {
     shared: Arc<Shared>,
     cfg: SchedulerConfig,
     workers: Arc<W>,
     machines: Arc<M>,
+    adviser: Arc<A>,
 }
 
 /// Calls under way.
 type Calls = FuturesUnordered<Call>;
 
-impl<W: WorkerClient, M: MachineClient> OwnerTask<W, M> {
+impl<W: WorkerClient, M: MachineClient, A: AdviceClient> OwnerTask<W, M, A> {
     async fn run(self) {
         loop {
             if self.shared.leads() {
--- a/crates/cleat-control/src/platform.rs
+++ b/crates/cleat-control/src/platform.rs
@@ -3,9 +3,19 @@
 use std::future::Future;
 
 use cleat_jobs::{
-    HoldAnswer, HoldOrder, MachineAnswer, MachineOrder, MachineView, OrderAnswer, TaskOrder,
+    HoldAnswer, HoldOrder, MachineAnswer, MachineOrder, MachineView, OrderAnswer, StepId, TaskOrder,
 };
 
+/// All that a control instance calls.
+pub struct PlatformClients<W, M, A> {
+    /// Workers.
+    pub workers: W,
+    /// Machines.
+    pub machines: M,
+    /// The adviser.
+    pub adviser: A,
+}
+
 /// Why a hold has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HoldError {
@@ -29,6 +39,17 @@
     ) -> impl Future<Output = MachineAnswer> + Send;
 }
 
+/// Speaks to the adviser, which knows the workers that may run a step.
+pub trait AdviceClient: Send + Sync + 'static {
+    /// The workers among `workers` that may run the step, each with a ticket;
+    /// none if there was no answer.
+    fn advise(
+        &self,
+        step: StepId,
+        workers: &[Box<str>],
+    ) -> impl Future<Output = Option<Vec<(Box<str>, Box<str>)>>> + Send;
+}
+
 /// Speaks to workers.
 pub trait WorkerClient: Send + Sync + 'static {
     /// Asks a worker to go on and what it runs.
--- a/crates/cleat-jobs/src/job/spec.rs
+++ b/crates/cleat-jobs/src/job/spec.rs
@@ -18,14 +18,17 @@
 /// The longest specification, in bytes; the platform's own limit is 4,000.
 const MAX_SPECIFICATION_BYTES: usize = 16 * 1024;
 
-/// A job as submitted.
+/// A job as submitted. Optional keys have the value of the default.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct JobSpec {
     /// What the job's tasks are told when they start.
+    #[serde(default)]
     pub specification: Box<str>,
     /// The steps. Invariant: at least one, and each waits for earlier ones only.
     pub steps: Vec<StepSpec>,
     /// Set where the steps run again and again.
+    #[serde(default)]
     pub repeat: Option<Repeat>,
 }
 
@@ -50,6 +53,7 @@
 
 /// One step: equal tasks that may run side by side.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct StepSpec {
     /// How many tasks there are.
     pub count: u32,
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -17,9 +17,9 @@
 pub use ids::{JobId, ParseTaskError, Run, StepId, TaskId};
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
-    Adviser, Beat, Decision, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer,
-    MachineOrder, MachineState, MachineView, Order, OrderAnswer, Protections, RunningTask,
-    Scheduler, SchedulerConfig, TaskOrder, WorkerState,
+    Beat, Decision, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer, MachineOrder,
+    MachineState, MachineView, Order, OrderAnswer, Protections, RunningTask, Scheduler,
+    SchedulerConfig, TaskOrder, WorkerState, WorkerView,
 };
 pub use size::Size;
 pub use state::{
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -150,6 +150,17 @@
         /// The answer.
         answer: super::MachineAnswer,
     },
+    /// The adviser answered.
+    Advised {
+        /// The step.
+        step: Box<str>,
+        /// How many workers it was asked about.
+        asked: usize,
+        /// How many of them may run the step.
+        good: usize,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+    },
     /// A worker is believed to be in another state.
     Worker {
         /// The worker.
--- a/crates/cleat-jobs/src/schedule/event.rs
+++ b/crates/cleat-jobs/src/schedule/event.rs
@@ -61,6 +61,18 @@
         /// All machines; none if there was no whole answer.
         machines: Option<Vec<MachineView>>,
     },
+    /// The adviser's answer to [`Effect::Advise`].
+    Advised {
+        /// The step.
+        step: StepId,
+        /// When it was asked.
+        sent_at: Duration,
+        /// The workers that it was asked about.
+        asked: Vec<Box<str>>,
+        /// Those that may run the step, each with a ticket; none if there was
+        /// no answer.
+        good: Option<Vec<(Box<str>, Box<str>)>>,
+    },
     /// What became of [`Effect::OrderMachine`].
     MachineOrdered {
         /// The machine.
@@ -204,15 +216,6 @@
     }
 }
 
-/// An adviser's answer for a step.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Adviser {
-    /// The step.
-    pub step: StepId,
-    /// Workers that may run it, each with a ticket.
-    pub good: Vec<(Box<str>, Box<str>)>,
-}
-
 /// What the platform answered about a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -253,6 +256,13 @@
         /// What it is told.
         order: TaskOrder,
     },
+    /// Ask the adviser which workers may run a step.
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The workers.
+        workers: Vec<Box<str>>,
+    },
     /// Ask the platform for all machines.
     ListMachines,
     /// Tell the platform something about a machine.
--- a/crates/cleat-jobs/src/schedule/hold.rs
+++ b/crates/cleat-jobs/src/schedule/hold.rs
@@ -20,6 +20,9 @@
 /// How long the next hold waits for the commit of ends at most: a commit takes
 /// some 10 ms, and a hold that comes later acknowledges them as well.
 const COMMIT_LIMIT: Duration = Duration::from_millis(100);
+/// How long a hold waits where work fills beside work that serves: the tails
+/// have to be looked at more often than ends come.
+const SHARING_WAIT: Duration = Duration::from_millis(300);
 /// How long a worker may leave holds unanswered before it counts as silent.
 const SILENT_AFTER: Duration = Duration::from_millis(800);
 
@@ -45,10 +48,10 @@
         // An empty worker may move once its last ends are acknowledged for
         // certain; waiting for that answer would cost up to a second a move.
         let empties = worker.runs == 0 && worker.acked > worker.confirmed;
-        let wait = if deadline_ms.is_some() && !empties {
-            self.cfg.hold_wait
-        } else {
-            Duration::ZERO
+        let wait = match deadline_ms {
+            Some(_) if worker.shares => SHARING_WAIT,
+            Some(_) if !empties => self.cfg.hold_wait,
+            _ => Duration::ZERO,
         };
         worker.granted_ms = worker.granted_ms.max(deadline_ms.unwrap_or_default());
         worker.holding = true;
@@ -93,6 +96,7 @@
         for listed in &answer.running {
             self.take_listed(state, key, listed);
         }
+        self.pace(state, key, &answer.running);
         if !answer.more_ended {
             self.find_vanished(key, sent_at, &listed);
         }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -4,6 +4,7 @@
 //! any fixed point of the owner's life, on a clock that also counts while the
 //! machine is suspended.
 
+mod advice;
 mod attempt;
 mod decision;
 mod event;
@@ -11,6 +12,7 @@
 mod hold;
 mod ledger;
 mod orders;
+mod pace;
 mod place;
 mod protections;
 mod step;
@@ -25,21 +27,36 @@
 
 pub use decision::Decision;
 pub use event::{
-    Adviser, Beat, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer, Order,
-    OrderAnswer, RunningTask, TaskOrder,
+    Beat, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer, Order, OrderAnswer,
+    RunningTask, TaskOrder,
 };
 pub use fleet::{MachineOrder, MachineState, MachineView};
 pub use protections::Protections;
 pub use worker::WorkerState;
 
-use crate::state::{Command, ControlState, Owner};
-use crate::{JobId, Run, StepId, TaskId};
+use crate::state::{Command, ControlState, Owner, WorkerRecord};
+use crate::{JobId, Run, Size, StepId, TaskId};
+use advice::StepAdvice;
 use attempt::Attempt;
 use fleet::Machines;
+use pace::{Pace, Paced};
 use step::ActiveStep;
 use timing::{Objective, Times};
 use worker::{WorkerKey, Workers};
 
+/// What an owner believes of a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerView<'a> {
+    /// What the worker says of itself.
+    pub record: &'a WorkerRecord,
+    /// Whether it answers.
+    pub state: WorkerState,
+    /// How many runs it has.
+    pub runs: usize,
+    /// What they take up.
+    pub used: Size,
+}
+
 /// The durations of the scheduler. All owners use the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SchedulerConfig {
@@ -119,6 +136,11 @@
     /// When each job that is not over should be done.
     objectives: IndexMap<JobId, Objective>,
     times: Times,
+    /// What the adviser said of each step that needs its permission.
+    advice: IndexMap<StepId, StepAdvice>,
+    /// How the filling tasks of each worker are paced.
+    paces: IndexMap<WorkerKey, Pace>,
+    paced: Paced,
     /// When the balances of the pools were logged last.
     balances_told: Duration,
     /// Set while something may have made room or work.
@@ -151,6 +173,9 @@
             machines: Machines::default(),
             objectives: IndexMap::new(),
             times: Times::default(),
+            advice: IndexMap::new(),
+            paces: IndexMap::new(),
+            paced: Paced::new(),
             balances_told: now,
             dirty: true,
             effects: Vec::new(),
@@ -206,6 +231,12 @@
                 order,
                 answer,
             } => self.machine_ordered(&machine, &order, answer),
+            Event::Advised {
+                step,
+                sent_at,
+                asked,
+                good,
+            } => self.advised(state, step, sent_at, &asked, good),
             Event::ProposalFailed { command } => self.proposal_failed(&command),
         }
     }
@@ -226,6 +257,23 @@
         state.jobs.iter().filter(waits).count()
     }
 
+    /// How many tasks of a job run.
+    pub fn running(&self, id: JobId) -> usize {
+        let attempts = self.attempts.iter();
+        let of_job = attempts.filter(|(task, _)| task.job() == id);
+        of_job.filter(|(_, attempt)| attempt.holds_room()).count()
+    }
+
+    /// All workers.
+    pub fn workers(&self) -> impl Iterator<Item = WorkerView<'_>> {
+        self.workers.iter().map(|(_, worker)| WorkerView {
+            record: &worker.record,
+            state: worker.state,
+            runs: worker.runs,
+            used: worker.used,
+        })
+    }
+
     fn applied(&mut self, state: &ControlState, command: &Command) {
         match command {
             Command::Submit { id, .. } => self.activate_job(state, *id),
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -148,6 +148,9 @@
         if matches!(answer, OrderAnswer::NoRoom | OrderAnswer::Unwell) {
             self.workers[key].shunned_until = now + REFUSAL_PAUSE;
         }
+        if answer == OrderAnswer::NoTicket {
+            self.drop_ticket(order.task.step, key);
+        }
         self.withdraw(state, order.task);
     }
 
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -87,11 +87,27 @@
         if waits && !self.knows_all_runs(&step.pool) {
             return false;
         }
-        // Permissions are asked for by a part that is not built yet.
-        if job.queue.advice.is_some() {
-            return false;
-        }
         let pending: Vec<u32> = step.pending.iter().copied().collect();
+        if job.queue.advice.is_none() {
+            return self.place_tasks(id, job, spec, pending, keys);
+        }
+        let permitted = self.permitted(id, keys);
+        let left = self.place_tasks(id, job, spec, pending, &permitted);
+        let pending = self.steps.get(&id).map_or(0, |step| step.pending.len());
+        if pending > 0 {
+            self.ask_adviser(id, pending, keys);
+        }
+        left
+    }
+
+    fn place_tasks(
+        &mut self,
+        id: StepId,
+        job: &Job,
+        spec: &StepSpec,
+        pending: Vec<u32>,
+        keys: &[WorkerKey],
+    ) -> bool {
         if spec.gang {
             return self.place_gang(id, job, spec, &pending, keys);
         }
@@ -169,7 +185,13 @@
             let far = rack.is_some() && worker.record.rack.as_deref() != rack;
             let failed = step.failed_on.get(&index) == Some(key);
             let left = room.saturating_sub(footprint);
-            (failed, far, left.cpu_milli, left.memory_mb, *key)
+            // What fills wants the processor time that others leave.
+            let cpu = if spec.fills {
+                u64::MAX - left.cpu_milli
+            } else {
+                left.cpu_milli
+            };
+            (failed, far, cpu, left.memory_mb, *key)
         };
         let fits = |key: &&WorkerKey| {
             let worker = &self.workers[**key];
@@ -260,7 +282,7 @@
             spec: job.spec.clone(),
             checkpoint,
             deadline_ms,
-            ticket: None,
+            ticket: self.ticket(task.step, key),
         };
         self.send_order(key, TaskOrder { task, run, order });
     }
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -165,6 +165,8 @@
         });
         self.steps.retain(|step, _| step.job != id);
         self.timed.retain(|(job, _), _| *job != id);
+        self.advice.retain(|step, _| step.job != id);
+        self.paced.retain(|task, _| task.job() != id);
         self.starts.retain(|task, _| task.job() != id);
         self.begun.swap_remove(&id);
         self.objectives.swap_remove(&id);
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::Size;
 use crate::state::WorkerRecord;
@@ -14,7 +14,7 @@
 pub(crate) struct WorkerKey(u32);
 
 /// What a worker is believed to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum WorkerState {
     /// It has not answered this owner; an earlier owner's runs may be there.
@@ -65,6 +65,8 @@
     pub(crate) confirmed: u64,
     /// Whether nothing is started here, since its machine is to go elsewhere.
     pub(crate) cordoned: bool,
+    /// Whether work fills there beside work that serves.
+    pub(crate) shares: bool,
     /// Whether it has listed all its runs and ends to this owner.
     pub(crate) listed_whole: bool,
     /// Whether it lists runs that should not be there.
@@ -89,6 +91,7 @@
             cordoned: false,
             has_strays: false,
             listed_whole: false,
+            shares: false,
             runs: 0,
             record,
             state: WorkerState::Unseen,
--- a/crates/cleat-jobs/src/size.rs
+++ b/crates/cleat-jobs/src/size.rs
@@ -6,6 +6,7 @@
 
 /// An amount of each resource.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Size {
     /// Processor time, in thousandths of a core.
     pub cpu_milli: u64,
--- a/crates/cleat-jobs/src/state/job.rs
+++ b/crates/cleat-jobs/src/state/job.rs
@@ -135,6 +135,15 @@
         occurrence.steps.get(usize::from(id.step))
     }
 
+    /// How many tasks are done, in occurrences that are not over.
+    pub fn done_count(&self) -> u64 {
+        let steps = self
+            .occurrences
+            .values()
+            .flat_map(|occurrence| &occurrence.steps);
+        steps.map(|step| u64::from(step.done_count)).sum()
+    }
+
     /// Whether all tasks of an occurrence are done.
     pub fn is_occurrence_done(&self, occurrence: u32) -> bool {
         is_set(&self.occurrences_done, occurrence)
--- a/crates/cleat-link/src/control.rs
+++ b/crates/cleat-link/src/control.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::sync::Arc;
 
-use cleat_jobs::{Beat, Catalogue, JobSpec, JobState};
+use cleat_jobs::{Beat, Catalogue, JobId, JobSpec, JobState, WorkerState};
 use cleat_quorum::Message;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -37,6 +37,27 @@
         /// As in `Submit`.
         path: Box<str>,
     },
+    /// A job to store, by the name of its queue.
+    SubmitTo {
+        /// The queue.
+        queue: Box<str>,
+        /// The job's name.
+        id: JobId,
+        /// What the job asks for.
+        spec: Arc<JobSpec>,
+    },
+    /// The state of a job, by its name alone.
+    LookAt {
+        /// The job's name.
+        id: JobId,
+    },
+    /// A job to cancel, by its name alone.
+    CancelJob {
+        /// The job's name.
+        id: JobId,
+    },
+    /// All jobs that are not over, workers and waves.
+    Overview,
     /// A worker's heartbeat.
     Beat(Beat),
     /// A worker's last word.
@@ -129,6 +150,55 @@
     },
     /// There is no such wave.
     NoSuchWave,
+    /// All jobs that are not over, workers and waves.
+    Overview(Overview),
+}
+
+/// What operators are shown.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Overview {
+    /// The jobs that are not over, by name.
+    pub jobs: Vec<JobLine>,
+    /// How many jobs that are over are still remembered.
+    pub ended: u64,
+    /// The workers.
+    pub workers: Vec<WorkerLine>,
+}
+
+/// One job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobLine {
+    /// Its name.
+    pub id: JobId,
+    /// Its queue.
+    pub queue: Box<str>,
+    /// The pool that runs it.
+    pub pool: Box<str>,
+    /// How many tasks it has.
+    pub tasks: u64,
+    /// How many of them are done, in occurrences that are not over.
+    pub done: u64,
+    /// How many run.
+    pub running: u64,
+}
+
+/// One worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerLine {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its pool.
+    pub pool: Box<str>,
+    /// Its machine, if it names one.
+    pub machine: Option<Box<str>>,
+    /// What the owner believes of it.
+    pub state: WorkerState,
+    /// How many runs it has.
+    pub runs: u64,
+    /// What they take up, in thousandths of a core.
+    pub used_cpu_milli: u64,
+    /// What it offers, in thousandths of a core.
+    pub cpu_milli: u64,
 }
 
 /// Why a control instance did not do what it was asked.
@@ -157,6 +227,23 @@
     Stopping,
 }
 
+/// Why a call has no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum AskError {
+    /// No leader took it in time; it had no effect and has none later.
+    #[snafu(display("no leader took the call in time"))]
+    NotDone,
+    /// It may have had an effect. Repeating it is safe.
+    #[snafu(display("the outcome of the call is not known"))]
+    Unknown,
+    /// The leader will never take it.
+    #[snafu(display("{source}"))]
+    Refused {
+        /// Why.
+        source: ControlError,
+    },
+}
+
 /// The service that each control instance offers.
 #[tarpc::service]
 pub trait Control {
--- a/crates/cleat-link/src/lib.rs
+++ b/crates/cleat-link/src/lib.rs
@@ -15,7 +15,8 @@
 pub use channel::Channel;
 pub use codec::{LinkTraffic, TrafficSnapshot};
 pub use control::{
-    Control, ControlCall, ControlClient, ControlError, ControlHandler, ControlReply, JobView,
+    AskError, Control, ControlCall, ControlClient, ControlError, ControlHandler, ControlReply,
+    JobLine, JobView, Overview, WorkerLine,
 };
 pub use handler::Handler;
 pub use link::{CallError, Link, LinkConfig};
--- a/crates/cleat-operate/src/http/problem.rs
+++ b/crates/cleat-operate/src/http/problem.rs
@@ -35,6 +35,9 @@
     NoPlatform,
     WaveInProgress,
     NoWave,
+    UnknownQueue,
+    UnknownJob,
+    JobOver,
 }
 
 impl ProblemKind {
@@ -60,6 +63,9 @@
             ProblemKind::NoPlatform => "no-platform",
             ProblemKind::WaveInProgress => "wave-in-progress",
             ProblemKind::NoWave => "no-wave",
+            ProblemKind::UnknownQueue => "unknown-queue",
+            ProblemKind::UnknownJob => "unknown-job",
+            ProblemKind::JobOver => "job-over",
         }
     }
 
@@ -68,7 +74,9 @@
             ProblemKind::NotFound
             | ProblemKind::UnknownService
             | ProblemKind::UnknownInstance
-            | ProblemKind::UnknownPool => StatusCode::NOT_FOUND,
+            | ProblemKind::UnknownPool
+            | ProblemKind::UnknownQueue
+            | ProblemKind::UnknownJob => StatusCode::NOT_FOUND,
             ProblemKind::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             ProblemKind::BadRequest => StatusCode::BAD_REQUEST,
             ProblemKind::BodyTooLarge | ProblemKind::CommandTooLarge => {
@@ -83,7 +91,8 @@
             | ProblemKind::InMaintenance
             | ProblemKind::NoPlatform
             | ProblemKind::WaveInProgress
-            | ProblemKind::NoWave => StatusCode::CONFLICT,
+            | ProblemKind::NoWave
+            | ProblemKind::JobOver => StatusCode::CONFLICT,
             ProblemKind::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
             ProblemKind::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -110,6 +119,9 @@
             ProblemKind::InMaintenance => "A maintenance wave has the instance",
             ProblemKind::NoPlatform => "The configuration names no platform",
             ProblemKind::WaveInProgress => "A maintenance wave of the pool is under way",
+            ProblemKind::UnknownQueue => "There is no such queue",
+            ProblemKind::UnknownJob => "There is no such job",
+            ProblemKind::JobOver => "The job is over",
             ProblemKind::NoWave => "No maintenance wave of the pool is under way",
         }
     }
--- /dev/null
+++ b/crates/cleat-operate/src/jobs/mod.rs
@@ -0,0 +1,156 @@
+//! The operators' interface of control instances: jobs and workers.
+
+mod body;
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cleat_jobs::JobId;
+use cleat_link::{AskError, ControlCall, ControlReply};
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+
+use crate::http::{
+    Answer, Handler, Listener, Problem, ProblemKind, RunningServer, json, read_json,
+};
+use body::{JobBody, JobsBody, Submission, WorkersBody};
+
+/// How long a call may take: two elections.
+const LIMIT: Duration = Duration::from_secs(3);
+
+/// What the interface needs of a control instance.
+pub trait JobControl: Send + Sync + 'static {
+    /// Asks the leader.
+    fn ask(
+        &self,
+        call: ControlCall,
+        limit: Duration,
+    ) -> impl Future<Output = Result<ControlReply, AskError>> + Send;
+}
+
+/// Serves operators of jobs.
+#[derive(Debug)]
+pub struct JobOperators<C> {
+    control: Arc<C>,
+}
+
+impl<C: JobControl> JobOperators<C> {
+    /// Serves on `listener` until the returned server is stopped.
+    pub fn spawn(listener: Listener, control: Arc<C>) -> RunningServer {
+        listener.spawn(Arc::new(JobOperators { control }))
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Result<Answer, Problem> {
+        let path = req.uri().path().to_owned();
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        match (req.method().clone(), &segments[..]) {
+            (Method::GET, ["jobs"]) => self.list().await,
+            (Method::GET, ["workers"]) => self.workers().await,
+            (Method::GET, ["jobs", id]) => self.look(job_id(id)?).await,
+            (Method::POST, ["jobs", id]) => self.submit(job_id(id)?, req).await,
+            (Method::POST, ["jobs", id, "cancel"]) => self.cancel(job_id(id)?).await,
+            (method, _) => {
+                let detail = format!("{method} {path}");
+                Err(Problem::new(ProblemKind::NotFound, detail))
+            }
+        }
+    }
+
+    async fn ask(&self, call: ControlCall) -> Result<ControlReply, Problem> {
+        self.control.ask(call, LIMIT).await.map_err(problem)
+    }
+
+    async fn list(&self) -> Result<Answer, Problem> {
+        match self.ask(ControlCall::Overview).await? {
+            ControlReply::Overview(overview) => Ok(json(StatusCode::OK, &JobsBody::of(&overview))),
+            reply => Err(unfit(&reply)),
+        }
+    }
+
+    async fn workers(&self) -> Result<Answer, Problem> {
+        match self.ask(ControlCall::Overview).await? {
+            ControlReply::Overview(overview) => {
+                let workers = overview.workers;
+                Ok(json(StatusCode::OK, &WorkersBody { workers }))
+            }
+            reply => Err(unfit(&reply)),
+        }
+    }
+
+    async fn look(&self, id: JobId) -> Result<Answer, Problem> {
+        match self.ask(ControlCall::LookAt { id }).await? {
+            ControlReply::Job(view) => Ok(json(StatusCode::OK, &JobBody::of(id, view))),
+            ControlReply::NoSuchJob => Err(no_such_job(id)),
+            reply => Err(unfit(&reply)),
+        }
+    }
+
+    async fn submit(&self, id: JobId, req: Request<Incoming>) -> Result<Answer, Problem> {
+        let body = read_json(req).await?;
+        let submission: Submission = serde_json::from_value(body)
+            .map_err(|error| Problem::new(ProblemKind::BadRequest, error.to_string()))?;
+        let Submission { queue, job, .. } = submission;
+        job.validate()
+            .map_err(|error| Problem::new(ProblemKind::BadRequest, error.to_string()))?;
+        let spec = Arc::new(job);
+        let call = ControlCall::SubmitTo {
+            queue: queue.clone(),
+            id,
+            spec,
+        };
+        match self.ask(call).await? {
+            ControlReply::Done => Ok(json(StatusCode::OK, &JobBody::accepted(id))),
+            ControlReply::NoSuchQueue => {
+                Err(Problem::new(ProblemKind::UnknownQueue, queue.to_string()))
+            }
+            ControlReply::NoConfiguration => {
+                let detail = "there is no configuration yet".to_owned();
+                Err(Problem::new(ProblemKind::NoQuorum, detail))
+            }
+            reply => Err(unfit(&reply)),
+        }
+    }
+
+    async fn cancel(&self, id: JobId) -> Result<Answer, Problem> {
+        match self.ask(ControlCall::CancelJob { id }).await? {
+            ControlReply::Done => Ok(json(StatusCode::OK, &JobBody::cancelled(id))),
+            ControlReply::Over => Err(Problem::new(ProblemKind::JobOver, id.to_string())),
+            ControlReply::NoSuchJob => Err(no_such_job(id)),
+            reply => Err(unfit(&reply)),
+        }
+    }
+}
+
+impl<C: JobControl> Handler for JobOperators<C> {
+    async fn handle(&self, req: Request<Incoming>) -> Answer {
+        let answer = self.answer(req).await;
+        answer.unwrap_or_else(Problem::into_answer)
+    }
+}
+
+fn job_id(text: &str) -> Result<JobId, Problem> {
+    let parsed = text.parse();
+    parsed.map_err(|error: cleat_jobs::ParseTaskError| {
+        Problem::new(ProblemKind::BadRequest, error.to_string())
+    })
+}
+
+fn no_such_job(id: JobId) -> Problem {
+    Problem::new(ProblemKind::UnknownJob, id.to_string())
+}
+
+fn unfit(reply: &ControlReply) -> Problem {
+    log::warn!("an answer does not fit its call: {reply:?}");
+    let detail = "the answer does not fit the call".to_owned();
+    Problem::new(ProblemKind::OutcomeUnknown, detail)
+}
+
+fn problem(error: AskError) -> Problem {
+    let kind = match &error {
+        AskError::NotDone => ProblemKind::NoQuorum,
+        AskError::Unknown => ProblemKind::OutcomeUnknown,
+        AskError::Refused { .. } => ProblemKind::CommandTooLarge,
+    };
+    Problem::new(kind, error.to_string())
+}
--- a/crates/cleat-operate/src/lib.rs
+++ b/crates/cleat-operate/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod control;
 mod http;
+mod jobs;
 mod operators;
 mod targets;
 
 pub use control::{ControlError, ControlPlane, InstanceStatus, Role};
 pub use http::{ListenError, Listener, RunningServer};
+pub use jobs::{JobControl, JobOperators};
 pub use operators::Operators;
 pub use targets::{Lapsed, LeaseTable, Targets};
--- a/crates/cleat-settings/src/roles/control.rs
+++ b/crates/cleat-settings/src/roles/control.rs
@@ -19,6 +19,9 @@
     pub ip: Ipv4Addr,
     /// Where workers and operators call.
     pub listen: SocketAddr,
+    /// Where the operators of jobs call; nobody listens if absent.
+    #[serde(default)]
+    pub operators: Option<SocketAddr>,
     /// The ports that instances may use among each other; the first is used
     /// for calls, the last for metrics.
     pub internal_ports: (u16, u16),
@@ -33,6 +36,9 @@
     /// Where the platform answers calls about machines, if it does.
     #[serde(default)]
     pub machines: Option<Box<str>>,
+    /// Where the adviser answers, if there is one.
+    #[serde(default)]
+    pub adviser: Option<Box<str>>,
     /// How many processor cores it has; 1 runs all on one thread.
     #[serde(default = "one")]
     pub cores: usize,
