Run jobs end to end over real sockets with a stand-in worker

Change: the model of a worker moves to cleat-fakes; a stand-in worker that speaks the platform's protocol; tests with three control instances and a gateway: a job to its end, through the end of its leader, cancelled; bad input. Found by it: connections of other instances outlived the listener's task and kept a dropped instance leading; they end with it now.

--- a/crates/cleat-jobs/tests/simulation/worker.rs
+++ b/crates/cleat-fakes/src/worker/model.rs
@@ -10,36 +10,50 @@
 
 /// One run on a worker.
 #[derive(Clone, Debug)]
-pub(crate) struct SimRun {
-    pub(crate) run: Run,
-    pub(crate) ends_at: Duration,
-    pub(crate) kind: EndKind,
-    pub(crate) size: Size,
+pub struct ModelRun {
+    /// Its number.
+    pub run: Run,
+    /// When it ends by itself.
+    pub ends_at: Duration,
+    /// How it ends then.
+    pub kind: EndKind,
+    /// What it takes up.
+    pub size: Size,
 }
 
 /// One life of a worker.
 #[derive(Clone, Debug)]
-pub(crate) struct SimWorker {
-    pub(crate) record: WorkerRecord,
-    pub(crate) up: bool,
+pub struct ModelWorker {
+    /// What it says of itself.
+    pub record: WorkerRecord,
+    /// Whether it is there at all.
+    pub up: bool,
     /// Until when nothing reaches it or leaves it.
-    pub(crate) cut_until: Duration,
+    pub cut_until: Duration,
     /// How fast its clock is, in percent.
-    pub(crate) clock_percent: u32,
-    pub(crate) clock_offset_ms: u64,
-    pub(crate) token: u64,
-    pub(crate) deadline_ms: u64,
-    pub(crate) runs: IndexMap<TaskId, SimRun>,
+    pub clock_percent: u32,
+    /// What its clock showed at the beginning, in milliseconds.
+    pub clock_offset_ms: u64,
+    /// The highest fencing token seen.
+    pub token: u64,
+    /// The end of its lease, on its clock in milliseconds.
+    pub deadline_ms: u64,
+    /// What runs.
+    pub runs: IndexMap<TaskId, ModelRun>,
     /// The highest run of each task that was stopped or ended here.
-    pub(crate) closed: IndexMap<TaskId, Run>,
-    pub(crate) ended: Vec<TaskEnd>,
-    pub(crate) numbers: u64,
-    pub(crate) sequence: u64,
+    pub closed: IndexMap<TaskId, Run>,
+    /// Ends that were not acknowledged.
+    pub ended: Vec<TaskEnd>,
+    /// How many ends there were in this life.
+    pub numbers: u64,
+    /// How many heartbeats it sent.
+    pub sequence: u64,
 }
 
-impl SimWorker {
-    pub(crate) fn new(record: WorkerRecord, clock_percent: u32, clock_offset_ms: u64) -> SimWorker {
-        SimWorker {
+impl ModelWorker {
+    /// A worker without runs, whose clock runs at `clock_percent`.
+    pub fn new(record: WorkerRecord, clock_percent: u32, clock_offset_ms: u64) -> ModelWorker {
+        ModelWorker {
             record,
             up: true,
             cut_until: Duration::ZERO,
@@ -55,17 +69,21 @@
         }
     }
 
-    pub(crate) fn clock_ms(&self, now: Duration) -> u64 {
-        let ms = u64::try_from(now.as_millis()).expect("a short run");
+    /// What its clock shows.
+    #[must_use]
+    pub fn clock_ms(&self, now: Duration) -> u64 {
+        let ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
         self.clock_offset_ms + ms * u64::from(self.clock_percent) / 100
     }
 
-    pub(crate) fn reachable(&self, now: Duration) -> bool {
+    /// Whether calls reach it.
+    #[must_use]
+    pub fn reachable(&self, now: Duration) -> bool {
         self.up && now >= self.cut_until
     }
 
     /// Ends what is due, and everything once the lease is over.
-    pub(crate) fn advance(&mut self, now: Duration) {
+    pub fn advance(&mut self, now: Duration) {
         let lapsed = self.clock_ms(now) > self.deadline_ms;
         let due: Vec<(TaskId, EndKind)> = self
             .runs
@@ -113,12 +131,12 @@
     }
 
     /// Carries an order out. A start tells how long and how it will run.
-    pub(crate) fn order(
+    pub fn order(
         &mut self,
         now: Duration,
         token: u64,
         order: &TaskOrder,
-        planned: &SimRun,
+        planned: &ModelRun,
     ) -> OrderAnswer {
         self.advance(now);
         if token < self.token {
@@ -146,7 +164,7 @@
         task: TaskId,
         run: Run,
         deadline_ms: u64,
-        planned: &SimRun,
+        planned: &ModelRun,
     ) -> OrderAnswer {
         if self.clock_ms(now) > deadline_ms {
             return OrderAnswer::Late;
@@ -173,7 +191,7 @@
     }
 
     /// Takes a hold; the caller decides when it is answered.
-    pub(crate) fn hold(&mut self, now: Duration, order: &HoldOrder) -> bool {
+    pub fn hold(&mut self, now: Duration, order: &HoldOrder) -> bool {
         self.advance(now);
         if order.token < self.token {
             return false;
@@ -186,9 +204,10 @@
         true
     }
 
-    pub(crate) fn list(&mut self, now: Duration) -> HoldAnswer {
+    /// What runs and ended.
+    pub fn list(&mut self, now: Duration) -> HoldAnswer {
         self.advance(now);
-        let running = |(task, run): (&TaskId, &SimRun)| RunningTask {
+        let running = |(task, run): (&TaskId, &ModelRun)| RunningTask {
             task: *task,
             run: run.run,
             checkpoint: "".into(),
--- a/crates/cleat-jobs/tests/simulation/mod.rs
+++ b/crates/cleat-jobs/tests/simulation/mod.rs
@@ -2,7 +2,6 @@
 
 mod check;
 mod plan;
-mod worker;
 mod world;
 
 pub(crate) use check::Violation;
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cleat_fakes::{ModelRun, ModelWorker};
 use cleat_jobs::{
     Beat, Catalogue, Command, ControlState, Effect, EndKind, Event, HoldOrder, JobId, JobSpec,
     JobState, Order, OrderAnswer, Pool, Queue, Run, Scheduler, SchedulerConfig, Size, StepSpec,
@@ -16,7 +17,6 @@
 
 use super::check::Violation;
 use super::plan::{Fault, Plan};
-use super::worker::{SimRun, SimWorker};
 
 /// Faults come until then.
 const FAULTS_END: Duration = Duration::from_secs(12);
@@ -64,7 +64,7 @@
     state: ControlState,
     index: u64,
     owner: Option<Scheduler>,
-    workers: Vec<SimWorker>,
+    workers: Vec<ModelWorker>,
     lives: u64,
     accepted: IndexMap<TaskId, Run>,
     cancelled: IndexMap<JobId, Duration>,
@@ -141,7 +141,7 @@
         self.plan.has(Fault::Cancels) && id.0.is_multiple_of(4)
     }
 
-    fn new_life(&mut self, at: usize) -> SimWorker {
+    fn new_life(&mut self, at: usize) -> ModelWorker {
         self.lives += 1;
         let record = WorkerRecord {
             name: format!("w{at}-{}", self.lives).into(),
@@ -155,7 +155,7 @@
             noted: 0,
         };
         let percent = self.rng.random_range(98..=100);
-        SimWorker::new(record, percent, 1_000 * self.lives)
+        ModelWorker::new(record, percent, 1_000 * self.lives)
     }
 
     fn after(&mut self, delay: Duration, happening: Happening) {
@@ -246,7 +246,10 @@
                 self.after(delay, Happening::Commit(ordinal, command));
             }
             Effect::Fenced { .. } => self.owner = None,
-            Effect::Tell(_) | Effect::ListMachines | Effect::OrderMachine { .. } => {}
+            Effect::Tell(_)
+            | Effect::Advise { .. }
+            | Effect::ListMachines
+            | Effect::OrderMachine { .. } => {}
         }
     }
 
@@ -471,7 +474,7 @@
         Ok(())
     }
 
-    fn planned(&mut self, order: &TaskOrder) -> SimRun {
+    fn planned(&mut self, order: &TaskOrder) -> ModelRun {
         let hopeless = self.hopeless.contains(&order.task.job());
         let kind = if hopeless || self.rng.random_bool(0.03) {
             EndKind::Failed
@@ -487,7 +490,7 @@
         } else {
             ms(self.rng.random_range(50..1_500))
         };
-        SimRun {
+        ModelRun {
             run: order.run,
             ends_at: self.now + span,
             kind,
--- a/crates/cleat-link/src/server.rs
+++ b/crates/cleat-link/src/server.rs
@@ -1,5 +1,6 @@
 //! The side that answers.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -7,7 +8,7 @@
 use snafu::{ResultExt, Snafu};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::codec::transport;
 use crate::control::ControlAdapter;
@@ -62,9 +63,9 @@
         self.accept(move |stream| {
             let channel = BaseChannel::with_defaults(transport(stream, traffic.clone()));
             let requests = channel.execute(Adapter(handler.clone()).serve());
-            tokio::spawn(requests.for_each(|request| async move {
+            requests.for_each(|request| async move {
                 tokio::spawn(request);
-            }));
+            })
         })
     }
 
@@ -78,23 +79,32 @@
         self.accept(move |stream| {
             let channel = BaseChannel::with_defaults(transport(stream, traffic.clone()));
             let requests = channel.execute(ControlAdapter(handler.clone()).serve());
-            tokio::spawn(requests.for_each(|request| async move {
+            requests.for_each(|request| async move {
                 tokio::spawn(request);
-            }));
+            })
         })
     }
 
-    fn accept(self, serve: impl Fn(TcpStream) + Send + 'static) -> JoinHandle<()> {
+    /// Serves connections until the returned task is aborted, which ends them
+    /// as well: who holds on to a handler would seem to be there otherwise.
+    fn accept<F>(self, serve: impl Fn(TcpStream) -> F + Send + 'static) -> JoinHandle<()>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
         tokio::spawn(async move {
+            let mut connections = JoinSet::new();
             loop {
-                match self.listener.accept().await {
-                    Ok((stream, _)) => {
-                        if let Err(error) = stream.set_nodelay(true) {
-                            log::debug!("cannot set TCP_NODELAY: {error}");
+                tokio::select! {
+                    accepted = self.listener.accept() => match accepted {
+                        Ok((stream, _)) => {
+                            if let Err(error) = stream.set_nodelay(true) {
+                                log::debug!("cannot set TCP_NODELAY: {error}");
+                            }
+                            connections.spawn(serve(stream));
                         }
-                        serve(stream);
-                    }
-                    Err(error) => log::warn!("cannot accept another instance: {error}"),
+                        Err(error) => log::warn!("cannot accept another instance: {error}"),
+                    },
+                    Some(_) = connections.join_next() => {}
                 }
             }
         })
