--- a/crates/cleat-jobs/src/schedule/fleet/reserve.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/reserve.rs
@@ -84,13 +84,12 @@
     /// Moves the reserved machines that are empty, and lets go of those that
     /// are not needed any more.
     pub(super) fn move_reserved(&mut self, balances: &Balances) {
-        let reserved = |(name, machine): (&Box<str>, &Machine)| {
+        let waiting = self.machines.by_name.iter().filter_map(|(name, machine)| {
             let pool = machine.reserved_for.clone()?;
             let waits = machine.ordered.is_none();
             waits.then(|| (name.clone(), pool, machine.view.capacity))
-        };
-        let machines = self.machines.by_name.iter();
-        let reserved: Vec<_> = machines.filter_map(reserved).collect();
+        });
+        let reserved: Vec<_> = waiting.collect();
         for (name, pool, size) in reserved {
             let machine = &self.machines.by_name[&name];
             let without = balances.get(&pool).map(|balance| balance.without(size));
--- a/crates/cleat-jobs/src/schedule/fleet/waves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/waves.rs
@@ -31,7 +31,7 @@
     fn run_wave(&mut self, number: u64, wave: &Wave) {
         self.drop_gone(number, wave);
         let most = usize::try_from(wave.max_at_once).unwrap_or(usize::MAX);
-        let mut under_way = self.under_way(number, wave);
+        let room = most.saturating_sub(self.under_way(number, wave));
         let mut waiting: Vec<Box<str>> = wave
             .waiting
             .iter()
@@ -39,11 +39,7 @@
             .cloned()
             .collect();
         waiting.sort_by_key(|name| self.effort(name));
-        for name in waiting {
-            if under_way >= most {
-                break;
-            }
-            under_way += 1;
+        for name in waiting.into_iter().take(room) {
             self.begin(&name, number);
         }
         self.maintain_empty(number);
@@ -107,8 +103,8 @@
 
     /// Takes machines out of a wave that are gone for good.
     fn drop_gone(&mut self, number: u64, wave: &Wave) {
-        let gone = |name: &&Box<str>| {
-            let machine = self.machines.by_name.get(*name);
+        let gone = |name: &str| {
+            let machine = self.machines.by_name.get(name);
             let missing = machine.and_then(|machine| machine.missing_since);
             let since = missing.or_else(|| match machine {
                 None => self.machines.wave_known.get(&number).copied(),
@@ -116,7 +112,8 @@
             });
             since.is_some_and(|since| self.now >= since + GONE_AFTER)
         };
-        let names: Vec<Box<str>> = wave.waiting.iter().filter(gone).cloned().collect();
+        let waiting = wave.waiting.iter();
+        let names: Vec<Box<str>> = waiting.filter(|name| gone(name)).cloned().collect();
         for machine in names {
             if let Some(known) = self.machines.by_name.get_mut(&machine) {
                 known.emptied_for = None;
--- a/crates/cleat-jobs/src/schedule/hold.rs
+++ b/crates/cleat-jobs/src/schedule/hold.rs
@@ -74,7 +74,7 @@
         worker: &str,
         sent_at: Duration,
         acked: u64,
-        answer: HoldAnswer,
+        answer: &HoldAnswer,
     ) {
         let Some(key) = self.workers.key(worker) else {
             return;
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -218,7 +218,7 @@
                 sent_at,
                 acked,
                 answer,
-            } => self.hold_answered(state, &worker, sent_at, acked, answer),
+            } => self.hold_answered(state, &worker, sent_at, acked, &answer),
             Event::HoldFailed { worker, other_life } => self.hold_failed(&worker, other_life),
             Event::Ordered {
                 worker,
--- a/crates/cleat-operate/src/jobs/mod.rs
+++ b/crates/cleat-operate/src/jobs/mod.rs
@@ -58,7 +58,8 @@
     }
 
     async fn ask(&self, call: ControlCall) -> Result<ControlReply, Problem> {
-        self.control.ask(call, LIMIT).await.map_err(problem)
+        let asked = self.control.ask(call, LIMIT).await;
+        asked.map_err(|error| problem(&error))
     }
 
     async fn list(&self) -> Result<Answer, Problem> {
@@ -146,8 +147,8 @@
     Problem::new(ProblemKind::OutcomeUnknown, detail)
 }
 
-fn problem(error: AskError) -> Problem {
-    let kind = match &error {
+fn problem(error: &AskError) -> Problem {
+    let kind = match error {
         AskError::NotDone => ProblemKind::NoQuorum,
         AskError::Unknown => ProblemKind::OutcomeUnknown,
         AskError::Refused { .. } => ProblemKind::CommandTooLarge,
--- a/crates/cleat-quorum/tests/joining.rs
+++ b/crates/cleat-quorum/tests/joining.rs
@@ -1,5 +1,6 @@
 //! Groups that grow from seeds.
 
+#[allow(dead_code)]
 mod group;
 
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use group::recovery::identity;
 use group::{Group, seconds};
 
-const SEEDS: usize = 3;
+const SEEDS: u32 = 3;
 const MEMBERS: u32 = 5;
 const SILENCE: Duration = Duration::from_secs(3);
 
@@ -23,14 +24,10 @@
 
 /// Five members that are told of the three seeds only.
 fn seeded(extra: u32, founds: fn(u32) -> bool) -> Group {
-    Group::new(
-        SEEDS as u32,
-        MEMBERS - SEEDS as u32 + extra,
-        |id, config, _| {
-            config.members.truncate(SEEDS);
-            config.joining = Some(joining(founds(id)));
-        },
-    )
+    Group::new(SEEDS, MEMBERS - SEEDS + extra, |id, config, _| {
+        config.members.truncate(SEEDS as usize);
+        config.joining = Some(joining(founds(id)));
+    })
 }
 
 fn voters(group: &Group) -> Vec<u32> {
@@ -98,8 +95,8 @@
     let leader = group.leader();
     group.propose(leader, b"kept");
     let kept = group.core(leader).status().commit;
-    for lost in [0, 1] {
-        group.cores[lost] = fresh(lost as u32);
+    for lost in [0u32, 1] {
+        group.cores[lost as usize] = fresh(lost);
     }
     group.advance(seconds(6));
     let leader = group.core(group.leader());
@@ -113,7 +110,7 @@
         id: MemberId(id),
         votes: true,
     };
-    let seeds = (0..SEEDS as u32).map(seed).collect();
+    let seeds = (0..SEEDS).map(seed).collect();
     let mut config = CoreConfig::new(MemberId(id), seeds, u64::from(id) + 100);
     config.joining = Some(joining(false));
     let recovery = Recovery {
