Serve counters and latency histograms as text on an address of its own

Cause: the on-call engineers have logs and metrics only. Change: histograms beside the counters, both as text; the owner counts its decisions, gateways and control instances their calls and commits.

--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cleat_control::{ControlConfig, ControlNode, PeerAddress, PlatformClients};
+use cleat_control::{ControlConfig, ControlNode, Metrics, PeerAddress, PlatformClients};
 use cleat_http::Listener;
 use cleat_jobs::SchedulerConfig;
 use cleat_operate::JobOperators;
@@ -14,7 +14,7 @@
 use cleat_settings::{AnySettings, ControlSettings};
 use snafu::ResultExt;
 
-use super::{Life, seed_keys, start_events, until_told_to_stop, watch};
+use super::{Life, seed_keys, serve_metrics, start_events, until_told_to_stop, watch};
 use crate::error::{ControlSnafu, DaemonError, ListenSnafu};
 
 /// How long a voter that another has replaced may be silent before it stops
@@ -27,16 +27,19 @@
 /// Runs it until it is told to stop.
 pub(crate) async fn run(settings: ControlSettings, file: &Path) -> Result<(), DaemonError> {
     let events = start_events()?;
+    let metrics = Metrics::default();
     let clients = PlatformClients {
         workers: HttpWorkers::new(WorkerLimits::default()),
         machines: HttpMachines::new(settings.machines.clone(), settings.name.clone()),
         adviser: HttpAdviser::new(settings.adviser.clone()),
     };
-    let node = ControlNode::start(config(&settings), clients, events.clone()).await;
+    let node = ControlNode::start(config(&settings), clients, events.clone(), metrics.clone());
+    let node = node.await;
     let node = Arc::new(node.context(ControlSnafu)?);
     let listener = Listener::bind(settings.listen).await.context(ListenSnafu)?;
     let side = ControlSide::new(node.clone(), settings.listen);
     let server = listener.spawn(Arc::new(side));
+    let _metrics = serve_metrics(settings.metrics, &metrics).await?;
     let operators = match settings.operators {
         None => None,
         Some(address) => {
--- a/crates/celerycleatd/src/roles/gateway.rs
+++ b/crates/celerycleatd/src/roles/gateway.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cleat_control::{Gateway, GatewayConfig, PeerAddress};
+use cleat_control::{Gateway, GatewayConfig, Metrics, PeerAddress};
 use cleat_http::Listener;
 use cleat_platform::{CallerSide, Readiness, ReadySide};
 use cleat_settings::{AnySettings, GatewaySettings};
 use snafu::ResultExt;
 use tokio::time::sleep;
 
-use super::{Life, seed_keys, start_events, until_told_to_stop, watch};
+use super::{Life, seed_keys, serve_metrics, start_events, until_told_to_stop, watch};
 use crate::error::{DaemonError, ListenSnafu};
 
 /// How often the gateway makes sure that it finds the leader.
@@ -27,9 +27,11 @@
 pub(crate) async fn run(settings: GatewaySettings, file: &Path) -> Result<(), DaemonError> {
     let events = start_events()?;
     let (port, _) = settings.internal_ports;
+    let metrics = Metrics::default();
     let gateway = Arc::new(Gateway::open(GatewayConfig {
         seeds: seed_keys(&settings.seeds),
         address: PeerAddress { port },
+        metrics: metrics.clone(),
     }));
     let readiness = Readiness::default();
     let ready = Listener::bind(settings.ready).await.context(ListenSnafu)?;
@@ -39,6 +41,7 @@
     let ready = ready.spawn(Arc::new(ReadySide(readiness.clone())));
     let side = Arc::new(CallerSide::new(gateway.clone()));
     let callers = callers.spawn(side.clone());
+    let _metrics = serve_metrics(settings.metrics, &metrics).await?;
     let (name, role) = (&*settings.name, "gateway");
     let version = env!("CARGO_PKG_VERSION");
     events.emit(&Life::Started {
--- a/crates/celerycleatd/src/roles/mod.rs
+++ b/crates/celerycleatd/src/roles/mod.rs
@@ -2,21 +2,25 @@
 
 mod control;
 mod gateway;
+mod metrics;
 mod watch;
 
 pub(crate) use control::run as run_control;
 pub(crate) use gateway::run as run_gateway;
 
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
 
-use cleat_control::PeerAddress;
+use cleat_control::{Metrics, PeerAddress};
+use cleat_http::{Listener, RunningServer};
 use cleat_telemetry::{EventLog, install_logs};
 use log::LevelFilter;
 use serde::Serialize;
 use snafu::ResultExt;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::error::{DaemonError, ProcessSnafu, TelemetrySnafu};
+use crate::error::{DaemonError, ListenSnafu, ProcessSnafu, TelemetrySnafu};
+use metrics::MetricsSide;
 
 /// A change of the process's own life.
 #[derive(Serialize)]
@@ -42,6 +46,19 @@
     Ok(events)
 }
 
+/// Serves metrics, if the settings name an address.
+async fn serve_metrics(
+    address: Option<SocketAddr>,
+    metrics: &Metrics,
+) -> Result<Option<RunningServer>, DaemonError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let listener = Listener::bind(address).await.context(ListenSnafu)?;
+    let side = MetricsSide(metrics.clone());
+    Ok(Some(listener.spawn(Arc::new(side))))
+}
+
 /// The keys of the seeds.
 fn seed_keys(seeds: &[SocketAddrV4]) -> Vec<cleat_quorum::MemberId> {
     seeds
--- a/crates/cleat-control/src/leader.rs
+++ b/crates/cleat-control/src/leader.rs
@@ -11,6 +11,7 @@
 
 use crate::PeerAddress;
 use crate::links::Links;
+use crate::metrics::{Metrics, call_kind};
 
 /// How long one instance may take before another is asked. Above the time of a
 /// commit on a slow disk (some 30 ms), below that of an election (1.1 s).
@@ -27,6 +28,8 @@
     pub seeds: Vec<MemberId>,
     /// How they are reached.
     pub address: PeerAddress,
+    /// Where calls are counted.
+    pub metrics: Metrics,
 }
 
 /// Asks the leader, whoever it is.
@@ -36,6 +39,7 @@
     links: Arc<Links>,
     /// The key of the leader as last heard of.
     leader: AtomicU32,
+    metrics: Metrics,
 }
 
 /// What one try came to.
@@ -54,18 +58,19 @@
     /// Opens links to the seeds. Needs a tokio runtime.
     pub fn open(cfg: GatewayConfig) -> Gateway {
         let links = Arc::new(Links::new(cfg.address, Arc::new(LinkTraffic::default())));
-        let gateway = Gateway::over(links, cfg.seeds);
+        let gateway = Gateway::over(links, cfg.seeds, cfg.metrics);
         for seed in gateway.seeds.load().iter() {
             gateway.links.to(*seed);
         }
         gateway
     }
 
-    pub(crate) fn over(links: Arc<Links>, seeds: Vec<MemberId>) -> Gateway {
+    pub(crate) fn over(links: Arc<Links>, seeds: Vec<MemberId>, metrics: Metrics) -> Gateway {
         Gateway {
             seeds: ArcSwap::from_pointee(seeds),
             links,
             leader: AtomicU32::new(NOBODY),
+            metrics,
         }
     }
 
@@ -91,6 +96,17 @@
     /// # Errors
     /// See [`AskError`].
     pub async fn ask(&self, call: ControlCall, limit: Duration) -> Result<ControlReply, AskError> {
+        let (kind, began) = (call_kind(&call), Instant::now());
+        let answer = self.ask_in_turn(call, limit).await;
+        self.metrics.call(kind, began.elapsed(), &answer);
+        answer
+    }
+
+    async fn ask_in_turn(
+        &self,
+        call: ControlCall,
+        limit: Duration,
+    ) -> Result<ControlReply, AskError> {
         let deadline = Instant::now() + limit;
         let mut may_be_done = false;
         let mut next_seed = 0;
--- /dev/null
+++ b/crates/cleat-control/src/metrics.rs
@@ -0,0 +1,100 @@
+//! What a control instance and a gateway count.
+
+use std::time::Duration;
+
+use cleat_jobs::{Decision, EndKind};
+use cleat_link::{ControlCall, ControlReply};
+use cleat_telemetry::{Counter, Counters, Latencies};
+
+/// Counters and histograms of one process.
+#[derive(Clone, Debug, Default)]
+pub struct Metrics {
+    /// Numbers.
+    pub counters: Counters,
+    /// Durations.
+    pub latencies: Latencies,
+}
+
+impl Metrics {
+    /// Counts a decision of the scheduler.
+    pub(crate) fn count_decision(&self, decision: &Decision) {
+        match decision {
+            Decision::Accepted { .. } => self.count("jobs.taken"),
+            Decision::Start { waited_ms, .. } => {
+                self.count("tasks.started");
+                let waited = Duration::from_millis(*waited_ms);
+                self.latencies.latency("task.wait").record(waited);
+            }
+            Decision::StartFailed { answer, .. } => self.count_by("starts.failed", answer),
+            Decision::Stop { reason, .. } => self.count_by("tasks.stopped", reason),
+            Decision::Ended { kind, ran_ms, .. } => {
+                self.count_by("runs.ended", kind);
+                if *kind == EndKind::Done {
+                    let ran = Duration::from_millis(*ran_ms);
+                    self.latencies.latency("task.run").record(ran);
+                }
+            }
+            Decision::Lost { reason, .. } => self.count_by("runs.lost", reason),
+            Decision::Adopted { .. } => self.count("runs.adopted"),
+            Decision::JobOver { state, .. } => self.count_by("jobs.over", state),
+            Decision::Machine { .. } => self.count("machines.ordered"),
+            Decision::MachineAnswered { answer, .. } => self.count_by("machines.answered", answer),
+            Decision::Advised { took_ms, .. } => {
+                let took = Duration::from_millis(*took_ms);
+                self.latencies.latency("advice").record(took);
+            }
+            Decision::Worker { state, .. } => self.count_by("workers.became", state),
+            Decision::Pool { pool, waiting, .. } => {
+                let gauge = self.counters.gauge(&format!("pool.{pool}.waiting"));
+                gauge.set(*waiting);
+            }
+        }
+    }
+
+    /// Counts a call and how long it took.
+    pub(crate) fn call<E: std::fmt::Debug>(
+        &self,
+        kind: &'static str,
+        took: Duration,
+        answer: &Result<ControlReply, E>,
+    ) {
+        self.latencies.latency(&format!("call.{kind}")).record(took);
+        if let Err(error) = answer {
+            self.count_by(&format!("call.{kind}.failed"), error);
+        }
+    }
+
+    /// Counts one of a kind.
+    pub(crate) fn count(&self, name: &str) {
+        self.counter(name).incr();
+    }
+
+    fn count_by(&self, name: &str, kind: &impl std::fmt::Debug) {
+        let kind = format!("{kind:?}").to_lowercase();
+        // Only the name of a variant, not what it holds.
+        let end = kind.find(|c: char| !c.is_ascii_alphanumeric());
+        let kind = &kind[..end.unwrap_or(kind.len())];
+        self.count(&format!("{name}.{kind}"));
+    }
+
+    fn counter(&self, name: &str) -> Counter {
+        self.counters.counter(name)
+    }
+}
+
+/// The kind of a call, as it is counted.
+pub(crate) fn call_kind(call: &ControlCall) -> &'static str {
+    match call {
+        ControlCall::Leader => "leader",
+        ControlCall::Submit { .. } | ControlCall::SubmitTo { .. } => "submit",
+        ControlCall::Look { .. } | ControlCall::LookAt { .. } => "look",
+        ControlCall::Cancel { .. } | ControlCall::CancelJob { .. } => "cancel",
+        ControlCall::Overview => "overview",
+        ControlCall::Beat(_) => "beat",
+        ControlCall::Left { .. } => "left",
+        ControlCall::Configure(_) => "configure",
+        ControlCall::Configuration => "configuration",
+        ControlCall::StartWave { .. } => "start_wave",
+        ControlCall::Wave { .. } => "wave",
+    }
+}
--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -1,6 +1,7 @@
 //! How the leader answers calls.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use cleat_jobs::{
     Answer, Catalogue, Command, ControlState, Event, Job, JobId, JobSpec, JobState, Queue,
@@ -197,7 +198,12 @@
     }
 
     async fn commit(&self, command: &Command) -> Result<ControlReply, ControlError> {
+        let began = Instant::now();
         let applied = self.replica.propose(command.encode()).await;
+        self.metrics
+            .latencies
+            .latency("commit")
+            .record(began.elapsed());
         let applied = applied.map_err(|error| refusal(&error))?;
         Ok(match Answer::decode(&applied.answer) {
             Some(Answer::Done) => ControlReply::Done,
--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -25,7 +25,8 @@
 use crate::links::{LinkTransport, Links};
 use crate::machine::{JobsMachine, SharedState};
 use crate::{
-    AdviceClient, MachineClient, PeerAddress, PlatformClients, StartError, WorkerClient, owner,
+    AdviceClient, MachineClient, Metrics, PeerAddress, PlatformClients, StartError, WorkerClient,
+    owner,
 };
 
 /// What the parts of a control instance share.
@@ -37,6 +38,7 @@
     /// The owner's decisions, while this instance leads.
     pub(crate) scheduler: Mutex<Option<Scheduler>>,
     pub(crate) events: EventLog,
+    pub(crate) metrics: Metrics,
 }
 
 impl Shared {
@@ -71,6 +73,7 @@
         cfg: ControlConfig,
         clients: PlatformClients<impl WorkerClient, impl MachineClient, impl AdviceClient>,
         events: EventLog,
+        metrics: Metrics,
     ) -> Result<ControlNode, StartError> {
         let listener = PeerListener::bind(cfg.listen).await.context(ListenSnafu)?;
         let disk = Journal::open(&cfg.data_folder, &cfg.name).context(DataFolderSnafu)?;
@@ -87,13 +90,14 @@
             state,
             scheduler: Mutex::new(None),
             events,
+            metrics: metrics.clone(),
         });
         let owner = owner::spawn(shared.clone(), cfg.scheduler, clients);
         let handler = Arc::new(PeerSide(shared.clone()));
         let serving = listener.serve_control(handler, traffic);
         Ok(ControlNode {
             shared,
-            others: Gateway::over(links, cfg.seeds),
+            others: Gateway::over(links, cfg.seeds, metrics),
             tasks: vec![owner, serving],
         })
     }
--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -39,7 +39,10 @@
                 order,
             } => calls.push(self.order_machine(machine, token, order)),
             Effect::Propose(command) => calls.push(self.propose(command)),
-            Effect::Tell(decision) => self.shared.events.emit(&decision),
+            Effect::Tell(decision) => {
+                self.shared.metrics.count_decision(&decision);
+                self.shared.events.emit(&decision);
+            }
             Effect::Fenced { worker } => {
                 warn!("worker {worker} knows a later owner; this one gives no more orders");
                 return false;
--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -250,3 +250,22 @@
     };
     effects.iter().filter_map(command).collect()
 }
+
+/// What effects ask of the adviser.
+pub(crate) fn advice(effects: &[Effect]) -> Vec<(StepId, Vec<Box<str>>)> {
+    let asked = |effect: &Effect| match effect {
+        Effect::Advise { step, workers } => Some((*step, workers.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(asked).collect()
+}
+
+/// The paces among effects, with their tasks.
+pub(crate) fn paces(effects: &[Effect]) -> Vec<(TaskId, u8)> {
+    let pace = |(_, order): (Box<str>, TaskOrder)| match order.order {
+        Order::Pace(percent) => Some((order.task, percent)),
+        _ => None,
+    };
+    let all = orders(effects, |order| matches!(order, Order::Pace(_)));
+    all.into_iter().filter_map(pace).collect()
+}
--- a/crates/cleat-settings/src/error.rs
+++ b/crates/cleat-settings/src/error.rs
@@ -32,6 +32,19 @@
         /// What is wrong.
         source: serde_json::Error,
     },
+    /// The settings of a control instance or a gateway can't be read. Correct
+    /// them at the place named.
+    #[snafu(display("{}: line {line}, column {column}: {source}", file.display()))]
+    Role {
+        /// The file, or `settings` for a text without one.
+        file: PathBuf,
+        /// The line, counted from 1.
+        line: usize,
+        /// The column, counted from 1.
+        column: usize,
+        /// What is wrong.
+        source: serde_json::Error,
+    },
     /// The document is JSON but no valid settings. Correct every value listed.
     #[snafu(display("{}", list(file, faults)))]
     Invalid {
--- a/crates/cleat-settings/src/roles/control.rs
+++ b/crates/cleat-settings/src/roles/control.rs
@@ -26,6 +26,7 @@
     /// for calls, the last for metrics.
     pub internal_ports: (u16, u16),
     /// Instances to begin with, as workers and operators call them.
+    #[serde(deserialize_with = "super::seeds")]
     pub seeds: Vec<SocketAddrV4>,
     /// Whether the whole fleet starts for the first time, on empty disks.
     pub first_start: bool,
@@ -39,6 +40,9 @@
     /// Where the adviser answers, if there is one.
     #[serde(default)]
     pub adviser: Option<Box<str>>,
+    /// Where metrics are served as text; nowhere if absent.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// How many processor cores it has; 1 runs all on one thread.
     #[serde(default = "one")]
     pub cores: usize,
--- a/crates/cleat-settings/src/roles/gateway.rs
+++ b/crates/cleat-settings/src/roles/gateway.rs
@@ -24,7 +24,11 @@
     /// for calls, the last for metrics.
     pub internal_ports: (u16, u16),
     /// Control instances to begin with, as workers and operators call them.
+    #[serde(deserialize_with = "super::seeds")]
     pub seeds: Vec<SocketAddrV4>,
+    /// Where metrics are served as text; nowhere if absent.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// How many processor cores it has; 1 runs all on one thread.
     #[serde(default = "one")]
     pub cores: usize,
--- a/crates/cleat-settings/src/roles/mod.rs
+++ b/crates/cleat-settings/src/roles/mod.rs
@@ -8,12 +8,14 @@
 pub use control::{ControlSettings, TimingSettings};
 pub use gateway::GatewaySettings;
 
+use std::net::SocketAddrV4;
 use std::path::Path;
 
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, Error};
+use serde::{Deserialize, Deserializer};
 use snafu::ResultExt;
 
-use crate::error::{SyntaxSnafu, UnreadableSnafu};
+use crate::error::{RoleSnafu, UnreadableSnafu};
 use crate::{Settings, SettingsError};
 
 /// The settings of any kind of instance; the key `role` tells which.
@@ -63,9 +65,18 @@
     }
 }
 
+/// Seeds, of which there has to be one at least.
+fn seeds<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<SocketAddrV4>, D::Error> {
+    let seeds: Vec<SocketAddrV4> = Vec::deserialize(deserializer)?;
+    if seeds.is_empty() {
+        return Err(D::Error::custom("seeds: name one address at least"));
+    }
+    Ok(seeds)
+}
+
 fn decode<T: DeserializeOwned>(text: &str, file: &Path) -> Result<T, SettingsError> {
     serde_json::from_str(text).or_else(|source| {
         let (line, column) = (source.line(), source.column());
-        Err(source).context(SyntaxSnafu { file, line, column })
+        Err(source).context(RoleSnafu { file, line, column })
     })
 }
--- /dev/null
+++ b/crates/cleat-settings/tests/roles.rs
@@ -0,0 +1,72 @@
+//! The settings of control instances and gateways.
+
+use std::path::Path;
+
+use cleat_settings::AnySettings;
+use serde_json::{Value, json};
+
+fn control() -> Value {
+    json!({
+        "role": "control", "name": "c1", "data_centre": "dc1", "ip": "10.1.0.12",
+        "listen": "10.1.0.12:8623", "internal_ports": [7060, 7075],
+        "seeds": ["10.1.0.12:8623", "10.2.0.25:8623"], "first_start": true,
+        "losses_to_bear": 2, "data_folder": "data/c1", "machines": null, "adviser": null,
+    })
+}
+
+fn gateway() -> Value {
+    json!({
+        "role": "gateway", "name": "g1", "data_centre": "dc1", "ip": "10.1.0.9",
+        "callers": "10.1.0.9:8624", "ready": "10.1.0.9:8622", "internal_ports": [7060, 7075],
+        "seeds": ["10.1.0.12:8623"],
+    })
+}
+
+fn parse(settings: &Value) -> Result<AnySettings, String> {
+    let parsed = AnySettings::parse(&settings.to_string(), Path::new("settings.json"));
+    parsed.map_err(|error| error.to_string())
+}
+
+#[test]
+fn parse_control() {
+    let Ok(AnySettings::Control(settings)) = parse(&control()) else {
+        panic!("control settings");
+    };
+    assert_eq!(settings.internal_ports, (7060, 7075));
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.cores, 1);
+    assert_eq!(settings.machines, None);
+}
+
+#[test]
+fn parse_gateway() {
+    let Ok(AnySettings::Gateway(settings)) = parse(&gateway()) else {
+        panic!("gateway settings");
+    };
+    assert_eq!(settings.callers.port(), 8624);
+}
+
+#[test]
+fn parse_without_a_role_is_an_instance() {
+    let text = cleat_settings::default_text();
+    let parsed = AnySettings::parse(&text, Path::new("settings.json"));
+    assert!(matches!(parsed, Ok(AnySettings::Instance(_))), "{parsed:?}");
+}
+
+#[test]
+fn parse_faults_name_the_file_and_what_is_wrong() {
+    let cases: [(fn(&mut Value), &str); 5] = [
+        (|s| s["role"] = json!("king"), "king"),
+        (|s| s["seeds"] = json!(["nowhere"]), "socket address"),
+        (|s| drop(s.as_object_mut().map(|s| s.remove("ip"))), "`ip`"),
+        (|s| s["colour"] = json!("red"), "colour"),
+        (|s| s["seeds"] = json!([]), "seeds"),
+    ];
+    for (change, expected) in cases {
+        let mut settings = control();
+        change(&mut settings);
+        let error = parse(&settings).expect_err(expected);
+        assert!(error.contains("settings.json"), "{error}");
+        assert!(error.contains(expected), "{error}");
+    }
+}
