Log calls that fail, configurations and ownership as typed events

Cause: a gateway said nothing of a request that it refused, and the change of owner was free text. Change: typed events with the request's job, path, reason and time.

--- a/crates/celerycleatd/src/roles/gateway.rs
+++ b/crates/celerycleatd/src/roles/gateway.rs
@@ -32,6 +32,7 @@
         seeds: seed_keys(&settings.seeds),
         address: PeerAddress { port },
         metrics: metrics.clone(),
+        events: events.clone(),
     }));
     let readiness = Readiness::default();
     let ready = Listener::bind(settings.ready).await.context(ListenSnafu)?;
--- /dev/null
+++ b/crates/cleat-control/src/events.rs
@@ -0,0 +1,122 @@
+//! What control instances and gateways log beside the scheduler's decisions.
+
+use std::time::Duration;
+
+use cleat_link::{AskError, ControlCall, ControlReply};
+use serde::Serialize;
+
+use crate::metrics::call_kind;
+
+/// One decision or change of belief. Field names are those of the scheduler's
+/// decisions where they mean the same.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(crate) enum ControlEvent {
+    /// A call was not done, or it is not known.
+    CallFailed {
+        call: &'static str,
+        job: Option<Box<str>>,
+        path: Option<Box<str>>,
+        reason: Box<str>,
+        took_ms: u128,
+    },
+    /// A call was refused by what the fleet knows.
+    CallRefused {
+        call: &'static str,
+        job: Option<Box<str>>,
+        path: Option<Box<str>>,
+        reason: Box<str>,
+        took_ms: u128,
+    },
+    /// A configuration is in force.
+    Configured {
+        version: u64,
+        queues: usize,
+        pools: usize,
+    },
+    /// This instance gives orders to the workers from now on.
+    Owns {
+        token: u64,
+        ordinal: u32,
+        workers: usize,
+        jobs: usize,
+    },
+    /// This instance gives no more orders.
+    OwnsNoMore { token: u64, reason: OwnershipEnd },
+}
+
+/// Why an owner stopped giving orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum OwnershipEnd {
+    /// The lead was lost.
+    LeadLost,
+    /// A worker or the platform knows a later owner.
+    Fenced,
+}
+
+/// What of a call is logged with its outcome.
+#[derive(Clone, Debug)]
+pub(crate) struct CallLabel {
+    call: &'static str,
+    job: Option<Box<str>>,
+    path: Option<Box<str>>,
+}
+
+impl CallLabel {
+    pub(crate) fn of(call: &ControlCall) -> CallLabel {
+        let path = match call {
+            ControlCall::Submit { path, .. }
+            | ControlCall::Look { path, .. }
+            | ControlCall::Cancel { path, .. } => Some(path.clone()),
+            _ => None,
+        };
+        let job = match call {
+            ControlCall::SubmitTo { id, .. }
+            | ControlCall::LookAt { id }
+            | ControlCall::CancelJob { id } => Some(id.to_string().into()),
+            _ => {
+                let last = path.as_deref().and_then(|path| path.rsplit('/').next());
+                last.filter(|job| !job.is_empty()).map(Into::into)
+            }
+        };
+        CallLabel {
+            call: call_kind(call),
+            job,
+            path,
+        }
+    }
+
+    /// The line about an outcome that is no success, if there is one to write.
+    pub(crate) fn outcome(
+        self,
+        answer: &Result<ControlReply, AskError>,
+        took: Duration,
+    ) -> Option<ControlEvent> {
+        let CallLabel { call, job, path } = self;
+        let took_ms = took.as_millis();
+        match answer {
+            Err(error) => Some(ControlEvent::CallFailed {
+                call,
+                job,
+                path,
+                reason: error.to_string().into(),
+                took_ms,
+            }),
+            Ok(
+                reply @ (ControlReply::NoSuchQueue
+                | ControlReply::NoSuchJob
+                | ControlReply::NotAJob
+                | ControlReply::NoConfiguration
+                | ControlReply::Over),
+            ) => Some(ControlEvent::CallRefused {
+                call,
+                job,
+                path,
+                reason: format!("{reply:?}").into(),
+                took_ms,
+            }),
+            Ok(_) => None,
+        }
+    }
+}
--- a/crates/cleat-control/src/leader.rs
+++ b/crates/cleat-control/src/leader.rs
@@ -7,9 +7,11 @@
 use arc_swap::ArcSwap;
 use cleat_link::{AskError, CallError, ControlCall, ControlError, ControlReply, LinkTraffic};
 use cleat_quorum::MemberId;
+use cleat_telemetry::EventLog;
 use tokio::time::{Instant, sleep};
 
 use crate::PeerAddress;
+use crate::events::CallLabel;
 use crate::links::Links;
 use crate::metrics::{Metrics, call_kind};
 
@@ -30,6 +32,8 @@
     pub address: PeerAddress,
     /// Where calls are counted.
     pub metrics: Metrics,
+    /// Where calls that fail are logged.
+    pub events: EventLog,
 }
 
 /// Asks the leader, whoever it is.
@@ -40,6 +44,7 @@
     /// The key of the leader as last heard of.
     leader: AtomicU32,
     metrics: Metrics,
+    events: EventLog,
 }
 
 /// What one try came to.
@@ -58,19 +63,25 @@
     /// Opens links to the seeds. Needs a tokio runtime.
     pub fn open(cfg: GatewayConfig) -> Gateway {
         let links = Arc::new(Links::new(cfg.address, Arc::new(LinkTraffic::default())));
-        let gateway = Gateway::over(links, cfg.seeds, cfg.metrics);
+        let gateway = Gateway::over(links, cfg.seeds, cfg.metrics, cfg.events);
         for seed in gateway.seeds.load().iter() {
             gateway.links.to(*seed);
         }
         gateway
     }
 
-    pub(crate) fn over(links: Arc<Links>, seeds: Vec<MemberId>, metrics: Metrics) -> Gateway {
+    pub(crate) fn over(
+        links: Arc<Links>,
+        seeds: Vec<MemberId>,
+        metrics: Metrics,
+        events: EventLog,
+    ) -> Gateway {
         Gateway {
             seeds: ArcSwap::from_pointee(seeds),
             links,
             leader: AtomicU32::new(NOBODY),
             metrics,
+            events,
         }
     }
 
@@ -96,9 +107,13 @@
     /// # Errors
     /// See [`AskError`].
     pub async fn ask(&self, call: ControlCall, limit: Duration) -> Result<ControlReply, AskError> {
-        let (kind, began) = (call_kind(&call), Instant::now());
+        let (kind, label, began) = (call_kind(&call), CallLabel::of(&call), Instant::now());
         let answer = self.ask_in_turn(call, limit).await;
-        self.metrics.call(kind, began.elapsed(), &answer);
+        let took = began.elapsed();
+        self.metrics.call(kind, took, &answer);
+        if let Some(event) = label.outcome(&answer, took) {
+            self.events.emit(&event);
+        }
         answer
     }
 
--- a/crates/cleat-control/src/lib.rs
+++ b/crates/cleat-control/src/lib.rs
@@ -8,6 +8,7 @@
 mod address;
 mod clock;
 mod error;
+mod events;
 mod leader;
 mod links;
 mod machine;
--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -11,6 +11,7 @@
 use cleat_quorum::ProposeError;
 
 use super::Shared;
+use crate::events::ControlEvent;
 
 /// A call that needs a commit, or its answer.
 enum Step {
@@ -40,7 +41,11 @@
         }
         match self.first_step(call)? {
             Step::Answer(reply) => Ok(reply),
-            Step::Commit(command) => self.commit(&command).await,
+            Step::Commit(command) => {
+                let reply = self.commit(&command).await?;
+                self.tell_commit(&command);
+                Ok(reply)
+            }
         }
     }
 
@@ -197,6 +202,16 @@
         })
     }
 
+    fn tell_commit(&self, command: &Command) {
+        if let Command::Configure(catalogue) = command {
+            self.events.emit(&ControlEvent::Configured {
+                version: catalogue.version,
+                queues: catalogue.queues.len(),
+                pools: catalogue.pools.len(),
+            });
+        }
+    }
+
     async fn commit(&self, command: &Command) -> Result<ControlReply, ControlError> {
         let began = Instant::now();
         let applied = self.replica.propose(command.encode()).await;
--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -89,7 +89,7 @@
             replica: replica.context(ReplicaSnafu)?,
             state,
             scheduler: Mutex::new(None),
-            events,
+            events: events.clone(),
             metrics: metrics.clone(),
         });
         let owner = owner::spawn(shared.clone(), cfg.scheduler, clients);
@@ -97,7 +97,7 @@
         let serving = listener.serve_control(handler, traffic);
         Ok(ControlNode {
             shared,
-            others: Gateway::over(links, cfg.seeds, metrics),
+            others: Gateway::over(links, cfg.seeds, metrics, events),
             tasks: vec![owner, serving],
         })
     }
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -8,12 +8,13 @@
 use cleat_jobs::{Command, Event, Scheduler, SchedulerConfig};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use log::{info, warn};
+use log::warn;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::clock::{boot_time, wall_ms};
+use crate::events::{ControlEvent, OwnershipEnd};
 use crate::node::Shared;
 use crate::platform::{AdviceClient, MachineClient, PlatformClients, WorkerClient};
 use effects::Call;
@@ -68,9 +69,10 @@
         let (tx, mut rx) = unbounded_channel();
         self.shared.state.tell(Some(tx));
         if self.take_over().await {
-            info!("this instance owns the workers");
-            self.serve(&mut rx).await;
-            info!("this instance owns the workers no more");
+            let token = self.tell_takeover();
+            let reason = self.serve(&mut rx).await;
+            let end = ControlEvent::OwnsNoMore { token, reason };
+            self.shared.events.emit(&end);
         }
         self.shared.state.tell(None);
         self.put(None);
@@ -107,6 +109,20 @@
         taken
     }
 
+    /// Logs the ownership and gives its token.
+    fn tell_takeover(&self) -> u64 {
+        let owner = self.shared.with_scheduler(Scheduler::owner);
+        let token = owner.map_or(0, |owner| owner.token);
+        let event = self.shared.state.read(|state| ControlEvent::Owns {
+            token,
+            ordinal: owner.map_or(0, |owner| owner.ordinal),
+            workers: state.workers.len(),
+            jobs: state.jobs.len(),
+        });
+        self.shared.events.emit(&event);
+        token
+    }
+
     async fn commit(&self, command: Command) -> bool {
         match self.shared.replica.propose(command.encode()).await {
             Ok(_) => true,
@@ -117,7 +133,7 @@
         }
     }
 
-    async fn serve(&self, rx: &mut UnboundedReceiver<Event>) {
+    async fn serve(&self, rx: &mut UnboundedReceiver<Event>) -> OwnershipEnd {
         let mut calls = Calls::new();
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -126,17 +142,17 @@
             tokio::select! {
                 count = rx.recv_many(&mut events, BATCH) => {
                     if count == 0 {
-                        return;
+                        return OwnershipEnd::LeadLost;
                     }
                 }
                 Some(event) = calls.next(), if !calls.is_empty() => events.extend(event),
                 _ = ticks.tick() => events.push(Event::Tick { wall_ms: wall_ms() }),
             }
             if !self.shared.replica.status().is_leader() {
-                return;
+                return OwnershipEnd::LeadLost;
             }
             if !self.handle(&mut events, &calls) {
-                return;
+                return OwnershipEnd::Fenced;
             }
         }
     }
