--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -17,6 +17,7 @@
         call: &'static str,
         job: Option<Box<str>>,
         path: Option<Box<str>>,
+        worker: Option<Box<str>>,
         reason: Box<str>,
         took_ms: u128,
     },
@@ -25,6 +26,7 @@
         call: &'static str,
         job: Option<Box<str>>,
         path: Option<Box<str>>,
+        worker: Option<Box<str>>,
         reason: Box<str>,
         took_ms: u128,
     },
@@ -61,6 +63,7 @@
     call: &'static str,
     job: Option<Box<str>>,
     path: Option<Box<str>>,
+    worker: Option<Box<str>>,
 }
 
 impl CallLabel {
@@ -80,10 +83,16 @@
                 last.filter(|job| !job.is_empty()).map(Into::into)
             }
         };
+        let worker = match call {
+            ControlCall::Beat(beat) => Some(beat.record.name.clone()),
+            ControlCall::Left { worker } => Some(worker.clone()),
+            _ => None,
+        };
         CallLabel {
             call: call_kind(call),
             job,
             path,
+            worker,
         }
     }
 
@@ -93,13 +102,19 @@
         answer: &Result<ControlReply, AskError>,
         took: Duration,
     ) -> Option<ControlEvent> {
-        let CallLabel { call, job, path } = self;
+        let CallLabel {
+            call,
+            job,
+            path,
+            worker,
+        } = self;
         let took_ms = took.as_millis();
         match answer {
             Err(error) => Some(ControlEvent::CallFailed {
                 call,
                 job,
                 path,
+                worker,
                 reason: error.to_string().into(),
                 took_ms,
             }),
@@ -113,6 +128,7 @@
                 call,
                 job,
                 path,
+                worker,
                 reason: format!("{reply:?}").into(),
                 took_ms,
             }),
--- a/crates/cleat-jobs/src/job/spec.rs
+++ b/crates/cleat-jobs/src/job/spec.rs
@@ -136,6 +136,13 @@
 }
 
 impl StepSpec {
+    /// How many workers the step needs to run all its tasks at once, by how
+    /// many of them one may run.
+    pub fn least_workers(&self) -> usize {
+        let most = self.max_per_worker.unwrap_or(u32::MAX).max(1);
+        self.count.div_ceil(most) as usize
+    }
+
     fn validate(&self, step: usize) -> Result<(), JobSpecError> {
         let count = self.count;
         if count == 0 {
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -28,6 +28,8 @@
     pub(super) offered: Size,
     /// How many workers that is.
     pub(super) workers: usize,
+    /// How many workers its steps need that may put only so many tasks on one.
+    least_workers: usize,
     /// What runs.
     used: Size,
     /// How many tasks wait for room.
@@ -65,7 +67,7 @@
             memory_mb: stretch(self.needed.memory_mb),
             gpu: self.needed.gpu,
         };
-        needed.fits(self.offered)
+        needed.fits(self.offered) && self.workers >= self.least_workers
     }
 
     /// Which part of the need is met, in thousandths; that of the resource
@@ -85,7 +87,8 @@
         let part =
             |needed: u64, offered: u64| needed.saturating_sub(offered) * 1_000 / offered.max(1);
         let cpu = part(self.needed.cpu_milli, self.offered.cpu_milli);
-        cpu.max(part(self.needed.memory_mb, self.offered.memory_mb))
+        let size = cpu.max(part(self.needed.memory_mb, self.offered.memory_mb));
+        size.max(part(self.least_workers as u64, self.workers as u64))
     }
 }
 
@@ -133,6 +136,7 @@
             let Some(balance) = pools.get_mut(&step.pool) else {
                 continue;
             };
+            balance.least_workers = balance.least_workers.max(step.least_workers);
             let mut count = step.pending.len() as u64;
             balance.waiting += count;
             let percent = match self.step_prospect(step) {
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -23,6 +23,8 @@
     /// Whether an earlier owner may have started its tasks, so that one that
     /// no worker lists may still run on a worker that has not answered.
     pub(crate) inherited: bool,
+    /// How many workers it needs, by how many of its tasks may run on one.
+    pub(crate) least_workers: usize,
     /// What each of its tasks takes up.
     pub(crate) footprint: Size,
     /// How long the longest chain from this step on takes, itself included.
@@ -140,6 +142,7 @@
             pending: (0..spec.count).filter(unstarted).collect(),
             since: self.now,
             inherited: job.accepted_at < self.owner.token,
+            least_workers: spec.least_workers(),
             footprint: spec.footprint(),
             left,
             placed: IndexMap::new(),
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -258,3 +258,102 @@
     assert!(starts(&bed.submit(1, vec![needs("gpu")])).is_empty());
     assert_eq!(starts(&bed.submit(2, vec![needs("kind")])).len(), 1);
 }
+
+fn machine(name: &str, pool: &str, worker: Option<&str>) -> cleat_jobs::MachineView {
+    cleat_jobs::MachineView {
+        name: name.into(),
+        pool: pool.into(),
+        state: cleat_jobs::MachineState::Up,
+        worker: worker.map(Into::into),
+        capacity: scaffold::record("any", "a").capacity,
+        labels: Vec::new(),
+    }
+}
+
+fn list_machines(bed: &mut Bed, machines: Vec<cleat_jobs::MachineView>) {
+    let sent_at = bed.now;
+    let machines = Some(machines);
+    bed.feed(Event::MachinesListed { sent_at, machines });
+}
+
+fn moved(effects: &[cleat_jobs::Effect]) -> Vec<(Box<str>, Box<str>)> {
+    let order = |effect: &cleat_jobs::Effect| match effect {
+        cleat_jobs::Effect::OrderMachine {
+            machine,
+            order: cleat_jobs::MachineOrder::Move { pool },
+            ..
+        } => Some((machine.clone(), pool.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(order).collect()
+}
+
+#[test]
+fn move_spare_machine_to_a_full_pool() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let fleet = || {
+        vec![
+            machine("m-w1", "a", Some("w1")),
+            machine("m1", "spare", None),
+        ]
+    };
+    list_machines(&mut bed, fleet());
+    bed.submit(1, vec![step(3, 4_000)]);
+    let effects = bed.tick(ms(50));
+    assert_eq!(moved(&effects), vec![("m1".into(), "a".into())]);
+    assert!(moved(&bed.tick(ms(50))).is_empty(), "one is enough");
+}
+
+/// Room there is, but not enough workers to keep the tasks apart.
+#[test]
+fn move_spare_machine_for_tasks_kept_apart() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let fleet = || {
+        vec![
+            machine("m-w1", "a", Some("w1")),
+            machine("m1", "spare", None),
+        ]
+    };
+    list_machines(&mut bed, fleet());
+    let apart = StepSpec {
+        max_per_worker: Some(1),
+        ..step(2, 100)
+    };
+    bed.submit(1, vec![apart]);
+    assert_eq!(moved(&bed.tick(ms(50))), vec![("m1".into(), "a".into())]);
+}
+
+#[test]
+fn move_idle_machine_back_to_the_spare_pool() {
+    let workers = ["w1", "w2", "w3"];
+    let mut bed = Bed::with_workers(&workers);
+    let fleet = workers.map(|name| machine(&format!("m-{name}"), "a", Some(name)));
+    list_machines(&mut bed, fleet.to_vec());
+    assert!(moved(&bed.tick(ms(50))).is_empty(), "not at once");
+    let back = moved(&bed.tick(ms(1_000)));
+    assert_eq!(back.len(), 1, "two stay: {back:?}");
+    assert_eq!(&*back[0].1, "spare");
+}
+
+#[test]
+fn wave_maintains_at_most_so_many_at_once() {
+    let workers = ["w1", "w2", "w3"];
+    let mut bed = Bed::with_workers(&workers);
+    let fleet = workers.map(|name| machine(&format!("m-{name}"), "a", Some(name)));
+    list_machines(&mut bed, fleet.to_vec());
+    bed.apply(Command::StartWave {
+        wave: 1,
+        machines: workers.map(|name| format!("m-{name}").into()).to_vec(),
+        duration_ms: 10_000,
+        max_at_once: 2,
+    });
+    let effects = bed.tick(ms(3_000));
+    let maintained = effects.iter().filter(|effect| {
+        let order = match effect {
+            cleat_jobs::Effect::OrderMachine { order, .. } => order,
+            _ => return false,
+        };
+        matches!(order, cleat_jobs::MachineOrder::Maintain { wave: 1 })
+    });
+    assert_eq!(maintained.count(), 2);
+}
