--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -171,7 +171,13 @@
     }
 
     pub(crate) fn submit(&mut self, id: u64, steps: Vec<StepSpec>) -> Vec<Effect> {
-        let queue = self.state.catalogue.as_ref().expect("configured").queues[0].clone();
+        self.submit_to(0, id, steps)
+    }
+
+    /// Submits to the queue at this place of the catalogue.
+    pub(crate) fn submit_to(&mut self, at: usize, id: u64, steps: Vec<StepSpec>) -> Vec<Effect> {
+        let catalogue = self.state.catalogue.as_ref().expect("configured");
+        let queue = catalogue.queues[at].clone();
         let (id, spec) = (JobId(id), job(steps));
         self.apply(Command::Submit { id, queue, spec })
     }
@@ -181,12 +187,22 @@
         self.feed(Event::Tick { wall_ms: 1 })
     }
 
-    pub(crate) fn answer_hold(&mut self, worker: &str, mut answer: HoldAnswer) -> Vec<Effect> {
+    pub(crate) fn answer_hold(&mut self, worker: &str, answer: HoldAnswer) -> Vec<Effect> {
+        self.confirm_hold(worker, 0, answer)
+    }
+
+    /// Answers a hold that acknowledged ends up to `acked`.
+    pub(crate) fn confirm_hold(
+        &mut self,
+        worker: &str,
+        acked: u64,
+        mut answer: HoldAnswer,
+    ) -> Vec<Effect> {
         answer.clock_ms = 1_000 + u64::try_from(self.now.as_millis()).expect("short");
         self.feed(Event::HoldAnswered {
             worker: worker.into(),
             sent_at: self.now,
-            acked: 0,
+            acked,
             answer,
         })
     }
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -357,3 +357,35 @@
     });
     assert_eq!(maintained.count(), 2);
 }
+
+/// Both pools have more to do than room; one has far more.
+#[test]
+fn move_shares_machines_between_full_pools() {
+    let workers = ["w1", "w2", "w3"];
+    let mut bed = Bed::with_workers(&workers);
+    bed.add_worker("w4", "b");
+    let mut fleet = workers
+        .map(|name| machine(&format!("m-{name}"), "a", Some(name)))
+        .to_vec();
+    fleet.push(machine("m-w4", "b", Some("w4")));
+    list_machines(&mut bed, fleet);
+    let started = starts(&bed.submit(1, vec![step(6, 4_000)]));
+    assert_eq!(started.len(), 6, "the three workers are full");
+    bed.submit_to(1, 2, vec![step(10, 4_000)]);
+    assert!(moved(&bed.tick(ms(50))).is_empty(), "none is idle");
+    let mut given = Vec::new();
+    for name in workers {
+        let here = started.iter().filter(|(worker, _)| **worker == *name);
+        let listed: Vec<_> = (1..)
+            .zip(here)
+            .map(|(number, (_, order))| end(number, order.task, 1, EndKind::Done))
+            .collect();
+        bed.answer_hold(name, ended(listed.clone()));
+        bed.apply(ends(name, listed));
+        let confirmed = HoldAnswer::default();
+        bed.confirm_hold(name, 2, confirmed);
+        given.extend(moved(&bed.tick(ms(50))));
+    }
+    assert!(!given.is_empty(), "one was kept free for it");
+    assert!(given.iter().all(|(_, pool)| &**pool == "b"), "{given:?}");
+}
--- a/crates/cleat-link/tests/link.rs
+++ b/crates/cleat-link/tests/link.rs
@@ -114,3 +114,49 @@
     let open = link.wait_in_force(1, Duration::from_millis(20)).await;
     assert_eq!(open, Err(CallError::NoAnswer { name: "e2".into() }));
 }
+
+/// Passes connections on, but for the first, which goes silent: it takes what
+/// is sent and never answers.
+async fn silent_once(to: std::net::SocketAddr) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let mut silent = Vec::new();
+        while let Ok((mut near, _)) = listener.accept().await {
+            if silent.is_empty() {
+                silent.push(near);
+                continue;
+            }
+            tokio::spawn(async move {
+                let mut far = tokio::net::TcpStream::connect(to)
+                    .await
+                    .expect("the server");
+                let _ = tokio::io::copy_bidirectional(&mut near, &mut far).await;
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_after_a_connection_fell_silent() {
+    let listener = PeerListener::bind("127.0.0.1:0".parse().expect("an address")).await;
+    let listener = listener.expect("a listener");
+    let server = listener.local_addr();
+    let traffic = Arc::new(LinkTraffic::default());
+    let _serving = listener.serve(Arc::new(Leader::default()), traffic.clone());
+    let cfg = LinkConfig {
+        name: "e2".into(),
+        address: silent_once(server).await,
+    };
+    let link = Link::<cleat_link::PeerClient>::spawn(cfg, traffic);
+    let short = Duration::from_millis(200);
+    let deadline = std::time::Instant::now() + Duration::from_secs(60);
+    while link.read_index(short).await.is_err() {
+        let late = std::time::Instant::now() > deadline;
+        assert!(!late, "the link must open a connection anew");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
