--- a/crates/celerycleatd/src/roles/gateway.rs
+++ b/crates/celerycleatd/src/roles/gateway.rs
@@ -40,7 +40,7 @@
         .await
         .context(ListenSnafu)?;
     let ready = ready.spawn(Arc::new(ReadySide(readiness.clone())));
-    let side = Arc::new(CallerSide::new(gateway.clone()));
+    let side = Arc::new(CallerSide::new(gateway.clone(), readiness.clone()));
     let callers = callers.spawn(side.clone());
     let _metrics = serve_metrics(settings.metrics, &metrics).await?;
     let (name, role) = (&*settings.name, "gateway");
