--- a/crates/celerycleatd/src/dev.rs
+++ b/crates/celerycleatd/src/dev.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use snafu::{OptionExt, ResultExt};
 
+use crate::dev_jobs::DevJobs;
 use crate::error::{DaemonError, ExampleSnafu, ProcessSnafu, TemporaryFolderSnafu};
 use crate::run::{block_on, print_ready, start};
 use crate::{dev_target, http_json};
@@ -28,6 +29,7 @@
         let addresses = running.instance.addresses();
         configure(addresses.operators).await?;
         announce(addresses.targets).await?;
+        let jobs = DevJobs::start(folder.path()).await?;
         print_ready(&settings, &running.instance);
         let callers = addresses.callers;
         eprintln!("try: curl -i http://{callers}/{SERVICE}/hello");
@@ -35,7 +37,10 @@
             "operators: celerycleat --server {} status",
             addresses.operators
         );
-        running.until_signal().await
+        jobs.print_hints();
+        running.until_signal().await?;
+        jobs.stop().await;
+        Ok(())
     })
 }
 
--- a/crates/celerycleatd/src/lib.rs
+++ b/crates/celerycleatd/src/lib.rs
@@ -3,6 +3,7 @@
 mod args;
 mod check;
 mod dev;
+mod dev_jobs;
 mod dev_target;
 mod error;
 mod http_json;
--- a/crates/cleat-control/src/lib.rs
+++ b/crates/cleat-control/src/lib.rs
@@ -11,6 +11,7 @@
 mod events;
 mod leader;
 mod links;
+mod local;
 mod machine;
 mod metrics;
 mod node;
@@ -20,6 +21,9 @@
 pub use address::PeerAddress;
 pub use error::StartError;
 pub use leader::{Gateway, GatewayConfig};
+pub use local::{LocalWorkers, ModelRun, ModelWorker};
 pub use metrics::Metrics;
 pub use node::{ControlConfig, ControlNode};
-pub use platform::{AdviceClient, HoldError, MachineClient, PlatformClients, WorkerClient};
+pub use platform::{
+    AdviceClient, HoldError, MachineClient, NoAdviser, NoMachines, PlatformClients, WorkerClient,
+};
--- a/crates/cleat-fakes/src/worker/local.rs
+++ b/crates/cleat-control/src/local/workers.rs
@@ -3,13 +3,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use cleat_control::{HoldError, WorkerClient};
 use cleat_jobs::{Beat, WorkerRecord};
 use cleat_jobs::{EndKind, HoldAnswer, HoldOrder, Order, OrderAnswer, Size, TaskOrder};
 use indexmap::IndexMap;
 use tokio::time::{Instant, sleep};
 
 use super::{ModelRun, ModelWorker};
+use crate::{HoldError, WorkerClient};
 
 /// How often a waiting hold looks for ends.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
--- a/crates/cleat-control/src/platform.rs
+++ b/crates/cleat-control/src/platform.rs
@@ -69,3 +69,27 @@
         order: &TaskOrder,
     ) -> impl Future<Output = OrderAnswer> + Send;
 }
+
+/// A platform without machines to move or maintain.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoMachines;
+
+impl MachineClient for NoMachines {
+    async fn list(&self) -> Option<Vec<MachineView>> {
+        None
+    }
+
+    async fn order(&self, _: &str, _: u64, _: &MachineOrder) -> MachineAnswer {
+        MachineAnswer::Refused
+    }
+}
+
+/// A platform without an adviser: steps that need its permission wait.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoAdviser;
+
+impl AdviceClient for NoAdviser {
+    async fn advise(&self, _: StepId, _: &[Box<str>]) -> Option<Vec<(Box<str>, Box<str>)>> {
+        None
+    }
+}
--- a/crates/cleat-fakes/src/lib.rs
+++ b/crates/cleat-fakes/src/lib.rs
@@ -10,7 +10,6 @@
 mod platform;
 mod process;
 mod target;
-mod worker;
 
 pub use addresses::FreeAddresses;
 pub use bench::{BenchOptions, BenchRow, BenchSide, BenchSummary, bench_path, format_table};
@@ -23,4 +22,3 @@
 pub use target::{
     Behaviour, Fault, NAME_HEADER, REQUEST_ID_HEADER, StandInTarget, TargetCounts, TargetOptions,
 };
-pub use worker::{LocalWorkers, ModelRun, ModelWorker};
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cleat_fakes::{ModelRun, ModelWorker};
+use cleat_control::{ModelRun, ModelWorker};
 use cleat_jobs::{
     Beat, Catalogue, Command, ControlState, Effect, EndKind, Event, HoldOrder, JobId, JobSpec,
     JobState, Order, OrderAnswer, Pool, Queue, Run, Scheduler, SchedulerConfig, Size, StepSpec,
