--- a/crates/cleat-jobs/src/schedule/hold.rs
+++ b/crates/cleat-jobs/src/schedule/hold.rs
@@ -8,7 +8,7 @@
 use super::decision::{LossReason, StopReason};
 use super::event::{HoldAnswer, HoldOrder, RunningTask};
 use super::worker::{ClockReading, WorkerKey, WorkerState, millis};
-use super::{Beat, Decision, Effect, Scheduler};
+use super::{Decision, Effect, Scheduler};
 use crate::state::{Command, ControlState, End, EndKind, TaskEnd};
 use crate::{Run, TaskId};
 
@@ -23,9 +23,6 @@
 /// How long a hold waits where work fills beside work that serves: the tails
 /// have to be looked at more often than ends come.
 const SHARING_WAIT: Duration = Duration::from_millis(300);
-/// How long a worker may leave holds unanswered before it counts as silent.
-const SILENT_AFTER: Duration = Duration::from_millis(800);
-
 impl Scheduler {
     /// Sends a hold to each worker for which one is due.
     pub(super) fn send_holds(&mut self) {
@@ -272,87 +269,6 @@
         worker.hold_due = now + if first { FIRST_RETRY } else { HOLD_RETRY };
     }
 
-    /// Finds the workers that fell silent, and those whose lease is over.
-    pub(super) fn watch_workers(&mut self) {
-        for key in self.workers.keys() {
-            let worker = &self.workers[key];
-            match worker.state {
-                WorkerState::Unseen if self.now > self.taken_over_at + self.unseen_limit() => {
-                    self.believe(key, WorkerState::Lapsed);
-                }
-                WorkerState::Live if self.is_silent(key) => self.believe(key, WorkerState::Silent),
-                WorkerState::Silent if self.is_over(key) => {
-                    self.believe(key, WorkerState::Lapsed);
-                    self.lose_all(key, LossReason::Lapsed);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// How long after a takeover the leases of earlier owners are over. They
-    /// granted them before, and a call may have been on its way for a while.
-    fn unseen_limit(&self) -> Duration {
-        self.cfg.lapse() + SILENT_AFTER
-    }
-
-    /// Whether a silent worker's lease is over.
-    fn is_over(&self, key: WorkerKey) -> bool {
-        let lapsed = self.workers[key].is_lapsed(self.now, self.cfg.drift_percent);
-        lapsed || !self.cfg.protections.lease_first
-    }
-
-    fn is_silent(&self, key: WorkerKey) -> bool {
-        let doubted = self.workers[key].doubted_since;
-        doubted.is_some_and(|since| self.now > since + SILENT_AFTER)
-    }
-
-    /// The life of a worker is over, and all that ran there with it.
-    pub(super) fn life_over(&mut self, key: WorkerKey) {
-        self.believe(key, WorkerState::Gone);
-        self.lose_all(key, LossReason::WorkerGone);
-        let name = self.worker_name(key);
-        self.workers.remove(&name);
-        self.strays.retain(|(at, ..), _| *at != key);
-        self.propose(Command::RemoveWorkers { names: vec![name] });
-    }
-
-    pub(super) fn lose_all(&mut self, key: WorkerKey, reason: LossReason) {
-        let here = |(task, attempt): (&TaskId, &super::Attempt)| {
-            (attempt.worker == key && attempt.holds_room()).then_some(*task)
-        };
-        let lost: Vec<TaskId> = self.attempts.iter().filter_map(here).collect();
-        for task in lost {
-            self.lose(task, reason);
-        }
-    }
-
-    /// Takes a run as over: its task may be started again.
-    pub(super) fn lose(&mut self, task: TaskId, reason: LossReason) {
-        let Some(attempt) = self.remove_attempt(task) else {
-            return;
-        };
-        let key = attempt.worker;
-        let worker = self.worker_name(key);
-        self.tell(Decision::Lost {
-            task: task.to_string().into(),
-            run: attempt.run.0,
-            worker,
-            reason,
-        });
-        self.requeue(task, key, attempt.checkpoint);
-    }
-
-    /// Lets a task of an active step wait for a start again.
-    pub(super) fn requeue(&mut self, task: TaskId, from: WorkerKey, checkpoint: Box<str>) {
-        if let Some(step) = self.steps.get_mut(&task.step) {
-            step.take_off(from);
-            step.pending.insert(task.index);
-            step.keep_checkpoint(task.index, checkpoint);
-        }
-        self.dirty = true;
-    }
-
     fn stop_stray(&mut self, key: WorkerKey, task: TaskId, run: Run) {
         let last = self.strays.get(&(key, task, run));
         let off = !self.cfg.protections.stop_strays;
@@ -362,34 +278,4 @@
         self.strays.insert((key, task, run), self.now);
         self.send_stop(key, task, run, StopReason::Stray);
     }
-
-    pub(super) fn beat(&mut self, state: &ControlState, beat: Beat) {
-        let name = beat.record.name.clone();
-        let Some(key) = self.workers.key(&name) else {
-            return self.meet(state, name, beat);
-        };
-        let worker = &mut self.workers[key];
-        if beat.sequence < worker.last_sequence {
-            return;
-        }
-        worker.last_sequence = beat.sequence;
-        if worker.draining != beat.draining {
-            worker.draining = beat.draining;
-            self.dirty = true;
-        }
-        if worker.state == WorkerState::Lapsed && !worker.holding {
-            worker.hold_due = self.now;
-            self.send_holds();
-        }
-    }
-
-    /// A worker that is not known is recorded before it gets any order, so
-    /// that the next owner asks it as well.
-    fn meet(&mut self, state: &ControlState, name: Box<str>, beat: Beat) {
-        let asked = self.announced.contains_key(&name);
-        if !asked && !state.workers.contains_key(&name) {
-            self.propose(Command::AddWorker(beat.record.clone()));
-        }
-        self.announced.insert(name, beat);
-    }
 }
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -0,0 +1,96 @@
+//! Workers that do not answer, and runs that are over without a listed end.
+
+use std::time::Duration;
+
+use super::attempt::Attempt;
+use super::decision::LossReason;
+use super::worker::{WorkerKey, WorkerState};
+use super::{Decision, Scheduler};
+use crate::TaskId;
+use crate::state::Command;
+
+/// How long a worker may leave holds unanswered before it counts as silent.
+const SILENT_AFTER: Duration = Duration::from_millis(800);
+
+impl Scheduler {
+    /// Finds the workers that fell silent, and those whose lease is over.
+    pub(super) fn watch_workers(&mut self) {
+        for key in self.workers.keys() {
+            let worker = &self.workers[key];
+            match worker.state {
+                WorkerState::Unseen if self.now > self.taken_over_at + self.unseen_limit() => {
+                    self.believe(key, WorkerState::Lapsed);
+                }
+                WorkerState::Live if self.is_silent(key) => self.believe(key, WorkerState::Silent),
+                WorkerState::Silent if self.is_over(key) => {
+                    self.believe(key, WorkerState::Lapsed);
+                    self.lose_all(key, LossReason::Lapsed);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// How long after a takeover the leases of earlier owners are over. They
+    /// granted them before, and a call may have been on its way for a while.
+    fn unseen_limit(&self) -> Duration {
+        self.cfg.lapse() + SILENT_AFTER
+    }
+
+    /// Whether a silent worker's lease is over.
+    fn is_over(&self, key: WorkerKey) -> bool {
+        let lapsed = self.workers[key].is_lapsed(self.now, self.cfg.drift_percent);
+        lapsed || !self.cfg.protections.lease_first
+    }
+
+    fn is_silent(&self, key: WorkerKey) -> bool {
+        let doubted = self.workers[key].doubted_since;
+        doubted.is_some_and(|since| self.now > since + SILENT_AFTER)
+    }
+
+    /// The life of a worker is over, and all that ran there with it.
+    pub(super) fn life_over(&mut self, key: WorkerKey) {
+        self.believe(key, WorkerState::Gone);
+        self.lose_all(key, LossReason::WorkerGone);
+        let name = self.worker_name(key);
+        self.workers.remove(&name);
+        self.strays.retain(|(at, ..), _| *at != key);
+        self.propose(Command::RemoveWorkers { names: vec![name] });
+    }
+
+    pub(super) fn lose_all(&mut self, key: WorkerKey, reason: LossReason) {
+        let here = |(task, attempt): (&TaskId, &Attempt)| {
+            (attempt.worker == key && attempt.holds_room()).then_some(*task)
+        };
+        let lost: Vec<TaskId> = self.attempts.iter().filter_map(here).collect();
+        for task in lost {
+            self.lose(task, reason);
+        }
+    }
+
+    /// Takes a run as over: its task may be started again.
+    pub(super) fn lose(&mut self, task: TaskId, reason: LossReason) {
+        let Some(attempt) = self.remove_attempt(task) else {
+            return;
+        };
+        let key = attempt.worker;
+        let worker = self.worker_name(key);
+        self.tell(Decision::Lost {
+            task: task.to_string().into(),
+            run: attempt.run.0,
+            worker,
+            reason,
+        });
+        self.requeue(task, key, attempt.checkpoint);
+    }
+
+    /// Lets a task of an active step wait for a start again.
+    pub(super) fn requeue(&mut self, task: TaskId, from: WorkerKey, checkpoint: Box<str>) {
+        if let Some(step) = self.steps.get_mut(&task.step) {
+            step.take_off(from);
+            step.pending.insert(task.index);
+            step.keep_checkpoint(task.index, checkpoint);
+        }
+        self.dirty = true;
+    }
+}
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -6,11 +6,13 @@
 
 mod advice;
 mod attempt;
+mod beat;
 mod decision;
 mod event;
 mod fleet;
 mod hold;
 mod ledger;
+mod loss;
 mod orders;
 mod pace;
 mod place;
--- a/crates/cleat-quorum/src/core/mod.rs
+++ b/crates/cleat-quorum/src/core/mod.rs
@@ -391,11 +391,4 @@
         }
         self.config.may_found() && self.config.voters().count() == 1
     }
-
-    fn release(&mut self) {
-        let stamp = self.lease.release();
-        if let Some(leader) = self.leader.filter(|leader| *leader != self.config.id) {
-            self.send(leader, Body::Release(stamp));
-        }
-    }
 }
--- a/crates/cleat-quorum/src/core/transfer.rs
+++ b/crates/cleat-quorum/src/core/transfer.rs
@@ -86,4 +86,12 @@
             self.start_election(true);
         }
     }
+
+    /// Gives up this member's lease before it stops.
+    pub(super) fn release(&mut self) {
+        let stamp = self.lease.release();
+        if let Some(leader) = self.leader.filter(|leader| *leader != self.config.id) {
+            self.send(leader, Body::Release(stamp));
+        }
+    }
 }
--- a/crates/cleat-settings/tests/roles.rs
+++ b/crates/cleat-settings/tests/roles.rs
@@ -22,6 +22,9 @@
     })
 }
 
+/// Makes valid settings faulty.
+type Change = fn(&mut Value);
+
 fn parse(settings: &Value) -> Result<AnySettings, String> {
     let parsed = AnySettings::parse(&settings.to_string(), Path::new("settings.json"));
     parsed.map_err(|error| error.to_string())
@@ -49,13 +52,13 @@
 #[test]
 fn parse_without_a_role_is_an_instance() {
     let text = cleat_settings::default_text();
-    let parsed = AnySettings::parse(&text, Path::new("settings.json"));
+    let parsed = AnySettings::parse(text, Path::new("settings.json"));
     assert!(matches!(parsed, Ok(AnySettings::Instance(_))), "{parsed:?}");
 }
 
 #[test]
 fn parse_faults_name_the_file_and_what_is_wrong() {
-    let cases: [(fn(&mut Value), &str); 5] = [
+    let cases: [(Change, &str); 5] = [
         (|s| s["role"] = json!("king"), "king"),
         (|s| s["seeds"] = json!(["nowhere"]), "socket address"),
         (|s| drop(s.as_object_mut().map(|s| s.remove("ip"))), "`ip`"),
