Refuse orders by heartbeat with a clear line at the start

Cause: a deployment whose workers get orders with answers to heartbeats was accepted and never served. Measured: by hand, and the settings' tests.

--- a/crates/celerycleatd/src/error.rs
+++ b/crates/celerycleatd/src/error.rs
@@ -41,6 +41,12 @@
         /// Why.
         source: cleat_control::StartError,
     },
+    /// The settings ask for something that this release does not do. Nothing
+    /// was changed.
+    #[snafu(display(
+        "orders: workers that get their orders with answers to heartbeats are not supported; use call"
+    ))]
+    OrdersByHeartbeat,
     /// An address can't be listened on.
     #[snafu(display("cannot listen"))]
     Listen {
@@ -72,9 +78,9 @@
     /// The exit code that tells this error from others.
     pub fn exit_code(&self) -> ExitCode {
         match self {
-            DaemonError::NothingToRun | DaemonError::Settings { .. } => {
-                ExitCode::from(EXIT_INVALID)
-            }
+            DaemonError::NothingToRun
+            | DaemonError::Settings { .. }
+            | DaemonError::OrdersByHeartbeat => ExitCode::from(EXIT_INVALID),
             _ => ExitCode::FAILURE,
         }
     }
--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -11,11 +11,11 @@
 use cleat_operate::JobOperators;
 use cleat_platform::{ControlSide, HttpAdviser, HttpMachines, HttpWorkers, WorkerLimits};
 use cleat_quorum::Timing;
-use cleat_settings::{AnySettings, ControlSettings};
+use cleat_settings::{AnySettings, ControlSettings, OrderPath};
 use snafu::ResultExt;
 
 use super::{Life, seed_keys, serve_metrics, start_events, until_told_to_stop, watch};
-use crate::error::{ControlSnafu, DaemonError, ListenSnafu};
+use crate::error::{ControlSnafu, DaemonError, ListenSnafu, OrdersByHeartbeatSnafu};
 
 /// How long a voter that another has replaced may be silent before it stops
 /// counting: longer than a restart, shorter than the next loss is likely.
@@ -26,6 +26,7 @@
 
 /// Runs it until it is told to stop.
 pub(crate) async fn run(settings: ControlSettings, file: &Path) -> Result<(), DaemonError> {
+    supported(&settings)?;
     let events = start_events()?;
     let metrics = Metrics::default();
     let clients = PlatformClients {
@@ -78,6 +79,14 @@
     Ok(())
 }
 
+/// Refuses settings that ask for what this release does not do.
+pub(crate) fn supported(settings: &ControlSettings) -> Result<(), DaemonError> {
+    match settings.orders {
+        OrderPath::Call => Ok(()),
+        OrderPath::Heartbeat => OrdersByHeartbeatSnafu.fail(),
+    }
+}
+
 fn config(settings: &ControlSettings) -> ControlConfig {
     let (port, _) = settings.internal_ports;
     let timing = settings.timing;
--- a/crates/celerycleatd/src/roles/mod.rs
+++ b/crates/celerycleatd/src/roles/mod.rs
@@ -5,7 +5,7 @@
 mod metrics;
 mod watch;
 
-pub(crate) use control::run as run_control;
+pub(crate) use control::{run as run_control, supported};
 pub(crate) use gateway::run as run_gateway;
 
 use std::net::{SocketAddr, SocketAddrV4};
--- a/crates/cleat-settings/src/lib.rs
+++ b/crates/cleat-settings/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use defaults::default_text;
 pub use error::SettingsError;
-pub use roles::{AnySettings, ControlSettings, GatewaySettings, TimingSettings};
+pub use roles::{AnySettings, ControlSettings, GatewaySettings, OrderPath, TimingSettings};
 pub use settings::{
     Listen, LogFormat, LogSettings, MetricsSettings, Peer, Settings, TraceSettings,
 };
--- a/crates/cleat-settings/src/roles/control.rs
+++ b/crates/cleat-settings/src/roles/control.rs
@@ -43,6 +43,9 @@
     /// Where metrics are served as text; nowhere if absent.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
+    /// How workers get their orders.
+    #[serde(default)]
+    pub orders: OrderPath,
     /// How many processor cores it has; 1 runs all on one thread.
     #[serde(default = "one")]
     pub cores: usize,
@@ -51,6 +54,18 @@
     pub timing: TimingSettings,
 }
 
+/// How workers get their orders.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderPath {
+    /// They are called.
+    #[default]
+    Call,
+    /// With the answers to their heartbeats. Not supported: a control instance
+    /// says so and does not start.
+    Heartbeat,
+}
+
 /// Durations, in milliseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/cleat-settings/tests/roles.rs
+++ b/crates/cleat-settings/tests/roles.rs
@@ -58,8 +58,9 @@
 
 #[test]
 fn parse_faults_name_the_file_and_what_is_wrong() {
-    let cases: [(Change, &str); 5] = [
+    let cases: [(Change, &str); 6] = [
         (|s| s["role"] = json!("king"), "king"),
+        (|s| s["orders"] = json!("letter"), "letter"),
         (|s| s["seeds"] = json!(["nowhere"]), "socket address"),
         (|s| drop(s.as_object_mut().map(|s| s.remove("ip"))), "`ip`"),
         (|s| s["colour"] = json!("red"), "colour"),
