--- a/crates/celerycleatd/src/dev_jobs.rs
+++ b/crates/celerycleatd/src/dev_jobs.rs
@@ -61,7 +61,7 @@
         };
         let configure = ControlCall::Configure(Arc::new(catalogue()?));
         jobs.insist(configure, "put the queue into force").await?;
-        jobs.insist(ControlCall::Beat(beat), "announce the worker")
+        jobs.insist(ControlCall::Heartbeat(beat), "announce the worker")
             .await?;
         jobs.run_example().await?;
         Ok(jobs)
--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -84,7 +84,7 @@
             }
         };
         let worker = match call {
-            ControlCall::Beat(beat) => Some(beat.record.name.clone()),
+            ControlCall::Heartbeat(beat) => Some(beat.record.name.clone()),
             ControlCall::Left { worker } => Some(worker.clone()),
             _ => None,
         };
--- a/crates/cleat-control/src/lib.rs
+++ b/crates/cleat-control/src/lib.rs
@@ -25,5 +25,5 @@
 pub use metrics::Metrics;
 pub use node::{ControlConfig, ControlNode};
 pub use platform::{
-    AdviceClient, HoldError, MachineClient, NoAdviser, NoMachines, PlatformClients, WorkerClient,
+    AdviceClient, MachineClient, NoAdviser, NoMachines, PlatformClients, RenewalError, WorkerClient,
 };
--- a/crates/cleat-control/src/local/model.rs
+++ b/crates/cleat-control/src/local/model.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    End, EndKind, HoldAnswer, HoldOrder, Order, OrderAnswer, Run, RunningTask, Size, TaskEnd,
+    End, EndKind, Order, OrderAnswer, RenewalAnswer, RenewalOrder, Run, RunningTask, Size, TaskEnd,
     TaskId, TaskOrder, WorkerRecord,
 };
 use indexmap::IndexMap;
@@ -190,8 +190,8 @@
         OrderAnswer::Done
     }
 
-    /// Takes a hold; the caller decides when it is answered.
-    pub fn hold(&mut self, now: Duration, order: &HoldOrder) -> bool {
+    /// Takes a renewal; the caller decides when it is answered.
+    pub fn renew(&mut self, now: Duration, order: &RenewalOrder) -> bool {
         self.advance(now);
         if order.token < self.token {
             return false;
@@ -205,7 +205,7 @@
     }
 
     /// What runs and ended.
-    pub fn list(&mut self, now: Duration) -> HoldAnswer {
+    pub fn list(&mut self, now: Duration) -> RenewalAnswer {
         self.advance(now);
         let running = |(task, run): (&TaskId, &ModelRun)| RunningTask {
             task: *task,
@@ -214,7 +214,7 @@
             percent: 100,
             load: 0,
         };
-        HoldAnswer {
+        RenewalAnswer {
             clock_ms: self.clock_ms(now),
             running: self.runs.iter().map(running).collect(),
             ended: self.ended.clone(),
--- a/crates/cleat-control/src/local/workers.rs
+++ b/crates/cleat-control/src/local/workers.rs
@@ -3,15 +3,15 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use cleat_jobs::{Beat, WorkerRecord};
-use cleat_jobs::{EndKind, HoldAnswer, HoldOrder, Order, OrderAnswer, Size, TaskOrder};
+use cleat_jobs::{EndKind, Order, OrderAnswer, RenewalAnswer, RenewalOrder, Size, TaskOrder};
+use cleat_jobs::{Heartbeat, WorkerRecord};
 use indexmap::IndexMap;
 use tokio::time::{Instant, sleep};
 
 use super::{ModelRun, ModelWorker};
-use crate::{HoldError, WorkerClient};
+use crate::{RenewalError, WorkerClient};
 
-/// How often a waiting hold looks for ends.
+/// How often a waiting renewal looks for ends.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a task without an estimate runs.
 const DEFAULT_RUN: Duration = Duration::from_millis(100);
@@ -34,8 +34,8 @@
     }
 
     /// Adds a worker and gives the heartbeat that announces it.
-    pub fn add(&self, record: WorkerRecord) -> Beat {
-        let beat = Beat {
+    pub fn add(&self, record: WorkerRecord) -> Heartbeat {
+        let beat = Heartbeat {
             record: record.clone(),
             draining: false,
             drain_remaining_ms: 0,
@@ -57,7 +57,7 @@
     }
 
     /// What the worker lists, if it has an end to tell or `wait` is over.
-    fn list(&self, worker: &str, wait_over: bool) -> Option<HoldAnswer> {
+    fn list(&self, worker: &str, wait_over: bool) -> Option<RenewalAnswer> {
         let now = self.now();
         let mut workers = self.lock();
         let worker = workers.get_mut(worker)?;
@@ -91,20 +91,25 @@
 }
 
 impl WorkerClient for LocalWorkers {
-    async fn hold(&self, worker: &str, _: &str, order: HoldOrder) -> Result<HoldAnswer, HoldError> {
+    async fn renew(
+        &self,
+        worker: &str,
+        _: &str,
+        order: RenewalOrder,
+    ) -> Result<RenewalAnswer, RenewalError> {
         let deadline = self.now() + order.wait;
         let known = {
             let now = self.now();
             let mut workers = self.lock();
             let worker = workers.get_mut(worker);
-            worker.map(|worker| worker.hold(now, &order))
+            worker.map(|worker| worker.renew(now, &order))
         };
         match known {
-            None => return Err(HoldError::OtherLife),
+            None => return Err(RenewalError::OtherLife),
             Some(false) => {
-                return Ok(HoldAnswer {
+                return Ok(RenewalAnswer {
                     fenced: true,
-                    ..HoldAnswer::default()
+                    ..RenewalAnswer::default()
                 });
             }
             Some(true) => {}
--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -90,7 +90,7 @@
         ControlCall::Look { .. } | ControlCall::LookAt { .. } => "look",
         ControlCall::Cancel { .. } | ControlCall::CancelJob { .. } => "cancel",
         ControlCall::Overview => "overview",
-        ControlCall::Beat(_) => "beat",
+        ControlCall::Heartbeat(_) => "beat",
         ControlCall::Left { .. } => "left",
         ControlCall::Configure(_) => "configure",
         ControlCall::Configuration => "configuration",
--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -61,7 +61,7 @@
             }
             ControlCall::CancelJob { id } => self.state.read(|state| cancel_job(state, id)),
             ControlCall::Overview => Step::Answer(self.overview()?),
-            ControlCall::Beat(beat) => Step::Answer(self.hand_over(Event::Beat(beat))?),
+            ControlCall::Heartbeat(beat) => Step::Answer(self.hand_over(Event::Heartbeat(beat))?),
             ControlCall::Left { worker } => Step::Answer(self.hand_over(Event::Left { worker })?),
             ControlCall::Configure(catalogue) => self.configure(catalogue),
             ControlCall::Configuration => Step::Answer(self.configuration()),
--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -4,14 +4,15 @@
 use std::sync::Arc;
 
 use cleat_jobs::{
-    Command, Effect, Event, HoldOrder, MachineAnswer, MachineOrder, OrderAnswer, StepId, TaskOrder,
+    Command, Effect, Event, MachineAnswer, MachineOrder, OrderAnswer, RenewalOrder, StepId,
+    TaskOrder,
 };
 use log::warn;
 use tokio::time::sleep;
 
 use super::{Calls, OwnerTask, TICK};
 use crate::clock::boot_time;
-use crate::platform::{AdviceClient, HoldError, MachineClient, WorkerClient};
+use crate::platform::{AdviceClient, MachineClient, RenewalError, WorkerClient};
 
 /// A call under way, and the event that it ends with, if any.
 pub(super) type Call = Pin<Box<dyn Future<Output = Option<Event>> + Send>>;
@@ -20,11 +21,11 @@
     /// False if another owner is known to have taken over.
     pub(super) fn carry_out(&self, effect: Effect, calls: &Calls) -> bool {
         match effect {
-            Effect::Hold {
+            Effect::Renew {
                 worker,
                 address,
                 order,
-            } => calls.push(self.hold(worker, address, order)),
+            } => calls.push(self.renew(worker, address, order)),
             Effect::Order {
                 worker,
                 address,
@@ -51,7 +52,7 @@
         true
     }
 
-    fn hold(&self, worker: Box<str>, address: Box<str>, order: HoldOrder) -> Call {
+    fn renew(&self, worker: Box<str>, address: Box<str>, order: RenewalOrder) -> Call {
         let (shared, workers) = (self.shared.clone(), self.workers.clone());
         Box::pin(async move {
             let sent_at = boot_time();
@@ -59,19 +60,19 @@
             if !shared.leads() {
                 sleep(TICK).await;
                 let other_life = false;
-                return Some(Event::HoldFailed { worker, other_life });
+                return Some(Event::RenewalFailed { worker, other_life });
             }
             let acked = order.acked;
-            Some(match workers.hold(&worker, &address, order).await {
-                Ok(answer) => Event::HoldAnswered {
+            Some(match workers.renew(&worker, &address, order).await {
+                Ok(answer) => Event::RenewalAnswered {
                     worker,
                     sent_at,
                     acked,
                     answer,
                 },
-                Err(error) => Event::HoldFailed {
+                Err(error) => Event::RenewalFailed {
                     worker,
-                    other_life: error == HoldError::OtherLife,
+                    other_life: error == RenewalError::OtherLife,
                 },
             })
         })
--- a/crates/cleat-control/src/platform.rs
+++ b/crates/cleat-control/src/platform.rs
@@ -3,7 +3,8 @@
 use std::future::Future;
 
 use cleat_jobs::{
-    HoldAnswer, HoldOrder, MachineAnswer, MachineOrder, MachineView, OrderAnswer, StepId, TaskOrder,
+    MachineAnswer, MachineOrder, MachineView, OrderAnswer, RenewalAnswer, RenewalOrder, StepId,
+    TaskOrder,
 };
 
 /// All that a control instance calls.
@@ -16,9 +17,9 @@
     pub adviser: A,
 }
 
-/// Why a hold has no answer.
+/// Why a renewal has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HoldError {
+pub enum RenewalError {
     /// Another life of a worker answers at the address.
     OtherLife,
     /// There was no answer, or none that can be read.
@@ -53,12 +54,12 @@
 /// Speaks to workers.
 pub trait WorkerClient: Send + Sync + 'static {
     /// Asks a worker to go on and what it runs.
-    fn hold(
+    fn renew(
         &self,
         worker: &str,
         address: &str,
-        order: HoldOrder,
-    ) -> impl Future<Output = Result<HoldAnswer, HoldError>> + Send;
+        order: RenewalOrder,
+    ) -> impl Future<Output = Result<RenewalAnswer, RenewalError>> + Send;
 
     /// Tells a worker something about a run.
     fn order(
--- a/crates/cleat-jobs/src/schedule/event.rs
+++ b/crates/cleat-jobs/src/schedule/event.rs
@@ -21,25 +21,25 @@
         command: Arc<Command>,
     },
     /// A worker's heartbeat.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// A worker says that it ends.
     Left {
         /// Its name.
         worker: Box<str>,
     },
-    /// A worker answered [`Effect::Hold`].
-    HoldAnswered {
+    /// A worker answered [`Effect::Renew`].
+    RenewalAnswered {
         /// Its name.
         worker: Box<str>,
-        /// When the hold was sent.
+        /// When the renewal was sent.
         sent_at: Duration,
         /// The ends that it acknowledged.
         acked: u64,
         /// What it lists.
-        answer: HoldAnswer,
+        answer: RenewalAnswer,
     },
-    /// A hold has no answer.
-    HoldFailed {
+    /// A renewal has no answer.
+    RenewalFailed {
         /// The worker.
         worker: Box<str>,
         /// Whether another life answered at its address: this one is over.
@@ -91,7 +91,7 @@
 
 /// A worker's heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Who and what it is.
     pub record: WorkerRecord,
     /// Whether it is about to end and takes no new work.
@@ -104,7 +104,7 @@
 
 /// What a worker lists.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct HoldAnswer {
+pub struct RenewalAnswer {
     /// The worker's steady clock, in milliseconds.
     pub clock_ms: u64,
     /// The runs under way.
@@ -139,7 +139,7 @@
 
 /// How a worker is asked to go on and what it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HoldOrder {
+pub struct RenewalOrder {
     /// The fencing token.
     pub token: u64,
     /// Ends up to this one are in the replicated state.
@@ -236,14 +236,14 @@
 #[derive(Clone, Debug)]
 pub enum Effect {
     /// Ask a worker to go on, and for what it runs. Answered by
-    /// [`Event::HoldAnswered`] or [`Event::HoldFailed`].
-    Hold {
+    /// [`Event::RenewalAnswered`] or [`Event::RenewalFailed`].
+    Renew {
         /// The worker.
         worker: Box<str>,
         /// Its address.
         address: Box<str>,
         /// What it is asked.
-        order: HoldOrder,
+        order: RenewalOrder,
     },
     /// Tell a worker something about a run. Answered by [`Event::Ordered`].
     Order {
--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -27,7 +27,7 @@
             worker.draining = beat.draining;
             worker.last_sequence = beat.sequence;
         }
-        self.send_holds();
+        self.send_renewals();
     }
 
     pub(super) fn workers_removed(&mut self, names: &[Box<str>]) {
@@ -74,7 +74,7 @@
             let worker = &mut self.workers[key];
             worker.acked = worker.acked.max(last.number);
             worker.proposed = worker.proposed.max(last.number);
-            worker.hold_due = self.now;
+            worker.renewal_due = self.now;
         }
         let mut jobs = IndexSet::new();
         for TaskEnd { end, .. } in ends {
@@ -84,7 +84,7 @@
         for id in jobs {
             self.go_on(state, id);
         }
-        self.send_holds();
+        self.send_renewals();
         self.dirty = true;
     }
 
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -9,7 +9,7 @@
 use crate::TaskId;
 use crate::state::Command;
 
-/// How long a worker may leave holds unanswered before it counts as silent.
+/// How long a worker may leave renewals unanswered before it counts as silent.
 const SILENT_AFTER: Duration = Duration::from_millis(800);
 
 impl Scheduler {
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -10,13 +10,13 @@
 mod decision;
 mod event;
 mod fleet;
-mod hold;
 mod ledger;
 mod loss;
 mod orders;
 mod pace;
 mod place;
 mod protections;
+mod renewal;
 mod step;
 mod takeover;
 mod tick;
@@ -29,8 +29,8 @@
 
 pub use decision::Decision;
 pub use event::{
-    Beat, Effect, EndedRun, Event, HoldAnswer, HoldOrder, MachineAnswer, Order, OrderAnswer,
-    RunningTask, TaskOrder,
+    Effect, EndedRun, Event, Heartbeat, MachineAnswer, Order, OrderAnswer, RenewalAnswer,
+    RenewalOrder, RunningTask, TaskOrder,
 };
 pub use fleet::{MachineOrder, MachineState, MachineView};
 pub use protections::Protections;
@@ -64,8 +64,8 @@
 pub struct SchedulerConfig {
     /// How long a worker may go on without hearing from its owner.
     pub lease: Duration,
-    /// How long a worker's answer to a hold may wait for an end.
-    pub hold_wait: Duration,
+    /// How long a worker's answer to a renewal may wait for an end.
+    pub renewal_wait: Duration,
     /// By how many percent a worker's clock may be slow.
     pub drift_percent: u32,
     /// How long a job that is over is remembered.
@@ -81,10 +81,10 @@
     fn default() -> Self {
         SchedulerConfig {
             // Covers a change of owner: silence of the old one (1.1 s at
-            // most), an election, and the first hold of the new one.
+            // most), an election, and the first renewal of the new one.
             lease: Duration::from_millis(4_000),
             // Four renewals a lease.
-            hold_wait: Duration::from_millis(1_000),
+            renewal_wait: Duration::from_millis(1_000),
             drift_percent: 2,
             remember: Duration::from_secs(240),
             early: Duration::ZERO,
@@ -117,7 +117,7 @@
     wall_ms: u64,
     workers: Workers,
     /// Workers whose record was proposed and is not applied yet.
-    announced: IndexMap<Box<str>, Beat>,
+    announced: IndexMap<Box<str>, Heartbeat>,
     /// The steps with tasks that are not done and wait for no other step.
     steps: IndexMap<StepId, ActiveStep>,
     /// The runs that this owner knows of: one a task at most.
@@ -213,15 +213,15 @@
         match event {
             Event::Tick { wall_ms } => self.tick(state, wall_ms),
             Event::Applied { command } => self.applied(state, &command),
-            Event::Beat(beat) => self.beat(state, beat),
+            Event::Heartbeat(beat) => self.beat(state, beat),
             Event::Left { worker } => self.left(&worker),
-            Event::HoldAnswered {
+            Event::RenewalAnswered {
                 worker,
                 sent_at,
                 acked,
                 answer,
-            } => self.hold_answered(state, &worker, sent_at, acked, &answer),
-            Event::HoldFailed { worker, other_life } => self.hold_failed(&worker, other_life),
+            } => self.renewal_answered(state, &worker, sent_at, acked, &answer),
+            Event::RenewalFailed { worker, other_life } => self.renewal_failed(&worker, other_life),
             Event::Ordered {
                 worker,
                 order,
--- a/crates/cleat-jobs/src/schedule/hold.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -1,4 +1,4 @@
-//! Holds: how a worker goes on, and how its owner learns of ends.
+//! Renewals: how a worker goes on, and how its owner learns of ends.
 
 use std::time::Duration;
 
@@ -6,35 +6,35 @@
 
 use super::attempt::Phase;
 use super::decision::{LossReason, StopReason};
-use super::event::{HoldAnswer, HoldOrder, RunningTask};
+use super::event::{RenewalAnswer, RenewalOrder, RunningTask};
 use super::worker::{ClockReading, WorkerKey, WorkerState, millis};
 use super::{Decision, Effect, Scheduler};
 use crate::state::{Command, ControlState, End, EndKind, TaskEnd};
 use crate::{Run, TaskId};
 
-/// How long after a failed hold the next one is sent. Short against the
+/// How long after a failed renewal the next one is sent. Short against the
 /// lease, long against the time of a call (some milliseconds).
-const HOLD_RETRY: Duration = Duration::from_millis(300);
+const RENEWAL_RETRY: Duration = Duration::from_millis(300);
 /// The same after the first failure: a connection may have been reset.
 const FIRST_RETRY: Duration = Duration::from_millis(20);
-/// How long the next hold waits for the commit of ends at most: a commit takes
-/// some 10 ms, and a hold that comes later acknowledges them as well.
+/// How long the next renewal waits for the commit of ends at most: a commit takes
+/// some 10 ms, and a renewal that comes later acknowledges them as well.
 const COMMIT_LIMIT: Duration = Duration::from_millis(100);
-/// How long a hold waits where work fills beside work that serves: the tails
+/// How long a renewal waits where work fills beside work that serves: the tails
 /// have to be looked at more often than ends come.
 const SHARING_WAIT: Duration = Duration::from_millis(300);
 impl Scheduler {
-    /// Sends a hold to each worker for which one is due.
-    pub(super) fn send_holds(&mut self) {
+    /// Sends a renewal to each worker for which one is due.
+    pub(super) fn send_renewals(&mut self) {
         for key in self.workers.keys() {
             let worker = &self.workers[key];
-            if !worker.holding && worker.hold_due <= self.now {
-                self.send_hold(key);
+            if !worker.renewing && worker.renewal_due <= self.now {
+                self.send_renewal(key);
             }
         }
     }
 
-    fn send_hold(&mut self, key: WorkerKey) {
+    fn send_renewal(&mut self, key: WorkerKey) {
         let lease = millis(self.cfg.lease);
         let now = self.now;
         let worker = &mut self.workers[key];
@@ -47,38 +47,38 @@
         let empties = worker.runs == 0 && worker.acked > worker.confirmed;
         let wait = match deadline_ms {
             Some(_) if worker.shares => SHARING_WAIT,
-            Some(_) if !empties => self.cfg.hold_wait,
+            Some(_) if !empties => self.cfg.renewal_wait,
             _ => Duration::ZERO,
         };
         worker.granted_ms = worker.granted_ms.max(deadline_ms.unwrap_or_default());
-        worker.holding = true;
-        let order = HoldOrder {
+        worker.renewing = true;
+        let order = RenewalOrder {
             token: self.owner.token,
             acked: worker.acked,
             deadline_ms,
             wait,
         };
-        self.effects.push(Effect::Hold {
+        self.effects.push(Effect::Renew {
             worker: worker.record.name.clone(),
             address: worker.record.address.clone(),
             order,
         });
     }
 
-    pub(super) fn hold_answered(
+    pub(super) fn renewal_answered(
         &mut self,
         state: &ControlState,
         worker: &str,
         sent_at: Duration,
         acked: u64,
-        answer: &HoldAnswer,
+        answer: &RenewalAnswer,
     ) {
         let Some(key) = self.workers.key(worker) else {
             return;
         };
         if answer.fenced {
-            self.workers[key].holding = false;
-            self.workers[key].hold_due = self.now + HOLD_RETRY;
+            self.workers[key].renewing = false;
+            self.workers[key].renewal_due = self.now + RENEWAL_RETRY;
             return self.effects.push(Effect::Fenced {
                 worker: worker.into(),
             });
@@ -105,12 +105,12 @@
         worker.has_strays = has_strays;
         worker.listed_whole |= !answer.more_ended;
         worker.confirmed = worker.confirmed.max(acked);
-        worker.holding = false;
-        // The next hold acknowledges what is being committed.
+        worker.renewing = false;
+        // The next renewal acknowledges what is being committed.
         if worker.proposed > worker.acked {
-            worker.hold_due = now + COMMIT_LIMIT;
+            worker.renewal_due = now + COMMIT_LIMIT;
         } else {
-            self.send_hold(key);
+            self.send_renewal(key);
         }
     }
 
@@ -254,7 +254,7 @@
         }
     }
 
-    pub(super) fn hold_failed(&mut self, worker: &str, other_life: bool) {
+    pub(super) fn renewal_failed(&mut self, worker: &str, other_life: bool) {
         let Some(key) = self.workers.key(worker) else {
             return;
         };
@@ -263,16 +263,16 @@
         }
         let now = self.now;
         let worker = &mut self.workers[key];
-        worker.holding = false;
+        worker.renewing = false;
         let first = worker.doubted_since.is_none();
         worker.doubted_since.get_or_insert(now);
-        worker.hold_due = now + if first { FIRST_RETRY } else { HOLD_RETRY };
+        worker.renewal_due = now + if first { FIRST_RETRY } else { RENEWAL_RETRY };
     }
 
     fn stop_stray(&mut self, key: WorkerKey, task: TaskId, run: Run) {
         let last = self.strays.get(&(key, task, run));
         let off = !self.cfg.protections.stop_strays;
-        if off || last.is_some_and(|last| self.now < *last + HOLD_RETRY) {
+        if off || last.is_some_and(|last| self.now < *last + RENEWAL_RETRY) {
             return;
         }
         self.strays.insert((key, task, run), self.now);
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -28,7 +28,7 @@
         }
         let over = state.ended.keys().map(|id| (self.now, *id));
         self.over.extend(over);
-        self.send_holds();
+        self.send_renewals();
     }
 
     /// Whether nothing that an earlier owner started in the pool can be
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -10,7 +10,7 @@
 impl Scheduler {
     pub(super) fn tick(&mut self, state: &ControlState, wall_ms: u64) {
         self.wall_ms = wall_ms;
-        self.send_holds();
+        self.send_renewals();
         self.watch_workers();
         self.repeat_stops();
         self.start_due(state);
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -49,19 +49,19 @@
     pub(crate) granted_ms: u64,
     /// When it last answered.
     pub(crate) heard_at: Option<Duration>,
-    /// Since when it leaves holds unanswered. Meanwhile its lease is not
+    /// Since when it leaves renewals unanswered. Meanwhile its lease is not
     /// extended, since calls without an answer may arrive all the same and
     /// would put off the moment at which its lease is over for certain.
     pub(crate) doubted_since: Option<Duration>,
-    /// Whether a hold is under way.
-    pub(crate) holding: bool,
-    /// When the next hold is due while none is under way.
-    pub(crate) hold_due: Duration,
+    /// Whether a renewal is under way.
+    pub(crate) renewing: bool,
+    /// When the next renewal is due while none is under way.
+    pub(crate) renewal_due: Duration,
     /// Ends up to this number were proposed.
     pub(crate) proposed: u64,
     /// Ends up to this number are in the replicated state.
     pub(crate) acked: u64,
-    /// The last hold that was answered acknowledged ends up to this number.
+    /// The last renewal that was answered acknowledged ends up to this number.
     pub(crate) confirmed: u64,
     /// Whether nothing is started here, since its machine is to go elsewhere.
     pub(crate) cordoned: bool,
@@ -101,8 +101,8 @@
             granted_ms: 0,
             heard_at: None,
             doubted_since: None,
-            holding: false,
-            hold_due: now,
+            renewing: false,
+            renewal_due: now,
             used: Size::default(),
             failed_jobs: 0,
             shunned_until: Duration::ZERO,
--- a/crates/cleat-jobs/tests/pace.rs
+++ b/crates/cleat-jobs/tests/pace.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use cleat_jobs::{HoldAnswer, Run, RunningTask, StepSpec};
+use cleat_jobs::{RenewalAnswer, Run, RunningTask, StepSpec};
 use scaffold::{Bed, paces, starts, step, task};
 
 const TARGET_MS: u64 = 100;
@@ -41,14 +41,14 @@
         percent,
         load,
     };
-    let answer = HoldAnswer {
+    let answer = RenewalAnswer {
         running: vec![
             run(task(1, 0, 0), 100, tail_ms),
             run(task(2, 0, 0), percent, 4_000),
         ],
-        ..HoldAnswer::default()
+        ..RenewalAnswer::default()
     };
-    let effects = bed.answer_hold("w1", answer);
+    let effects = bed.answer_renewal("w1", answer);
     paces(&effects).into_iter().map(|(_, pace)| pace).collect()
 }
 
--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Beat, Catalogue, Command, ControlState, Effect, End, EndKind, Event, HoldAnswer, JobId,
-    JobSpec, Order, OrderAnswer, Pool, Queue, Run, RunningTask, Scheduler, SchedulerConfig, Size,
-    StepId, StepSpec, TaskEnd, TaskId, TaskOrder, WorkerRecord,
+    Catalogue, Command, ControlState, Effect, End, EndKind, Event, Heartbeat, JobId, JobSpec,
+    Order, OrderAnswer, Pool, Queue, RenewalAnswer, Run, RunningTask, Scheduler, SchedulerConfig,
+    Size, StepId, StepSpec, TaskEnd, TaskId, TaskOrder, WorkerRecord,
 };
 
 pub(crate) fn queue(name: &str, pool: &str) -> Queue {
@@ -148,15 +148,15 @@
     }
 
     pub(crate) fn add_worker(&mut self, name: &str, pool: &str) -> Vec<Effect> {
-        let beat = Beat {
+        let beat = Heartbeat {
             record: record(name, pool),
             draining: false,
             drain_remaining_ms: 0,
             sequence: 1,
         };
-        self.feed(Event::Beat(beat));
+        self.feed(Event::Heartbeat(beat));
         self.apply(Command::AddWorker(record(name, pool)));
-        self.answer_hold(name, HoldAnswer::default())
+        self.answer_renewal(name, RenewalAnswer::default())
     }
 
     pub(crate) fn feed(&mut self, event: Event) -> Vec<Effect> {
@@ -187,19 +187,19 @@
         self.feed(Event::Tick { wall_ms: 1 })
     }
 
-    pub(crate) fn answer_hold(&mut self, worker: &str, answer: HoldAnswer) -> Vec<Effect> {
-        self.confirm_hold(worker, 0, answer)
+    pub(crate) fn answer_renewal(&mut self, worker: &str, answer: RenewalAnswer) -> Vec<Effect> {
+        self.confirm_renewal(worker, 0, answer)
     }
 
-    /// Answers a hold that acknowledged ends up to `acked`.
-    pub(crate) fn confirm_hold(
+    /// Answers a renewal that acknowledged ends up to `acked`.
+    pub(crate) fn confirm_renewal(
         &mut self,
         worker: &str,
         acked: u64,
-        mut answer: HoldAnswer,
+        mut answer: RenewalAnswer,
     ) -> Vec<Effect> {
         answer.clock_ms = 1_000 + u64::try_from(self.now.as_millis()).expect("short");
-        self.feed(Event::HoldAnswered {
+        self.feed(Event::RenewalAnswered {
             worker: worker.into(),
             sent_at: self.now,
             acked,
@@ -207,8 +207,8 @@
         })
     }
 
-    pub(crate) fn fail_hold(&mut self, worker: &str) -> Vec<Effect> {
-        self.feed(Event::HoldFailed {
+    pub(crate) fn fail_renewal(&mut self, worker: &str) -> Vec<Effect> {
+        self.feed(Event::RenewalFailed {
             worker: worker.into(),
             other_life: false,
         })
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -4,17 +4,17 @@
 
 use std::time::Duration;
 
-use cleat_jobs::{Command, EndKind, Event, HoldAnswer, JobId, OrderAnswer, StepSpec};
+use cleat_jobs::{Command, EndKind, Event, JobId, OrderAnswer, RenewalAnswer, StepSpec};
 use scaffold::{Bed, end, ends, proposals, running, starts, step, stops, task};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-fn ended(ends: Vec<cleat_jobs::TaskEnd>) -> HoldAnswer {
-    HoldAnswer {
+fn ended(ends: Vec<cleat_jobs::TaskEnd>) -> RenewalAnswer {
+    RenewalAnswer {
         ended: ends,
-        ..HoldAnswer::default()
+        ..RenewalAnswer::default()
     }
 }
 
@@ -37,12 +37,12 @@
 fn end_listed_frees_the_room_at_once() {
     let mut bed = Bed::with_workers(&["w1"]);
     bed.submit(1, vec![step(3, 4_000)]);
-    let answer = HoldAnswer {
+    let answer = RenewalAnswer {
         running: vec![running(task(1, 0, 1), 1)],
         ended: vec![end(1, task(1, 0, 0), 1, EndKind::Done)],
-        ..HoldAnswer::default()
+        ..RenewalAnswer::default()
     };
-    let effects = bed.answer_hold("w1", answer);
+    let effects = bed.answer_renewal("w1", answer);
     assert_eq!(
         starts(&effects).len(),
         1,
@@ -64,7 +64,7 @@
     let mut bed = Bed::new();
     bed.submit(1, vec![step(1, 1_000), second]);
     let listed = vec![end(1, task(1, 0, 0), 1, EndKind::Done)];
-    let before = bed.answer_hold("w1", ended(listed.clone()));
+    let before = bed.answer_renewal("w1", ended(listed.clone()));
     assert!(starts(&before).is_empty());
     let after = bed.apply(ends("w1", listed));
     assert_eq!(starts(&after)[0].1.task, task(1, 1, 0));
@@ -78,7 +78,7 @@
     bed.submit(1, vec![step(1, 1_000)]);
     bed.replace_owner();
     let listed = vec![end(1, task(1, 0, 0), 1, EndKind::Done)];
-    let effects = bed.answer_hold("w1", ended(listed));
+    let effects = bed.answer_renewal("w1", ended(listed));
     assert!(starts(&effects).is_empty(), "its end is being committed");
 }
 
@@ -87,13 +87,13 @@
     let mut bed = Bed::new();
     bed.submit(1, vec![step(1, 1_000)]);
     bed.replace_owner();
-    let one = bed.answer_hold("w1", HoldAnswer::default());
+    let one = bed.answer_renewal("w1", RenewalAnswer::default());
     assert!(starts(&one).is_empty(), "w2 may run it");
-    let listed = HoldAnswer {
+    let listed = RenewalAnswer {
         running: vec![running(task(1, 0, 0), 1)],
-        ..HoldAnswer::default()
+        ..RenewalAnswer::default()
     };
-    let both = bed.answer_hold("w2", listed);
+    let both = bed.answer_renewal("w2", listed);
     assert!(starts(&both).is_empty(), "it runs on w2");
 }
 
@@ -101,7 +101,7 @@
 fn takeover_new_jobs_need_not_wait() {
     let mut bed = Bed::new();
     bed.replace_owner();
-    bed.answer_hold("w1", HoldAnswer::default());
+    bed.answer_renewal("w1", RenewalAnswer::default());
     let started = starts(&bed.submit(1, vec![step(1, 1_000)]));
     assert_eq!(started.len(), 1, "no earlier owner can have started it");
 }
@@ -111,7 +111,7 @@
     let mut bed = Bed::with_workers(&["w1"]);
     let first = starts(&bed.submit(1, vec![step(1, 1_000)]))[0].1.run;
     bed.replace_owner();
-    let second = starts(&bed.answer_hold("w1", HoldAnswer::default()))[0]
+    let second = starts(&bed.answer_renewal("w1", RenewalAnswer::default()))[0]
         .1
         .run;
     assert!(second > first, "{second} after {first}");
@@ -126,7 +126,7 @@
     let (_, stop) = stops(&effects).remove(0);
     bed.answer(&worker, &stop, OrderAnswer::Done);
     bed.now += ms(10);
-    let effects = bed.answer_hold(&worker, HoldAnswer::default());
+    let effects = bed.answer_renewal(&worker, RenewalAnswer::default());
     let (_, again) = starts(&effects).remove(0);
     assert!(again.run > order.run);
 }
@@ -145,10 +145,10 @@
 fn silent_worker_gets_no_more_time() {
     let mut bed = Bed::with_workers(&["w1"]);
     bed.submit(1, vec![step(1, 1_000)]);
-    bed.fail_hold("w1");
+    bed.fail_renewal("w1");
     let effects = bed.tick(ms(400));
     let deadlines = effects.iter().filter_map(|effect| match effect {
-        cleat_jobs::Effect::Hold { order, .. } => Some(order.deadline_ms),
+        cleat_jobs::Effect::Renew { order, .. } => Some(order.deadline_ms),
         _ => None,
     });
     assert_eq!(deadlines.collect::<Vec<_>>(), vec![None]);
@@ -159,15 +159,15 @@
     let mut bed = Bed::new();
     let (silent, _) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
     let other = if &*silent == "w1" { "w2" } else { "w1" };
-    bed.fail_hold(&silent);
+    bed.fail_renewal(&silent);
     let mut again = Vec::new();
     let mut waited = Duration::ZERO;
     while again.is_empty() && waited < ms(10_000) {
         waited += ms(100);
         let effects = bed.tick(ms(100));
         again = starts(&effects);
-        bed.answer_hold(other, HoldAnswer::default());
-        bed.fail_hold(&silent);
+        bed.answer_renewal(other, RenewalAnswer::default());
+        bed.fail_renewal(&silent);
     }
     assert!(
         waited >= ms(4_000),
@@ -194,11 +194,11 @@
     bed.submit(1, vec![step(1, 1_000)]);
     bed.apply(Command::Cancel { id: JobId(1) });
     bed.replace_owner();
-    let listed = HoldAnswer {
+    let listed = RenewalAnswer {
         running: vec![running(task(1, 0, 0), 1)],
-        ..HoldAnswer::default()
+        ..RenewalAnswer::default()
     };
-    let effects = bed.answer_hold("w1", listed);
+    let effects = bed.answer_renewal("w1", listed);
     assert_eq!(stops(&effects)[0].1.task, task(1, 0, 0));
 }
 
@@ -206,7 +206,7 @@
 fn other_life_frees_its_tasks_at_once() {
     let mut bed = Bed::new();
     let (gone, _) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
-    let effects = bed.feed(Event::HoldFailed {
+    let effects = bed.feed(Event::RenewalFailed {
         worker: gone.clone(),
         other_life: true,
     });
@@ -380,10 +380,10 @@
             .zip(here)
             .map(|(number, (_, order))| end(number, order.task, 1, EndKind::Done))
             .collect();
-        bed.answer_hold(name, ended(listed.clone()));
+        bed.answer_renewal(name, ended(listed.clone()));
         bed.apply(ends(name, listed));
-        let confirmed = HoldAnswer::default();
-        bed.confirm_hold(name, 2, confirmed);
+        let confirmed = RenewalAnswer::default();
+        bed.confirm_renewal(name, 2, confirmed);
         given.extend(moved(&bed.tick(ms(50))));
     }
     assert!(!given.is_empty(), "one was kept free for it");
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -7,8 +7,8 @@
 
 use cleat_control::{ModelRun, ModelWorker};
 use cleat_jobs::{
-    Beat, Catalogue, Command, ControlState, Effect, EndKind, Event, HoldOrder, JobId, JobSpec,
-    JobState, Order, OrderAnswer, Pool, Queue, Run, Scheduler, SchedulerConfig, Size, StepSpec,
+    Catalogue, Command, ControlState, Effect, EndKind, Event, Heartbeat, JobId, JobSpec, JobState,
+    Order, OrderAnswer, Pool, Queue, RenewalOrder, Run, Scheduler, SchedulerConfig, Size, StepSpec,
     TaskId, TaskOrder, WorkerRecord,
 };
 use indexmap::IndexMap;
@@ -42,15 +42,15 @@
 /// What happens at some time.
 enum Happening {
     Tick,
-    Beat(usize),
+    Heartbeat(usize),
     Submit(JobId),
     Cancel(JobId),
     Fault(Fault),
     TakeOver,
     /// A command of the owner with this ordinal is committed.
     Commit(u32, Command),
-    Hold(u32, usize, Box<str>, HoldOrder, Duration),
-    HoldDue(u32, usize, Box<str>, u64, Duration),
+    Renew(u32, usize, Box<str>, RenewalOrder, Duration),
+    RenewalDue(u32, usize, Box<str>, u64, Duration),
     Order(u32, usize, Box<str>, u64, TaskOrder, bool),
     Tell(u32, Event),
 }
@@ -114,7 +114,7 @@
         for at in 0..WORKERS {
             let worker = self.new_life(at);
             self.workers.push(worker);
-            self.after(ms(10 * at as u64), Happening::Beat(at));
+            self.after(ms(10 * at as u64), Happening::Heartbeat(at));
         }
         self.after(Duration::ZERO, Happening::TakeOver);
         self.after(Duration::ZERO, Happening::Tick);
@@ -177,17 +177,17 @@
                 let wall_ms = 1 + u64::try_from(self.now.as_millis()).expect("short");
                 self.feed(Event::Tick { wall_ms });
             }
-            Happening::Beat(at) => self.beat(at),
+            Happening::Heartbeat(at) => self.beat(at),
             Happening::Submit(id) => self.submit(id),
             Happening::Cancel(id) => self.cancel(id),
             Happening::Fault(fault) => self.strike(fault),
             Happening::TakeOver => self.take_over(),
             Happening::Commit(ordinal, command) => self.commit(ordinal, command),
-            Happening::Hold(ordinal, at, life, order, sent) => {
-                self.hold(ordinal, at, life, &order, sent);
+            Happening::Renew(ordinal, at, life, order, sent) => {
+                self.renew(ordinal, at, life, &order, sent);
             }
-            Happening::HoldDue(ordinal, at, life, acked, sent) => {
-                self.hold_due(ordinal, at, life, acked, sent);
+            Happening::RenewalDue(ordinal, at, life, acked, sent) => {
+                self.renewal_due(ordinal, at, life, acked, sent);
             }
             Happening::Order(ordinal, at, life, token, order, answered) => {
                 self.order(ordinal, at, life, token, order, answered)?;
@@ -227,13 +227,16 @@
     fn carry_out(&mut self, ordinal: u32, effect: Effect) {
         let delay = self.delay();
         match effect {
-            Effect::Hold {
+            Effect::Renew {
                 worker,
                 address,
                 order,
             } => {
                 let at = place(&address);
-                self.after(delay, Happening::Hold(ordinal, at, worker, order, self.now));
+                self.after(
+                    delay,
+                    Happening::Renew(ordinal, at, worker, order, self.now),
+                );
             }
             Effect::Order {
                 worker,
@@ -285,19 +288,19 @@
     }
 
     fn beat(&mut self, at: usize) {
-        self.after(BEAT, Happening::Beat(at));
+        self.after(BEAT, Happening::Heartbeat(at));
         let worker = &mut self.workers[at];
         if !worker.reachable(self.now) {
             return;
         }
         worker.sequence += 1;
-        let beat = Beat {
+        let beat = Heartbeat {
             record: worker.record.clone(),
             draining: false,
             drain_remaining_ms: 0,
             sequence: worker.sequence,
         };
-        self.feed(Event::Beat(beat));
+        self.feed(Event::Heartbeat(beat));
     }
 
     fn submit(&mut self, id: JobId) {
@@ -384,25 +387,32 @@
         }
     }
 
-    fn hold(&mut self, ordinal: u32, at: usize, life: Box<str>, order: &HoldOrder, sent: Duration) {
+    fn renew(
+        &mut self,
+        ordinal: u32,
+        at: usize,
+        life: Box<str>,
+        order: &RenewalOrder,
+        sent: Duration,
+    ) {
         let now = self.now;
         let worker = &mut self.workers[at];
         if !worker.reachable(now) {
-            let event = Event::HoldFailed {
+            let event = Event::RenewalFailed {
                 worker: life,
                 other_life: false,
             };
             return self.after(order.wait + ms(500), Happening::Tell(ordinal, event));
         }
         if worker.record.name != life {
-            let event = Event::HoldFailed {
+            let event = Event::RenewalFailed {
                 worker: life,
                 other_life: true,
             };
             let delay = self.delay();
             return self.after(delay, Happening::Tell(ordinal, event));
         }
-        if !worker.hold(now, order) {
+        if !worker.renew(now, order) {
             return;
         }
         let wait = if worker.ended.is_empty() {
@@ -411,23 +421,23 @@
         } else {
             Duration::ZERO
         };
-        let due = Happening::HoldDue(ordinal, at, life, order.acked, sent);
+        let due = Happening::RenewalDue(ordinal, at, life, order.acked, sent);
         self.after(wait, due);
     }
 
-    fn hold_due(&mut self, ordinal: u32, at: usize, life: Box<str>, acked: u64, sent: Duration) {
+    fn renewal_due(&mut self, ordinal: u32, at: usize, life: Box<str>, acked: u64, sent: Duration) {
         let now = self.now;
         let delay = self.delay();
         let worker = &mut self.workers[at];
         let event = if worker.reachable(now) && worker.record.name == life {
-            Event::HoldAnswered {
+            Event::RenewalAnswered {
                 worker: life,
                 sent_at: sent,
                 acked,
                 answer: worker.list(now),
             }
         } else {
-            Event::HoldFailed {
+            Event::RenewalFailed {
                 worker: life,
                 other_life: false,
             }
--- a/crates/cleat-link/src/control.rs
+++ b/crates/cleat-link/src/control.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::sync::Arc;
 
-use cleat_jobs::{Beat, Catalogue, JobId, JobSpec, JobState, WorkerState};
+use cleat_jobs::{Catalogue, Heartbeat, JobId, JobSpec, JobState, WorkerState};
 use cleat_quorum::Message;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -59,7 +59,7 @@
     /// All jobs that are not over, workers and waves.
     Overview,
     /// A worker's heartbeat.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// A worker's last word.
     Left {
         /// Its name.
