End a control instance whose disk fails, so that it starts again

Ruled out: keeping the replica through a failed write: what is on the disk is not known then. Change: the process waits 0.5 s, says so and ends with 1; a start finds out whether the disk takes writes.

--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -15,7 +15,9 @@
 use snafu::ResultExt;
 
 use super::{Life, seed_keys, serve_metrics, start_events, until_told_to_stop, watch};
-use crate::error::{ControlSnafu, DaemonError, ListenSnafu, OrdersByHeartbeatSnafu};
+use crate::error::{
+    ControlSnafu, DaemonError, DiskFailedSnafu, ListenSnafu, OrdersByHeartbeatSnafu,
+};
 
 /// How long a voter that another has replaced may be silent before it stops
 /// counting: longer than a restart, shorter than the next loss is likely.
@@ -24,7 +26,12 @@
 /// callers with an old list still get answers.
 const LINGER: Duration = Duration::from_millis(1_500);
 
-/// Runs it until it is told to stop.
+/// How long an instance whose disk failed waits before it ends, so that one
+/// that is started again at once does not do so without a break.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Runs it until it is told to stop, or its disk fails: an instance that can't
+/// write is of no use to the group, and a new start finds out whether it can.
 pub(crate) async fn run(settings: ControlSettings, file: &Path) -> Result<(), DaemonError> {
     supported(&settings)?;
     let events = start_events()?;
@@ -66,7 +73,15 @@
             seeds.set_seeds(keys);
         }
     })?;
-    until_told_to_stop().await?;
+    tokio::select! {
+        told = until_told_to_stop() => told?,
+        () = node.ended() => {
+            events.emit(&Life::Failed { name });
+            tokio::time::sleep(FAILURE_PAUSE).await;
+            events.flush();
+            return DiskFailedSnafu.fail();
+        }
+    }
     events.emit(&Life::Stopping { name });
     node.hand_over().await;
     tokio::time::sleep(LINGER).await;
--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -139,6 +139,11 @@
         self.others.set_seeds(seeds);
     }
 
+    /// Waits until the replica has ended: by a stop, or since its disk failed.
+    pub async fn ended(&self) {
+        self.shared.replica.ended().await;
+    }
+
     /// Hands the lead over, if it is here, and leaves the group's work. Calls
     /// are still passed on.
     pub async fn hand_over(&self) {
