Note a worker's ends without gaps

Cause: ends count once by their number, so a command with later ends that was committed first, or after an earlier one had failed, made the earlier ends count as noted. Their tasks were started again after their end, or stayed as ended for good.

Change: a command with ends names the number that it follows and counts for nothing before that. The owner proposes its own again, until they are noted or their worker's record is gone. The schedules have slow, reordered and failing commits now; they and the single tests failed before (job not finished, task started after its end).

--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -43,16 +43,12 @@
         }
     }
 
-    /// A command was not committed as far as is known: what led to it will
-    /// lead to it again.
+    /// A command was not committed as far as is known. It is proposed again, or
+    /// what led to it leads to it again.
     pub(super) fn proposal_failed(&mut self, command: &Command) {
         match command {
-            Command::Ends { worker, .. } => {
-                if let Some(key) = self.workers.key(worker) {
-                    let worker = &mut self.workers[key];
-                    worker.proposed = worker.acked;
-                }
-            }
+            // Later ends wait for these, and the worker may be gone.
+            Command::Ends { .. } => self.propose(command.clone()),
             Command::AddWorker(record) => {
                 if let Some(key) = self.workers.key(&record.name) {
                     self.workers[key].recording = false;
@@ -66,9 +62,27 @@
         }
     }
 
-    /// Ends are in the replicated state: they may be acknowledged, and what
-    /// waited for them may go on.
-    pub(super) fn ends_noted(&mut self, state: &ControlState, name: &str, ends: &[TaskEnd]) {
+    /// Ends that passed the ones before them on their way to the log count
+    /// for nothing. This owner's are proposed again: what they wait for is
+    /// its own as well, and on its way. An earlier owner's are listed again.
+    pub(super) fn ends_applied(&mut self, state: &ControlState, command: &Command) {
+        let Command::Ends { worker, ends, .. } = command else {
+            return;
+        };
+        let record = state.workers.get(worker);
+        let last = ends.last().map_or(0, |end| end.number);
+        if record.is_none_or(|record| record.history.noted >= last) {
+            return self.ends_noted(state, worker, ends);
+        }
+        let key = self.workers.key(worker);
+        if key.is_none_or(|key| self.workers[key].proposed >= last) {
+            self.propose(command.clone());
+        }
+    }
+
+    /// Ends are in the replicated state, or never will be since their worker
+    /// is gone: they may be acknowledged, and what waited for them may go on.
+    fn ends_noted(&mut self, state: &ControlState, name: &str, ends: &[TaskEnd]) {
         let key = self.workers.key(name);
         if let (Some(key), Some(last)) = (key, ends.last()) {
             let worker = &mut self.workers[key];
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -278,7 +278,7 @@
         match command {
             Command::Submit { id, .. } => self.activate_job(state, *id),
             Command::Cancel { id } => self.job_over(state, *id),
-            Command::Ends { worker, ends } => self.ends_noted(state, worker, ends),
+            Command::Ends { .. } => self.ends_applied(state, command),
             Command::AddWorker(record) => self.worker_recorded(&record.name),
             Command::RemoveWorkers { names } => self.workers_removed(names),
             Command::Configure(_)
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -189,7 +189,11 @@
             self.take_end(state, key, end);
         }
         let worker = self.worker_name(key);
-        self.propose(Command::Ends { worker, ends });
+        self.propose(Command::Ends {
+            worker,
+            after: proposed,
+            ends,
+        });
         self.dirty = true;
     }
 
--- a/crates/cleat-jobs/src/state/apply.rs
+++ b/crates/cleat-jobs/src/state/apply.rs
@@ -42,7 +42,11 @@
             Command::Configure(catalogue) => self.configure(catalogue),
             Command::Submit { id, queue, spec } => self.submit(index, id, queue, spec),
             Command::Cancel { id } => return self.cancel(id),
-            Command::Ends { worker, ends } => self.note_ends(&worker, &ends),
+            Command::Ends {
+                worker,
+                after,
+                ends,
+            } => self.note_ends(&worker, after, &ends),
             Command::AddWorker(record) => self.add_worker(record),
             Command::WorkerLapsed { name, token, uses } => self.note_lapse(&name, token, uses),
             Command::RemoveWorkers { names } => {
@@ -116,11 +120,14 @@
     }
 
     /// Ends that were noted before, from this worker's life, count once.
-    fn note_ends(&mut self, worker: &str, ends: &[TaskEnd]) {
+    fn note_ends(&mut self, worker: &str, after: u64, ends: &[TaskEnd]) {
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
         let before = record.history.noted;
+        if before < after {
+            return;
+        }
         if let Some(last) = ends.last() {
             record.history.noted = before.max(last.number);
         }
--- a/crates/cleat-jobs/src/state/command.rs
+++ b/crates/cleat-jobs/src/state/command.rs
@@ -34,10 +34,13 @@
         /// The job.
         id: JobId,
     },
-    /// Ends of tasks that a worker lists.
+    /// Ends of tasks that a worker lists. Nothing is noted before the ends up
+    /// to `after` are: the worker forgets all up to the last one noted.
     Ends {
         /// The worker.
         worker: Box<str>,
+        /// The number up to which ends were proposed before.
+        after: u64,
         /// The ends, by rising number.
         ends: Vec<TaskEnd>,
     },
--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -100,8 +100,10 @@
 }
 
 pub(crate) fn ends(worker: &str, ends: Vec<TaskEnd>) -> Command {
+    let first = ends.first().map_or(1, |end| end.number);
     Command::Ends {
         worker: worker.into(),
+        after: first - 1,
         ends,
     }
 }
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -2,10 +2,11 @@
 
 mod scaffold;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cleat_jobs::{
-    Command, EndKind, Event, JobId, OrderAnswer, RenewalAnswer, StepSpec, WorkerRecord,
+    Command, EndKind, Event, JobId, JobState, OrderAnswer, RenewalAnswer, StepSpec, WorkerRecord,
 };
 use scaffold::{Bed, end, ends, proposals, record, running, starts, step, stops, task};
 
@@ -72,6 +73,61 @@
     assert_eq!(starts(&after)[0].1.task, task(1, 1, 0));
 }
 
+/// Two proposals of one worker's ends: the first end, and the second.
+fn propose_two_ends(bed: &mut Bed) -> (Command, Command) {
+    bed.submit(1, vec![step(2, 1_000)]);
+    let first = end(1, task(1, 0, 0), 1, EndKind::Done);
+    let second = end(2, task(1, 0, 1), 1, EndKind::Done);
+    let one = bed.answer_renewal("w1", ended(vec![first.clone()]));
+    let two = bed.answer_renewal("w1", ended(vec![first, second]));
+    (proposals(&one).remove(0), proposals(&two).remove(0))
+}
+
+#[test]
+fn ends_committed_out_of_order_are_proposed_again() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let (first, second) = propose_two_ends(&mut bed);
+    let passed = bed.apply(second.clone());
+    assert_eq!(proposals(&passed), vec![second.clone()]);
+    let effects = [bed.apply(first), bed.apply(second)].concat();
+    assert!(starts(&effects).is_empty(), "both tasks are done");
+    assert_eq!(bed.state.job_state(JobId(1)), Some(JobState::Completed));
+}
+
+#[test]
+fn ends_whose_commit_failed_are_proposed_again() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let (first, second) = propose_two_ends(&mut bed);
+    let command = Arc::new(first.clone());
+    let failed = bed.feed(Event::ProposalFailed { command });
+    assert_eq!(proposals(&failed), vec![first]);
+    let effects = [bed.commit(&failed), bed.apply(second)].concat();
+    assert!(starts(&effects).is_empty(), "both tasks are done");
+    assert_eq!(bed.state.job_state(JobId(1)), Some(JobState::Completed));
+}
+
+/// Its record is gone before its ends are committed, so they count for
+/// nothing: their task is started elsewhere.
+#[test]
+fn ends_of_a_worker_that_is_gone_free_their_tasks() {
+    let mut bed = Bed::new();
+    let (gone, order) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    let listed = end(1, order.task, order.run.0, EndKind::Done);
+    let proposed = bed.answer_renewal(&gone, ended(vec![listed]));
+    let left = bed.feed(Event::Left { worker: gone });
+    bed.commit(&left);
+    assert_eq!(starts(&bed.commit(&proposed)).len(), 1);
+}
+
+/// They are listed to this owner by the worker, or lost with it.
+#[test]
+fn ends_of_an_earlier_owner_after_a_gap_are_not_proposed_again() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let (_, second) = propose_two_ends(&mut bed);
+    bed.replace_owner();
+    assert_eq!(proposals(&bed.apply(second)), vec![]);
+}
+
 /// The end of a run that an earlier owner started is listed, but not in the
 /// state yet.
 #[test]
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -72,6 +72,11 @@
     assert_holds(&Plan::with(&[Fault::Cancels]));
 }
 
+#[test]
+fn schedule_slow_commits() {
+    assert_holds(&Plan::with(&[Fault::SlowCommits]));
+}
+
 #[test]
 fn schedule_everything_at_once() {
     assert_holds(&Plan::with(&Fault::ALL));
--- a/crates/cleat-jobs/tests/simulation/plan.rs
+++ b/crates/cleat-jobs/tests/simulation/plan.rs
@@ -19,10 +19,12 @@
     LostAnswers,
     /// Jobs are cancelled.
     Cancels,
+    /// Commits take long, pass each other, or come after they were given up.
+    SlowCommits,
 }
 
 impl Fault {
-    pub(crate) const ALL: [Fault; 7] = [
+    pub(crate) const ALL: [Fault; 8] = [
         Fault::OwnerDies,
         Fault::WorkerCut,
         Fault::WorkerLost,
@@ -30,6 +32,7 @@
         Fault::LateOrders,
         Fault::LostAnswers,
         Fault::Cancels,
+        Fault::SlowCommits,
     ];
 }
 
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -244,10 +244,7 @@
                 token,
                 order,
             } => self.send_order(ordinal, place(&address), worker, token, order),
-            Effect::Propose(command) => {
-                let delay = ms(self.rng.random_range(5..20));
-                self.after(delay, Happening::Commit(ordinal, command));
-            }
+            Effect::Propose(command) => self.propose(ordinal, command),
             Effect::Fenced { .. } => self.owner = None,
             Effect::Tell(_)
             | Effect::Advise { .. }
@@ -256,6 +253,24 @@
         }
     }
 
+    /// A command is committed soon; or late, or never, and given up before.
+    fn propose(&mut self, ordinal: u32, command: Command) {
+        if !self.plan.has(Fault::SlowCommits) || !self.in_faults() {
+            let delay = ms(self.rng.random_range(5..20));
+            return self.after(delay, Happening::Commit(ordinal, command));
+        }
+        let lost = self.rng.random_bool(0.1);
+        if lost || self.rng.random_bool(0.2) {
+            let command = Arc::new(command.clone());
+            let event = Event::ProposalFailed { command };
+            self.after(ms(200), Happening::Tell(ordinal, event));
+        }
+        if !lost {
+            let delay = ms(self.rng.random_range(5..600));
+            self.after(delay, Happening::Commit(ordinal, command));
+        }
+    }
+
     /// An order arrives soon, or late and without an answer.
     fn send_order(
         &mut self,
@@ -350,7 +365,7 @@
                     self.workers[at] = life;
                 }
             }
-            Fault::LateOrders | Fault::LostAnswers | Fault::Cancels => {}
+            Fault::LateOrders | Fault::LostAnswers | Fault::Cancels | Fault::SlowCommits => {}
         }
     }
 
--- a/crates/cleat-jobs/tests/state.rs
+++ b/crates/cleat-jobs/tests/state.rs
@@ -67,6 +67,19 @@
     assert_eq!(state.job_state(JobId(7)), Some(JobState::Failed));
 }
 
+/// The ends in between are still on their way: the worker must list them
+/// again, so nothing after them may be acknowledged.
+#[test]
+fn apply_ends_after_a_gap_are_not_noted() {
+    let mut state = with_job(vec![step(2, 1_000)]);
+    note(&mut state, 2, task(7, 0, 1), EndKind::Done);
+    assert_eq!(state.workers["w1"].history.noted, 0);
+    note(&mut state, 1, task(7, 0, 0), EndKind::Done);
+    assert_eq!(state.job_state(JobId(7)), Some(JobState::Active));
+    note(&mut state, 2, task(7, 0, 1), EndKind::Done);
+    assert_eq!(state.job_state(JobId(7)), Some(JobState::Completed));
+}
+
 #[test]
 fn apply_ends_other_kinds_cost_no_attempt() {
     let mut state = with_job(vec![step(1, 100)]);
