Decide by pool and on all that has happened

Cause: on the grown sites one owner used all of its 0.35 of a core. A profile of the daemon there shows the scheduler: after each event it ranked the waiting steps of all pools, searched all workers, and for each renewal all runs.

Ruled out as the main cost: calls, JSON, logs, the log of the group (under a third of the samples together).

Change: a pool is looked at only after something changed there, steps that no worker has room for are passed over before they are ranked, runs are indexed by worker and job, and the owner takes all ended calls before it decides. The example decision_cost measures decisions on a simulated clock.

--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use cleat_jobs::{Command, Event, Scheduler, SchedulerConfig};
-use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 use log::warn;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::JoinHandle;
@@ -148,6 +148,7 @@
                 Some(event) = calls.next(), if !calls.is_empty() => events.extend(event),
                 _ = ticks.tick() => events.push(Event::Tick { wall_ms: wall_ms() }),
             }
+            take_ready(&mut calls, &mut events);
             if !self.shared.replica.status().is_leader() {
                 return OwnershipEnd::LeadLost;
             }
@@ -179,3 +180,13 @@
             .all(|effect| self.carry_out(effect, calls))
     }
 }
+
+/// Takes the calls that have ended as well: one decision on many events costs
+/// little more than one on a single event.
+fn take_ready(calls: &mut Calls, events: &mut Vec<Event>) {
+    while events.len() < BATCH
+        && let Some(Some(event)) = calls.next().now_or_never()
+    {
+        events.extend(event);
+    }
+}
--- /dev/null
+++ b/crates/cleat-jobs/examples/decision_cost.rs
@@ -0,0 +1,309 @@
+//! What the owner's decisions cost: one scheduler over a fleet of model
+//! workers on a simulated clock, with demand that rises and falls by turns.
+//! Prints processor time a start and the share of one core.
+//!
+//! `cargo run --release -p cleat-jobs --example decision_cost -- [WORKERS] [SECONDS]`
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cleat_control::{ModelRun, ModelWorker};
+use cleat_jobs::{
+    Catalogue, Command, ControlState, Effect, EndKind, Event, Heartbeat, JobId, JobSpec, Order,
+    OrderAnswer, Pool, Queue, RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec, TaskOrder,
+    WorkerHistory, WorkerRecord,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const POOLS: usize = 4;
+/// How long a pool's turn of high demand lasts.
+const TURN: Duration = Duration::from_secs(5);
+/// Demand in a turn and between turns, in percent of the mean.
+const HIGH_PERCENT: u64 = 800;
+const LOW_PERCENT: u64 = 15;
+/// Steps of eight tasks that a hundred workers are asked for on average.
+const JOBS_A_SECOND: u64 = 28;
+const CALL: Duration = Duration::from_millis(3);
+const COMMIT: Duration = Duration::from_millis(12);
+const TICK: Duration = Duration::from_millis(50);
+const CAPACITY: Size = Size {
+    cpu_milli: 32_000,
+    memory_mb: 131_072,
+    gpu: 0,
+};
+
+enum Happening {
+    Tick,
+    Submit(usize),
+    Commit(Command),
+    Renew(usize, RenewalOrder, Duration),
+    RenewalDue(usize, u64, Duration),
+    Order(usize, u64, TaskOrder),
+    Tell(Event),
+}
+
+struct World {
+    rng: StdRng,
+    now: Duration,
+    queue: BinaryHeap<Reverse<(Duration, usize)>>,
+    happenings: Vec<Option<Happening>>,
+    state: ControlState,
+    index: u64,
+    owner: Scheduler,
+    workers: Vec<ModelWorker>,
+    jobs: u64,
+    starts: u64,
+    events: u64,
+    spent: Duration,
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let workers = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(350);
+    let seconds = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(30);
+    let end = Duration::from_secs(seconds);
+    let mut world = World::new(workers);
+    while let Some(Reverse((at, slot))) = world.queue.pop() {
+        if at > end {
+            break;
+        }
+        world.now = at;
+        if let Some(happening) = world.happenings[slot].take() {
+            world.happen(happening);
+        }
+    }
+    let starts = world.starts.max(1);
+    println!(
+        "{workers} workers, {seconds} s: {} jobs, {} starts, {} events; {:.1} us a start, {:.1} us an event, {:.3} of a core",
+        world.jobs,
+        world.starts,
+        world.events,
+        world.spent.as_secs_f64() * 1e6 / starts as f64,
+        world.spent.as_secs_f64() * 1e6 / world.events as f64,
+        world.spent.as_secs_f64() / end.as_secs_f64(),
+    );
+}
+
+impl World {
+    fn new(workers: usize) -> World {
+        let mut state = ControlState::default();
+        state.apply(1, Command::Found);
+        state.apply(2, Command::Configure(Arc::new(catalogue())));
+        state.apply(3, Command::TakeOver { member: 1 });
+        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO);
+        let mut world = World {
+            rng: StdRng::seed_from_u64(7),
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            happenings: Vec::new(),
+            state,
+            index: 3,
+            owner: owner.expect("owned"),
+            workers: Vec::new(),
+            jobs: 0,
+            starts: 0,
+            events: 0,
+            spent: Duration::ZERO,
+        };
+        for at in 0..workers {
+            let worker = ModelWorker::new(record(at), 100, 1_000);
+            let beat = Heartbeat {
+                record: worker.record.clone(),
+                draining: false,
+                drain_remaining_ms: 0,
+                sequence: 1,
+            };
+            world.workers.push(worker);
+            world.feed(Event::Heartbeat(beat));
+        }
+        world.after(Duration::ZERO, Happening::Tick);
+        for pool in 0..POOLS {
+            world.after(Duration::from_secs(1), Happening::Submit(pool));
+        }
+        world
+    }
+
+    fn after(&mut self, delay: Duration, happening: Happening) {
+        let slot = self.happenings.len();
+        self.happenings.push(Some(happening));
+        self.queue.push(Reverse((self.now + delay, slot)));
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick => {
+                self.after(TICK, Happening::Tick);
+                self.feed(Event::Tick { wall_ms: 1 });
+            }
+            Happening::Submit(pool) => self.submit(pool),
+            Happening::Commit(command) => self.apply(command),
+            Happening::Renew(at, order, sent) => self.renew(at, &order, sent),
+            Happening::RenewalDue(at, acked, sent_at) => {
+                let worker = &mut self.workers[at];
+                let event = Event::RenewalAnswered {
+                    worker: worker.record.name.clone(),
+                    sent_at,
+                    acked,
+                    answer: worker.list(self.now),
+                };
+                self.after(CALL, Happening::Tell(event));
+            }
+            Happening::Order(at, token, order) => self.order(at, token, order),
+            Happening::Tell(event) => self.feed(event),
+        }
+    }
+
+    fn apply(&mut self, command: Command) {
+        self.index += 1;
+        self.state.apply(self.index, command.clone());
+        let command = Arc::new(command);
+        self.feed(Event::Applied { command });
+    }
+
+    fn feed(&mut self, event: Event) {
+        let began = Instant::now();
+        let effects = self.owner.handle(&self.state, [event], self.now);
+        self.spent += began.elapsed();
+        self.events += 1;
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Renew { worker, order, .. } => {
+                let sent = self.now;
+                self.after(CALL, Happening::Renew(place(&worker), order, sent));
+            }
+            Effect::Order {
+                worker,
+                token,
+                order,
+                ..
+            } => {
+                self.starts += u64::from(matches!(order.order, Order::Start { .. }));
+                self.after(CALL, Happening::Order(place(&worker), token, order));
+            }
+            Effect::Propose(command) => self.after(COMMIT, Happening::Commit(command)),
+            Effect::Fenced { .. }
+            | Effect::Tell(_)
+            | Effect::Advise { .. }
+            | Effect::ListMachines
+            | Effect::OrderMachine { .. } => {}
+        }
+    }
+
+    fn submit(&mut self, pool: usize) {
+        let turn = self.now.as_secs() / TURN.as_secs();
+        let high = turn % POOLS as u64 == pool as u64;
+        let percent = if high { HIGH_PERCENT } else { LOW_PERCENT };
+        let a_second = JOBS_A_SECOND * self.workers.len() as u64 * percent / 100 / 100 / 4;
+        let gap = Duration::from_micros(1_000_000 / a_second.max(1));
+        let gap = gap.mul_f64(self.rng.random_range(0.1..1.9));
+        self.after(gap, Happening::Submit(pool));
+        self.jobs += 1;
+        let queue = self.state.catalogue.as_ref().expect("configured").queues[pool].clone();
+        let steps = (0..self.rng.random_range(1..3u16)).map(|step| StepSpec {
+            count: 8,
+            size: Size {
+                cpu_milli: self.rng.random_range(1_500..5_000),
+                memory_mb: 8_000,
+                gpu: 0,
+            },
+            estimate_ms: 640,
+            after: if step > 0 { vec![step - 1] } else { Vec::new() },
+            ..StepSpec::default()
+        });
+        let spec = JobSpec {
+            specification: "".into(),
+            steps: steps.collect(),
+            repeat: None,
+        };
+        let (id, spec) = (JobId(self.jobs), Arc::new(spec));
+        self.after(
+            COMMIT,
+            Happening::Commit(Command::Submit { id, queue, spec }),
+        );
+    }
+
+    fn renew(&mut self, at: usize, order: &RenewalOrder, sent: Duration) {
+        let now = self.now;
+        let worker = &mut self.workers[at];
+        worker.renew(now, order);
+        let wait = if worker.ended.is_empty() {
+            let next = worker.runs.values().map(|run| run.ends_at).min();
+            next.map_or(order.wait, |at| at.saturating_sub(now).min(order.wait))
+        } else {
+            Duration::ZERO
+        };
+        self.after(wait, Happening::RenewalDue(at, order.acked, sent));
+    }
+
+    fn order(&mut self, at: usize, token: u64, order: TaskOrder) {
+        let span = Duration::from_millis(self.rng.random_range(200..1_100));
+        let size = match &order.order {
+            Order::Start { spec, .. } => spec.steps[usize::from(order.task.step.step)].footprint(),
+            _ => Size::default(),
+        };
+        let planned = ModelRun {
+            run: order.run,
+            ends_at: self.now + span,
+            kind: EndKind::Done,
+            size,
+        };
+        let worker = &mut self.workers[at];
+        let answer: OrderAnswer = worker.order(self.now, token, &order, &planned);
+        let event = Event::Ordered {
+            worker: worker.record.name.clone(),
+            order,
+            answer,
+        };
+        self.after(CALL, Happening::Tell(event));
+    }
+}
+
+fn record(at: usize) -> WorkerRecord {
+    WorkerRecord {
+        name: format!("w{at}").into(),
+        address: format!("10.0.0.1:{at}").into(),
+        pool: format!("pool{}", at % POOLS).into(),
+        machine: Some(format!("m{at}").into()),
+        data_centre: "dc1".into(),
+        capacity: CAPACITY,
+        labels: vec!["kind".into()],
+        rack: Some(format!("rack{}", at / 20).into()),
+        history: WorkerHistory::default(),
+    }
+}
+
+fn place(name: &str) -> usize {
+    name[1..].parse().expect("a name of ours")
+}
+
+fn catalogue() -> Catalogue {
+    let queue = |at: usize| Queue {
+        name: format!("queue{at}").into(),
+        host: "host".into(),
+        prefix: format!("/queue{at}/").into(),
+        pool: format!("pool{at}").into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.5,
+        target_latency_ms: 500,
+        timeout_ms: 3_000,
+        advice: None,
+    };
+    let pool = |at: usize| Pool {
+        name: format!("pool{at}").into(),
+        guards_capacity: true,
+        spare: false,
+        health_path: "/health".into(),
+    };
+    let queues = (0..POOLS).map(queue).collect();
+    let pools = (0..POOLS).map(pool).collect();
+    Catalogue::new(1, queues, pools, "{}".into()).expect("a valid catalogue")
+}
--- a/crates/cleat-jobs/src/schedule/advice.rs
+++ b/crates/cleat-jobs/src/schedule/advice.rs
@@ -125,7 +125,9 @@
             }
         }
         self.advice.insert(id, advice);
-        self.dirty = true;
+        if let Some(pool) = self.steps.get(&id).map(|step| step.pool.clone()) {
+            self.make_ready(id, pool);
+        }
     }
 
     /// Forgets a permission that a worker did not accept.
--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -66,7 +66,8 @@
     pub(super) fn add_attempt(&mut self, task: TaskId, attempt: Attempt) {
         let worker = &mut self.workers[attempt.worker];
         worker.used += attempt.footprint;
-        worker.runs += 1;
+        worker.tasks.insert(task);
+        self.job_tasks.entry(task.job()).or_default().insert(task);
         self.attempts.insert(task, attempt);
     }
 
@@ -74,7 +75,13 @@
     pub(super) fn remove_attempt(&mut self, task: TaskId) -> Option<Attempt> {
         let attempt = self.attempts.swap_remove(&task)?;
         let worker = &mut self.workers[attempt.worker];
-        worker.runs -= 1;
+        worker.tasks.swap_remove(&task);
+        if let Some(tasks) = self.job_tasks.get_mut(&task.job()) {
+            tasks.swap_remove(&task);
+            if tasks.is_empty() {
+                self.job_tasks.swap_remove(&task.job());
+            }
+        }
         if attempt.holds_room() {
             worker.used -= attempt.footprint;
         }
--- a/crates/cleat-jobs/src/schedule/beat.rs
+++ b/crates/cleat-jobs/src/schedule/beat.rs
@@ -12,13 +12,14 @@
             return;
         }
         worker.last_sequence = beat.sequence;
-        if worker.draining != beat.draining {
-            worker.draining = beat.draining;
-            self.dirty = true;
-        }
+        let changed = worker.draining != beat.draining;
+        worker.draining = beat.draining;
         if worker.state == WorkerState::Lapsed && !worker.renewing {
             worker.renewal_due = self.now;
             self.send_renewals();
         }
+        if changed {
+            self.unsettle_pool_of(key);
+        }
     }
 }
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -139,7 +139,7 @@
             balance.least_workers = balance.least_workers.max(step.least_workers);
             let mut count = step.pending.len() as u64;
             balance.waiting += count;
-            let percent = match self.step_prospect(step) {
+            let percent = match step.prospect(self.now) {
                 Prospect::InTime => 100,
                 Prospect::Late => LATE_PERCENT,
                 Prospect::TooLate => TOO_LATE_PERCENT,
--- a/crates/cleat-jobs/src/schedule/fleet/evacuate.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/evacuate.rs
@@ -18,13 +18,12 @@
     }
 
     fn evacuate_worker(&mut self, state: &ControlState, key: WorkerKey) {
-        let here: Vec<TaskId> = self
-            .attempts
-            .iter()
-            .filter(|(_, attempt)| attempt.worker == key)
-            .filter(|(_, attempt)| matches!(attempt.phase, Phase::Running { .. }))
-            .map(|(task, _)| *task)
-            .collect();
+        let runs = |task: &&TaskId| {
+            let attempt = self.attempts.get(*task);
+            attempt.is_some_and(|attempt| matches!(attempt.phase, Phase::Running { .. }))
+        };
+        let tasks = self.workers[key].tasks.iter();
+        let here: Vec<TaskId> = tasks.filter(runs).copied().collect();
         for task in here {
             let job = state.jobs.get(&task.job());
             let Some(spec) = job.and_then(|job| job.step(task.step)) else {
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -90,7 +90,7 @@
 
     pub(super) fn is_worker_empty(&self, key: WorkerKey) -> bool {
         let worker = &self.workers[key];
-        worker.runs == 0
+        worker.tasks.is_empty()
             && worker.answers()
             && worker.proposed == worker.confirmed
             && !worker.has_strays
--- a/crates/cleat-jobs/src/schedule/fleet/waves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/waves.rs
@@ -129,7 +129,7 @@
         let leaving = |worker: &crate::schedule::worker::Worker| worker.draining || worker.cordoned;
         let workers = self.workers.iter();
         workers
-            .filter(|(_, worker)| leaving(worker) && worker.runs > 0)
+            .filter(|(_, worker)| leaving(worker) && !worker.tasks.is_empty())
             .map(|(key, _)| key)
             .collect()
     }
--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -25,7 +25,7 @@
         let worker = &mut self.workers[key];
         worker.recorded = true;
         worker.recording = false;
-        self.dirty = true;
+        self.unsettle_pool_of(key);
     }
 
     pub(super) fn workers_removed(&mut self, names: &[Box<str>]) {
@@ -99,7 +99,6 @@
             self.go_on(state, id);
         }
         self.send_renewals();
-        self.dirty = true;
     }
 
     /// Settles the run that ended, if it is the one that is known.
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -90,10 +90,9 @@
     }
 
     pub(super) fn lose_all(&mut self, key: WorkerKey, reason: LossReason) {
-        let here = |(task, attempt): (&TaskId, &Attempt)| {
-            (attempt.worker == key && attempt.holds_room()).then_some(*task)
-        };
-        let lost: Vec<TaskId> = self.attempts.iter().filter_map(here).collect();
+        let here = |task: &&TaskId| self.attempts.get(*task).is_some_and(Attempt::holds_room);
+        let tasks = self.workers[key].tasks.iter();
+        let lost: Vec<TaskId> = tasks.filter(here).copied().collect();
         for task in lost {
             self.lose(task, reason);
         }
@@ -121,7 +120,8 @@
             step.take_off(from);
             step.pending.insert(task.index);
             step.keep_checkpoint(task.index, checkpoint);
+            let pool = step.pool.clone();
+            self.make_ready(task.step, pool);
         }
-        self.dirty = true;
     }
 }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -16,6 +16,7 @@
 mod pace;
 mod place;
 mod protections;
+mod ready;
 mod renewal;
 mod step;
 mod takeover;
@@ -43,6 +44,7 @@
 use attempt::Attempt;
 use fleet::Machines;
 use pace::{Pace, Paced};
+use ready::Unsettled;
 use step::ActiveStep;
 use timing::{Objective, Times};
 use worker::{WorkerKey, Workers};
@@ -121,14 +123,16 @@
     steps: IndexMap<StepId, ActiveStep>,
     /// The runs that this owner knows of: one a task at most.
     attempts: IndexMap<TaskId, Attempt>,
+    /// The tasks of each job that have an attempt.
+    job_tasks: IndexMap<JobId, IndexSet<TaskId>>,
     /// Runs that should not be there, with the time of the last stop sent.
     strays: IndexMap<(WorkerKey, TaskId, Run), Duration>,
     /// Jobs that are not over.
     live: IndexSet<JobId>,
     /// Jobs of which a task has started.
     begun: IndexSet<JobId>,
-    /// How many starts each task has had from this owner.
-    starts: IndexMap<TaskId, u32>,
+    /// How many starts each task has had from this owner, by job.
+    starts: IndexMap<JobId, IndexMap<TaskId, u32>>,
     /// Occurrences that are not due yet, with their time of day.
     timed: IndexMap<(JobId, u32), u64>,
     /// Jobs that are over, oldest first, with the time since which they are.
@@ -144,8 +148,10 @@
     paced: Paced,
     /// When the balances of the pools were logged last.
     balances_told: Duration,
-    /// Set while something may have made room or work.
-    dirty: bool,
+    /// Where something may have made room or work.
+    unsettled: Unsettled,
+    /// The steps of each pool that may have tasks without a place.
+    ready: IndexMap<Box<str>, IndexSet<StepId>>,
     effects: Vec<Effect>,
 }
 
@@ -164,6 +170,7 @@
             workers: Workers::default(),
             steps: IndexMap::new(),
             attempts: IndexMap::new(),
+            job_tasks: IndexMap::new(),
             strays: IndexMap::new(),
             live: IndexSet::new(),
             begun: IndexSet::new(),
@@ -177,7 +184,8 @@
             paces: IndexMap::new(),
             paced: Paced::new(),
             balances_told: now,
-            dirty: true,
+            unsettled: Unsettled::All,
+            ready: IndexMap::new(),
             effects: Vec::new(),
         };
         scheduler.inherit(state);
@@ -201,9 +209,7 @@
         for event in events {
             self.take(state, event);
         }
-        if std::mem::take(&mut self.dirty) {
-            self.place(state);
-        }
+        self.place(state);
         std::mem::take(&mut self.effects)
     }
 
@@ -259,9 +265,9 @@
 
     /// How many tasks of a job run.
     pub fn running(&self, id: JobId) -> usize {
-        let attempts = self.attempts.iter();
-        let of_job = attempts.filter(|(task, _)| task.job() == id);
-        of_job.filter(|(_, attempt)| attempt.holds_room()).count()
+        let tasks = self.job_tasks.get(&id).into_iter().flatten();
+        let attempts = tasks.filter_map(|task| self.attempts.get(task));
+        attempts.filter(|attempt| attempt.holds_room()).count()
     }
 
     /// All workers.
@@ -269,7 +275,7 @@
         self.workers.iter().map(|(_, worker)| WorkerView {
             record: &worker.record,
             state: worker.state,
-            runs: worker.runs,
+            runs: worker.tasks.len(),
             used: worker.used,
         })
     }
@@ -284,7 +290,7 @@
             Command::Configure(_)
             | Command::StartWave { .. }
             | Command::Maintained { .. }
-            | Command::LeftWave { .. } => self.dirty = true,
+            | Command::LeftWave { .. } => self.unsettled = Unsettled::All,
             Command::Found
             | Command::TakeOver { .. }
             | Command::WorkerLapsed { .. }
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -19,10 +19,9 @@
 impl Scheduler {
     /// Stops all runs of a job.
     pub(super) fn stop_job(&mut self, id: JobId) {
-        let of_job = |(task, attempt): (&TaskId, &Attempt)| {
-            (task.job() == id && attempt.holds_room()).then_some(*task)
-        };
-        let tasks: Vec<TaskId> = self.attempts.iter().filter_map(of_job).collect();
+        let tasks = self.job_tasks.get(&id).cloned().unwrap_or_default();
+        let running = |task: &TaskId| self.attempts.get(task).is_some_and(Attempt::holds_room);
+        let tasks: Vec<TaskId> = tasks.into_iter().filter(running).collect();
         for task in tasks {
             self.stop(task, StopReason::JobOver);
         }
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -4,9 +4,7 @@
 
 use super::attempt::{Attempt, Phase};
 use super::event::{Order as Ordered, TaskOrder};
-use super::step::{ActiveStep, Order};
-use super::timing::Prospect;
-use super::worker::{Worker, WorkerKey, millis};
+use super::worker::{WorkerKey, millis};
 use super::{Decision, Scheduler};
 use crate::state::{ControlState, Job};
 use crate::{Run, Size, StepId, StepSpec, TaskId};
@@ -15,63 +13,50 @@
 /// day and restarts a task each second stays below it.
 const RUNS_AN_OWNER: u64 = 1 << 20;
 /// How many steps may find no place before a pass over a pool ends. Bounds the
-/// time of a pass while a pool is full; chosen without a measurement.
+/// time of a pass while a pool is full; chosen without a measurement. Steps
+/// whose tasks no worker has room for are passed over before and don't count.
 const MISFITS: usize = 40;
 
-/// A pass over one pool.
-struct Pass {
-    candidates: Vec<WorkerKey>,
-    /// How many steps found no place for all their tasks.
-    misfits: usize,
-}
-
 impl Scheduler {
-    /// Starts what has a place, pool by pool.
+    /// Starts what has a place, in the pools where something changed.
     pub(super) fn place(&mut self, state: &ControlState) {
-        let mut ready: Vec<(Prospect, Order, StepId)> = self
-            .steps
-            .iter()
-            .filter(|(_, step)| !step.pending.is_empty())
-            .map(|(id, step)| (self.step_prospect(step), step.order, *id))
-            .collect();
-        if ready.is_empty() {
+        for pool in self.take_unsettled() {
+            self.place_pool(state, &pool);
+        }
+    }
+
+    fn place_pool(&mut self, state: &ControlState, pool: &str) {
+        let candidates = self.candidates(pool);
+        if candidates.is_empty() {
             return;
         }
-        // The queue's class first, then what can still be in time.
-        ready.sort_unstable_by_key(|(prospect, order, _)| (order.priority, *prospect, *order));
-        let mut pools: IndexMap<Box<str>, Pass> = IndexMap::new();
-        for (_, _, id) in ready {
-            let Some(step) = self.steps.get(&id) else {
-                continue;
-            };
-            let pass = pools
-                .entry(step.pool.clone())
-                .or_insert_with_key(|pool| Pass {
-                    candidates: self.candidates(pool),
-                    misfits: 0,
-                });
-            if pass.candidates.is_empty() || pass.misfits >= MISFITS {
+        let mut room = self.largest_room(&candidates);
+        let mut misfits = 0;
+        for id in self.ready_steps(pool, room) {
+            if !self.steps.get(&id).is_some_and(|step| step.may_fit(room)) {
                 continue;
             }
-            let left = self.place_step(state, id, &pass.candidates);
-            pass.misfits += usize::from(left);
+            if self.place_step(state, id, &candidates) {
+                misfits += 1;
+                room = self.largest_room(&candidates);
+            }
+            if misfits >= MISFITS {
+                return;
+            }
         }
     }
 
-    pub(super) fn step_prospect(&self, step: &ActiveStep) -> Prospect {
-        // A step that runs until it is cancelled has no end to be late with.
-        if step.order.ends {
-            self.prospect(step.order.step.job, step.left)
-        } else {
-            Prospect::InTime
-        }
+    /// The most of each resource that any of the workers has free.
+    fn largest_room(&self, keys: &[WorkerKey]) -> Size {
+        let rooms = keys.iter().map(|key| self.workers[*key].room());
+        rooms.fold(Size::default(), Size::max_of_each)
     }
 
     /// The workers of a pool that take work.
     pub(super) fn candidates(&self, pool: &str) -> Vec<WorkerKey> {
-        let takes = |worker: &Worker| *worker.record.pool == *pool && worker.takes_work(self.now);
-        let keys = self.workers.iter().filter(|(_, worker)| takes(worker));
-        keys.map(|(key, _)| key).collect()
+        let workers = self.workers.in_pool(pool);
+        let takes = workers.filter(|(_, worker)| worker.takes_work(self.now));
+        takes.map(|(key, _)| key).collect()
     }
 
     /// Starts tasks of a step as far as there is room; whether some are left.
@@ -195,13 +180,11 @@
         };
         let fits = |key: &&WorkerKey| {
             let worker = &self.workers[**key];
-            let labelled = spec
-                .required_label
-                .as_ref()
-                .is_none_or(|label| worker.has_label(label));
-            let placed = step.placed.get(*key).copied().unwrap_or_default();
-            let apart = spec.max_per_worker.is_none_or(|most| placed < most);
-            labelled && apart && footprint.fits(worker.room())
+            let label = spec.required_label.as_ref();
+            let apart = |most| step.placed.get(*key).is_none_or(|placed| *placed < most);
+            footprint.fits(worker.room())
+                && label.is_none_or(|label| worker.has_label(label))
+                && spec.max_per_worker.is_none_or(apart)
         };
         keys.iter()
             .filter(fits)
@@ -246,7 +229,9 @@
 
     /// A number above all that the task has had, from this owner or another.
     fn next_run(&self, task: TaskId) -> Run {
-        let started = self.starts.get(&task).copied().unwrap_or_default();
+        let of_job = self.starts.get(&task.job());
+        let started = of_job.and_then(|starts| starts.get(&task)).copied();
+        let started = started.unwrap_or_default();
         let base = u64::from(self.owner.ordinal) * RUNS_AN_OWNER;
         Run(base + u64::from(started) + 1)
     }
@@ -260,7 +245,8 @@
         let Some(deadline_ms) = self.grant(key) else {
             return;
         };
-        self.starts.insert(task, count);
+        let starts = self.starts.entry(task.job()).or_default();
+        starts.insert(task, count);
         self.begun.insert(task.job());
         let Some(step) = self.steps.get_mut(&task.step) else {
             return;
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -46,7 +46,7 @@
         let deadline_ms = known.map(|clock| clock + lease);
         // An empty worker may move once its last ends are acknowledged for
         // certain; waiting for that answer would cost up to a second a move.
-        let empties = worker.runs == 0 && worker.acked > worker.confirmed;
+        let empties = worker.tasks.is_empty() && worker.acked > worker.confirmed;
         let wait = match deadline_ms {
             Some(_) if worker.shares => SHARING_WAIT,
             Some(_) if !empties => self.cfg.renewal_wait,
@@ -166,7 +166,7 @@
             silent_ms: millis(silent),
         };
         self.tell(decision);
-        self.dirty = true;
+        self.unsettle_pool_of(key);
     }
 
     /// Frees the room of what ended, and has new ends committed. The ends of
@@ -194,7 +194,7 @@
             after: proposed,
             ends,
         });
-        self.dirty = true;
+        self.unsettle_pool_of(key);
     }
 
     fn take_end(&mut self, state: &ControlState, key: WorkerKey, listed: &TaskEnd) {
@@ -267,16 +267,19 @@
         sent_at: Duration,
         listed: &IndexSet<(TaskId, Run)>,
     ) {
-        let missing = |(task, attempt): (&TaskId, &super::Attempt)| {
+        let missing = |task: &&TaskId| {
+            let Some(attempt) = self.attempts.get(*task) else {
+                return false;
+            };
             let due = match attempt.phase {
                 Phase::Running { known_at } => known_at < sent_at,
                 Phase::Closed { at } => at < sent_at,
                 _ => false,
             };
-            let gone = due && attempt.worker == key && !listed.contains(&(*task, attempt.run));
-            gone.then_some(*task)
+            due && !listed.contains(&(**task, attempt.run))
         };
-        let vanished: Vec<TaskId> = self.attempts.iter().filter_map(missing).collect();
+        let tasks = self.workers[key].tasks.iter();
+        let vanished: Vec<TaskId> = tasks.filter(missing).copied().collect();
         for task in vanished {
             self.lose(task, LossReason::Vanished);
         }
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use super::timing::{Objective, Prospect, WORTHLESS_AFTER};
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
 use crate::state::{ControlState, Job};
@@ -15,7 +16,11 @@
 pub(crate) struct ActiveStep {
     /// Where it stands in its pool's order; lower goes first.
     pub(crate) order: Order,
+    /// From when on its job is worth nothing any more.
+    pub(crate) worthless_at: Duration,
     pub(crate) pool: Box<str>,
+    /// Whether its starts need the adviser's permission.
+    pub(crate) advised: bool,
     /// The tasks that run nowhere and are not done.
     pub(crate) pending: BTreeSet<u32>,
     /// Since when it is active.
@@ -51,6 +56,25 @@
 }
 
 impl ActiveStep {
+    /// Whether a pass has to look at it while no worker has more than `room`:
+    /// permissions are asked for before there is room.
+    pub(crate) fn may_fit(&self, room: Size) -> bool {
+        !self.pending.is_empty() && (self.advised || self.footprint.fits(room))
+    }
+
+    /// How urgent it is by its time alone. A step that runs until it is
+    /// cancelled has no end to be late with.
+    pub(crate) fn prospect(&self, now: Duration) -> Prospect {
+        let done = now + self.left;
+        if !self.order.ends || done <= self.order.due {
+            Prospect::InTime
+        } else if done <= self.worthless_at {
+            Prospect::Late
+        } else {
+            Prospect::TooLate
+        }
+    }
+
     pub(crate) fn place(&mut self, index: u32, worker: WorkerKey) {
         self.pending.remove(&index);
         *self.placed.entry(worker).or_default() += 1;
@@ -127,7 +151,11 @@
             !job.is_task_done(id, *index) && !self.attempts.contains_key(&id.task(*index))
         };
         let objective = self.objectives.get(&id.job);
-        let due = objective.map_or(self.now, |objective| objective.since + objective.span);
+        let after = |spans| {
+            let end = |objective: &Objective| objective.since + objective.span * spans;
+            objective.map_or(self.now, end)
+        };
+        let (due, worthless_at) = (after(1), after(WORTHLESS_AFTER));
         let chain = self.times.chain(&job.queue.name, &job.spec);
         let left = chain.get(usize::from(id.step)).copied().unwrap_or_default();
         let step = ActiveStep {
@@ -138,7 +166,9 @@
                 accepted_at: job.accepted_at,
                 step: id,
             },
+            worthless_at,
             pool: job.queue.pool.clone(),
+            advised: job.queue.advice.is_some(),
             pending: (0..spec.count).filter(unstarted).collect(),
             since: self.now,
             inherited: job.accepted_at < self.owner.token,
@@ -149,8 +179,8 @@
             failed_on: IndexMap::new(),
             checkpoints: IndexMap::new(),
         };
+        self.make_ready(id, step.pool.clone());
         self.steps.insert(id, step);
-        self.dirty = true;
     }
 
     /// Takes a job that is over out of everything; its runs are stopped.
@@ -170,10 +200,9 @@
         self.timed.retain(|(job, _), _| *job != id);
         self.advice.retain(|step, _| step.job != id);
         self.paced.retain(|task, _| task.job() != id);
-        self.starts.retain(|task, _| task.job() != id);
+        self.starts.swap_remove(&id);
         self.begun.swap_remove(&id);
         self.objectives.swap_remove(&id);
         self.stop_job(id);
-        self.dirty = true;
     }
 }
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -34,8 +34,8 @@
     /// Whether nothing that an earlier owner started in the pool can be
     /// unknown any more.
     pub(super) fn knows_all_runs(&self, pool: &str) -> bool {
-        let mut workers = self.workers.iter();
-        workers.all(|(_, worker)| *worker.record.pool != *pool || worker.is_known())
+        let mut workers = self.workers.in_pool(pool);
+        workers.all(|(_, worker)| worker.is_known())
     }
 
     /// Keeps a task from being started while the end of a run that an earlier
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -1,5 +1,6 @@
 //! What time alone brings.
 
+use super::ready::Unsettled;
 use super::{Effect, Scheduler};
 use crate::JobId;
 use crate::state::{Command, ControlState};
@@ -17,7 +18,7 @@
         self.forget_old();
         self.tend_machines(state);
         // Pauses may have ended.
-        self.dirty = true;
+        self.unsettled = Unsettled::All;
     }
 
     fn start_due(&mut self, state: &ControlState) {
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -17,7 +17,7 @@
 /// beyond that a single task says nothing.
 const RATIO_RANGE: (f64, f64) = (0.2, 5.0);
 /// How many times its objective a job may take and still be worth something.
-const WORTHLESS_AFTER: u32 = 3;
+pub(super) const WORTHLESS_AFTER: u32 = 3;
 /// Over what time the arriving work is measured to notice a rise. Short
 /// against the time that a machine needs to come (1.5 s), long enough for some
 /// ten jobs of a busy queue.
@@ -199,19 +199,4 @@
             inherited: job.accepted_at < self.owner.token,
         });
     }
-
-    /// Whether a job can be in time if this much of it is still to be done.
-    pub(super) fn prospect(&self, id: JobId, left: Duration) -> Prospect {
-        let Some(objective) = self.objectives.get(&id) else {
-            return Prospect::InTime;
-        };
-        let done = self.now + left;
-        if done <= objective.since + objective.span {
-            Prospect::InTime
-        } else if done <= objective.since + objective.span * WORTHLESS_AFTER {
-            Prospect::Late
-        } else {
-            Prospect::TooLate
-        }
-    }
 }
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -3,11 +3,11 @@
 use std::ops::{Index, IndexMut};
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::Size;
 use crate::state::WorkerRecord;
+use crate::{Size, TaskId};
 
 /// A worker of the arena. Keys are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -79,9 +79,9 @@
     pub(crate) listed_whole: bool,
     /// Whether it lists runs that should not be there.
     pub(crate) has_strays: bool,
-    /// How many runs it is known to have, those included whose end is being
-    /// committed.
-    pub(crate) runs: usize,
+    /// The tasks of the runs that it is known to have, those included whose
+    /// end is being committed.
+    pub(crate) tasks: IndexSet<TaskId>,
     /// What its runs take up.
     pub(crate) used: Size,
     /// How many jobs in a row have failed here for the first time.
@@ -103,7 +103,7 @@
             has_strays: false,
             listed_whole: false,
             shares: false,
-            runs: 0,
+            tasks: IndexSet::new(),
             state: if record.history.may_run {
                 WorkerState::Unseen
             } else {
@@ -180,6 +180,8 @@
 pub(crate) struct Workers {
     arena: Vec<Worker>,
     by_name: IndexMap<Box<str>, WorkerKey>,
+    /// Those that are not removed. A worker's pool never changes.
+    by_pool: IndexMap<Box<str>, IndexSet<WorkerKey>>,
 }
 
 impl Workers {
@@ -187,6 +189,8 @@
         // A worker is a life of a process; far fewer than 2^32 come in a day.
         let key = WorkerKey(u32::try_from(self.arena.len()).unwrap_or(u32::MAX));
         self.by_name.insert(record.name.clone(), key);
+        let pool = self.by_pool.entry(record.pool.clone()).or_default();
+        pool.insert(key);
         self.arena.push(Worker::new(record, now));
         key
     }
@@ -197,7 +201,20 @@
 
     /// Forgets the name; the key stays valid for what still refers to it.
     pub(crate) fn remove(&mut self, name: &str) -> Option<WorkerKey> {
-        self.by_name.swap_remove(name)
+        let key = self.by_name.swap_remove(name)?;
+        let pool = self
+            .by_pool
+            .get_mut(&self.arena[key.0 as usize].record.pool);
+        if let Some(pool) = pool {
+            pool.shift_remove(&key);
+        }
+        Some(key)
+    }
+
+    /// The workers of a pool that are not removed.
+    pub(crate) fn in_pool(&self, pool: &str) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        let keys = self.by_pool.get(pool).into_iter().flatten();
+        keys.map(|key| (*key, &self[*key]))
     }
 
     /// The workers that are not removed.
--- a/crates/cleat-jobs/src/size.rs
+++ b/crates/cleat-jobs/src/size.rs
@@ -32,6 +32,16 @@
         }
     }
 
+    /// The larger of both, of each resource.
+    #[must_use]
+    pub fn max_of_each(self, other: Size) -> Size {
+        Size {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// This much for each of `count` tasks.
     #[must_use]
     pub fn times(self, count: u64) -> Size {
