Pause after a connection could not be accepted, and share what stood twice

Cause: out of file descriptors a listener stays readable, so the HTTP server and the server of the links tried again at once, a line each time. The two roles of the daemon wrote the same start line and watch of seeds; two events of calls had the same fields.

Change: 100 ms pause in both servers; `follow_seeds` and `Life::started` in roles/mod.rs; `CallOutcome` for both events (the lines stay the same).

--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -14,7 +14,7 @@
 use cleat_settings::{AnySettings, ControlSettings, OrderPath};
 use snafu::ResultExt;
 
-use super::{Life, seed_keys, serve_metrics, start_events, until_told_to_stop, watch};
+use super::{Life, follow_seeds, seed_keys, serve_metrics, start_events, until_told_to_stop};
 use crate::error::{
     ControlSnafu, DaemonError, DiskFailedSnafu, ListenSnafu, OrdersByHeartbeatSnafu,
 };
@@ -55,24 +55,14 @@
             Some(JobOperators::spawn(listener, node.clone()))
         }
     };
-    let (name, role) = (&*settings.name, "control");
-    let version = env!("CARGO_PKG_VERSION");
-    events.emit(&Life::Started {
-        name,
-        role,
-        version,
-    });
-    let (seeds, log, own) = (node.clone(), events.clone(), settings.name.clone());
-    watch::spawn(file.to_owned(), move |changed| {
-        if let AnySettings::Control(changed) = changed {
-            let keys = seed_keys(&changed.seeds);
-            log.emit(&Life::Reloaded {
-                name: &own,
-                seeds: keys.len(),
-            });
-            seeds.set_seeds(keys);
-        }
-    })?;
+    let name = &*settings.name;
+    events.emit(&Life::started(name, "control"));
+    let seeds = |changed| match changed {
+        AnySettings::Control(changed) => Some(changed.seeds),
+        _ => None,
+    };
+    let own = node.clone();
+    follow_seeds(file, name, &events, seeds, move |keys| own.set_seeds(keys))?;
     tokio::select! {
         told = until_told_to_stop() => told?,
         () = node.ended() => {
--- a/crates/celerycleatd/src/roles/gateway.rs
+++ b/crates/celerycleatd/src/roles/gateway.rs
@@ -11,7 +11,7 @@
 use snafu::ResultExt;
 use tokio::time::sleep;
 
-use super::{Life, seed_keys, serve_metrics, start_events, until_told_to_stop, watch};
+use super::{Life, follow_seeds, seed_keys, serve_metrics, start_events, until_told_to_stop};
 use crate::error::{DaemonError, ListenSnafu};
 
 /// How often the gateway makes sure that it finds the leader.
@@ -43,24 +43,14 @@
     let side = Arc::new(CallerSide::new(gateway.clone(), readiness.clone()));
     let callers = callers.spawn(side.clone());
     let _metrics = serve_metrics(settings.metrics, &metrics).await?;
-    let (name, role) = (&*settings.name, "gateway");
-    let version = env!("CARGO_PKG_VERSION");
-    events.emit(&Life::Started {
-        name,
-        role,
-        version,
-    });
-    let (seeds, log, own) = (gateway.clone(), events.clone(), settings.name.clone());
-    watch::spawn(file.to_owned(), move |changed| {
-        if let AnySettings::Gateway(changed) = changed {
-            let keys = seed_keys(&changed.seeds);
-            log.emit(&Life::Reloaded {
-                name: &own,
-                seeds: keys.len(),
-            });
-            seeds.set_seeds(keys);
-        }
-    })?;
+    let name = &*settings.name;
+    events.emit(&Life::started(name, "gateway"));
+    let seeds = |changed| match changed {
+        AnySettings::Gateway(changed) => Some(changed.seeds),
+        _ => None,
+    };
+    let own = gateway.clone();
+    follow_seeds(file, name, &events, seeds, move |keys| own.set_seeds(keys))?;
     let probing = tokio::spawn(probe(gateway, readiness.clone()));
     until_told_to_stop().await?;
     events.emit(&Life::Stopping { name });
--- a/crates/celerycleatd/src/roles/mod.rs
+++ b/crates/celerycleatd/src/roles/mod.rs
@@ -9,10 +9,13 @@
 pub(crate) use gateway::run as run_gateway;
 
 use std::net::{SocketAddr, SocketAddrV4};
+use std::path::Path;
 use std::sync::Arc;
 
 use cleat_control::{Metrics, PeerAddress};
 use cleat_http::{Listener, RunningServer};
+use cleat_quorum::MemberId;
+use cleat_settings::AnySettings;
 use cleat_telemetry::{EventLog, install_logs};
 use log::LevelFilter;
 use serde::Serialize;
@@ -42,6 +45,39 @@
     Reloaded { name: &'a str, seeds: usize },
 }
 
+impl<'a> Life<'a> {
+    fn started(name: &'a str, role: &'a str) -> Life<'a> {
+        Life::Started {
+            name,
+            role,
+            version: env!("CARGO_PKG_VERSION"),
+        }
+    }
+}
+
+/// Takes the seeds over whenever the settings file changes. `seeds` gives
+/// those of settings of this process's own role, and `set` takes their keys.
+fn follow_seeds(
+    file: &Path,
+    name: &str,
+    events: &EventLog,
+    seeds: fn(AnySettings) -> Option<Vec<SocketAddrV4>>,
+    set: impl Fn(Vec<MemberId>) + Send + 'static,
+) -> Result<(), DaemonError> {
+    let (events, name): (EventLog, Box<str>) = (events.clone(), name.into());
+    watch::spawn(file.to_owned(), move |changed| {
+        let Some(seeds) = seeds(changed) else {
+            return;
+        };
+        let keys = seed_keys(&seeds);
+        events.emit(&Life::Reloaded {
+            name: &name,
+            seeds: keys.len(),
+        });
+        set(keys);
+    })
+}
+
 fn start_events() -> Result<EventLog, DaemonError> {
     let events = EventLog::spawn().context(ProcessSnafu)?;
     install_logs(&events, LevelFilter::Info).context(TelemetrySnafu)?;
@@ -62,7 +98,7 @@
 }
 
 /// The keys of the seeds.
-fn seed_keys(seeds: &[SocketAddrV4]) -> Vec<cleat_quorum::MemberId> {
+fn seed_keys(seeds: &[SocketAddrV4]) -> Vec<MemberId> {
     seeds
         .iter()
         .map(|seed| PeerAddress::key(*seed.ip()))
--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -13,23 +13,9 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 pub(crate) enum ControlEvent {
     /// A call was not done, or it is not known.
-    CallFailed {
-        call: &'static str,
-        job: Option<Box<str>>,
-        path: Option<Box<str>>,
-        worker: Option<Box<str>>,
-        reason: Box<str>,
-        took_ms: u128,
-    },
+    CallFailed(CallOutcome),
     /// A call was refused by what the fleet knows.
-    CallRefused {
-        call: &'static str,
-        job: Option<Box<str>>,
-        path: Option<Box<str>>,
-        worker: Option<Box<str>>,
-        reason: Box<str>,
-        took_ms: u128,
-    },
+    CallRefused(CallOutcome),
     /// A configuration is in force.
     Configured {
         version: u64,
@@ -57,8 +43,17 @@
     Fenced,
 }
 
+/// A call that was no success, and why.
+#[derive(Debug, Serialize)]
+pub(crate) struct CallOutcome {
+    #[serde(flatten)]
+    call: CallLabel,
+    reason: Box<str>,
+    took_ms: u128,
+}
+
 /// What of a call is logged with its outcome.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub(crate) struct CallLabel {
     call: &'static str,
     job: Option<Box<str>>,
@@ -102,36 +97,24 @@
         answer: &Result<ControlReply, AskError>,
         took: Duration,
     ) -> Option<ControlEvent> {
-        let CallLabel {
-            call,
-            job,
-            path,
-            worker,
-        } = self;
         let took_ms = took.as_millis();
+        let outcome = |reason| CallOutcome {
+            call: self,
+            reason,
+            took_ms,
+        };
         match answer {
-            Err(error) => Some(ControlEvent::CallFailed {
-                call,
-                job,
-                path,
-                worker,
-                reason: error.to_string().into(),
-                took_ms,
-            }),
+            Err(error) => Some(ControlEvent::CallFailed(outcome(error.to_string().into()))),
             Ok(
                 reply @ (ControlReply::NoSuchQueue
                 | ControlReply::NoSuchJob
                 | ControlReply::NotAJob
                 | ControlReply::NoConfiguration
                 | ControlReply::Over),
-            ) => Some(ControlEvent::CallRefused {
-                call,
-                job,
-                path,
-                worker,
-                reason: format!("{reply:?}").into(),
-                took_ms,
-            }),
+            ) => {
+                let reason = format!("{reply:?}").into();
+                Some(ControlEvent::CallRefused(outcome(reason)))
+            }
             Ok(_) => None,
         }
     }
--- a/crates/cleat-http/src/server.rs
+++ b/crates/cleat-http/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 use crate::Answer;
 
@@ -24,6 +25,11 @@
 /// How long requests in progress may take to finish at a stop.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long nothing is accepted after a connection could not be. Out of file
+/// descriptors, the listener stays readable: trying again at once would take a
+/// core and write a line each time. Callers wait this long at most.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Why a listener could not start.
 #[derive(Debug, Snafu)]
 pub enum ListenError {
@@ -104,7 +110,10 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => serve(stream, handler.clone(), &connections),
-                Err(error) => log::warn!("cannot accept a connection: {error}"),
+                Err(error) => {
+                    log::warn!("cannot accept a connection: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
             },
             _ = stopping.changed() => break,
         }
--- a/crates/cleat-link/src/server.rs
+++ b/crates/cleat-link/src/server.rs
@@ -3,18 +3,25 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::StreamExt;
 use snafu::{ResultExt, Snafu};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
 
 use crate::codec::transport;
 use crate::control::ControlAdapter;
 use crate::handler::Adapter;
 use crate::{Control, ControlHandler, Handler, LinkTraffic, Peer};
 
+/// How long nothing is accepted after a connection could not be. Out of file
+/// descriptors, the listener stays readable: trying again at once would take a
+/// core and write a line each time. A tenth of what an election waits.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Why the listener could not start.
 #[derive(Debug, Snafu)]
 pub enum ServeError {
@@ -102,7 +109,10 @@
                             }
                             connections.spawn(serve(stream));
                         }
-                        Err(error) => log::warn!("cannot accept another instance: {error}"),
+                        Err(error) => {
+                            log::warn!("cannot accept another instance: {error}");
+                            sleep(ACCEPT_PAUSE).await;
+                        }
                     },
                     Some(_) = connections.join_next() => {}
                 }
