--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -105,7 +105,7 @@
     ControlConfig {
         name: settings.name.clone(),
         id: PeerAddress::key(settings.ip),
-        listen: SocketAddr::new(settings.ip.into(), port),
+        listen: SocketAddr::new(settings.bind_ip.unwrap_or(settings.ip).into(), port),
         address: PeerAddress { port },
         seeds: seed_keys(&settings.seeds),
         may_found: settings.first_start,
--- a/crates/cleat-settings/src/roles/control.rs
+++ b/crates/cleat-settings/src/roles/control.rs
@@ -17,6 +17,10 @@
     pub data_centre: Box<str>,
     /// Its address, under which the other instances know it.
     pub ip: Ipv4Addr,
+    /// Where it listens for other instances, if that is another address than
+    /// `ip`: behind a proxy or address translation.
+    #[serde(default)]
+    pub bind_ip: Option<Ipv4Addr>,
     /// Where workers and operators call.
     pub listen: SocketAddr,
     /// Where the operators of jobs call; nobody listens if absent.
--- a/crates/cleat-settings/tests/roles.rs
+++ b/crates/cleat-settings/tests/roles.rs
@@ -39,6 +39,18 @@
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.cores, 1);
     assert_eq!(settings.machines, None);
+    assert_eq!(settings.bind_ip, None);
+}
+
+#[test]
+fn parse_control_behind_a_proxy() {
+    let mut settings = control();
+    settings["bind_ip"] = json!("10.9.0.1");
+    let Ok(AnySettings::Control(settings)) = parse(&settings) else {
+        panic!("control settings");
+    };
+    assert_eq!(settings.bind_ip, Some([10, 9, 0, 1].into()));
+    assert_eq!(settings.ip, std::net::Ipv4Addr::new(10, 1, 0, 12));
 }
 
 #[test]
