Forget workers that gave no sign for as long as a job is remembered

Cause: a worker that crashed for good and whose address nobody took stayed in the replicated state, and was asked every 300 ms, for ever.

Change: without a lease, an answer or a heartbeat for 240 s its life counts as over; until then it is asked every 2 s, and at once after a heartbeat.

Measured: by two tests of the scheduler (no removal before).

--- a/crates/cleat-jobs/src/schedule/beat.rs
+++ b/crates/cleat-jobs/src/schedule/beat.rs
@@ -12,6 +12,7 @@
             return;
         }
         worker.last_sequence = beat.sequence;
+        worker.beat_at = self.now;
         let changed = worker.draining != beat.draining;
         worker.draining = beat.draining;
         if worker.state == WorkerState::Lapsed && !worker.renewing {
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -26,6 +26,7 @@
                     self.lapse(state, key);
                     self.lose_all(key, LossReason::Lapsed);
                 }
+                WorkerState::Lapsed if self.is_forgotten(key) => self.life_over(key),
                 _ => {}
             }
         }
@@ -58,6 +59,15 @@
         lapsed || !self.cfg.protections.lease_first
     }
 
+    /// Whether a worker without a lease gave no sign for so long that it is
+    /// taken as gone for good, or each crash would leave a record and renewals
+    /// behind. Its tasks' jobs are forgotten after the same time.
+    fn is_forgotten(&self, key: WorkerKey) -> bool {
+        let worker = &self.workers[key];
+        let sign = worker.beat_at.max(worker.heard_at.unwrap_or_default());
+        self.now > sign + self.cfg.remember
+    }
+
     fn is_silent(&self, key: WorkerKey) -> bool {
         let doubted = self.workers[key].doubted_since;
         doubted.is_some_and(|since| self.now > since + SILENT_AFTER)
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -17,6 +17,9 @@
 const RENEWAL_RETRY: Duration = Duration::from_millis(300);
 /// The same after the first failure: a connection may have been reset.
 const FIRST_RETRY: Duration = Duration::from_millis(20);
+/// The same for a worker without a lease, where nothing runs that could be
+/// lost. A heartbeat of it brings the renewal forward.
+const LAPSED_RETRY: Duration = Duration::from_secs(2);
 /// How long the next renewal waits for the commit of ends at most. A commit
 /// takes a sync (6 ms on the platform's disks) and a round trip (2.8 ms); a
 /// renewal that comes later acknowledges them as well.
@@ -297,7 +300,12 @@
         worker.renewing = false;
         let first = worker.doubted_since.is_none();
         worker.doubted_since.get_or_insert(now);
-        worker.renewal_due = now + if first { FIRST_RETRY } else { RENEWAL_RETRY };
+        worker.renewal_due = now
+            + match worker.state {
+                WorkerState::Lapsed => LAPSED_RETRY,
+                _ if first => FIRST_RETRY,
+                _ => RENEWAL_RETRY,
+            };
     }
 
     fn stop_stray(&mut self, key: WorkerKey, task: TaskId, run: Run) {
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -50,6 +50,8 @@
     pub(crate) granted_ms: u64,
     /// When it last answered.
     pub(crate) heard_at: Option<Duration>,
+    /// When its last heartbeat came, or this owner first knew of it.
+    pub(crate) beat_at: Duration,
     /// Since when it leaves renewals unanswered. Meanwhile its lease is not
     /// extended, since calls without an answer may arrive all the same and
     /// would put off the moment at which its lease is over for certain.
@@ -115,6 +117,7 @@
             clock: None,
             granted_ms: 0,
             heard_at: None,
+            beat_at: now,
             doubted_since: None,
             renewing: false,
             renewal_due: now,
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -204,6 +204,29 @@
     assert!(starts(&effects).is_empty(), "w1 may run it");
 }
 
+#[test]
+fn lapsed_worker_without_a_sign_is_forgotten() {
+    let mut bed = Bed::with_workers(&["w1", "w2"]);
+    let lapsed = bed.let_lapse("w1", &["w2"]);
+    bed.commit(&lapsed);
+    let before = bed.tick(ms(200_000));
+    assert_eq!(proposals(&before), vec![]);
+    let after = bed.tick(ms(60_000));
+    let names = vec!["w1".into()];
+    assert_eq!(proposals(&after), vec![Command::RemoveWorkers { names }]);
+}
+
+#[test]
+fn lapsed_worker_that_beats_is_kept() {
+    let mut bed = Bed::with_workers(&["w1", "w2"]);
+    let lapsed = bed.let_lapse("w1", &["w2"]);
+    bed.commit(&lapsed);
+    bed.tick(ms(200_000));
+    bed.beat(record("w1", "a"));
+    let later = bed.tick(ms(60_000));
+    assert_eq!(proposals(&later), vec![]);
+}
+
 #[test]
 fn new_life_ends_the_earlier_one_of_its_machine() {
     let mut bed = Bed::with_workers(&["w1"]);
