Leave out routine lines before those about failures

Cause: one bound held for all lines, so a flood of starts and ends left out the lines about what failed, which on-call engineers need most.

Change: lines about work that goes as it should find room in half of the buffer only; `lines_dropped` says how many of those left out were such.

--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -42,7 +42,11 @@
             Effect::Propose(command) => calls.push(self.propose(command)),
             Effect::Tell(decision) => {
                 self.shared.metrics.count_decision(&decision);
-                self.shared.events.emit(&decision);
+                if decision.is_routine() {
+                    self.shared.events.emit_routine(&decision);
+                } else {
+                    self.shared.events.emit(&decision);
+                }
             }
             Effect::Fenced { worker } => {
                 warn!("worker {worker} knows a later owner; this one gives no more orders");
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -2,8 +2,8 @@
 
 use serde::Serialize;
 
-use super::{MachineOrder, OrderAnswer};
-use crate::state::EndKind;
+use super::{MachineAnswer, MachineOrder, OrderAnswer};
+use crate::state::{EndKind, JobState};
 
 /// One decision with what decided it. Field names are the same in all events.
 #[derive(Clone, Debug, Serialize)]
@@ -148,7 +148,7 @@
         /// The machine.
         machine: Box<str>,
         /// The answer.
-        answer: super::MachineAnswer,
+        answer: MachineAnswer,
     },
     /// The adviser answered.
     Advised {
@@ -175,6 +175,26 @@
 }
 
 impl Decision {
+    /// Whether it says that work goes as it should: the first to be left out
+    /// of a log that is too long.
+    pub fn is_routine(&self) -> bool {
+        match self {
+            Decision::Accepted { .. }
+            | Decision::Start { .. }
+            | Decision::Machine { .. }
+            | Decision::Pool { .. }
+            | Decision::Advised { .. } => true,
+            Decision::Ended { kind, .. } => *kind == EndKind::Done,
+            Decision::JobOver { state, .. } => *state == JobState::Completed,
+            Decision::MachineAnswered { answer, .. } => *answer == MachineAnswer::Done,
+            Decision::StartFailed { .. }
+            | Decision::Stop { .. }
+            | Decision::Lost { .. }
+            | Decision::Adopted { .. }
+            | Decision::Worker { .. } => false,
+        }
+    }
+
     pub(super) fn machine(name: &str, pool: &str, order: &MachineOrder) -> Decision {
         let (to_pool, wave) = match order {
             MachineOrder::Move { pool } => (Some(pool.clone()), None),
@@ -188,7 +208,7 @@
         }
     }
 
-    pub(super) fn machine_answer(name: &str, answer: super::MachineAnswer) -> Decision {
+    pub(super) fn machine_answer(name: &str, answer: MachineAnswer) -> Decision {
         Decision::MachineAnswered {
             machine: name.into(),
             answer,
--- a/crates/cleat-telemetry/src/events.rs
+++ b/crates/cleat-telemetry/src/events.rs
@@ -1,8 +1,10 @@
 //! Structured lines on standard output: one for each decision.
 //!
 //! Lines wait in a bounded buffer for a thread of their own, so a reader that
-//! doesn't read holds nothing up. Lines that find the buffer full are counted,
-//! and the count is written once there is room.
+//! doesn't read holds nothing up. Lines that find no room are counted, and the
+//! count is written once there is some. Lines about work that goes as it should
+//! find room in half of the buffer only, so that a flood of them leaves out no
+//! line about a failure.
 
 use std::io::{self, Write};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
@@ -14,6 +16,9 @@
 /// How many bytes may wait. At 200 bytes a line and 2,000 lines a second,
 /// which is the busiest second planned for, this holds more than two seconds.
 const BUFFER_BYTES: usize = 1 << 20;
+/// How many bytes may wait for a routine line to be added. Failures come far
+/// fewer: the other half holds more than two seconds in which each run fails.
+const ROUTINE_BYTES: usize = BUFFER_BYTES / 2;
 /// How long the writer lets lines gather, so that many share one write.
 const GATHER: Duration = Duration::from_millis(20);
 
@@ -36,7 +41,7 @@
 struct Lines {
     bytes: Vec<u8>,
     /// Lines left out since the last write.
-    dropped: u64,
+    dropped: Dropped,
     /// Whether lines were taken and are not written yet.
     writing: bool,
 }
@@ -49,10 +54,14 @@
     event: &'a T,
 }
 
-#[derive(Serialize)]
+/// How many lines were left out.
+#[derive(Debug, Default, Serialize)]
 #[serde(tag = "event", rename = "lines_dropped")]
 struct Dropped {
+    /// All of them.
     count: u64,
+    /// Those of them about work that went as it should.
+    routine: u64,
 }
 
 impl EventLog {
@@ -94,13 +103,25 @@
 
     /// Adds one line. Never waits for the reader.
     pub fn emit<T: Serialize>(&self, event: &T) {
+        self.add(event, false);
+    }
+
+    /// Adds one line about work that goes as it should: the first to be left
+    /// out where the reader is slow. Never waits for it.
+    pub fn emit_routine<T: Serialize>(&self, event: &T) {
+        self.add(event, true);
+    }
+
+    fn add<T: Serialize>(&self, event: &T, routine: bool) {
         let Some(buffer) = &self.buffer else {
             return;
         };
         let time_ms = wall_ms();
+        let most = if routine { ROUTINE_BYTES } else { BUFFER_BYTES };
         let mut lines = buffer.lines.lock().unwrap_or_else(PoisonError::into_inner);
-        if lines.bytes.len() >= BUFFER_BYTES {
-            lines.dropped += 1;
+        if lines.bytes.len() >= most {
+            lines.dropped.count += 1;
+            lines.dropped.routine += u64::from(routine);
             return;
         }
         lines.add(&Line { time_ms, event });
@@ -145,9 +166,8 @@
             .wait(lines)
             .unwrap_or_else(PoisonError::into_inner);
     }
-    if lines.dropped > 0 {
-        let count = std::mem::take(&mut lines.dropped);
-        let event = &Dropped { count };
+    if lines.dropped.count > 0 {
+        let event = &std::mem::take(&mut lines.dropped);
         let time_ms = wall_ms();
         lines.add(&Line { time_ms, event });
     }
