Notice a rise of demand over the last 20 jobs

Cause: in each turn of demand the machines come late: a rise was measured over 600 ms and had to be a factor of two, so where 200 jobs a second come it was seen half a second later than it could be (grown site, first turn: need 1,235 at 0.26 s, 4,114 at 1.3 s, machines on their way 1.5 s more).

Change: the window is the time in which the last 20 jobs came, 50 to 600 ms; a rise is three standard deviations of their number above the last 2 s.

The test ordered 2 machines before, 12 or more now.

--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -18,17 +18,19 @@
 const RATIO_RANGE: (f64, f64) = (0.2, 5.0);
 /// How many times its objective a job may take and still be worth something.
 pub(super) const WORTHLESS_AFTER: u32 = 3;
-/// Over what time the arriving work is measured to notice a rise. Short
-/// against the time that a machine needs to come (1.5 s), long enough for some
-/// ten jobs of a busy queue.
-const RISE_WINDOW: Duration = Duration::from_millis(600);
+/// Over how many jobs the arriving work is measured to notice a rise: few take
+/// little time to come, many say more.
+const RISE_JOBS: usize = 20;
+/// Over what time it is measured at least, since jobs come in bunches, and at
+/// most: short against the time that a machine needs to come (1.5 s).
+const RISE_WINDOWS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(600)];
+/// By how many standard deviations of the number of jobs the work has to
+/// exceed what came before to count as a rise: chance does so once in a
+/// thousand windows.
+const RISE_DEVIATIONS: f64 = 3.0;
 /// Over what time it is measured otherwise: long enough that chance makes a
 /// tenth of it, shorter than demand lasts.
 const STEADY_WINDOW: Duration = Duration::from_millis(2_000);
-/// How much more than in the long window, in percent, has to arrive in the
-/// short one to count as a rise: above what chance makes of some ten jobs.
-const RISE_PERCENT: u64 = 200;
-
 /// How urgent a job is by its time alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Prospect {
@@ -139,9 +141,12 @@
             .pop_front_if(|arrival| arrival.at + STEADY_WINDOW < now)
             .is_some()
         {}
-        let steady = rate(arrivals, STEADY_WINDOW, now);
-        let rise = rate(arrivals, RISE_WINDOW, now);
-        if rise.cpu_milli * 100 > steady.cpu_milli * RISE_PERCENT {
+        let (steady, _) = rate(arrivals, STEADY_WINDOW, now);
+        let (rise, jobs) = rate(arrivals, rise_window(arrivals, now), now);
+        #[allow(clippy::cast_precision_loss)]
+        let chance = steady.cpu_milli as f64 * (1.0 + RISE_DEVIATIONS / (jobs as f64).sqrt());
+        #[allow(clippy::cast_precision_loss)]
+        if rise.cpu_milli as f64 > chance {
             rise
         } else {
             steady
@@ -149,21 +154,31 @@
     }
 }
 
-/// What the work of the last `window` takes up if it goes on like that.
-fn rate(arrivals: &VecDeque<Arrival>, window: Duration, now: Duration) -> Size {
+/// The time in which the last [`RISE_JOBS`] came, within bounds.
+fn rise_window(arrivals: &VecDeque<Arrival>, now: Duration) -> Duration {
+    let [shortest, longest] = RISE_WINDOWS;
+    let first = arrivals.iter().rev().nth(RISE_JOBS - 1);
+    first.map_or(longest, |first| (now - first.at).clamp(shortest, longest))
+}
+
+/// What the work of the last `window` takes up if it goes on like that, and of
+/// how many jobs it is.
+fn rate(arrivals: &VecDeque<Arrival>, window: Duration, now: Duration) -> (Size, u64) {
     let recent = arrivals
         .iter()
         .rev()
         .take_while(|arrival| arrival.at + window >= now);
-    let (cpu_ms, memory_ms) = recent.fold((0, 0), |(cpu, memory), arrival| {
-        (cpu + arrival.cpu_ms, memory + arrival.memory_ms)
-    });
+    let sum = |(cpu, memory, jobs), arrival: &Arrival| {
+        (cpu + arrival.cpu_ms, memory + arrival.memory_ms, jobs + 1)
+    };
+    let (cpu_ms, memory_ms, jobs) = recent.fold((0, 0, 0), sum);
     let window = millis(window);
-    Size {
+    let size = Size {
         cpu_milli: cpu_ms / window,
         memory_mb: memory_ms / window,
         gpu: 0,
-    }
+    };
+    (size, jobs)
 }
 
 impl Scheduler {
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -491,6 +491,24 @@
     assert_eq!(moved(&bed.tick(ms(50))), vec![("m1".into(), "a".into())]);
 }
 
+/// Twenty jobs within 80 ms tell what a whole turn of demand will need.
+#[test]
+fn move_machines_for_a_rise_of_demand() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let names: Vec<String> = (0..20).map(|at| format!("s{at}")).collect();
+    let spares = names.iter().map(|name| machine(name, "spare", None));
+    let own = machine("m-w1", "a", Some("w1"));
+    list_machines(&mut bed, spares.chain([own]).collect());
+    bed.tick(ms(3_000));
+    for job in 0..20 {
+        bed.now += ms(4);
+        bed.submit(job, vec![step(1, 1_000)]);
+    }
+    let effects = bed.tick(ms(1));
+    // 20 jobs of 0.5 core seconds in 77 ms are 130 cores, a machine has 8.
+    assert!(moved(&effects).len() >= 12, "{}", moved(&effects).len());
+}
+
 #[test]
 fn move_idle_machine_back_to_the_spare_pool() {
     let workers = ["w1", "w2", "w3"];
