Remove a worker's record again if that was not committed

Cause: by reading: nothing else leads to the removal of a life that is over, so a failed commit left its record behind, where it holds up a later owner for a lease, and its last ends would be proposed for ever.

Change: the removal is proposed again, unless the life was heard of since.

Measured: other_life_whose_removal_failed_is_removed_again, no proposal before.

--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -49,6 +49,7 @@
         match command {
             // Later ends wait for these, and the worker may be gone.
             Command::Ends { .. } => self.propose(command.clone()),
+            Command::RemoveWorkers { names } => self.remove_again(names),
             Command::AddWorker(record) => {
                 if let Some(key) = self.workers.key(&record.name) {
                     self.workers[key].recording = false;
@@ -62,6 +63,16 @@
         }
     }
 
+    /// Has the records of workers removed that are still known to be gone:
+    /// nothing else would lead to it again.
+    fn remove_again(&mut self, names: &[Box<str>]) {
+        let gone = |name: &&Box<str>| self.workers.key(name).is_none();
+        let names: Vec<Box<str>> = names.iter().filter(gone).cloned().collect();
+        if !names.is_empty() {
+            self.propose(Command::RemoveWorkers { names });
+        }
+    }
+
     /// Ends that passed the ones before them on their way to the log count
     /// for nothing. This owner's are proposed again: what they wait for is
     /// its own as well, and on its way. An earlier owner's are listed again.
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -382,6 +382,21 @@
     assert_ne!(other, gone);
 }
 
+/// Its record would hold up the next owner, and its last ends would never be
+/// settled.
+#[test]
+fn other_life_whose_removal_failed_is_removed_again() {
+    let mut bed = Bed::new();
+    let left = bed.feed(Event::Left {
+        worker: "w1".into(),
+    });
+    let command = Arc::new(proposals(&left).remove(0));
+    let again = bed.feed(Event::ProposalFailed {
+        command: command.clone(),
+    });
+    assert_eq!(proposals(&again), vec![(*command).clone()]);
+}
+
 #[test]
 fn max_per_worker_spreads_a_step() {
     let apart = StepSpec {
