--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -66,8 +66,8 @@
     /// Has the records of workers removed that are still known to be gone:
     /// nothing else would lead to it again.
     fn remove_again(&mut self, names: &[Box<str>]) {
-        let gone = |name: &&Box<str>| self.workers.key(name).is_none();
-        let names: Vec<Box<str>> = names.iter().filter(gone).cloned().collect();
+        let names = names.iter().filter(|name| self.workers.key(name).is_none());
+        let names: Vec<Box<str>> = names.cloned().collect();
         if !names.is_empty() {
             self.propose(Command::RemoveWorkers { names });
         }
