Strike with each fault at each step of a job's life

Cause: the fault matrix took pairs of faults at random times; a fault right at a commit, a start or an end came by chance only.

--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -3,7 +3,7 @@
 mod simulation;
 
 use cleat_jobs::Protections;
-use simulation::{Fault, Plan, Violation, run};
+use simulation::{Fault, Moment, Plan, Violation, run};
 
 /// Seeds of the plans that have to hold.
 const SEEDS: u64 = 60;
@@ -97,6 +97,21 @@
     }
 }
 
+/// Each fault right at each step of a job's life.
+#[test]
+fn matrix_faults_at_each_step_of_a_job() {
+    for moment in Moment::ALL {
+        for fault in Fault::ALL {
+            for seed in 0..12 {
+                let plan = Plan::striking_at(moment, fault);
+                if let Err(violation) = run(&plan, seed) {
+                    panic!("{fault:?} when {moment:?}, seed {seed}: {violation}");
+                }
+            }
+        }
+    }
+}
+
 fn without(faults: &[Fault], change: impl FnOnce(&mut Protections)) -> Plan {
     let mut plan = Plan::with(faults);
     change(&mut plan.protections);
--- a/crates/cleat-jobs/tests/simulation/mod.rs
+++ b/crates/cleat-jobs/tests/simulation/mod.rs
@@ -5,5 +5,5 @@
 mod world;
 
 pub(crate) use check::Violation;
-pub(crate) use plan::{Fault, Plan};
+pub(crate) use plan::{Fault, Moment, Plan};
 pub(crate) use world::run;
--- a/crates/cleat-jobs/tests/simulation/plan.rs
+++ b/crates/cleat-jobs/tests/simulation/plan.rs
@@ -36,10 +36,40 @@
     ];
 }
 
+/// A step in the life of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Moment {
+    /// It was committed.
+    Submitted,
+    /// A start of it was sent.
+    Placed,
+    /// A start of it was carried out.
+    Started,
+    /// A worker listed an end of it.
+    Listed,
+    /// An end of it was committed.
+    Noted,
+    /// Its cancel was committed.
+    Cancelled,
+}
+
+impl Moment {
+    pub(crate) const ALL: [Moment; 6] = [
+        Moment::Submitted,
+        Moment::Placed,
+        Moment::Started,
+        Moment::Listed,
+        Moment::Noted,
+        Moment::Cancelled,
+    ];
+}
+
 /// A schedule, but for its seed.
 #[derive(Clone, Debug)]
 pub(crate) struct Plan {
     pub(crate) faults: Vec<Fault>,
+    /// A fault that strikes right at such a step, some times in a schedule.
+    pub(crate) strike: Option<(Moment, Fault)>,
     pub(crate) protections: Protections,
 }
 
@@ -47,10 +77,19 @@
     pub(crate) fn with(faults: &[Fault]) -> Plan {
         Plan {
             faults: faults.to_vec(),
+            strike: None,
             protections: Protections::default(),
         }
     }
 
+    /// Cancels some jobs, and strikes at each of some steps.
+    pub(crate) fn striking_at(moment: Moment, fault: Fault) -> Plan {
+        Plan {
+            strike: Some((moment, fault)),
+            ..Plan::with(&[Fault::Cancels])
+        }
+    }
+
     pub(crate) fn has(&self, fault: Fault) -> bool {
         self.faults.contains(&fault)
     }
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -16,7 +16,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::check::Violation;
-use super::plan::{Fault, Plan};
+use super::plan::{Fault, Moment, Plan};
 
 /// Faults come until then.
 const FAULTS_END: Duration = Duration::from_secs(12);
@@ -26,6 +26,8 @@
 const CANCEL_LIMIT: Duration = Duration::from_secs(4);
 const TICK: Duration = Duration::from_millis(50);
 const BEAT: Duration = Duration::from_millis(1_500);
+/// How often a fault strikes at its step in one schedule.
+const STRIKES: u32 = 3;
 const WORKERS: usize = 4;
 const JOBS: u64 = 12;
 const MAX_ATTEMPTS: u32 = 3;
@@ -70,6 +72,8 @@
     cancelled: IndexMap<JobId, Duration>,
     /// Tasks that never succeed.
     hopeless: Vec<JobId>,
+    /// How often a fault still strikes at its step.
+    strikes: u32,
 }
 
 /// Runs a schedule to its end.
@@ -103,6 +107,7 @@
             accepted: IndexMap::new(),
             cancelled: IndexMap::new(),
             hopeless: Vec::new(),
+            strikes: STRIKES,
         };
         world.begin();
         world
@@ -201,11 +206,33 @@
         Ok(())
     }
 
+    /// A step of a job's life: the plan's fault may strike, right after what
+    /// goes on now. Orders that are late or lose their answer do so from then on.
+    fn reach(&mut self, moment: Moment) {
+        let Some((at, fault)) = self.plan.strike else {
+            return;
+        };
+        if at != moment || self.strikes == 0 || !self.rng.random_bool(0.1) {
+            return;
+        }
+        self.strikes -= 1;
+        if !self.plan.has(fault) {
+            self.plan.faults.push(fault);
+        }
+        self.after(Duration::ZERO, Happening::Fault(fault));
+    }
+
     fn ordinal(&self) -> Option<u32> {
         self.owner.as_ref().map(|owner| owner.owner().ordinal)
     }
 
     fn apply(&mut self, command: Command) {
+        match &command {
+            Command::Submit { .. } => self.reach(Moment::Submitted),
+            Command::Cancel { .. } => self.reach(Moment::Cancelled),
+            Command::Ends { .. } => self.reach(Moment::Noted),
+            _ => {}
+        }
         self.index += 1;
         self.state.apply(self.index, command.clone());
         let command = Arc::new(command);
@@ -280,6 +307,9 @@
         token: u64,
         order: TaskOrder,
     ) {
+        if matches!(order.order, Order::Start { .. }) {
+            self.reach(Moment::Placed);
+        }
         let late =
             self.plan.has(Fault::LateOrders) && self.in_faults() && self.rng.random_bool(0.1);
         let lost =
@@ -445,11 +475,15 @@
         let delay = self.delay();
         let worker = &mut self.workers[at];
         let event = if worker.reachable(now) && worker.record.name == life {
+            let answer = worker.list(now);
+            if !answer.ended.is_empty() {
+                self.reach(Moment::Listed);
+            }
             Event::RenewalAnswered {
                 worker: life,
                 sent_at: sent,
                 acked,
-                answer: worker.list(now),
+                answer,
             }
         } else {
             Event::RenewalFailed {
@@ -484,6 +518,7 @@
             let started = matches!(order.order, Order::Start { .. }) && answer == OrderAnswer::Done;
             if started && !there {
                 self.check_start(at, &order)?;
+                self.reach(Moment::Started);
             }
             answer
         };
