Adopt the latest run of a task, and count starts in doubt as waiting

Change: a listed run or end that is later than a run whose end is being committed takes its place. A job has begun once a worker answered, listed or ended a run of it.

--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -129,7 +129,10 @@
     strays: IndexMap<(WorkerKey, TaskId, Run), Duration>,
     /// Jobs that are not over.
     live: IndexSet<JobId>,
-    /// Jobs of which a task has started.
+    /// Jobs of which a worker said that a task has started. A start that is on
+    /// its way or in doubt may never be carried out.
+    ///
+    /// Invariant: a subset of `live`.
     begun: IndexSet<JobId>,
     /// How many starts each task has had from this owner, by job.
     starts: IndexMap<JobId, IndexMap<TaskId, u32>>,
@@ -247,6 +250,13 @@
         }
     }
 
+    /// Notes that a worker said that a task of the job has started.
+    fn note_begun(&mut self, id: JobId) {
+        if self.live.contains(&id) {
+            self.begun.insert(id);
+        }
+    }
+
     /// Whether a task of the job has started, as far as this owner knows.
     pub fn has_begun(&self, id: JobId) -> bool {
         self.begun.contains(&id)
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -132,7 +132,7 @@
             if attempt.phase == Phase::Starting {
                 attempt.phase = Phase::Running { known_at: now };
             }
-            return;
+            return self.note_begun(order.task.job());
         }
         let worker = self.worker_name(key);
         self.tell(Decision::StartFailed {
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -255,7 +255,6 @@
         };
         let starts = self.starts.entry(task.job()).or_default();
         starts.insert(task, count);
-        self.begun.insert(task.job());
         let Some(step) = self.steps.get_mut(&task.step) else {
             return;
         };
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -202,12 +202,10 @@
 
     fn take_end(&mut self, state: &ControlState, key: WorkerKey, listed: &TaskEnd) {
         let end = &listed.end;
+        self.supersede(end.task, end.run);
         let Some(attempt) = self.attempts.get_mut(&end.task) else {
             return self.await_inherited_end(key, end);
         };
-        if attempt.phase == Phase::Ended && attempt.worker == key && attempt.run < end.run {
-            attempt.run = end.run;
-        }
         if attempt.worker != key || attempt.run != end.run || !attempt.holds_room() {
             return;
         }
@@ -217,6 +215,7 @@
             attempt.checkpoint = end.checkpoint.clone();
         }
         self.workers[key].used -= footprint;
+        self.note_begun(end.task.job());
         let worker = self.worker_name(key);
         self.tell(Decision::Ended {
             task: end.task.to_string().into(),
@@ -245,6 +244,7 @@
     /// Compares a run that a worker lists with what is known of its task.
     fn take_listed(&mut self, state: &ControlState, key: WorkerKey, listed: &RunningTask) {
         let now = self.now;
+        self.supersede(listed.task, listed.run);
         if let Some(attempt) = self.attempts.get_mut(&listed.task)
             && attempt.worker == key
             && attempt.run == listed.run
@@ -256,7 +256,7 @@
             if attempt.phase == Phase::Starting {
                 attempt.phase = Phase::Running { known_at: now };
             }
-            return;
+            return self.note_begun(listed.task.job());
         }
         if !self.adopt(state, key, listed) {
             self.stop_stray(key, listed.task, listed.run);
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -9,23 +9,20 @@
 use super::event::RunningTask;
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
-use crate::Size;
 use crate::state::{ControlState, End};
+use crate::{Run, Size, TaskId};
 
 impl Scheduler {
     pub(super) fn inherit(&mut self, state: &ControlState) {
         for record in state.workers.values() {
             self.workers.add(record.clone(), self.now);
         }
-        let jobs: Vec<_> = state.jobs.keys().copied().collect();
         for (id, job) in &state.jobs {
+            self.activate_job(state, *id);
             if !job.occurrences.is_empty() {
-                self.begun.insert(*id);
+                self.note_begun(*id);
             }
         }
-        for id in jobs {
-            self.activate_job(state, id);
-        }
         let over = state.ended.keys().map(|id| (self.now, *id));
         self.over.extend(over);
         self.send_renewals();
@@ -49,6 +46,7 @@
             return;
         }
         step.place(end.task.index, key);
+        self.note_begun(end.task.job());
         let attempt = Attempt {
             run: end.run,
             worker: key,
@@ -61,6 +59,18 @@
         self.add_attempt(end.task, attempt);
     }
 
+    /// Lets go of a run whose end is being committed if a later run of its task
+    /// is listed: the earlier owner started it since, so the earlier end decides
+    /// nothing. Without it a worker that comes back after its lease would make
+    /// the sound runs that replaced its own look like strays.
+    pub(super) fn supersede(&mut self, task: TaskId, run: Run) {
+        let known = self.attempts.get(&task);
+        let earlier = known.is_some_and(|known| known.phase == Phase::Ended && known.run < run);
+        if earlier && let Some(attempt) = self.remove_attempt(task) {
+            self.requeue(task, attempt.worker, attempt.checkpoint);
+        }
+    }
+
     /// Takes over a run that a worker lists, if its task waits for a start.
     /// Says whether it did.
     pub(super) fn adopt(
@@ -91,7 +101,7 @@
             at_work: listed.percent >= 100,
             checkpoint: listed.checkpoint.clone(),
         };
-        self.begun.insert(task.job());
+        self.note_begun(task.job());
         self.add_attempt(task, attempt);
         let worker = self.worker_name(key);
         self.tell(Decision::Adopted {
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -155,6 +155,116 @@
     assert!(starts(&both).is_empty(), "it runs on w2");
 }
 
+/// A run whose lease ran out while its worker was cut off, and the task's next
+/// run elsewhere.
+fn listed_twice() -> (RenewalAnswer, RenewalAnswer) {
+    let lapsed = ended(vec![end(1, task(1, 0, 0), 1, EndKind::Lapsed)]);
+    let runs = RenewalAnswer {
+        running: vec![running(task(1, 0, 0), 2)],
+        ..RenewalAnswer::default()
+    };
+    (lapsed, runs)
+}
+
+#[test]
+fn takeover_adopts_a_run_listed_after_the_end_of_the_one_before() {
+    let mut bed = Bed::new();
+    bed.submit(1, vec![lasting(1)]);
+    bed.replace_owner();
+    let (lapsed, runs) = listed_twice();
+    let noted = bed.answer_renewal("w1", lapsed);
+    let adopted = bed.answer_renewal("w2", runs.clone());
+    assert_eq!(stops(&adopted), vec![], "it is the task's latest run");
+    let settled = bed.commit(&noted);
+    let later = bed.answer_renewal("w2", runs);
+    let effects = [settled, later].concat();
+    assert_eq!((starts(&effects), stops(&effects)), (vec![], vec![]));
+}
+
+#[test]
+fn takeover_adopts_a_run_listed_before_the_end_of_the_one_before() {
+    let mut bed = Bed::new();
+    bed.submit(1, vec![lasting(1)]);
+    bed.replace_owner();
+    let (lapsed, runs) = listed_twice();
+    let adopted = bed.answer_renewal("w2", runs);
+    let noted = bed.answer_renewal("w1", lapsed);
+    let settled = bed.commit(&noted);
+    let effects = [adopted, noted, settled].concat();
+    assert_eq!((starts(&effects), stops(&effects)), (vec![], vec![]));
+}
+
+/// The earlier end is committed first, and says nothing of the later run.
+#[test]
+fn takeover_keeps_its_task_until_the_end_of_its_latest_run_is_noted() {
+    let mut bed = Bed::new();
+    bed.submit(1, vec![step(1, 1_000)]);
+    bed.replace_owner();
+    let (lapsed, _) = listed_twice();
+    let first = bed.answer_renewal("w1", lapsed);
+    let done = ended(vec![end(1, task(1, 0, 0), 2, EndKind::Done)]);
+    let second = bed.answer_renewal("w2", done);
+    let between = bed.commit(&first);
+    assert_eq!(starts(&between), vec![], "its latest run is done");
+    bed.commit(&second);
+    assert_eq!(bed.state.job_state(JobId(1)), Some(JobState::Completed));
+}
+
+fn lasting(count: u32) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        max_unavailable: Some(1),
+        ..step(count, 1_000)
+    }
+}
+
+/// How many jobs of the first queue are said to wait.
+fn waiting(bed: &Bed) -> usize {
+    bed.owner.waiting(&bed.state, "host", "/q/")
+}
+
+#[test]
+fn job_waits_until_a_start_is_known_to_be_carried_out() {
+    let mut bed = Bed::new();
+    let (worker, order) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    assert_eq!(waiting(&bed), 1, "its start is on its way");
+    bed.answer(&worker, &order, OrderAnswer::Unknown);
+    assert_eq!(waiting(&bed), 1, "its start is in doubt");
+    let listed = RenewalAnswer {
+        running: vec![running(order.task, order.run.0)],
+        ..RenewalAnswer::default()
+    };
+    bed.answer_renewal(&worker, listed);
+    assert_eq!(waiting(&bed), 0, "its worker lists it");
+}
+
+#[test]
+fn job_waits_no_more_once_a_start_is_answered() {
+    let mut bed = Bed::new();
+    let (worker, order) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    bed.answer(&worker, &order, OrderAnswer::Done);
+    assert_eq!(waiting(&bed), 0);
+}
+
+#[test]
+fn job_waits_no_more_once_an_end_is_listed() {
+    let mut bed = Bed::new();
+    let (worker, order) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    bed.answer(&worker, &order, OrderAnswer::Unknown);
+    let failed = end(1, order.task, order.run.0, EndKind::Failed);
+    bed.answer_renewal(&worker, ended(vec![failed]));
+    assert_eq!(waiting(&bed), 0);
+}
+
+/// Neither an order that was refused nor one that came too late began it.
+#[test]
+fn job_waits_after_a_refused_start() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let (worker, order) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    bed.answer(&worker, &order, OrderAnswer::NoRoom);
+    assert_eq!(waiting(&bed), 1);
+}
+
 /// An earlier owner took its lease as over: nothing of the task runs there.
 #[test]
 fn takeover_lapsed_worker_holds_up_nothing() {
