--- a/crates/cleat-jobs/src/schedule/beat.rs
+++ b/crates/cleat-jobs/src/schedule/beat.rs
@@ -2,10 +2,14 @@
 
 use super::worker::WorkerState;
 use super::{Heartbeat, Scheduler};
+use crate::state::ControlState;
 
 impl Scheduler {
-    pub(super) fn beat(&mut self, beat: Heartbeat) {
+    pub(super) fn beat(&mut self, state: &ControlState, beat: Heartbeat) {
         let known = self.workers.key(&beat.record.name);
+        if known.is_none() && !names_pool(state, &beat.record.pool) {
+            return;
+        }
         let key = known.unwrap_or_else(|| self.workers.add(beat.record, self.now));
         let worker = &mut self.workers[key];
         if beat.sequence < worker.last_sequence {
@@ -24,3 +28,11 @@
         }
     }
 }
+
+/// Whether the configuration names a pool. Work for a pool that it does not
+/// name can't exist, so a worker there is not asked for anything; before the
+/// first configuration any pool may be named by it.
+fn names_pool(state: &ControlState, pool: &str) -> bool {
+    let catalogue = state.catalogue.as_ref();
+    catalogue.is_none_or(|catalogue| catalogue.pools.contains_key(pool))
+}
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -220,7 +220,7 @@
         match event {
             Event::Tick { wall_ms } => self.tick(state, wall_ms),
             Event::Applied { command } => self.applied(state, &command),
-            Event::Heartbeat(beat) => self.beat(beat),
+            Event::Heartbeat(beat) => self.beat(state, beat),
             Event::Left { worker } => self.left(&worker),
             Event::RenewalAnswered {
                 worker,
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -291,6 +291,13 @@
     starts(&effects).len()
 }
 
+#[test]
+fn heartbeat_for_a_pool_that_is_not_configured_names_no_worker() {
+    let mut bed = Bed::with_workers(&[]);
+    assert!(bed.beat(record("w9", "elsewhere")).is_empty());
+    assert_eq!(bed.owner.workers().count(), 0);
+}
+
 /// The next owner would not wait for what is started there.
 #[test]
 fn lapsed_worker_is_recorded_before_it_gets_work() {
