Elect within 0.3 to 0.6 s where all work waits for a leader

Ruled out: faster for all groups: learners ask for leases by the default's relation, and two tests hold it (ask_for_lease_idle_learner, leads_until_ends_before_service fail with the shorter silence as default).

Change: Timing::prompt for the control group: heartbeat 100 ms, silence 300 to 600 ms.

--- a/crates/celerycleatd/src/dev_jobs.rs
+++ b/crates/celerycleatd/src/dev_jobs.rs
@@ -126,7 +126,7 @@
         voters: 1,
         replace_after: Duration::MAX,
         data_folder: folder.join("jobs"),
-        timing: Timing::default(),
+        timing: Timing::prompt(),
         scheduler: SchedulerConfig::default(),
     }
 }
--- a/crates/cleat-quorum/src/core/timing.rs
+++ b/crates/cleat-quorum/src/core/timing.rs
@@ -36,6 +36,23 @@
 }
 
 impl Timing {
+    /// For a group whose work stands still while nobody leads, and whose members
+    /// are few: half the default's silence for twice its heartbeats.
+    ///
+    /// A change of leader then takes 0.3 to 0.6 s rather than 0.6 to 1.1 s. In
+    /// 15 played days with two to four changes each, callers' requests in time
+    /// rose in the two worst windows of a day from 0.57 to 0.60 (mean; a
+    /// difference as large as chance makes). The silence has to stay above the
+    /// pauses of a busy or capped processor, some 0.1 s, and two heartbeats.
+    pub fn prompt() -> Timing {
+        Timing {
+            heartbeat: Duration::from_millis(100),
+            election_min: Duration::from_millis(300),
+            election_max: Duration::from_millis(600),
+            ..Timing::default()
+        }
+    }
+
     /// How long after a confirmed round the leader may rely on being the only one.
     pub fn leader_lease(&self) -> Duration {
         self.election_min * (PERCENT - self.drift_percent.min(PERCENT)) / PERCENT
