Reckon a job's time from when its caller came

Cause: a new owner took each job that it inherited as just accepted. After an outage the jobs that were late already went first (by due time), and those that came since became late behind them. A batch that gateways had held until there was a leader looked like a rise of demand, and a new owner knew no arrivals.

Change: a submission carries how long its gateway held it; the accepting leader notes when its caller came in the replicated job. Objectives and arrivals go by that, also after a takeover. The log's format changes: an instance with a folder of the version before refuses to start.

Two tests, one of which fails with all ages 0.

--- a/crates/cleat-control/src/leader.rs
+++ b/crates/cleat-control/src/leader.rs
@@ -120,10 +120,11 @@
 
     async fn ask_in_turn(
         &self,
-        call: ControlCall,
+        mut call: ControlCall,
         limit: Duration,
     ) -> Result<ControlReply, AskError> {
-        let deadline = Instant::now() + limit;
+        let began = Instant::now();
+        let deadline = began + limit;
         let mut may_be_done = false;
         let mut next_seed = 0;
         let mut at = self.known_leader();
@@ -136,6 +137,7 @@
                 next_seed += 1;
                 self.seed(next_seed)
             });
+            call.note_wait(began.elapsed());
             match self.try_at(target, call.clone(), left.min(TRY_LIMIT)).await {
                 Try::Answered(reply) => {
                     self.leader.store(target.0, Ordering::Relaxed);
--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -11,6 +11,7 @@
 use cleat_quorum::ProposeError;
 
 use super::Shared;
+use crate::clock::wall_ms;
 use crate::events::ControlEvent;
 
 /// A call that needs a commit, or its answer.
@@ -52,7 +53,12 @@
     fn first_step(&self, call: ControlCall) -> Result<Step, ControlError> {
         let step = match call {
             ControlCall::Leader => Step::Answer(ControlReply::Leading),
-            ControlCall::Submit { host, path, spec } => self.submit(&host, &path, spec),
+            ControlCall::Submit {
+                host,
+                path,
+                spec,
+                waited_ms,
+            } => self.submit(&host, &path, spec, wall_ms().saturating_sub(waited_ms)),
             ControlCall::Look { host, path } => Step::Answer(self.look(&host, &path)?),
             ControlCall::Cancel { host, path } => self.cancel(&host, &path),
             ControlCall::SubmitTo { queue, id, spec } => self.submit_to(&queue, id, spec),
@@ -91,14 +97,19 @@
         }
     }
 
-    fn submit(&self, host: &str, path: &str, spec: Arc<JobSpec>) -> Step {
+    fn submit(&self, host: &str, path: &str, spec: Arc<JobSpec>, came_ms: u64) -> Step {
         self.state.read(|state| match place(state, host, path) {
             Place::NoConfiguration => Step::Answer(ControlReply::NoConfiguration),
             Place::NoSuchQueue => Step::Answer(ControlReply::NoSuchQueue),
             Place::Queue(_) | Place::NotAJob => Step::Answer(ControlReply::NotAJob),
             // Sent again: it is stored already.
             Place::Job(_, id) if state.job_state(id).is_some() => Step::Answer(ControlReply::Done),
-            Place::Job(queue, id) => Step::Commit(Command::Submit { id, queue, spec }),
+            Place::Job(queue, id) => Step::Commit(Command::Submit {
+                id,
+                queue,
+                spec,
+                came_ms,
+            }),
         })
     }
 
@@ -145,7 +156,12 @@
                 Some(_) if state.job_state(id).is_some() => Step::Answer(ControlReply::Done),
                 Some(queue) => {
                     let queue = queue.clone();
-                    Step::Commit(Command::Submit { id, queue, spec })
+                    Step::Commit(Command::Submit {
+                        id,
+                        queue,
+                        spec,
+                        came_ms: wall_ms(),
+                    })
                 }
             }
         })
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -102,7 +102,7 @@
         }
         let scheduler = self.shared.state.read(|state| {
             let own = state.owner.is_some_and(|owner| owner.member == member);
-            Scheduler::new(self.cfg, state, boot_time()).filter(|_| own)
+            Scheduler::new(self.cfg, state, boot_time(), wall_ms()).filter(|_| own)
         });
         let taken = scheduler.is_some();
         self.put(scheduler);
--- a/crates/cleat-jobs/examples/decision_cost.rs
+++ b/crates/cleat-jobs/examples/decision_cost.rs
@@ -93,7 +93,7 @@
         state.apply(1, Command::Found);
         state.apply(2, Command::Configure(Arc::new(catalogue())));
         state.apply(3, Command::TakeOver { member: 1 });
-        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO);
+        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO, 0);
         let mut world = World {
             rng: StdRng::seed_from_u64(7),
             now: Duration::ZERO,
@@ -225,7 +225,12 @@
         let (id, spec) = (JobId(self.jobs), Arc::new(spec));
         self.after(
             COMMIT,
-            Happening::Commit(Command::Submit { id, queue, spec }),
+            Happening::Commit(Command::Submit {
+                id,
+                queue,
+                spec,
+                came_ms: 0,
+            }),
         );
     }
 
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -83,8 +83,9 @@
 impl Default for SchedulerConfig {
     fn default() -> Self {
         SchedulerConfig {
-            // Covers a change of owner: silence of the old one (1.1 s at
-            // most), an election, and the first renewal of the new one.
+            // Covers a change of owner: silence of the old one (0.6 s at
+            // most), an election, and the first renewal of the new one; and
+            // the 2 to 3 s in which all processes may be away at once.
             lease: Duration::from_millis(4_000),
             // Four renewals a lease.
             renewal_wait: Duration::from_millis(1_000),
@@ -141,7 +142,7 @@
     /// Jobs that are over, oldest first, with the time since which they are.
     over: VecDeque<(Duration, JobId)>,
     machines: Machines,
-    /// When each job that is not over should be done.
+    /// Until when each job that is not over should be done.
     objectives: IndexMap<JobId, Objective>,
     times: Times,
     /// What the adviser said of each step that needs its permission.
@@ -160,16 +161,22 @@
 
 impl Scheduler {
     /// Begins the ownership that the state names. Nothing is sent yet.
+    /// `wall_ms` is the time of day, in milliseconds since the Unix epoch.
     ///
     /// Returns nothing if the state names no owner.
-    pub fn new(cfg: SchedulerConfig, state: &ControlState, now: Duration) -> Option<Scheduler> {
+    pub fn new(
+        cfg: SchedulerConfig,
+        state: &ControlState,
+        now: Duration,
+        wall_ms: u64,
+    ) -> Option<Scheduler> {
         let owner = state.owner?;
         let mut scheduler = Scheduler {
             cfg,
             owner,
             taken_over_at: now,
             now,
-            wall_ms: 0,
+            wall_ms,
             workers: Workers::default(),
             steps: IndexMap::new(),
             attempts: IndexMap::new(),
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use super::timing::{Objective, Prospect, WORTHLESS_AFTER};
+use super::timing::{Objective, Prospect};
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
 use crate::state::{ControlState, Job};
@@ -150,12 +150,11 @@
         let unstarted = |index: &u32| {
             !job.is_task_done(id, *index) && !self.attempts.contains_key(&id.task(*index))
         };
-        let objective = self.objectives.get(&id.job);
-        let after = |spans| {
-            let end = |objective: &Objective| objective.since + objective.span * spans;
-            objective.map_or(self.now, end)
-        };
-        let (due, worthless_at) = (after(1), after(WORTHLESS_AFTER));
+        let objective = self.objectives.get(&id.job).copied();
+        let Objective { due, worthless_at } = objective.unwrap_or(Objective {
+            due: self.now,
+            worthless_at: self.now,
+        });
         let chain = self.times.chain(&job.queue.name, &job.spec);
         let left = chain.get(usize::from(id.step)).copied().unwrap_or_default();
         let step = ActiveStep {
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -17,7 +17,7 @@
 /// beyond that a single task says nothing.
 const RATIO_RANGE: (f64, f64) = (0.2, 5.0);
 /// How many times its objective a job may take and still be worth something.
-pub(super) const WORTHLESS_AFTER: u32 = 3;
+const WORTHLESS_AFTER: u32 = 3;
 /// Over how many jobs the arriving work is measured to notice a rise: few take
 /// little time to come, many say more.
 const RISE_JOBS: usize = 20;
@@ -42,13 +42,25 @@
     TooLate,
 }
 
-/// When a job should be done.
+/// Until when a job should be done.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Objective {
-    /// When it was accepted, as far as this owner knows.
-    pub(crate) since: Duration,
-    /// How long it may take to be in time.
-    pub(crate) span: Duration,
+    /// Until then it is in time; what was due before this owner knew of it is
+    /// due since then.
+    pub(crate) due: Duration,
+    /// From then on it is worth nothing.
+    pub(crate) worthless_at: Duration,
+}
+
+impl Objective {
+    /// The objective of a job that came `age` ago and may take `span`.
+    fn new(now: Duration, age: Duration, span: Duration) -> Objective {
+        let left = |span: Duration| now + span.saturating_sub(age);
+        Objective {
+            due: left(span),
+            worthless_at: left(span * WORTHLESS_AFTER),
+        }
+    }
 }
 
 /// What was learned of a queue.
@@ -116,9 +128,9 @@
         from
     }
 
-    fn arrive(&mut self, queue: &Queue, spec: &JobSpec, now: Duration) {
+    fn arrive(&mut self, queue: &Queue, spec: &JobSpec, at: Duration) {
         let mut arrival = Arrival {
-            at: now,
+            at,
             cpu_ms: 0,
             memory_ms: 0,
         };
@@ -129,7 +141,10 @@
             arrival.memory_ms += size.memory_mb * ms;
         }
         let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
-        arrivals.push_back(arrival);
+        // Some were held up on their way and come after later ones.
+        let later = arrivals.iter().rev().take_while(|known| known.at > at);
+        let place = arrivals.len() - later.count();
+        arrivals.insert(place, arrival);
     }
 
     /// What a pool's tasks will take up if work goes on arriving as it did.
@@ -189,12 +204,21 @@
         let longest = chain.into_iter().max().unwrap_or_default();
         let latency = Duration::from_millis(queue.target_latency_ms);
         let span = longest.mul_f64(queue.stretch.max(1.0)) + latency;
-        let since = self.now;
-        self.objectives.insert(id, Objective { since, span });
+        let age = self.age(job);
+        let objective = Objective::new(self.now, age, span);
+        self.objectives.insert(id, objective);
         self.tell_accepted(id, job, span);
-        if job.accepted_at > self.owner.token {
-            self.times.arrive(queue, &job.spec, self.now);
-        }
+        let came = self.now.saturating_sub(age);
+        self.times.arrive(queue, &job.spec, came);
+    }
+
+    /// How long ago a job's caller came. An earlier owner may have accepted it,
+    /// so this compares times of day: machines differ by little, and where one
+    /// has jumped, jobs are served in a worse order and nothing else.
+    fn age(&self, job: &Job) -> Duration {
+        let known = job.came_ms > 0 && self.wall_ms > 0;
+        let ms = self.wall_ms.saturating_sub(job.came_ms);
+        Duration::from_millis(if known { ms } else { 0 })
     }
 
     fn tell_accepted(&mut self, id: JobId, job: &Job, span: Duration) {
--- a/crates/cleat-jobs/src/state/apply.rs
+++ b/crates/cleat-jobs/src/state/apply.rs
@@ -7,7 +7,7 @@
 use super::command::{Command, TaskEnd};
 use super::job::{EndedJob, Job, JobState};
 use super::{ControlState, Owner, Wave, WorkerHistory, WorkerRecord};
-use crate::{Catalogue, JobId, JobSpec, Queue};
+use crate::{Catalogue, JobId};
 
 /// What a command came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,7 +40,12 @@
             Command::Found => self.founded = true,
             Command::TakeOver { member } => self.take_over(index, member),
             Command::Configure(catalogue) => self.configure(catalogue),
-            Command::Submit { id, queue, spec } => self.submit(index, id, queue, spec),
+            Command::Submit {
+                id,
+                queue,
+                spec,
+                came_ms,
+            } => self.submit(id, || Job::new(queue, spec, index, came_ms)),
             Command::Cancel { id } => return self.cancel(id),
             Command::Ends {
                 worker,
@@ -96,9 +101,9 @@
         }
     }
 
-    fn submit(&mut self, index: u64, id: JobId, queue: Arc<Queue>, spec: Arc<JobSpec>) {
+    fn submit(&mut self, id: JobId, job: impl FnOnce() -> Job) {
         if self.job_state(id).is_none() {
-            self.jobs.insert(id, Job::new(queue, spec, index));
+            self.jobs.insert(id, job());
         }
     }
 
--- a/crates/cleat-jobs/src/state/command.rs
+++ b/crates/cleat-jobs/src/state/command.rs
@@ -28,6 +28,9 @@
         queue: Arc<Queue>,
         /// What it asks for.
         spec: Arc<JobSpec>,
+        /// When its caller came, by the accepting leader's time of day, in
+        /// milliseconds since the Unix epoch; 0 if that is not known.
+        came_ms: u64,
     },
     /// The end of a job before its time.
     Cancel {
--- a/crates/cleat-jobs/src/state/job.rs
+++ b/crates/cleat-jobs/src/state/job.rs
@@ -32,6 +32,8 @@
     pub spec: Arc<JobSpec>,
     /// The position in the log at which it was accepted.
     pub accepted_at: u64,
+    /// When its caller came, as in [`Command::Submit`](super::Command::Submit).
+    pub came_ms: u64,
     /// Occurrences of which an end was noted, by number.
     pub occurrences: IndexMap<u32, Occurrence>,
     /// How many occurrences are done; those are dropped from `occurrences`.
@@ -111,11 +113,17 @@
 }
 
 impl Job {
-    pub(crate) fn new(queue: Arc<Queue>, spec: Arc<JobSpec>, accepted_at: u64) -> Job {
+    pub(crate) fn new(
+        queue: Arc<Queue>,
+        spec: Arc<JobSpec>,
+        accepted_at: u64,
+        came_ms: u64,
+    ) -> Job {
         Job {
             queue,
             spec,
             accepted_at,
+            came_ms,
             occurrences: IndexMap::new(),
             occurrences_done: Vec::new(),
         }
--- a/crates/cleat-jobs/tests/advice.rs
+++ b/crates/cleat-jobs/tests/advice.rs
@@ -21,6 +21,7 @@
         id: JobId(id),
         queue: Arc::new(advised),
         spec: job(vec![step(count, 1_000)]),
+        came_ms: 0,
     })
 }
 
--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -113,6 +113,8 @@
     pub(crate) state: ControlState,
     pub(crate) owner: Scheduler,
     pub(crate) now: Duration,
+    /// The time of day; 0 while it plays no part.
+    pub(crate) wall_ms: u64,
     index: u64,
 }
 
@@ -127,11 +129,12 @@
         state.apply(1, Command::Found);
         state.apply(2, Command::Configure(catalogue(1)));
         state.apply(3, Command::TakeOver { member: 1 });
-        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO);
+        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO, 0);
         let mut bed = Bed {
             state,
             owner: owner.expect("owned"),
             now: Duration::ZERO,
+            wall_ms: 0,
             index: 3,
         };
         for worker in workers {
@@ -145,7 +148,12 @@
         self.index += 1;
         self.state
             .apply(self.index, Command::TakeOver { member: 2 });
-        let owner = Scheduler::new(SchedulerConfig::default(), &self.state, self.now);
+        let owner = Scheduler::new(
+            SchedulerConfig::default(),
+            &self.state,
+            self.now,
+            self.wall_ms,
+        );
         self.owner = owner.expect("owned");
     }
 
@@ -210,12 +218,21 @@
         let catalogue = self.state.catalogue.as_ref().expect("configured");
         let queue = catalogue.queues[at].clone();
         let (id, spec) = (JobId(id), job(steps));
-        self.apply(Command::Submit { id, queue, spec })
+        self.apply(Command::Submit {
+            id,
+            queue,
+            spec,
+            came_ms: self.wall_ms,
+        })
     }
 
     pub(crate) fn tick(&mut self, later: Duration) -> Vec<Effect> {
         self.now += later;
-        self.feed(Event::Tick { wall_ms: 1 })
+        if self.wall_ms > 0 {
+            self.wall_ms += u64::try_from(later.as_millis()).expect("short");
+        }
+        let wall_ms = self.wall_ms.max(1);
+        self.feed(Event::Tick { wall_ms })
     }
 
     pub(crate) fn answer_renewal(&mut self, worker: &str, answer: RenewalAnswer) -> Vec<Effect> {
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -394,6 +394,33 @@
     assert_eq!(started.len(), 1, "no earlier owner can have started it");
 }
 
+/// What came long before the takeover can't be in time any more; what came
+/// since can.
+#[test]
+fn takeover_late_work_lets_new_work_pass() {
+    let mut bed = Bed::with_workers(&[]);
+    bed.wall_ms = 1_000_000;
+    bed.submit(1, vec![step(1, 8_000)]);
+    bed.tick(ms(5_000));
+    bed.replace_owner();
+    bed.submit(2, vec![step(1, 8_000)]);
+    let started = starts(&bed.add_worker("w1", "a"));
+    assert_eq!(started[0].1.task.job(), JobId(2));
+}
+
+/// Its caller came just before the takeover: it is served in its turn.
+#[test]
+fn takeover_work_in_time_keeps_its_turn() {
+    let mut bed = Bed::with_workers(&[]);
+    bed.wall_ms = 1_000_000;
+    bed.submit(1, vec![step(1, 8_000)]);
+    bed.tick(ms(300));
+    bed.replace_owner();
+    bed.submit(2, vec![step(1, 8_000)]);
+    let started = starts(&bed.add_worker("w1", "a"));
+    assert_eq!(started[0].1.task.job(), JobId(1));
+}
+
 #[test]
 fn takeover_run_numbers_rise() {
     let mut bed = Bed::with_workers(&["w1"]);
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -179,7 +179,7 @@
             Happening::Tick => {
                 self.after(TICK, Happening::Tick);
                 self.check_workers()?;
-                let wall_ms = 1 + u64::try_from(self.now.as_millis()).expect("short");
+                let wall_ms = self.wall_ms();
                 self.feed(Event::Tick { wall_ms });
             }
             Happening::Heartbeat(at) => self.beat(at),
@@ -222,6 +222,10 @@
         self.after(Duration::ZERO, Happening::Fault(fault));
     }
 
+    fn wall_ms(&self) -> u64 {
+        1 + u64::try_from(self.now.as_millis()).expect("short")
+    }
+
     fn ordinal(&self) -> Option<u32> {
         self.owner.as_ref().map(|owner| owner.owner().ordinal)
     }
@@ -357,7 +361,13 @@
         let queue = self.state.catalogue.as_ref().expect("configured").queues[0].clone();
         let lasts = self.lasts(id);
         let spec = Arc::new(spec(&mut self.rng, lasts));
-        self.apply(Command::Submit { id, queue, spec });
+        let came_ms = self.wall_ms();
+        self.apply(Command::Submit {
+            id,
+            queue,
+            spec,
+            came_ms,
+        });
     }
 
     fn cancel(&mut self, id: JobId) {
@@ -422,7 +432,7 @@
             protections: self.plan.protections,
             ..SchedulerConfig::default()
         };
-        self.owner = Scheduler::new(cfg, &self.state, self.now);
+        self.owner = Scheduler::new(cfg, &self.state, self.now, self.wall_ms());
     }
 
     fn commit(&mut self, ordinal: u32, command: Command) {
--- a/crates/cleat-jobs/tests/state.rs
+++ b/crates/cleat-jobs/tests/state.rs
@@ -2,8 +2,11 @@
 
 mod scaffold;
 
+use std::sync::Arc;
+
 use cleat_jobs::{
-    Answer, Catalogue, Command, ControlState, EndKind, JobId, JobState, StepSpec, TaskId,
+    Answer, Catalogue, Command, ControlState, EndKind, JobId, JobSpec, JobState, Queue, StepSpec,
+    TaskId,
 };
 use scaffold::{catalogue, end, ends, job, pool, queue, record, step, task};
 
@@ -13,10 +16,19 @@
     state.apply(2, Command::AddWorker(record("w1", "a")));
     let queue = state.catalogue.as_ref().expect("configured").queues[0].clone();
     let (id, spec) = (JobId(7), job(steps));
-    state.apply(3, Command::Submit { id, queue, spec });
+    state.apply(3, submit(id, queue, spec));
     state
 }
 
+fn submit(id: JobId, queue: Arc<Queue>, spec: Arc<JobSpec>) -> Command {
+    Command::Submit {
+        id,
+        queue,
+        spec,
+        came_ms: 0,
+    }
+}
+
 fn note(state: &mut ControlState, number: u64, task: TaskId, kind: EndKind) {
     state.apply(
         10 + number,
@@ -31,10 +43,7 @@
     let before = state.clone();
     let queue = state.catalogue.as_ref().expect("configured").queues[0].clone();
     let (id, spec) = (JobId(7), job(vec![step(5, 100)]));
-    assert_eq!(
-        state.apply(20, Command::Submit { id, queue, spec }),
-        Answer::Done
-    );
+    assert_eq!(state.apply(20, submit(id, queue, spec)), Answer::Done);
     assert_eq!(state, before);
 }
 
--- a/crates/cleat-link/src/control.rs
+++ b/crates/cleat-link/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cleat_jobs::{Catalogue, Heartbeat, JobId, JobSpec, JobState, WorkerState};
 use cleat_quorum::Message;
@@ -24,6 +25,9 @@
         path: Box<str>,
         /// What the job asks for.
         spec: Arc<JobSpec>,
+        /// How long the gateway has had it, in milliseconds: it looks for a
+        /// leader as long as its caller waits.
+        waited_ms: u64,
     },
     /// The state of a job, or of a queue if the path is its prefix.
     Look {
@@ -89,6 +93,15 @@
     },
 }
 
+impl ControlCall {
+    /// Notes how long a gateway has had the call, where that matters.
+    pub fn note_wait(&mut self, waited: Duration) {
+        if let ControlCall::Submit { waited_ms, .. } = self {
+            *waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+        }
+    }
+}
+
 /// What a job is said to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobView {
