Forecast by change points in the number of jobs

Ruled out: capping by the fleet's size, which hides the error and keeps it.

Change: a module of its own, Arrivals. Jobs count as much as a mean job of their queue; the last 6 s are split wherever jobs came so much more or less often than chance explains, and the latest part is what goes on. Replaces five constants of the windows before.

Six tests play load by chance: a turn of 28 jobs a second is seen within 0.2 s (median of 40 seeds), its end within 0.6 s.

--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -17,9 +17,9 @@
 pub use ids::{JobId, ParseTaskError, Run, StepId, TaskId};
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
-    Decision, Effect, EndedRun, Event, Heartbeat, MachineAnswer, MachineOrder, MachineState,
-    MachineView, Order, OrderAnswer, Protections, RenewalAnswer, RenewalOrder, RunningTask,
-    Scheduler, SchedulerConfig, TaskOrder, WorkerState, WorkerView,
+    Arrivals, Decision, Effect, EndedRun, Event, Heartbeat, MachineAnswer, MachineOrder,
+    MachineState, MachineView, Order, OrderAnswer, Protections, RenewalAnswer, RenewalOrder,
+    RunningTask, Scheduler, SchedulerConfig, TaskOrder, Work, WorkerState, WorkerView,
 };
 pub use size::Size;
 pub use state::{
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/forecast.rs
@@ -0,0 +1,149 @@
+//! How much work a pool's jobs will bring if they go on coming as they do now.
+//!
+//! The load that this answers: queues that ask for little most of the time and
+//! for twenty times as much for some seconds, in turn. A machine takes 1.5 s to
+//! come and costs while it stays, so both ends of such a turn have to be seen
+//! at once. The forecast counts jobs rather than their work: of a queue whose
+//! jobs differ by a factor of ten, three in half a second may look like five
+//! times what they are. Each counts as much as a mean job of its queue.
+//!
+//! The jobs of the last seconds are split wherever they came so much more or
+//! less often after the split than in all that chance does not explain it; the
+//! latest part is what goes on.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::Size;
+
+/// How far back jobs are looked at. With nothing changed, chance then makes a
+/// tenth of the rate of a queue with 20 jobs a second.
+const MEMORY: Duration = Duration::from_millis(6_000);
+/// The shortest part that jobs are split into: they come in bunches, as callers
+/// try again and gateways send what they held.
+const SHORTEST: Duration = Duration::from_millis(150);
+/// Fewer jobs than this don't tell a rise, however soon they followed.
+const RISE_JOBS: usize = 3;
+/// By how many standard deviations the jobs of a part have to exceed what the
+/// whole lets expect. Many splits are tried each time, so three would find a
+/// rise by chance every few seconds, and machines would come for it.
+const RISE_DEVIATIONS: f64 = 3.5;
+/// The same for less than expected. A fall by mistake costs less: machines at
+/// work stay, and idle ones wait before they go.
+const FALL_DEVIATIONS: f64 = 2.5;
+
+/// What a job takes up over its life.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Thousandths of a core, times milliseconds.
+    pub cpu_ms: f64,
+    /// MB, times milliseconds.
+    pub memory_ms: f64,
+}
+
+/// The jobs that came lately for one pool.
+#[derive(Clone, Debug, Default)]
+pub struct Arrivals {
+    /// By rising time.
+    recent: VecDeque<(Duration, Work)>,
+}
+
+/// A part of the arrivals that ends now.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    jobs: usize,
+    span: Duration,
+}
+
+impl Arrivals {
+    /// Notes a job that came at `at` and is expected to bring `work`.
+    pub fn note(&mut self, at: Duration, work: Work) {
+        // Some were held up on their way and come after later ones.
+        let later = self.recent.iter().rev().take_while(|known| known.0 > at);
+        let place = self.recent.len() - later.count();
+        self.recent.insert(place, (at, work));
+    }
+
+    /// What the pool's tasks will take up if jobs go on coming as they do now.
+    pub fn forecast(&mut self, now: Duration) -> Size {
+        self.forget(now);
+        let part = self.latest_part(now);
+        let works = self.recent.iter().rev().take(part.jobs);
+        let sum = works.fold(Work::default(), |sum, (_, work)| Work {
+            cpu_ms: sum.cpu_ms + work.cpu_ms,
+            memory_ms: sum.memory_ms + work.memory_ms,
+        });
+        let span_ms = part.span.as_secs_f64() * 1_000.0;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let mean = |total: f64| (total / span_ms) as u64;
+        Size {
+            cpu_milli: mean(sum.cpu_ms),
+            memory_mb: mean(sum.memory_ms),
+            gpu: 0,
+        }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        while self
+            .recent
+            .pop_front_if(|(at, _)| *at + MEMORY < now)
+            .is_some()
+        {}
+    }
+
+    /// The part since the last change that chance does not explain.
+    fn latest_part(&self, now: Duration) -> Part {
+        let mut part = Part {
+            jobs: self.recent.len(),
+            span: MEMORY,
+        };
+        while let Some(later) = self.split(part, now) {
+            part = later;
+        }
+        part
+    }
+
+    /// The later part of a split, where the two differ most.
+    fn split(&self, whole: Part, now: Duration) -> Option<Part> {
+        let mut most = 1.0;
+        let mut found = None;
+        for (jobs, (at, _)) in self.recent.iter().rev().take(whole.jobs).enumerate() {
+            let span = now.saturating_sub(*at).max(SHORTEST);
+            if span >= whole.span {
+                break;
+            }
+            // Right after a job nothing has come for the whole span; with it,
+            // one more has.
+            for jobs in [jobs, jobs + 1] {
+                let part = Part { jobs, span };
+                let significance = part.significance(whole);
+                if significance > most {
+                    most = significance;
+                    found = Some(part);
+                }
+            }
+        }
+        found
+    }
+}
+
+impl Part {
+    /// How far this part's jobs are from what the whole lets expect, as a share
+    /// of how far they have to be to count as a change.
+    fn significance(self, whole: Part) -> f64 {
+        #[allow(clippy::cast_precision_loss)]
+        let (jobs, all) = (self.jobs as f64, whole.jobs as f64);
+        let expected = all * self.span.as_secs_f64() / whole.span.as_secs_f64();
+        let rises = jobs > expected;
+        if rises && self.jobs < RISE_JOBS {
+            return 0.0;
+        }
+        let needed = if rises {
+            RISE_DEVIATIONS
+        } else {
+            FALL_DEVIATIONS
+        };
+        let deviation = expected.max(f64::MIN_POSITIVE).sqrt();
+        (jobs - expected).abs() / (needed * deviation)
+    }
+}
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -10,6 +10,7 @@
 mod decision;
 mod event;
 mod fleet;
+mod forecast;
 mod ledger;
 mod loss;
 mod orders;
@@ -35,6 +36,7 @@
     RenewalOrder, RunningTask, TaskOrder,
 };
 pub use fleet::{MachineOrder, MachineState, MachineView};
+pub use forecast::{Arrivals, Work};
 pub use protections::Protections;
 pub use worker::WorkerState;
 
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -1,14 +1,14 @@
 //! How long work takes, and until when a job is worth doing first.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
+use super::forecast::{Arrivals, Work};
 use super::worker::millis;
 use super::{Decision, Scheduler};
 use crate::state::Job;
-use crate::{JobId, JobSpec, Queue, Size};
+use crate::{JobId, JobSpec, Queue, Size, StepSpec};
 
 /// The weight of one observed task in the ratio of its queue: some 20 tasks,
 /// which a queue has within a second, make it.
@@ -18,19 +18,9 @@
 const RATIO_RANGE: (f64, f64) = (0.2, 5.0);
 /// How many times its objective a job may take and still be worth something.
 const WORTHLESS_AFTER: u32 = 3;
-/// Over how many jobs the arriving work is measured to notice a rise: few take
-/// little time to come, many say more.
-const RISE_JOBS: usize = 20;
-/// Over what time it is measured at least, since jobs come in bunches, and at
-/// most: short against the time that a machine needs to come (1.5 s).
-const RISE_WINDOWS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(600)];
-/// By how many standard deviations of the number of jobs the work has to
-/// exceed what came before to count as a rise: chance does so once in a
-/// thousand windows.
-const RISE_DEVIATIONS: f64 = 3.0;
-/// Over what time it is measured otherwise: long enough that chance makes a
-/// tenth of it, shorter than demand lasts.
-const STEADY_WINDOW: Duration = Duration::from_millis(2_000);
+/// The weight of one job in the mean work of its queue: some 30 jobs make it.
+const WORK_WEIGHT: f64 = 0.03;
+
 /// How urgent a job is by its time alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Prospect {
@@ -64,32 +54,41 @@
 }
 
 /// What was learned of a queue.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct QueueTimes {
-    /// How much longer its tasks take than their estimates say.
-    ratio: f64,
+    /// How much longer its tasks take than their estimates say; none before the
+    /// first was done.
+    ratio: Option<f64>,
+    /// What its jobs take up by their estimates, on average, and how many made
+    /// that.
+    work: Work,
+    jobs: u32,
 }
 
-/// Work that arrived in a pool.
-#[derive(Clone, Copy, Debug)]
-struct Arrival {
-    at: Duration,
-    /// Thousandths of a core, times milliseconds.
-    cpu_ms: u64,
-    /// MB, times milliseconds.
-    memory_ms: u64,
+impl QueueTimes {
+    fn ratio(&self) -> f64 {
+        self.ratio.unwrap_or(1.0)
+    }
+
+    /// Takes a job into the mean work.
+    fn note_work(&mut self, work: Work) {
+        self.jobs = self.jobs.saturating_add(1);
+        let weight = WORK_WEIGHT.max(1.0 / f64::from(self.jobs));
+        self.work.cpu_ms += weight * (work.cpu_ms - self.work.cpu_ms);
+        self.work.memory_ms += weight * (work.memory_ms - self.work.memory_ms);
+    }
 }
 
 /// What is learned of queues and pools.
 #[derive(Debug, Default)]
 pub(crate) struct Times {
     queues: IndexMap<Box<str>, QueueTimes>,
-    arrivals: IndexMap<Box<str>, VecDeque<Arrival>>,
+    arrivals: IndexMap<Box<str>, Arrivals>,
 }
 
 impl Times {
     fn ratio(&self, queue: &str) -> f64 {
-        self.queues.get(queue).map_or(1.0, |times| times.ratio)
+        self.queues.get(queue).map_or(1.0, QueueTimes::ratio)
     }
 
     /// Takes a task that was done into account.
@@ -100,11 +99,9 @@
         let (low, high) = RATIO_RANGE;
         #[allow(clippy::cast_precision_loss)]
         let seen = (millis(ran) as f64 / estimate_ms as f64).clamp(low, high);
-        let times = self
-            .queues
-            .entry(queue.into())
-            .or_insert(QueueTimes { ratio: 1.0 });
-        times.ratio += RATIO_WEIGHT * (seen - times.ratio);
+        let times = self.queues.entry(queue.into()).or_default();
+        let known = times.ratio();
+        times.ratio = Some(known + RATIO_WEIGHT * (seen - known));
     }
 
     /// How long a task of this estimate takes in a queue.
@@ -128,72 +125,39 @@
         from
     }
 
+    /// Notes a job that came for a pool.
     fn arrive(&mut self, queue: &Queue, spec: &JobSpec, at: Duration) {
-        let mut arrival = Arrival {
-            at,
-            cpu_ms: 0,
-            memory_ms: 0,
-        };
-        for step in spec.steps.iter().filter(|step| !step.long_running) {
-            let ms = millis(self.expect(&queue.name, step.estimate_ms)) * u64::from(step.count);
-            let size = step.footprint();
-            arrival.cpu_ms += size.cpu_milli * ms;
-            arrival.memory_ms += size.memory_mb * ms;
+        let ends = spec.steps.iter().filter(|step| !step.long_running);
+        let work = ends.fold(Work::default(), add_step);
+        if work == Work::default() {
+            return;
         }
+        let times = self.queues.entry(queue.name.clone()).or_default();
+        times.note_work(work);
+        let ratio = times.ratio();
+        let mean = Work {
+            cpu_ms: times.work.cpu_ms * ratio,
+            memory_ms: times.work.memory_ms * ratio,
+        };
         let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
-        // Some were held up on their way and come after later ones.
-        let later = arrivals.iter().rev().take_while(|known| known.at > at);
-        let place = arrivals.len() - later.count();
-        arrivals.insert(place, arrival);
+        arrivals.note(at, mean);
     }
 
-    /// What a pool's tasks will take up if work goes on arriving as it did.
+    /// What a pool's tasks will take up if work goes on arriving as it does.
     pub(crate) fn forecast(&mut self, pool: &str, now: Duration) -> Size {
-        let Some(arrivals) = self.arrivals.get_mut(pool) else {
-            return Size::default();
-        };
-        while arrivals
-            .pop_front_if(|arrival| arrival.at + STEADY_WINDOW < now)
-            .is_some()
-        {}
-        let (steady, _) = rate(arrivals, STEADY_WINDOW, now);
-        let (rise, jobs) = rate(arrivals, rise_window(arrivals, now), now);
-        #[allow(clippy::cast_precision_loss)]
-        let chance = steady.cpu_milli as f64 * (1.0 + RISE_DEVIATIONS / (jobs as f64).sqrt());
-        #[allow(clippy::cast_precision_loss)]
-        if rise.cpu_milli as f64 > chance {
-            rise
-        } else {
-            steady
-        }
+        let arrivals = self.arrivals.get_mut(pool);
+        arrivals.map_or(Size::default(), |arrivals| arrivals.forecast(now))
     }
 }
 
-/// The time in which the last [`RISE_JOBS`] came, within bounds.
-fn rise_window(arrivals: &VecDeque<Arrival>, now: Duration) -> Duration {
-    let [shortest, longest] = RISE_WINDOWS;
-    let first = arrivals.iter().rev().nth(RISE_JOBS - 1);
-    first.map_or(longest, |first| (now - first.at).clamp(shortest, longest))
-}
-
-/// What the work of the last `window` takes up if it goes on like that, and of
-/// how many jobs it is.
-fn rate(arrivals: &VecDeque<Arrival>, window: Duration, now: Duration) -> (Size, u64) {
-    let recent = arrivals
-        .iter()
-        .rev()
-        .take_while(|arrival| arrival.at + window >= now);
-    let sum = |(cpu, memory, jobs), arrival: &Arrival| {
-        (cpu + arrival.cpu_ms, memory + arrival.memory_ms, jobs + 1)
-    };
-    let (cpu_ms, memory_ms, jobs) = recent.fold((0, 0, 0), sum);
-    let window = millis(window);
-    let size = Size {
-        cpu_milli: cpu_ms / window,
-        memory_mb: memory_ms / window,
-        gpu: 0,
-    };
-    (size, jobs)
+#[allow(clippy::cast_precision_loss)]
+fn add_step(sum: Work, step: &StepSpec) -> Work {
+    let ms = (step.estimate_ms * u64::from(step.count)) as f64;
+    let size = step.footprint();
+    Work {
+        cpu_ms: sum.cpu_ms + size.cpu_milli as f64 * ms,
+        memory_ms: sum.memory_ms + size.memory_mb as f64 * ms,
+    }
 }
 
 impl Scheduler {
--- /dev/null
+++ b/crates/cleat-jobs/tests/forecast.rs
@@ -0,0 +1,168 @@
+//! The forecast against load that comes by chance, in turns.
+
+use std::time::Duration;
+
+use cleat_jobs::{Arrivals, Work};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const SEEDS: u64 = 40;
+/// What one job brings: a core for a second.
+const JOB: Work = Work {
+    cpu_ms: 1_000_000.0,
+    memory_ms: 1_000_000.0,
+};
+/// How often the owner asks.
+const TICK: Duration = Duration::from_millis(50);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A load that changes its rate, in jobs a second, at some times.
+struct Load {
+    rates: Vec<(Duration, f64)>,
+}
+
+impl Load {
+    fn steady(rate: f64) -> Load {
+        Load {
+            rates: vec![(Duration::ZERO, rate)],
+        }
+    }
+
+    /// Little, then much from 10 s to 15 s, then little again.
+    fn turn(little: f64, much: f64) -> Load {
+        Load {
+            rates: vec![
+                (Duration::ZERO, little),
+                (ms(10_000), much),
+                (ms(15_000), little),
+            ],
+        }
+    }
+
+    fn rate(&self, at: Duration) -> f64 {
+        let known = self.rates.iter().rev().find(|(from, _)| *from <= at);
+        known.map_or(0.0, |(_, rate)| *rate)
+    }
+
+    /// The forecasts in cores, at each tick until `end`.
+    fn forecasts(&self, seed: u64, end: Duration) -> Vec<(Duration, f64)> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut arrivals = Arrivals::default();
+        let mut told = Vec::new();
+        let mut now = Duration::ZERO;
+        while now < end {
+            let step = ms(1);
+            now += step;
+            if rng.random_bool((self.rate(now) * step.as_secs_f64()).min(1.0)) {
+                arrivals.note(now, JOB);
+            }
+            if now.as_millis().is_multiple_of(TICK.as_millis()) {
+                let size = arrivals.forecast(now);
+                told.push((
+                    now,
+                    f64::from(u32::try_from(size.cpu_milli).expect("small")) / 1_000.0,
+                ));
+            }
+        }
+        told
+    }
+
+    /// For each seed, how long after `from` the forecast first meets a
+    /// condition; sorted.
+    fn delays(&self, from: Duration, condition: impl Fn(f64) -> bool) -> Vec<Duration> {
+        let delay = |seed| {
+            let told = self.forecasts(seed, from + ms(5_000));
+            let mut later = told.iter().filter(|(at, _)| *at > from);
+            let first = later.find(|(_, cores)| condition(*cores));
+            first.map_or(ms(5_000), |(at, _)| *at - from)
+        };
+        let mut delays: Vec<Duration> = (0..SEEDS).map(delay).collect();
+        delays.sort();
+        delays
+    }
+}
+
+fn median(sorted: &[Duration]) -> Duration {
+    sorted[sorted.len() / 2]
+}
+
+fn ninth_tenth(sorted: &[Duration]) -> Duration {
+    sorted[sorted.len() * 9 / 10]
+}
+
+#[test]
+fn forecast_without_jobs_is_nothing() {
+    assert_eq!(Arrivals::default().forecast(ms(1_000)).cpu_milli, 0);
+}
+
+/// Chance alone moves the forecast little, and seldom far: machines that it
+/// calls for are paid for.
+#[test]
+fn forecast_steady_load_stays_near_its_rate() {
+    let (mut told, mut far) = (0, 0);
+    for seed in 0..SEEDS {
+        let all = Load::steady(20.0).forecasts(seed, ms(30_000));
+        let settled = all.iter().filter(|(at, _)| *at > ms(7_000));
+        for (_, cores) in settled {
+            told += 1;
+            far += u32::from(!(14.0..=27.0).contains(cores));
+        }
+    }
+    assert!(far * 20 < told, "{far} of {told} are off by a third");
+}
+
+/// A move takes 1.5 s, so each tenth of a second counts.
+#[test]
+fn forecast_turn_of_many_small_jobs_is_seen_soon() {
+    let load = Load::turn(0.35, 28.0);
+    let begun = load.delays(ms(10_000), |cores| cores > 14.0);
+    let over = load.delays(ms(15_000), |cores| cores < 14.0);
+    assert!(median(&begun) <= ms(200), "{:?}", median(&begun));
+    assert!(ninth_tenth(&begun) <= ms(400), "{:?}", ninth_tenth(&begun));
+    assert!(median(&over) <= ms(600), "{:?}", median(&over));
+    assert!(ninth_tenth(&over) <= ms(900), "{:?}", ninth_tenth(&over));
+}
+
+#[test]
+fn forecast_turn_of_few_large_jobs_is_seen_soon() {
+    let load = Load::turn(0.065, 5.2);
+    let begun = load.delays(ms(10_000), |cores| cores > 2.6);
+    let over = load.delays(ms(15_000), |cores| cores < 2.6);
+    assert!(median(&begun) <= ms(700), "{:?}", median(&begun));
+    assert!(
+        ninth_tenth(&begun) <= ms(1_200),
+        "{:?}",
+        ninth_tenth(&begun)
+    );
+    assert!(median(&over) <= ms(1_800), "{:?}", median(&over));
+}
+
+/// Three jobs in a bunch are a rise, but not to the rate that they had while
+/// they came: the fewer, the shorter a bunch by chance.
+#[test]
+fn forecast_bunch_of_few_jobs_claims_little() {
+    let mut arrivals = Arrivals::default();
+    for at in [ms(9_990), ms(9_995), ms(10_000)] {
+        arrivals.note(at, JOB);
+    }
+    assert!(arrivals.forecast(ms(10_000)).cpu_milli <= 20_000);
+}
+
+/// Gateways held them while nobody led; they count from when callers came.
+#[test]
+fn forecast_held_jobs_count_from_when_they_came() {
+    let mut arrivals = Arrivals::default();
+    let mut held: Vec<u64> = (0..60).map(|at| 10_000 + at * 33).collect();
+    held.reverse();
+    for at in held {
+        arrivals.note(ms(at), JOB);
+    }
+    let cores = arrivals.forecast(ms(12_000)).cpu_milli / 1_000;
+    assert!(
+        (25..=35).contains(&cores),
+        "{cores} cores for 30 jobs a second"
+    );
+}
