--- a/crates/cleat-jobs/src/schedule/forecast.rs
+++ b/crates/cleat-jobs/src/schedule/forecast.rs
@@ -20,8 +20,11 @@
 /// tenth of the rate of a queue with 20 jobs a second.
 const MEMORY: Duration = Duration::from_millis(6_000);
 /// The shortest part that jobs are split into: they come in bunches, as callers
-/// try again and gateways send what they held.
+/// try again and gateways send what they held. Where this many came at once it
+/// is no bunch, and a shorter time tells enough.
 const SHORTEST: Duration = Duration::from_millis(150);
+const MANY_JOBS: usize = 10;
+const SHORTEST_OF_MANY: Duration = Duration::from_millis(50);
 /// Fewer jobs than this don't tell a rise, however soon they followed.
 const RISE_JOBS: usize = 3;
 /// By how many standard deviations the jobs of a part have to exceed what the
@@ -108,14 +111,14 @@
         let mut most = 1.0;
         let mut found = None;
         for (jobs, (at, _)) in self.recent.iter().rev().take(whole.jobs).enumerate() {
-            let span = now.saturating_sub(*at).max(SHORTEST);
-            if span >= whole.span {
-                break;
-            }
             // Right after a job nothing has come for the whole span; with it,
             // one more has.
             for jobs in [jobs, jobs + 1] {
+                let span = now.saturating_sub(*at).max(shortest(jobs));
                 let part = Part { jobs, span };
+                if span >= whole.span {
+                    continue;
+                }
                 let significance = part.significance(whole);
                 if significance > most {
                     most = significance;
@@ -127,6 +130,14 @@
     }
 }
 
+fn shortest(jobs: usize) -> Duration {
+    if jobs < MANY_JOBS {
+        SHORTEST
+    } else {
+        SHORTEST_OF_MANY
+    }
+}
+
 impl Part {
     /// How far this part's jobs are from what the whole lets expect, as a share
     /// of how far they have to be to count as a change.
