--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -140,6 +140,10 @@
         offered_memory_mb: u64,
         /// How many workers that is.
         workers: usize,
+        /// How many of them take work now.
+        taking: usize,
+        /// What those have free, in thousandths of a core.
+        free_cpu_milli: u64,
         /// How many tasks wait for room.
         waiting: u64,
     },
@@ -167,6 +171,10 @@
         worker: Box<str>,
         /// Its pool.
         pool: Box<str>,
+        /// Its machine, if it says so.
+        machine: Option<Box<str>>,
+        /// Where it takes orders.
+        address: Box<str>,
         /// What it is believed to be.
         state: super::WorkerState,
         /// How long ago it last answered, in milliseconds.
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -118,6 +118,8 @@
         }
         self.balances_told = self.now;
         for (pool, balance) in balances.iter().filter(|(_, b)| b.needed.cpu_milli > 0) {
+            let taking = self.candidates(pool);
+            let free = taking.iter().map(|key| self.workers[*key].room().cpu_milli);
             self.tell(Decision::Pool {
                 pool: pool.clone(),
                 needed_cpu_milli: balance.needed.cpu_milli,
@@ -126,6 +128,8 @@
                 offered_cpu_milli: balance.offered.cpu_milli,
                 offered_memory_mb: balance.offered.memory_mb,
                 workers: balance.workers,
+                taking: taking.len(),
+                free_cpu_milli: free.sum(),
                 waiting: balance.waiting,
             });
         }
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -165,6 +165,8 @@
         let decision = Decision::Worker {
             worker: worker.record.name.clone(),
             pool: worker.record.pool.clone(),
+            machine: worker.record.machine.clone(),
+            address: worker.record.address.clone(),
             state,
             silent_ms: millis(silent),
         };
