Gather work that lasts on few machines

Change: lasting tasks go to workers that have some, other tasks too; a machine with nothing else for 1.5 s, whose pool can do without it and whose tasks fit elsewhere, is emptied for the spare pool, one of a pool at a time and as far as each step allows tasks to be away.

--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -46,6 +46,8 @@
     /// What it takes up on its worker. Invariant: counted in the worker's
     /// `used` unless the phase is `Ended`.
     pub(crate) footprint: Size,
+    /// Whether it goes on until its job is cancelled.
+    pub(crate) lasts: bool,
     /// When the start was sent, or when the run was adopted.
     pub(crate) began: Duration,
     /// Whether its worker lists it as working at its full pace.
@@ -66,6 +68,7 @@
     pub(super) fn add_attempt(&mut self, task: TaskId, attempt: Attempt) {
         let worker = &mut self.workers[attempt.worker];
         worker.used += attempt.footprint;
+        worker.lasting += usize::from(attempt.lasts);
         worker.tasks.insert(task);
         self.job_tasks.entry(task.job()).or_default().insert(task);
         self.attempts.insert(task, attempt);
@@ -76,6 +79,7 @@
         let attempt = self.attempts.swap_remove(&task)?;
         let worker = &mut self.workers[attempt.worker];
         worker.tasks.swap_remove(&task);
+        worker.lasting -= usize::from(attempt.lasts);
         if let Some(tasks) = self.job_tasks.get_mut(&task.job()) {
             tasks.swap_remove(&task);
             if tasks.is_empty() {
--- a/crates/cleat-jobs/src/schedule/fleet/mod.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod demand;
 mod evacuate;
+mod gather;
 mod machine;
 mod moves;
 mod orders;
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -77,6 +77,7 @@
             let machine = Machine {
                 ordered: None,
                 idle_since: None,
+                only_lasting_since: None,
                 emptied_for: None,
                 reserved_for: None,
                 missing_since: None,
@@ -238,21 +239,22 @@
         self.machines.list_due = self.machines.list_due.min(self.now + LIST_INTERVAL_BUSY);
     }
 
-    /// Notes since when each machine has been idle.
+    /// Notes since when each machine has been idle, or has had nothing but work
+    /// that lasts.
     fn watch_idle(&mut self) {
-        let idle: Vec<(Box<str>, bool)> = self
-            .machines
-            .by_name
-            .iter()
-            .map(|(name, machine)| (name.clone(), self.is_idle(machine)))
+        let now = self.now;
+        let machines = self.machines.by_name.iter();
+        let seen: Vec<(Box<str>, bool, bool)> = machines
+            .map(|(name, machine)| {
+                let only_lasting = self.has_only_lasting(machine);
+                (name.clone(), self.is_idle(machine), only_lasting)
+            })
             .collect();
-        for (name, idle) in idle {
+        for (name, idle, only_lasting) in seen {
             let machine = &mut self.machines.by_name[&name];
-            machine.idle_since = match machine.idle_since {
-                _ if !idle => None,
-                None => Some(self.now),
-                since => since,
-            };
+            let since = |holds: bool, known: Option<Duration>| holds.then(|| known.unwrap_or(now));
+            machine.idle_since = since(idle, machine.idle_since);
+            machine.only_lasting_since = since(only_lasting, machine.only_lasting_since);
         }
     }
 }
--- a/crates/cleat-jobs/src/schedule/fleet/reserve.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/reserve.rs
@@ -9,6 +9,7 @@
 use super::moves::{Balances, FRAGMENTATION_PERCENT};
 use crate::schedule::Scheduler;
 use crate::schedule::worker::WorkerKey;
+use crate::state::ControlState;
 
 impl Scheduler {
     /// Reserves machines of other pools for one that lacks some.
@@ -46,7 +47,8 @@
             let fair = rest.workers > 0
                 && rest.met_milli() > lacking.with(view.capacity).met_milli()
                 && *view.pool != *pool;
-            let free = fair && self.may_share(machine, worker, pool);
+            let ends = self.workers[worker].lasting == 0;
+            let free = fair && ends && self.may_share(machine, worker, pool);
             free.then(|| {
                 (
                     u64::MAX - rest.met_milli(),
@@ -59,9 +61,8 @@
         ranked.min().map(|(_, name)| name.clone())
     }
 
-    /// Whether a machine's tasks end by themselves, and nothing else is
-    /// planned for it.
-    fn may_share(&self, machine: &Machine, key: WorkerKey, pool: &str) -> bool {
+    /// Whether nothing is planned for a machine and it may go to a pool.
+    pub(super) fn may_share(&self, machine: &Machine, key: WorkerKey, pool: &str) -> bool {
         let view = &machine.view;
         let free = machine.ordered.is_none()
             && machine.emptied_for.is_none()
@@ -71,19 +72,12 @@
         let refused = (view.name.clone(), pool.into());
         let worker = &self.workers[key];
         let stays = worker.answers() && !worker.draining && !worker.cordoned;
-        free && stays && !self.machines.refused.contains(&refused) && !self.has_lasting(key)
-    }
-
-    /// Whether a task runs on a worker that runs until it is cancelled.
-    fn has_lasting(&self, key: WorkerKey) -> bool {
-        let steps = self.steps.values().filter(|step| !step.order.ends);
-        let mut here = steps.filter_map(|step| step.placed.get(&key));
-        here.any(|count| *count > 0)
+        free && stays && !self.machines.refused.contains(&refused)
     }
 
     /// Moves the reserved machines that are empty, and lets go of those that
     /// are not needed any more.
-    pub(super) fn move_reserved(&mut self, balances: &Balances) {
+    pub(super) fn move_reserved(&mut self, state: &ControlState, balances: &Balances) {
         let waiting = self.machines.by_name.iter().filter_map(|(name, machine)| {
             let pool = machine.reserved_for.clone()?;
             let waits = machine.ordered.is_none();
@@ -92,8 +86,11 @@
         let reserved: Vec<_> = waiting.collect();
         for (name, pool, size) in reserved {
             let machine = &self.machines.by_name[&name];
-            let without = balances.get(&pool).map(|balance| balance.without(size));
-            let needed = without.is_some_and(|balance| !balance.suffices(FRAGMENTATION_PERCENT));
+            let needed = match balances.get(&pool) {
+                Some(balance) => !balance.without(size).suffices(FRAGMENTATION_PERCENT),
+                // The spare pool takes what another can do without.
+                None => self.is_dispensable(state, &name, balances),
+            };
             let gone = machine.view.state != MachineState::Up || machine.view.worker.is_none();
             if !needed || gone {
                 self.release(&name);
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -184,7 +184,10 @@
             } else {
                 left.cpu_milli
             };
-            (failed, far, cpu, left.memory_mb, *key)
+            // Work that lasts gathers on few workers, and other work fills those
+            // first, so that the rest fall idle and their machines can go.
+            let free_to_go = worker.lasting == 0;
+            (failed, far, free_to_go, cpu, left.memory_mb, *key)
         };
         let fits = |key: &&WorkerKey| {
             let worker = &self.workers[**key];
@@ -265,6 +268,7 @@
             worker: key,
             phase: Phase::Starting,
             footprint,
+            lasts: spec.long_running,
             began: self.now,
             at_work: false,
             checkpoint: checkpoint.clone(),
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -68,6 +68,10 @@
     pub(crate) confirmed: u64,
     /// Whether nothing is started here, since its machine is to go elsewhere.
     pub(crate) cordoned: bool,
+    /// How many of its runs go on until they are cancelled.
+    ///
+    /// Invariant: at most as many as `tasks`.
+    pub(crate) lasting: usize,
     /// Whether work fills there beside work that serves.
     pub(crate) shares: bool,
     /// Whether the replicated state says that something may run here, and
@@ -104,6 +108,7 @@
             cordoned: false,
             has_strays: false,
             listed_whole: false,
+            lasting: 0,
             shares: false,
             tasks: IndexSet::new(),
             state: if record.history.may_run {
