Keep work from a worker that became known after its machine was chosen

They were chosen while their worker had not sent a heartbeat, so there was no worker to keep work from; when it came, it took work for 30 s.

Ruled out: the limit at once (8 of 10 were free), orders without an answer, machines missing in lists, tasks that may not be away.

Change: each tick keeps work from the workers of all machines that are to be emptied. Whether anything is planned for a machine is asked in one place.

Measured: the test fails without it (the worker takes another task).

--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -80,6 +80,20 @@
     pub(crate) missing_since: Option<Duration>,
 }
 
+impl Machine {
+    /// Whether nothing was decided for it.
+    pub(crate) fn is_free(&self) -> bool {
+        self.ordered.is_none() && self.emptied_for.is_none() && self.reserved_for.is_none()
+    }
+
+    /// Whether something was decided for it that it has to be empty for.
+    pub(crate) fn is_planned(&self) -> bool {
+        let ordered = self.ordered.as_ref();
+        let waits = ordered.is_some_and(|ordered| ordered.accepted.is_none());
+        waits || self.emptied_for.is_some() || self.reserved_for.is_some()
+    }
+}
+
 /// All machines that the platform listed.
 #[derive(Debug, Default)]
 pub(crate) struct Machines {
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -70,9 +70,7 @@
     fn may_move(&self, machine: &Machine, pool: &str) -> bool {
         let view = &machine.view;
         let refused = (view.name.clone(), pool.into());
-        let free = machine.ordered.is_none()
-            && machine.emptied_for.is_none()
-            && machine.reserved_for.is_none();
+        let free = machine.is_free();
         let up = view.state == MachineState::Up && machine.missing_since.is_none();
         free && up && !self.machines.refused.contains(&refused) && self.is_idle(machine)
     }
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -27,6 +27,7 @@
         if self.machines.listed_at.is_none() {
             return;
         }
+        self.hold_planned();
         self.watch_idle();
         self.settle_orders();
         self.run_waves(state);
@@ -98,6 +99,20 @@
         }
     }
 
+    /// Keeps work from the workers whose machine is to be emptied, also from those
+    /// that became known after that was decided: else they go on taking work,
+    /// and a wave ends without their machine.
+    fn hold_planned(&mut self) {
+        let machines = self.machines.by_name.iter();
+        let planned = machines.filter(|(_, machine)| machine.is_planned());
+        let names: Vec<Box<str>> = planned.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            if let Some(worker) = self.worker_on(&name) {
+                self.workers[worker].cordoned = true;
+            }
+        }
+    }
+
     /// Ends the orders whose machine is up again, and repeats those that
     /// have no clear answer.
     fn settle_orders(&mut self) {
--- a/crates/cleat-jobs/src/schedule/fleet/reserve.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/reserve.rs
@@ -64,11 +64,8 @@
     /// Whether nothing is planned for a machine and it may go to a pool.
     pub(super) fn may_share(&self, machine: &Machine, key: WorkerKey, pool: &str) -> bool {
         let view = &machine.view;
-        let free = machine.ordered.is_none()
-            && machine.emptied_for.is_none()
-            && machine.reserved_for.is_none()
-            && view.state == MachineState::Up
-            && machine.missing_since.is_none();
+        let free =
+            machine.is_free() && view.state == MachineState::Up && machine.missing_since.is_none();
         let refused = (view.name.clone(), pool.into());
         let worker = &self.workers[key];
         let stays = worker.answers() && !worker.draining && !worker.cordoned;
--- a/crates/cleat-jobs/src/schedule/fleet/waves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/waves.rs
@@ -63,9 +63,7 @@
     fn may_begin(&self, name: &str) -> bool {
         let machine = self.machines.by_name.get(name);
         machine.is_some_and(|machine| {
-            let free = machine.ordered.is_none()
-                && machine.emptied_for.is_none()
-                && machine.reserved_for.is_none();
+            let free = machine.is_free();
             free && machine.view.state == MachineState::Up && machine.missing_since.is_none()
         })
     }
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -706,6 +706,27 @@
     assert_eq!(maintained.count(), 2);
 }
 
+/// A machine is chosen while its worker has not sent a heartbeat yet.
+#[test]
+fn wave_worker_known_after_its_machine_was_chosen_takes_no_work() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    list_machines(&mut bed, vec![machine("m-w2", "a", Some("w2"))]);
+    bed.apply(Command::StartWave {
+        wave: 1,
+        machines: vec!["m-w2".into()],
+        duration_ms: 10_000,
+        max_at_once: 1,
+    });
+    bed.tick(ms(3_000));
+    bed.add_worker("w2", "a");
+    let first = starts(&bed.submit(1, vec![step(4, 3_000)]));
+    assert_eq!(first.len(), 4, "two on each, before it is noticed");
+    bed.tick(ms(50));
+    let next = starts(&bed.submit(2, vec![step(2, 2_000)]));
+    let workers: Vec<&str> = next.iter().map(|(worker, _)| &**worker).collect();
+    assert_eq!(workers, ["w1"], "the room on w2 stays free");
+}
+
 /// Both pools have more to do than room; one has far more.
 #[test]
 fn move_shares_machines_between_full_pools() {
