Draw estimates to their queue's mean, and add what waits to what comes

Cause: estimates of the heavy queue are off by a factor of 2.5 either way (objectives of 1.6 to 31 s in one second), so a job whose estimate is five times too long looked as if it had 20 s to spare and went last, and one with a short estimate was given up as late. And a pool that held what comes never caught up with what waits: at the onset of a turn 1.5 s of jobs wait for the machines.

Change: Durations, a regression of the logarithms by queue, in place of one ratio and its bounds. A pool needs what runs, or what comes if that is more, and what waits beside.

--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -17,7 +17,7 @@
 pub use ids::{JobId, ParseTaskError, Run, StepId, TaskId};
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
-    Arrivals, Decision, Effect, EndedRun, Event, Heartbeat, MachineAnswer, MachineOrder,
+    Arrivals, Decision, Durations, Effect, EndedRun, Event, Heartbeat, MachineAnswer, MachineOrder,
     MachineState, MachineView, Order, OrderAnswer, Protections, RenewalAnswer, RenewalOrder,
     RunningTask, Scheduler, SchedulerConfig, TaskOrder, Work, WorkerState, WorkerView,
 };
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -30,6 +30,8 @@
     pub(super) workers: usize,
     /// How many workers its steps need that may put only so many tasks on one.
     least_workers: usize,
+    /// What waits, as far as machines are brought for it.
+    pending: Size,
     /// What runs.
     used: Size,
     /// How many tasks wait for room.
@@ -104,9 +106,10 @@
         self.add_work(&mut pools);
         self.add_workers(&mut pools);
         for (pool, balance) in &mut pools {
-            let forecast = self.times.forecast(pool, self.now) + self.lasting(pool);
-            balance.needed.cpu_milli = balance.needed.cpu_milli.max(forecast.cpu_milli);
-            balance.needed.memory_mb = balance.needed.memory_mb.max(forecast.memory_mb);
+            // What waits is behind what is coming: a pool that holds no more than
+            // what comes would never catch up.
+            let flow = self.times.forecast(pool, self.now) + self.lasting(pool);
+            balance.needed = balance.used.max_of_each(flow) + balance.pending;
         }
         pools
     }
@@ -149,7 +152,7 @@
                 Prospect::TooLate => TOO_LATE_PERCENT,
             };
             count = (count * percent).div_ceil(100);
-            balance.needed += step.footprint.times(count);
+            balance.pending += step.footprint.times(count);
         }
     }
 
@@ -160,7 +163,6 @@
             let Some(balance) = pools.get_mut(&record.pool) else {
                 continue;
             };
-            balance.needed += worker.used;
             balance.used += worker.used;
             if worker.answers() && !worker.draining && !worker.cordoned {
                 balance.offer(record.capacity);
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod beat;
 mod decision;
+mod durations;
 mod event;
 mod fleet;
 mod forecast;
@@ -31,6 +32,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 pub use decision::Decision;
+pub use durations::Durations;
 pub use event::{
     Effect, EndedRun, Event, Heartbeat, MachineAnswer, Order, OrderAnswer, RenewalAnswer,
     RenewalOrder, RunningTask, TaskOrder,
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -4,18 +4,13 @@
 
 use indexmap::IndexMap;
 
+use super::durations::Durations;
 use super::forecast::{Arrivals, Work};
 use super::worker::millis;
 use super::{Decision, Scheduler};
 use crate::state::Job;
 use crate::{JobId, JobSpec, Queue, Size, StepSpec};
 
-/// The weight of one observed task in the ratio of its queue: some 20 tasks,
-/// which a queue has within a second, make it.
-const RATIO_WEIGHT: f64 = 0.05;
-/// Estimates are off by a factor of three either way where they are bad;
-/// beyond that a single task says nothing.
-const RATIO_RANGE: (f64, f64) = (0.2, 5.0);
 /// How many times its objective a job may take and still be worth something.
 const WORTHLESS_AFTER: u32 = 3;
 /// The weight of one job in the mean work of its queue: some 30 jobs make it.
@@ -56,20 +51,13 @@
 /// What was learned of a queue.
 #[derive(Clone, Copy, Debug, Default)]
 struct QueueTimes {
-    /// How much longer its tasks take than their estimates say; none before the
-    /// first was done.
-    ratio: Option<f64>,
-    /// What its jobs take up by their estimates, on average, and how many made
-    /// that.
+    durations: Durations,
+    /// What its jobs take up on average, and how many made that.
     work: Work,
     jobs: u32,
 }
 
 impl QueueTimes {
-    fn ratio(&self) -> f64 {
-        self.ratio.unwrap_or(1.0)
-    }
-
     /// Takes a job into the mean work.
     fn note_work(&mut self, work: Work) {
         self.jobs = self.jobs.saturating_add(1);
@@ -87,26 +75,16 @@
 }
 
 impl Times {
-    fn ratio(&self, queue: &str) -> f64 {
-        self.queues.get(queue).map_or(1.0, QueueTimes::ratio)
-    }
-
     /// Takes a task that was done into account.
     pub(crate) fn learn(&mut self, queue: &str, estimate_ms: u64, ran: Duration) {
-        if estimate_ms == 0 {
-            return;
-        }
-        let (low, high) = RATIO_RANGE;
-        #[allow(clippy::cast_precision_loss)]
-        let seen = (millis(ran) as f64 / estimate_ms as f64).clamp(low, high);
         let times = self.queues.entry(queue.into()).or_default();
-        let known = times.ratio();
-        times.ratio = Some(known + RATIO_WEIGHT * (seen - known));
+        times.durations.learn(estimate_ms, ran);
     }
 
     /// How long a task of this estimate takes in a queue.
     pub(crate) fn expect(&self, queue: &str, estimate_ms: u64) -> Duration {
-        Duration::from_millis(estimate_ms).mul_f64(self.ratio(queue))
+        let times = self.queues.get(queue).copied().unwrap_or_default();
+        times.durations.expect(estimate_ms)
     }
 
     /// How long the longest chain of a job's steps takes from each step on,
@@ -128,17 +106,16 @@
     /// Notes a job that came for a pool.
     fn arrive(&mut self, queue: &Queue, spec: &JobSpec, at: Duration) {
         let ends = spec.steps.iter().filter(|step| !step.long_running);
-        let work = ends.fold(Work::default(), add_step);
+        let work = ends.fold(Work::default(), |sum, step| {
+            let took = self.expect(&queue.name, step.estimate_ms);
+            add_step(sum, step, took)
+        });
         if work == Work::default() {
             return;
         }
         let times = self.queues.entry(queue.name.clone()).or_default();
         times.note_work(work);
-        let ratio = times.ratio();
-        let mean = Work {
-            cpu_ms: times.work.cpu_ms * ratio,
-            memory_ms: times.work.memory_ms * ratio,
-        };
+        let mean = times.work;
         let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
         arrivals.note(at, mean);
     }
@@ -151,8 +128,8 @@
 }
 
 #[allow(clippy::cast_precision_loss)]
-fn add_step(sum: Work, step: &StepSpec) -> Work {
-    let ms = (step.estimate_ms * u64::from(step.count)) as f64;
+fn add_step(sum: Work, step: &StepSpec, took: Duration) -> Work {
+    let ms = took.as_secs_f64() * 1_000.0 * f64::from(step.count);
     let size = step.footprint();
     Work {
         cpu_ms: sum.cpu_ms + size.cpu_milli as f64 * ms,
--- a/crates/cleat-jobs/tests/scheduler.rs
+++ b/crates/cleat-jobs/tests/scheduler.rs
@@ -671,6 +671,25 @@
     assert!(moved(&effects).len() >= 12, "{}", moved(&effects).len());
 }
 
+/// What waits has to be done beside what goes on coming, or the pool would never
+/// catch up.
+#[test]
+fn move_machines_for_what_waits_and_what_comes() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let names: Vec<String> = (0..20).map(|at| format!("s{at}")).collect();
+    let spares = names.iter().map(|name| machine(name, "spare", None));
+    let own = machine("m-w1", "a", Some("w1"));
+    list_machines(&mut bed, spares.chain([own]).collect());
+    bed.tick(ms(3_000));
+    for job in 0..20 {
+        bed.now += ms(12);
+        bed.submit(job, vec![step(1, 1_000)]);
+    }
+    // 80 jobs a second of half a core second are 40 cores, and 12 tasks of a
+    // core wait: with a tenth left unused, eight machines of 8 cores.
+    assert_eq!(moved(&bed.tick(ms(1))).len(), 7);
+}
+
 #[test]
 fn move_idle_machine_back_to_the_spare_pool() {
     let workers = ["w1", "w2", "w3"];
