End lives whose machine is listed without them

Change: two lists in a row, both asked for after the life was known, that show its machine as down, moving, maintained or with another worker, and name it nowhere, end it. A state that is not known here is no evidence any more (it was taken as down). Lists come every 0.4 s while a worker does not answer.

--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -211,7 +211,7 @@
     let arrives = match view.state {
         MachineState::Moving | MachineState::Maintained => true,
         MachineState::Up => view.worker.is_some(),
-        MachineState::Down => false,
+        MachineState::Down | MachineState::Unknown => false,
     };
     arrives.then_some(&*view.pool)
 }
--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -19,6 +19,9 @@
     Maintained,
     /// It is away for another cause.
     Down,
+    /// The platform says something that is not known here. The machine is not
+    /// used, and nothing is concluded.
+    Unknown,
 }
 
 /// One machine as listed.
--- a/crates/cleat-jobs/src/schedule/fleet/mod.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Machines: which pool they work for, and when they are maintained.
 
+mod absent;
 mod demand;
 mod evacuate;
 mod gather;
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -11,7 +11,8 @@
 
 /// How often the machines are listed; a list is one call for 200 machines.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
-/// The same while an order is under way, so that its end is seen soon.
+/// The same while an order is under way or a worker does not answer, so that
+/// the end of either is seen soon.
 const LIST_INTERVAL_BUSY: Duration = Duration::from_millis(400);
 /// How long after an order without a clear answer it is repeated. It is
 /// idempotent.
@@ -48,9 +49,7 @@
         sent_at: Duration,
         list: Option<Vec<MachineView>>,
     ) {
-        let mut machines = self.machines.by_name.values();
-        let busy = machines.any(|machine| machine.ordered.is_some());
-        let interval = if busy {
+        let interval = if self.awaits_a_list() {
             LIST_INTERVAL_BUSY
         } else {
             LIST_INTERVAL
@@ -61,6 +60,7 @@
             return;
         };
         self.machines.listed_at = Some(sent_at);
+        self.end_absent_lives(&list, sent_at);
         let names: IndexSet<Box<str>> = list.iter().map(|view| view.name.clone()).collect();
         for view in list {
             self.take_view(view, sent_at);
@@ -73,6 +73,14 @@
         }
     }
 
+    /// Whether a list tells something that is waited for.
+    fn awaits_a_list(&self) -> bool {
+        let mut machines = self.machines.by_name.values();
+        let mut workers = self.workers.iter();
+        machines.any(|machine| machine.ordered.is_some())
+            || workers.any(|(_, worker)| worker.is_out_of_reach())
+    }
+
     fn take_view(&mut self, view: MachineView, sent_at: Duration) {
         let Some(machine) = self.machines.by_name.get_mut(&view.name) else {
             let machine = Machine {
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -81,6 +81,9 @@
     pub(crate) recording: bool,
     /// Since when this owner has known of it.
     pub(crate) known_since: Duration,
+    /// When the first of the lists of machines was asked for that, without a
+    /// break, say that it is not on its machine.
+    pub(crate) absent_since: Option<Duration>,
     /// Whether it has listed all its runs and ends to this owner.
     pub(crate) listed_whole: bool,
     /// Whether it lists runs that should not be there.
@@ -107,6 +110,7 @@
             known_since: now,
             cordoned: false,
             has_strays: false,
+            absent_since: None,
             listed_whole: false,
             lasting: 0,
             shares: false,
@@ -152,6 +156,11 @@
         self.answers() && self.recorded && stays && now >= self.shunned_until
     }
 
+    /// Whether it may run something and does not answer.
+    pub(crate) fn is_out_of_reach(&self) -> bool {
+        matches!(self.state, WorkerState::Unseen | WorkerState::Silent)
+    }
+
     /// Whether nothing that an earlier owner started here can be unknown: it
     /// listed all of it, or its lease is over.
     pub(crate) fn is_known(&self) -> bool {
