--- a/crates/cleat-jobs/tests/absent.rs
+++ b/crates/cleat-jobs/tests/absent.rs
@@ -5,29 +5,21 @@
 use std::time::Duration;
 
 use cleat_jobs::{Effect, Event, MachineState, MachineView, RenewalAnswer};
-use scaffold::{Bed, record, starts, step};
+use scaffold::{Bed, list_machines, starts, step};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
 fn machine(name: &str, state: MachineState, worker: Option<&str>) -> MachineView {
-    MachineView {
-        name: name.into(),
-        pool: "a".into(),
-        state,
-        worker: worker.map(Into::into),
-        capacity: record("any", "a").capacity,
-        labels: Vec::new(),
-    }
+    let view = scaffold::machine(name, "a", worker);
+    MachineView { state, ..view }
 }
 
 /// A list that was asked for now.
 fn list(bed: &mut Bed, machines: &[MachineView]) -> Vec<Effect> {
     bed.now += ms(100);
-    let sent_at = bed.now;
-    let machines = Some(machines.to_vec());
-    bed.feed(Event::MachinesListed { sent_at, machines })
+    list_machines(bed, machines.to_vec())
 }
 
 /// A new owner that has heard of `w1` and not of `w2`, on which the job's task
--- a/crates/cleat-jobs/tests/gather.rs
+++ b/crates/cleat-jobs/tests/gather.rs
@@ -4,25 +4,15 @@
 
 use std::time::Duration;
 
-use cleat_jobs::{
-    Effect, EndKind, Event, MachineOrder, MachineState, MachineView, RenewalAnswer, StepSpec,
-    TaskOrder,
-};
-use scaffold::{Bed, end, record, running, starts, step, stops, task};
+use cleat_jobs::{EndKind, MachineView, RenewalAnswer, StepSpec, TaskOrder};
+use scaffold::{Bed, end, list_machines, machine, moved, running, starts, step, stops, task};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-fn machine(worker: &str) -> MachineView {
-    MachineView {
-        name: format!("m-{worker}").into(),
-        pool: "a".into(),
-        state: MachineState::Up,
-        worker: Some(worker.into()),
-        capacity: record("any", "a").capacity,
-        labels: Vec::new(),
-    }
+fn machine_of(worker: &str) -> MachineView {
+    machine(&format!("m-{worker}"), "a", Some(worker))
 }
 
 fn lasting(count: u32, max_unavailable: u32) -> StepSpec {
@@ -40,12 +30,8 @@
     bed.submit(1, vec![lasting(count, max_unavailable)]);
     bed.replace_owner();
     list(&mut bed, workers);
-    let machines = workers.iter().map(|worker| machine(worker)).collect();
-    let sent_at = bed.now;
-    bed.feed(Event::MachinesListed {
-        sent_at,
-        machines: Some(machines),
-    });
+    let machines = workers.iter().map(|worker| machine_of(worker));
+    list_machines(&mut bed, machines.collect());
     bed
 }
 
@@ -73,18 +59,6 @@
     None
 }
 
-fn moves(effects: &[Effect]) -> Vec<(Box<str>, Box<str>)> {
-    let order = |effect: &Effect| match effect {
-        Effect::OrderMachine {
-            machine,
-            order: MachineOrder::Move { pool },
-            ..
-        } => Some((machine.clone(), pool.clone())),
-        _ => None,
-    };
-    effects.iter().filter_map(order).collect()
-}
-
 #[test]
 fn gather_empties_a_machine_and_sends_it_back() {
     let workers = ["w1", "w2"];
@@ -100,7 +74,7 @@
     bed.confirm_renewal(&from, 1, RenewalAnswer::default());
     let effects = bed.tick(ms(50));
     assert_eq!(
-        moves(&effects),
+        moved(&effects),
         vec![(format!("m-{from}").into(), "spare".into())]
     );
 }
@@ -135,9 +109,7 @@
     bed.submit(1, vec![apart]);
     bed.replace_owner();
     list(&mut bed, &workers);
-    let machines = Some(workers.map(machine).to_vec());
-    let sent_at = bed.now;
-    bed.feed(Event::MachinesListed { sent_at, machines });
+    list_machines(&mut bed, workers.map(machine_of).to_vec());
     assert!(first_stop(&mut bed, &workers, ms(4_000)).is_none());
 }
 
--- /dev/null
+++ b/crates/cleat-jobs/tests/machines.rs
@@ -0,0 +1,172 @@
+//! Machines that follow the demand, and waves of maintenance.
+
+mod scaffold;
+
+use std::time::Duration;
+
+use cleat_jobs::{Command, EndKind, RenewalAnswer, StepSpec};
+use scaffold::{Bed, end, ended, ends, list_machines, machine, moved, starts, step};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn move_spare_machine_to_a_full_pool() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let fleet = || {
+        vec![
+            machine("m-w1", "a", Some("w1")),
+            machine("m1", "spare", None),
+        ]
+    };
+    list_machines(&mut bed, fleet());
+    bed.submit(1, vec![step(3, 4_000)]);
+    let effects = bed.tick(ms(50));
+    assert_eq!(moved(&effects), vec![("m1".into(), "a".into())]);
+    assert!(moved(&bed.tick(ms(50))).is_empty(), "one is enough");
+}
+
+/// Room there is, but not enough workers to keep the tasks apart.
+#[test]
+fn move_spare_machine_for_tasks_kept_apart() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let fleet = || {
+        vec![
+            machine("m-w1", "a", Some("w1")),
+            machine("m1", "spare", None),
+        ]
+    };
+    list_machines(&mut bed, fleet());
+    let apart = StepSpec {
+        max_per_worker: Some(1),
+        ..step(2, 100)
+    };
+    bed.submit(1, vec![apart]);
+    assert_eq!(moved(&bed.tick(ms(50))), vec![("m1".into(), "a".into())]);
+}
+
+/// Twenty jobs within 80 ms tell what a whole turn of demand will need.
+#[test]
+fn move_machines_for_a_rise_of_demand() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let names: Vec<String> = (0..20).map(|at| format!("s{at}")).collect();
+    let spares = names.iter().map(|name| machine(name, "spare", None));
+    let own = machine("m-w1", "a", Some("w1"));
+    list_machines(&mut bed, spares.chain([own]).collect());
+    bed.tick(ms(3_000));
+    for job in 0..20 {
+        bed.now += ms(4);
+        bed.submit(job, vec![step(1, 1_000)]);
+    }
+    let effects = bed.tick(ms(1));
+    // 20 jobs of 0.5 core seconds in 77 ms are 130 cores, a machine has 8.
+    assert!(moved(&effects).len() >= 12, "{}", moved(&effects).len());
+}
+
+/// What waits has to be done beside what goes on coming, or the pool would never
+/// catch up.
+#[test]
+fn move_machines_for_what_waits_and_what_comes() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let names: Vec<String> = (0..20).map(|at| format!("s{at}")).collect();
+    let spares = names.iter().map(|name| machine(name, "spare", None));
+    let own = machine("m-w1", "a", Some("w1"));
+    list_machines(&mut bed, spares.chain([own]).collect());
+    bed.tick(ms(3_000));
+    for job in 0..20 {
+        bed.now += ms(12);
+        bed.submit(job, vec![step(1, 1_000)]);
+    }
+    // 80 jobs a second of half a core second are 40 cores, and 12 tasks of a
+    // core wait: with a tenth left unused, eight machines of 8 cores.
+    assert_eq!(moved(&bed.tick(ms(1))).len(), 7);
+}
+
+#[test]
+fn move_idle_machine_back_to_the_spare_pool() {
+    let workers = ["w1", "w2", "w3"];
+    let mut bed = Bed::with_workers(&workers);
+    let fleet = workers.map(|name| machine(&format!("m-{name}"), "a", Some(name)));
+    list_machines(&mut bed, fleet.to_vec());
+    assert!(moved(&bed.tick(ms(50))).is_empty(), "not at once");
+    let back = moved(&bed.tick(ms(1_000)));
+    assert_eq!(back.len(), 1, "two stay: {back:?}");
+    assert_eq!(&*back[0].1, "spare");
+}
+
+#[test]
+fn wave_maintains_at_most_so_many_at_once() {
+    let workers = ["w1", "w2", "w3"];
+    let mut bed = Bed::with_workers(&workers);
+    let fleet = workers.map(|name| machine(&format!("m-{name}"), "a", Some(name)));
+    list_machines(&mut bed, fleet.to_vec());
+    bed.apply(Command::StartWave {
+        wave: 1,
+        machines: workers.map(|name| format!("m-{name}").into()).to_vec(),
+        duration_ms: 10_000,
+        max_at_once: 2,
+    });
+    let effects = bed.tick(ms(3_000));
+    let maintained = effects.iter().filter(|effect| {
+        let order = match effect {
+            cleat_jobs::Effect::OrderMachine { order, .. } => order,
+            _ => return false,
+        };
+        matches!(order, cleat_jobs::MachineOrder::Maintain { wave: 1 })
+    });
+    assert_eq!(maintained.count(), 2);
+}
+
+/// A machine is chosen while its worker has not sent a heartbeat yet.
+#[test]
+fn wave_worker_known_after_its_machine_was_chosen_takes_no_work() {
+    let mut bed = Bed::with_workers(&["w1"]);
+    list_machines(&mut bed, vec![machine("m-w2", "a", Some("w2"))]);
+    bed.apply(Command::StartWave {
+        wave: 1,
+        machines: vec!["m-w2".into()],
+        duration_ms: 10_000,
+        max_at_once: 1,
+    });
+    bed.tick(ms(3_000));
+    bed.add_worker("w2", "a");
+    let first = starts(&bed.submit(1, vec![step(4, 3_000)]));
+    assert_eq!(first.len(), 4, "two on each, before it is noticed");
+    bed.tick(ms(50));
+    let next = starts(&bed.submit(2, vec![step(2, 2_000)]));
+    let workers: Vec<&str> = next.iter().map(|(worker, _)| &**worker).collect();
+    assert_eq!(workers, ["w1"], "the room on w2 stays free");
+}
+
+/// Both pools have more to do than room; one has far more.
+#[test]
+fn move_shares_machines_between_full_pools() {
+    let workers = ["w1", "w2", "w3"];
+    let mut bed = Bed::with_workers(&workers);
+    bed.add_worker("w4", "b");
+    let mut fleet = workers
+        .map(|name| machine(&format!("m-{name}"), "a", Some(name)))
+        .to_vec();
+    fleet.push(machine("m-w4", "b", Some("w4")));
+    list_machines(&mut bed, fleet);
+    let started = starts(&bed.submit(1, vec![step(6, 4_000)]));
+    assert_eq!(started.len(), 6, "the three workers are full");
+    bed.submit_to(1, 2, vec![step(10, 4_000)]);
+    assert!(moved(&bed.tick(ms(50))).is_empty(), "none is idle");
+    let mut given = Vec::new();
+    for name in workers {
+        let here = started.iter().filter(|(worker, _)| **worker == *name);
+        let listed: Vec<_> = (1..)
+            .zip(here)
+            .map(|(number, (_, order))| end(number, order.task, 1, EndKind::Done))
+            .collect();
+        bed.answer_renewal(name, ended(listed.clone()));
+        bed.apply(ends(name, listed));
+        let confirmed = RenewalAnswer::default();
+        bed.confirm_renewal(name, 2, confirmed);
+        given.extend(moved(&bed.tick(ms(50))));
+    }
+    assert!(!given.is_empty(), "one was kept free for it");
+    assert!(given.iter().all(|(_, pool)| &**pool == "b"), "{given:?}");
+}
--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -7,8 +7,9 @@
 
 use cleat_jobs::{
     Catalogue, Command, ControlState, Effect, End, EndKind, Event, Heartbeat, JobId, JobSpec,
-    Order, OrderAnswer, Pool, Queue, RenewalAnswer, Run, RunningTask, Scheduler, SchedulerConfig,
-    Size, StepId, StepSpec, TaskEnd, TaskId, TaskOrder, WorkerHistory, WorkerRecord, WorkerState,
+    MachineOrder, MachineState, MachineView, Order, OrderAnswer, Pool, Queue, RenewalAnswer, Run,
+    RunningTask, Scheduler, SchedulerConfig, Size, StepId, StepSpec, TaskEnd, TaskId, TaskOrder,
+    WorkerHistory, WorkerRecord, WorkerState,
 };
 
 pub(crate) fn queue(name: &str, pool: &str) -> Queue {
@@ -333,3 +334,43 @@
     let all = orders(effects, |order| matches!(order, Order::Pace(_)));
     all.into_iter().filter_map(pace).collect()
 }
+
+/// A machine of pool `pool` that is up.
+pub(crate) fn machine(name: &str, pool: &str, worker: Option<&str>) -> MachineView {
+    MachineView {
+        name: name.into(),
+        pool: pool.into(),
+        state: MachineState::Up,
+        worker: worker.map(Into::into),
+        capacity: record("any", pool).capacity,
+        labels: Vec::new(),
+    }
+}
+
+/// Lets the platform answer a list that was asked for now.
+pub(crate) fn list_machines(bed: &mut Bed, machines: Vec<MachineView>) -> Vec<Effect> {
+    let sent_at = bed.now;
+    let machines = Some(machines);
+    bed.feed(Event::MachinesListed { sent_at, machines })
+}
+
+/// The moves among effects, with their pools.
+pub(crate) fn moved(effects: &[Effect]) -> Vec<(Box<str>, Box<str>)> {
+    let order = |effect: &Effect| match effect {
+        Effect::OrderMachine {
+            machine,
+            order: MachineOrder::Move { pool },
+            ..
+        } => Some((machine.clone(), pool.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(order).collect()
+}
+
+/// An answer to a renewal that lists these ends and no runs.
+pub(crate) fn ended(ends: Vec<TaskEnd>) -> RenewalAnswer {
+    RenewalAnswer {
+        ended: ends,
+        ..RenewalAnswer::default()
+    }
+}
