Remove the gathering of lasting work

Change: its module, its tests and what only they used. Lasting work still goes to workers that have some.

--- a/crates/cleat-jobs/src/schedule/fleet/evacuate.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/evacuate.rs
@@ -67,23 +67,4 @@
         self.choose(task.step, task.index, spec, &candidates)
             .is_some()
     }
-
-    /// The same, on another worker than `here`.
-    pub(super) fn has_place_beside(
-        &self,
-        task: TaskId,
-        spec: &crate::StepSpec,
-        here: WorkerKey,
-    ) -> bool {
-        let Some(step) = self.steps.get(&task.step) else {
-            return false;
-        };
-        let mut candidates = self.candidates(&step.pool);
-        candidates.retain(|key| *key != here);
-        // Where the adviser has to permit a place, there may be none.
-        !step.advised
-            && self
-                .choose(task.step, task.index, spec, &candidates)
-                .is_some()
-    }
 }
--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -73,8 +73,6 @@
     pub(crate) ordered: Option<Ordered>,
     /// Since when nothing runs there.
     pub(crate) idle_since: Option<Duration>,
-    /// Since when nothing runs there but what goes on until it is cancelled.
-    pub(crate) only_lasting_since: Option<Duration>,
     /// The wave for which it is being emptied.
     pub(crate) emptied_for: Option<u64>,
     /// The pool to which it goes once it is empty.
--- a/crates/cleat-jobs/src/schedule/fleet/mod.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/mod.rs
@@ -3,7 +3,6 @@
 mod absent;
 mod demand;
 mod evacuate;
-mod gather;
 mod machine;
 mod moves;
 mod orders;
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -39,10 +39,9 @@
         for pool in without_donor {
             self.reserve(&pool, &mut balances);
         }
-        self.move_reserved(state, &balances);
+        self.move_reserved(&balances);
         let mut balances = self.balances(state);
         self.send_back(state, &mut balances);
-        self.gather(state, &mut balances);
     }
 
     /// An idle machine for a pool: a spare one, else one of the pool that has
@@ -149,7 +148,7 @@
     pool.is_some_and(|pool| pool.spare)
 }
 
-pub(super) fn spare_pool(state: &ControlState) -> Option<Box<str>> {
+fn spare_pool(state: &ControlState) -> Option<Box<str>> {
     let catalogue = state.catalogue.as_ref()?;
     let spare = catalogue.pools.values().find(|pool| pool.spare)?;
     Some(spare.name.clone())
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -86,7 +86,6 @@
             let machine = Machine {
                 ordered: None,
                 idle_since: None,
-                only_lasting_since: None,
                 emptied_for: None,
                 reserved_for: None,
                 missing_since: None,
@@ -262,22 +261,16 @@
         self.machines.list_due = self.machines.list_due.min(self.now + LIST_INTERVAL_BUSY);
     }
 
-    /// Notes since when each machine has been idle, or has had nothing but work
-    /// that lasts.
+    /// Notes since when each machine has been idle.
     fn watch_idle(&mut self) {
         let now = self.now;
         let machines = self.machines.by_name.iter();
-        let seen: Vec<(Box<str>, bool, bool)> = machines
-            .map(|(name, machine)| {
-                let only_lasting = self.has_only_lasting(machine);
-                (name.clone(), self.is_idle(machine), only_lasting)
-            })
+        let seen: Vec<(Box<str>, bool)> = machines
+            .map(|(name, machine)| (name.clone(), self.is_idle(machine)))
             .collect();
-        for (name, idle, only_lasting) in seen {
+        for (name, idle) in seen {
             let machine = &mut self.machines.by_name[&name];
-            let since = |holds: bool, known: Option<Duration>| holds.then(|| known.unwrap_or(now));
-            machine.idle_since = since(idle, machine.idle_since);
-            machine.only_lasting_since = since(only_lasting, machine.only_lasting_since);
+            machine.idle_since = idle.then(|| machine.idle_since.unwrap_or(now));
         }
     }
 }
--- a/crates/cleat-jobs/src/schedule/fleet/reserve.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/reserve.rs
@@ -9,7 +9,6 @@
 use super::moves::{Balances, FRAGMENTATION_PERCENT};
 use crate::schedule::Scheduler;
 use crate::schedule::worker::WorkerKey;
-use crate::state::ControlState;
 
 impl Scheduler {
     /// Reserves machines of other pools for one that lacks some.
@@ -62,7 +61,7 @@
     }
 
     /// Whether nothing is planned for a machine and it may go to a pool.
-    pub(super) fn may_share(&self, machine: &Machine, key: WorkerKey, pool: &str) -> bool {
+    fn may_share(&self, machine: &Machine, key: WorkerKey, pool: &str) -> bool {
         let view = &machine.view;
         let free =
             machine.is_free() && view.state == MachineState::Up && machine.missing_since.is_none();
@@ -74,7 +73,7 @@
 
     /// Moves the reserved machines that are empty, and lets go of those that
     /// are not needed any more.
-    pub(super) fn move_reserved(&mut self, state: &ControlState, balances: &Balances) {
+    pub(super) fn move_reserved(&mut self, balances: &Balances) {
         let waiting = self.machines.by_name.iter().filter_map(|(name, machine)| {
             let pool = machine.reserved_for.clone()?;
             let waits = machine.ordered.is_none();
@@ -83,11 +82,8 @@
         let reserved: Vec<_> = waiting.collect();
         for (name, pool, size) in reserved {
             let machine = &self.machines.by_name[&name];
-            let needed = match balances.get(&pool) {
-                Some(balance) => !balance.without(size).suffices(FRAGMENTATION_PERCENT),
-                // The spare pool takes what another can do without.
-                None => self.is_dispensable(state, &name, balances),
-            };
+            let without = balances.get(&pool).map(|balance| balance.without(size));
+            let needed = without.is_some_and(|balance| !balance.suffices(FRAGMENTATION_PERCENT));
             let gone = machine.view.state != MachineState::Up || machine.view.worker.is_none();
             if !needed || gone {
                 self.release(&name);
