Turn calls that wait for an earlier leader to the one that answers

The gateway waits 0.6 s for an instance before it asks another, whatever other calls find out meanwhile.

Ruled out: reads by a leader without its lease or before its first entry is committed (both are checked by the core, and applied before they are published).

Change: a call that waits turns to another leader once that has answered some other call; what the instance asked before made of it is not known, as with a time-out. What a control instance believes of the leader turns no call away.

Not shown: a test without wall time; the issue on changes of owner keeps it.

--- a/crates/cleat-control/src/leader.rs
+++ b/crates/cleat-control/src/leader.rs
@@ -1,13 +1,13 @@
 //! Finding the leader and asking it.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use cleat_link::{AskError, CallError, ControlCall, ControlError, ControlReply, LinkTraffic};
 use cleat_quorum::MemberId;
 use cleat_telemetry::EventLog;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use crate::PeerAddress;
@@ -42,8 +42,11 @@
 pub struct Gateway {
     seeds: ArcSwap<Vec<MemberId>>,
     links: Arc<Links>,
-    /// The key of the leader as last heard of.
-    leader: AtomicU32,
+    /// The key of the leader as last heard of. Calls that wait for an earlier one
+    /// turn to the new one at once: else one that a frozen leader holds would be
+    /// answered 0.6 s after others that came later, and by a newer configuration
+    /// than theirs.
+    leader: watch::Sender<u32>,
     metrics: Metrics,
     events: EventLog,
 }
@@ -53,6 +56,8 @@
     Answered(ControlReply),
     /// Ask this instance.
     Elsewhere(MemberId),
+    /// Another leads by now; the instance asked may have taken the call.
+    Replaced(MemberId),
     /// Ask any other.
     NoLeader {
         may_be_done: bool,
@@ -80,7 +85,7 @@
         Gateway {
             seeds: ArcSwap::from_pointee(seeds),
             links,
-            leader: AtomicU32::new(NOBODY),
+            leader: watch::Sender::new(NOBODY),
             metrics,
             events,
         }
@@ -94,7 +99,11 @@
     /// Sets who leads, if that is known from elsewhere.
     pub(crate) fn expect_leader(&self, leader: Option<MemberId>) {
         if let Some(MemberId(key)) = leader {
-            self.leader.store(key, Ordering::Relaxed);
+            // A belief: calls under way are not turned away for it.
+            self.leader.send_if_modified(|leader| {
+                *leader = key;
+                false
+            });
         }
     }
 
@@ -138,23 +147,32 @@
                 self.seed(next_seed)
             });
             call.note_wait(began.elapsed());
-            match self.try_at(target, call.clone(), left.min(TRY_LIMIT)).await {
+            let tried = tokio::select! {
+                tried = self.try_at(target, call.clone(), left.min(TRY_LIMIT)) => tried,
+                leader = self.another_leader(target) => Try::Replaced(leader),
+            };
+            match tried {
                 Try::Answered(reply) => {
-                    self.leader.store(target.0, Ordering::Relaxed);
+                    self.note_leader(target);
                     return Ok(reply);
                 }
+                Try::Replaced(leader) => {
+                    may_be_done = true;
+                    at = Some(leader);
+                }
                 Try::Refused(source) => return Err(AskError::Refused { source }),
                 Try::Elsewhere(leader) if leader != target => at = Some(leader),
                 Try::Elsewhere(_) => sleep(NO_LEADER_PAUSE).await,
                 Try::NoLeader { may_be_done: maybe } => {
                     may_be_done |= maybe;
                     // The others may already know a better one.
-                    let _ = self.leader.compare_exchange(
-                        target.0,
-                        NOBODY,
-                        Ordering::Relaxed,
-                        Ordering::Relaxed,
-                    );
+                    self.leader.send_if_modified(|leader| {
+                        let believed = *leader == target.0;
+                        if believed {
+                            *leader = NOBODY;
+                        }
+                        believed
+                    });
                     sleep(NO_LEADER_PAUSE.min(left)).await;
                 }
             }
@@ -178,12 +196,33 @@
     }
 
     fn known_leader(&self) -> Option<MemberId> {
-        match self.leader.load(Ordering::Relaxed) {
+        match *self.leader.borrow() {
             NOBODY => None,
             key => Some(MemberId(key)),
         }
     }
 
+    /// Notes who answered as the leader, and turns calls under way to it.
+    fn note_leader(&self, MemberId(key): MemberId) {
+        self.leader
+            .send_if_modified(|leader| std::mem::replace(leader, key) != key);
+    }
+
+    /// Waits until another leader than `target` is heard of.
+    async fn another_leader(&self, target: MemberId) -> MemberId {
+        let mut changes = self.leader.subscribe();
+        loop {
+            // The sender is this gateway's own and lives as long as the wait.
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+            let key = *changes.borrow_and_update();
+            if key != NOBODY && key != target.0 {
+                return MemberId(key);
+            }
+        }
+    }
+
     fn seed(&self, turn: usize) -> MemberId {
         // The settings refuse an empty list.
         let seeds = self.seeds.load();
