--- a/crates/celerycleatd/src/roles/gateway.rs
+++ b/crates/celerycleatd/src/roles/gateway.rs
@@ -16,8 +16,8 @@
 
 /// How often the gateway makes sure that it finds the leader.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// How long it looks before it says that it is not ready: an election takes
-/// 1.1 s at most, as a rule.
+/// How long it looks before it says that it is not ready: well above the wait
+/// before an election (0.6 s at most) and the election itself.
 const PROBE_LIMIT: Duration = Duration::from_millis(1_500);
 /// How long callers are still taken after a stop was asked for. The platform
 /// asks once a second and turns away after two refusals.
--- a/crates/cleat-control/src/leader.rs
+++ b/crates/cleat-control/src/leader.rs
@@ -16,8 +16,8 @@
 use crate::metrics::{Metrics, call_kind};
 
 /// How long one instance may take before another is asked. Far above the time
-/// of a commit (a sync of 6 ms and a round trip), below that of an election
-/// (1.1 s).
+/// of a commit (a sync of 6 to 9 ms and a round trip), as long as the longest
+/// wait before an election.
 const TRY_LIMIT: Duration = Duration::from_millis(600);
 /// The pause after an instance that knows no leader: a fraction of an election.
 const NO_LEADER_PAUSE: Duration = Duration::from_millis(40);
--- a/crates/cleat-jobs/tests/machines.rs
+++ b/crates/cleat-jobs/tests/machines.rs
@@ -11,16 +11,17 @@
     Duration::from_millis(ms)
 }
 
+/// One worker, and one machine in the spare pool.
+fn bed_with_a_spare_machine() -> Bed {
+    let mut bed = Bed::with_workers(&["w1"]);
+    let own = machine("m-w1", "a", Some("w1"));
+    list_machines(&mut bed, vec![own, machine("m1", "spare", None)]);
+    bed
+}
+
 #[test]
 fn move_spare_machine_to_a_full_pool() {
-    let mut bed = Bed::with_workers(&["w1"]);
-    let fleet = || {
-        vec![
-            machine("m-w1", "a", Some("w1")),
-            machine("m1", "spare", None),
-        ]
-    };
-    list_machines(&mut bed, fleet());
+    let mut bed = bed_with_a_spare_machine();
     bed.submit(1, vec![step(3, 4_000)]);
     let effects = bed.tick(ms(50));
     assert_eq!(moved(&effects), vec![("m1".into(), "a".into())]);
@@ -30,14 +31,7 @@
 /// Room there is, but not enough workers to keep the tasks apart.
 #[test]
 fn move_spare_machine_for_tasks_kept_apart() {
-    let mut bed = Bed::with_workers(&["w1"]);
-    let fleet = || {
-        vec![
-            machine("m-w1", "a", Some("w1")),
-            machine("m1", "spare", None),
-        ]
-    };
-    list_machines(&mut bed, fleet());
+    let mut bed = bed_with_a_spare_machine();
     let apart = StepSpec {
         max_per_worker: Some(1),
         ..step(2, 100)
