Hold a budget of connections, one for orders to each worker

Cause: the owner of 382 workers had 1,119 connections for orders (three a worker, as a worker is filled by several starts at once), 382 for renewals and 382 that workers opened for heartbeats, as every answer named the leader. At 301 machines and 2,998 workers that is 4,014 of 4,096 descriptors. Ruled out: connections to earlier lives (they are closed with their worker).

--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cleat_control::{ControlConfig, ControlNode, Metrics, PeerAddress, PlatformClients};
-use cleat_http::Listener;
+use cleat_http::{ConnectionBudget, Listener};
 use cleat_jobs::SchedulerConfig;
 use cleat_operate::JobOperators;
 use cleat_platform::{ControlSide, HttpAdviser, HttpMachines, HttpWorkers, WorkerLimits};
@@ -31,24 +31,38 @@
 /// for 5 s took five starts with 0.5 s.
 const FAILURE_PAUSE: Duration = Duration::from_millis(3_000);
 
+/// Files that are neither HTTP connections nor links: the log and snapshots, the
+/// listeners, the standard streams, and those that the system keeps back for a
+/// process on small machines (200).
+const OWN_FILES: usize = 256;
+/// The part of all files that is left for links with gateways and other control
+/// instances: an eighth of 4,096 carries 500 gateways.
+const LINK_SHARE: usize = 8;
+
 /// Runs it until it is told to stop, or its disk fails: an instance that can't
 /// write is of no use to the group, and a new start finds out whether it can.
 pub(crate) async fn run(settings: ControlSettings, file: &Path) -> Result<(), DaemonError> {
     supported(&settings)?;
     let events = start_events()?;
     let metrics = Metrics::default();
+    let budget = connection_budget(settings.max_files);
     let clients = PlatformClients {
-        workers: HttpWorkers::new(WorkerLimits::default()),
-        machines: HttpMachines::new(settings.machines.clone(), settings.name.clone()),
-        adviser: HttpAdviser::new(settings.adviser.clone()),
+        workers: HttpWorkers::new(WorkerLimits::default(), &budget),
+        machines: HttpMachines::new(
+            settings.machines.clone(),
+            settings.name.clone(),
+            budget.clone(),
+        ),
+        adviser: HttpAdviser::new(settings.adviser.clone(), budget.clone()),
     };
     let node = ControlNode::start(config(&settings), clients, events.clone(), metrics.clone());
     let node = node.await;
     let node = Arc::new(node.context(ControlSnafu)?);
     let listener = Listener::bind(settings.listen).await.context(ListenSnafu)?;
+    let listener = listener.within(budget.clone());
     let side = ControlSide::new(node.clone(), settings.listen);
     let server = listener.spawn(Arc::new(side));
-    let _metrics = serve_metrics(settings.metrics, &metrics).await?;
+    let _metrics = serve_metrics(settings.metrics, &metrics, &budget).await?;
     let operators = match settings.operators {
         None => None,
         Some(address) => {
@@ -93,6 +107,13 @@
     }
 }
 
+/// How many HTTP connections fit beside all other files.
+fn connection_budget(max_files: usize) -> ConnectionBudget {
+    let links = max_files / LINK_SHARE;
+    let most = max_files.saturating_sub(OWN_FILES + links);
+    ConnectionBudget::new(most)
+}
+
 fn config(settings: &ControlSettings) -> ControlConfig {
     let (port, _) = settings.internal_ports;
     let timing = settings.timing;
--- a/crates/celerycleatd/src/roles/gateway.rs
+++ b/crates/celerycleatd/src/roles/gateway.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cleat_control::{Gateway, GatewayConfig, Metrics, PeerAddress};
-use cleat_http::Listener;
+use cleat_http::{ConnectionBudget, Listener};
 use cleat_platform::{CallerSide, Readiness, ReadySide};
 use cleat_settings::{AnySettings, GatewaySettings};
 use snafu::ResultExt;
@@ -39,10 +39,13 @@
     let callers = Listener::bind(settings.callers)
         .await
         .context(ListenSnafu)?;
+    // Counted, not limited: callers' connections come and go with them.
+    let budget = ConnectionBudget::unlimited();
+    let callers = callers.within(budget.clone());
     let ready = ready.spawn(Arc::new(ReadySide(readiness.clone())));
     let side = Arc::new(CallerSide::new(gateway.clone(), readiness.clone()));
     let callers = callers.spawn(side.clone());
-    let _metrics = serve_metrics(settings.metrics, &metrics).await?;
+    let _metrics = serve_metrics(settings.metrics, &metrics, &budget).await?;
     let name = &*settings.name;
     events.emit(&Life::started(name, "gateway"));
     let seeds = |changed| match changed {
--- a/crates/celerycleatd/src/roles/metrics.rs
+++ b/crates/celerycleatd/src/roles/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics address.
 
 use cleat_control::Metrics;
-use cleat_http::{Answer, Handler, text};
+use cleat_http::{Answer, ConnectionBudget, Handler, text};
 use cleat_telemetry::exposition;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
@@ -10,7 +10,11 @@
 const PATH: &str = "/metrics";
 
 /// Answers with all counters and histograms.
-pub(super) struct MetricsSide(pub(super) Metrics);
+pub(super) struct MetricsSide {
+    pub(super) metrics: Metrics,
+    /// The HTTP connections of the process.
+    pub(super) budget: ConnectionBudget,
+}
 
 impl Handler for MetricsSide {
     async fn handle(&self, req: Request<Incoming>) -> Answer {
@@ -20,7 +24,11 @@
         let Metrics {
             counters,
             latencies,
-        } = &self.0;
+        } = &self.metrics;
+        let open = u64::try_from(self.budget.open()).unwrap_or(u64::MAX);
+        counters.gauge("connections.open").set(open);
+        let most = u64::try_from(self.budget.most()).unwrap_or(u64::MAX);
+        counters.gauge("connections.most").set(most);
         text(StatusCode::OK, exposition(counters, latencies))
     }
 }
--- a/crates/celerycleatd/src/roles/mod.rs
+++ b/crates/celerycleatd/src/roles/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use cleat_control::{Metrics, PeerAddress};
-use cleat_http::{Listener, RunningServer};
+use cleat_http::{ConnectionBudget, Listener, RunningServer};
 use cleat_quorum::MemberId;
 use cleat_settings::AnySettings;
 use cleat_telemetry::{EventLog, install_logs};
@@ -88,12 +88,16 @@
 async fn serve_metrics(
     address: Option<SocketAddr>,
     metrics: &Metrics,
+    budget: &ConnectionBudget,
 ) -> Result<Option<RunningServer>, DaemonError> {
     let Some(address) = address else {
         return Ok(None);
     };
     let listener = Listener::bind(address).await.context(ListenSnafu)?;
-    let side = MetricsSide(metrics.clone());
+    let side = MetricsSide {
+        metrics: metrics.clone(),
+        budget: budget.clone(),
+    };
     Ok(Some(listener.spawn(Arc::new(side))))
 }
 
--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -5,7 +5,6 @@
 
 pub use config::ControlConfig;
 
-use std::net::Ipv4Addr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -25,8 +24,7 @@
 use crate::links::{LinkTransport, Links};
 use crate::machine::{JobsMachine, SharedState};
 use crate::{
-    AdviceClient, MachineClient, Metrics, PeerAddress, PlatformClients, StartError, WorkerClient,
-    owner,
+    AdviceClient, MachineClient, Metrics, PlatformClients, StartError, WorkerClient, owner,
 };
 
 /// What the parts of a control instance share.
@@ -129,11 +127,6 @@
         self.shared.leads()
     }
 
-    /// The IP address of the leader, if one is known.
-    pub fn leader_ip(&self) -> Option<Ipv4Addr> {
-        self.leader().map(PeerAddress::ip)
-    }
-
     /// Replaces the instances that are asked when no leader is known.
     pub fn set_seeds(&self, seeds: Vec<MemberId>) {
         self.others.set_seeds(seeds);
--- a/crates/cleat-http/src/client.rs
+++ b/crates/cleat-http/src/client.rs
@@ -1,22 +1,23 @@
 //! A client that keeps a few connections to each address.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use indexmap::IndexMap;
 use snafu::Snafu;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
+use crate::ConnectionBudget;
+use crate::pool::{Pool, Sender};
+
 /// How a client treats each address.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ClientConfig {
     /// How many exchanges may be under way at once; others wait.
     pub connections: usize,
@@ -24,6 +25,9 @@
     pub connect_limit: Duration,
     /// The largest body taken, in bytes.
     pub max_body: usize,
+    /// Where the open connections count. While it is short, the client keeps
+    /// none that is idle.
+    pub budget: ConnectionBudget,
 }
 
 /// A whole answer.
@@ -56,31 +60,24 @@
     },
 }
 
-type Sender = SendRequest<Full<Bytes>>;
-
-/// The connections to one address.
-#[derive(Debug)]
-struct Host {
-    permits: Semaphore,
-    /// Connections without an exchange.
-    idle: Mutex<Vec<Sender>>,
-}
-
 /// Keeps connections to many addresses. A connection whose exchange was given
 /// up is closed: a late answer must not be taken for that of a later request.
 #[derive(Debug)]
 pub struct Client {
     cfg: ClientConfig,
-    hosts: Mutex<IndexMap<Box<str>, Arc<Host>>>,
+    pool: Arc<Pool>,
 }
 
 impl Client {
     /// A client without connections.
     pub fn new(cfg: ClientConfig) -> Client {
-        Client {
-            cfg,
-            hosts: Mutex::new(IndexMap::new()),
-        }
+        let pool = Arc::new(Pool::new(cfg.connections));
+        Client { cfg, pool }
+    }
+
+    /// How many addresses it has a connection to, or is calling.
+    pub fn addresses(&self) -> usize {
+        self.pool.addresses()
     }
 
     /// Sends a JSON body, if there is one, and waits for the whole answer.
@@ -96,12 +93,30 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Result<Reply, CallError> {
-        let host = self.host(address);
+        let called = self
+            .call_on_any(address, method, path, headers, body, limit)
+            .await;
+        if called.is_err() {
+            self.pool.forget_closed(address);
+        }
+        called
+    }
+
+    async fn call_on_any(
+        &self,
+        address: &str,
+        method: Method,
+        path: &str,
+        headers: &[(HeaderName, HeaderValue)],
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Reply, CallError> {
+        let permits = self.pool.permits(address);
         let not_sent = |reason: &str| CallError::NotSent {
             address: address.into(),
             reason: reason.into(),
         };
-        let Ok(Ok(_permit)) = timeout(limit, host.permits.acquire()).await else {
+        let Ok(Ok(_permit)) = timeout(limit, permits.acquire()).await else {
             return Err(not_sent("all connections are in use"));
         };
         let mut req = Request::builder()
@@ -114,7 +129,7 @@
         for (name, value) in headers {
             req.headers_mut().insert(name, value.clone());
         }
-        let mut tx = match take_idle(&host).await {
+        let mut tx = match self.take_idle(address).await {
             Some(tx) => tx,
             None => self.connect(address, limit).await?,
         };
@@ -125,8 +140,9 @@
         };
         match result {
             Ok(reply) => {
-                let mut idle = host.idle.lock().unwrap_or_else(PoisonError::into_inner);
-                idle.push(tx);
+                if !self.cfg.budget.is_short() {
+                    self.pool.keep(address, tx);
+                }
                 Ok(reply)
             }
             Err(reason) => Err(CallError::NoAnswer {
@@ -136,17 +152,14 @@
         }
     }
 
-    fn host(&self, address: &str) -> Arc<Host> {
-        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(host) = hosts.get(address) {
-            return host.clone();
+    /// A kept connection that is still open.
+    async fn take_idle(&self, address: &str) -> Option<Sender> {
+        loop {
+            let mut tx = self.pool.take(address)?;
+            if !tx.is_closed() && tx.ready().await.is_ok() {
+                return Some(tx);
+            }
         }
-        let host = Arc::new(Host {
-            permits: Semaphore::new(self.cfg.connections),
-            idle: Mutex::new(Vec::new()),
-        });
-        hosts.insert(address.into(), host.clone());
-        host
     }
 
     async fn connect(&self, address: &str, limit: Duration) -> Result<Sender, CallError> {
@@ -154,6 +167,10 @@
             address: address.into(),
             reason: reason.into(),
         };
+        if self.cfg.budget.is_short() {
+            self.pool.close_oldest();
+        }
+        let counted = self.cfg.budget.count();
         let limit = limit.min(self.cfg.connect_limit);
         let opening = timeout(limit, TcpStream::connect(address)).await;
         let opening = opening.map_err(|_| not_sent("not connected in time".into()))?;
@@ -163,31 +180,19 @@
         }
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (tx, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
-        let address: Box<str> = address.into();
+        let (address, pool): (Box<str>, _) = (address.into(), self.pool.clone());
         tokio::spawn(async move {
             // An exchange under way reports the error to its sender.
             if let Err(error) = connection.await {
                 log::debug!("the connection to {address} ended: {error}");
             }
+            drop(counted);
+            pool.forget_closed(&address);
         });
         Ok(tx)
     }
 }
 
-/// A kept connection that is still open.
-async fn take_idle(host: &Host) -> Option<Sender> {
-    loop {
-        let next = {
-            let mut idle = host.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            idle.pop()
-        };
-        let mut tx = next?;
-        if !tx.is_closed() && tx.ready().await.is_ok() {
-            return Some(tx);
-        }
-    }
-}
-
 async fn exchange(
     tx: &mut Sender,
     req: Request<Full<Bytes>>,
--- a/crates/cleat-http/src/lib.rs
+++ b/crates/cleat-http/src/lib.rs
@@ -1,11 +1,14 @@
 //! A small HTTP/1.1 server and a client that keeps connections, on hyper.
 
 mod body;
+mod budget;
 mod client;
+mod pool;
 mod respond;
 mod server;
 
 pub use body::{BodyError, read_body};
+pub use budget::ConnectionBudget;
 pub use client::{CallError, Client, ClientConfig, Reply};
 pub use respond::{Answer, empty, json, text, typed};
 pub use server::{Handler, ListenError, Listener, RunningServer};
--- a/crates/cleat-http/src/server.rs
+++ b/crates/cleat-http/src/server.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Request;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,7 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::Answer;
+use crate::{Answer, ConnectionBudget};
 
 /// How long a client may take to send its header block.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -55,6 +56,7 @@
 pub struct Listener {
     listener: TcpListener,
     local_addr: SocketAddr,
+    budget: ConnectionBudget,
 }
 
 impl Listener {
@@ -69,9 +71,16 @@
         Ok(Listener {
             listener,
             local_addr,
+            budget: ConnectionBudget::unlimited(),
         })
     }
 
+    /// Counts its connections in a budget. While that is short, each is closed
+    /// after its answer.
+    pub fn within(self, budget: ConnectionBudget) -> Listener {
+        Listener { budget, ..self }
+    }
+
     /// The bound address.
     pub fn local_addr(&self) -> SocketAddr {
         self.local_addr
@@ -80,7 +89,7 @@
     /// Starts to answer.
     pub fn spawn<H: Handler>(self, handler: Arc<H>) -> RunningServer {
         let (stop, stopping) = watch::channel(());
-        let task = tokio::spawn(accept(self.listener, handler, stopping));
+        let task = tokio::spawn(accept(self, handler, stopping));
         RunningServer { stop, task }
     }
 }
@@ -101,7 +110,9 @@
 }
 
 async fn accept<H: Handler>(
-    listener: TcpListener,
+    Listener {
+        listener, budget, ..
+    }: Listener,
     handler: Arc<H>,
     mut stopping: watch::Receiver<()>,
 ) {
@@ -109,7 +120,7 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => serve(stream, handler.clone(), &connections),
+                Ok((stream, _)) => serve(stream, handler.clone(), &budget, &connections),
                 Err(error) => {
                     log::warn!("cannot accept a connection: {error}");
                     sleep(ACCEPT_PAUSE).await;
@@ -127,10 +138,24 @@
     }
 }
 
-fn serve<H: Handler>(stream: TcpStream, handler: Arc<H>, connections: &GracefulShutdown) {
+fn serve<H: Handler>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    budget: &ConnectionBudget,
+    connections: &GracefulShutdown,
+) {
+    let counted = budget.count();
+    let budget = budget.clone();
     let service = service_fn(move |req| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(req).await) }
+        let (handler, budget) = (handler.clone(), budget.clone());
+        async move {
+            let mut answer = handler.handle(req).await;
+            if budget.is_short() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -141,5 +166,6 @@
         if let Err(error) = connection.await {
             log::debug!("a connection ended: {error}");
         }
+        drop(counted);
     });
 }
--- a/crates/cleat-http/tests/http.rs
+++ b/crates/cleat-http/tests/http.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use cleat_http::{
-    Answer, CallError, Client, ClientConfig, Handler, Listener, Reply, RunningServer, text,
+    Answer, CallError, Client, ClientConfig, ConnectionBudget, Handler, Listener, Reply,
+    RunningServer, text,
 };
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
@@ -59,6 +60,7 @@
         connections: 2,
         connect_limit: AMPLE,
         max_body: 100,
+        budget: ConnectionBudget::unlimited(),
     })
 }
 
--- a/crates/cleat-settings/src/roles/control.rs
+++ b/crates/cleat-settings/src/roles/control.rs
@@ -3,7 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 
-use serde::Deserialize;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
 
 /// The settings of one control instance. Unknown keys are errors.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -53,6 +54,11 @@
     /// How many processor cores it has; 1 runs all on one thread.
     #[serde(default = "one")]
     pub cores: usize,
+    /// How many files and connections it may have open. The owner keeps one
+    /// connection to each worker at least, and closes idle ones before this is
+    /// reached.
+    #[serde(default = "default_max_files", deserialize_with = "max_files")]
+    pub max_files: usize,
     /// Durations that differ between platforms.
     #[serde(default)]
     pub timing: TimingSettings,
@@ -81,6 +87,23 @@
     pub remember_ms: Option<u64>,
 }
 
+/// What many systems let a process open unless told otherwise.
+fn default_max_files() -> usize {
+    1_024
+}
+
+/// Fewer leave nothing for workers beside the files of the instance itself.
+const LEAST_FILES: usize = 512;
+
+fn max_files<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
+    let files = usize::deserialize(deserializer)?;
+    if files < LEAST_FILES {
+        let text = format!("max_files: {files} is too few, give {LEAST_FILES} at least");
+        return Err(D::Error::custom(text));
+    }
+    Ok(files)
+}
+
 fn one() -> usize {
     1
 }
