Commit that a worker is about to end before it hears so

Cause: an owner kept in memory alone which workers said that they are about to end. The next owner (also the same instance, leading again) gave them work until their next heartbeat, and one that was held up on its way took the word back for a worker that became known anew. Ruled out: the order of heartbeats within one owner's time (sequence numbers).

Change: the word is committed before its answer, survives changes of owner and new records of the worker, and holds for that life.

--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use cleat_jobs::{
-    Answer, Catalogue, Command, ControlState, Event, Job, JobId, JobSpec, JobState, Queue,
-    Scheduler, WorkerView,
+    Answer, Catalogue, Command, ControlState, Event, Heartbeat, Job, JobId, JobSpec, JobState,
+    Queue, Scheduler, WorkerView,
 };
 use cleat_link::{ControlCall, ControlError, ControlReply, JobLine, JobView, Overview, WorkerLine};
 use cleat_quorum::ProposeError;
@@ -67,7 +67,7 @@
             }
             ControlCall::CancelJob { id } => self.state.read(|state| cancel_job(state, id)),
             ControlCall::Overview => Step::Answer(self.overview()?),
-            ControlCall::Heartbeat(beat) => Step::Answer(self.hand_over(Event::Heartbeat(beat))?),
+            ControlCall::Heartbeat(beat) => self.heartbeat(beat)?,
             ControlCall::Left { worker } => Step::Answer(self.hand_over(Event::Left { worker })?),
             ControlCall::Configure(catalogue) => self.configure(catalogue),
             ControlCall::Configuration => Step::Answer(self.configuration()),
@@ -97,6 +97,20 @@
         }
     }
 
+    /// Takes a heartbeat. That a worker is about to end is committed before it
+    /// hears so: it relies on every later owner to give it no work.
+    fn heartbeat(&self, beat: Heartbeat) -> Result<Step, ControlError> {
+        let name = beat.record.name.clone();
+        let known = self.state.read(|state| state.draining.contains(&name));
+        let drains = beat.draining;
+        let reply = self.hand_over(Event::Heartbeat(beat))?;
+        Ok(if drains && !known {
+            Step::Commit(Command::Draining { name })
+        } else {
+            Step::Answer(reply)
+        })
+    }
+
     fn submit(&self, host: &str, path: &str, spec: Arc<JobSpec>, came_ms: u64) -> Step {
         self.state.read(|state| match place(state, host, path) {
             Place::NoConfiguration => Step::Answer(ControlReply::NoConfiguration),
--- a/crates/cleat-jobs/src/schedule/beat.rs
+++ b/crates/cleat-jobs/src/schedule/beat.rs
@@ -17,8 +17,9 @@
         }
         worker.last_sequence = beat.sequence;
         worker.beat_at = self.now;
-        let changed = worker.draining != beat.draining;
-        worker.draining = beat.draining;
+        let drains = beat.draining || state.draining.contains(&worker.record.name);
+        let changed = drains && !worker.draining;
+        worker.draining |= drains;
         if worker.state == WorkerState::Lapsed && !worker.renewing {
             worker.renewal_due = self.now;
             self.send_renewals();
@@ -27,6 +28,14 @@
             self.unsettle_pool_of(key);
         }
     }
+
+    /// A worker's word that it is about to end is in the replicated state.
+    pub(super) fn drain(&mut self, name: &str) {
+        if let Some(key) = self.workers.key(name) {
+            self.workers[key].draining = true;
+            self.unsettle_pool_of(key);
+        }
+    }
 }
 
 /// Whether the configuration names a pool. Work for a pool that it does not
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -308,6 +308,7 @@
             Command::Ends { .. } => self.ends_applied(state, command),
             Command::AddWorker(record) => self.worker_recorded(&record.name),
             Command::RemoveWorkers { names } => self.workers_removed(names),
+            Command::Draining { name } => self.drain(name),
             Command::Configure(_)
             | Command::StartWave { .. }
             | Command::Maintained { .. }
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -15,7 +15,8 @@
 impl Scheduler {
     pub(super) fn inherit(&mut self, state: &ControlState) {
         for record in state.workers.values() {
-            self.workers.add(record.clone(), self.now);
+            let key = self.workers.add(record.clone(), self.now);
+            self.workers[key].draining = state.draining.contains(&record.name);
         }
         for (id, job) in &state.jobs {
             self.activate_job(state, *id);
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Worker {
     pub(crate) record: WorkerRecord,
     pub(crate) state: WorkerState,
+    /// Whether it said that it is about to end. It does not take that back: what
+    /// says otherwise was held up on its way.
     pub(crate) draining: bool,
     pub(crate) last_sequence: u64,
     pub(crate) clock: Option<ClockReading>,
--- a/crates/cleat-jobs/src/state/apply.rs
+++ b/crates/cleat-jobs/src/state/apply.rs
@@ -9,6 +9,10 @@
 use super::{ControlState, Owner, Wave, WorkerHistory, WorkerRecord};
 use crate::{Catalogue, JobId};
 
+/// How many workers that are about to end are remembered. One ends within
+/// seconds, and a fleet of 1,100 workers that ends all at once fits twice.
+const DRAINING_REMEMBERED: usize = 2_500;
+
 /// What a command came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
@@ -89,6 +93,7 @@
             }
             Command::Maintained { wave, machine } => self.leave_waiting(wave, machine, true),
             Command::LeftWave { wave, machine } => self.leave_waiting(wave, machine, false),
+            Command::Draining { name } => self.note_draining(name),
         }
         Answer::Done
     }
@@ -171,6 +176,13 @@
             .insert(name, WorkerRecord { history, ..record });
     }
 
+    fn note_draining(&mut self, name: Box<str>) {
+        self.draining.insert(name);
+        if self.draining.len() > DRAINING_REMEMBERED {
+            self.draining.shift_remove_index(0);
+        }
+    }
+
     /// What is noted of a worker, for a note of its current use. One of an
     /// earlier owner, or of a use before, says nothing of what was started
     /// since.
--- a/crates/cleat-jobs/src/state/command.rs
+++ b/crates/cleat-jobs/src/state/command.rs
@@ -103,6 +103,11 @@
         /// The machine.
         machine: Box<str>,
     },
+    /// A worker that is about to end and takes no new work.
+    Draining {
+        /// The worker.
+        name: Box<str>,
+    },
 }
 
 /// How a run of a task ended.
--- a/crates/cleat-jobs/src/state/mod.rs
+++ b/crates/cleat-jobs/src/state/mod.rs
@@ -14,7 +14,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
@@ -53,6 +53,12 @@
     pub ended: IndexMap<JobId, EndedJob>,
     /// The maintenance waves, by number.
     pub waves: IndexMap<u64, Wave>,
+    /// The workers that said lately that they are about to end, those first that
+    /// said so first.
+    ///
+    /// Invariant: a worker is here before it hears that its word was taken, so
+    /// that no later owner gives it work.
+    pub draining: IndexSet<Box<str>>,
 }
 
 impl ControlState {
--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -174,6 +174,19 @@
         self.feed(Event::Heartbeat(beat))
     }
 
+    /// A heartbeat of a known or new worker of pool `a` that is about to end, as
+    /// the control instance that takes it acts on it.
+    pub(crate) fn beat_draining(&mut self, name: &str, sequence: u64) -> Vec<Effect> {
+        let beat = Heartbeat {
+            record: record(name, "a"),
+            draining: true,
+            sequence,
+        };
+        let heard = self.feed(Event::Heartbeat(beat));
+        let noted = self.apply(Command::Draining { name: name.into() });
+        [heard, noted].concat()
+    }
+
     /// Commits what the effects propose; gives what follows.
     pub(crate) fn commit(&mut self, effects: &[Effect]) -> Vec<Effect> {
         let commands = proposals(effects).into_iter();
