End no task by an order for a machine whose list is outdated

Lists take longer the more machines there are.

Change: a list that was asked for before the latest accepted order of a machine says nothing of it; where a list names no worker, one that says that it runs on the machine counts for idleness, waves and reservations.

--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -71,6 +71,9 @@
 pub(crate) struct Machine {
     pub(crate) view: MachineView,
     pub(crate) ordered: Option<Ordered>,
+    /// When the platform accepted the latest order. A list that was asked for
+    /// earlier may show the machine as it was before.
+    pub(crate) changed_at: Option<Duration>,
     /// Since when nothing runs there.
     pub(crate) idle_since: Option<Duration>,
     /// The wave for which it is being emptied.
@@ -82,6 +85,36 @@
 }
 
 impl Machine {
+    /// A machine as it is listed for the first time.
+    pub(crate) fn new(view: MachineView) -> Machine {
+        Machine {
+            view,
+            ordered: None,
+            changed_at: None,
+            idle_since: None,
+            emptied_for: None,
+            reserved_for: None,
+            missing_since: None,
+        }
+    }
+
+    /// Takes what a list says that was asked for at `sent_at`, unless an order
+    /// came since. Machines of a fleet of 3,000 were maintained beside running
+    /// tasks before: their lists take longer than a move.
+    pub(crate) fn take_view(&mut self, view: MachineView, sent_at: Duration) {
+        let outdated = self.changed_at.is_some_and(|at| at >= sent_at);
+        if !outdated && !self.awaits_answer() {
+            self.view = view;
+        }
+        self.missing_since = None;
+    }
+
+    /// Whether an order has no clear answer so far.
+    pub(crate) fn awaits_answer(&self) -> bool {
+        let ordered = self.ordered.as_ref();
+        ordered.is_some_and(|ordered| ordered.accepted.is_none())
+    }
+
     /// Whether nothing was decided for it.
     pub(crate) fn is_free(&self) -> bool {
         self.ordered.is_none() && self.emptied_for.is_none() && self.reserved_for.is_none()
@@ -89,9 +122,7 @@
 
     /// Whether something was decided for it that it has to be empty for.
     pub(crate) fn is_planned(&self) -> bool {
-        let ordered = self.ordered.as_ref();
-        let waits = ordered.is_some_and(|ordered| ordered.accepted.is_none());
-        waits || self.emptied_for.is_some() || self.reserved_for.is_some()
+        self.awaits_answer() || self.emptied_for.is_some() || self.reserved_for.is_some()
     }
 }
 
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -75,14 +75,16 @@
     }
 
     /// Whether nothing runs on a machine, and all that ended there has been
-    /// acknowledged.
+    /// acknowledged. Where a list names no worker, one that says that it runs
+    /// there counts: an order would end its tasks.
     pub(super) fn is_idle(&self, machine: &Machine) -> bool {
+        let is_empty = |key| self.is_worker_empty(key);
         match &machine.view.worker {
-            None => true,
-            Some(worker) => {
-                let key = self.workers.key(worker);
-                key.is_some_and(|key| self.is_worker_empty(key))
-            }
+            None => self
+                .workers
+                .on_machine(&machine.view.name)
+                .is_none_or(is_empty),
+            Some(worker) => self.workers.key(worker).is_some_and(is_empty),
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -6,6 +6,7 @@
 
 use super::machine::{Machine, MachineOrder, MachineState, MachineView, Ordered};
 use crate::schedule::event::MachineAnswer;
+use crate::schedule::worker::WorkerKey;
 use crate::schedule::{Decision, Effect, Scheduler};
 use crate::state::{Command, ControlState};
 
@@ -82,27 +83,10 @@
     }
 
     fn take_view(&mut self, view: MachineView, sent_at: Duration) {
-        let Some(machine) = self.machines.by_name.get_mut(&view.name) else {
-            let machine = Machine {
-                ordered: None,
-                idle_since: None,
-                emptied_for: None,
-                reserved_for: None,
-                missing_since: None,
-                view,
-            };
-            self.machines
-                .by_name
-                .insert(machine.view.name.clone(), machine);
-            return;
-        };
-        machine.missing_since = None;
-        // A list that was asked for before an order took effect is outdated.
-        let accepted = machine.ordered.as_ref().map(|ordered| ordered.accepted);
-        match accepted {
-            None => machine.view = view,
-            Some(Some(accepted)) if accepted < sent_at => machine.view = view,
-            Some(_) => {}
+        let name = view.name.clone();
+        match self.machines.by_name.get_mut(&name) {
+            Some(machine) => machine.take_view(view, sent_at),
+            None => drop(self.machines.by_name.insert(name, Machine::new(view))),
         }
     }
 
@@ -112,11 +96,15 @@
     fn hold_planned(&mut self) {
         let machines = self.machines.by_name.iter();
         let planned = machines.filter(|(_, machine)| machine.is_planned());
-        let names: Vec<Box<str>> = planned.map(|(name, _)| name.clone()).collect();
-        for name in names {
-            if let Some(worker) = self.worker_on(&name) {
-                self.workers[worker].cordoned = true;
-            }
+        // While an order has no answer, a worker that no list names may be the
+        // one that the order brought.
+        let held = planned.filter_map(|(name, machine)| match machine.awaits_answer() {
+            true => self.listed_worker(name),
+            false => self.worker_on(name),
+        });
+        let held: Vec<WorkerKey> = held.collect();
+        for worker in held {
+            self.workers[worker].cordoned = true;
         }
     }
 
@@ -182,8 +170,18 @@
         });
     }
 
-    /// The worker that runs on a machine.
-    pub(super) fn worker_on(&self, name: &str) -> Option<crate::schedule::worker::WorkerKey> {
+    /// The worker that runs on a machine: the one that is listed there, else
+    /// one that says so itself.
+    pub(super) fn worker_on(&self, name: &str) -> Option<WorkerKey> {
+        let machine = self.machines.by_name.get(name)?;
+        match &machine.view.worker {
+            Some(worker) => self.workers.key(worker),
+            None => self.workers.on_machine(name),
+        }
+    }
+
+    /// The worker that is listed on a machine.
+    fn listed_worker(&self, name: &str) -> Option<WorkerKey> {
         let machine = self.machines.by_name.get(name)?;
         self.workers.key(machine.view.worker.as_deref()?)
     }
@@ -213,6 +211,7 @@
         match answer {
             MachineAnswer::Done => {
                 ordered.accepted = Some(now);
+                machine.changed_at = Some(now);
                 self.machine_left(name, order);
             }
             MachineAnswer::Unknown => {}
@@ -237,7 +236,7 @@
 
     /// A machine has gone down for an order: its worker's life is over.
     fn machine_left(&mut self, name: &str, order: &MachineOrder) {
-        if let Some(worker) = self.worker_on(name) {
+        if let Some(worker) = self.listed_worker(name) {
             self.life_over(worker);
         }
         let Some(machine) = self.machines.by_name.get_mut(name) else {
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -201,6 +201,8 @@
     by_name: IndexMap<Box<str>, WorkerKey>,
     /// Those that are not removed. A worker's pool never changes.
     by_pool: IndexMap<Box<str>, IndexSet<WorkerKey>>,
+    /// The latest life on each machine, unless it is removed.
+    by_machine: IndexMap<Box<str>, WorkerKey>,
 }
 
 impl Workers {
@@ -210,6 +212,9 @@
         self.by_name.insert(record.name.clone(), key);
         let pool = self.by_pool.entry(record.pool.clone()).or_default();
         pool.insert(key);
+        if let Some(machine) = &record.machine {
+            self.by_machine.insert(machine.clone(), key);
+        }
         self.arena.push(Worker::new(record, now));
         key
     }
@@ -221,15 +226,26 @@
     /// Forgets the name; the key stays valid for what still refers to it.
     pub(crate) fn remove(&mut self, name: &str) -> Option<WorkerKey> {
         let key = self.by_name.swap_remove(name)?;
-        let pool = self
-            .by_pool
-            .get_mut(&self.arena[key.0 as usize].record.pool);
-        if let Some(pool) = pool {
+        let record = &self.arena[key.0 as usize].record;
+        if let Some(pool) = self.by_pool.get_mut(&record.pool) {
             pool.shift_remove(&key);
         }
+        if let Some(machine) = record.machine.as_deref()
+            && self.by_machine.get(machine) == Some(&key)
+        {
+            self.by_machine.swap_remove(machine);
+        }
         Some(key)
     }
 
+    /// The worker that says that it runs on a machine, if something may run
+    /// there.
+    pub(crate) fn on_machine(&self, machine: &str) -> Option<WorkerKey> {
+        let key = *self.by_machine.get(machine)?;
+        let over = matches!(self[key].state, WorkerState::Lapsed | WorkerState::Gone);
+        (!over).then_some(key)
+    }
+
     /// The workers of a pool that are not removed.
     pub(crate) fn in_pool(&self, pool: &str) -> impl Iterator<Item = (WorkerKey, &Worker)> {
         let keys = self.by_pool.get(pool).into_iter().flatten();
