Bound the orders for machines that wait for an answer

Cause: an owner that takes over 3,000 idle machines ordered 1,400 of them back to the spare pool at once, over four connections. What waited for over a second was not sent and ordered again 0.7 s later (2,326 of 2,839 orders repeated on a scaled site of 301 machines), so pools that lacked machines waited for 3 s (p90). At 540 workers orders of one turn queued as well: p90 181 ms of a move of 1.5 s. Ruled out: the platform's own limit (no refusal among 5,204 answers).

A test of the pure decisions with 100 idle machines (not seen to fail before by itself: the bound is new there).

--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -20,6 +20,15 @@
 /// take up about a tenth of one each. Chosen without a measurement.
 pub(super) const FRAGMENTATION_PERCENT: u64 = 10;
 
+/// How many orders for machines may be without an answer. The platform takes
+/// some hundred a second: what waits longer than its call may take is ordered
+/// again, and holds up what is more urgent by then.
+const ORDERS_AT_ONCE: usize = 64;
+/// The same before idle machines go back to the spare pool, which can wait: a
+/// fleet of 3,000 that had just started sent 1,400 of them back at once, and the
+/// first pool that lacked machines waited 3 s for its own.
+const RETURNS_AT_ONCE: usize = 16;
+
 /// The balance of each pool that queues use.
 pub(super) type Balances = IndexMap<Box<str>, Balance>;
 
@@ -30,7 +39,9 @@
         let mut balances = self.balances(state);
         self.tell_balances(&balances);
         let mut without_donor = IndexSet::new();
-        while let Some(pool) = most_lacking(&balances, &without_donor) {
+        while self.may_order(ORDERS_AT_ONCE)
+            && let Some(pool) = most_lacking(&balances, &without_donor)
+        {
             match self.donor(state, &pool, &balances) {
                 Some(name) => self.give(&name, &pool, &mut balances),
                 None => drop(without_donor.insert(pool)),
@@ -65,6 +76,12 @@
         ranked.min().map(|(_, name)| name.clone())
     }
 
+    /// Whether fewer orders than `most` wait for an answer.
+    fn may_order(&self, most: usize) -> bool {
+        let machines = self.machines.by_name.values();
+        machines.filter(|machine| machine.awaits_answer()).count() < most
+    }
+
     /// Whether a machine is idle and free to go.
     fn may_move(&self, machine: &Machine, pool: &str) -> bool {
         let view = &machine.view;
@@ -128,6 +145,9 @@
             let rest = balance.without(size).without(size);
             let spares = rest.workers > 0 && rest.suffices(FRAGMENTATION_PERCENT);
             if idle && spares && self.may_move(machine, &spare) {
+                if !self.may_order(RETURNS_AT_ONCE) {
+                    return;
+                }
                 self.give(&name, &spare, balances);
             }
         }
--- a/crates/cleat-jobs/tests/machines.rs
+++ b/crates/cleat-jobs/tests/machines.rs
@@ -160,3 +160,21 @@
     assert!(!given.is_empty(), "one was kept free for it");
     assert!(given.iter().all(|(_, pool)| &**pool == "b"), "{given:?}");
 }
+
+/// A fleet that has just started: every machine is idle, and a pool lacks some.
+#[test]
+fn move_to_a_lacking_pool_goes_before_many_that_go_back() {
+    let names: Vec<String> = (0..100).map(|at| format!("w{at}")).collect();
+    let workers: Vec<&str> = names.iter().map(|name| &**name).collect();
+    let mut bed = Bed::with_workers(&workers);
+    let own = |name: &&str| machine(&format!("m-{name}"), "a", Some(name));
+    let spare = machine("m-spare", "spare", None);
+    list_machines(&mut bed, workers.iter().map(own).chain([spare]).collect());
+    bed.tick(ms(50));
+    let back = moved(&bed.tick(ms(1_000)));
+    assert!(back.iter().all(|(_, pool)| &**pool == "spare"), "{back:?}");
+    assert!(back.len() < 30, "all others wait: {}", back.len());
+    bed.submit_to(1, 1, vec![step(1, 4_000)]);
+    let next = moved(&bed.tick(ms(50)));
+    assert_eq!(next, vec![("m-spare".into(), "b".into())], "at once");
+}
