--- a/crates/cleat-http/src/client.rs
+++ b/crates/cleat-http/src/client.rs
@@ -21,6 +21,8 @@
 pub struct ClientConfig {
     /// How many exchanges may be under way at once; others wait.
     pub connections: usize,
+    /// How many connections without an exchange are kept.
+    pub kept: usize,
     /// How long opening a connection may take.
     pub connect_limit: Duration,
     /// The largest body taken, in bytes.
@@ -71,7 +73,7 @@
 impl Client {
     /// A client without connections.
     pub fn new(cfg: ClientConfig) -> Client {
-        let pool = Arc::new(Pool::new(cfg.connections));
+        let pool = Arc::new(Pool::new(cfg.connections, cfg.kept));
         Client { cfg, pool }
     }
 
