Move machines straight to the next pool, and back soon where there is plenty

A pool whose turn of demand ends kept each idle machine for 0.9 s, sent it back to the spare pool, and the next pool took another from there. Ruled out: packing while a turn lasts (152 of 7,143 cores free with work waiting) and at rest (memory of lasting work fills 91% of what is offered).

Change: a pool that lacks machines takes idle ones of a pool with a surplus before spare ones; a pool that holds half as much again as it needs gives idle machines back after 0.15 s.

--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -6,8 +6,8 @@
 
 use super::demand::Balance;
 use super::machine::{Machine, MachineOrder, MachineState};
-use crate::schedule::Scheduler;
 use crate::schedule::worker::WorkerKey;
+use crate::schedule::{Scheduler, forecast};
 use crate::state::ControlState;
 
 /// How long a machine stays without work before it goes back to the spare
@@ -16,6 +16,12 @@
 /// Chosen together with the forecast's windows, which took a calm day from
 /// 1,459 to 1,397 seconds of machines.
 const IDLE_LIMIT: Duration = Duration::from_millis(900);
+/// The same in a pool that holds far more than it needs: demand has fallen, and
+/// what is still to come finds room. Saves 4% of the seconds of machines, for 4%
+/// more moves (mean of nine played days, jobs in time as before).
+const PLENTY_IDLE_LIMIT: Duration = Duration::from_millis(150);
+/// How much more than its need a pool holds that has plenty, in percent.
+const PLENTY_PERCENT: u64 = 50;
 /// What tasks of different sizes leave unused of a worker, in percent: they
 /// take up about a tenth of one each. Chosen without a measurement.
 pub(super) const FRAGMENTATION_PERCENT: u64 = 10;
@@ -29,6 +35,17 @@
 /// first pool that lacked machines waited 3 s for its own.
 const RETURNS_AT_ONCE: usize = 16;
 
+/// Where a machine for a pool comes from; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Donor {
+    /// A pool that holds more than it needs.
+    Surplus,
+    /// The spare pool.
+    Spare,
+    /// A pool that seems to hold more than it needs.
+    Unsure,
+}
+
 /// The balance of each pool that queues use.
 pub(super) type Balances = IndexMap<Box<str>, Balance>;
 
@@ -55,27 +72,40 @@
         self.send_back(state, &mut balances);
     }
 
-    /// An idle machine for a pool: a spare one, else one of the pool that has
-    /// most to spare.
+    /// An idle machine for a pool: one of the pool that has most to spare, else a
+    /// spare one. The other way round each machine of a turn of demand that ends
+    /// moves twice, back and out again: 2 to 8% more moves (nine played days).
     fn donor(&self, state: &ControlState, pool: &str, balances: &Balances) -> Option<Box<str>> {
+        let lender = match self.knows_demand() {
+            true => Donor::Surplus,
+            false => Donor::Unsure,
+        };
         let rank = |machine: &Machine| {
             let view = &machine.view;
             if *view.pool == *pool || !self.may_move(machine, pool) {
                 return None;
             }
             if is_spare(state, &view.pool) {
-                return Some((0, 0));
+                return Some((Donor::Spare, 0));
             }
             let rest = balances.get(&view.pool)?.without(view.capacity);
             let spares = rest.workers > 0 && rest.suffices(FRAGMENTATION_PERCENT);
             let surplus = rest.offered.cpu_milli.saturating_sub(rest.needed.cpu_milli);
-            spares.then_some((1, u64::MAX - surplus))
+            spares.then_some((lender, u64::MAX - surplus))
         };
         let machines = self.machines.by_name.iter();
         let ranked = machines.filter_map(|(name, machine)| Some((rank(machine)?, name)));
         ranked.min().map(|(_, name)| name.clone())
     }
 
+    /// Whether this owner has seen demand for as long as its forecast looks back.
+    /// Before, a pool between two turns looks as one that needs nothing: what new
+    /// owners gave away was missing a second later (worst windows of six played
+    /// days 0.748 -> 0.713 in the mean).
+    fn knows_demand(&self) -> bool {
+        self.now >= self.taken_over_at + forecast::MEMORY
+    }
+
     /// Whether fewer orders than `most` wait for an answer.
     fn may_order(&self, most: usize) -> bool {
         let machines = self.machines.by_name.values();
@@ -137,12 +167,18 @@
             let machine = &self.machines.by_name[&name];
             let size = machine.view.capacity;
             let since = machine.idle_since;
-            let idle = since.is_some_and(|since| self.now >= since + IDLE_LIMIT);
             let Some(balance) = balances.get(&machine.view.pool) else {
                 continue;
             };
             // One machine stays free for what comes next.
             let rest = balance.without(size).without(size);
+            let plenty = self.knows_demand() && rest.suffices(PLENTY_PERCENT);
+            let limit = if plenty {
+                PLENTY_IDLE_LIMIT
+            } else {
+                IDLE_LIMIT
+            };
+            let idle = since.is_some_and(|since| self.now >= since + limit);
             let spares = rest.workers > 0 && rest.suffices(FRAGMENTATION_PERCENT);
             if idle && spares && self.may_move(machine, &spare) {
                 if !self.may_order(RETURNS_AT_ONCE) {
--- a/crates/cleat-jobs/src/schedule/forecast.rs
+++ b/crates/cleat-jobs/src/schedule/forecast.rs
@@ -18,7 +18,7 @@
 
 /// How far back jobs are looked at. With nothing changed, chance then makes a
 /// tenth of the rate of a queue with 20 jobs a second.
-const MEMORY: Duration = Duration::from_millis(6_000);
+pub(crate) const MEMORY: Duration = Duration::from_millis(6_000);
 /// The shortest part that jobs are split into: they come in bunches, as callers
 /// try again and gateways send what they held. Where this many came at once it
 /// is no bunch, and a shorter time tells enough.
