Ask for a list before a lasting task in doubt is stopped

Cause: a start that was not answered within 250 ms was stopped at once, also where it had been carried out: an owner whose processor is busy takes that long to read an answer. For tasks that run until they are cancelled the stop ends one at work while more of its step may be away than it allows. Ruled out for tasks that end: they may be tried elsewhere at once, so their doubt is cleared as before.

Change: such a run waits for the next list of its worker; it goes on if it is named, and is stopped as before if it is not.

--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -16,6 +16,12 @@
         /// When the owner knew. A list that was asked for later has to name it.
         known_at: Duration,
     },
+    /// The start has no answer. A list that is asked for later tells whether the
+    /// run is there, before anything is done about it.
+    Unanswered {
+        /// Since when.
+        since: Duration,
+    },
     /// The start has no answer, so the worker is told to stop the run before
     /// it is started elsewhere.
     InDoubt {
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -36,7 +36,9 @@
         let next = match attempt.phase {
             // Its start may still be carried out, so the stop has to close
             // the door rather than end a run.
-            Phase::Starting | Phase::InDoubt { .. } => Phase::InDoubt { stop_sent: now },
+            Phase::Starting | Phase::Unanswered { .. } | Phase::InDoubt { .. } => {
+                Phase::InDoubt { stop_sent: now }
+            }
             Phase::Running { .. } | Phase::Stopping { .. } => Phase::Stopping { stop_sent: now },
             Phase::Closed { .. } | Phase::Ended => return,
         };
@@ -134,6 +136,7 @@
             }
             return self.note_begun(order.task.job());
         }
+        let lasts = attempt.lasts;
         let worker = self.worker_name(key);
         self.tell(Decision::StartFailed {
             task: order.task.to_string().into(),
@@ -142,6 +145,9 @@
             answer: answer.name(),
         });
         if !answer.never_runs() && self.cfg.protections.close_doors {
+            if lasts {
+                return self.await_list(order.task);
+            }
             return self.stop(order.task, StopReason::InDoubt);
         }
         if matches!(answer, OrderAnswer::NoRoom | OrderAnswer::Unwell) {
@@ -153,6 +159,18 @@
         self.withdraw(state, order.task);
     }
 
+    /// Leaves a start without an answer to the next list of its worker. A stop
+    /// would end a task at work, while more of its step
+    /// may be away than it allows; it has no end to be late with.
+    fn await_list(&mut self, task: TaskId) {
+        let now = self.now;
+        if let Some(attempt) = self.attempts.get_mut(&task)
+            && attempt.phase == Phase::Starting
+        {
+            attempt.phase = Phase::Unanswered { since: now };
+        }
+    }
+
     /// Takes back a start that certainly has no effect.
     fn withdraw(&mut self, state: &ControlState, task: TaskId) {
         let Some(attempt) = self.remove_attempt(task) else {
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -255,7 +255,7 @@
                 attempt.checkpoint = listed.checkpoint.clone();
             }
             attempt.at_work = listed.percent >= 100;
-            if attempt.phase == Phase::Starting {
+            if matches!(attempt.phase, Phase::Starting | Phase::Unanswered { .. }) {
                 attempt.phase = Phase::Running { known_at: now };
             }
             return self.note_begun(listed.task.job());
@@ -265,7 +265,8 @@
         }
     }
 
-    /// Finds runs that a list asked for after they were known does not name.
+    /// Finds runs that a list does not name, though it was asked for after they
+    /// were known, or should have begun.
     fn find_vanished(
         &mut self,
         key: WorkerKey,
@@ -278,7 +279,7 @@
             };
             let due = match attempt.phase {
                 Phase::Running { known_at } => known_at < sent_at,
-                Phase::Closed { at } => at < sent_at,
+                Phase::Closed { at: since } | Phase::Unanswered { since } => since < sent_at,
                 _ => false,
             };
             due && !listed.contains(&(**task, attempt.run))
@@ -286,7 +287,13 @@
         let tasks = self.workers[key].tasks.iter();
         let vanished: Vec<TaskId> = tasks.filter(missing).copied().collect();
         for task in vanished {
-            self.lose(task, LossReason::Vanished);
+            let phase = self.attempts.get(&task).map(|attempt| attempt.phase);
+            if matches!(phase, Some(Phase::Unanswered { .. })) {
+                // Its start may still be carried out.
+                self.stop(task, StopReason::InDoubt);
+            } else {
+                self.lose(task, LossReason::Vanished);
+            }
         }
     }
 
