Log a failure to commit once at its start and once at its end

Ruled out: bounding the log by dropping lines, which loses what an engineer needs.

Change: a condition counts its failures and gives one event when it begins (commits_fail, with the reason) and one when it ends (commits_fail_no_more, with count and span).

--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -7,11 +7,14 @@
     Command, Effect, Event, MachineAnswer, MachineOrder, OrderAnswer, RenewalOrder, StepId,
     TaskOrder,
 };
+use cleat_telemetry::Condition;
 use log::warn;
 use tokio::time::sleep;
 
 use super::{Calls, OwnerTask, TICK};
 use crate::clock::boot_time;
+use crate::events::ControlEvent;
+use crate::node::Shared;
 use crate::platform::{AdviceClient, MachineClient, RenewalError, WorkerClient};
 
 /// A call under way, and the event that it ends with, if any.
@@ -143,12 +146,18 @@
     }
 
     fn propose(&self, command: Command) -> Call {
-        let shared = self.shared.clone();
+        let (shared, commits) = (self.shared.clone(), self.commits.clone());
         Box::pin(async move {
             match shared.replica.propose(command.encode()).await {
-                Ok(_) => None,
+                Ok(_) => {
+                    tell_commits_again(&shared, &commits);
+                    None
+                }
                 Err(error) => {
-                    warn!("a command of the owner was not committed: {error}");
+                    if commits.fail(boot_time()) {
+                        let reason = error.to_string().into();
+                        shared.events.emit(&ControlEvent::CommitsFail { reason });
+                    }
                     sleep(TICK).await;
                     let command = Arc::new(command);
                     Some(Event::ProposalFailed { command })
@@ -157,3 +166,13 @@
         })
     }
 }
+
+/// Logs that commands are committed again, or not tried any more, if some failed.
+pub(super) fn tell_commits_again(shared: &Shared, commits: &Condition) {
+    if let Some(outage) = commits.end(boot_time()) {
+        shared.events.emit(&ControlEvent::CommitsFailNoMore {
+            failed: outage.failures,
+            lasted_ms: outage.lasted.as_millis(),
+        });
+    }
+}
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cleat_jobs::{Command, Event, Scheduler, SchedulerConfig};
+use cleat_telemetry::Condition;
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
 use log::warn;
@@ -17,7 +18,7 @@
 use crate::events::{ControlEvent, OwnershipEnd};
 use crate::node::Shared;
 use crate::platform::{AdviceClient, MachineClient, PlatformClients, WorkerClient};
-use effects::Call;
+use effects::{Call, tell_commits_again};
 
 /// How often an instance that does not lead looks whether it does by now: well
 /// below the time of an election.
@@ -39,6 +40,7 @@
         workers: Arc::new(clients.workers),
         machines: Arc::new(clients.machines),
         adviser: Arc::new(clients.adviser),
+        commits: Arc::default(),
     };
     tokio::spawn(owner.run())
 }
@@ -49,6 +51,8 @@
     workers: Arc<W>,
     machines: Arc<M>,
     adviser: Arc<A>,
+    /// Whether its commands are committed.
+    commits: Arc<Condition>,
 }
 
 /// Calls under way.
@@ -71,6 +75,7 @@
         if self.take_over().await {
             let token = self.tell_takeover();
             let reason = self.serve(&mut rx).await;
+            tell_commits_again(&self.shared, &self.commits);
             let end = ControlEvent::OwnsNoMore { token, reason };
             self.shared.events.emit(&end);
         }
--- a/crates/cleat-telemetry/src/lib.rs
+++ b/crates/cleat-telemetry/src/lib.rs
@@ -11,6 +11,7 @@
 //! one look at the thread's current span.
 
 mod appender;
+mod condition;
 mod counters;
 mod error;
 mod events;
@@ -22,6 +23,7 @@
 mod trace;
 
 pub use appender::install_logs;
+pub use condition::{Condition, Outage};
 pub use counters::{Counter, Counters, Gauge};
 pub use error::TelemetryError;
 pub use events::EventLog;
