Ask for the next list at once after a stop in doubt

Cause: a start without an answer is stopped, and its task started again once a list that was asked for after the stop's answer leaves it out. Ruled out: room (147 of 7,800 cores free while tasks waited, machines on their way) and one connection for orders (2 to 32 of 1,100 starts a second not sent).

Change: renewals wait for nothing while a stopped or unanswered start waits for a list, 0.1 s while its stop has no answer. Two tests, both failed before.

--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -28,6 +28,10 @@
 /// have to be looked at more often than ends come.
 const SHARING_WAIT: Duration = Duration::from_millis(300);
 
+/// The same while a stop has no answer: once it has, the next list is asked for
+/// this soon. Each costs a look at the worker.
+const DOUBT_WAIT: Duration = Duration::from_millis(100);
+
 impl Scheduler {
     /// Sends a renewal to each worker for which one is due.
     pub(super) fn send_renewals(&mut self) {
@@ -42,7 +46,9 @@
     fn send_renewal(&mut self, key: WorkerKey) {
         let lease = millis(self.cfg.lease);
         let now = self.now;
+        let longest = self.longest_wait(key);
         let worker = &mut self.workers[key];
+        let shares = worker.shares;
         // The first call learns the clock, and the runs, at once.
         let blind = !self.cfg.protections.no_blind_grants;
         let known = worker.clock_ms(now).filter(|_| worker.answers() || blind);
@@ -51,9 +57,10 @@
         // certain; waiting for that answer would cost up to a second a move.
         let empties = worker.tasks.is_empty() && worker.acked > worker.confirmed;
         let wait = match deadline_ms {
-            Some(_) if worker.shares => SHARING_WAIT,
-            Some(_) if !empties => self.cfg.renewal_wait,
-            _ => Duration::ZERO,
+            None => Duration::ZERO,
+            Some(_) if empties => Duration::ZERO,
+            Some(_) if shares => SHARING_WAIT.min(longest),
+            Some(_) => longest,
         };
         worker.granted_ms = worker.granted_ms.max(deadline_ms.unwrap_or_default());
         worker.renewing = true;
@@ -70,6 +77,20 @@
         });
     }
 
+    /// How long a worker's answer may wait for an end, by what is not known of
+    /// its runs. A start without an answer costs its job a list after that of its
+    /// stop: two waits of up to a second each, more than most jobs have to spare.
+    fn longest_wait(&self, key: WorkerKey) -> Duration {
+        let phases = self.workers[key].tasks.iter();
+        let phases = phases.filter_map(|task| Some(self.attempts.get(task)?.phase));
+        let wait = |phase| match phase {
+            Phase::Closed { .. } | Phase::Unanswered { .. } => Duration::ZERO,
+            Phase::InDoubt { .. } => DOUBT_WAIT,
+            _ => self.cfg.renewal_wait,
+        };
+        phases.map(wait).min().unwrap_or(self.cfg.renewal_wait)
+    }
+
     pub(super) fn renewal_answered(
         &mut self,
         state: &ControlState,
--- a/crates/cleat-jobs/tests/in_doubt.rs
+++ b/crates/cleat-jobs/tests/in_doubt.rs
@@ -105,3 +105,45 @@
     let listed = bed.answer_renewal(&orders[0].0, RenewalAnswer::default());
     assert_eq!(stops(&listed), vec![]);
 }
+
+/// How long the renewals among effects may wait for an end.
+fn waits(effects: &[Effect]) -> Vec<Duration> {
+    let wait = |effect: &Effect| match effect {
+        Effect::Renew { order, .. } => Some(order.wait),
+        _ => None,
+    };
+    effects.iter().filter_map(wait).collect()
+}
+
+/// A task that ends by itself, whose start has no answer.
+fn bed_with_a_task_in_doubt() -> (Bed, Box<str>, TaskOrder) {
+    let mut bed = Bed::new();
+    let (worker, order) = starts(&bed.submit(1, vec![step(1, 1_000)])).remove(0);
+    let stopped = stops(&bed.answer(&worker, &order, OrderAnswer::Unknown));
+    assert_eq!(stopped.len(), 1);
+    (bed, worker, stopped[0].1.clone())
+}
+
+/// Once the stop is answered, the next list tells what became of the run.
+#[test]
+fn renewal_of_a_worker_whose_run_was_closed_waits_for_nothing() {
+    let (mut bed, worker, stop) = bed_with_a_task_in_doubt();
+    bed.answer(&worker, &stop, OrderAnswer::Old);
+    let next = bed.answer_renewal(&worker, RenewalAnswer::default());
+    assert_eq!(waits(&next), vec![Duration::ZERO]);
+    bed.now += Duration::from_millis(3);
+    let settled = bed.answer_renewal(&worker, RenewalAnswer::default());
+    assert_eq!(starts(&settled).len(), 1, "it is started again");
+    assert!(waits(&settled)[0] > Duration::ZERO, "nothing is in doubt");
+}
+
+/// While the stop has no answer, a list tells nothing, but the one that does has
+/// to be asked for soon.
+#[test]
+fn renewal_of_a_worker_with_a_run_in_doubt_waits_briefly() {
+    let (mut bed, worker, _) = bed_with_a_task_in_doubt();
+    let next = bed.answer_renewal(&worker, RenewalAnswer::default());
+    let wait = waits(&next)[0];
+    let brief = Duration::from_millis(1)..=Duration::from_millis(200);
+    assert!(brief.contains(&wait), "{wait:?}");
+}
