Keep all connections for orders while the budget lasts

Cause: an owner whose processor is the limit (350 workers on 0.35 of a core) paid for two connections anew in each burst of starts.

The event at the end of failures to commit is commits_fail_end, and a budget of under 100 tells its end as well.

--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -32,7 +32,7 @@
     /// A command of the owner was not committed, the first after one that was.
     CommitsFail { reason: Box<str> },
     /// Commands of the owner are committed again, or it is the owner no more.
-    CommitsFailNoMore { failed: u64, lasted_ms: u128 },
+    CommitsFailEnd { failed: u64, lasted_ms: u128 },
     /// This instance gives no more orders.
     OwnsNoMore { token: u64, reason: OwnershipEnd },
 }
--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -150,7 +150,7 @@
         Box::pin(async move {
             match shared.replica.propose(command.encode()).await {
                 Ok(_) => {
-                    tell_commits_again(&shared, &commits);
+                    end_commit_failures(&shared, &commits);
                     None
                 }
                 Err(error) => {
@@ -168,9 +168,9 @@
 }
 
 /// Logs that commands are committed again, or not tried any more, if some failed.
-pub(super) fn tell_commits_again(shared: &Shared, commits: &Condition) {
+pub(super) fn end_commit_failures(shared: &Shared, commits: &Condition) {
     if let Some(outage) = commits.end(boot_time()) {
-        shared.events.emit(&ControlEvent::CommitsFailNoMore {
+        shared.events.emit(&ControlEvent::CommitsFailEnd {
             failed: outage.failures,
             lasted_ms: outage.lasted.as_millis(),
         });
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -18,7 +18,7 @@
 use crate::events::{ControlEvent, OwnershipEnd};
 use crate::node::Shared;
 use crate::platform::{AdviceClient, MachineClient, PlatformClients, WorkerClient};
-use effects::{Call, tell_commits_again};
+use effects::{Call, end_commit_failures};
 
 /// How often an instance that does not lead looks whether it does by now: well
 /// below the time of an election.
@@ -75,7 +75,7 @@
         if self.take_over().await {
             let token = self.tell_takeover();
             let reason = self.serve(&mut rx).await;
-            tell_commits_again(&self.shared, &self.commits);
+            end_commit_failures(&self.shared, &self.commits);
             let end = ControlEvent::OwnsNoMore { token, reason };
             self.shared.events.emit(&end);
         }
--- a/crates/cleat-http/src/budget.rs
+++ b/crates/cleat-http/src/budget.rs
@@ -56,7 +56,7 @@
         self.open() >= self.0.most
     }
 
-    /// Counts a connection for as long as the answer lives.
+    /// Counts a connection until the value returned is dropped.
     pub(crate) fn count(&self) -> OpenConnection {
         let open = self.0.open.fetch_add(1, Ordering::Relaxed) + 1;
         let most = self.0.most;
@@ -85,7 +85,7 @@
             told_short,
         } = &*self.0.0;
         let left = open.fetch_sub(1, Ordering::Relaxed) - 1;
-        let well = left < most / 100 * WELL_PERCENT;
+        let well = left < most.saturating_mul(WELL_PERCENT) / 100;
         if well && told_short.swap(false, Ordering::Relaxed) {
             log::info!("{left} connections are open of {most}: idle ones are kept again");
         }
--- a/crates/cleat-http/src/client.rs
+++ b/crates/cleat-http/src/client.rs
@@ -21,8 +21,6 @@
 pub struct ClientConfig {
     /// How many exchanges may be under way at once; others wait.
     pub connections: usize,
-    /// How many connections without an exchange are kept.
-    pub kept: usize,
     /// How long opening a connection may take.
     pub connect_limit: Duration,
     /// The largest body taken, in bytes.
@@ -73,7 +71,7 @@
 impl Client {
     /// A client without connections.
     pub fn new(cfg: ClientConfig) -> Client {
-        let pool = Arc::new(Pool::new(cfg.connections, cfg.kept));
+        let pool = Arc::new(Pool::new(cfg.connections));
         Client { cfg, pool }
     }
 
--- a/crates/cleat-http/src/pool.rs
+++ b/crates/cleat-http/src/pool.rs
@@ -17,8 +17,6 @@
 pub(crate) struct Pool {
     /// How many exchanges with one address may be under way at once.
     exchanges: usize,
-    /// How many idle connections to one address are kept.
-    most_idle: usize,
     kept: Mutex<Kept>,
 }
 
@@ -54,10 +52,9 @@
 }
 
 impl Pool {
-    pub(crate) fn new(exchanges: usize, most_idle: usize) -> Pool {
+    pub(crate) fn new(exchanges: usize) -> Pool {
         Pool {
             exchanges,
-            most_idle,
             kept: Mutex::default(),
         }
     }
@@ -77,17 +74,13 @@
         permits
     }
 
-    /// Keeps a connection that has no exchange under way, unless enough are
-    /// kept.
+    /// Keeps a connection that has no exchange under way.
     pub(crate) fn keep(&self, address: &str, tx: Sender) {
         let mut kept = self.kept();
         let age = kept.next_age;
         let Some(host) = kept.hosts.get_mut(address) else {
             return;
         };
-        if host.idle.len() >= self.most_idle {
-            return;
-        }
         host.idle.push(age);
         kept.next_age += 1;
         let address = address.into();
