--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -35,14 +35,14 @@
 /// first pool that lacked machines waited 3 s for its own.
 const RETURNS_AT_ONCE: usize = 16;
 
-/// Where a machine for a pool comes from; lower goes first.
+/// Where a machine for a pool comes from; the first goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Donor {
     /// A pool that holds more than it needs.
     Surplus,
     /// The spare pool.
     Spare,
-    /// A pool that seems to hold more than it needs.
+    /// A pool that seems to hold more than it needs, to a new owner.
     Unsure,
 }
 
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -160,8 +160,8 @@
     }
 
     /// Leaves a start without an answer to the next list of its worker. A stop
-    /// would end a task at work, while more of its step
-    /// may be away than it allows; it has no end to be late with.
+    /// would end a task at work, while more of its step may be away than it
+    /// allows; such a task has no end to be late with.
     fn await_list(&mut self, task: TaskId) {
         let now = self.now;
         if let Some(attempt) = self.attempts.get_mut(&task)
--- a/crates/cleat-settings/tests/roles.rs
+++ b/crates/cleat-settings/tests/roles.rs
@@ -70,13 +70,15 @@
 
 #[test]
 fn parse_faults_name_the_file_and_what_is_wrong() {
-    let cases: [(Change, &str); 6] = [
+    let cases: [(Change, &str); 8] = [
         (|s| s["role"] = json!("king"), "king"),
         (|s| s["orders"] = json!("letter"), "letter"),
         (|s| s["seeds"] = json!(["nowhere"]), "socket address"),
         (|s| drop(s.as_object_mut().map(|s| s.remove("ip"))), "`ip`"),
         (|s| s["colour"] = json!("red"), "colour"),
         (|s| s["seeds"] = json!([]), "seeds"),
+        (|s| s["max_files"] = json!(100), "give 512 at least"),
+        (|s| s["max_files"] = json!("many"), "string"),
     ];
     for (change, expected) in cases {
         let mut settings = control();
