--- a/crates/cleat-http/src/budget.rs
+++ b/crates/cleat-http/src/budget.rs
@@ -67,12 +67,6 @@
     }
 }
 
-impl Default for ConnectionBudget {
-    fn default() -> Self {
-        ConnectionBudget::unlimited()
-    }
-}
-
 /// One open connection.
 #[derive(Debug)]
 pub(crate) struct OpenConnection(ConnectionBudget);
