--- a/crates/celerycleatd/src/dev_jobs.rs
+++ b/crates/celerycleatd/src/dev_jobs.rs
@@ -12,7 +12,7 @@
 };
 use cleat_http::{Listener, RunningServer};
 use cleat_jobs::{
-    Catalogue, JobId, JobSpec, Pool, Queue, SchedulerConfig, Size, StepSpec, WorkerHistory,
+    Catalogue, Draft, JobId, JobSpec, Pool, Queue, SchedulerConfig, Size, StepSpec, WorkerHistory,
     WorkerRecord,
 };
 use cleat_link::{ControlCall, ControlReply, JobView};
@@ -160,6 +160,7 @@
         stretch: 2.0,
         target_latency_ms: 500,
         timeout_ms: 3_000,
+        public: false,
         advice: None,
     };
     let pool = Pool {
@@ -168,7 +169,14 @@
         spare: false,
         health_path: "/".into(),
     };
-    let catalogue = Catalogue::new(1, vec![queue], vec![pool], "{}".into());
+    let draft = Draft {
+        version: 1,
+        queues: vec![queue],
+        pools: vec![pool],
+        customers: None,
+        document: "{}".into(),
+    };
+    let catalogue = Catalogue::new(draft);
     let step = "make the queue";
     catalogue.ok().context(ExampleSnafu { step })
 }
--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -21,6 +21,8 @@
         version: u64,
         queues: usize,
         pools: usize,
+        /// None where calls need no key.
+        customers: Option<usize>,
     },
     /// This instance gives orders to the workers from now on.
     Owns {
@@ -114,6 +116,8 @@
                 | ControlReply::NoSuchJob
                 | ControlReply::NotAJob
                 | ControlReply::NoConfiguration
+                | ControlReply::UnknownKey
+                | ControlReply::Taken
                 | ControlReply::Over),
             ) => {
                 let reason = format!("{reply:?}").into();
--- a/crates/cleat-control/src/leader.rs
+++ b/crates/cleat-control/src/leader.rs
@@ -1,17 +1,21 @@
 //! Finding the leader and asking it.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use cleat_link::{AskError, CallError, ControlCall, ControlError, ControlReply, LinkTraffic};
+use cleat_link::{
+    AskError, CallError, ControlCall, ControlError, ControlReply, LinkTraffic, ShownKey,
+};
 use cleat_quorum::MemberId;
 use cleat_telemetry::EventLog;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use crate::PeerAddress;
+use crate::clock::boot_time;
 use crate::events::CallLabel;
+use crate::keys::{KeyGuard, Verdict};
 use crate::links::Links;
 use crate::metrics::{Metrics, call_kind};
 
@@ -47,6 +51,8 @@
     /// answered 0.6 s after others that came later, and by a newer configuration
     /// than theirs.
     leader: watch::Sender<u32>,
+    /// What it remembers of its callers' keys.
+    keys: Mutex<KeyGuard>,
     metrics: Metrics,
     events: EventLog,
 }
@@ -86,6 +92,7 @@
             seeds: ArcSwap::from_pointee(seeds),
             links,
             leader: watch::Sender::new(NOBODY),
+            keys: Mutex::new(KeyGuard::new(boot_time())),
             metrics,
             events,
         }
@@ -118,7 +125,10 @@
     /// See [`AskError`].
     pub async fn ask(&self, call: ControlCall, limit: Duration) -> Result<ControlReply, AskError> {
         let (kind, label, began) = (call_kind(&call), CallLabel::of(&call), Instant::now());
-        let answer = self.ask_in_turn(call, limit).await;
+        let answer = match call.shown_key() {
+            Some(shown) => self.ask_with_key(call, &shown, limit).await,
+            None => self.ask_in_turn(call, limit).await,
+        };
         let took = began.elapsed();
         self.metrics.call(kind, took, &answer);
         if let Some(event) = label.outcome(&answer, took) {
@@ -127,6 +137,30 @@
         answer
     }
 
+    /// Asks unless nobody can have the key, as far as is known.
+    async fn ask_with_key(
+        &self,
+        call: ControlCall,
+        shown: &ShownKey,
+        limit: Duration,
+    ) -> Result<ControlReply, AskError> {
+        let asked_at = boot_time();
+        match self.keys().judge(shown, asked_at) {
+            Verdict::Ask => {}
+            Verdict::Unknown => return Ok(ControlReply::UnknownKey),
+            Verdict::TooMany => return Err(AskError::NotDone),
+        }
+        let answer = self.ask_in_turn(call, limit).await;
+        if let Ok(reply) = &answer {
+            self.keys().learn(shown, reply, asked_at);
+        }
+        answer
+    }
+
+    fn keys(&self) -> std::sync::MutexGuard<'_, KeyGuard> {
+        self.keys.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn ask_in_turn(
         &self,
         mut call: ControlCall,
--- a/crates/cleat-control/src/lib.rs
+++ b/crates/cleat-control/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod error;
 mod events;
+mod keys;
 mod leader;
 mod links;
 mod local;
--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use cleat_jobs::{
-    Answer, Catalogue, Command, ControlState, Event, Heartbeat, Job, JobId, JobSpec, JobState,
-    Queue, Scheduler, WorkerView,
+    Answer, Caller, Catalogue, Command, ControlState, Customers, Event, Heartbeat, Job, JobId,
+    JobSpec, JobState, KeyDigest, Queue, Scheduler, WorkerView,
 };
 use cleat_link::{ControlCall, ControlError, ControlReply, JobLine, JobView, Overview, WorkerLine};
 use cleat_quorum::ProposeError;
@@ -20,13 +20,23 @@
     Commit(Command),
 }
 
-/// What a path leads to.
+/// What a call of a customer names.
+struct Address<'a> {
+    host: &'a str,
+    path: &'a str,
+    key: Option<&'a KeyDigest>,
+}
+
+impl<'a> Address<'a> {
+    fn of(host: &'a str, path: &'a str, key: Option<&'a KeyDigest>) -> Address<'a> {
+        Address { host, path, key }
+    }
+}
+
+/// What that leads to, for a caller who may go there.
 enum Place {
-    NoConfiguration,
-    NoSuchQueue,
     Queue(Arc<Queue>),
-    NotAJob,
-    Job(Arc<Queue>, JobId),
+    Job(Arc<Queue>, JobId, Caller),
 }
 
 impl Shared {
@@ -56,11 +66,19 @@
             ControlCall::Submit {
                 host,
                 path,
+                key,
                 spec,
                 waited_ms,
-            } => self.submit(&host, &path, spec, wall_ms().saturating_sub(waited_ms)),
-            ControlCall::Look { host, path } => Step::Answer(self.look(&host, &path)?),
-            ControlCall::Cancel { host, path } => self.cancel(&host, &path),
+            } => {
+                let came_ms = wall_ms().saturating_sub(waited_ms);
+                self.submit(&Address::of(&host, &path, key.as_ref()), spec, came_ms)
+            }
+            ControlCall::Look { host, path, key } => {
+                Step::Answer(self.look(&Address::of(&host, &path, key.as_ref()))?)
+            }
+            ControlCall::Cancel { host, path, key } => {
+                self.cancel(&Address::of(&host, &path, key.as_ref()))
+            }
             ControlCall::SubmitTo { queue, id, spec } => self.submit_to(&queue, id, spec),
             ControlCall::LookAt { id } => {
                 Step::Answer(self.state.read(|state| self.job(state, id)))
@@ -111,34 +129,38 @@
         })
     }
 
-    fn submit(&self, host: &str, path: &str, spec: Arc<JobSpec>, came_ms: u64) -> Step {
-        self.state.read(|state| match place(state, host, path) {
-            Place::NoConfiguration => Step::Answer(ControlReply::NoConfiguration),
-            Place::NoSuchQueue => Step::Answer(ControlReply::NoSuchQueue),
-            Place::Queue(_) | Place::NotAJob => Step::Answer(ControlReply::NotAJob),
-            // Sent again: it is stored already.
-            Place::Job(_, id) if state.job_state(id).is_some() => Step::Answer(ControlReply::Done),
-            Place::Job(queue, id) => Step::Commit(Command::Submit {
-                id,
-                queue,
-                spec,
-                came_ms,
-            }),
+    fn submit(&self, address: &Address<'_>, spec: Arc<JobSpec>, came_ms: u64) -> Step {
+        self.state.read(|state| match place(state, address) {
+            Err(refusal) => Step::Answer(refusal),
+            Ok(Place::Queue(_)) => Step::Answer(ControlReply::NotAJob),
+            Ok(Place::Job(queue, id, caller)) => match state.owner_of(id) {
+                None => Step::Commit(Command::Submit {
+                    id,
+                    queue,
+                    customer: caller.name().map(Into::into),
+                    spec,
+                    came_ms,
+                }),
+                // Sent again: it is stored already.
+                Some(owner) if owner == caller.name() => Step::Answer(ControlReply::Done),
+                Some(_) => Step::Answer(ControlReply::Taken),
+            },
         })
     }
 
-    fn look(&self, host: &str, path: &str) -> Result<ControlReply, ControlError> {
-        self.state.read(|state| match place(state, host, path) {
-            Place::NoConfiguration => Ok(ControlReply::NoConfiguration),
-            Place::NoSuchQueue => Ok(ControlReply::NoSuchQueue),
-            Place::NotAJob => Ok(ControlReply::NotAJob),
-            Place::Queue(queue) => {
+    fn look(&self, address: &Address<'_>) -> Result<ControlReply, ControlError> {
+        self.state.read(|state| match place(state, address) {
+            Err(refusal) => Ok(refusal),
+            Ok(Place::Queue(queue)) => {
                 let count =
                     |s: &cleat_jobs::Scheduler| s.waiting(state, &queue.host, &queue.prefix);
                 let waiting = self.with_scheduler(count).ok_or(ControlError::NoQuorum)?;
                 Ok(ControlReply::Waiting(waiting as u64))
             }
-            Place::Job(_, id) => Ok(self.job(state, id)),
+            Ok(Place::Job(_, id, caller)) if hidden(state, id, &caller) => {
+                Ok(ControlReply::NoSuchJob)
+            }
+            Ok(Place::Job(_, id, _)) => Ok(self.job(state, id)),
         })
     }
 
@@ -150,12 +172,14 @@
         ControlReply::Job(JobView::of(known, begun.unwrap_or_default()))
     }
 
-    fn cancel(&self, host: &str, path: &str) -> Step {
-        self.state.read(|state| match place(state, host, path) {
-            Place::NoConfiguration => Step::Answer(ControlReply::NoConfiguration),
-            Place::NoSuchQueue => Step::Answer(ControlReply::NoSuchQueue),
-            Place::Queue(_) | Place::NotAJob => Step::Answer(ControlReply::NotAJob),
-            Place::Job(_, id) => cancel_job(state, id),
+    fn cancel(&self, address: &Address<'_>) -> Step {
+        self.state.read(|state| match place(state, address) {
+            Err(refusal) => Step::Answer(refusal),
+            Ok(Place::Queue(_)) => Step::Answer(ControlReply::NotAJob),
+            Ok(Place::Job(_, id, caller)) if hidden(state, id, &caller) => {
+                Step::Answer(ControlReply::NoSuchJob)
+            }
+            Ok(Place::Job(_, id, _)) => cancel_job(state, id),
         })
     }
 
@@ -173,6 +197,7 @@
                     Step::Commit(Command::Submit {
                         id,
                         queue,
+                        customer: None,
                         spec,
                         came_ms: wall_ms(),
                     })
@@ -238,6 +263,7 @@
                 version: catalogue.version,
                 queues: catalogue.queues.len(),
                 pools: catalogue.pools.len(),
+                customers: catalogue.customers.as_ref().map(Customers::len),
             });
         }
     }
@@ -254,6 +280,7 @@
             Some(Answer::Done) => ControlReply::Done,
             Some(Answer::NoSuchJob) => ControlReply::NoSuchJob,
             Some(Answer::Over(_)) => ControlReply::Over,
+            Some(Answer::Taken) => ControlReply::Taken,
             None => return Err(ControlError::OutcomeUnknown),
         })
     }
@@ -292,23 +319,38 @@
     }
 }
 
-fn place(state: &ControlState, host: &str, path: &str) -> Place {
+/// Where a call leads, by the configuration in force on the leader, which is the
+/// newest: a gateway keeps no copy that could be older.
+///
+/// What is not there is told before the key is looked at: an unknown queue has no
+/// customers.
+fn place(state: &ControlState, address: &Address<'_>) -> Result<Place, ControlReply> {
     let Some(catalogue) = &state.catalogue else {
-        return Place::NoConfiguration;
+        return Err(ControlReply::NoConfiguration);
     };
-    let Some(queue) = catalogue.route(host, path) else {
-        return Place::NoSuchQueue;
+    let Some(queue) = catalogue.route(address.host, address.path) else {
+        return Err(ControlReply::NoSuchQueue);
     };
-    let name = &path[queue.prefix.len()..];
+    let caller = catalogue.caller(queue, address.key);
+    if caller == Caller::Unknown {
+        return Err(ControlReply::UnknownKey);
+    }
+    let name = &address.path[queue.prefix.len()..];
     if name.is_empty() {
-        return Place::Queue(queue.clone());
+        return Ok(Place::Queue(queue.clone()));
     }
     match name.parse() {
-        Ok(id) => Place::Job(queue.clone(), id),
-        Err(_) => Place::NotAJob,
+        Ok(id) => Ok(Place::Job(queue.clone(), id, caller)),
+        Err(_) => Err(ControlReply::NotAJob),
     }
 }
 
+/// Whether a job is another customer's, who alone may know of it.
+fn hidden(state: &ControlState, id: JobId, caller: &Caller) -> bool {
+    let owner = state.owner_of(id);
+    owner.is_some_and(|owner| !caller.may_use(owner))
+}
+
 pub(crate) fn refusal(error: &ProposeError) -> ControlError {
     match error {
         ProposeError::NotLeader { leader } => ControlError::NotLeader {
--- a/crates/cleat-jobs/examples/decision_cost.rs
+++ b/crates/cleat-jobs/examples/decision_cost.rs
@@ -11,9 +11,9 @@
 
 use cleat_control::{ModelRun, ModelWorker};
 use cleat_jobs::{
-    Catalogue, Command, ControlState, Effect, EndKind, Event, Heartbeat, JobId, JobSpec, Order,
-    OrderAnswer, Pool, Queue, RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec, TaskOrder,
-    WorkerHistory, WorkerRecord,
+    Catalogue, Command, ControlState, Draft, Effect, EndKind, Event, Heartbeat, JobId, JobSpec,
+    Order, OrderAnswer, Pool, Queue, RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec,
+    TaskOrder, WorkerHistory, WorkerRecord,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -228,6 +228,7 @@
             Happening::Commit(Command::Submit {
                 id,
                 queue,
+                customer: None,
                 spec,
                 came_ms: 0,
             }),
@@ -299,6 +300,7 @@
         stretch: 1.5,
         target_latency_ms: 500,
         timeout_ms: 3_000,
+        public: false,
         advice: None,
     };
     let pool = |at: usize| Pool {
@@ -307,7 +309,12 @@
         spare: false,
         health_path: "/health".into(),
     };
-    let queues = (0..POOLS).map(queue).collect();
-    let pools = (0..POOLS).map(pool).collect();
-    Catalogue::new(1, queues, pools, "{}".into()).expect("a valid catalogue")
+    let draft = Draft {
+        version: 1,
+        queues: (0..POOLS).map(queue).collect(),
+        pools: (0..POOLS).map(pool).collect(),
+        customers: None,
+        document: "{}".into(),
+    };
+    Catalogue::new(draft).expect("a valid catalogue")
 }
--- a/crates/cleat-jobs/src/catalogue/mod.rs
+++ b/crates/cleat-jobs/src/catalogue/mod.rs
@@ -1,15 +1,16 @@
 //! The operator's configuration: queues of jobs and the pools that run them.
 
+mod check;
 mod error;
 
-pub use error::CatalogueError;
+pub use error::{CatalogueError, CatalogueFault};
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use error::{DuplicateQueueSnafu, NoTimeoutSnafu, UnknownPoolSnafu};
+use crate::{Caller, Customer, Customers, Document, KeyDigest};
 
 /// A whole configuration. It replaces the one before.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -21,8 +22,12 @@
     pub queues: Vec<Arc<Queue>>,
     /// The pools by name.
     pub pools: IndexMap<Box<str>, Pool>,
+    /// The customers; none where calls need no key.
+    ///
+    /// Invariant: no two share a name or a key.
+    pub customers: Option<Customers>,
     /// The operator's document as it came, to be read back.
-    pub document: Box<str>,
+    pub document: Document,
 }
 
 /// A queue of jobs: where they arrive and how they are run.
@@ -46,6 +51,8 @@
     pub target_latency_ms: u64,
     /// How long a call may take, in milliseconds.
     pub timeout_ms: u64,
+    /// Whether its callers need no key.
+    pub public: bool,
     /// Set where starts need the adviser's permission.
     pub advice: Option<Advice>,
 }
@@ -74,48 +81,84 @@
     pub health_path: Box<str>,
 }
 
+/// A configuration as it was read, not checked yet.
+#[derive(Clone, Debug)]
+pub struct Draft {
+    /// The operator's number.
+    pub version: u64,
+    /// The queues.
+    pub queues: Vec<Queue>,
+    /// The pools.
+    pub pools: Vec<Pool>,
+    /// The customers, each with its keys as they were written; none where calls
+    /// need no key.
+    pub customers: Option<Vec<CustomerDraft>>,
+    /// The operator's document as it came.
+    pub document: Document,
+}
+
+/// A customer as it was read, not checked yet.
+#[derive(Clone, Debug)]
+pub struct CustomerDraft {
+    /// The customer; its `keys` are those of `keys`.
+    pub customer: Customer,
+    /// The places of empty keys in its list.
+    pub empty_keys: Vec<usize>,
+}
+
+impl CustomerDraft {
+    /// A customer with keys as they were written.
+    pub fn new(customer: Customer, keys: &[Box<str>]) -> CustomerDraft {
+        let places = keys.iter().enumerate();
+        let empty = places.filter(|(_, key)| key.is_empty()).map(|(at, _)| at);
+        CustomerDraft {
+            customer: Customer {
+                keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
+                ..customer
+            },
+            empty_keys: empty.collect(),
+        }
+    }
+}
+
 impl Catalogue {
-    /// Checks a configuration.
+    /// Checks a configuration as a whole.
     ///
     /// # Errors
-    /// [`CatalogueError`] names the queue at fault.
-    pub fn new(
-        version: u64,
-        queues: Vec<Queue>,
-        pools: Vec<Pool>,
-        document: Box<str>,
-    ) -> Result<Catalogue, CatalogueError> {
-        let pools: IndexMap<Box<str>, Pool> = pools
-            .into_iter()
-            .map(|pool| (pool.name.clone(), pool))
-            .collect();
-        let mut places = IndexMap::new();
-        for queue in &queues {
-            let Queue { name, pool, .. } = queue;
-            if !pools.contains_key(pool) {
-                return UnknownPoolSnafu {
-                    queue: &**name,
-                    pool: &**pool,
-                }
-                .fail();
-            }
-            if queue.timeout_ms == 0 {
-                return NoTimeoutSnafu { queue: &**name }.fail();
-            }
-            let place = (&queue.host, &queue.prefix);
-            if let Some(other) = places.insert(place, name) {
-                let (first, second) = (&**other, &**name);
-                return DuplicateQueueSnafu { first, second }.fail();
-            }
+    /// [`CatalogueError`] names every fault and its place.
+    pub fn new(draft: Draft) -> Result<Catalogue, CatalogueError> {
+        let faults = check::faults(&draft);
+        if !faults.is_empty() {
+            return Err(CatalogueError { faults });
         }
+        let pools = draft.pools.into_iter();
+        let customers = draft.customers.map(|drafts| {
+            let customers = drafts.into_iter().map(|draft| draft.customer);
+            Customers::new(customers.collect())
+        });
         Ok(Catalogue {
-            version,
-            queues: queues.into_iter().map(Arc::new).collect(),
-            pools,
-            document,
+            version: draft.version,
+            queues: draft.queues.into_iter().map(Arc::new).collect(),
+            pools: pools.map(|pool| (pool.name.clone(), pool)).collect(),
+            customers,
+            document: draft.document,
         })
     }
 
+    /// Whose a call of a queue is that carries this key.
+    pub fn caller(&self, queue: &Queue, key: Option<&KeyDigest>) -> Caller {
+        let Some(customers) = self.customers.as_ref().filter(|_| !queue.public) else {
+            return Caller::Anyone;
+        };
+        let known = key.and_then(|key| customers.of_key(key));
+        known.map_or(Caller::Unknown, |known| Caller::Customer(known.clone()))
+    }
+
+    /// The customer of that name.
+    pub fn customer(&self, name: &str) -> Option<&Arc<Customer>> {
+        self.customers.as_ref()?.get(name)
+    }
+
     /// The queue of a call: that of the host with the longest prefix that the
     /// path begins with.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Queue>> {
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -7,13 +7,17 @@
 //! and from what the workers list.
 
 mod catalogue;
+mod customer;
 mod ids;
 mod job;
 mod schedule;
 mod size;
 mod state;
 
-pub use catalogue::{Advice, Catalogue, CatalogueError, Pool, Queue};
+pub use catalogue::{
+    Advice, Catalogue, CatalogueError, CatalogueFault, CustomerDraft, Draft, Pool, Queue,
+};
+pub use customer::{Caller, Cap, Customer, Customers, Document, KeyDigest};
 pub use ids::{JobId, ParseTaskError, Run, StepId, TaskId};
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
@@ -24,5 +28,5 @@
 pub use size::Size;
 pub use state::{
     Answer, Command, ControlState, DecodeError, End, EndKind, EndedJob, Job, JobState, Occurrence,
-    Owner, StepProgress, TaskEnd, Wave, WorkerHistory, WorkerRecord,
+    Owner, StepProgress, StoppingJob, TaskEnd, Wave, WorkerHistory, WorkerRecord,
 };
--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Scheduler;
+use super::account::Charge;
 use super::worker::WorkerKey;
 use crate::{Run, Size, TaskId};
 
@@ -52,6 +53,9 @@
     /// What it takes up on its worker. Invariant: counted in the worker's
     /// `used` unless the phase is `Ended`.
     pub(crate) footprint: Size,
+    /// What it counts for. Invariant: counted in its customer's account unless the
+    /// phase is `Ended`.
+    pub(crate) charge: Charge,
     /// Whether it goes on until its job is cancelled.
     pub(crate) lasts: bool,
     /// When the start was sent, or when the run was adopted.
@@ -72,6 +76,9 @@
 impl Scheduler {
     /// Adds a run that takes up room on its worker.
     pub(super) fn add_attempt(&mut self, task: TaskId, attempt: Attempt) {
+        if attempt.holds_room() {
+            self.accounts.hold(attempt.charge);
+        }
         let worker = &mut self.workers[attempt.worker];
         worker.used += attempt.footprint;
         worker.lasting += usize::from(attempt.lasts);
@@ -94,6 +101,7 @@
         }
         if attempt.holds_room() {
             worker.used -= attempt.footprint;
+            self.release_charge(attempt.charge);
         }
         Some(attempt)
     }
--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -57,6 +57,7 @@
                     self.workers[key].recording = false;
                 }
             }
+            Command::Settled { ids } => self.settling.retain(|id| !ids.contains(id)),
             Command::Forget { ids } => {
                 let ids = ids.iter().rev();
                 ids.for_each(|id| self.over.push_front((self.now, *id)));
@@ -181,7 +182,7 @@
             .collect();
         for step in done {
             self.steps.swap_remove(&step);
-            self.activate_occurrence(id, job, step.occurrence);
+            self.activate_occurrence(state, id, job, step.occurrence);
         }
     }
 }
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -109,11 +109,11 @@
         self.lose_all(key, LossReason::WorkerGone);
         let name = self.worker_name(key);
         self.workers.remove(&name);
-        self.strays.retain(|(at, ..), _| *at != key);
         self.propose(Command::RemoveWorkers { names: vec![name] });
     }
 
     pub(super) fn lose_all(&mut self, key: WorkerKey, reason: LossReason) {
+        self.release_strays(key, |_, _| false);
         let here = |task: &&TaskId| self.attempts.get(*task).is_some_and(Attempt::holds_room);
         let tasks = self.workers[key].tasks.iter();
         let lost: Vec<TaskId> = tasks.filter(here).copied().collect();
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -4,6 +4,7 @@
 //! any fixed point of the owner's life, on a clock that also counts while the
 //! machine is suspended.
 
+mod account;
 mod advice;
 mod attempt;
 mod beat;
@@ -44,6 +45,7 @@
 
 use crate::state::{Command, ControlState, Owner, WorkerRecord};
 use crate::{JobId, Run, Size, StepId, TaskId};
+use account::{Accounts, Stray};
 use advice::StepAdvice;
 use attempt::Attempt;
 use fleet::Machines;
@@ -130,8 +132,13 @@
     attempts: IndexMap<TaskId, Attempt>,
     /// The tasks of each job that have an attempt.
     job_tasks: IndexMap<JobId, IndexSet<TaskId>>,
-    /// Runs that should not be there, with the time of the last stop sent.
-    strays: IndexMap<(WorkerKey, TaskId, Run), Duration>,
+    /// Runs that should not be there.
+    strays: IndexMap<(WorkerKey, TaskId, Run), Stray>,
+    accounts: Accounts,
+    /// Whether an earlier owner's runs may still be unknown to this one.
+    hidden_runs: bool,
+    /// Jobs for which [`Command::Settled`] is on its way.
+    settling: IndexSet<JobId>,
     /// Jobs that are not over.
     live: IndexSet<JobId>,
     /// Jobs of which a worker said that a task has started. A start that is on
@@ -186,6 +193,9 @@
             attempts: IndexMap::new(),
             job_tasks: IndexMap::new(),
             strays: IndexMap::new(),
+            accounts: Accounts::default(),
+            hidden_runs: true,
+            settling: IndexSet::new(),
             live: IndexSet::new(),
             begun: IndexSet::new(),
             starts: IndexMap::new(),
@@ -223,6 +233,7 @@
         for event in events {
             self.take(state, event);
         }
+        self.settle_accounts(state);
         self.place(state);
         std::mem::take(&mut self.effects)
     }
@@ -309,6 +320,7 @@
             Command::AddWorker(record) => self.worker_recorded(&record.name),
             Command::RemoveWorkers { names } => self.workers_removed(names),
             Command::Draining { name } => self.drain(name),
+            Command::Settled { ids } => self.settling.retain(|id| !ids.contains(id)),
             Command::Configure(_)
             | Command::StartWave { .. }
             | Command::Maintained { .. }
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -105,6 +105,9 @@
             return self.place_gang(id, job, spec, &pending, keys);
         }
         for index in pending {
+            if !self.may_start(id, 1) {
+                return false;
+            }
             let Some(key) = self.choose(id, index, spec, keys) else {
                 return true;
             };
@@ -119,6 +122,18 @@
         false
     }
 
+    /// Whether the step's customer may have so many tasks more running.
+    fn may_start(&mut self, id: StepId, count: u64) -> bool {
+        let Some(step) = self.steps.get(&id) else {
+            return false;
+        };
+        let allowed = self.accounts.allows(step.charge, count);
+        if !allowed {
+            self.accounts.block(step.charge, &step.pool);
+        }
+        allowed
+    }
+
     /// Starts the tasks of a gang together, under one run number, or none.
     fn place_gang(
         &mut self,
@@ -128,7 +143,7 @@
         pending: &[u32],
         keys: &[WorkerKey],
     ) -> bool {
-        if pending.len() < spec.count as usize {
+        if pending.len() < spec.count as usize || !self.may_start(id, pending.len() as u64) {
             return false;
         }
         let mut places = Vec::with_capacity(pending.len());
@@ -262,12 +277,14 @@
             return;
         };
         step.place(task.index, key);
+        let charge = step.charge;
         let waited_ms = millis(self.now - step.since);
         let attempt = Attempt {
             run,
             worker: key,
             phase: Phase::Starting,
             footprint,
+            charge,
             lasts: spec.long_running,
             began: self.now,
             at_work: false,
--- a/crates/cleat-jobs/src/schedule/protections.rs
+++ b/crates/cleat-jobs/src/schedule/protections.rs
@@ -19,6 +19,9 @@
     /// A worker whose lease was over is recorded as in use again before
     /// anything is started there.
     pub recorded_first: bool,
+    /// What an earlier owner may have started counts against its customer's cap
+    /// until it is known.
+    pub hidden_runs_count: bool,
     /// Runs that should not be there are stopped.
     pub stop_strays: bool,
 }
@@ -32,6 +35,7 @@
             lease_first: true,
             no_blind_grants: true,
             recorded_first: true,
+            hidden_runs_count: true,
             stop_strays: true,
         }
     }
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -58,7 +58,8 @@
     }
 
     /// The steps of a pool that wait for a place: the queue's class first,
-    /// then what can still be in time. None if no step may fit into `room`.
+    /// then what can still be in time. None if no step may fit into `room`. Steps
+    /// of a customer that has all it may have are left out.
     ///
     /// A pass looks at the first few only, so they are not sorted all.
     pub(super) fn ready_steps(
@@ -74,6 +75,10 @@
             let Some(step) = step.filter(|step| !step.pending.is_empty()) else {
                 return false;
             };
+            if !self.accounts.allows(step.charge, step.least_together()) {
+                self.accounts.block(step.charge, pool);
+                return true;
+            }
             any |= step.may_fit(room);
             let prospect = step.prospect(self.now);
             ranked.push(Reverse((step.order.priority, prospect, step.order)));
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -127,8 +127,7 @@
         if !answer.more_ended {
             self.find_vanished(key, sent_at, &listed);
         }
-        self.strays
-            .retain(|(at, task, run), _| *at != key || listed.contains(&(*task, *run)));
+        self.release_strays(key, |task, run| listed.contains(&(task, run)));
         let has_strays = self.strays.keys().any(|(at, ..)| *at == key);
         let now = self.now;
         let worker = &mut self.workers[key];
@@ -233,11 +232,12 @@
             return;
         }
         attempt.phase = Phase::Ended;
-        let (footprint, began) = (attempt.footprint, attempt.began);
+        let (footprint, charge, began) = (attempt.footprint, attempt.charge, attempt.began);
         if !end.checkpoint.is_empty() {
             attempt.checkpoint = end.checkpoint.clone();
         }
         self.workers[key].used -= footprint;
+        self.release_charge(charge);
         self.note_begun(end.task.job());
         let worker = self.worker_name(key);
         self.tell(Decision::Ended {
@@ -282,7 +282,7 @@
             return self.note_begun(listed.task.job());
         }
         if !self.adopt(state, key, listed) {
-            self.stop_stray(key, listed.task, listed.run);
+            self.stop_stray(state, key, listed.task, listed.run);
         }
     }
 
@@ -338,13 +338,15 @@
             };
     }
 
-    fn stop_stray(&mut self, key: WorkerKey, task: TaskId, run: Run) {
-        let last = self.strays.get(&(key, task, run));
-        let off = !self.cfg.protections.stop_strays;
-        if off || last.is_some_and(|last| self.now < *last + RENEWAL_RETRY) {
+    fn stop_stray(&mut self, state: &ControlState, key: WorkerKey, task: TaskId, run: Run) {
+        if !self.cfg.protections.stop_strays {
             return;
         }
-        self.strays.insert((key, task, run), self.now);
+        match self.strays.get_mut(&(key, task, run)) {
+            Some(stray) if self.now < stray.sent_at + RENEWAL_RETRY => return,
+            Some(stray) => stray.sent_at = self.now,
+            None => self.hold_stray(state, (key, task, run)),
+        }
         self.send_stop(key, task, run, StopReason::Stray);
     }
 }
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use super::account::Charge;
 use super::timing::{Objective, Prospect};
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
@@ -36,6 +37,10 @@
     pub(crate) least_workers: usize,
     /// What each of its tasks takes up.
     pub(crate) footprint: Size,
+    /// What each of its tasks counts for.
+    pub(crate) charge: Charge,
+    /// Whether its tasks start together or not at all.
+    pub(crate) gang: bool,
     /// How long the longest chain from this step on takes, itself included.
     pub(crate) left: Duration,
     /// How many of its tasks run on each worker.
@@ -60,6 +65,15 @@
 }
 
 impl ActiveStep {
+    /// How many of its tasks start together at least.
+    pub(crate) fn least_together(&self) -> u64 {
+        if self.gang {
+            self.pending.len() as u64
+        } else {
+            1
+        }
+    }
+
     /// Whether a pass has to look at it while no worker has more than `room`:
     /// permissions are asked for before there is room.
     pub(crate) fn may_fit(&self, room: Size) -> bool {
@@ -119,7 +133,7 @@
                     let due_ms = repeat.due_ms(occurrence);
                     self.timed.insert((id, occurrence), due_ms);
                 }
-                _ => self.activate_occurrence(id, job, occurrence),
+                _ => self.activate_occurrence(state, id, job, occurrence),
             }
         }
     }
@@ -130,7 +144,13 @@
         self.wall_ms > 0 && self.wall_ms.saturating_add(early) >= due_ms
     }
 
-    pub(super) fn activate_occurrence(&mut self, id: JobId, job: &Job, occurrence: u32) {
+    pub(super) fn activate_occurrence(
+        &mut self,
+        state: &ControlState,
+        id: JobId,
+        job: &Job,
+        occurrence: u32,
+    ) {
         let steps = 0..job.spec.steps.len();
         for step in steps.map_while(|step| u16::try_from(step).ok()) {
             let step = StepId {
@@ -138,12 +158,12 @@
                 occurrence,
                 step,
             };
-            self.activate_step(step, job);
+            self.activate_step(state, step, job);
         }
     }
 
     /// Makes a step ready if it is due and not done.
-    pub(super) fn activate_step(&mut self, id: StepId, job: &Job) {
+    fn activate_step(&mut self, state: &ControlState, id: StepId, job: &Job) {
         let known = self.steps.contains_key(&id);
         if known || job.is_step_done(id) || !job.is_step_due(id) {
             return;
@@ -151,6 +171,7 @@
         let Some(spec) = job.step(id) else {
             return;
         };
+        let charge = self.charge(state, job, spec);
         let unstarted = |index: &u32| {
             !job.is_task_done(id, *index) && !self.attempts.contains_key(&id.task(*index))
         };
@@ -178,6 +199,8 @@
             ready_at: job.ready_at(id),
             least_workers: spec.least_workers(),
             footprint: spec.footprint(),
+            charge,
+            gang: spec.gang,
             left,
             placed: IndexMap::new(),
             failed_on: IndexMap::new(),
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -5,6 +5,7 @@
 //! the leases that the earlier owner can have granted are over, no task is
 //! started there that the earlier owner may have started.
 
+use super::account::Charge;
 use super::attempt::{Attempt, Phase};
 use super::event::RunningTask;
 use super::worker::WorkerKey;
@@ -65,6 +66,7 @@
             worker: key,
             phase: Phase::Ended,
             footprint: Size::default(),
+            charge: Charge::default(),
             lasts: false,
             began: self.now,
             at_work: false,
@@ -105,12 +107,14 @@
             return false;
         };
         step.place(task.index, key);
+        let charge = step.charge;
         let footprint = spec.footprint();
         let attempt = Attempt {
             run: listed.run,
             worker: key,
             phase: Phase::Running { known_at: self.now },
             footprint,
+            charge,
             lasts: spec.long_running,
             began: self.now,
             at_work: listed.percent >= 100,
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -16,6 +16,7 @@
         self.repeat_stops();
         self.start_due(state);
         self.forget_old();
+        self.settle_stopped(state);
         self.tend_machines(state);
         // Pauses may have ended.
         self.unsettled = Unsettled::All;
@@ -32,7 +33,7 @@
         for (id, occurrence) in ready {
             self.timed.swap_remove(&(id, occurrence));
             if let Some(job) = state.jobs.get(&id) {
-                self.activate_occurrence(id, job, occurrence);
+                self.activate_occurrence(state, id, job, occurrence);
             }
         }
     }
--- a/crates/cleat-jobs/src/state/apply.rs
+++ b/crates/cleat-jobs/src/state/apply.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::command::{Command, TaskEnd};
-use super::job::{EndedJob, Job, JobState};
+use super::job::{EndedJob, Job, JobState, StoppingJob};
 use super::{ControlState, Owner, Wave, WorkerHistory, WorkerRecord};
 use crate::{Catalogue, JobId};
 
@@ -22,6 +22,8 @@
     NoSuchJob,
     /// The job is over and can't be cancelled any more.
     Over(JobState),
+    /// The job's name is that of another customer's job.
+    Taken,
 }
 
 impl Answer {
@@ -47,9 +49,10 @@
             Command::Submit {
                 id,
                 queue,
+                customer,
                 spec,
                 came_ms,
-            } => self.submit(id, || Job::new(queue, spec, index, came_ms)),
+            } => return self.submit(id, Job::new(queue, customer, spec, index, came_ms)),
             Command::Cancel { id } => return self.cancel(id),
             Command::Ends {
                 worker,
@@ -77,6 +80,11 @@
                     self.ended.swap_remove(&id);
                 }
             }
+            Command::Settled { ids } => {
+                for id in ids {
+                    self.stopping.swap_remove(&id);
+                }
+            }
             Command::StartWave {
                 wave,
                 machines,
@@ -115,9 +123,15 @@
         }
     }
 
-    fn submit(&mut self, id: JobId, job: impl FnOnce() -> Job) {
-        if self.job_state(id).is_none() {
-            self.jobs.insert(id, job());
+    /// A job that is known stays as it is: submitted again, it is the same job.
+    fn submit(&mut self, id: JobId, job: Job) -> Answer {
+        match self.owner_of(id) {
+            None => {
+                self.jobs.insert(id, job);
+                Answer::Done
+            }
+            Some(owner) if owner == job.customer.as_deref() => Answer::Done,
+            Some(_) => Answer::Taken,
         }
     }
 
@@ -134,8 +148,21 @@
     }
 
     fn end_job(&mut self, id: JobId, state: JobState) {
-        self.jobs.swap_remove(&id);
-        self.ended.insert(id, EndedJob { state });
+        let job = self.jobs.swap_remove(&id);
+        let largest_task = job.as_ref().map(Job::largest_task).unwrap_or_default();
+        let size = job.as_ref().map(Job::may_run).unwrap_or_default();
+        let customer = job.and_then(|job| job.customer);
+        if let Some(customer) = customer.clone()
+            && state != JobState::Completed
+        {
+            self.stopping.insert(id, StoppingJob { customer, size });
+        }
+        let ended = EndedJob {
+            state,
+            customer,
+            largest_task,
+        };
+        self.ended.insert(id, ended);
     }
 
     /// Ends that were noted before, from this worker's life, count once.
--- a/crates/cleat-jobs/src/state/command.rs
+++ b/crates/cleat-jobs/src/state/command.rs
@@ -26,6 +26,8 @@
         id: JobId,
         /// Its queue at the time.
         queue: Arc<Queue>,
+        /// The customer whose job it is; none if it is nobody's.
+        customer: Option<Box<str>>,
         /// What it asks for.
         spec: Arc<JobSpec>,
         /// When its caller came, by the accepting leader's time of day, in
@@ -78,6 +80,12 @@
         /// The jobs.
         ids: Vec<JobId>,
     },
+    /// Jobs of which nothing can run any more, though they ended before their
+    /// time.
+    Settled {
+        /// The jobs.
+        ids: Vec<JobId>,
+    },
     /// An operator's request that machines be maintained.
     StartWave {
         /// The operator's number.
--- a/crates/cleat-jobs/src/state/job.rs
+++ b/crates/cleat-jobs/src/state/job.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::command::{End, EndKind};
-use crate::{JobSpec, Queue, StepId, StepSpec};
+use crate::{JobSpec, Queue, Size, StepId, StepSpec};
 
 const WORD_BITS: u32 = 64;
 
@@ -28,6 +28,9 @@
 pub struct Job {
     /// The queue that it came through.
     pub queue: Arc<Queue>,
+    /// The customer whose job it is; none if it is nobody's. It stays the
+    /// customer's when that loses its keys or is removed: accepted is accepted.
+    pub customer: Option<Box<str>>,
     /// What it asks for.
     pub spec: Arc<JobSpec>,
     /// The position in the log at which it was accepted.
@@ -41,10 +44,23 @@
 }
 
 /// A job that is over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedJob {
     /// How it ended; never [`JobState::Active`].
     pub state: JobState,
+    /// The customer whose job it was.
+    pub customer: Option<Box<str>>,
+    /// What the largest of its tasks takes up, for runs that outlive it.
+    pub largest_task: Size,
+}
+
+/// A customer's job that ended before its time: its tasks may still run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoppingJob {
+    /// The customer whose job it was.
+    pub customer: Box<str>,
+    /// What its tasks take up together that may run.
+    pub size: Size,
 }
 
 /// How far one occurrence of a job is.
@@ -118,12 +134,14 @@
 impl Job {
     pub(crate) fn new(
         queue: Arc<Queue>,
+        customer: Option<Box<str>>,
         spec: Arc<JobSpec>,
         accepted_at: u64,
         came_ms: u64,
     ) -> Job {
         Job {
             queue,
+            customer,
             spec,
             accepted_at,
             came_ms,
@@ -193,6 +211,39 @@
         self.accepted_at.max(last.unwrap_or_default())
     }
 
+    /// What the largest of its tasks takes up, of each resource.
+    pub(crate) fn largest_task(&self) -> Size {
+        let sizes = self.spec.steps.iter().map(|step| step.size);
+        sizes.fold(Size::default(), Size::max_of_each)
+    }
+
+    /// What all tasks that may have started and are not done take up together.
+    pub(crate) fn may_run(&self) -> Size {
+        let mut sum = Size::default();
+        for occurrence in 0..self.spec.occurrences() {
+            let steps = 0..self.spec.steps.len();
+            for step in steps.map_while(|step| u16::try_from(step).ok()) {
+                // The job's own id does not matter here.
+                let id = StepId {
+                    job: crate::JobId(0),
+                    occurrence,
+                    step,
+                };
+                sum += self.may_run_of(id);
+            }
+        }
+        sum
+    }
+
+    fn may_run_of(&self, id: StepId) -> Size {
+        let due = self.is_step_due(id) && !self.is_step_done(id);
+        let Some(spec) = self.step(id).filter(|_| due) else {
+            return Size::default();
+        };
+        let done = self.progress(id).map_or(0, StepProgress::done_count);
+        spec.size.times(u64::from(spec.count.saturating_sub(done)))
+    }
+
     /// Notes an end at a position of the log and says whether that ended the
     /// job.
     pub(crate) fn note(&mut self, index: u64, end: &End) -> JobState {
--- a/crates/cleat-jobs/src/state/mod.rs
+++ b/crates/cleat-jobs/src/state/mod.rs
@@ -8,7 +8,7 @@
 
 pub use apply::Answer;
 pub use command::{Command, DecodeError, End, EndKind, TaskEnd};
-pub use job::{EndedJob, Job, JobState, Occurrence, StepProgress};
+pub use job::{EndedJob, Job, JobState, Occurrence, StepProgress, StoppingJob};
 pub use wave::Wave;
 pub use worker::{WorkerHistory, WorkerRecord};
 
@@ -51,6 +51,8 @@
     pub jobs: IndexMap<JobId, Job>,
     /// The jobs that are over, until they are forgotten.
     pub ended: IndexMap<JobId, EndedJob>,
+    /// Customers' jobs that were cancelled or failed, until nothing of them runs.
+    pub stopping: IndexMap<JobId, StoppingJob>,
     /// The maintenance waves, by number.
     pub waves: IndexMap<u64, Wave>,
     /// The workers that said lately that they are about to end, those first that
@@ -68,6 +70,14 @@
         active.or_else(|| self.ended.get(&id).map(|job| job.state))
     }
 
+    /// Whose a job is, over or not: none if it is not known, and no name if it
+    /// is nobody's.
+    pub fn owner_of(&self, id: JobId) -> Option<Option<&str>> {
+        let active = self.jobs.get(&id).map(|job| job.customer.as_deref());
+        let ended = || self.ended.get(&id).map(|job| job.customer.as_deref());
+        active.or_else(ended)
+    }
+
     /// The whole state as bytes.
     pub fn snapshot(&self) -> Box<[u8]> {
         // Plain data of our own: writing it into a growing vector can't fail.
--- a/crates/cleat-jobs/tests/advice.rs
+++ b/crates/cleat-jobs/tests/advice.rs
@@ -20,6 +20,7 @@
     bed.apply(Command::Submit {
         id: JobId(id),
         queue: Arc::new(advised),
+        customer: None,
         spec: job(vec![step(count, 1_000)]),
         came_ms: 0,
     })
--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Catalogue, Command, ControlState, Effect, End, EndKind, Event, Heartbeat, JobId, JobSpec,
-    MachineOrder, MachineState, MachineView, Order, OrderAnswer, Pool, Queue, RenewalAnswer, Run,
-    RunningTask, Scheduler, SchedulerConfig, Size, StepId, StepSpec, TaskEnd, TaskId, TaskOrder,
-    WorkerHistory, WorkerRecord, WorkerState,
+    Cap, Catalogue, Command, ControlState, Customer, CustomerDraft, Draft, Effect, End, EndKind,
+    Event, Heartbeat, JobId, JobSpec, MachineOrder, MachineState, MachineView, Order, OrderAnswer,
+    Pool, Queue, RenewalAnswer, Run, RunningTask, Scheduler, SchedulerConfig, Size, StepId,
+    StepSpec, TaskEnd, TaskId, TaskOrder, WorkerHistory, WorkerRecord, WorkerState,
 };
 
 pub(crate) fn queue(name: &str, pool: &str) -> Queue {
@@ -23,6 +23,7 @@
         stretch: 1.5,
         target_latency_ms: 500,
         timeout_ms: 3_000,
+        public: false,
         advice: None,
     }
 }
@@ -37,9 +38,34 @@
 }
 
 pub(crate) fn catalogue(version: u64) -> Arc<Catalogue> {
-    let queues = vec![queue("q", "a"), queue("r", "b")];
-    let pools = vec![pool("a", false), pool("b", false), pool("spare", true)];
-    Arc::new(Catalogue::new(version, queues, pools, "{}".into()).expect("valid"))
+    Arc::new(Catalogue::new(draft(version)).expect("valid"))
+}
+
+/// Queue `q` of pool `a` and `r` of `b`, and a spare pool; no customers.
+pub(crate) fn draft(version: u64) -> Draft {
+    Draft {
+        version,
+        queues: vec![queue("q", "a"), queue("r", "b")],
+        pools: vec![pool("a", false), pool("b", false), pool("spare", true)],
+        customers: None,
+        document: "{}".into(),
+    }
+}
+
+/// A customer with these keys that may have `cpu_milli` running; 0 is no limit.
+pub(crate) fn customer(name: &str, keys: &[&str], cpu_milli: u64) -> CustomerDraft {
+    let keys: Vec<Box<str>> = keys.iter().map(|key| (*key).into()).collect();
+    let cap = Cap(Size {
+        cpu_milli,
+        ..Size::default()
+    });
+    let customer = Customer {
+        name: name.into(),
+        keys: Vec::new(),
+        weight: 1.0,
+        cap,
+    };
+    CustomerDraft::new(customer, &keys)
 }
 
 pub(crate) fn step(count: u32, cpu_milli: u64) -> StepSpec {
@@ -229,12 +255,24 @@
 
     /// Submits to the queue at this place of the catalogue.
     pub(crate) fn submit_to(&mut self, at: usize, id: u64, steps: Vec<StepSpec>) -> Vec<Effect> {
+        self.submit_for(None, at, id, steps)
+    }
+
+    /// Submits a customer's job to the queue at this place of the catalogue.
+    pub(crate) fn submit_for(
+        &mut self,
+        customer: Option<&str>,
+        at: usize,
+        id: u64,
+        steps: Vec<StepSpec>,
+    ) -> Vec<Effect> {
         let catalogue = self.state.catalogue.as_ref().expect("configured");
         let queue = catalogue.queues[at].clone();
         let (id, spec) = (JobId(id), job(steps));
         self.apply(Command::Submit {
             id,
             queue,
+            customer: customer.map(Into::into),
             spec,
             came_ms: self.wall_ms,
         })
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -72,6 +72,36 @@
     assert_holds(&Plan::with(&[Fault::Cancels]));
 }
 
+#[test]
+fn schedule_caps_change() {
+    assert_holds(&Plan::with(&[Fault::CapsChange]));
+}
+
+/// Owners die while caps are cut, workers are cut off and jobs are cancelled.
+fn caps_and_dying_owners() -> Plan {
+    Plan::with(&[
+        Fault::OwnerDies,
+        Fault::CapsChange,
+        Fault::WorkerCut,
+        Fault::Cancels,
+        Fault::LostAnswers,
+    ])
+}
+
+#[test]
+fn schedule_caps_and_dying_owners() {
+    assert_holds(&caps_and_dying_owners());
+}
+
+#[test]
+fn check_notices_hidden_runs_that_do_not_count() {
+    let mut plan = caps_and_dying_owners();
+    plan.protections.hidden_runs_count = false;
+    assert_red(&plan, |violation| {
+        matches!(violation, Violation::OverCap { .. })
+    });
+}
+
 #[test]
 fn schedule_slow_commits() {
     assert_holds(&Plan::with(&[Fault::SlowCommits]));
--- a/crates/cleat-jobs/tests/simulation/check.rs
+++ b/crates/cleat-jobs/tests/simulation/check.rs
@@ -19,6 +19,10 @@
     OverBudget { task: TaskId },
     /// A cancelled job still runs.
     RunsCancelled { task: TaskId, ms: u128 },
+    /// A start brought a customer over its cap.
+    OverCap { task: TaskId, ms: u128 },
+    /// A customer's account is not the sum of its runs.
+    Miscounted { customer: Box<str>, ms: u128 },
     /// A job was neither done nor failed in time after the last fault.
     NotFinished { job: JobId },
 }
@@ -36,6 +40,12 @@
             Violation::RunsCancelled { task, ms } => {
                 write!(f, "{task} of a cancelled job runs at {ms} ms")
             }
+            Violation::OverCap { task, ms } => {
+                write!(f, "{task} takes its customer over its cap at {ms} ms")
+            }
+            Violation::Miscounted { customer, ms } => {
+                write!(f, "the account of {customer} is not what runs at {ms} ms")
+            }
             Violation::NotFinished { job } => write!(f, "{job} is not finished"),
         }
     }
--- a/crates/cleat-jobs/tests/simulation/plan.rs
+++ b/crates/cleat-jobs/tests/simulation/plan.rs
@@ -19,12 +19,14 @@
     LostAnswers,
     /// Jobs are cancelled.
     Cancels,
+    /// The customers' caps are cut and raised.
+    CapsChange,
     /// Commits take long, pass each other, or come after they were given up.
     SlowCommits,
 }
 
 impl Fault {
-    pub(crate) const ALL: [Fault; 8] = [
+    pub(crate) const ALL: [Fault; 9] = [
         Fault::OwnerDies,
         Fault::WorkerCut,
         Fault::WorkerLost,
@@ -32,6 +34,7 @@
         Fault::LateOrders,
         Fault::LostAnswers,
         Fault::Cancels,
+        Fault::CapsChange,
         Fault::SlowCommits,
     ];
 }
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -7,9 +7,9 @@
 
 use cleat_control::{ModelRun, ModelWorker};
 use cleat_jobs::{
-    Catalogue, Command, ControlState, Effect, EndKind, Event, Heartbeat, JobId, JobSpec, JobState,
-    Order, OrderAnswer, Pool, Queue, RenewalOrder, Run, Scheduler, SchedulerConfig, Size, StepSpec,
-    TaskId, TaskOrder, WorkerHistory, WorkerRecord,
+    Cap, Catalogue, Command, ControlState, Customer, CustomerDraft, Draft, Effect, EndKind, Event,
+    Heartbeat, JobId, JobSpec, JobState, Order, OrderAnswer, Pool, Queue, RenewalOrder, Run,
+    Scheduler, SchedulerConfig, Size, StepSpec, TaskId, TaskOrder, WorkerHistory, WorkerRecord,
 };
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
@@ -31,6 +31,11 @@
 const WORKERS: usize = 4;
 const JOBS: u64 = 12;
 const MAX_ATTEMPTS: u32 = 3;
+/// What each customer may have running, in thousandths of a core: a fourth and an
+/// eighth of the room.
+const CAPS: [u64; 2] = [8_000, 4_000];
+/// How long an order that goes as it should may be under way.
+const ORDER_UNDER_WAY: Duration = Duration::from_millis(10);
 const CAPACITY: Size = Size {
     cpu_milli: 8_000,
     memory_mb: 8_000,
@@ -53,10 +58,21 @@
     Commit(u32, Command),
     Renew(u32, usize, Box<str>, RenewalOrder, Duration),
     RenewalDue(u32, usize, Box<str>, u64, Duration),
-    Order(u32, usize, Box<str>, u64, TaskOrder, bool),
+    Order(u32, usize, Box<str>, u64, TaskOrder, Way),
     Tell(u32, Event),
 }
 
+/// How an order goes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// Soon, and its answer comes.
+    Plain,
+    /// Soon, and its answer is lost.
+    Unanswered,
+    /// Seconds later, without an answer.
+    Late,
+}
+
 struct World {
     plan: Plan,
     rng: StdRng,
@@ -74,6 +90,9 @@
     hopeless: Vec<JobId>,
     /// How often a fault still strikes at its step.
     strikes: u32,
+    /// The caps that were in force before, and until when orders given under them
+    /// may arrive.
+    caps_before: (Vec<u64>, Duration),
 }
 
 /// Runs a schedule to its end.
@@ -108,6 +127,7 @@
             cancelled: IndexMap::new(),
             hopeless: Vec::new(),
             strikes: STRIKES,
+            caps_before: (Vec::new(), Duration::ZERO),
         };
         world.begin();
         world
@@ -115,7 +135,7 @@
 
     fn begin(&mut self) {
         self.apply(Command::Found);
-        self.apply(Command::Configure(Arc::new(catalogue())));
+        self.apply(Command::Configure(Arc::new(catalogue(1, &CAPS))));
         for at in 0..WORKERS {
             let worker = self.new_life(at);
             self.workers.push(worker);
@@ -194,8 +214,8 @@
             Happening::RenewalDue(ordinal, at, life, acked, sent) => {
                 self.renewal_due(ordinal, at, life, acked, sent);
             }
-            Happening::Order(ordinal, at, life, token, order, answered) => {
-                self.order(ordinal, at, life, token, order, answered)?;
+            Happening::Order(ordinal, at, life, token, order, way) => {
+                self.order(ordinal, at, life, token, order, way)?;
             }
             Happening::Tell(ordinal, event) => {
                 if self.ordinal() == Some(ordinal) {
@@ -203,7 +223,7 @@
                 }
             }
         }
-        Ok(())
+        self.check_accounts()
     }
 
     /// A step of a job's life: the plan's fault may strike, right after what
@@ -327,8 +347,12 @@
             let event = unanswered(&life, &order);
             self.after(ms(400), Happening::Tell(ordinal, event));
         }
-        let answered = !late && !lost;
-        let arrives = Happening::Order(ordinal, at, life, token, order, answered);
+        let way = match (late, lost) {
+            (true, _) => Way::Late,
+            (false, true) => Way::Unanswered,
+            (false, false) => Way::Plain,
+        };
+        let arrives = Happening::Order(ordinal, at, life, token, order, way);
         self.after(delay, arrives);
     }
 
@@ -365,6 +389,7 @@
         self.apply(Command::Submit {
             id,
             queue,
+            customer: Some(customer_of(id)),
             spec,
             came_ms,
         });
@@ -404,10 +429,36 @@
                     self.workers[at] = life;
                 }
             }
+            Fault::CapsChange => self.change_caps(),
             Fault::LateOrders | Fault::LostAnswers | Fault::Cancels | Fault::SlowCommits => {}
         }
     }
 
+    /// Cuts the caps far below what is sent, or raises them again.
+    fn change_caps(&mut self) {
+        let catalogue = self.state.catalogue.as_ref().expect("configured");
+        let version = catalogue.version + 1;
+        let mut before = self.caps();
+        if self.now <= self.caps_before.1 {
+            // Those of the change before are under way as well.
+            let earlier = before.iter().zip(&self.caps_before.0);
+            before = earlier.map(|(cap, earlier)| *cap.max(earlier)).collect();
+        }
+        self.caps_before = (before, self.now + ORDER_UNDER_WAY);
+        let caps = CAPS.map(|cap| cap / self.rng.random_range(1..5));
+        self.apply(Command::Configure(Arc::new(self::catalogue(
+            version, &caps,
+        ))));
+    }
+
+    /// The cap of each customer, in thousandths of a core.
+    fn caps(&self) -> Vec<u64> {
+        let catalogue = self.state.catalogue.as_ref().expect("configured");
+        let customers = catalogue.customers.as_ref().expect("configured");
+        let cap = |customer: &Arc<Customer>| customer.cap.0.cpu_milli;
+        customers.iter().map(cap).collect()
+    }
+
     /// What a lost owner proposed was committed, or never will be.
     fn settle_commits(&mut self) {
         for slot in 0..self.happenings.len() {
@@ -510,7 +561,7 @@
         life: Box<str>,
         token: u64,
         order: TaskOrder,
-        answered: bool,
+        way: Way,
     ) -> Result<(), Violation> {
         let now = self.now;
         let planned = self.planned(&order);
@@ -527,11 +578,14 @@
             let started = matches!(order.order, Order::Start { .. }) && answer == OrderAnswer::Done;
             if started && !there {
                 self.check_start(at, &order)?;
+                if way != Way::Late {
+                    self.check_cap(&order)?;
+                }
                 self.reach(Moment::Started);
             }
             answer
         };
-        if answered {
+        if way == Way::Plain {
             let event = Event::Ordered {
                 worker: life,
                 order,
@@ -601,6 +655,44 @@
         Ok(())
     }
 
+    /// A start may not take its customer over its cap; but one task may, where the
+    /// others have less than half of it. Orders may arrive in another order than
+    /// they were given in, so which start is that one does not matter.
+    fn check_cap(&mut self, order: &TaskOrder) -> Result<(), Violation> {
+        let (task, now) = (order.task, self.now);
+        let at = usize::try_from(task.job().0 % CAPS.len() as u64).expect("short");
+        let (mut held, mut largest) = (0, 0);
+        for worker in self.workers.iter_mut().filter(|worker| worker.up) {
+            worker.advance(now);
+            for (other, run) in &worker.runs {
+                if customer_of(other.job()) == customer_of(task.job()) {
+                    held += run.size.cpu_milli;
+                    largest = largest.max(run.size.cpu_milli);
+                }
+            }
+        }
+        let mut cap = self.caps()[at];
+        if now <= self.caps_before.1 {
+            cap = cap.max(self.caps_before.0[at]);
+        }
+        let allowed = held <= cap || (held - largest) * 2 < cap;
+        let ms = now.as_millis();
+        allowed.then_some(()).ok_or(Violation::OverCap { task, ms })
+    }
+
+    /// What is kept of each customer has to be what follows from its runs.
+    fn check_accounts(&self) -> Result<(), Violation> {
+        let rows = self.owner.as_ref().map(Scheduler::recounted);
+        let mut rows = rows.unwrap_or_default().into_iter();
+        match rows.find(|(_, kept, counted)| kept != counted) {
+            Some((customer, ..)) => {
+                let ms = self.now.as_millis();
+                Err(Violation::Miscounted { customer, ms })
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Nothing of a cancelled job may go on, but on a worker that was not
     /// reachable.
     fn check_workers(&mut self) -> Result<(), Violation> {
@@ -646,7 +738,12 @@
     at.parse().expect("a number")
 }
 
-fn catalogue() -> Catalogue {
+/// Whose a job is.
+fn customer_of(id: JobId) -> Box<str> {
+    format!("customer{}", id.0 % CAPS.len() as u64).into()
+}
+
+fn catalogue(version: u64, caps: &[u64]) -> Catalogue {
     let queue = Queue {
         name: "queue".into(),
         host: "host".into(),
@@ -657,6 +754,7 @@
         stretch: 1.5,
         target_latency_ms: 500,
         timeout_ms: 3_000,
+        public: false,
         advice: None,
     };
     let pool = Pool {
@@ -665,7 +763,27 @@
         spare: false,
         health_path: "/health".into(),
     };
-    Catalogue::new(1, vec![queue], vec![pool], "{}".into()).expect("a valid catalogue")
+    let customer = |(at, cap): (usize, &u64)| {
+        let cpu_milli = *cap;
+        let customer = Customer {
+            name: customer_of(JobId(at as u64)),
+            keys: Vec::new(),
+            weight: 1.0,
+            cap: Cap(Size {
+                cpu_milli,
+                ..Size::default()
+            }),
+        };
+        CustomerDraft::new(customer, &[])
+    };
+    let draft = Draft {
+        version,
+        queues: vec![queue],
+        pools: vec![pool],
+        customers: Some(caps.iter().enumerate().map(customer).collect()),
+        document: "{}".into(),
+    };
+    Catalogue::new(draft).expect("a valid catalogue")
 }
 
 fn spec(rng: &mut StdRng, lasts: bool) -> JobSpec {
--- a/crates/cleat-jobs/tests/state.rs
+++ b/crates/cleat-jobs/tests/state.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use cleat_jobs::{
-    Answer, Catalogue, Command, ControlState, EndKind, JobId, JobSpec, JobState, Queue, StepSpec,
-    TaskId,
+    Answer, Catalogue, Command, ControlState, Draft, EndKind, JobId, JobSpec, JobState, Queue,
+    StepSpec, TaskId,
 };
-use scaffold::{catalogue, end, ends, job, pool, queue, record, step, task};
+use scaffold::{catalogue, draft, end, ends, job, pool, queue, record, step, task};
 
 fn with_job(steps: Vec<StepSpec>) -> ControlState {
     let mut state = ControlState::default();
@@ -24,6 +24,7 @@
     Command::Submit {
         id,
         queue,
+        customer: None,
         spec,
         came_ms: 0,
     }
@@ -216,14 +217,22 @@
     assert!(ControlState::restore(b"not a snapshot, but some text").is_err());
 }
 
+/// A configuration of pool `a`.
+fn with_queues(queues: Vec<Queue>) -> Draft {
+    Draft {
+        queues,
+        pools: vec![pool("a", false)],
+        ..draft(1)
+    }
+}
+
 #[test]
 fn route_longest_prefix_of_the_host() {
     let mut short = queue("q", "a");
     short.prefix = "/x/".into();
     let mut long = queue("r", "a");
     long.prefix = "/x/y/".into();
-    let queues = vec![short, long];
-    let catalogue = Catalogue::new(1, queues, vec![pool("a", false)], "".into()).expect("valid");
+    let catalogue = Catalogue::new(with_queues(vec![short, long])).expect("valid");
     let name = |host, path| catalogue.route(host, path).map(|queue| &*queue.name);
     assert_eq!(name("host", "/x/y/7"), Some("r"));
     assert_eq!(name("host", "/x/7"), Some("q"));
@@ -233,8 +242,7 @@
 
 #[test]
 fn catalogue_faults_are_refused() {
-    let pools = || vec![pool("a", false)];
-    let made = |queues| Catalogue::new(1, queues, pools(), "".into()).map_err(|e| e.to_string());
+    let made = |queues| Catalogue::new(with_queues(queues)).map_err(|e| e.to_string());
     let unknown = made(vec![queue("q", "nowhere")]).expect_err("no such pool");
     assert!(unknown.contains("nowhere"), "{unknown}");
     let mut twin = queue("r", "a");
--- a/crates/cleat-link/src/control.rs
+++ b/crates/cleat-link/src/control.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cleat_jobs::{Catalogue, Heartbeat, JobId, JobSpec, JobState, WorkerState};
+use cleat_jobs::{
+    Catalogue, Document, Heartbeat, JobId, JobSpec, JobState, KeyDigest, WorkerState,
+};
 use cleat_quorum::Message;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -23,6 +25,8 @@
         host: Box<str>,
         /// The path that it named: a queue's prefix and the job's id.
         path: Box<str>,
+        /// The digest of the key that it carries.
+        key: Option<KeyDigest>,
         /// What the job asks for.
         spec: Arc<JobSpec>,
         /// How long the gateway has had it, in milliseconds: it looks for a
@@ -35,6 +39,8 @@
         host: Box<str>,
         /// As in `Submit`.
         path: Box<str>,
+        /// As in `Submit`.
+        key: Option<KeyDigest>,
     },
     /// A job to cancel.
     Cancel {
@@ -42,6 +48,8 @@
         host: Box<str>,
         /// As in `Submit`.
         path: Box<str>,
+        /// As in `Submit`.
+        key: Option<KeyDigest>,
     },
     /// A job to store, by the name of its queue.
     SubmitTo {
@@ -93,7 +101,36 @@
     },
 }
 
+/// A key and where it was shown.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ShownKey {
+    /// The digest of the key.
+    pub key: KeyDigest,
+    /// The host that the caller named.
+    pub host: Box<str>,
+    /// The path without the job's name, which differs from call to call.
+    pub prefix: Box<str>,
+}
+
 impl ControlCall {
+    /// The key that a caller showed with it.
+    pub fn shown_key(&self) -> Option<ShownKey> {
+        let (ControlCall::Submit {
+            host, path, key, ..
+        }
+        | ControlCall::Look { host, path, key }
+        | ControlCall::Cancel { host, path, key }) = self
+        else {
+            return None;
+        };
+        let prefix = path.rfind('/').map_or(&**path, |end| &path[..=end]);
+        Some(ShownKey {
+            key: (*key)?,
+            host: host.clone(),
+            prefix: prefix.into(),
+        })
+    }
+
     /// Notes how long a gateway has had the call, where that matters.
     pub fn note_wait(&mut self, waited: Duration) {
         if let ControlCall::Submit { waited_ms, .. } = self {
@@ -154,10 +191,15 @@
         /// Its version.
         version: u64,
         /// The document as it came.
-        document: Box<str>,
+        document: Document,
     },
     /// There is no configuration yet.
     NoConfiguration,
+    /// The queue's callers need a key, and the call has none that a customer
+    /// has. It had no effect.
+    UnknownKey,
+    /// The job's name is that of another customer's job. It had no effect.
+    Taken,
     /// Whether a wave is completed.
     Wave {
         /// Whether each machine has begun its maintenance.
--- a/crates/cleat-log/src/file/disk.rs
+++ b/crates/cleat-log/src/file/disk.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File, TryLockError};
 use std::io::{self, ErrorKind, Write};
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 
 use super::{SNAPSHOT, segment};
@@ -100,7 +101,7 @@
 pub(crate) fn replace(folder: &Path, name: &str, parts: &[&[u8]]) -> Result<(), Fault> {
     let draft = folder.join(format!("{name}.tmp"));
     let path = folder.join(name);
-    let mut file = File::create(&draft).map_err(Fault::at("create", &draft))?;
+    let mut file = create(&draft).map_err(Fault::at("create", &draft))?;
     for part in parts {
         file.write_all(part).map_err(Fault::at("write", &draft))?;
     }
@@ -109,6 +110,14 @@
     sync_folder(folder)
 }
 
+/// A new file that none but the daemon's own user may read: what it holds may be
+/// secret.
+fn create(path: &Path) -> io::Result<File> {
+    let mut options = File::options();
+    options.write(true).create(true).truncate(true);
+    options.mode(0o600).open(path)
+}
+
 /// Removes a file that may be absent.
 pub(crate) fn remove(path: &Path) -> Result<(), Fault> {
     match fs::remove_file(path) {
