Show operators customers, caps and refused keys

Cause: nobody could see who uses the room, whose jobs wait for a cap, or why a key was refused; a flood of unknown keys would have written a line a call. Machines were brought for tasks that a cap holds back.

Change: `celerycleat customer list|status`, keys by fingerprint; lines `cap_reached` (once a second a customer) and `keys_refused` (once a second a reason, with the count); `explain` tells why a job waits and why a key was refused. What a cap holds back counts no more for a pool's need.

Ruled out: a line for each refused call (10,000 a second write 2 MB a second); keys in the line (a fingerprint of 4 bytes tells them apart).

--- a/crates/celerycleat/src/commands/mod.rs
+++ b/crates/celerycleat/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod command;
 mod command_id;
 mod config;
+mod customer;
 mod explain;
 mod instance;
 mod job;
@@ -39,6 +40,8 @@
     Target(target::TargetGroup),
     /// `job …`
     Job(job::JobGroup),
+    /// `customer …`
+    Customer(customer::CustomerGroup),
     /// `worker …`
     Worker(worker::WorkerGroup),
     /// `explain`
@@ -57,6 +60,7 @@
             Subcommand::Maintenance(group) => group.run(cx).await,
             Subcommand::Target(group) => group.run(cx).await,
             Subcommand::Job(group) => group.run(cx).await,
+            Subcommand::Customer(group) => group.run(cx).await,
             Subcommand::Worker(group) => group.run(cx).await,
             Subcommand::Explain(command) => command.run(cx).await,
             Subcommand::Status(command) => command.run(cx).await,
--- a/crates/celerycleat/src/commands/table.rs
+++ b/crates/celerycleat/src/commands/table.rs
@@ -2,6 +2,7 @@
 
 use super::command::CommandEntry;
 use super::config::{Apply, Check, History, Show, Status as ConfigStatus};
+use super::customer::{List as CustomerList, Status as CustomerStatus};
 use super::explain::Explain;
 use super::instance::{List as InstanceList, Move};
 use super::job::{Cancel, List as JobList, Status as JobStatus, Submit};
@@ -34,6 +35,8 @@
         CommandEntry::of::<JobList>(),
         CommandEntry::of::<Cancel>(),
         CommandEntry::of::<WorkerList>(),
+        CommandEntry::of::<CustomerList>(),
+        CommandEntry::of::<CustomerStatus>(),
         CommandEntry::of::<Explain>(),
         CommandEntry::of::<Status>(),
     ]
--- a/crates/celerycleat/src/explain/line.rs
+++ b/crates/celerycleat/src/explain/line.rs
@@ -5,6 +5,8 @@
 /// Fields that every line has.
 const TIME: &str = "time_ms";
 const EVENT: &str = "event";
+/// The field that names a customer.
+const CUSTOMER: &str = "customer";
 
 /// A line that names what is asked for.
 #[derive(Debug, Clone)]
@@ -19,17 +21,14 @@
 }
 
 impl Line {
-    /// Reads a line, if it is an event that names `id`. What stands before
-    /// the JSON names the process, as log collectors write it.
-    pub(super) fn read(file: &str, text: &str, id: &str) -> Option<Line> {
+    /// Reads a line, if it is an event. What stands before the JSON names the
+    /// process, as log collectors write it.
+    pub(super) fn read(file: &str, text: &str) -> Option<Line> {
         let start = text.find('{')?;
         let (prefix, json) = text.split_at(start);
         let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
         let time_ms = fields.remove(TIME)?.as_u64()?;
         let event = fields.remove(EVENT)?.as_str()?.into();
-        if !fields.values().any(|value| names(value, id)) {
-            return None;
-        }
         let process = prefix.split_whitespace().last();
         let source = process.unwrap_or(file).into();
         fields.sort_keys();
@@ -41,6 +40,16 @@
         })
     }
 
+    /// Whether it names `id`, or a part of it such as a job's task.
+    pub(super) fn is_of(&self, id: &str) -> bool {
+        self.fields.values().any(|value| names(value, id))
+    }
+
+    /// The customer that it names.
+    pub(super) fn customer(&self) -> Option<&str> {
+        self.fields.get(CUSTOMER)?.as_str()
+    }
+
     /// The fields as text, without what only repeats `id`.
     pub(super) fn describe(&self, id: &str) -> String {
         let field = |(name, value): (&String, &Value)| {
--- a/crates/celerycleat/tests/commands.rs
+++ b/crates/celerycleat/tests/commands.rs
@@ -39,7 +39,7 @@
         assert_eq!((done.code, done.stderr.as_str()), (Some(0), ""));
         tested += 1;
     }
-    assert_eq!(tested, 5);
+    assert_eq!(tested, 7);
 }
 
 #[test]
--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -16,6 +16,8 @@
     CallFailed(CallOutcome),
     /// A call was refused by what the fleet knows.
     CallRefused(CallOutcome),
+    /// Calls were refused for their keys, once a second at most.
+    KeysRefused(KeysRefused),
     /// A configuration is in force.
     Configured {
         version: u64,
@@ -39,6 +41,28 @@
     OwnsNoMore { token: u64, reason: OwnershipEnd },
 }
 
+/// Calls that were refused since the line before.
+#[derive(Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct KeysRefused {
+    pub(crate) reason: KeyRefusal,
+    /// How many.
+    pub(crate) count: u64,
+    /// The fingerprint of the latest one's key; none if it showed none.
+    pub(crate) key: Option<Box<str>>,
+    /// The latest one's path without the job's name.
+    pub(crate) path: Box<str>,
+}
+
+/// Why a call was refused for its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum KeyRefusal {
+    /// No customer has the key, or the call showed none.
+    Unknown,
+    /// Too many new keys came to ask about this one.
+    TooMany,
+}
+
 /// Why an owner stopped giving orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -97,6 +121,11 @@
         }
     }
 
+    /// The path that the call named.
+    pub(crate) fn path(&self) -> Option<&str> {
+        self.path.as_deref()
+    }
+
     /// The line about an outcome that is no success, if there is one to write.
     pub(crate) fn outcome(
         self,
@@ -110,13 +139,14 @@
             took_ms,
         };
         match answer {
+            // Gathered into one line a second.
+            Err(AskError::TooManyKeys) => None,
             Err(error) => Some(ControlEvent::CallFailed(outcome(error.to_string().into()))),
             Ok(
                 reply @ (ControlReply::NoSuchQueue
                 | ControlReply::NoSuchJob
                 | ControlReply::NotAJob
                 | ControlReply::NoConfiguration
-                | ControlReply::UnknownKey
                 | ControlReply::Taken
                 | ControlReply::Over),
             ) => {
--- a/crates/cleat-control/src/keys/mod.rs
+++ b/crates/cleat-control/src/keys/mod.rs
@@ -8,9 +8,12 @@
 //! moment which keys the leader did not know, and sends only so many new ones a
 //! second. Keys that the leader knew lately are never held up by that.
 
+mod refusals;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use refusals::Refusals;
+
 use std::time::Duration;
 
 use cleat_jobs::KeyDigest;
--- /dev/null
+++ b/crates/cleat-control/src/keys/refusals.rs
@@ -0,0 +1,52 @@
+//! How calls that are refused for their keys are logged.
+//!
+//! A flood of 10,000 calls a second would write as many lines: one a second for
+//! each reason says as much, with their number.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::events::{KeyRefusal, KeysRefused};
+
+/// How long refusals are gathered into one line: short enough for a caller who asks
+/// why it was refused a moment ago.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Refusals that are not logged yet.
+#[derive(Debug, Default)]
+pub(crate) struct Refusals {
+    by_reason: IndexMap<KeyRefusal, Gathered>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Gathered {
+    count: u64,
+    logged_at: Option<Duration>,
+}
+
+impl Refusals {
+    /// Counts a refusal; gives the line to write, if one is due.
+    pub(crate) fn note(
+        &mut self,
+        reason: KeyRefusal,
+        key: Option<Box<str>>,
+        path: &str,
+        now: Duration,
+    ) -> Option<KeysRefused> {
+        let gathered = self.by_reason.entry(reason).or_default();
+        gathered.count += 1;
+        let logged = gathered.logged_at;
+        if logged.is_some_and(|at| now < at + INTERVAL) {
+            return None;
+        }
+        gathered.logged_at = Some(now);
+        let prefix = path.rfind('/').map_or(path, |end| &path[..=end]);
+        Some(KeysRefused {
+            reason,
+            count: std::mem::take(&mut gathered.count),
+            key,
+            path: prefix.into(),
+        })
+    }
+}
--- a/crates/cleat-control/src/keys/tests.rs
+++ b/crates/cleat-control/src/keys/tests.rs
@@ -5,7 +5,9 @@
 use cleat_jobs::KeyDigest;
 use cleat_link::{ControlReply, ShownKey};
 
-use super::{KeyGuard, MISS_REMEMBERED, NEW_KEYS_AT_ONCE, Verdict};
+use crate::events::KeyRefusal;
+
+use super::{KeyGuard, MISS_REMEMBERED, NEW_KEYS_AT_ONCE, Refusals, Verdict};
 
 fn shown(key: &str) -> ShownKey {
     ShownKey {
@@ -105,3 +107,19 @@
     let asked = keys.filter(|key| guard.judge(key, ms(1)) == Verdict::Ask);
     assert_eq!(asked.count() as f64, NEW_KEYS_AT_ONCE);
 }
+
+#[test]
+fn refusals_are_one_line_a_second_with_their_count() {
+    let mut refusals = Refusals::default();
+    let mut lines = Vec::new();
+    for n in 0..25_000_u64 {
+        let now = Duration::from_micros(n * 100);
+        let key = Some(format!("{n:08x}").into());
+        lines.extend(refusals.note(KeyRefusal::Unknown, key, "/q/5c0e7a21d94b36f8", now));
+    }
+    let counts: Vec<u64> = lines.iter().map(|line| line.count).collect();
+    assert_eq!(counts, [1, 10_000, 10_000]);
+    assert!(lines.iter().all(|line| *line.path == *"/q/"));
+    let other = refusals.note(KeyRefusal::TooMany, None, "/q/", ms(2_500));
+    assert_eq!(other.map(|line| line.count), Some(1), "a reason of its own");
+}
--- a/crates/cleat-control/src/leader.rs
+++ b/crates/cleat-control/src/leader.rs
@@ -14,8 +14,8 @@
 
 use crate::PeerAddress;
 use crate::clock::boot_time;
-use crate::events::CallLabel;
-use crate::keys::{KeyGuard, Verdict};
+use crate::events::{CallLabel, ControlEvent, KeyRefusal};
+use crate::keys::{KeyGuard, Refusals, Verdict};
 use crate::links::Links;
 use crate::metrics::{Metrics, call_kind};
 
@@ -53,6 +53,8 @@
     leader: watch::Sender<u32>,
     /// What it remembers of its callers' keys.
     keys: Mutex<KeyGuard>,
+    /// Refusals that are not logged yet.
+    refusals: Mutex<Refusals>,
     metrics: Metrics,
     events: EventLog,
 }
@@ -93,6 +95,7 @@
             links,
             leader: watch::Sender::new(NOBODY),
             keys: Mutex::new(KeyGuard::new(boot_time())),
+            refusals: Mutex::default(),
             metrics,
             events,
         }
@@ -125,10 +128,14 @@
     /// See [`AskError`].
     pub async fn ask(&self, call: ControlCall, limit: Duration) -> Result<ControlReply, AskError> {
         let (kind, label, began) = (call_kind(&call), CallLabel::of(&call), Instant::now());
-        let answer = match call.shown_key() {
-            Some(shown) => self.ask_with_key(call, &shown, limit).await,
+        let shown = call.shown_key();
+        let answer = match &shown {
+            Some(shown) => self.ask_with_key(call, shown, limit).await,
             None => self.ask_in_turn(call, limit).await,
         };
+        if matches!(answer, Ok(ControlReply::UnknownKey)) {
+            self.note_refusal(KeyRefusal::Unknown, shown.as_ref(), label.path());
+        }
         let took = began.elapsed();
         self.metrics.call(kind, took, &answer);
         if let Some(event) = label.outcome(&answer, took) {
@@ -148,7 +155,10 @@
         match self.keys().judge(shown, asked_at) {
             Verdict::Ask => {}
             Verdict::Unknown => return Ok(ControlReply::UnknownKey),
-            Verdict::TooMany => return Err(AskError::NotDone),
+            Verdict::TooMany => {
+                self.note_refusal(KeyRefusal::TooMany, Some(shown), Some(&shown.prefix));
+                return Err(AskError::TooManyKeys);
+            }
         }
         let answer = self.ask_in_turn(call, limit).await;
         if let Ok(reply) = &answer {
@@ -157,6 +167,18 @@
         answer
     }
 
+    /// Counts a call that was refused for its key, and logs so once a second.
+    fn note_refusal(&self, reason: KeyRefusal, shown: Option<&ShownKey>, path: Option<&str>) {
+        let key = shown.map(|shown| shown.key.to_string().into());
+        let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+        let line = refusals.note(reason, key, path.unwrap_or_default(), boot_time());
+        drop(refusals);
+        self.metrics.count("calls.key_refused");
+        if let Some(line) = line {
+            self.events.emit(&ControlEvent::KeysRefused(line));
+        }
+    }
+
     fn keys(&self) -> std::sync::MutexGuard<'_, KeyGuard> {
         self.keys.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -43,6 +43,7 @@
                 let took = Duration::from_millis(*took_ms);
                 self.latencies.latency("advice").record(took);
             }
+            Decision::CapReached { .. } => self.count("customers.at_cap"),
             Decision::Worker { state, .. } => self.count_by("workers.became", state),
             Decision::Pool { pool, waiting, .. } => {
                 let gauge = self.counters.gauge(&format!("pool.{pool}.waiting"));
--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -4,10 +4,12 @@
 use std::time::Instant;
 
 use cleat_jobs::{
-    Answer, Caller, Catalogue, Command, ControlState, Customers, Event, Heartbeat, Job, JobId,
-    JobSpec, JobState, KeyDigest, Queue, Scheduler, WorkerView,
+    Answer, Caller, Cap, Catalogue, Command, ControlState, Customer, Customers, Event, Heartbeat,
+    Job, JobId, JobSpec, JobState, KeyDigest, Queue, Scheduler, WorkerView,
+};
+use cleat_link::{
+    ControlCall, ControlError, ControlReply, CustomerLine, JobLine, JobView, Overview, WorkerLine,
 };
-use cleat_link::{ControlCall, ControlError, ControlReply, JobLine, JobView, Overview, WorkerLine};
 use cleat_quorum::ProposeError;
 
 use super::Shared;
@@ -219,6 +221,7 @@
                     .workers()
                     .map(|worker| worker_line(&worker))
                     .collect(),
+                customers: customer_lines(state, scheduler),
             })
         });
         let mut overview = overview.ok_or(ControlError::NoQuorum)?;
@@ -307,6 +310,35 @@
     }
 }
 
+/// The customers of the configuration in force, in its order.
+fn customer_lines(state: &ControlState, scheduler: &Scheduler) -> Vec<CustomerLine> {
+    let catalogue = state.catalogue.as_deref();
+    let Some(customers) = catalogue.and_then(|catalogue| catalogue.customers.as_ref()) else {
+        return Vec::new();
+    };
+    let views = scheduler.customers();
+    let line = |customer: &Arc<Customer>| {
+        let view = views.iter().find(|view| *view.name == *customer.name);
+        let own = |job: &&Job| job.customer.as_deref() == Some(&*customer.name);
+        let Cap(cap) = customer.cap;
+        CustomerLine {
+            name: customer.name.clone(),
+            keys: customer
+                .keys
+                .iter()
+                .map(|key| key.to_string().into())
+                .collect(),
+            weight: customer.weight,
+            jobs: state.jobs.values().filter(own).count() as u64,
+            waiting: view.map_or(0, |view| view.waiting as u64),
+            used: view.map(|view| view.held).unwrap_or_default(),
+            in_doubt: view.map(|view| view.hidden).unwrap_or_default(),
+            cap,
+        }
+    };
+    customers.iter().map(line).collect()
+}
+
 fn worker_line(worker: &WorkerView<'_>) -> WorkerLine {
     WorkerLine {
         name: worker.record.name.clone(),
--- a/crates/cleat-jobs/src/schedule/account.rs
+++ b/crates/cleat-jobs/src/schedule/account.rs
@@ -5,13 +5,19 @@
 //! or its lease is over. What an earlier owner may have started on workers that
 //! have not answered yet counts as well, as if all of it ran.
 
+use std::time::Duration;
+
 use indexmap::{IndexMap, IndexSet};
 
-use super::Scheduler;
 use super::attempt::Attempt;
 use super::worker::WorkerKey;
+use super::{Decision, Effect, Scheduler};
 use crate::state::{Command, ControlState, Job};
-use crate::{Cap, Catalogue, JobId, Size, StepSpec, TaskId};
+use crate::{Cap, Catalogue, JobId, Run, Size, StepId, StepSpec, TaskId};
+
+/// How often it is logged that a customer's cap holds its steps back: often enough
+/// for a caller who asks why a job waits, and bounded under any load.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A customer of the arena. Keys are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -41,6 +47,8 @@
     pub(crate) hidden: Size,
     /// The pools in which its steps were passed over for its cap.
     blocked_in: IndexSet<Box<str>>,
+    /// When it was last logged that its cap holds steps back.
+    told_at: Option<Duration>,
 }
 
 /// The accounts of all customers that have had jobs in this owner's time.
@@ -52,6 +60,13 @@
     version: Option<u64>,
 }
 
+impl Account {
+    /// What the customer may start beside what it has.
+    pub(crate) fn left(&self) -> Size {
+        self.cap.left(self.held + self.hidden)
+    }
+}
+
 impl Accounts {
     /// The account of a customer, opened if there is none.
     pub(crate) fn open(&mut self, name: &str, catalogue: Option<&Catalogue>) -> CustomerKey {
@@ -110,14 +125,19 @@
             || (count == 1 && account.cap.is_half_free(held))
     }
 
-    /// Notes that a step was passed over in a pool.
-    pub(crate) fn block(&mut self, charge: Charge, pool: &str) {
-        if let Some(key) = charge.customer {
-            let blocked = &mut self.get_mut(key).blocked_in;
-            if !blocked.contains(pool) {
-                blocked.insert(pool.into());
-            }
+    /// Notes that a step was passed over in a pool; gives the account if that is
+    /// to be logged.
+    fn block(&mut self, charge: Charge, pool: &str, now: Duration) -> Option<&Account> {
+        let account = self.get_mut(charge.customer?);
+        if !account.blocked_in.contains(pool) {
+            account.blocked_in.insert(pool.into());
         }
+        let told = account.told_at;
+        if told.is_some_and(|told| now < told + TELL_INTERVAL) {
+            return None;
+        }
+        account.told_at = Some(now);
+        Some(account)
     }
 
     /// Takes over the caps of a configuration; whether they were others.
@@ -146,6 +166,38 @@
 }
 
 impl Scheduler {
+    /// Notes that a step has to wait for its customer's cap.
+    pub(super) fn block_for_cap(&mut self, id: StepId) {
+        let Some(step) = self.steps.get(&id) else {
+            return;
+        };
+        let account = self.accounts.block(step.charge, &step.pool, self.now);
+        let decision = account.map(|account| {
+            let Cap(cap) = account.cap;
+            Decision::CapReached {
+                customer: account.name.clone(),
+                step: id.to_string().into(),
+                held_cpu_milli: account.held.cpu_milli,
+                hidden_cpu_milli: account.hidden.cpu_milli,
+                cap_cpu_milli: cap.cpu_milli,
+                held_memory_mb: account.held.memory_mb,
+                cap_memory_mb: cap.memory_mb,
+            }
+        });
+        self.effects.extend(decision.map(Effect::Tell));
+    }
+
+    /// What each customer has and wants, by name.
+    pub fn customers(&self) -> Vec<CustomerView<'_>> {
+        let mut views: Vec<CustomerView<'_>> = self.accounts.arena.iter().map(view).collect();
+        for step in self.steps.values() {
+            if let Some(CustomerKey(at)) = step.charge.customer {
+                views[at as usize].waiting += step.pending.len();
+            }
+        }
+        views
+    }
+
     /// What a run of a step of the job counts for. What fills counts whole: a cap
     /// is on what runs, not on what it leaves to others.
     pub(super) fn charge(&mut self, state: &ControlState, job: &Job, spec: &StepSpec) -> Charge {
@@ -177,7 +229,7 @@
     }
 
     /// Counts a run of a worker that should not be there, once.
-    pub(super) fn hold_stray(&mut self, state: &ControlState, at: (WorkerKey, TaskId, crate::Run)) {
+    pub(super) fn hold_stray(&mut self, state: &ControlState, at: (WorkerKey, TaskId, Run)) {
         let charge = self.stray_charge(state, at.1);
         self.accounts.hold(charge);
         let sent_at = self.now;
@@ -185,12 +237,8 @@
     }
 
     /// Counts the strays of a worker no more that `stays` is false for.
-    pub(super) fn release_strays(
-        &mut self,
-        key: WorkerKey,
-        stays: impl Fn(TaskId, crate::Run) -> bool,
-    ) {
-        let gone = |((at, task, run), stray): (&(WorkerKey, TaskId, crate::Run), &Stray)| {
+    pub(super) fn release_strays(&mut self, key: WorkerKey, stays: impl Fn(TaskId, Run) -> bool) {
+        let gone = |((at, task, run), stray): (&(WorkerKey, TaskId, Run), &Stray)| {
             (*at == key && !stays(*task, *run)).then_some(((*at, *task, *run), stray.charge))
         };
         let gone: Vec<_> = self.strays.iter().filter_map(gone).collect();
@@ -296,10 +344,32 @@
     }
 }
 
+fn view(account: &Account) -> CustomerView<'_> {
+    CustomerView {
+        name: &account.name,
+        held: account.held,
+        hidden: account.hidden,
+        waiting: 0,
+    }
+}
+
+/// What a customer has and wants, as its owner sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct CustomerView<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// What its runs take up.
+    pub held: Size,
+    /// What may run beside that without this owner's knowledge.
+    pub hidden: Size,
+    /// How many of its tasks wait for a start.
+    pub waiting: usize,
+}
+
 /// A run that should not be there.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stray {
     /// When it was last told to stop.
-    pub(crate) sent_at: std::time::Duration,
+    pub(crate) sent_at: Duration,
     pub(crate) charge: Charge,
 }
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -15,6 +15,8 @@
         job: Box<str>,
         /// Its queue.
         queue: Box<str>,
+        /// The customer whose job it is, if it is one's.
+        customer: Option<Box<str>>,
         /// The pool that runs it.
         pool: Box<str>,
         /// The queue's class of urgency.
@@ -147,6 +149,25 @@
         /// How many tasks wait for room.
         waiting: u64,
     },
+    /// A customer has all that it may have running while some of its tasks wait;
+    /// once a second.
+    CapReached {
+        /// The customer.
+        customer: Box<str>,
+        /// A step of it that waits for that.
+        step: Box<str>,
+        /// What it has, in thousandths of a core.
+        held_cpu_milli: u64,
+        /// What may run beside that without this owner's knowledge, in thousandths
+        /// of a core.
+        hidden_cpu_milli: u64,
+        /// What it may have, in thousandths of a core; 0 is no limit.
+        cap_cpu_milli: u64,
+        /// What it has, in MB.
+        held_memory_mb: u64,
+        /// What it may have, in MB; 0 is no limit.
+        cap_memory_mb: u64,
+    },
     /// The platform's answer to that.
     MachineAnswered {
         /// The machine.
@@ -199,6 +220,7 @@
             | Decision::Stop { .. }
             | Decision::Lost { .. }
             | Decision::Adopted { .. }
+            | Decision::CapReached { .. }
             | Decision::Worker { .. } => false,
         }
     }
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -6,6 +6,7 @@
 
 use super::machine::{Machine, MachineOrder, MachineState};
 use crate::Size;
+use crate::schedule::account::CustomerKey;
 use crate::schedule::timing::Prospect;
 use crate::schedule::{Decision, Scheduler};
 use crate::state::ControlState;
@@ -138,7 +139,10 @@
         }
     }
 
+    /// Adds what waits. What its customer's cap holds back brings no machines: it
+    /// could not start there.
     fn add_work(&self, pools: &mut IndexMap<Box<str>, Balance>) {
+        let mut left: IndexMap<CustomerKey, Size> = IndexMap::new();
         for step in self.steps.values() {
             let Some(balance) = pools.get_mut(&step.pool) else {
                 continue;
@@ -152,6 +156,13 @@
                 Prospect::TooLate => TOO_LATE_PERCENT,
             };
             count = (count * percent).div_ceil(100);
+            if let Some(key) = step.charge.customer {
+                let left = left
+                    .entry(key)
+                    .or_insert_with(|| self.accounts.get(key).left());
+                count = count.min(step.charge.size.times_in(*left));
+                *left -= step.charge.size.times(count);
+            }
             balance.pending += step.footprint.times(count);
         }
     }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -32,6 +32,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+pub use account::CustomerView;
 pub use decision::Decision;
 pub use durations::Durations;
 pub use event::{
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -129,7 +129,7 @@
         };
         let allowed = self.accounts.allows(step.charge, count);
         if !allowed {
-            self.accounts.block(step.charge, &step.pool);
+            self.block_for_cap(id);
         }
         allowed
     }
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -70,13 +70,14 @@
         let mut ids = self.ready.swap_remove(pool).unwrap_or_default();
         let mut ranked: Vec<Reverse<Rank>> = Vec::with_capacity(ids.len());
         let mut any = false;
+        let mut capped = Vec::new();
         ids.retain(|id| {
             let step = self.steps.get(id);
             let Some(step) = step.filter(|step| !step.pending.is_empty()) else {
                 return false;
             };
             if !self.accounts.allows(step.charge, step.least_together()) {
-                self.accounts.block(step.charge, pool);
+                capped.push(*id);
                 return true;
             }
             any |= step.may_fit(room);
@@ -90,6 +91,7 @@
         if !any {
             ranked.clear();
         }
+        capped.into_iter().for_each(|id| self.block_for_cap(id));
         let mut heap = BinaryHeap::from(ranked);
         std::iter::from_fn(move || heap.pop().map(|Reverse((.., order))| order.step))
     }
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -167,6 +167,7 @@
         self.tell(Decision::Accepted {
             job: id.to_string().into(),
             queue: queue.name.clone(),
+            customer: job.customer.clone(),
             pool: queue.pool.clone(),
             priority: queue.priority,
             steps: steps.len(),
--- a/crates/cleat-jobs/src/size.rs
+++ b/crates/cleat-jobs/src/size.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// How many tasks of this size fit into `room`.
+    #[must_use]
+    pub fn times_in(self, room: Size) -> u64 {
+        let times = |part: u64, room: u64| room.checked_div(part).unwrap_or(u64::MAX);
+        let cpu = times(self.cpu_milli, room.cpu_milli);
+        let memory = times(self.memory_mb, room.memory_mb);
+        cpu.min(memory).min(times(self.gpu, room.gpu))
+    }
+
     /// What is left of this without `other`; nothing of a resource where
     /// `other` has more.
     #[must_use]
--- a/crates/cleat-link/src/control.rs
+++ b/crates/cleat-link/src/control.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Catalogue, Document, Heartbeat, JobId, JobSpec, JobState, KeyDigest, WorkerState,
+    Catalogue, Document, Heartbeat, JobId, JobSpec, JobState, KeyDigest, Size, WorkerState,
 };
 use cleat_quorum::Message;
 use serde::{Deserialize, Serialize};
@@ -212,7 +212,7 @@
 }
 
 /// What operators are shown.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Overview {
     /// The jobs that are not over, by name.
     pub jobs: Vec<JobLine>,
@@ -220,6 +220,29 @@
     pub ended: u64,
     /// The workers.
     pub workers: Vec<WorkerLine>,
+    /// The customers; none where calls need no key.
+    pub customers: Vec<CustomerLine>,
+}
+
+/// One customer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CustomerLine {
+    /// Its name.
+    pub name: Box<str>,
+    /// The fingerprints of its keys.
+    pub keys: Vec<Box<str>>,
+    /// How many jobs a second it may count on when all is full.
+    pub weight: f64,
+    /// How many of its jobs are not over.
+    pub jobs: u64,
+    /// How many of its tasks wait for a start.
+    pub waiting: u64,
+    /// What it has running.
+    pub used: Size,
+    /// What may run beside that without the owner's knowledge.
+    pub in_doubt: Size,
+    /// The most that it may have running; 0 is no limit.
+    pub cap: Size,
 }
 
 /// One job.
@@ -268,6 +291,10 @@
     /// No leader took it in time; it had no effect and has none later.
     #[snafu(display("no leader took the call in time"))]
     NotDone,
+    /// Too many keys came that nobody is known to have; it had no effect and has
+    /// none later.
+    #[snafu(display("too many new keys to ask about"))]
+    TooManyKeys,
     /// It may have had an effect. Repeating it is safe.
     #[snafu(display("the outcome of the call is not known"))]
     Unknown,
--- a/crates/cleat-link/src/lib.rs
+++ b/crates/cleat-link/src/lib.rs
@@ -17,7 +17,7 @@
 pub use codec::{LinkTraffic, TrafficSnapshot};
 pub use control::{
     AskError, Control, ControlCall, ControlClient, ControlError, ControlHandler, ControlReply,
-    JobLine, JobView, Overview, ShownKey, WorkerLine,
+    CustomerLine, JobLine, JobView, Overview, ShownKey, WorkerLine,
 };
 pub use handler::Handler;
 pub use link::{CallError, Link, LinkConfig};
--- a/crates/cleat-operate/src/jobs/body.rs
+++ b/crates/cleat-operate/src/jobs/body.rs
@@ -1,7 +1,7 @@
 //! Bodies of the interface.
 
 use cleat_jobs::{JobId, JobSpec};
-use cleat_link::{JobView, Overview, WorkerLine};
+use cleat_link::{CustomerLine, JobView, Overview, WorkerLine};
 use serde::{Deserialize, Serialize};
 
 /// A job to submit.
@@ -88,3 +88,8 @@
 pub(super) struct WorkersBody {
     pub(super) workers: Vec<WorkerLine>,
 }
+
+#[derive(Debug, Serialize)]
+pub(super) struct CustomersBody {
+    pub(super) customers: Vec<CustomerLine>,
+}
--- a/crates/cleat-operate/src/jobs/mod.rs
+++ b/crates/cleat-operate/src/jobs/mod.rs
@@ -14,7 +14,7 @@
 use crate::http::{
     Answer, Handler, Listener, Problem, ProblemKind, RunningServer, json, read_json,
 };
-use body::{JobBody, JobsBody, Submission, WorkersBody};
+use body::{CustomersBody, JobBody, JobsBody, Submission, WorkersBody};
 
 /// How long a call may take: two elections.
 const LIMIT: Duration = Duration::from_secs(3);
@@ -47,6 +47,7 @@
         match (req.method().clone(), &segments[..]) {
             (Method::GET, ["jobs"]) => self.list().await,
             (Method::GET, ["workers"]) => self.workers().await,
+            (Method::GET, ["customers"]) => self.customers().await,
             (Method::GET, ["jobs", id]) => self.look(job_id(id)?).await,
             (Method::POST, ["jobs", id]) => self.submit(job_id(id)?, req).await,
             (Method::POST, ["jobs", id, "cancel"]) => self.cancel(job_id(id)?).await,
@@ -79,6 +80,16 @@
         }
     }
 
+    async fn customers(&self) -> Result<Answer, Problem> {
+        match self.ask(ControlCall::Overview).await? {
+            ControlReply::Overview(overview) => {
+                let customers = overview.customers;
+                Ok(json(StatusCode::OK, &CustomersBody { customers }))
+            }
+            reply => Err(unfit(&reply)),
+        }
+    }
+
     async fn look(&self, id: JobId) -> Result<Answer, Problem> {
         match self.ask(ControlCall::LookAt { id }).await? {
             ControlReply::Job(view) => Ok(json(StatusCode::OK, &JobBody::of(id, view))),
@@ -149,7 +160,7 @@
 
 fn problem(error: &AskError) -> Problem {
     let kind = match error {
-        AskError::NotDone => ProblemKind::NoQuorum,
+        AskError::NotDone | AskError::TooManyKeys => ProblemKind::NoQuorum,
         AskError::Unknown => ProblemKind::OutcomeUnknown,
         AskError::Refused { .. } => ProblemKind::CommandTooLarge,
     };
