Keep a control process up whose disk refuses writes

Change: the replica is opened anew in the same process. Each second a file of 256 KiB is written to the data folder; once that holds, the state is applied anew from the log, as after a start. Until then the instance takes no part and passes calls on.

Ruled out: starting all of the process anew within it (connections of other instances would have to be found and closed; they would go on to talk to the replica that ended).

--- a/crates/celerycleatd/src/error.rs
+++ b/crates/celerycleatd/src/error.rs
@@ -47,10 +47,6 @@
         "orders: workers that get their orders with answers to heartbeats are not supported; use call"
     ))]
     OrdersByHeartbeat,
-    /// The disk refused a write while the instance ran. Free space or replace
-    /// the disk, then start it again.
-    #[snafu(display("the disk failed; see the log before this line, mend it and start again"))]
-    DiskFailed,
     /// An address can't be listened on.
     #[snafu(display("cannot listen"))]
     Listen {
--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -15,9 +15,7 @@
 use snafu::ResultExt;
 
 use super::{Life, follow_seeds, seed_keys, serve_metrics, start_events, until_told_to_stop};
-use crate::error::{
-    ControlSnafu, DaemonError, DiskFailedSnafu, ListenSnafu, OrdersByHeartbeatSnafu,
-};
+use crate::error::{ControlSnafu, DaemonError, ListenSnafu, OrdersByHeartbeatSnafu};
 
 /// How long a voter that another has replaced may be silent before it stops
 /// counting: longer than a restart, shorter than the next loss is likely.
@@ -26,11 +24,6 @@
 /// callers with an old list still get answers.
 const LINGER: Duration = Duration::from_millis(1_500);
 
-/// How long an instance whose disk failed passes calls on before it ends and is
-/// started again, which finds out whether the disk is well. A disk that was full
-/// for 5 s took five starts with 0.5 s.
-const FAILURE_PAUSE: Duration = Duration::from_millis(3_000);
-
 /// Files that are neither HTTP connections nor links: the log and snapshots, the
 /// listeners, the standard streams, and those that the system keeps back for a
 /// process on small machines (200).
@@ -39,8 +32,7 @@
 /// instances: an eighth of 4,096 carries 500 gateways.
 const LINK_SHARE: usize = 8;
 
-/// Runs it until it is told to stop, or its disk fails: an instance that can't
-/// write is of no use to the group, and a new start finds out whether it can.
+/// Runs it until it is told to stop.
 pub(crate) async fn run(settings: ControlSettings, file: &Path) -> Result<(), DaemonError> {
     supported(&settings)?;
     let events = start_events()?;
@@ -78,15 +70,7 @@
     };
     let own = node.clone();
     follow_seeds(file, name, &events, seeds, move |keys| own.set_seeds(keys))?;
-    tokio::select! {
-        told = until_told_to_stop() => told?,
-        () = node.ended() => {
-            events.emit(&Life::Failed { name });
-            tokio::time::sleep(FAILURE_PAUSE).await;
-            events.flush();
-            return DiskFailedSnafu.fail();
-        }
-    }
+    until_told_to_stop().await?;
     events.emit(&Life::Stopping { name });
     node.hand_over().await;
     tokio::time::sleep(LINGER).await;
--- a/crates/celerycleatd/src/roles/mod.rs
+++ b/crates/celerycleatd/src/roles/mod.rs
@@ -37,8 +37,6 @@
     },
     /// It was told to stop.
     Stopping { name: &'a str },
-    /// Its disk failed; it ends.
-    Failed { name: &'a str },
     /// It ends.
     Stopped { name: &'a str },
     /// Its settings changed.
--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -18,6 +18,10 @@
     CallRefused(CallOutcome),
     /// Calls were refused for their keys, once a second at most.
     KeysRefused(KeysRefused),
+    /// The disk refused a write: this instance takes no part in the group.
+    DiskFailed,
+    /// The disk takes writes again, and this instance its part.
+    DiskWell { lasted_ms: u128 },
     /// A configuration is in force.
     Configured {
         version: u64,
--- a/crates/cleat-control/src/machine.rs
+++ b/crates/cleat-control/src/machine.rs
@@ -31,6 +31,12 @@
         owner.as_ref().is_some_and(|tx| tx.send(event).is_ok())
     }
 
+    /// Forgets everything: the log is to be applied anew from its beginning.
+    pub(crate) fn clear(&self) {
+        let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        *state = ControlState::default();
+    }
+
     fn apply(&self, index: u64, command: Command) -> Answer {
         let command = Arc::new(command);
         let answer = {
--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -43,7 +43,7 @@
 
 impl Shared {
     pub(crate) async fn answer(&self, call: ControlCall) -> Result<ControlReply, ControlError> {
-        let status = self.replica.status();
+        let status = self.replica().status();
         if !status.is_leader() {
             let leader = status.leader().map(|id| id.0);
             return Err(ControlError::NotLeader { leader });
@@ -273,7 +273,7 @@
 
     async fn commit(&self, command: &Command) -> Result<ControlReply, ControlError> {
         let began = Instant::now();
-        let applied = self.replica.propose(command.encode()).await;
+        let applied = self.replica().propose(command.encode()).await;
         self.metrics
             .latencies
             .latency("commit")
--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -2,27 +2,29 @@
 
 mod answer;
 mod config;
+mod disk;
 
 pub use config::ControlConfig;
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use cleat_jobs::Scheduler;
 use cleat_link::{
     AskError, ControlCall, ControlError, ControlHandler, ControlReply, LinkTraffic, PeerListener,
 };
-use cleat_log::Journal;
 use cleat_operate::JobControl;
 use cleat_quorum::{BootTime, Joining, MemberConfig, MemberId, Message, Replica, ReplicaConfig};
 use cleat_telemetry::EventLog;
 use snafu::ResultExt;
 use tokio::task::JoinHandle;
 
-use crate::error::{DataFolderSnafu, ListenSnafu, ReplicaSnafu};
+use crate::error::ListenSnafu;
 use crate::leader::Gateway;
-use crate::links::{LinkTransport, Links};
-use crate::machine::{JobsMachine, SharedState};
+use crate::links::Links;
+use crate::machine::SharedState;
 use crate::{
     AdviceClient, MachineClient, Metrics, PlatformClients, StartError, WorkerClient, owner,
 };
@@ -31,7 +33,9 @@
 pub(crate) struct Shared {
     pub(crate) id: MemberId,
     pub(crate) voters: usize,
-    pub(crate) replica: Replica,
+    /// Another one after the disk had failed.
+    replica: ArcSwap<Replica>,
+    stopping: AtomicBool,
     pub(crate) state: Arc<SharedState>,
     /// The owner's decisions, while this instance leads.
     pub(crate) scheduler: Mutex<Option<Scheduler>>,
@@ -40,9 +44,17 @@
 }
 
 impl Shared {
+    pub(crate) fn replica(&self) -> Arc<Replica> {
+        self.replica.load_full()
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
     /// Whether this instance leads and no other can.
     pub(crate) fn leads(&self) -> bool {
-        self.replica.status().leads(BootTime::now())
+        self.replica().status().leads(BootTime::now())
     }
 
     pub(crate) fn with_scheduler<T>(&self, look: impl FnOnce(&Scheduler) -> T) -> Option<T> {
@@ -74,17 +86,15 @@
         metrics: Metrics,
     ) -> Result<ControlNode, StartError> {
         let listener = PeerListener::bind(cfg.listen).await.context(ListenSnafu)?;
-        let disk = Journal::open(&cfg.data_folder, &cfg.name).context(DataFolderSnafu)?;
         let traffic = Arc::new(LinkTraffic::default());
         let links = Arc::new(Links::new(cfg.address, traffic.clone()));
         let state = Arc::new(SharedState::default());
-        let transport = LinkTransport(links.clone());
-        let machine = JobsMachine(state.clone());
-        let replica = Replica::spawn(replica_config(&cfg), disk, transport, machine);
+        let replica = disk::open_replica(&cfg, &links, &state)?;
         let shared = Arc::new(Shared {
             id: cfg.id,
             voters: cfg.voters,
-            replica: replica.context(ReplicaSnafu)?,
+            replica: ArcSwap::from_pointee(replica),
+            stopping: AtomicBool::new(false),
             state,
             scheduler: Mutex::new(None),
             events: events.clone(),
@@ -93,10 +103,12 @@
         let owner = owner::spawn(shared.clone(), cfg.scheduler, clients);
         let handler = Arc::new(PeerSide(shared.clone()));
         let serving = listener.serve_control(handler, traffic);
+        let others = Gateway::over(links.clone(), cfg.seeds.clone(), metrics, events);
+        let reopening = tokio::spawn(disk::reopen_failed(shared.clone(), cfg, links));
         Ok(ControlNode {
             shared,
-            others: Gateway::over(links, cfg.seeds, metrics, events),
-            tasks: vec![owner, serving],
+            others,
+            tasks: vec![owner, serving, reopening],
         })
     }
 
@@ -119,7 +131,7 @@
 
     /// The leader as far as this instance knows.
     pub fn leader(&self) -> Option<MemberId> {
-        self.shared.replica.status().leader()
+        self.shared.replica().status().leader()
     }
 
     /// Whether this instance leads and no other can.
@@ -132,15 +144,11 @@
         self.others.set_seeds(seeds);
     }
 
-    /// Waits until the replica has ended: by a stop, or since its disk failed.
-    pub async fn ended(&self) {
-        self.shared.replica.ended().await;
-    }
-
     /// Hands the lead over, if it is here, and leaves the group's work. Calls
     /// are still passed on.
     pub async fn hand_over(&self) {
-        self.shared.replica.stop().await;
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.replica().stop().await;
     }
 }
 
@@ -179,8 +187,9 @@
 
 impl ControlHandler for PeerSide {
     fn deliver(&self, messages: Vec<Message>) {
+        let replica = self.0.replica();
         for message in messages {
-            self.0.replica.deliver(message);
+            replica.deliver(message);
         }
     }
 
--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -148,7 +148,7 @@
     fn propose(&self, command: Command) -> Call {
         let (shared, commits) = (self.shared.clone(), self.commits.clone());
         Box::pin(async move {
-            match shared.replica.propose(command.encode()).await {
+            match shared.replica().propose(command.encode()).await {
                 Ok(_) => {
                     end_commit_failures(&shared, &commits);
                     None
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -95,7 +95,7 @@
     /// Commits the ownership, once the group has the voters it needs.
     async fn take_over(&self) -> bool {
         if !self.shared.state.read(|state| state.founded) {
-            let status = self.shared.replica.status();
+            let status = self.shared.replica().status();
             let voters = status.members().iter().filter(|m| m.votes).count();
             if voters < self.shared.voters || !self.commit(Command::Found).await {
                 return false;
@@ -129,7 +129,7 @@
     }
 
     async fn commit(&self, command: Command) -> bool {
-        match self.shared.replica.propose(command.encode()).await {
+        match self.shared.replica().propose(command.encode()).await {
             Ok(_) => true,
             Err(error) => {
                 warn!("the workers can't be taken over yet: {error}");
@@ -154,7 +154,7 @@
                 _ = ticks.tick() => events.push(Event::Tick { wall_ms: wall_ms() }),
             }
             take_ready(&mut calls, &mut events);
-            if !self.shared.replica.status().is_leader() {
+            if !self.shared.replica().status().is_leader() {
                 return OwnershipEnd::LeadLost;
             }
             if !self.handle(&mut events, &calls) {
