Let work within its customer's share go first

Cause: where a pool is full, what can still be in time went first, whoever sent it. Played (test, 16 cores for 10 jobs a second, one customer sends 20 a second and another its share of 2): the one within its share had 5% of its jobs in time.

Change: a job that came after as many of its customer's as its weight within a second goes behind what is within shares. Three ways stand behind one setting: time first, jobs a second, room in use.

What the play showed besides: a pool with more work than room started each task just too late, as the call, the end and its commit were not reckoned with. 50 ms are kept for them in the order of steps (not in the need for machines): 85 jobs in time in place of 38.

--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -23,7 +23,7 @@
 pub use schedule::{
     Arrivals, CustomerView, Decision, Durations, Effect, EndedRun, Event, Heartbeat, MachineAnswer,
     MachineOrder, MachineState, MachineView, Order, OrderAnswer, Protections, RenewalAnswer,
-    RenewalOrder, RunningTask, Scheduler, SchedulerConfig, TaskOrder, Work, WorkerState,
+    RenewalOrder, RunningTask, Scheduler, SchedulerConfig, Sharing, TaskOrder, Work, WorkerState,
     WorkerView,
 };
 pub use size::Size;
--- a/crates/cleat-jobs/src/schedule/account.rs
+++ b/crates/cleat-jobs/src/schedule/account.rs
@@ -10,6 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::attempt::Attempt;
+use super::shares::{Sent, Standing};
 use super::worker::WorkerKey;
 use super::{Decision, Effect, Scheduler};
 use crate::state::{Command, ControlState, Job};
@@ -38,6 +39,10 @@
     /// The most it may have running, by the configuration in force; no limit for
     /// a customer that is no longer there.
     pub(crate) cap: Cap,
+    /// Its share, in jobs a second, by the configuration in force.
+    weight: f64,
+    /// The jobs that it sent lately within that.
+    sent: Sent,
     /// What its runs take up that this owner knows of.
     ///
     /// Invariant: the sum of the charges of its attempts that hold room and of
@@ -79,6 +84,7 @@
         self.arena.push(Account {
             name: name.into(),
             cap: cap_of(name, catalogue),
+            weight: weight_of(name, catalogue),
             ..Account::default()
         });
         key
@@ -149,6 +155,7 @@
         self.version = version;
         for account in &mut self.arena {
             account.cap = cap_of(&account.name, Some(catalogue));
+            account.weight = weight_of(&account.name, Some(catalogue));
         }
         true
     }
@@ -165,6 +172,40 @@
     customer.map(|customer| customer.cap).unwrap_or_default()
 }
 
+/// The share of a customer that is no longer there is that of the smallest.
+fn weight_of(name: &str, catalogue: Option<&Catalogue>) -> f64 {
+    let customer = catalogue.and_then(|catalogue| catalogue.customer(name));
+    customer.map(|customer| customer.weight).unwrap_or_default()
+}
+
+impl Accounts {
+    /// Where a job stands that a customer sent at `at`.
+    pub(crate) fn take_job(&mut self, key: CustomerKey, at: Duration) -> Standing {
+        let account = self.get_mut(key);
+        account.sent.take(at, account.weight)
+    }
+
+    /// Whether a customer holds more of what all hold than its part of all shares.
+    pub(crate) fn standing_by_room(&self, key: CustomerKey) -> Standing {
+        let (mut all, mut weights) = (Size::default(), 0.0);
+        for account in &self.arena {
+            all += account.held;
+            weights += account.weight;
+        }
+        let own = self.get(key);
+        #[allow(clippy::cast_precision_loss)]
+        let part = |own: u64, all: u64| own as f64 / all.max(1) as f64;
+        let cpu = part(own.held.cpu_milli, all.cpu_milli);
+        let memory = part(own.held.memory_mb, all.memory_mb);
+        let share = own.weight / f64::max(weights, f64::MIN_POSITIVE);
+        if cpu.max(memory) > share {
+            Standing::Beyond
+        } else {
+            Standing::Within
+        }
+    }
+}
+
 impl Scheduler {
     /// Notes that a step has to wait for its customer's cap.
     pub(super) fn block_for_cap(&mut self, id: StepId) {
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -21,6 +21,7 @@
 mod protections;
 mod ready;
 mod renewal;
+mod shares;
 mod step;
 mod takeover;
 mod tick;
@@ -42,6 +43,7 @@
 pub use fleet::{MachineOrder, MachineState, MachineView};
 pub use forecast::{Arrivals, Work};
 pub use protections::Protections;
+pub use shares::Sharing;
 pub use worker::WorkerState;
 
 use crate::state::{Command, ControlState, Owner, WorkerRecord};
@@ -52,6 +54,7 @@
 use fleet::Machines;
 use pace::{Pace, Paced};
 use ready::Unsettled;
+use shares::Standing;
 use step::ActiveStep;
 use timing::{Objective, Times};
 use worker::{WorkerKey, Workers};
@@ -82,6 +85,8 @@
     pub remember: Duration,
     /// How much earlier than due an occurrence may start.
     pub early: Duration,
+    /// How customers' shares decide which work goes first.
+    pub sharing: Sharing,
     /// Test-only switches.
     #[doc(hidden)]
     pub protections: Protections,
@@ -99,6 +104,7 @@
             drift_percent: 2,
             remember: Duration::from_secs(240),
             early: Duration::ZERO,
+            sharing: Sharing::default(),
             protections: Protections::default(),
         }
     }
@@ -156,6 +162,8 @@
     machines: Machines,
     /// Until when each job that is not over should be done.
     objectives: IndexMap<JobId, Objective>,
+    /// Where the jobs of customers stand that are not over and beyond a share.
+    standings: IndexMap<JobId, Standing>,
     times: Times,
     /// What the adviser said of each step that needs its permission.
     advice: IndexMap<StepId, StepAdvice>,
@@ -204,6 +212,7 @@
             over: VecDeque::new(),
             machines: Machines::default(),
             objectives: IndexMap::new(),
+            standings: IndexMap::new(),
             times: Times::default(),
             advice: IndexMap::new(),
             paces: IndexMap::new(),
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -7,17 +7,25 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::time::Duration;
 
 use indexmap::IndexSet;
 
 use super::Scheduler;
-use super::step::Order;
+use super::shares::{Sharing, Standing};
+use super::step::{ActiveStep, Order};
 use super::timing::Prospect;
 use super::worker::WorkerKey;
 use crate::{Size, StepId};
 
+/// What a task takes beside its run: the call that starts it, the one that lists its
+/// end, and the commit of that. Without it a pool with more work than room starts
+/// each task just too late: of two customers' jobs, twice the room, 38 in time in
+/// place of 85 (played by the test of shares).
+const ON_THE_WAY: Duration = Duration::from_millis(50);
+
 /// Which step of a pool goes first; lower goes first.
-type Rank = (u32, Prospect, Order);
+type Rank = (u32, Standing, Prospect, Order);
 
 /// The pools where something may have made room or work.
 #[derive(Clone, Debug)]
@@ -57,8 +65,17 @@
         }
     }
 
-    /// The steps of a pool that wait for a place: the queue's class first,
-    /// then what can still be in time. None if no step may fit into `room`. Steps
+    /// Whether a step is within its customer's share.
+    fn standing(&self, step: &ActiveStep) -> Standing {
+        match (self.cfg.sharing, step.charge.customer) {
+            (Sharing::TimeFirst, _) | (_, None) => Standing::Within,
+            (Sharing::JobsASecond, _) => step.standing,
+            (Sharing::RoomInUse, Some(customer)) => self.accounts.standing_by_room(customer),
+        }
+    }
+
+    /// The steps of a pool that wait for a place: the queue's class first, then
+    /// what is within its customer's share, then what can still be in time. None if no step may fit into `room`. Steps
     /// of a customer that has all it may have are left out.
     ///
     /// A pass looks at the first few only, so they are not sorted all.
@@ -81,8 +98,14 @@
                 return true;
             }
             any |= step.may_fit(room);
-            let prospect = step.prospect(self.now);
-            ranked.push(Reverse((step.order.priority, prospect, step.order)));
+            let prospect = step.prospect(self.now + ON_THE_WAY);
+            let standing = self.standing(step);
+            ranked.push(Reverse((
+                step.order.priority,
+                standing,
+                prospect,
+                step.order,
+            )));
             true
         });
         if !ids.is_empty() {
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use super::account::Charge;
+use super::shares::Standing;
 use super::timing::{Objective, Prospect};
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
@@ -39,6 +40,8 @@
     pub(crate) footprint: Size,
     /// What each of its tasks counts for.
     pub(crate) charge: Charge,
+    /// Whether its job is within its customer's share.
+    pub(crate) standing: Standing,
     /// Whether its tasks start together or not at all.
     pub(crate) gang: bool,
     /// How long the longest chain from this step on takes, itself included.
@@ -123,7 +126,7 @@
             return;
         };
         self.live.insert(id);
-        self.meet_job(id, job);
+        self.meet_job(state, id, job);
         for occurrence in 0..job.spec.occurrences() {
             if job.is_occurrence_done(occurrence) {
                 continue;
@@ -200,6 +203,7 @@
             least_workers: spec.least_workers(),
             footprint: spec.footprint(),
             charge,
+            standing: self.standings.get(&id.job).copied().unwrap_or_default(),
             gang: spec.gang,
             left,
             placed: IndexMap::new(),
@@ -230,6 +234,7 @@
         self.starts.swap_remove(&id);
         self.begun.swap_remove(&id);
         self.objectives.swap_remove(&id);
+        self.standings.swap_remove(&id);
         self.stop_job(id);
     }
 }
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -6,9 +6,10 @@
 
 use super::durations::Durations;
 use super::forecast::{Arrivals, Work};
+use super::shares::Standing;
 use super::worker::millis;
 use super::{Decision, Scheduler};
-use crate::state::Job;
+use crate::state::{ControlState, Job};
 use crate::{JobId, JobSpec, Queue, Size, StepSpec};
 
 /// How many times its objective a job may take and still be worth something.
@@ -139,7 +140,7 @@
 
 impl Scheduler {
     /// Notes when a job came and until when it should be done.
-    pub(super) fn meet_job(&mut self, id: JobId, job: &Job) {
+    pub(super) fn meet_job(&mut self, state: &ControlState, id: JobId, job: &Job) {
         let queue = &job.queue;
         let chain = self.times.chain(&queue.name, &job.spec);
         let longest = chain.into_iter().max().unwrap_or_default();
@@ -151,6 +152,18 @@
         self.tell_accepted(id, job, span);
         let came = self.now.saturating_sub(age);
         self.times.arrive(queue, &job.spec, came);
+        self.note_standing(state, id, job, came);
+    }
+
+    /// Notes whether the job is beyond its customer's share.
+    fn note_standing(&mut self, state: &ControlState, id: JobId, job: &Job, came: Duration) {
+        let Some(name) = job.customer.as_deref() else {
+            return;
+        };
+        let key = self.accounts.open(name, state.catalogue.as_deref());
+        if self.accounts.take_job(key, came) == Standing::Beyond {
+            self.standings.insert(id, Standing::Beyond);
+        }
     }
 
     /// How long ago a job's caller came. An earlier owner may have accepted it,
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -72,6 +72,11 @@
     assert_holds(&Plan::with(&[Fault::Cancels]));
 }
 
+#[test]
+fn schedule_everything_at_once_with_caps() {
+    assert_holds(&Plan::with(&Fault::EACH));
+}
+
 #[test]
 fn schedule_caps_change() {
     assert_holds(&Plan::with(&[Fault::CapsChange]));
@@ -139,8 +144,8 @@
 /// Each pair of faults, and each fault twice.
 #[test]
 fn matrix_pairs_of_faults() {
-    for first in Fault::ALL {
-        for second in Fault::ALL {
+    for first in Fault::EACH {
+        for second in Fault::EACH {
             for seed in 0..6 {
                 let plan = Plan::with(&[first, second]);
                 if let Err(violation) = run(&plan, seed) {
@@ -155,7 +160,7 @@
 #[test]
 fn matrix_faults_at_each_step_of_a_job() {
     for moment in Moment::ALL {
-        for fault in Fault::ALL {
+        for fault in Fault::EACH {
             for seed in 0..12 {
                 let plan = Plan::striking_at(moment, fault);
                 if let Err(violation) = run(&plan, seed) {
--- a/crates/cleat-jobs/tests/simulation/plan.rs
+++ b/crates/cleat-jobs/tests/simulation/plan.rs
@@ -19,14 +19,27 @@
     LostAnswers,
     /// Jobs are cancelled.
     Cancels,
-    /// The customers' caps are cut and raised.
+    /// The customers' caps are cut and raised; without it they have none.
     CapsChange,
     /// Commits take long, pass each other, or come after they were given up.
     SlowCommits,
 }
 
 impl Fault {
-    pub(crate) const ALL: [Fault; 9] = [
+    /// The faults of schedules without caps. Recorded seeds are of these.
+    pub(crate) const ALL: [Fault; 8] = [
+        Fault::OwnerDies,
+        Fault::WorkerCut,
+        Fault::WorkerLost,
+        Fault::WorkerRestarts,
+        Fault::LateOrders,
+        Fault::LostAnswers,
+        Fault::Cancels,
+        Fault::SlowCommits,
+    ];
+
+    /// Each fault there is.
+    pub(crate) const EACH: [Fault; 9] = [
         Fault::OwnerDies,
         Fault::WorkerCut,
         Fault::WorkerLost,
@@ -34,8 +47,8 @@
         Fault::LateOrders,
         Fault::LostAnswers,
         Fault::Cancels,
-        Fault::CapsChange,
         Fault::SlowCommits,
+        Fault::CapsChange,
     ];
 }
 
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -34,6 +34,7 @@
 /// What each customer may have running, in thousandths of a core: a fourth and an
 /// eighth of the room.
 const CAPS: [u64; 2] = [8_000, 4_000];
+const NO_CAPS: [u64; 2] = [0, 0];
 /// How long an order that goes as it should may be under way.
 const ORDER_UNDER_WAY: Duration = Duration::from_millis(10);
 const CAPACITY: Size = Size {
@@ -135,7 +136,11 @@
 
     fn begin(&mut self) {
         self.apply(Command::Found);
-        self.apply(Command::Configure(Arc::new(catalogue(1, &CAPS))));
+        let caps = match self.plan.has(Fault::CapsChange) {
+            true => CAPS,
+            false => NO_CAPS,
+        };
+        self.apply(Command::Configure(Arc::new(catalogue(1, &caps))));
         for at in 0..WORKERS {
             let worker = self.new_life(at);
             self.workers.push(worker);
@@ -442,7 +447,9 @@
         if self.now <= self.caps_before.1 {
             // Those of the change before are under way as well.
             let earlier = before.iter().zip(&self.caps_before.0);
-            before = earlier.map(|(cap, earlier)| *cap.max(earlier)).collect();
+            before = earlier
+                .map(|(cap, earlier)| looser(*cap, *earlier))
+                .collect();
         }
         self.caps_before = (before, self.now + ORDER_UNDER_WAY);
         let caps = CAPS.map(|cap| cap / self.rng.random_range(1..5));
@@ -673,9 +680,9 @@
         }
         let mut cap = self.caps()[at];
         if now <= self.caps_before.1 {
-            cap = cap.max(self.caps_before.0[at]);
+            cap = looser(cap, self.caps_before.0[at]);
         }
-        let allowed = held <= cap || (held - largest) * 2 < cap;
+        let allowed = cap == 0 || held <= cap || (held - largest) * 2 < cap;
         let ms = now.as_millis();
         allowed.then_some(()).ok_or(Violation::OverCap { task, ms })
     }
@@ -738,6 +745,15 @@
     at.parse().expect("a number")
 }
 
+/// The cap of the two that allows more; 0 is no limit.
+fn looser(cap: u64, other: u64) -> u64 {
+    if cap == 0 || other == 0 {
+        0
+    } else {
+        cap.max(other)
+    }
+}
+
 /// Whose a job is.
 fn customer_of(id: JobId) -> Box<str> {
     format!("customer{}", id.0 % CAPS.len() as u64).into()
