--- /dev/null
+++ b/crates/cleat-jobs/tests/simulation/checks.rs
@@ -0,0 +1,116 @@
+//! Checks of a world against the promises.
+
+use std::time::Duration;
+
+use cleat_jobs::{Scheduler, TaskOrder};
+
+use super::check::Violation;
+use super::jobs::customer_of;
+use super::world::{CAPS, FAULTS_END, MAX_ATTEMPTS, World, looser, ms};
+
+/// How long a cancelled job may run on: late starts included.
+const CANCEL_LIMIT: Duration = Duration::from_secs(4);
+
+impl World {
+    pub(super) fn check_start(&mut self, at: usize, order: &TaskOrder) -> Result<(), Violation> {
+        let (task, run, now) = (order.task, order.run, self.now);
+        let ms = now.as_millis();
+        for (other, worker) in self.workers.iter_mut().enumerate() {
+            worker.advance(now);
+            if other != at && worker.up && worker.runs.contains_key(&task) {
+                return Err(Violation::RunsTwice { task, ms });
+            }
+        }
+        if let Some(after) = self
+            .accepted
+            .insert(task, run)
+            .filter(|after| run <= *after)
+        {
+            return Err(Violation::RunFalls { task, run, after });
+        }
+        let Some(job) = self.state.jobs.get(&task.job()) else {
+            return Ok(());
+        };
+        if job.is_task_done(task.step, task.index) {
+            return Err(Violation::StartsDone { task, ms });
+        }
+        if !job.is_step_due(task.step) {
+            return Err(Violation::OutOfOrder { task, ms });
+        }
+        let failures = job
+            .progress(task.step)
+            .map_or(0, |step| step.failures(task.index));
+        if failures >= MAX_ATTEMPTS {
+            return Err(Violation::OverBudget { task });
+        }
+        Ok(())
+    }
+
+    /// A start may not take its customer over its cap; but one task may, where the
+    /// others have less than half of it. Orders may arrive in another order than
+    /// they were given in, so which start is that one does not matter.
+    pub(super) fn check_cap(&mut self, order: &TaskOrder) -> Result<(), Violation> {
+        let (task, now) = (order.task, self.now);
+        let at = usize::try_from(task.job().0 % CAPS.len() as u64).expect("short");
+        let (mut held, mut largest) = (0, 0);
+        for worker in self.workers.iter_mut().filter(|worker| worker.up) {
+            worker.advance(now);
+            for (other, run) in &worker.runs {
+                if customer_of(other.job()) == customer_of(task.job()) {
+                    held += run.size.cpu_milli;
+                    largest = largest.max(run.size.cpu_milli);
+                }
+            }
+        }
+        let mut cap = self.caps()[at];
+        if now <= self.caps_before.1 {
+            cap = looser(cap, self.caps_before.0[at]);
+        }
+        let allowed = cap == 0 || held <= cap || (held - largest) * 2 < cap;
+        let ms = now.as_millis();
+        allowed.then_some(()).ok_or(Violation::OverCap { task, ms })
+    }
+
+    /// What is kept of each customer has to be what follows from its runs.
+    pub(super) fn check_accounts(&self) -> Result<(), Violation> {
+        let rows = self.owner.as_ref().map(Scheduler::recounted);
+        let mut rows = rows.unwrap_or_default().into_iter();
+        match rows.find(|(_, kept, counted)| kept != counted) {
+            Some((customer, ..)) => {
+                let ms = self.now.as_millis();
+                Err(Violation::Miscounted { customer, ms })
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Nothing of a cancelled job may go on, but on a worker that was not
+    /// reachable.
+    pub(super) fn check_workers(&mut self) -> Result<(), Violation> {
+        let (now, ms) = (self.now, self.now.as_millis());
+        if self.now < FAULTS_END + ms_of_late_orders() + CANCEL_LIMIT || self.owner.is_none() {
+            return Ok(());
+        }
+        for worker in &mut self.workers {
+            worker.advance(now);
+            for task in worker.runs.keys() {
+                if worker.up && self.cancelled.contains_key(&task.job()) {
+                    return Err(Violation::RunsCancelled { task: *task, ms });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn check_end(&self) -> Result<(), Violation> {
+        match self.state.jobs.keys().next() {
+            Some(job) => Err(Violation::NotFinished { job: *job }),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The latest that an order is carried out after it was sent.
+fn ms_of_late_orders() -> Duration {
+    ms(12_000)
+}
--- a/crates/cleat-jobs/tests/simulation/mod.rs
+++ b/crates/cleat-jobs/tests/simulation/mod.rs
@@ -1,6 +1,8 @@
 //! Owners, workers and faults on one seeded schedule, and what must hold.
 
 mod check;
+mod checks;
+mod jobs;
 mod plan;
 mod world;
 
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -7,33 +7,32 @@
 
 use cleat_control::{ModelRun, ModelWorker};
 use cleat_jobs::{
-    Cap, Catalogue, Command, ControlState, Customer, CustomerDraft, Draft, Effect, EndKind, Event,
-    Heartbeat, JobId, JobSpec, JobState, Order, OrderAnswer, Pool, Queue, RenewalOrder, Run,
-    Scheduler, SchedulerConfig, Size, StepSpec, TaskId, TaskOrder, WorkerHistory, WorkerRecord,
+    Command, ControlState, Customer, Effect, EndKind, Event, Heartbeat, JobId, JobState, Order,
+    OrderAnswer, RenewalOrder, Run, Scheduler, SchedulerConfig, Size, TaskId, TaskOrder,
+    WorkerHistory, WorkerRecord,
 };
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use super::check::Violation;
+use super::jobs::{catalogue, customer_of, spec};
 use super::plan::{Fault, Moment, Plan};
 
 /// Faults come until then.
-const FAULTS_END: Duration = Duration::from_secs(12);
+pub(super) const FAULTS_END: Duration = Duration::from_secs(12);
 /// By then everything has to be finished: a lease, late orders and the work.
 const END: Duration = Duration::from_secs(60);
-/// How long a cancelled job may run on: late starts included.
-const CANCEL_LIMIT: Duration = Duration::from_secs(4);
 const TICK: Duration = Duration::from_millis(50);
 const BEAT: Duration = Duration::from_millis(1_500);
 /// How often a fault strikes at its step in one schedule.
 const STRIKES: u32 = 3;
 const WORKERS: usize = 4;
 const JOBS: u64 = 12;
-const MAX_ATTEMPTS: u32 = 3;
+pub(super) const MAX_ATTEMPTS: u32 = 3;
 /// What each customer may have running, in thousandths of a core: a fourth and an
 /// eighth of the room.
-const CAPS: [u64; 2] = [8_000, 4_000];
+pub(super) const CAPS: [u64; 2] = [8_000, 4_000];
 const NO_CAPS: [u64; 2] = [0, 0];
 /// How long an order that goes as it should may be under way.
 const ORDER_UNDER_WAY: Duration = Duration::from_millis(10);
@@ -43,7 +42,7 @@
     gpu: 0,
 };
 
-fn ms(ms: u64) -> Duration {
+pub(super) fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
@@ -74,26 +73,26 @@
     Late,
 }
 
-struct World {
-    plan: Plan,
+pub(super) struct World {
+    pub(super) plan: Plan,
     rng: StdRng,
-    now: Duration,
+    pub(super) now: Duration,
     queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
     happenings: Vec<Option<Happening>>,
-    state: ControlState,
+    pub(super) state: ControlState,
     index: u64,
-    owner: Option<Scheduler>,
-    workers: Vec<ModelWorker>,
+    pub(super) owner: Option<Scheduler>,
+    pub(super) workers: Vec<ModelWorker>,
     lives: u64,
-    accepted: IndexMap<TaskId, Run>,
-    cancelled: IndexMap<JobId, Duration>,
+    pub(super) accepted: IndexMap<TaskId, Run>,
+    pub(super) cancelled: IndexMap<JobId, Duration>,
     /// Tasks that never succeed.
     hopeless: Vec<JobId>,
     /// How often a fault still strikes at its step.
     strikes: u32,
     /// The caps that were in force before, and until when orders given under them
     /// may arrive.
-    caps_before: (Vec<u64>, Duration),
+    pub(super) caps_before: (Vec<u64>, Duration),
 }
 
 /// Runs a schedule to its end.
@@ -441,8 +440,8 @@
 
     /// Cuts the caps far below what is sent, or raises them again.
     fn change_caps(&mut self) {
-        let catalogue = self.state.catalogue.as_ref().expect("configured");
-        let version = catalogue.version + 1;
+        let held = self.state.catalogue.as_ref().expect("configured");
+        let version = held.version + 1;
         let mut before = self.caps();
         if self.now <= self.caps_before.1 {
             // Those of the change before are under way as well.
@@ -453,13 +452,11 @@
         }
         self.caps_before = (before, self.now + ORDER_UNDER_WAY);
         let caps = CAPS.map(|cap| cap / self.rng.random_range(1..5));
-        self.apply(Command::Configure(Arc::new(self::catalogue(
-            version, &caps,
-        ))));
+        self.apply(Command::Configure(Arc::new(catalogue(version, &caps))));
     }
 
     /// The cap of each customer, in thousandths of a core.
-    fn caps(&self) -> Vec<u64> {
+    pub(super) fn caps(&self) -> Vec<u64> {
         let catalogue = self.state.catalogue.as_ref().expect("configured");
         let customers = catalogue.customers.as_ref().expect("configured");
         let cap = |customer: &Arc<Customer>| customer.cap.0.cpu_milli;
@@ -627,108 +624,6 @@
             size,
         }
     }
-
-    fn check_start(&mut self, at: usize, order: &TaskOrder) -> Result<(), Violation> {
-        let (task, run, now) = (order.task, order.run, self.now);
-        let ms = now.as_millis();
-        for (other, worker) in self.workers.iter_mut().enumerate() {
-            worker.advance(now);
-            if other != at && worker.up && worker.runs.contains_key(&task) {
-                return Err(Violation::RunsTwice { task, ms });
-            }
-        }
-        if let Some(after) = self
-            .accepted
-            .insert(task, run)
-            .filter(|after| run <= *after)
-        {
-            return Err(Violation::RunFalls { task, run, after });
-        }
-        let Some(job) = self.state.jobs.get(&task.job()) else {
-            return Ok(());
-        };
-        if job.is_task_done(task.step, task.index) {
-            return Err(Violation::StartsDone { task, ms });
-        }
-        if !job.is_step_due(task.step) {
-            return Err(Violation::OutOfOrder { task, ms });
-        }
-        let failures = job
-            .progress(task.step)
-            .map_or(0, |step| step.failures(task.index));
-        if failures >= MAX_ATTEMPTS {
-            return Err(Violation::OverBudget { task });
-        }
-        Ok(())
-    }
-
-    /// A start may not take its customer over its cap; but one task may, where the
-    /// others have less than half of it. Orders may arrive in another order than
-    /// they were given in, so which start is that one does not matter.
-    fn check_cap(&mut self, order: &TaskOrder) -> Result<(), Violation> {
-        let (task, now) = (order.task, self.now);
-        let at = usize::try_from(task.job().0 % CAPS.len() as u64).expect("short");
-        let (mut held, mut largest) = (0, 0);
-        for worker in self.workers.iter_mut().filter(|worker| worker.up) {
-            worker.advance(now);
-            for (other, run) in &worker.runs {
-                if customer_of(other.job()) == customer_of(task.job()) {
-                    held += run.size.cpu_milli;
-                    largest = largest.max(run.size.cpu_milli);
-                }
-            }
-        }
-        let mut cap = self.caps()[at];
-        if now <= self.caps_before.1 {
-            cap = looser(cap, self.caps_before.0[at]);
-        }
-        let allowed = cap == 0 || held <= cap || (held - largest) * 2 < cap;
-        let ms = now.as_millis();
-        allowed.then_some(()).ok_or(Violation::OverCap { task, ms })
-    }
-
-    /// What is kept of each customer has to be what follows from its runs.
-    fn check_accounts(&self) -> Result<(), Violation> {
-        let rows = self.owner.as_ref().map(Scheduler::recounted);
-        let mut rows = rows.unwrap_or_default().into_iter();
-        match rows.find(|(_, kept, counted)| kept != counted) {
-            Some((customer, ..)) => {
-                let ms = self.now.as_millis();
-                Err(Violation::Miscounted { customer, ms })
-            }
-            None => Ok(()),
-        }
-    }
-
-    /// Nothing of a cancelled job may go on, but on a worker that was not
-    /// reachable.
-    fn check_workers(&mut self) -> Result<(), Violation> {
-        let (now, ms) = (self.now, self.now.as_millis());
-        if self.now < FAULTS_END + ms_of_late_orders() + CANCEL_LIMIT || self.owner.is_none() {
-            return Ok(());
-        }
-        for worker in &mut self.workers {
-            worker.advance(now);
-            for task in worker.runs.keys() {
-                if worker.up && self.cancelled.contains_key(&task.job()) {
-                    return Err(Violation::RunsCancelled { task: *task, ms });
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn check_end(&self) -> Result<(), Violation> {
-        match self.state.jobs.keys().next() {
-            Some(job) => Err(Violation::NotFinished { job: *job }),
-            None => Ok(()),
-        }
-    }
-}
-
-/// The latest that an order is carried out after it was sent.
-fn ms_of_late_orders() -> Duration {
-    ms(12_000)
 }
 
 fn unanswered(life: &str, order: &TaskOrder) -> Event {
@@ -746,82 +641,10 @@
 }
 
 /// The cap of the two that allows more; 0 is no limit.
-fn looser(cap: u64, other: u64) -> u64 {
+pub(super) fn looser(cap: u64, other: u64) -> u64 {
     if cap == 0 || other == 0 {
         0
     } else {
         cap.max(other)
     }
 }
-
-/// Whose a job is.
-fn customer_of(id: JobId) -> Box<str> {
-    format!("customer{}", id.0 % CAPS.len() as u64).into()
-}
-
-fn catalogue(version: u64, caps: &[u64]) -> Catalogue {
-    let queue = Queue {
-        name: "queue".into(),
-        host: "host".into(),
-        prefix: "/queue/".into(),
-        pool: "pool".into(),
-        priority: 0,
-        max_attempts: MAX_ATTEMPTS,
-        stretch: 1.5,
-        target_latency_ms: 500,
-        timeout_ms: 3_000,
-        public: false,
-        advice: None,
-    };
-    let pool = Pool {
-        name: "pool".into(),
-        guards_capacity: true,
-        spare: false,
-        health_path: "/health".into(),
-    };
-    let customer = |(at, cap): (usize, &u64)| {
-        let cpu_milli = *cap;
-        let customer = Customer {
-            name: customer_of(JobId(at as u64)),
-            keys: Vec::new(),
-            weight: 1.0,
-            cap: Cap(Size {
-                cpu_milli,
-                ..Size::default()
-            }),
-        };
-        CustomerDraft::new(customer, &[])
-    };
-    let draft = Draft {
-        version,
-        queues: vec![queue],
-        pools: vec![pool],
-        customers: Some(caps.iter().enumerate().map(customer).collect()),
-        document: "{}".into(),
-    };
-    Catalogue::new(draft).expect("a valid catalogue")
-}
-
-fn spec(rng: &mut StdRng, lasts: bool) -> JobSpec {
-    let steps = (0..rng.random_range(1..4u16)).map(|step| StepSpec {
-        count: rng.random_range(1..6),
-        size: Size {
-            cpu_milli: rng.random_range(500..3_000),
-            memory_mb: rng.random_range(100..2_000),
-            gpu: 0,
-        },
-        estimate_ms: 500,
-        after: if step > 0 && !lasts {
-            vec![step - 1]
-        } else {
-            Vec::new()
-        },
-        long_running: lasts,
-        ..StepSpec::default()
-    });
-    JobSpec {
-        specification: "".into(),
-        steps: steps.collect(),
-        repeat: None,
-    }
-}
