--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -142,6 +142,8 @@
         offered_memory_mb: u64,
         /// How many workers that is.
         workers: usize,
+        /// How many it needs at least, by how many tasks of a step one may run.
+        least_workers: usize,
         /// How many of them take work now.
         taking: usize,
         /// What those have free, in thousandths of a core.
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -132,6 +132,7 @@
                 offered_cpu_milli: balance.offered.cpu_milli,
                 offered_memory_mb: balance.offered.memory_mb,
                 workers: balance.workers,
+                least_workers: balance.least_workers,
                 taking: taking.len(),
                 free_cpu_milli: free.sum(),
                 waiting: balance.waiting,
