Rank steps of nobody's jobs without looking at accounts

Cause: ordering a pool's steps looked at accounts and shares for each step, also where there are no customers; the example of decision costs could not say what customers cost.

Change: the guard stands before both, the time is reckoned once a pass, and the example takes a number of customers.

--- a/crates/cleat-jobs/examples/decision_cost.rs
+++ b/crates/cleat-jobs/examples/decision_cost.rs
@@ -2,7 +2,7 @@
 //! workers on a simulated clock, with demand that rises and falls by turns.
 //! Prints processor time a start and the share of one core.
 //!
-//! `cargo run --release -p cleat-jobs --example decision_cost -- [WORKERS] [SECONDS]`
+//! `cargo run --release -p cleat-jobs --example decision_cost -- [WORKERS] [SECONDS] [CUSTOMERS]`
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -11,9 +11,9 @@
 
 use cleat_control::{ModelRun, ModelWorker};
 use cleat_jobs::{
-    Catalogue, Command, ControlState, Draft, Effect, EndKind, Event, Heartbeat, JobId, JobSpec,
-    Order, OrderAnswer, Pool, Queue, RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec,
-    TaskOrder, WorkerHistory, WorkerRecord,
+    Cap, Catalogue, Command, ControlState, Customer, CustomerDraft, Draft, Effect, EndKind, Event,
+    Heartbeat, JobId, JobSpec, Order, OrderAnswer, Pool, Queue, RenewalOrder, Scheduler,
+    SchedulerConfig, Size, StepSpec, TaskOrder, WorkerHistory, WorkerRecord,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -55,6 +55,8 @@
     owner: Scheduler,
     workers: Vec<ModelWorker>,
     jobs: u64,
+    /// How many customers send the jobs in turn; none if 0.
+    customers: u64,
     starts: u64,
     events: u64,
     spent: Duration,
@@ -64,8 +66,9 @@
     let mut args = std::env::args().skip(1);
     let workers = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(350);
     let seconds = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(30);
+    let customers = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(0);
     let end = Duration::from_secs(seconds);
-    let mut world = World::new(workers);
+    let mut world = World::new(workers, customers);
     while let Some(Reverse((at, slot))) = world.queue.pop() {
         if at > end {
             break;
@@ -77,7 +80,7 @@
     }
     let starts = world.starts.max(1);
     println!(
-        "{workers} workers, {seconds} s: {} jobs, {} starts, {} events; {:.1} us a start, {:.1} us an event, {:.3} of a core",
+        "{workers} workers, {customers} customers, {seconds} s: {} jobs, {} starts, {} events; {:.1} us a start, {:.1} us an event, {:.3} of a core",
         world.jobs,
         world.starts,
         world.events,
@@ -88,10 +91,10 @@
 }
 
 impl World {
-    fn new(workers: usize) -> World {
+    fn new(workers: usize, customers: u64) -> World {
         let mut state = ControlState::default();
         state.apply(1, Command::Found);
-        state.apply(2, Command::Configure(Arc::new(catalogue())));
+        state.apply(2, Command::Configure(Arc::new(catalogue(customers))));
         state.apply(3, Command::TakeOver { member: 1 });
         let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO, 0);
         let mut world = World {
@@ -104,6 +107,7 @@
             owner: owner.expect("owned"),
             workers: Vec::new(),
             jobs: 0,
+            customers,
             starts: 0,
             events: 0,
             spent: Duration::ZERO,
@@ -228,7 +232,7 @@
             Happening::Commit(Command::Submit {
                 id,
                 queue,
-                customer: None,
+                customer: self.jobs.checked_rem(self.customers).map(customer),
                 spec,
                 came_ms: 0,
             }),
@@ -289,7 +293,30 @@
     name[1..].parse().expect("a name of ours")
 }
 
-fn catalogue() -> Catalogue {
+fn customer(at: u64) -> Box<str> {
+    format!("customer{at}").into()
+}
+
+/// Customers that may have twice their part of all the room running.
+fn customers(count: u64) -> Vec<CustomerDraft> {
+    let part = |all: u64| 2 * all * 350 / count.max(1);
+    let cap = Cap(Size {
+        cpu_milli: part(CAPACITY.cpu_milli),
+        memory_mb: part(CAPACITY.memory_mb),
+        gpu: 0,
+    });
+    let one = |at| Customer {
+        name: customer(at),
+        keys: Vec::new(),
+        weight: 10.0,
+        cap,
+    };
+    (0..count)
+        .map(|at| CustomerDraft::new(one(at), &[]))
+        .collect()
+}
+
+fn catalogue(count: u64) -> Catalogue {
     let queue = |at: usize| Queue {
         name: format!("queue{at}").into(),
         host: "host".into(),
@@ -313,7 +340,7 @@
         version: 1,
         queues: (0..POOLS).map(queue).collect(),
         pools: (0..POOLS).map(pool).collect(),
-        customers: None,
+        customers: (count > 0).then(|| customers(count)),
         document: "{}".into(),
     };
     Catalogue::new(draft).expect("a valid catalogue")
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -25,7 +25,7 @@
 const ON_THE_WAY: Duration = Duration::from_millis(50);
 
 /// Which step of a pool goes first; lower goes first.
-type Rank = (u32, Standing, Prospect, Order);
+type Rank = (u32, (Standing, Prospect), Order);
 
 /// The pools where something may have made room or work.
 #[derive(Clone, Debug)]
@@ -88,24 +88,25 @@
         let mut ranked: Vec<Reverse<Rank>> = Vec::with_capacity(ids.len());
         let mut any = false;
         let mut capped = Vec::new();
+        let reckoned = self.now + ON_THE_WAY;
         ids.retain(|id| {
             let step = self.steps.get(id);
             let Some(step) = step.filter(|step| !step.pending.is_empty()) else {
                 return false;
             };
-            if !self.accounts.allows(step.charge, step.least_together()) {
+            let owned = step.charge.customer.is_some();
+            if owned && !self.accounts.allows(step.charge, step.least_together()) {
                 capped.push(*id);
                 return true;
             }
             any |= step.may_fit(room);
-            let prospect = step.prospect(self.now + ON_THE_WAY);
-            let standing = self.standing(step);
-            ranked.push(Reverse((
-                step.order.priority,
-                standing,
-                prospect,
-                step.order,
-            )));
+            let standing = if owned {
+                self.standing(step)
+            } else {
+                Standing::Within
+            };
+            let urgency = (standing, step.prospect(reckoned));
+            ranked.push(Reverse((step.order.priority, urgency, step.order)));
             true
         });
         if !ids.is_empty() {
