--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -20,8 +20,8 @@
 
 /// What a task takes beside its run: the call that starts it, the one that lists its
 /// end, and the commit of that. Without it a pool with more work than room starts
-/// each task just too late: of two customers' jobs, twice the room, 38 in time in
-/// place of 85 (played by the test of shares).
+/// each task just too late: beside a customer within its share, one that sends ten
+/// times its own has 38 jobs in time in place of 85 (played by the test of shares).
 const ON_THE_WAY: Duration = Duration::from_millis(50);
 
 /// Which step of a pool goes first; lower goes first.
