Say by what an owner knows that a worker's life is over

A run that was lost with its worker was logged as worker_gone alike for a crash, for an order of ours that ends what runs on the machine, and for a planned end, so the logs of the incident could not tell whether crashes were taken for moves. The line of a worker that is gone now names its evidence, and workers.over.* counts by it. No decision changes. Not logged: runs that were in progress there, which have a line each already.

--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -44,7 +44,12 @@
                 self.latencies.latency("advice").record(took);
             }
             Decision::CapReached { .. } => self.count("customers.at_cap"),
-            Decision::Worker { state, .. } => self.count_by("workers.became", state),
+            Decision::Worker { state, over, .. } => {
+                self.count_by("workers.became", state);
+                if let Some(over) = over {
+                    self.count_by("workers.over", over);
+                }
+            }
             Decision::Pool { pool, waiting, .. } => {
                 let gauge = self.counters.gauge(&format!("pool.{pool}.waiting"));
                 gauge.set(*waiting);
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -202,6 +202,8 @@
         state: super::WorkerState,
         /// How long ago it last answered, in milliseconds.
         silent_ms: u64,
+        /// How this owner knows that its life is over, if it is.
+        over: Option<LifeOver>,
     },
 }
 
@@ -264,6 +266,25 @@
     Draining,
 }
 
+/// How an owner knows that a worker's life is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LifeOver {
+    /// It said so itself.
+    Left,
+    /// The platform carried out an order for its machine, which ends what runs
+    /// there.
+    MachineOrdered,
+    /// Another life answers at its address or on its machine.
+    Replaced,
+    /// Lists of machines show its machine down, or with another life.
+    Absent,
+    /// It has given no sign for as long as jobs that are over are remembered.
+    Forgotten,
+    /// An earlier owner had its record removed.
+    Removed,
+}
+
 /// Why a run is taken as over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cleat-jobs/src/schedule/fleet/absent.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/absent.rs
@@ -11,6 +11,7 @@
 
 use super::machine::{MachineState, MachineView};
 use crate::schedule::Scheduler;
+use crate::schedule::decision::LifeOver;
 use crate::schedule::worker::{Worker, WorkerKey};
 
 impl Scheduler {
@@ -44,7 +45,7 @@
             }
         }
         for key in over {
-            self.life_over(key);
+            self.life_over(key, LifeOver::Absent);
         }
     }
 }
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexSet;
 
 use super::machine::{Machine, MachineOrder, MachineState, MachineView, Ordered};
+use crate::schedule::decision::LifeOver;
 use crate::schedule::event::MachineAnswer;
 use crate::schedule::worker::WorkerKey;
 use crate::schedule::{Decision, Effect, Scheduler};
@@ -237,7 +238,7 @@
     /// A machine has gone down for an order: its worker's life is over.
     fn machine_left(&mut self, name: &str, order: &MachineOrder) {
         if let Some(worker) = self.listed_worker(name) {
-            self.life_over(worker);
+            self.life_over(worker, LifeOver::MachineOrdered);
         }
         let Some(machine) = self.machines.by_name.get_mut(name) else {
             return;
--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -6,7 +6,7 @@
 
 use super::Scheduler;
 use super::attempt::Attempt;
-use super::decision::StopReason;
+use super::decision::{LifeOver, StopReason};
 use super::worker::WorkerKey;
 use crate::state::{Command, ControlState, EndKind, TaskEnd};
 use crate::{JobId, StepId, TaskId};
@@ -33,7 +33,7 @@
     pub(super) fn workers_removed(&mut self, names: &[Box<str>]) {
         for name in names {
             if let Some(key) = self.workers.key(name) {
-                self.life_over(key);
+                self.life_over(key, LifeOver::Removed);
             }
         }
     }
@@ -41,7 +41,7 @@
     /// A worker says that its life ends now.
     pub(super) fn left(&mut self, name: &str) {
         if let Some(key) = self.workers.key(name) {
-            self.life_over(key);
+            self.life_over(key, LifeOver::Left);
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::attempt::Attempt;
-use super::decision::LossReason;
+use super::decision::{LifeOver, LossReason};
 use super::worker::{Worker, WorkerKey, WorkerState};
 use super::{Decision, Scheduler};
 use crate::TaskId;
@@ -26,7 +26,9 @@
                     self.lapse(state, key);
                     self.lose_all(key, LossReason::Lapsed);
                 }
-                WorkerState::Lapsed if self.is_forgotten(key) => self.life_over(key),
+                WorkerState::Lapsed if self.is_forgotten(key) => {
+                    self.life_over(key, LifeOver::Forgotten);
+                }
                 _ => {}
             }
         }
@@ -99,12 +101,13 @@
         };
         let earlier: Vec<WorkerKey> = self.workers.iter().filter_map(earlier).collect();
         for other in earlier {
-            self.life_over(other);
+            self.life_over(other, LifeOver::Replaced);
         }
     }
 
     /// The life of a worker is over, and all that ran there with it.
-    pub(super) fn life_over(&mut self, key: WorkerKey) {
+    pub(super) fn life_over(&mut self, key: WorkerKey, how: LifeOver) {
+        self.workers[key].over = Some(how);
         self.believe(key, WorkerState::Gone);
         self.lose_all(key, LossReason::WorkerGone);
         let name = self.worker_name(key);
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::attempt::{Attempt, Phase};
-use super::decision::StopReason;
+use super::decision::{LifeOver, StopReason};
 use super::event::{Order, OrderAnswer, TaskOrder};
 use super::worker::WorkerKey;
 use super::{Decision, Effect, Scheduler};
@@ -101,7 +101,7 @@
             return;
         };
         match answer {
-            OrderAnswer::OtherLife => return self.life_over(key),
+            OrderAnswer::OtherLife => return self.life_over(key, LifeOver::Replaced),
             OrderAnswer::Fenced => {
                 self.effects.push(Effect::Fenced {
                     worker: worker.into(),
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 
 use super::attempt::Phase;
-use super::decision::{LossReason, StopReason};
+use super::decision::{LifeOver, LossReason, StopReason};
 use super::event::{RenewalAnswer, RenewalOrder, RunningTask};
 use super::worker::{ClockReading, WorkerKey, WorkerState, millis};
 use super::{Decision, Effect, Scheduler};
@@ -189,6 +189,7 @@
             address: worker.record.address.clone(),
             state,
             silent_ms: millis(silent),
+            over: worker.over,
         };
         self.tell(decision);
         self.unsettle_pool_of(key);
@@ -323,7 +324,7 @@
             return;
         };
         if other_life {
-            return self.life_over(key);
+            return self.life_over(key, LifeOver::Replaced);
         }
         let now = self.now;
         let worker = &mut self.workers[key];
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -6,6 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
+use super::decision::LifeOver;
 use crate::state::WorkerRecord;
 use crate::{Size, TaskId};
 
@@ -43,6 +44,10 @@
 pub(crate) struct Worker {
     pub(crate) record: WorkerRecord,
     pub(crate) state: WorkerState,
+    /// How it is known that its life is over.
+    ///
+    /// Invariant: none unless the state is `Gone`.
+    pub(crate) over: Option<LifeOver>,
     /// Whether it said that it is about to end. It does not take that back: what
     /// says otherwise was held up on its way.
     pub(crate) draining: bool,
@@ -123,6 +128,7 @@
                 WorkerState::Lapsed
             },
             record,
+            over: None,
             draining: false,
             last_sequence: 0,
             clock: None,
