Give up tasks that crash each worker on which they start

Callers saw a job that never ended and jobs beside it that lost their work again and again. Cause: only ends that a worker lists as failed counted against a task; a worker that crashed lists nothing, so a retry after it was bounded by nothing and remembered by nobody. The class: work repeated after a loss without a bound or a memory.

Ruled out: a change of owner as the cause (eight starts under one owner); moves and maintenance of machines taken for crashes (no order for these machines in the logs).

Change: a crash is committed with the runs that it took along before their tasks start again, so the count holds through changes of owner. Tasks of a crashed worker start apart from each other, so that the next crash tells which it was. Planned ends, orders that took a machine away, starts that reached another life, leases that ran out on workers which came back, and runs that were at work for 10 s do not count.

--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -28,6 +28,7 @@
 };
 pub use size::Size;
 pub use state::{
-    Answer, Command, ControlState, DecodeError, End, EndKind, EndedJob, Job, JobState, Occurrence,
-    Owner, StepProgress, StoppingJob, TaskEnd, Wave, WorkerHistory, WorkerRecord,
+    Answer, Command, ControlState, CrashedRun, Crashes, DecodeError, End, EndKind, EndedJob, Job,
+    JobState, Occurrence, Owner, Part, StepProgress, StoppingJob, TaskEnd, Wave, WorkerHistory,
+    WorkerRecord,
 };
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -0,0 +1,238 @@
+//! Tasks under which workers crash.
+//!
+//! A crash does not tell which of the runs there caused it, or whether the machine
+//! did. So the tasks of a crashed worker start again apart from each other, on other
+//! machines, and with as little beside them as there is: then the next crash tells
+//! more, and costs less. Each crash is committed before its tasks start again, so
+//! that the next owner knows of it; the state decides when a task is given up.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::attempt::{Attempt, Phase};
+use super::decision::{LifeOver, LossReason};
+use super::step::ActiveStep;
+use super::worker::{Worker, WorkerKey};
+use super::{Decision, Scheduler};
+use crate::state::{Command, ControlState, CrashedRun, Part};
+use crate::{JobId, TaskId};
+
+/// How long a run has to be listed for its worker's crash to say nothing of its task:
+/// tasks that last see many crashes of machines over the months.
+const SOUND_AFTER: Duration = Duration::from_secs(10);
+/// How long a machine on which a worker crashed is the last choice for a task that
+/// may have been the cause.
+const MACHINE_DOUBTED_FOR: Duration = Duration::from_secs(30);
+/// From how many crashes on a task is started only where there was a sign of life
+/// within [`SIGN_AGE`].
+const CERTAIN_FROM: usize = 2;
+/// A renewal is answered after a second where nothing ends, so a worker with such a
+/// sign turns up soon.
+const SIGN_AGE: Duration = Duration::from_millis(100);
+
+/// When a worker crashed last on each machine.
+#[derive(Debug, Default)]
+pub(crate) struct CrashedMachines(IndexMap<Box<str>, Duration>);
+
+impl CrashedMachines {
+    fn note(&mut self, machine: &str, now: Duration) {
+        self.0.insert(machine.into(), now);
+    }
+
+    fn has(&self, worker: &Worker) -> bool {
+        let machine = worker.record.machine.as_deref();
+        machine.is_some_and(|machine| self.0.contains_key(machine))
+    }
+
+    /// Forgets what was long ago.
+    pub(super) fn forget(&mut self, now: Duration) {
+        self.0.retain(|_, at| now < *at + MACHINE_DOUBTED_FOR);
+    }
+}
+
+/// Where a task goes under which workers have crashed; lower goes first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Apart {
+    /// How many crashes the tasks there have seen.
+    crashes: usize,
+    machine_doubted: bool,
+    /// What the next crash would cost.
+    lasting: usize,
+    runs: usize,
+}
+
+impl Scheduler {
+    /// How well a worker keeps a task of the step apart; all are alike for a task
+    /// under which no worker has crashed.
+    pub(super) fn apart(&self, step: &ActiveStep, index: u32, worker: &Worker) -> Apart {
+        if step.crashes(index) == 0 {
+            return Apart::default();
+        }
+        Apart {
+            crashes: worker.crashes,
+            machine_doubted: self.crashed_machines.has(worker),
+            lasting: worker.lasting,
+            runs: worker.tasks.len(),
+        }
+    }
+
+    /// Whether a worker is certain enough to be there for a task of the step: one that
+    /// crashed a moment ago would leave the start in doubt and count against the task.
+    /// A gang would wait for many such signs at once.
+    pub(super) fn is_certain(&self, step: &ActiveStep, index: u32, worker: &Worker) -> bool {
+        let heard_at = worker.heard_at.unwrap_or_default();
+        let asked = !step.gang && step.crashes(index) >= CERTAIN_FROM;
+        !asked || self.now <= heard_at + SIGN_AGE
+    }
+
+    /// Whether a worker whose life is over crashed: nobody meant it to end.
+    fn has_crashed(&self, key: WorkerKey, how: LifeOver) -> bool {
+        let seen = matches!(how, LifeOver::Replaced | LifeOver::Absent);
+        seen && !self.workers[key].draining && !self.was_taken_away(key)
+    }
+
+    /// Has the runs counted that a worker took along if it crashed. Their tasks wait
+    /// until that is committed.
+    pub(super) fn note_crash(&mut self, key: WorkerKey, how: LifeOver) {
+        if !self.has_crashed(key, how) {
+            return;
+        }
+        if let Some(machine) = &self.workers[key].record.machine {
+            self.crashed_machines.note(machine, self.now);
+        }
+        let suspects = self.suspects(key);
+        let likeliest = self.likeliest(&suspects);
+        let part = |task, phase| match part_of(phase) {
+            Part::Begun if likeliest == Some(task) => Part::Blamed,
+            part => part,
+        };
+        let mut runs = std::mem::take(&mut self.workers[key].lapsed_runs);
+        runs.extend(self.lose_suspects(&suspects, LossReason::Crashed, part));
+        self.propose_crashed(runs);
+    }
+
+    /// Has the runs counted of a worker whose lease is over: it may be cut off, but if
+    /// it crashed that may never be known.
+    pub(super) fn note_lapse(&mut self, key: WorkerKey) {
+        let suspects = self.suspects(key);
+        let lapsed = self.lose_suspects(&suspects, LossReason::Lapsed, |_, phase| part_of(phase));
+        self.workers[key].lapsed_runs = lapsed.clone();
+        let lapsed = lapsed.into_iter().map(|run| CrashedRun {
+            part: Part::Lapsed,
+            ..run
+        });
+        self.propose_crashed(lapsed.collect());
+    }
+
+    fn propose_crashed(&mut self, runs: Vec<CrashedRun>) {
+        if !runs.is_empty() {
+            self.propose(Command::Crashed { runs });
+        }
+    }
+
+    /// Takes runs as over that are about to be counted.
+    fn lose_suspects(
+        &mut self,
+        tasks: &[TaskId],
+        reason: LossReason,
+        part: impl Fn(TaskId, Phase) -> Part,
+    ) -> Vec<CrashedRun> {
+        let mut runs = Vec::new();
+        for task in tasks {
+            let Some(attempt) = self.attempts.get(task) else {
+                continue;
+            };
+            runs.push(CrashedRun {
+                task: *task,
+                run: attempt.run,
+                part: part(*task, attempt.phase),
+            });
+            self.end_uncommitted(*task, reason);
+        }
+        runs
+    }
+
+    /// The tasks of a worker that may have crashed it; none where crashes are not
+    /// counted.
+    fn suspects(&self, key: WorkerKey) -> Vec<TaskId> {
+        let tasks = self.workers[key].tasks.iter().copied();
+        let counted = |task: &TaskId| self.cfg.protections.crashes_count && self.is_suspect(*task);
+        tasks.filter(counted).collect()
+    }
+
+    /// Whether the run may have begun and says something of its task.
+    fn is_suspect(&self, task: TaskId) -> bool {
+        let Some(attempt) = self.attempts.get(&task) else {
+            return false;
+        };
+        let may_run = !matches!(attempt.phase, Phase::Closed { .. } | Phase::Ended);
+        may_run && self.steps.contains_key(&task.step) && !self.is_sound(attempt)
+    }
+
+    /// Whether a run was at work for long.
+    fn is_sound(&self, attempt: &Attempt) -> bool {
+        let heard_at = self.workers[attempt.worker].heard_at.unwrap_or_default();
+        let running = matches!(attempt.phase, Phase::Running { .. });
+        running && heard_at >= attempt.began + SOUND_AFTER
+    }
+
+    /// The one task under which more workers have crashed than under each other.
+    fn likeliest(&self, tasks: &[TaskId]) -> Option<TaskId> {
+        let crashes = |task: &TaskId| self.attempts.get(task).map_or(0, |a| a.crashes);
+        let most = tasks.iter().map(crashes).max()?;
+        let mut first = tasks.iter().filter(|task| crashes(task) == most);
+        let (task, other) = (*first.next()?, first.next());
+        other.is_none().then_some(task)
+    }
+
+    /// Frees the room of a run that is lost. Its task waits for a commit.
+    fn end_uncommitted(&mut self, task: TaskId, reason: LossReason) {
+        let Some(attempt) = self.attempts.get_mut(&task) else {
+            return;
+        };
+        attempt.phase = Phase::Ended;
+        let (key, run, crashes) = (attempt.worker, attempt.run, attempt.crashes + 1);
+        let (footprint, charge) = (attempt.footprint, attempt.charge);
+        self.workers[key].used -= footprint;
+        self.release_charge(charge);
+        let worker = self.worker_name(key);
+        self.tell(Decision::Lost {
+            task: task.to_string().into(),
+            run: run.0,
+            worker,
+            reason,
+            crashes,
+        });
+    }
+
+    /// Crashes are in the replicated state: their tasks may start again, but for those
+    /// that were given up.
+    pub(super) fn crashes_applied(&mut self, state: &ControlState, runs: &[CrashedRun]) {
+        let mut jobs: IndexSet<JobId> = IndexSet::new();
+        for CrashedRun { task, run, .. } in runs {
+            jobs.insert(task.job());
+            let progress = state.jobs.get(&task.job());
+            let progress = progress.and_then(|job| job.progress(task.step));
+            if let Some(step) = self.steps.get_mut(&task.step) {
+                step.note_crashes(progress);
+            }
+            let known = self.attempts.get(task);
+            let waits = known.is_some_and(|a| a.run == *run && a.phase == Phase::Ended);
+            if waits && let Some(attempt) = self.remove_attempt(*task) {
+                self.requeue(*task, attempt.worker, attempt.checkpoint);
+            }
+        }
+        for id in jobs {
+            self.go_on(state, id);
+        }
+    }
+}
+
+/// The part of a run in the crash of its worker, by itself.
+fn part_of(phase: Phase) -> Part {
+    match phase {
+        Phase::Running { .. } | Phase::Stopping { .. } => Part::Begun,
+        _ => Part::InDoubt,
+    }
+}
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -98,6 +98,8 @@
         worker: Box<str>,
         /// Why.
         reason: LossReason,
+        /// How many workers have crashed under the task by now.
+        crashes: usize,
     },
     /// A run of an earlier owner is kept.
     Adopted {
@@ -291,7 +293,9 @@
 pub enum LossReason {
     /// The lease of its worker ran out.
     Lapsed,
-    /// Its worker's life is over.
+    /// Its worker crashed.
+    Crashed,
+    /// Its worker's life is over, as somebody meant it to be.
     WorkerGone,
     /// Its worker lists it neither as running nor as ended.
     Vanished,
--- a/crates/cleat-jobs/src/schedule/fleet/absent.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/absent.rs
@@ -33,7 +33,7 @@
                 && !named.contains(&*worker.record.name)
                 && view.is_some_and(|view| tells_what_it_runs(view))
         };
-        let mut over: Vec<WorkerKey> = Vec::new();
+        let mut over: Vec<(WorkerKey, bool)> = Vec::new();
         for key in self.workers.keys() {
             let worker = &mut self.workers[key];
             if !is_absent(worker) {
@@ -41,11 +41,18 @@
             } else if worker.absent_since.is_none() {
                 worker.absent_since = Some(sent_at);
             } else {
-                over.push(key);
+                let machine = worker.record.machine.as_deref();
+                let view = machine.and_then(|machine| by_machine.get(machine));
+                let pool = &worker.record.pool;
+                over.push((key, view.is_some_and(|view| view.was_taken_from(pool))));
             }
         }
-        for key in over {
-            self.life_over(key, LifeOver::Absent);
+        for (key, ordered) in over {
+            let how = match ordered {
+                true => LifeOver::MachineOrdered,
+                false => LifeOver::Absent,
+            };
+            self.life_over(key, how);
         }
     }
 }
--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -41,6 +41,14 @@
     pub labels: Vec<Box<str>>,
 }
 
+impl MachineView {
+    /// Whether an order ended the life of a worker that ran there for `pool`.
+    pub(crate) fn was_taken_from(&self, pool: &str) -> bool {
+        let away = matches!(self.state, MachineState::Moving | MachineState::Maintained);
+        away || *self.pool != *pool
+    }
+}
+
 /// What is done with a machine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MachineOrder {
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -181,6 +181,16 @@
         }
     }
 
+    /// Whether an order took the machine of a worker away, as far as is known.
+    pub(in crate::schedule) fn was_taken_away(&self, key: WorkerKey) -> bool {
+        let record = &self.workers[key].record;
+        let name = record.machine.as_deref();
+        let machine = name.and_then(|name| self.machines.by_name.get(name));
+        machine.is_some_and(|machine| {
+            machine.ordered.is_some() || machine.view.was_taken_from(&record.pool)
+        })
+    }
+
     /// The worker that is listed on a machine.
     fn listed_worker(&self, name: &str) -> Option<WorkerKey> {
         let machine = self.machines.by_name.get(name)?;
--- a/crates/cleat-jobs/src/schedule/ledger.rs
+++ b/crates/cleat-jobs/src/schedule/ledger.rs
@@ -49,8 +49,9 @@
     /// what led to it leads to it again.
     pub(super) fn proposal_failed(&mut self, command: &Command) {
         match command {
-            // Later ends wait for these, and the worker may be gone.
-            Command::Ends { .. } => self.propose(command.clone()),
+            // Later ends wait for these, and the worker may be gone. Tasks of a
+            // crashed worker wait as well; their runs count once.
+            Command::Ends { .. } | Command::Crashed { .. } => self.propose(command.clone()),
             Command::RemoveWorkers { names } => self.remove_again(names),
             Command::AddWorker(record) => {
                 if let Some(key) = self.workers.key(&record.name) {
@@ -169,7 +170,7 @@
     }
 
     /// Goes on with a job after ends of it were noted.
-    fn go_on(&mut self, state: &ControlState, id: JobId) {
+    pub(super) fn go_on(&mut self, state: &ControlState, id: JobId) {
         let Some(job) = state.jobs.get(&id) else {
             return self.job_over(state, id);
         };
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -24,6 +24,7 @@
                 WorkerState::Live if self.is_silent(key) => self.fall_silent(state, key),
                 WorkerState::Silent if self.is_over(key) => {
                     self.lapse(state, key);
+                    self.note_lapse(key);
                     self.lose_all(key, LossReason::Lapsed);
                 }
                 WorkerState::Lapsed if self.is_forgotten(key) => {
@@ -109,6 +110,7 @@
     pub(super) fn life_over(&mut self, key: WorkerKey, how: LifeOver) {
         self.workers[key].over = Some(how);
         self.believe(key, WorkerState::Gone);
+        self.note_crash(key, how);
         self.lose_all(key, LossReason::WorkerGone);
         let name = self.worker_name(key);
         self.workers.remove(&name);
@@ -137,6 +139,7 @@
             run: attempt.run.0,
             worker,
             reason,
+            crashes: attempt.crashes,
         });
         self.requeue(task, key, attempt.checkpoint);
     }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 mod advice;
 mod attempt;
 mod beat;
+mod crashes;
 mod decision;
 mod durations;
 mod event;
@@ -51,6 +52,7 @@
 use account::{Accounts, Stray};
 use advice::StepAdvice;
 use attempt::Attempt;
+use crashes::CrashedMachines;
 use fleet::Machines;
 use pace::{Pace, Paced};
 use ready::Unsettled;
@@ -160,6 +162,7 @@
     /// Jobs that are over, oldest first, with the time since which they are.
     over: VecDeque<(Duration, JobId)>,
     machines: Machines,
+    crashed_machines: CrashedMachines,
     /// Until when each job that is not over should be done.
     objectives: IndexMap<JobId, Objective>,
     /// Where the jobs of customers stand that are not over and beyond a share.
@@ -211,6 +214,7 @@
             timed: IndexMap::new(),
             over: VecDeque::new(),
             machines: Machines::default(),
+            crashed_machines: CrashedMachines::default(),
             objectives: IndexMap::new(),
             standings: IndexMap::new(),
             times: Times::default(),
@@ -330,6 +334,7 @@
             Command::AddWorker(record) => self.worker_recorded(&record.name),
             Command::RemoveWorkers { names } => self.workers_removed(names),
             Command::Draining { name } => self.drain(name),
+            Command::Crashed { runs } => self.crashes_applied(state, runs),
             Command::Settled { ids } => self.settling.retain(|id| !ids.contains(id)),
             Command::Configure(_)
             | Command::StartWave { .. }
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -101,7 +101,13 @@
             return;
         };
         match answer {
-            OrderAnswer::OtherLife => return self.life_over(key, LifeOver::Replaced),
+            OrderAnswer::OtherLife => {
+                // What did not begin there has nothing to do with how it ended.
+                if matches!(order.order, Order::Start { .. }) {
+                    self.start_answered(state, key, order, answer);
+                }
+                return self.life_over(key, LifeOver::Replaced);
+            }
             OrderAnswer::Fenced => {
                 self.effects.push(Effect::Fenced {
                     worker: worker.into(),
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -202,13 +202,15 @@
             // Work that lasts gathers on few workers, and other work fills those
             // first, so that the rest fall idle and their machines can go.
             let free_to_go = worker.lasting == 0;
-            (failed, far, free_to_go, cpu, left.memory_mb, *key)
+            let apart = self.apart(step, index, worker);
+            (failed, far, apart, free_to_go, cpu, left.memory_mb, *key)
         };
         let fits = |key: &&WorkerKey| {
             let worker = &self.workers[**key];
             let label = spec.required_label.as_ref();
             let apart = |most| step.placed.get(*key).is_none_or(|placed| *placed < most);
             footprint.fits(worker.room())
+                && self.is_certain(step, index, worker)
                 && label.is_none_or(|label| worker.has_label(label))
                 && spec.max_per_worker.is_none_or(apart)
         };
@@ -278,6 +280,7 @@
         };
         step.place(task.index, key);
         let charge = step.charge;
+        let crashes = step.crashes(task.index);
         let waited_ms = millis(self.now - step.since);
         let attempt = Attempt {
             run,
@@ -288,6 +291,7 @@
             lasts: spec.long_running,
             began: self.now,
             at_work: false,
+            crashes,
             checkpoint: checkpoint.clone(),
         };
         self.add_attempt(task, attempt);
--- a/crates/cleat-jobs/src/schedule/protections.rs
+++ b/crates/cleat-jobs/src/schedule/protections.rs
@@ -24,6 +24,8 @@
     pub hidden_runs_count: bool,
     /// Runs that should not be there are stopped.
     pub stop_strays: bool,
+    /// Crashes of workers count against the tasks that ran there.
+    pub crashes_count: bool,
 }
 
 impl Default for Protections {
@@ -37,6 +39,7 @@
             recorded_first: true,
             hidden_runs_count: true,
             stop_strays: true,
+            crashes_count: true,
         }
     }
 }
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -158,6 +158,7 @@
         });
         worker.heard_at = Some(now);
         worker.doubted_since = None;
+        worker.lapsed_runs.clear();
         self.believe(key, WorkerState::Live);
     }
 
@@ -229,6 +230,11 @@
         let Some(attempt) = self.attempts.get_mut(&end.task) else {
             return self.await_inherited_end(key, end);
         };
+        if !attempt.holds_room() && end.kind == EndKind::Done && end.run < attempt.run {
+            // A run that was taken as lost had done the task before. That decides what
+            // becomes of it, not the crash of the run after that is being committed.
+            attempt.run = end.run;
+        }
         if attempt.worker != key || attempt.run != end.run || !attempt.holds_room() {
             return;
         }
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -10,7 +10,7 @@
 use super::timing::{Objective, Prospect};
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
-use crate::state::{ControlState, Job};
+use crate::state::{ControlState, Job, StepProgress};
 use crate::{JobId, Size, StepId};
 
 /// A step whose tasks may be started.
@@ -50,6 +50,8 @@
     pub(crate) placed: IndexMap<WorkerKey, u32>,
     /// The worker on which a task failed last.
     pub(crate) failed_on: IndexMap<u32, WorkerKey>,
+    /// How many workers crashed under each task, of those with any.
+    crashes: IndexMap<u32, usize>,
     /// The latest checkpoint that this owner saw of a task.
     checkpoints: IndexMap<u32, Box<str>>,
 }
@@ -101,6 +103,17 @@
         *self.placed.entry(worker).or_default() += 1;
     }
 
+    /// How many workers crashed under a task.
+    pub(crate) fn crashes(&self, index: u32) -> usize {
+        self.crashes.get(&index).copied().unwrap_or_default()
+    }
+
+    /// Takes over what the replicated state says of crashes.
+    pub(crate) fn note_crashes(&mut self, progress: Option<&StepProgress>) {
+        let crashes = progress.into_iter().flat_map(StepProgress::crashes);
+        self.crashes = crashes.collect();
+    }
+
     /// Keeps a checkpoint; an empty one says nothing.
     pub(crate) fn keep_checkpoint(&mut self, index: u32, checkpoint: Box<str>) {
         if !checkpoint.is_empty() {
@@ -185,7 +198,7 @@
         });
         let chain = self.times.chain(&job.queue.name, &job.spec);
         let left = chain.get(usize::from(id.step)).copied().unwrap_or_default();
-        let step = ActiveStep {
+        let mut step = ActiveStep {
             order: Order {
                 priority: job.queue.priority,
                 ends: !spec.long_running,
@@ -208,8 +221,10 @@
             left,
             placed: IndexMap::new(),
             failed_on: IndexMap::new(),
+            crashes: IndexMap::new(),
             checkpoints: IndexMap::new(),
         };
+        step.note_crashes(job.progress(id));
         self.make_ready(id, step.pool.clone());
         self.steps.insert(id, step);
     }
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -70,6 +70,7 @@
             lasts: false,
             began: self.now,
             at_work: false,
+            crashes: 0,
             checkpoint: end.checkpoint.clone(),
         };
         self.add_attempt(end.task, attempt);
@@ -108,6 +109,7 @@
         };
         step.place(task.index, key);
         let charge = step.charge;
+        let crashes = step.crashes(task.index);
         let footprint = spec.footprint();
         let attempt = Attempt {
             run: listed.run,
@@ -118,6 +120,7 @@
             lasts: spec.long_running,
             began: self.now,
             at_work: listed.percent >= 100,
+            crashes,
             checkpoint: listed.checkpoint.clone(),
         };
         self.note_begun(task.job());
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -16,6 +16,7 @@
         self.repeat_stops();
         self.start_due(state);
         self.forget_old();
+        self.crashed_machines.forget(self.now);
         self.settle_stopped(state);
         self.tend_machines(state);
         // Pauses may have ended.
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::decision::LifeOver;
-use crate::state::WorkerRecord;
+use crate::state::{CrashedRun, WorkerRecord};
 use crate::{Size, TaskId};
 
 /// A worker of the arena. Keys are never reused.
@@ -79,6 +79,10 @@
     ///
     /// Invariant: at most as many as `tasks`.
     pub(crate) lasting: usize,
+    /// How many workers have crashed under its tasks, added up.
+    pub(crate) crashes: usize,
+    /// What it had when its lease ran out, until it answers again.
+    pub(crate) lapsed_runs: Vec<CrashedRun>,
     /// Whether work fills there beside work that serves.
     pub(crate) shares: bool,
     /// Whether the replicated state says that something may run here, and
@@ -120,6 +124,8 @@
             absent_since: None,
             listed_whole: false,
             lasting: 0,
+            crashes: 0,
+            lapsed_runs: Vec::new(),
             shares: false,
             tasks: IndexSet::new(),
             state: if record.history.may_run {
--- a/crates/cleat-jobs/src/state/apply.rs
+++ b/crates/cleat-jobs/src/state/apply.rs
@@ -6,7 +6,7 @@
 
 use super::command::{Command, TaskEnd};
 use super::job::{EndedJob, Job, JobState, StoppingJob};
-use super::{ControlState, Owner, Wave, WorkerHistory, WorkerRecord};
+use super::{ControlState, CrashedRun, Owner, Wave, WorkerHistory, WorkerRecord};
 use crate::{Catalogue, JobId};
 
 /// How many workers that are about to end are remembered. One ends within
@@ -102,10 +102,15 @@
             Command::Maintained { wave, machine } => self.leave_waiting(wave, machine, true),
             Command::LeftWave { wave, machine } => self.leave_waiting(wave, machine, false),
             Command::Draining { name } => self.note_draining(name),
+            Command::Crashed { runs } => self.note_crashes(&runs),
         }
         Answer::Done
     }
 
+    fn ordinal(&self) -> u32 {
+        self.owner.map_or(0, |owner| owner.ordinal)
+    }
+
     fn take_over(&mut self, index: u64, member: u32) {
         let ordinal = self.owner.map_or(0, |owner| owner.ordinal + 1);
         self.owner = Some(Owner {
@@ -113,6 +118,18 @@
             token: index,
             ordinal,
         });
+        self.give_up_jobs(ordinal);
+    }
+
+    /// Gives up the jobs of which a task may have crashed too many workers, now that
+    /// the last crash under the owner before may not have been counted.
+    fn give_up_jobs(&mut self, ordinal: u32) {
+        let jobs = self.jobs.iter();
+        let given_up = jobs.filter(|(_, job)| job.is_given_up(ordinal));
+        let given_up: Vec<JobId> = given_up.map(|(id, _)| *id).collect();
+        for id in given_up {
+            self.end_job(id, JobState::Failed);
+        }
     }
 
     /// The highest version wins, whatever the order of arrival.
@@ -127,6 +144,11 @@
     fn submit(&mut self, id: JobId, job: Job) -> Answer {
         match self.owner_of(id) {
             None => {
+                let accepted_under = self.ordinal();
+                let job = Job {
+                    accepted_under,
+                    ..job
+                };
                 self.jobs.insert(id, job);
                 Answer::Done
             }
@@ -189,6 +211,20 @@
         }
     }
 
+    fn note_crashes(&mut self, runs: &[CrashedRun]) {
+        let ordinal = self.ordinal();
+        for crashed in runs {
+            let id = crashed.task.job();
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            job.note_crash(crashed);
+            if job.is_given_up(ordinal) {
+                self.end_job(id, JobState::Failed);
+            }
+        }
+    }
+
     fn add_worker(&mut self, record: WorkerRecord) {
         let known = self.workers.get(&record.name);
         let before = known.map(|known| known.history).unwrap_or_default();
--- a/crates/cleat-jobs/src/state/command.rs
+++ b/crates/cleat-jobs/src/state/command.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use super::WorkerRecord;
+use super::{CrashedRun, WorkerRecord};
 use crate::{Catalogue, JobId, JobSpec, Queue, Run, TaskId};
 
 /// One entry of the log.
@@ -116,6 +116,11 @@
         /// The worker.
         name: Box<str>,
     },
+    /// A worker crashed with these runs. Each counts once against its task.
+    Crashed {
+        /// The runs.
+        runs: Vec<CrashedRun>,
+    },
 }
 
 /// How a run of a task ended.
--- a/crates/cleat-jobs/src/state/job.rs
+++ b/crates/cleat-jobs/src/state/job.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::command::{End, EndKind};
+use super::crash::{CrashedRun, Crashes};
 use crate::{JobSpec, Queue, Size, StepId, StepSpec};
 
 const WORD_BITS: u32 = 64;
@@ -17,7 +18,7 @@
     Active,
     /// All tasks are done.
     Completed,
-    /// A task failed as often as its queue allows.
+    /// A task failed as often as its queue allows, or crashed its workers.
     Failed,
     /// Its caller cancelled it.
     Cancelled,
@@ -35,6 +36,8 @@
     pub spec: Arc<JobSpec>,
     /// The position in the log at which it was accepted.
     pub accepted_at: u64,
+    /// The ordinal of the owner at that time.
+    pub accepted_under: u32,
     /// When its caller came, as in [`Command::Submit`](super::Command::Submit).
     pub came_ms: u64,
     /// Occurrences of which an end was noted, by number.
@@ -82,6 +85,8 @@
     done_at: u64,
     /// How often each task has failed; a gang counts as its task 0.
     failures: IndexMap<u32, u32>,
+    /// The crashes of workers under each task; a gang's members have their own.
+    crashes: IndexMap<u32, Crashes>,
     /// The latest checkpoint of each task; a gang's is kept at its task 0.
     checkpoints: IndexMap<u32, Box<str>>,
 }
@@ -102,6 +107,12 @@
         self.failures.get(&index).copied().unwrap_or_default()
     }
 
+    /// How many workers crashed under each task, of those with any.
+    pub fn crashes(&self) -> impl Iterator<Item = (u32, usize)> {
+        let tasks = self.crashes.iter();
+        tasks.map(|(index, crashes)| (*index, crashes.count()))
+    }
+
     /// The latest checkpoint of a task.
     pub fn checkpoint(&self, index: u32) -> Option<&str> {
         self.checkpoints.get(&index).map(|text| &**text)
@@ -144,6 +155,7 @@
             customer,
             spec,
             accepted_at,
+            accepted_under: 0,
             came_ms,
             occurrences: IndexMap::new(),
             occurrences_done: Vec::new(),
@@ -256,10 +268,7 @@
         }
         let (gang, lasts, count) = (spec.gang, spec.long_running, spec.count);
         let limit = self.queue.max_attempts.max(1);
-        let steps = self.spec.steps.len();
-        let occurrence = self.occurrences.entry(id.occurrence).or_default();
-        occurrence.steps.resize_with(steps, StepProgress::default);
-        let step = &mut occurrence.steps[usize::from(id.step)];
+        let step = self.progress_mut(id);
         let key = if gang { 0 } else { end.task.index };
         match end.kind {
             EndKind::Done if gang => (0..count).for_each(|index| step.set_done(index)),
@@ -281,6 +290,49 @@
         self.close_occurrence(id.occurrence)
     }
 
+    /// The progress of a step that the job has.
+    fn progress_mut(&mut self, id: StepId) -> &mut StepProgress {
+        let steps = self.spec.steps.len();
+        let occurrence = self.occurrences.entry(id.occurrence).or_default();
+        occurrence.steps.resize_with(steps, StepProgress::default);
+        &mut occurrence.steps[usize::from(id.step)]
+    }
+
+    /// Notes that a worker crashed under a task, or may have.
+    pub(crate) fn note_crash(&mut self, crashed: &CrashedRun) {
+        let (id, index) = (crashed.task.step, crashed.task.index);
+        let known = self.step(id).is_some_and(|spec| index < spec.count);
+        if known && !self.is_task_done(id, index) {
+            let crashes = &mut self.progress_mut(id).crashes;
+            crashes.entry(index).or_default().note(crashed);
+        }
+    }
+
+    /// Whether a task crashed its workers so often that it is not started any more.
+    /// `ordinal` is that of the current owner.
+    pub(crate) fn is_given_up(&self, ordinal: u32) -> bool {
+        let mut occurrences = self.occurrences.values();
+        occurrences.any(|occurrence| {
+            let steps = self.spec.steps.iter().zip(&occurrence.steps);
+            let mut steps = steps.filter(|(_, step)| !step.crashes.is_empty());
+            steps.any(|(spec, step)| {
+                let uncounted = self.uncounted_crashes(spec, ordinal);
+                let mut tasks = step.crashes.iter();
+                tasks.any(|(index, crashes)| !step.is_done(*index) && crashes.give_up(uncounted))
+            })
+        })
+    }
+
+    /// How many crashes under a task of the step may not have been counted: one with
+    /// each change of owner. A job that goes on for long sees many of those, which
+    /// tell nothing of its tasks.
+    fn uncounted_crashes(&self, spec: &StepSpec, ordinal: u32) -> usize {
+        if spec.long_running || self.spec.repeat.is_some() {
+            return 0;
+        }
+        ordinal.saturating_sub(self.accepted_under) as usize
+    }
+
     /// Drops an occurrence that is done; says whether it was the last.
     fn close_occurrence(&mut self, occurrence: u32) -> JobState {
         let steps = 0..self.spec.steps.len();
--- a/crates/cleat-jobs/src/state/mod.rs
+++ b/crates/cleat-jobs/src/state/mod.rs
@@ -2,12 +2,14 @@
 
 mod apply;
 mod command;
+mod crash;
 mod job;
 mod wave;
 mod worker;
 
 pub use apply::Answer;
 pub use command::{Command, DecodeError, End, EndKind, TaskEnd};
+pub use crash::{CrashedRun, Crashes, Part};
 pub use job::{EndedJob, Job, JobState, Occurrence, StepProgress, StoppingJob};
 pub use wave::Wave;
 pub use worker::{WorkerHistory, WorkerRecord};
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -107,6 +107,54 @@
     });
 }
 
+#[test]
+fn schedule_crashing_tasks() {
+    assert_holds(&Plan::with(&[Fault::CrashingTasks]));
+}
+
+/// Owners die while tasks crash their workers, with starts in doubt and late commits.
+fn crashing_tasks_and_dying_owners() -> Plan {
+    Plan::with(&[
+        Fault::CrashingTasks,
+        Fault::OwnerDies,
+        Fault::OwnerDies,
+        Fault::LostAnswers,
+        Fault::WorkerRestarts,
+        Fault::SlowCommits,
+    ])
+}
+
+#[test]
+fn schedule_crashing_tasks_and_dying_owners() {
+    assert_holds(&crashing_tasks_and_dying_owners());
+}
+
+/// Three owners die right after a crash that was not counted yet, and a fourth has one
+/// start in doubt.
+#[test]
+fn schedule_crashing_task_and_four_owners() {
+    run(&crashing_tasks_and_dying_owners(), 1432).unwrap_or_else(|violation| panic!("{violation}"));
+}
+
+/// Starts in doubt on workers that other tasks had crashed counted against a task, and
+/// an end that came late was forgotten for a crash that was being committed.
+#[test]
+fn schedule_crashes_that_say_nothing_of_a_task() {
+    run(&Plan::with(&[Fault::CrashingTasks]), 952).unwrap_or_else(|found| panic!("{found}"));
+    run(&Plan::with(&[Fault::CrashingTasks]), 1914).unwrap_or_else(|found| panic!("{found}"));
+    let plan = Plan::with(&[Fault::CrashingTasks, Fault::OwnerDies, Fault::WorkerCut]);
+    run(&plan, 1275).unwrap_or_else(|found| panic!("{found}"));
+}
+
+#[test]
+fn protection_crashes_count() {
+    let mut plan = crashing_tasks_and_dying_owners();
+    plan.protections.crashes_count = false;
+    assert_red(&plan, |violation| {
+        matches!(violation, Violation::CrashesOn { .. })
+    });
+}
+
 #[test]
 fn schedule_slow_commits() {
     assert_holds(&Plan::with(&[Fault::SlowCommits]));
--- a/crates/cleat-jobs/tests/simulation/check.rs
+++ b/crates/cleat-jobs/tests/simulation/check.rs
@@ -23,6 +23,10 @@
     OverCap { task: TaskId, ms: u128 },
     /// A customer's account is not the sum of its runs.
     Miscounted { customer: Box<str>, ms: u128 },
+    /// A task that crashes its workers is started on and on.
+    CrashesOn { task: TaskId, ms: u128 },
+    /// A job failed whose tasks had neither failed nor crashed their workers.
+    FailedWithoutCause { job: JobId, ms: u128 },
     /// A job was neither done nor failed in time after the last fault.
     NotFinished { job: JobId },
 }
@@ -46,6 +50,12 @@
             Violation::Miscounted { customer, ms } => {
                 write!(f, "the account of {customer} is not what runs at {ms} ms")
             }
+            Violation::CrashesOn { task, ms } => {
+                write!(f, "{task} crashed too many workers and starts at {ms} ms")
+            }
+            Violation::FailedWithoutCause { job, ms } => {
+                write!(f, "{job} failed without a cause at {ms} ms")
+            }
             Violation::NotFinished { job } => write!(f, "{job} is not finished"),
         }
     }
--- a/crates/cleat-jobs/tests/simulation/checks.rs
+++ b/crates/cleat-jobs/tests/simulation/checks.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cleat_jobs::{Scheduler, TaskOrder};
+use cleat_jobs::{JobId, Scheduler, TaskOrder};
 
 use super::check::Violation;
 use super::jobs::customer_of;
@@ -102,7 +102,19 @@
         Ok(())
     }
 
+    /// A job may fail only if a task of it failed as often as is allowed, or if two
+    /// workers crashed under one.
+    fn check_failed(&self) -> Result<(), Violation> {
+        let ms = self.now.as_millis();
+        let innocent = |id: &JobId| !self.may_fail(*id) && !self.crashes.may_give_up(*id);
+        match self.failed().find(innocent) {
+            Some(job) => Err(Violation::FailedWithoutCause { job, ms }),
+            None => Ok(()),
+        }
+    }
+
     pub(super) fn check_end(&self) -> Result<(), Violation> {
+        self.check_failed()?;
         match self.state.jobs.keys().next() {
             Some(job) => Err(Violation::NotFinished { job: *job }),
             None => Ok(()),
--- a/crates/cleat-jobs/tests/simulation/mod.rs
+++ b/crates/cleat-jobs/tests/simulation/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod checks;
+mod crashes;
 mod jobs;
 mod plan;
 mod world;
