Follow the capacity that a worker tells while it runs

A worker was given what its first heartbeat of a life offered, whatever it said later; where its pool does not refuse what is too much, a start brought it over what it had. Cause: the record of a known worker was never updated. Ruled out: late answers (the first heartbeat alone decides, as the test shows).

Change: each heartbeat's capacity is taken over unless a later one was before it, and a change is committed with the heartbeat's number, so that the next owner starts with it. In a pool that does not refuse what is too much, a worker that fell silent and each worker of a new owner take work only after a heartbeat: they may have shrunk unheard.

--- a/crates/cleat-control/src/local/model.rs
+++ b/crates/cleat-control/src/local/model.rs
@@ -28,6 +28,8 @@
     pub record: WorkerRecord,
     /// Whether it is there at all.
     pub up: bool,
+    /// Whether it refuses what does not fit; else it starts whatever it is told to.
+    pub guards: bool,
     /// Until when nothing reaches it or leaves it.
     pub cut_until: Duration,
     /// How fast its clock is, in percent.
@@ -56,6 +58,7 @@
         ModelWorker {
             record,
             up: true,
+            guards: true,
             cut_until: Duration::ZERO,
             clock_percent,
             clock_offset_ms,
@@ -124,7 +127,9 @@
         *closed = (*closed).max(run);
     }
 
-    fn used(&self) -> Size {
+    /// What its runs take up.
+    #[must_use]
+    pub fn used(&self) -> Size {
         self.runs
             .values()
             .fold(Size::default(), |sum, run| sum + run.size)
@@ -180,10 +185,8 @@
         if self.closed.get(&task).is_some_and(|closed| run <= *closed) {
             return OrderAnswer::Old;
         }
-        if !planned
-            .size
-            .fits(self.record.capacity.saturating_sub(self.used()))
-        {
+        let room = self.record.capacity.saturating_sub(self.used());
+        if self.guards && !planned.size.fits(room) {
             return OrderAnswer::NoRoom;
         }
         self.runs.insert(task, planned.clone());
--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -36,6 +36,7 @@
             }
             Decision::Lost { reason, .. } => self.count_by("runs.lost", reason),
             Decision::Adopted { .. } => self.count("runs.adopted"),
+            Decision::Resized { .. } => self.count("workers.resized"),
             Decision::JobOver { state, .. } => self.count_by("jobs.over", state),
             Decision::Machine { .. } => self.count("machines.ordered"),
             Decision::MachineAnswered { answer, .. } => self.count_by("machines.answered", answer),
--- a/crates/cleat-jobs/src/schedule/beat.rs
+++ b/crates/cleat-jobs/src/schedule/beat.rs
@@ -1,8 +1,9 @@
 //! Heartbeats: how workers become known.
 
-use super::worker::WorkerState;
-use super::{Heartbeat, Scheduler};
-use crate::state::ControlState;
+use super::worker::{WorkerKey, WorkerState};
+use super::{Decision, Heartbeat, Scheduler};
+use crate::Size;
+use crate::state::{Command, ControlState};
 
 impl Scheduler {
     pub(super) fn beat(&mut self, state: &ControlState, beat: Heartbeat) {
@@ -10,14 +11,20 @@
         if known.is_none() && !names_pool(state, &beat.record.pool) {
             return;
         }
-        let key = known.unwrap_or_else(|| self.workers.add(beat.record, self.now));
+        let Heartbeat {
+            record,
+            draining,
+            sequence,
+        } = beat;
+        let capacity = record.capacity;
+        let key = known.unwrap_or_else(|| self.workers.add(record, self.now));
         let worker = &mut self.workers[key];
-        if beat.sequence < worker.last_sequence {
+        if sequence < worker.last_sequence {
             return;
         }
-        worker.last_sequence = beat.sequence;
+        worker.last_sequence = sequence;
         worker.beat_at = self.now;
-        let drains = beat.draining || state.draining.contains(&worker.record.name);
+        let drains = draining || state.draining.contains(&worker.record.name);
         let changed = drains && !worker.draining;
         worker.draining |= drains;
         if worker.state == WorkerState::Lapsed && !worker.renewing {
@@ -27,6 +34,40 @@
         if changed {
             self.unsettle_pool_of(key);
         }
+        self.take_capacity(key, capacity, sequence);
+    }
+
+    /// Takes over what a worker offers. The next owner has to know that it is less
+    /// before its first start there, so it is committed.
+    fn take_capacity(&mut self, key: WorkerKey, capacity: Size, sequence: u64) {
+        let worker = &mut self.workers[key];
+        worker.record.history.sized_by = sequence;
+        let first_heard = !std::mem::replace(&mut worker.sized, true);
+        let resized = worker.record.capacity != capacity;
+        worker.record.capacity = capacity;
+        if resized {
+            let name = worker.record.name.clone();
+            self.tell_capacity(key);
+            self.propose(Command::Resized {
+                name,
+                capacity,
+                sequence,
+            });
+        }
+        if resized || first_heard {
+            self.unsettle_pool_of(key);
+        }
+    }
+
+    fn tell_capacity(&mut self, key: WorkerKey) {
+        let worker = &self.workers[key];
+        let decision = Decision::Resized {
+            worker: worker.record.name.clone(),
+            cpu_milli: worker.record.capacity.cpu_milli,
+            memory_mb: worker.record.capacity.memory_mb,
+            used_cpu_milli: worker.used.cpu_milli,
+        };
+        self.tell(decision);
     }
 
     /// A worker's word that it is about to end is in the replicated state.
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -110,6 +110,17 @@
         /// Where.
         worker: Box<str>,
     },
+    /// A worker offers more or less than before.
+    Resized {
+        /// The worker.
+        worker: Box<str>,
+        /// What it offers, in thousandths of a core.
+        cpu_milli: u64,
+        /// The same in MB.
+        memory_mb: u64,
+        /// What its runs take up, in thousandths of a core.
+        used_cpu_milli: u64,
+    },
     /// A job is over.
     JobOver {
         /// The job.
@@ -226,6 +237,7 @@
             | Decision::Stop { .. }
             | Decision::Lost { .. }
             | Decision::Adopted { .. }
+            | Decision::Resized { .. }
             | Decision::CapReached { .. }
             | Decision::Worker { .. } => false,
         }
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -49,6 +49,7 @@
     fn end_use(&mut self, state: &ControlState, key: WorkerKey) -> Option<(Box<str>, u64, u32)> {
         let worker = &mut self.workers[key];
         worker.recorded = false;
+        worker.sized = false;
         let name = worker.record.name.clone();
         let uses = state.workers.get(&name)?.history.uses;
         Some((name, self.owner.token, uses))
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -341,6 +341,7 @@
             | Command::Maintained { .. }
             | Command::LeftWave { .. } => self.unsettled = Unsettled::All,
             Command::Found
+            | Command::Resized { .. }
             | Command::TakeOver { .. }
             | Command::WorkerSilent { .. }
             | Command::WorkerLapsed { .. }
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -27,7 +27,11 @@
     }
 
     fn place_pool(&mut self, state: &ControlState, pool: &str) {
-        let candidates = self.candidates(pool);
+        let mut candidates = self.candidates(pool);
+        if !guards_capacity(state, pool) {
+            // What was offered before may be more than there is by now.
+            candidates.retain(|key| self.workers[*key].sized);
+        }
         if candidates.is_empty() {
             return;
         }
@@ -349,3 +353,11 @@
         seen.or_else(stored).unwrap_or_default().into()
     }
 }
+
+/// Whether the workers of a pool refuse what does not fit. A pool that no
+/// configuration names has no work.
+fn guards_capacity(state: &ControlState, pool: &str) -> bool {
+    let pools = state.catalogue.as_ref().map(|catalogue| &catalogue.pools);
+    let pool = pools.and_then(|pools| pools.get(pool));
+    pool.is_none_or(|pool| pool.guards_capacity)
+}
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -51,7 +51,11 @@
     /// Whether it said that it is about to end. It does not take that back: what
     /// says otherwise was held up on its way.
     pub(crate) draining: bool,
+    /// The latest heartbeat that was taken, by this owner or an earlier one.
     pub(crate) last_sequence: u64,
+    /// Whether a heartbeat told its capacity since it last answered nothing, or since
+    /// this owner took over.
+    pub(crate) sized: bool,
     pub(crate) clock: Option<ClockReading>,
     /// The latest end of its lease that was ever sent, on its own clock.
     pub(crate) granted_ms: u64,
@@ -133,10 +137,11 @@
             } else {
                 WorkerState::Lapsed
             },
+            last_sequence: record.history.sized_by,
+            sized: false,
             record,
             over: None,
             draining: false,
-            last_sequence: 0,
             clock: None,
             granted_ms: 0,
             heard_at: None,
--- a/crates/cleat-jobs/src/state/apply.rs
+++ b/crates/cleat-jobs/src/state/apply.rs
@@ -7,7 +7,7 @@
 use super::command::{Command, TaskEnd};
 use super::job::{EndedJob, Job, JobState, StoppingJob};
 use super::{ControlState, CrashedRun, Owner, Wave, WorkerHistory, WorkerRecord};
-use crate::{Catalogue, JobId};
+use crate::{Catalogue, JobId, Size};
 
 /// How many workers that are about to end are remembered. One ends within
 /// seconds, and a fleet of 1,100 workers that ends all at once fits twice.
@@ -102,6 +102,11 @@
             Command::Maintained { wave, machine } => self.leave_waiting(wave, machine, true),
             Command::LeftWave { wave, machine } => self.leave_waiting(wave, machine, false),
             Command::Draining { name } => self.note_draining(name),
+            Command::Resized {
+                name,
+                capacity,
+                sequence,
+            } => self.resize(&name, capacity, sequence),
             Command::Crashed { runs } => self.note_crashes(&runs),
         }
         Answer::Done
@@ -228,15 +233,34 @@
     fn add_worker(&mut self, record: WorkerRecord) {
         let known = self.workers.get(&record.name);
         let before = known.map(|known| known.history).unwrap_or_default();
+        let capacity = match known {
+            Some(known) if before.sized_by > record.history.sized_by => known.capacity,
+            _ => record.capacity,
+        };
         let history = WorkerHistory {
             noted: before.noted,
             may_run: true,
             silent_at: None,
             uses: before.uses + 1,
+            sized_by: before.sized_by.max(record.history.sized_by),
         };
         let name = record.name.clone();
-        self.workers
-            .insert(name, WorkerRecord { history, ..record });
+        let record = WorkerRecord {
+            history,
+            capacity,
+            ..record
+        };
+        self.workers.insert(name, record);
+    }
+
+    /// Notes what a worker offers. A heartbeat that came late says what was.
+    fn resize(&mut self, name: &str, capacity: Size, sequence: u64) {
+        if let Some(record) = self.workers.get_mut(name)
+            && record.history.sized_by <= sequence
+        {
+            record.capacity = capacity;
+            record.history.sized_by = sequence;
+        }
     }
 
     fn note_draining(&mut self, name: Box<str>) {
--- a/crates/cleat-jobs/src/state/command.rs
+++ b/crates/cleat-jobs/src/state/command.rs
@@ -6,7 +6,7 @@
 use snafu::{ResultExt, Snafu};
 
 use super::{CrashedRun, WorkerRecord};
-use crate::{Catalogue, JobId, JobSpec, Queue, Run, TaskId};
+use crate::{Catalogue, JobId, JobSpec, Queue, Run, Size, TaskId};
 
 /// One entry of the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -116,6 +116,15 @@
         /// The worker.
         name: Box<str>,
     },
+    /// A worker offers more or less than before.
+    Resized {
+        /// The worker.
+        name: Box<str>,
+        /// What it offers.
+        capacity: Size,
+        /// The heartbeat that said so.
+        sequence: u64,
+    },
     /// A worker crashed with these runs. Each counts once against its task.
     Crashed {
         /// The runs.
--- a/crates/cleat-jobs/src/state/worker.rs
+++ b/crates/cleat-jobs/src/state/worker.rs
@@ -17,7 +17,7 @@
     pub machine: Option<Box<str>>,
     /// Its data centre.
     pub data_centre: Box<str>,
-    /// What it can hold.
+    /// What it can hold; a worker may shrink and grow while it runs.
     pub capacity: Size,
     /// Its labels, its rack among them.
     pub labels: Vec<Box<str>>,
@@ -50,4 +50,8 @@
     /// lease is over, or that it is silent, from one that came before it was
     /// used again.
     pub uses: u32,
+    /// The heartbeat that told its capacity.
+    ///
+    /// Invariant: never falls; what an earlier one said is out of date.
+    pub sized_by: u64,
 }
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -129,6 +129,29 @@
     assert_holds(&crashing_tasks_and_dying_owners());
 }
 
+/// Workers of a pool that refuses nothing shrink while owners die and jobs are
+/// cancelled.
+fn shrinking_workers_and_dying_owners() -> Plan {
+    Plan::with(&[
+        Fault::WorkersShrink,
+        Fault::WorkersShrink,
+        Fault::OwnerDies,
+        Fault::WorkerCut,
+        Fault::Cancels,
+        Fault::LostAnswers,
+    ])
+}
+
+#[test]
+fn schedule_shrinking_workers() {
+    assert_holds(&Plan::with(&[Fault::WorkersShrink, Fault::WorkersShrink]));
+}
+
+#[test]
+fn schedule_shrinking_workers_and_dying_owners() {
+    assert_holds(&shrinking_workers_and_dying_owners());
+}
+
 /// Three owners die right after a crash that was not counted yet, and a fourth has one
 /// start in doubt.
 #[test]
--- a/crates/cleat-jobs/tests/simulation/check.rs
+++ b/crates/cleat-jobs/tests/simulation/check.rs
@@ -23,6 +23,8 @@
     OverCap { task: TaskId, ms: u128 },
     /// A customer's account is not the sum of its runs.
     Miscounted { customer: Box<str>, ms: u128 },
+    /// A start brought a worker over what it offers.
+    OverCapacity { task: TaskId, ms: u128 },
     /// A task that crashes its workers is started on and on.
     CrashesOn { task: TaskId, ms: u128 },
     /// A job failed whose tasks had neither failed nor crashed their workers.
@@ -50,6 +52,9 @@
             Violation::Miscounted { customer, ms } => {
                 write!(f, "the account of {customer} is not what runs at {ms} ms")
             }
+            Violation::OverCapacity { task, ms } => {
+                write!(f, "{task} takes its worker over its capacity at {ms} ms")
+            }
             Violation::CrashesOn { task, ms } => {
                 write!(f, "{task} crashed too many workers and starts at {ms} ms")
             }
--- a/crates/cleat-jobs/tests/simulation/checks.rs
+++ b/crates/cleat-jobs/tests/simulation/checks.rs
@@ -71,6 +71,20 @@
         allowed.then_some(()).ok_or(Violation::OverCap { task, ms })
     }
 
+    /// A start may not bring a worker over what it offers.
+    pub(super) fn check_capacity(&self, at: usize, order: &TaskOrder) -> Result<(), Violation> {
+        let worker = &self.workers[at];
+        let (before, until) = self.shrunk[at];
+        let mut capacity = worker.record.capacity;
+        if self.now <= until {
+            capacity = capacity.max_of_each(before);
+        }
+        let (task, ms) = (order.task, self.now.as_millis());
+        let fits = worker.used().fits(capacity);
+        fits.then_some(())
+            .ok_or(Violation::OverCapacity { task, ms })
+    }
+
     /// What is kept of each customer has to be what follows from its runs.
     pub(super) fn check_accounts(&self) -> Result<(), Violation> {
         let rows = self.owner.as_ref().map(Scheduler::recounted);
--- a/crates/cleat-jobs/tests/simulation/jobs.rs
+++ b/crates/cleat-jobs/tests/simulation/jobs.rs
@@ -13,7 +13,8 @@
     format!("customer{}", id.0 % CAPS.len() as u64).into()
 }
 
-pub(super) fn catalogue(version: u64, caps: &[u64]) -> Catalogue {
+/// `guards` says whether workers refuse what does not fit.
+pub(super) fn catalogue(version: u64, caps: &[u64], guards: bool) -> Catalogue {
     let queue = Queue {
         name: "queue".into(),
         host: "host".into(),
@@ -29,7 +30,7 @@
     };
     let pool = Pool {
         name: "pool".into(),
-        guards_capacity: true,
+        guards_capacity: guards,
         spare: false,
         health_path: "/health".into(),
     };
--- a/crates/cleat-jobs/tests/simulation/plan.rs
+++ b/crates/cleat-jobs/tests/simulation/plan.rs
@@ -25,6 +25,8 @@
     SlowCommits,
     /// Some jobs have a task that crashes its worker soon after each start.
     CrashingTasks,
+    /// Workers shrink and grow again, in a pool that starts whatever it is told to.
+    WorkersShrink,
 }
 
 impl Fault {
@@ -41,7 +43,7 @@
     ];
 
     /// Each fault there is.
-    pub(crate) const EACH: [Fault; 10] = [
+    pub(crate) const EACH: [Fault; 11] = [
         Fault::OwnerDies,
         Fault::WorkerCut,
         Fault::WorkerLost,
@@ -52,6 +54,7 @@
         Fault::SlowCommits,
         Fault::CapsChange,
         Fault::CrashingTasks,
+        Fault::WorkersShrink,
     ];
 }
 
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -26,6 +26,8 @@
 const END: Duration = Duration::from_secs(60);
 const TICK: Duration = Duration::from_millis(50);
 const BEAT: Duration = Duration::from_millis(1_500);
+/// How long a worker may be out of touch before what it says of itself counts.
+const CONTACT: Duration = Duration::from_secs(3);
 /// How often a fault strikes at its step in one schedule.
 const STRIKES: u32 = 3;
 const WORKERS: usize = 4;
@@ -96,6 +98,11 @@
     /// Jobs of which one task crashes its workers.
     crashing: Vec<JobId>,
     pub(super) crashes: Crashes,
+    /// Whether the workers refuse what does not fit.
+    guards: bool,
+    /// What each worker offered before it shrank last, and until when a start may still
+    /// reckon with that.
+    pub(super) shrunk: [(Size, Duration); WORKERS],
     /// The number of the last end that each worker's present life has listed.
     heard: [u64; WORKERS],
     /// How many runs of each job ended as failed.
@@ -125,6 +132,7 @@
 impl World {
     fn new(plan: Plan, seed: u64) -> World {
         let mut world = World {
+            guards: !plan.has(Fault::WorkersShrink),
             plan,
             rng: StdRng::seed_from_u64(seed),
             now: Duration::ZERO,
@@ -140,6 +148,7 @@
             hopeless: Vec::new(),
             crashing: Vec::new(),
             crashes: Crashes::default(),
+            shrunk: [(Size::default(), Duration::ZERO); WORKERS],
             heard: [0; WORKERS],
             failures: IndexMap::new(),
             strikes: STRIKES,
@@ -155,7 +164,11 @@
             true => CAPS,
             false => NO_CAPS,
         };
-        self.apply(Command::Configure(Arc::new(catalogue(1, &caps))));
+        self.apply(Command::Configure(Arc::new(catalogue(
+            1,
+            &caps,
+            self.guards,
+        ))));
         for at in 0..WORKERS {
             let worker = self.new_life(at);
             self.workers.push(worker);
@@ -200,7 +213,9 @@
             history: WorkerHistory::default(),
         };
         let percent = self.rng.random_range(98..=100);
-        ModelWorker::new(record, percent, 1_000 * self.lives)
+        let mut worker = ModelWorker::new(record, percent, 1_000 * self.lives);
+        worker.guards = self.guards;
+        worker
     }
 
     fn after(&mut self, delay: Duration, happening: Happening) {
@@ -218,6 +233,11 @@
         match happening {
             Happening::Tick => {
                 self.after(TICK, Happening::Tick);
+                if !self.in_faults() {
+                    // Else the largest tasks may never have a place.
+                    let workers = self.workers.iter_mut();
+                    workers.for_each(|worker| worker.record.capacity = CAPACITY);
+                }
                 self.check_workers()?;
                 let wall_ms = self.wall_ms();
                 self.feed(Event::Tick { wall_ms });
@@ -473,9 +493,28 @@
             | Fault::Cancels
             | Fault::SlowCommits
             | Fault::CrashingTasks => {}
+            Fault::WorkersShrink => self.resize(at),
         }
     }
 
+    /// A worker shrinks far below what it takes, or grows again.
+    fn resize(&mut self, at: usize) {
+        let parts = self.rng.random_range(1..5);
+        let worker = &mut self.workers[at];
+        let before = worker.record.capacity;
+        worker.record.capacity = Size {
+            cpu_milli: CAPACITY.cpu_milli / parts,
+            memory_mb: CAPACITY.memory_mb / parts,
+            ..CAPACITY
+        };
+        let (earlier, until) = self.shrunk[at];
+        let before = match self.now <= until {
+            true => before.max_of_each(earlier),
+            false => before,
+        };
+        self.shrunk[at] = (before, self.now + CONTACT + BEAT);
+    }
+
     /// A worker crashes with all that runs there.
     fn go_down(&mut self, at: usize) {
         let worker = &mut self.workers[at];
@@ -528,7 +567,11 @@
         }
         self.caps_before = (before, self.now + ORDER_UNDER_WAY);
         let caps = CAPS.map(|cap| cap / self.rng.random_range(1..5));
-        self.apply(Command::Configure(Arc::new(catalogue(version, &caps))));
+        self.apply(Command::Configure(Arc::new(catalogue(
+            version,
+            &caps,
+            self.guards,
+        ))));
     }
 
     /// The cap of each customer, in thousandths of a core.
@@ -669,6 +712,7 @@
                 }
                 if way != Way::Late {
                     self.check_cap(&order)?;
+                    self.check_capacity(at, &order)?;
                 }
                 self.reach(Moment::Started);
             }
