Count the room of runs that are being stopped as strays

A new owner learns of a run that should not be there from its worker's list and stops it; until the worker lists the end, the run takes up room, which the owner gave out all the same. Where the pool does not refuse what is too much, that start brought the worker over its capacity. Cause: only the customer's account knew of strays, the worker's room did not.

Change: a stray's footprint counts on its worker from the list that names it until one that does not. A run of a job that nobody knows any more counts as the whole worker.

--- a/crates/cleat-jobs/src/schedule/account/keep.rs
+++ b/crates/cleat-jobs/src/schedule/account/keep.rs
@@ -27,35 +27,44 @@
         }
     }
 
-    /// What a run that should not be there counts for. That of a job which is
-    /// over counts as the largest of its tasks.
-    fn stray_charge(&mut self, state: &ControlState, task: TaskId) -> Charge {
+    /// What a run that should not be there counts for, and takes up. That of a job
+    /// which is over counts as the largest of its tasks; of one that is not known any
+    /// more it is only certain that it fits.
+    fn measure_stray(&mut self, state: &ControlState, at: (WorkerKey, TaskId)) -> (Charge, Size) {
+        let (key, task) = at;
         if let Some(job) = state.jobs.get(&task.job())
             && let Some(spec) = job.step(task.step)
         {
-            return self.charge(state, job, spec);
+            return (self.charge(state, job, spec), spec.footprint());
         }
         let Some(ended) = state.ended.get(&task.job()) else {
-            return Charge::default();
+            return (Charge::default(), self.workers[key].record.capacity);
         };
         let catalogue = state.catalogue.as_deref();
         let name = ended.customer.as_deref();
-        Charge {
+        let charge = Charge {
             customer: name.map(|name| self.accounts.open(name, catalogue)),
             size: ended.largest_task,
-        }
+        };
+        (charge, ended.largest_task)
     }
 
-    /// Counts a run of a worker that should not be there, once.
+    /// Counts a run of a worker that should not be there, once: it goes on until the
+    /// worker lists its end.
     pub(in crate::schedule) fn hold_stray(
         &mut self,
         state: &ControlState,
         at: (WorkerKey, TaskId, Run),
     ) {
-        let charge = self.stray_charge(state, at.1);
+        let (charge, footprint) = self.measure_stray(state, (at.0, at.1));
         self.accounts.hold(charge);
-        let sent_at = self.now;
-        self.strays.insert(at, Stray { sent_at, charge });
+        self.workers[at.0].used_by_strays += footprint;
+        let stray = Stray {
+            sent_at: self.now,
+            charge,
+            footprint,
+        };
+        self.strays.insert(at, stray);
     }
 
     /// Counts the strays of a worker no more that `stays` is false for.
@@ -64,13 +73,16 @@
         key: WorkerKey,
         stays: impl Fn(TaskId, Run) -> bool,
     ) {
-        let gone = |((at, task, run), stray): (&(WorkerKey, TaskId, Run), &Stray)| {
-            (*at == key && !stays(*task, *run)).then_some(((*at, *task, *run), stray.charge))
-        };
-        let gone: Vec<_> = self.strays.iter().filter_map(gone).collect();
-        for (at, charge) in gone {
-            self.strays.swap_remove(&at);
-            self.release_charge(charge);
+        let strays = self.strays.keys().copied();
+        let gone = strays.filter(|(at, task, run)| *at == key && !stays(*task, *run));
+        let gone: Vec<_> = gone.collect();
+        for at in gone {
+            let Some(stray) = self.strays.swap_remove(&at) else {
+                continue;
+            };
+            self.workers[key].used_by_strays -= stray.footprint;
+            self.release_charge(stray.charge);
+            self.unsettle_pool_of(key);
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/account/mod.rs
+++ b/crates/cleat-jobs/src/schedule/account/mod.rs
@@ -75,6 +75,8 @@
     /// When it was last told to stop.
     pub(crate) sent_at: Duration,
     pub(crate) charge: Charge,
+    /// What it takes up on its worker.
+    pub(crate) footprint: Size,
 }
 
 impl Accounts {
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -108,6 +108,10 @@
     pub(crate) tasks: IndexSet<TaskId>,
     /// What its runs take up.
     pub(crate) used: Size,
+    /// What its runs take up that should not be there.
+    ///
+    /// Invariant: the sum of the footprints of its strays.
+    pub(crate) used_by_strays: Size,
     /// How many jobs in a row have failed here for the first time.
     pub(crate) failed_jobs: u32,
     /// Until when nothing is started here, since it failed too much.
@@ -150,6 +154,7 @@
             renewing: false,
             renewal_due: now,
             used: Size::default(),
+            used_by_strays: Size::default(),
             failed_jobs: 0,
             shunned_until: Duration::ZERO,
         }
@@ -157,7 +162,8 @@
 
     /// What is free.
     pub(crate) fn room(&self) -> Size {
-        self.record.capacity.saturating_sub(self.used)
+        let used = self.used + self.used_by_strays;
+        self.record.capacity.saturating_sub(used)
     }
 
     pub(crate) fn has_label(&self, label: &str) -> bool {
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -152,6 +152,14 @@
     assert_holds(&shrinking_workers_and_dying_owners());
 }
 
+/// A new owner gave out the room of a run that it was stopping as a stray: a job had
+/// been cancelled while its owner died.
+#[test]
+fn schedule_room_of_a_stray() {
+    let plan = shrinking_workers_and_dying_owners();
+    run(&plan, 218).unwrap_or_else(|found| panic!("{found}"));
+}
+
 /// Three owners die right after a crash that was not counted yet, and a fourth has one
 /// start in doubt.
 #[test]
