--- a/crates/cleat-jobs/tests/simulation/checks.rs
+++ b/crates/cleat-jobs/tests/simulation/checks.rs
@@ -5,8 +5,9 @@
 use cleat_jobs::{JobId, Scheduler, TaskOrder};
 
 use super::check::Violation;
+use super::faults::looser;
 use super::jobs::customer_of;
-use super::world::{CAPS, FAULTS_END, MAX_ATTEMPTS, World, looser, ms};
+use super::world::{CAPS, FAULTS_END, MAX_ATTEMPTS, World, ms};
 
 /// How long a cancelled job may run on: late starts included.
 const CANCEL_LIMIT: Duration = Duration::from_secs(4);
--- /dev/null
+++ b/crates/cleat-jobs/tests/simulation/faults.rs
@@ -0,0 +1,165 @@
+//! What faults do to the world.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cleat_jobs::{Command, Customer, Size, TaskId};
+use rand::RngExt;
+
+use super::jobs::catalogue;
+use super::plan::Fault;
+use super::world::{BEAT, CAPACITY, CAPS, Happening, WORKERS, World, ms};
+
+/// How long an order that goes as it should may be under way.
+const ORDER_UNDER_WAY: Duration = Duration::from_millis(10);
+/// How long a worker may be out of touch before what it says of itself counts.
+const CONTACT: Duration = Duration::from_secs(3);
+
+impl World {
+    /// A fault of the plan comes about.
+    pub(super) fn strike(&mut self, fault: Fault) {
+        let at = self.rng.random_range(0..WORKERS);
+        match fault {
+            Fault::OwnerDies => {
+                self.owner = None;
+                self.crashes.disturb(self.now);
+                self.settle_commits();
+                let delay = ms(self.rng.random_range(50..3_000));
+                self.after(delay, Happening::TakeOver);
+            }
+            Fault::WorkerCut => {
+                self.workers[at].cut_until = self.now + ms(self.rng.random_range(300..9_000));
+            }
+            Fault::WorkerLost => {
+                // One stays, or nothing can be finished.
+                if at > 0 {
+                    self.go_down(at);
+                }
+            }
+            Fault::WorkerRestarts => {
+                if self.workers[at].up {
+                    self.go_down(at);
+                    self.restart(at);
+                }
+            }
+            Fault::CapsChange => self.change_caps(),
+            Fault::LateOrders
+            | Fault::LostAnswers
+            | Fault::Cancels
+            | Fault::SlowCommits
+            | Fault::CrashingTasks => {}
+            Fault::WorkersShrink => self.resize(at),
+        }
+    }
+
+    /// A worker shrinks far below what it takes, or grows again.
+    fn resize(&mut self, at: usize) {
+        let parts = self.rng.random_range(1..5);
+        let worker = &mut self.workers[at];
+        let before = worker.record.capacity;
+        worker.record.capacity = Size {
+            cpu_milli: CAPACITY.cpu_milli / parts,
+            memory_mb: CAPACITY.memory_mb / parts,
+            ..CAPACITY
+        };
+        let (earlier, until) = self.shrunk[at];
+        let before = match self.now <= until {
+            true => before.max_of_each(earlier),
+            false => before,
+        };
+        self.shrunk[at] = (before, self.now + CONTACT + BEAT);
+    }
+
+    /// A worker crashes with all that runs there.
+    fn go_down(&mut self, at: usize) {
+        let worker = &mut self.workers[at];
+        worker.advance(self.now);
+        worker.up = false;
+        // Nobody can tell a run whose end was not listed yet from one under way.
+        let unheard = worker
+            .ended
+            .iter()
+            .filter(|end| end.number > self.heard[at]);
+        let unheard = unheard.map(|end| end.end.task);
+        let lost: Vec<TaskId> = worker.runs.keys().copied().chain(unheard).collect();
+        worker.runs.clear();
+        lost.into_iter().for_each(|task| self.crashes.note(task));
+    }
+
+    /// A worker begins a new life.
+    pub(super) fn restart(&mut self, at: usize) {
+        let life = self.new_life(at);
+        self.workers[at] = life;
+        self.heard[at] = 0;
+    }
+
+    /// A task crashes its worker, if it still runs there.
+    pub(super) fn crash_by(&mut self, at: usize, life: &str, task: TaskId) {
+        let worker = &self.workers[at];
+        let there = worker.up && *worker.record.name == *life && worker.runs.contains_key(&task);
+        if there {
+            self.go_down(at);
+            let away = ms(self.rng.random_range(500..3_000));
+            self.after(away, Happening::Restart(at));
+        }
+    }
+
+    /// Whether a task crashes its workers.
+    pub(super) fn is_crashing(&self, task: TaskId) -> bool {
+        let first = task.step.step == 0 && task.index == 0;
+        first && self.crashing.contains(&task.job())
+    }
+
+    /// Cuts the caps far below what is sent, or raises them again.
+    fn change_caps(&mut self) {
+        let held = self.state.catalogue.as_ref().expect("configured");
+        let version = held.version + 1;
+        let mut before = self.caps();
+        if self.now <= self.caps_before.1 {
+            // Those of the change before are under way as well.
+            let earlier = before.iter().zip(&self.caps_before.0);
+            before = earlier
+                .map(|(cap, earlier)| looser(*cap, *earlier))
+                .collect();
+        }
+        self.caps_before = (before, self.now + ORDER_UNDER_WAY);
+        let caps = CAPS.map(|cap| cap / self.rng.random_range(1..5));
+        self.apply(Command::Configure(Arc::new(catalogue(
+            version,
+            &caps,
+            self.guards,
+        ))));
+    }
+
+    /// The cap of each customer, in thousandths of a core.
+    pub(super) fn caps(&self) -> Vec<u64> {
+        let catalogue = self.state.catalogue.as_ref().expect("configured");
+        let customers = catalogue.customers.as_ref().expect("configured");
+        let cap = |customer: &Arc<Customer>| customer.cap.0.cpu_milli;
+        customers.iter().map(cap).collect()
+    }
+
+    /// What a lost owner proposed was committed, or never will be.
+    fn settle_commits(&mut self) {
+        for slot in 0..self.happenings.len() {
+            if !matches!(self.happenings[slot], Some(Happening::Commit(..))) {
+                continue;
+            }
+            let Some(Happening::Commit(_, command)) = self.happenings[slot].take() else {
+                continue;
+            };
+            if self.rng.random_bool(0.5) {
+                self.apply(command);
+            }
+        }
+    }
+}
+
+/// The cap of the two that allows more; 0 is no limit.
+pub(super) fn looser(cap: u64, other: u64) -> u64 {
+    if cap == 0 || other == 0 {
+        0
+    } else {
+        cap.max(other)
+    }
+}
--- a/crates/cleat-jobs/tests/simulation/mod.rs
+++ b/crates/cleat-jobs/tests/simulation/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod checks;
 mod crashes;
+mod faults;
 mod jobs;
 mod plan;
 mod world;
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -7,9 +7,9 @@
 
 use cleat_control::{ModelRun, ModelWorker};
 use cleat_jobs::{
-    Command, ControlState, Customer, Effect, EndKind, Event, Heartbeat, JobId, JobState, Order,
-    OrderAnswer, RenewalOrder, Run, Scheduler, SchedulerConfig, Size, TaskId, TaskOrder,
-    WorkerHistory, WorkerRecord,
+    Command, ControlState, Effect, EndKind, Event, Heartbeat, JobId, JobState, Order, OrderAnswer,
+    RenewalOrder, Run, Scheduler, SchedulerConfig, Size, TaskId, TaskOrder, WorkerHistory,
+    WorkerRecord,
 };
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
@@ -25,21 +25,17 @@
 /// By then everything has to be finished: a lease, late orders and the work.
 const END: Duration = Duration::from_secs(60);
 const TICK: Duration = Duration::from_millis(50);
-const BEAT: Duration = Duration::from_millis(1_500);
-/// How long a worker may be out of touch before what it says of itself counts.
-const CONTACT: Duration = Duration::from_secs(3);
+pub(super) const BEAT: Duration = Duration::from_millis(1_500);
 /// How often a fault strikes at its step in one schedule.
 const STRIKES: u32 = 3;
-const WORKERS: usize = 4;
+pub(super) const WORKERS: usize = 4;
 const JOBS: u64 = 12;
 pub(super) const MAX_ATTEMPTS: u32 = 3;
 /// What each customer may have running, in thousandths of a core: a fourth and an
 /// eighth of the room.
 pub(super) const CAPS: [u64; 2] = [8_000, 4_000];
 const NO_CAPS: [u64; 2] = [0, 0];
-/// How long an order that goes as it should may be under way.
-const ORDER_UNDER_WAY: Duration = Duration::from_millis(10);
-const CAPACITY: Size = Size {
+pub(super) const CAPACITY: Size = Size {
     cpu_milli: 8_000,
     memory_mb: 8_000,
     gpu: 0,
@@ -50,7 +46,7 @@
 }
 
 /// What happens at some time.
-enum Happening {
+pub(super) enum Happening {
     Tick,
     Heartbeat(usize),
     Submit(JobId),
@@ -71,7 +67,7 @@
 
 /// How an order goes.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Way {
+pub(super) enum Way {
     /// Soon, and its answer comes.
     Plain,
     /// Soon, and its answer is lost.
@@ -82,10 +78,10 @@
 
 pub(super) struct World {
     pub(super) plan: Plan,
-    rng: StdRng,
+    pub(super) rng: StdRng,
     pub(super) now: Duration,
-    queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
-    happenings: Vec<Option<Happening>>,
+    pub(super) queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
+    pub(super) happenings: Vec<Option<Happening>>,
     pub(super) state: ControlState,
     index: u64,
     pub(super) owner: Option<Scheduler>,
@@ -96,17 +92,17 @@
     /// Tasks that never succeed.
     hopeless: Vec<JobId>,
     /// Jobs of which one task crashes its workers.
-    crashing: Vec<JobId>,
+    pub(super) crashing: Vec<JobId>,
     pub(super) crashes: Crashes,
     /// Whether the workers refuse what does not fit.
-    guards: bool,
+    pub(super) guards: bool,
     /// What each worker offered before it shrank last, and until when a start may still
     /// reckon with that.
     pub(super) shrunk: [(Size, Duration); WORKERS],
     /// The number of the last end that each worker's present life has listed.
-    heard: [u64; WORKERS],
+    pub(super) heard: [u64; WORKERS],
     /// How many runs of each job ended as failed.
-    failures: IndexMap<JobId, u32>,
+    pub(super) failures: IndexMap<JobId, u32>,
     /// How often a fault still strikes at its step.
     strikes: u32,
     /// The caps that were in force before, and until when orders given under them
@@ -199,7 +195,7 @@
         self.plan.has(Fault::Cancels) && id.0.is_multiple_of(4)
     }
 
-    fn new_life(&mut self, at: usize) -> ModelWorker {
+    pub(super) fn new_life(&mut self, at: usize) -> ModelWorker {
         self.lives += 1;
         let record = WorkerRecord {
             name: format!("w{at}-{}", self.lives).into(),
@@ -218,7 +214,7 @@
         worker
     }
 
-    fn after(&mut self, delay: Duration, happening: Happening) {
+    pub(super) fn after(&mut self, delay: Duration, happening: Happening) {
         let slot = self.happenings.len();
         self.happenings.push(Some(happening));
         let key = (self.now + delay, slot as u64, slot);
@@ -284,7 +280,7 @@
         self.after(Duration::ZERO, Happening::Fault(fault));
     }
 
-    fn wall_ms(&self) -> u64 {
+    pub(super) fn wall_ms(&self) -> u64 {
         1 + u64::try_from(self.now.as_millis()).expect("short")
     }
 
@@ -292,7 +288,7 @@
         self.owner.as_ref().map(|owner| owner.owner().ordinal)
     }
 
-    fn apply(&mut self, command: Command) {
+    pub(super) fn apply(&mut self, command: Command) {
         match &command {
             Command::Submit { .. } => self.reach(Moment::Submitted),
             Command::Cancel { .. } => self.reach(Moment::Cancelled),
@@ -462,142 +458,7 @@
         self.apply(Command::Cancel { id });
     }
 
-    fn strike(&mut self, fault: Fault) {
-        let at = self.rng.random_range(0..WORKERS);
-        match fault {
-            Fault::OwnerDies => {
-                self.owner = None;
-                self.crashes.disturb(self.now);
-                self.settle_commits();
-                let delay = ms(self.rng.random_range(50..3_000));
-                self.after(delay, Happening::TakeOver);
-            }
-            Fault::WorkerCut => {
-                self.workers[at].cut_until = self.now + ms(self.rng.random_range(300..9_000));
-            }
-            Fault::WorkerLost => {
-                // One stays, or nothing can be finished.
-                if at > 0 {
-                    self.go_down(at);
-                }
-            }
-            Fault::WorkerRestarts => {
-                if self.workers[at].up {
-                    self.go_down(at);
-                    self.restart(at);
-                }
-            }
-            Fault::CapsChange => self.change_caps(),
-            Fault::LateOrders
-            | Fault::LostAnswers
-            | Fault::Cancels
-            | Fault::SlowCommits
-            | Fault::CrashingTasks => {}
-            Fault::WorkersShrink => self.resize(at),
-        }
-    }
-
-    /// A worker shrinks far below what it takes, or grows again.
-    fn resize(&mut self, at: usize) {
-        let parts = self.rng.random_range(1..5);
-        let worker = &mut self.workers[at];
-        let before = worker.record.capacity;
-        worker.record.capacity = Size {
-            cpu_milli: CAPACITY.cpu_milli / parts,
-            memory_mb: CAPACITY.memory_mb / parts,
-            ..CAPACITY
-        };
-        let (earlier, until) = self.shrunk[at];
-        let before = match self.now <= until {
-            true => before.max_of_each(earlier),
-            false => before,
-        };
-        self.shrunk[at] = (before, self.now + CONTACT + BEAT);
-    }
-
-    /// A worker crashes with all that runs there.
-    fn go_down(&mut self, at: usize) {
-        let worker = &mut self.workers[at];
-        worker.advance(self.now);
-        worker.up = false;
-        // Nobody can tell a run whose end was not listed yet from one under way.
-        let unheard = worker
-            .ended
-            .iter()
-            .filter(|end| end.number > self.heard[at]);
-        let unheard = unheard.map(|end| end.end.task);
-        let lost: Vec<TaskId> = worker.runs.keys().copied().chain(unheard).collect();
-        worker.runs.clear();
-        lost.into_iter().for_each(|task| self.crashes.note(task));
-    }
-
-    fn restart(&mut self, at: usize) {
-        let life = self.new_life(at);
-        self.workers[at] = life;
-        self.heard[at] = 0;
-    }
-
-    fn crash_by(&mut self, at: usize, life: &str, task: TaskId) {
-        let worker = &self.workers[at];
-        let there = worker.up && *worker.record.name == *life && worker.runs.contains_key(&task);
-        if there {
-            self.go_down(at);
-            let away = ms(self.rng.random_range(500..3_000));
-            self.after(away, Happening::Restart(at));
-        }
-    }
-
-    /// Whether a task crashes its workers.
-    pub(super) fn is_crashing(&self, task: TaskId) -> bool {
-        let first = task.step.step == 0 && task.index == 0;
-        first && self.crashing.contains(&task.job())
-    }
-
-    /// Cuts the caps far below what is sent, or raises them again.
-    fn change_caps(&mut self) {
-        let held = self.state.catalogue.as_ref().expect("configured");
-        let version = held.version + 1;
-        let mut before = self.caps();
-        if self.now <= self.caps_before.1 {
-            // Those of the change before are under way as well.
-            let earlier = before.iter().zip(&self.caps_before.0);
-            before = earlier
-                .map(|(cap, earlier)| looser(*cap, *earlier))
-                .collect();
-        }
-        self.caps_before = (before, self.now + ORDER_UNDER_WAY);
-        let caps = CAPS.map(|cap| cap / self.rng.random_range(1..5));
-        self.apply(Command::Configure(Arc::new(catalogue(
-            version,
-            &caps,
-            self.guards,
-        ))));
-    }
-
-    /// The cap of each customer, in thousandths of a core.
-    pub(super) fn caps(&self) -> Vec<u64> {
-        let catalogue = self.state.catalogue.as_ref().expect("configured");
-        let customers = catalogue.customers.as_ref().expect("configured");
-        let cap = |customer: &Arc<Customer>| customer.cap.0.cpu_milli;
-        customers.iter().map(cap).collect()
-    }
-
-    /// What a lost owner proposed was committed, or never will be.
-    fn settle_commits(&mut self) {
-        for slot in 0..self.happenings.len() {
-            if !matches!(self.happenings[slot], Some(Happening::Commit(..))) {
-                continue;
-            }
-            let Some(Happening::Commit(_, command)) = self.happenings[slot].take() else {
-                continue;
-            };
-            if self.rng.random_bool(0.5) {
-                self.apply(command);
-            }
-        }
-    }
-
-    fn take_over(&mut self) {
+    pub(super) fn take_over(&mut self) {
         if self.owner.is_some() {
             return;
         }
@@ -769,12 +630,3 @@
     let (at, _) = digits.split_once(':').expect("an address of ours");
     at.parse().expect("a number")
 }
-
-/// The cap of the two that allows more; 0 is no limit.
-pub(super) fn looser(cap: u64, other: u64) -> u64 {
-    if cap == 0 || other == 0 {
-        0
-    } else {
-        cap.max(other)
-    }
-}
