Count a crash on a machine that has just moved

Callers saw a task that crashes its workers started six times. Cause: a worker that answers its first call after a move and crashes before the next tick was taken for one that the move had ended, since the order stays open until the machine is listed again; so its crash counted for none of the tasks there. Ruled out: lost commits and changes of owner (one owner throughout), and many possible culprits (both tasks would have been given up after five crashes; one was not counted).

An order is the cause only of ends of lives that were known before it was accepted. Test first seen red (0 crashes counted in place of 1).

--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -124,6 +124,20 @@
         ordered.is_some_and(|ordered| ordered.accepted.is_none())
     }
 
+    /// Whether an order ended a life that worked for `pool` and became known at `since`.
+    /// The order that brought a life stays open until the machine is listed again, and is
+    /// no cause of its end.
+    pub(crate) fn took_away(&self, pool: &str, since: Duration, listed_at: Duration) -> bool {
+        if *self.view.pool != *pool || self.awaits_answer() {
+            return true;
+        }
+        let brought = self.changed_at.is_some_and(|at| at < since);
+        match brought {
+            true => self.view.was_taken_from(pool) && listed_at > since,
+            false => self.ordered.is_some() || self.view.was_taken_from(pool),
+        }
+    }
+
     /// Whether nothing was decided for it.
     pub(crate) fn is_free(&self) -> bool {
         self.ordered.is_none() && self.emptied_for.is_none() && self.reserved_for.is_none()
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -183,11 +183,12 @@
 
     /// Whether an order took the machine of a worker away, as far as is known.
     pub(in crate::schedule) fn was_taken_away(&self, key: WorkerKey) -> bool {
-        let record = &self.workers[key].record;
-        let name = record.machine.as_deref();
+        let worker = &self.workers[key];
+        let name = worker.record.machine.as_deref();
         let machine = name.and_then(|name| self.machines.by_name.get(name));
+        let listed_at = self.machines.listed_at.unwrap_or_default();
         machine.is_some_and(|machine| {
-            machine.ordered.is_some() || machine.view.was_taken_from(&record.pool)
+            machine.took_away(&worker.record.pool, worker.known_since, listed_at)
         })
     }
 
--- a/crates/cleat-jobs/tests/crashes.rs
+++ b/crates/cleat-jobs/tests/crashes.rs
@@ -13,12 +13,13 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Command, CrashedRun, Effect, EndKind, Event, Heartbeat, JobId, JobState, Order, OrderAnswer,
-    Part, RenewalAnswer, Run, StepId, StepSpec, TaskId, TaskOrder,
+    Command, CrashedRun, Effect, EndKind, Event, Heartbeat, JobId, JobState, MachineAnswer,
+    MachineOrder, Order, OrderAnswer, Part, RenewalAnswer, Run, StepId, StepSpec, TaskId,
+    TaskOrder,
 };
 use indexmap::IndexMap;
 use scaffold::{
-    Bed, end, ended, list_machines, machine, proposals, record, running, starts, step, task,
+    Bed, end, ended, list_machines, machine, moved, proposals, record, running, starts, step, task,
 };
 
 /// After how many crashes under a task it must not go on being started.
@@ -440,3 +441,33 @@
     assert_eq!(play.crashes(CULPRIT), 1);
     assert_eq!(&*play.at(CULPRIT), "w9");
 }
+
+/// Two tasks were each started six times although they had crashed three workers. One
+/// of those workers had joined its pool 10 ms before: the order that had moved its
+/// machine there was still open, and the crash was put down to it. Evidence: both runs
+/// are logged as lost with a worker that is gone, not as crashed, 3 s after the move of
+/// its machine was accepted and 1.5 s after the worker had answered.
+#[test]
+fn crash_on_a_machine_that_has_just_moved_is_counted() {
+    let mut play = Play::new(1);
+    let own = machine("m-w1", "a", Some("w1"));
+    list_machines(&mut play.bed, vec![own, machine("m-w9", "spare", None)]);
+    play.submit(1, vec![step(1, 8_000)]);
+    play.submit(2, vec![step(1, 8_000)]);
+    let effects = play.bed.tick(Duration::from_millis(50));
+    let move_there = MachineOrder::Move { pool: "a".into() };
+    assert_eq!(moved(&effects), vec![("m-w9".into(), "a".into())]);
+    play.bed.feed(Event::MachineOrdered {
+        machine: "m-w9".into(),
+        order: move_there,
+        answer: MachineAnswer::Done,
+    });
+    play.bed.now += Duration::from_millis(1_500);
+    let effects = play.bed.add_worker("w9", "a");
+    play.take(effects);
+    let waited = task(2, 0, 0);
+    assert_eq!(&*play.at(waited), "w9");
+    let effects = play.replaced("w9");
+    play.take(effects);
+    assert_eq!(play.crashes(waited), 1);
+}
