Isolate tasks under which workers crash, and end what lasts on proof only

Callers saw a lasting job fail (17 of its tasks ended beyond what may miss) because other jobs' tasks crashed the workers beside it, and many crashing tasks at once go on for five or six starts. Cause: a crash with several possible culprits counted alike for each of them, and tasks under which workers had crashed were packed together again wherever room was short, so no crash told anything; counts of five then took the innocent along.

A crash under a task that was alone is proof. A task is given up after two crashes with one sudden proof, after three with any proof, after five starts in doubt; what lasts after three with two proofs. Bounds: at most four crashes under a culprit whose crashes are all counted; an innocent task is given up only if a machine crashes by itself while it is alone there.

Tests: storms of 2, 10 and 40 culprits; the lasting job beside 30 was seen red before.

--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -5,6 +5,7 @@
 use super::Scheduler;
 use super::account::Charge;
 use super::worker::WorkerKey;
+use crate::state::Suspicion;
 use crate::{Run, Size, TaskId};
 
 /// How far a run is.
@@ -62,8 +63,8 @@
     pub(crate) began: Duration,
     /// Whether its worker lists it as working at its full pace.
     pub(crate) at_work: bool,
-    /// How many workers had crashed under its task when it began.
-    pub(crate) crashes: usize,
+    /// What crashes of workers lay on its task when it began.
+    pub(crate) suspicion: Suspicion,
     /// The latest checkpoint seen.
     pub(crate) checkpoint: Box<str>,
 }
@@ -84,7 +85,7 @@
         let worker = &mut self.workers[attempt.worker];
         worker.used += attempt.footprint;
         worker.lasting += usize::from(attempt.lasts);
-        worker.crashes += attempt.crashes;
+        worker.crashes += attempt.suspicion.crashes;
         worker.tasks.insert(task);
         self.job_tasks.entry(task.job()).or_default().insert(task);
         self.attempts.insert(task, attempt);
@@ -96,7 +97,7 @@
         let worker = &mut self.workers[attempt.worker];
         worker.tasks.swap_remove(&task);
         worker.lasting -= usize::from(attempt.lasts);
-        worker.crashes -= attempt.crashes;
+        worker.crashes -= attempt.suspicion.crashes;
         if let Some(tasks) = self.job_tasks.get_mut(&task.job()) {
             tasks.swap_remove(&task);
             if tasks.is_empty() {
--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -3,7 +3,7 @@
 //! A crash does not tell which of the runs there caused it, or whether the machine
 //! did. So the tasks of a crashed worker start again apart from each other, on other
 //! machines, and with as little beside them as there is: then the next crash tells
-//! more, and costs less. Each crash is committed before its tasks start again, so
+//! more, and costs less (`isolation` has what must hold). Each crash is committed before its tasks start again, so
 //! that the next owner knows of it; the state decides when a task is given up.
 
 use std::time::Duration;
@@ -21,14 +21,15 @@
 /// How long a run has to be listed for its worker's crash to say nothing of its task:
 /// tasks that last see many crashes of machines over the months.
 const SOUND_AFTER: Duration = Duration::from_secs(10);
+/// How soon after the start of a run its worker crashes where that speaks against it:
+/// what crashes a worker mostly does so as it begins.
+const SUDDEN: Duration = Duration::from_millis(100);
 /// How long a machine on which a worker crashed is the last choice for a task that
 /// may have been the cause.
 const MACHINE_DOUBTED_FOR: Duration = Duration::from_secs(30);
-/// From how many crashes on a task is started only where there was a sign of life
-/// within [`SIGN_AGE`].
-const CERTAIN_FROM: usize = 2;
-/// A renewal is answered after a second where nothing ends, so a worker with such a
-/// sign turns up soon.
+/// How old the last sign of life of a worker may be on which a task starts that has to
+/// have it to itself.
+/// A renewal is answered after a second where nothing ends, so one turns up soon.
 const SIGN_AGE: Duration = Duration::from_millis(100);
 
 /// When a worker crashed last on each machine.
@@ -63,14 +64,18 @@
 }
 
 impl Scheduler {
-    /// How well a worker keeps a task of the step apart; all are alike for a task
-    /// under which no worker has crashed.
+    /// How well a worker keeps a task of the step apart from those that may crash it;
+    /// for a task under which no worker has crashed, no more than that counts.
     pub(super) fn apart(&self, step: &ActiveStep, index: u32, worker: &Worker) -> Apart {
-        if step.crashes(index) == 0 {
-            return Apart::default();
+        let crashes = worker.crashes;
+        if step.suspicion(index).crashes == 0 {
+            return Apart {
+                crashes,
+                ..Apart::default()
+            };
         }
         Apart {
-            crashes: worker.crashes,
+            crashes,
             machine_doubted: self.crashed_machines.has(worker),
             lasting: worker.lasting,
             runs: worker.tasks.len(),
@@ -82,7 +87,7 @@
     /// A gang would wait for many such signs at once.
     pub(super) fn is_certain(&self, step: &ActiveStep, index: u32, worker: &Worker) -> bool {
         let heard_at = worker.heard_at.unwrap_or_default();
-        let asked = !step.gang && step.crashes(index) >= CERTAIN_FROM;
+        let asked = !step.gang && step.suspicion(index).alone;
         !asked || self.now <= heard_at + SIGN_AGE
     }
 
@@ -101,22 +106,15 @@
         if let Some(machine) = &self.workers[key].record.machine {
             self.crashed_machines.note(machine, self.now);
         }
-        let suspects = self.suspects(key);
-        let likeliest = self.likeliest(&suspects);
-        let part = |task, phase| match part_of(phase) {
-            Part::Begun if likeliest == Some(task) => Part::Blamed,
-            part => part,
-        };
         let mut runs = std::mem::take(&mut self.workers[key].lapsed_runs);
-        runs.extend(self.lose_suspects(&suspects, LossReason::Crashed, part));
+        runs.extend(self.lose_suspects(key, LossReason::Crashed));
         self.propose_crashed(runs);
     }
 
     /// Has the runs counted of a worker whose lease is over: it may be cut off, but if
     /// it crashed that may never be known.
     pub(super) fn note_lapse(&mut self, key: WorkerKey) {
-        let suspects = self.suspects(key);
-        let lapsed = self.lose_suspects(&suspects, LossReason::Lapsed, |_, phase| part_of(phase));
+        let lapsed = self.lose_suspects(key, LossReason::Lapsed);
         self.workers[key].lapsed_runs = lapsed.clone();
         let lapsed = lapsed.into_iter().map(|run| CrashedRun {
             part: Part::Lapsed,
@@ -131,24 +129,28 @@
         }
     }
 
-    /// Takes runs as over that are about to be counted.
-    fn lose_suspects(
-        &mut self,
-        tasks: &[TaskId],
-        reason: LossReason,
-        part: impl Fn(TaskId, Phase) -> Part,
-    ) -> Vec<CrashedRun> {
+    /// Takes the runs of a worker as over that are about to be counted.
+    fn lose_suspects(&mut self, key: WorkerKey, reason: LossReason) -> Vec<CrashedRun> {
+        let suspects = self.suspects(key);
+        let worker = &self.workers[key];
+        let alone = suspects.len() == 1 && !worker.has_strays;
+        let crashed_at = worker.doubted_since.unwrap_or(self.now);
         let mut runs = Vec::new();
-        for task in tasks {
-            let Some(attempt) = self.attempts.get(task) else {
+        for task in suspects {
+            let Some(attempt) = self.attempts.get(&task) else {
                 continue;
             };
-            runs.push(CrashedRun {
-                task: *task,
-                run: attempt.run,
-                part: part(*task, attempt.phase),
-            });
-            self.end_uncommitted(*task, reason);
+            let sudden = crashed_at <= attempt.began + SUDDEN;
+            let part = match (has_begun(attempt.phase), alone, sudden) {
+                (false, ..) => Part::InDoubt,
+                (true, false, false) => Part::Begun,
+                (true, false, true) => Part::Sudden,
+                (true, true, false) => Part::Alone,
+                (true, true, true) => Part::AloneSudden,
+            };
+            let run = attempt.run;
+            runs.push(CrashedRun { task, run, part });
+            self.end_uncommitted(task, reason);
         }
         runs
     }
@@ -171,28 +173,19 @@
     }
 
     /// Whether a run was at work for long.
-    fn is_sound(&self, attempt: &Attempt) -> bool {
+    pub(super) fn is_sound(&self, attempt: &Attempt) -> bool {
         let heard_at = self.workers[attempt.worker].heard_at.unwrap_or_default();
         let running = matches!(attempt.phase, Phase::Running { .. });
         running && heard_at >= attempt.began + SOUND_AFTER
     }
 
-    /// The one task under which more workers have crashed than under each other.
-    fn likeliest(&self, tasks: &[TaskId]) -> Option<TaskId> {
-        let crashes = |task: &TaskId| self.attempts.get(task).map_or(0, |a| a.crashes);
-        let most = tasks.iter().map(crashes).max()?;
-        let mut first = tasks.iter().filter(|task| crashes(task) == most);
-        let (task, other) = (*first.next()?, first.next());
-        other.is_none().then_some(task)
-    }
-
     /// Frees the room of a run that is lost. Its task waits for a commit.
     fn end_uncommitted(&mut self, task: TaskId, reason: LossReason) {
         let Some(attempt) = self.attempts.get_mut(&task) else {
             return;
         };
         attempt.phase = Phase::Ended;
-        let (key, run, crashes) = (attempt.worker, attempt.run, attempt.crashes + 1);
+        let (key, run, crashes) = (attempt.worker, attempt.run, attempt.suspicion.crashes + 1);
         let (footprint, charge) = (attempt.footprint, attempt.charge);
         self.workers[key].used -= footprint;
         self.release_charge(charge);
@@ -212,11 +205,7 @@
         let mut jobs: IndexSet<JobId> = IndexSet::new();
         for CrashedRun { task, run, .. } in runs {
             jobs.insert(task.job());
-            let progress = state.jobs.get(&task.job());
-            let progress = progress.and_then(|job| job.progress(task.step));
-            if let Some(step) = self.steps.get_mut(&task.step) {
-                step.note_crashes(progress);
-            }
+            self.note_suspects(state, task.step);
             let known = self.attempts.get(task);
             let waits = known.is_some_and(|a| a.run == *run && a.phase == Phase::Ended);
             if waits && let Some(attempt) = self.remove_attempt(*task) {
@@ -229,10 +218,7 @@
     }
 }
 
-/// The part of a run in the crash of its worker, by itself.
-fn part_of(phase: Phase) -> Part {
-    match phase {
-        Phase::Running { .. } | Phase::Stopping { .. } => Part::Begun,
-        _ => Part::InDoubt,
-    }
+/// Whether a worker said that the run is at work.
+fn has_begun(phase: Phase) -> bool {
+    matches!(phase, Phase::Running { .. } | Phase::Stopping { .. })
 }
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -37,6 +37,8 @@
     used: Size,
     /// How many tasks wait for room.
     waiting: u64,
+    /// How many tasks run or wait that may not be beside each other.
+    apart: usize,
 }
 
 impl Balance {
@@ -73,6 +75,13 @@
         needed.fits(self.offered) && self.workers >= self.least_workers
     }
 
+    /// Has it need workers for the tasks that may not be beside each other, as many
+    /// more as it has at most: after a crash there may be hundreds, for a moment.
+    fn need_workers_apart(&mut self) {
+        let apart = self.apart.min(2 * self.workers);
+        self.least_workers = self.least_workers.max(apart);
+    }
+
     /// Which part of the need is met, in thousandths; that of the resource
     /// that lacks most.
     pub(super) fn met_milli(&self) -> u64 {
@@ -111,6 +120,7 @@
             // what comes would never catch up.
             let flow = self.times.forecast(pool, self.now) + self.lasting(pool);
             balance.needed = balance.used.max_of_each(flow) + balance.pending;
+            balance.need_workers_apart();
         }
         pools
     }
@@ -151,6 +161,10 @@
             balance.least_workers = balance.least_workers.max(step.least_workers);
             let mut count = step.pending.len() as u64;
             balance.waiting += count;
+            balance.apart += step
+                .waiting_suspects()
+                .filter(|(_, suspicion)| suspicion.alone)
+                .count();
             let percent = match step.prospect(self.now) {
                 Prospect::InTime => 100,
                 Prospect::Late => LATE_PERCENT,
@@ -170,14 +184,19 @@
 
     fn add_workers(&self, pools: &mut IndexMap<Box<str>, Balance>) {
         let (mut at_work, mut leaving) = (IndexSet::new(), IndexSet::new());
-        for (_, worker) in self.workers.iter() {
+        for (key, worker) in self.workers.iter() {
             let record = &worker.record;
             let Some(balance) = pools.get_mut(&record.pool) else {
                 continue;
             };
             balance.used += worker.used;
+            balance.apart += usize::from(self.is_taken_alone(key));
             if worker.answers() && !worker.draining && !worker.cordoned {
-                balance.offer(record.capacity);
+                // What a task leaves free that is alone there is nobody's.
+                balance.offer(match self.is_taken_alone(key) {
+                    true => worker.used,
+                    false => record.capacity,
+                });
                 at_work.extend(record.machine.as_deref());
             } else if worker.answers() {
                 leaving.extend(record.machine.as_deref());
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -140,7 +140,7 @@
             run: attempt.run.0,
             worker,
             reason,
-            crashes: attempt.crashes,
+            crashes: attempt.suspicion.crashes,
         });
         self.requeue(task, key, attempt.checkpoint);
     }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -14,6 +14,7 @@
 mod event;
 mod fleet;
 mod forecast;
+mod isolation;
 mod ledger;
 mod loss;
 mod orders;
@@ -163,6 +164,11 @@
     over: VecDeque<(Duration, JobId)>,
     machines: Machines,
     crashed_machines: CrashedMachines,
+    /// The steps with tasks under which workers have crashed, and some that are over.
+    suspect_steps: IndexSet<StepId>,
+    /// The workers of the pool being looked at that are emptied for tasks which have to
+    /// start alone.
+    emptied: IndexSet<WorkerKey>,
     /// Until when each job that is not over should be done.
     objectives: IndexMap<JobId, Objective>,
     /// Where the jobs of customers stand that are not over and beyond a share.
@@ -215,6 +221,8 @@
             over: VecDeque::new(),
             machines: Machines::default(),
             crashed_machines: CrashedMachines::default(),
+            suspect_steps: IndexSet::new(),
+            emptied: IndexSet::new(),
             objectives: IndexMap::new(),
             standings: IndexMap::new(),
             times: Times::default(),
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -35,6 +35,7 @@
         if candidates.is_empty() {
             return;
         }
+        self.empty_for_suspects(state, &candidates);
         // Placing tells nothing new of the workers.
         let unknown_until = self.unknown_until(pool);
         let mut room = self.largest_room(&candidates);
@@ -62,7 +63,8 @@
     pub(super) fn candidates(&self, pool: &str) -> Vec<WorkerKey> {
         let workers = self.workers.in_pool(pool);
         let takes = workers.filter(|(_, worker)| worker.takes_work(self.now));
-        takes.map(|(key, _)| key).collect()
+        let keys = takes.map(|(key, _)| key);
+        keys.filter(|key| !self.is_taken_alone(*key)).collect()
     }
 
     /// Starts tasks of a step as far as there is room; whether some are left.
@@ -113,6 +115,10 @@
                 return false;
             }
             let Some(key) = self.choose(id, index, spec, keys) else {
+                if self.is_suspect_task(id, index) {
+                    // It waits for a worker of its own; others fit beside each other.
+                    continue;
+                }
                 return true;
             };
             self.start(
@@ -151,16 +157,20 @@
             return false;
         }
         let mut places = Vec::with_capacity(pending.len());
-        for index in pending {
-            let Some(key) = self.choose(id, *index, spec, keys) else {
+        let mut keys = keys.to_vec();
+        for index in self.suspects_first(id, pending) {
+            let Some(key) = self.choose(id, index, spec, &keys) else {
                 break;
             };
+            if self.is_suspect_task(id, index) {
+                keys.retain(|other| *other != key);
+            }
             // Reserved for the rest of the search.
             self.workers[key].used += spec.footprint();
             if let Some(step) = self.steps.get_mut(&id) {
                 *step.placed.entry(key).or_default() += 1;
             }
-            places.push((*index, key));
+            places.push((index, key));
         }
         for (_, key) in &places {
             self.workers[*key].used -= spec.footprint();
@@ -215,6 +225,7 @@
             let apart = |most| step.placed.get(*key).is_none_or(|placed| *placed < most);
             footprint.fits(worker.room())
                 && self.is_certain(step, index, worker)
+                && self.isolates(step, index, **key)
                 && label.is_none_or(|label| worker.has_label(label))
                 && spec.max_per_worker.is_none_or(apart)
         };
@@ -284,7 +295,7 @@
         };
         step.place(task.index, key);
         let charge = step.charge;
-        let crashes = step.crashes(task.index);
+        let suspicion = step.suspicion(task.index);
         let waited_ms = millis(self.now - step.since);
         let attempt = Attempt {
             run,
@@ -295,7 +306,7 @@
             lasts: spec.long_running,
             began: self.now,
             at_work: false,
-            crashes,
+            suspicion,
             checkpoint: checkpoint.clone(),
         };
         self.add_attempt(task, attempt);
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -10,7 +10,7 @@
 use super::timing::{Objective, Prospect};
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
-use crate::state::{ControlState, Job, StepProgress};
+use crate::state::{ControlState, Job, Suspicion};
 use crate::{JobId, Size, StepId};
 
 /// A step whose tasks may be started.
@@ -50,8 +50,8 @@
     pub(crate) placed: IndexMap<WorkerKey, u32>,
     /// The worker on which a task failed last.
     pub(crate) failed_on: IndexMap<u32, WorkerKey>,
-    /// How many workers crashed under each task, of those with any.
-    crashes: IndexMap<u32, usize>,
+    /// What crashes of workers lay on each task, of those under which any crashed.
+    suspicions: IndexMap<u32, Suspicion>,
     /// The latest checkpoint that this owner saw of a task.
     checkpoints: IndexMap<u32, Box<str>>,
 }
@@ -103,15 +103,20 @@
         *self.placed.entry(worker).or_default() += 1;
     }
 
-    /// How many workers crashed under a task.
-    pub(crate) fn crashes(&self, index: u32) -> usize {
-        self.crashes.get(&index).copied().unwrap_or_default()
+    /// What crashes of workers lay on a task.
+    pub(crate) fn suspicion(&self, index: u32) -> Suspicion {
+        self.suspicions.get(&index).copied().unwrap_or_default()
+    }
+
+    /// The tasks under which workers crashed.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = (u32, Suspicion)> {
+        let all = self.suspicions.iter();
+        all.map(|(index, suspicion)| (*index, *suspicion))
     }
 
     /// Takes over what the replicated state says of crashes.
-    pub(crate) fn note_crashes(&mut self, progress: Option<&StepProgress>) {
-        let crashes = progress.into_iter().flat_map(StepProgress::crashes);
-        self.crashes = crashes.collect();
+    pub(crate) fn suspect(&mut self, tasks: impl Iterator<Item = (u32, Suspicion)>) {
+        self.suspicions = tasks.collect();
     }
 
     /// Keeps a checkpoint; an empty one says nothing.
@@ -198,7 +203,7 @@
         });
         let chain = self.times.chain(&job.queue.name, &job.spec);
         let left = chain.get(usize::from(id.step)).copied().unwrap_or_default();
-        let mut step = ActiveStep {
+        let step = ActiveStep {
             order: Order {
                 priority: job.queue.priority,
                 ends: !spec.long_running,
@@ -221,12 +226,12 @@
             left,
             placed: IndexMap::new(),
             failed_on: IndexMap::new(),
-            crashes: IndexMap::new(),
+            suspicions: IndexMap::new(),
             checkpoints: IndexMap::new(),
         };
-        step.note_crashes(job.progress(id));
         self.make_ready(id, step.pool.clone());
         self.steps.insert(id, step);
+        self.note_suspects(state, id);
     }
 
     /// Takes a job that is over out of everything; its runs are stopped.
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -10,7 +10,7 @@
 use super::event::RunningTask;
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
-use crate::state::{ControlState, End};
+use crate::state::{ControlState, End, Suspicion};
 use crate::{Run, Size, TaskId};
 
 impl Scheduler {
@@ -70,7 +70,7 @@
             lasts: false,
             began: self.now,
             at_work: false,
-            crashes: 0,
+            suspicion: Suspicion::default(),
             checkpoint: end.checkpoint.clone(),
         };
         self.add_attempt(end.task, attempt);
@@ -109,7 +109,7 @@
         };
         step.place(task.index, key);
         let charge = step.charge;
-        let crashes = step.crashes(task.index);
+        let suspicion = step.suspicion(task.index);
         let footprint = spec.footprint();
         let attempt = Attempt {
             run: listed.run,
@@ -120,7 +120,7 @@
             lasts: spec.long_running,
             began: self.now,
             at_work: listed.percent >= 100,
-            crashes,
+            suspicion,
             checkpoint: listed.checkpoint.clone(),
         };
         self.note_begun(task.job());
--- a/crates/cleat-jobs/src/state/crash.rs
+++ b/crates/cleat-jobs/src/state/crash.rs
@@ -9,17 +9,20 @@
 
 use crate::{Run, TaskId};
 
-/// How many crashes there may be under a task at most, those included that were not
-/// counted since an owner died before. Each costs the other tasks of a worker what
-/// they had done.
-const POSSIBLE: usize = 5;
-/// After how many crashes a task is given up that was blamed for [`AT_LEAST`] of them.
-const BLAMED: usize = 3;
-/// How many runs of a task that is given up have to be blamed, or to have begun.
-/// Machines crash as well, so one tells nothing.
+/// After how many crashes a task is given up if a worker that it had to itself crashed
+/// right after its start.
+const ENOUGH_SUDDEN: usize = 2;
+/// The same if that worker crashed later: machines crash as well, the more the longer a
+/// run takes. Those count that an owner which died may have left uncounted.
+const ENOUGH: usize = 3;
+/// The same where each start had no answer before its worker crashed.
+const ENOUGH_IN_DOUBT: usize = 5;
+/// How many workers crash under a task at least before it is given up.
 const AT_LEAST: usize = 2;
+/// From how many crashes on a task has to have its worker to itself.
+const ALONE_FROM: usize = 2;
 
-/// What part a run may have had in the crash of its worker.
+/// What part a run may have had in the crash of its worker; later ones say more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Part {
     /// Its worker left renewals unanswered until the lease was over, and may have
@@ -29,8 +32,12 @@
     InDoubt,
     /// It had begun, as others had.
     Begun,
-    /// It had begun, and under no other task there as many workers had crashed.
-    Blamed,
+    /// It had begun right before, beside others.
+    Sudden,
+    /// It had begun, and nothing else there could have been the cause.
+    Alone,
+    /// It had begun right before, and nothing else there could have been the cause.
+    AloneSudden,
 }
 
 /// A run that was lost when its worker crashed.
@@ -68,13 +75,40 @@
         }
     }
 
+    /// Whether the task has to have its worker to itself, so that the next crash tells.
+    /// At most `uncounted` workers more have crashed under it.
+    pub(super) fn need_alone(&self, uncounted: usize) -> bool {
+        self.count() + uncounted >= ALONE_FROM || self.count_from(Part::Sudden) > 0
+    }
+
     /// Whether the task is not started any more. At most `uncounted` workers more have
-    /// crashed under it.
-    pub(super) fn give_up(&self, uncounted: usize) -> bool {
-        let with = |least| self.runs.iter().filter(|(_, part)| *part >= least).count();
-        let possible = self.count() + uncounted;
-        (with(Part::Blamed) >= AT_LEAST && possible >= BLAMED)
-            || (with(Part::Begun) >= AT_LEAST && possible >= POSSIBLE)
-            || with(Part::InDoubt) >= POSSIBLE
+    /// crashed under it. What lasts is ended on two proofs only, as callers count on
+    /// what goes on.
+    pub(super) fn give_up(&self, uncounted: usize, lasts: bool) -> bool {
+        let alone = self.count_from(Part::Alone);
+        let proved = match lasts {
+            true => alone >= 2 && self.count() >= ENOUGH,
+            false => {
+                let sudden = self.count_from(Part::AloneSudden) > 0;
+                let enough = alone > 0 && self.count() + uncounted >= ENOUGH;
+                enough || (sudden && self.count() >= ENOUGH_SUDDEN)
+            }
+        };
+        let in_doubt = self.count_from(Part::InDoubt) >= ENOUGH_IN_DOUBT;
+        in_doubt || (proved && self.count() >= AT_LEAST)
+    }
+
+    /// How many crashes say at least so much of the task.
+    fn count_from(&self, least: Part) -> usize {
+        self.runs.iter().filter(|(_, part)| *part >= least).count()
     }
 }
+
+/// What workers' crashes lay on a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Suspicion {
+    /// How many workers crashed or may have crashed under it.
+    pub(crate) crashes: usize,
+    /// Whether it has to have its worker to itself.
+    pub(crate) alone: bool,
+}
--- a/crates/cleat-jobs/src/state/job.rs
+++ b/crates/cleat-jobs/src/state/job.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::command::{End, EndKind};
-use super::crash::{CrashedRun, Crashes};
+use super::crash::{CrashedRun, Crashes, Suspicion};
 use crate::{JobSpec, Queue, Size, StepId, StepSpec};
 
 const WORD_BITS: u32 = 64;
@@ -107,7 +107,7 @@
         self.failures.get(&index).copied().unwrap_or_default()
     }
 
-    /// How many workers crashed under each task, of those with any.
+    /// How many crashes of workers are known under each task, of those with any.
     pub fn crashes(&self) -> impl Iterator<Item = (u32, usize)> {
         let tasks = self.crashes.iter();
         tasks.map(|(index, crashes)| (*index, crashes.count()))
@@ -318,11 +318,32 @@
             steps.any(|(spec, step)| {
                 let uncounted = self.uncounted_crashes(spec, ordinal);
                 let mut tasks = step.crashes.iter();
-                tasks.any(|(index, crashes)| !step.is_done(*index) && crashes.give_up(uncounted))
+                tasks.any(|(index, crashes)| {
+                    !step.is_done(*index) && crashes.give_up(uncounted, spec.long_running)
+                })
             })
         })
     }
 
+    /// What crashes lay on each task of a step under which workers crashed. `ordinal` is
+    /// that of the current owner.
+    pub(crate) fn suspicions(
+        &self,
+        id: StepId,
+        ordinal: u32,
+    ) -> impl Iterator<Item = (u32, Suspicion)> {
+        let spec = self.step(id);
+        let uncounted = spec.map_or(0, |spec| self.uncounted_crashes(spec, ordinal));
+        let known = self.progress(id).into_iter().flat_map(|step| &step.crashes);
+        known.map(move |(index, crashes)| {
+            let suspicion = Suspicion {
+                crashes: crashes.count() + uncounted,
+                alone: crashes.need_alone(uncounted),
+            };
+            (*index, suspicion)
+        })
+    }
+
     /// How many crashes under a task of the step may not have been counted: one with
     /// each change of owner. A job that goes on for long sees many of those, which
     /// tell nothing of its tasks.
--- a/crates/cleat-jobs/src/state/mod.rs
+++ b/crates/cleat-jobs/src/state/mod.rs
@@ -9,6 +9,7 @@
 
 pub use apply::Answer;
 pub use command::{Command, DecodeError, End, EndKind, TaskEnd};
+pub(crate) use crash::Suspicion;
 pub use crash::{CrashedRun, Crashes, Part};
 pub use job::{EndedJob, Job, JobState, Occurrence, StepProgress, StoppingJob};
 pub use wave::Wave;
--- a/crates/cleat-jobs/tests/scaffold/mod.rs
+++ b/crates/cleat-jobs/tests/scaffold/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod play;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/cleat-jobs/tests/scaffold/play.rs
@@ -0,0 +1,174 @@
+//! Workers of one pool on which some tasks crash.
+
+use indexmap::IndexMap;
+
+use cleat_jobs::{
+    Effect, EndKind, Event, JobId, JobState, OrderAnswer, RenewalAnswer, Run, StepId, StepSpec,
+    TaskEnd, TaskId, TaskOrder,
+};
+
+use super::{Bed, end, ended, running, starts};
+
+/// After how many crashes under a task it must not go on being started.
+pub(crate) const CRASHES_ALLOWED: usize = 3;
+/// How many starts more are too many then.
+pub(crate) const STARTS_TOO_MANY: usize = 3;
+/// More starts than a task may have that crashes its workers.
+pub(crate) const MOST: usize = CRASHES_ALLOWED + STARTS_TOO_MANY;
+
+/// The task that crashes its workers.
+pub(crate) const CULPRIT: TaskId = TaskId {
+    step: StepId {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+    },
+    index: 0,
+};
+
+/// Workers of one pool, and what runs there.
+pub(crate) struct Play {
+    pub(crate) bed: Bed,
+    /// The tasks that crash each worker on which they start.
+    pub(crate) culprits: Vec<TaskId>,
+    /// A job whose tasks go on.
+    pub(crate) lasting: Option<JobId>,
+    /// How many lives there were so far.
+    lives: usize,
+    /// What starts are answered.
+    pub(crate) answer: OrderAnswer,
+    /// The starts so far, with their workers.
+    pub(crate) started: Vec<(Box<str>, TaskOrder)>,
+    /// What runs where.
+    pub(crate) runs: IndexMap<TaskId, (Box<str>, Run)>,
+    /// How many ends each worker has listed.
+    ends: IndexMap<Box<str>, u64>,
+}
+
+impl Play {
+    pub(crate) fn new(workers: usize) -> Play {
+        let mut play = Play {
+            bed: Bed::with_workers(&[]),
+            culprits: vec![CULPRIT],
+            lasting: None,
+            lives: 0,
+            answer: OrderAnswer::Done,
+            started: Vec::new(),
+            runs: IndexMap::new(),
+            ends: IndexMap::new(),
+        };
+        for _ in 0..workers {
+            play.new_life();
+        }
+        play
+    }
+
+    /// A worker begins a life of its own.
+    pub(crate) fn new_life(&mut self) {
+        self.lives += 1;
+        let name = format!("w{}", self.lives);
+        let effects = self.bed.add_worker(&name, "a");
+        self.take(effects);
+    }
+
+    pub(crate) fn submit(&mut self, id: u64, steps: Vec<StepSpec>) {
+        let effects = self.bed.submit(id, steps);
+        self.take(effects);
+    }
+
+    /// Answers starts and commits what is proposed, until nothing follows.
+    pub(crate) fn take(&mut self, mut effects: Vec<Effect>) {
+        while !effects.is_empty() {
+            let mut next = Vec::new();
+            for (worker, order) in starts(&effects) {
+                next.extend(self.bed.answer(&worker, &order, self.answer));
+                self.runs.insert(order.task, (worker.clone(), order.run));
+                self.started.push((worker, order));
+            }
+            next.extend(self.bed.commit(&effects));
+            effects = next;
+        }
+    }
+
+    /// A worker crashes, and another life answers at its address.
+    pub(crate) fn crash(&mut self, worker: &str) {
+        self.runs.retain(|_, (at, _)| **at != *worker);
+        let effects = self.replaced(worker);
+        self.take(effects);
+        self.new_life();
+    }
+
+    /// The owner learns that another life answers at a worker's address.
+    pub(crate) fn replaced(&mut self, worker: &str) -> Vec<Effect> {
+        self.bed.feed(Event::RenewalFailed {
+            worker: worker.into(),
+            other_life: true,
+        })
+    }
+
+    /// All that runs is done, but for the culprits and what lasts.
+    pub(crate) fn finish_others(&mut self) {
+        let others = self.runs.iter().filter(|(task, _)| !self.goes_on(task));
+        let others: Vec<_> = others.map(|(task, run)| (*task, run.clone())).collect();
+        for (task, (worker, run)) in others {
+            self.runs.swap_remove(&task);
+            let number = self.ends.entry(worker.clone()).or_default();
+            *number += 1;
+            let done = end(*number, task, run.0, EndKind::Done);
+            self.list(&worker, vec![done]);
+        }
+    }
+
+    fn goes_on(&self, task: &TaskId) -> bool {
+        self.culprits.contains(task) || self.lasting == Some(task.job())
+    }
+
+    /// A worker lists its runs, and these ends.
+    pub(crate) fn list(&mut self, worker: &str, ends: Vec<TaskEnd>) {
+        let here = self.runs.iter().filter(|(_, (at, _))| **at == *worker);
+        let running = here.map(|(task, (_, run))| running(*task, run.0)).collect();
+        let answer = RenewalAnswer {
+            running,
+            ..ended(ends)
+        };
+        let effects = self.bed.answer_renewal(worker, answer);
+        self.take(effects);
+    }
+
+    /// The worker on which a task was started last.
+    pub(crate) fn at(&self, task: TaskId) -> Box<str> {
+        let mut starts = self.started.iter().rev();
+        let last = starts.find(|(_, order)| order.task == task);
+        last.expect("it was started").0.clone()
+    }
+
+    pub(crate) fn starts_of(&self, task: TaskId) -> usize {
+        let of_task = self.started.iter().filter(|(_, order)| order.task == task);
+        of_task.count()
+    }
+
+    /// Lets the culprit crash its worker after each start.
+    pub(crate) fn crash_again_and_again(&mut self) {
+        for round in 0..MOST {
+            if self.starts_of(CULPRIT) <= round {
+                return;
+            }
+            let worker = self.at(CULPRIT);
+            self.crash(&worker);
+        }
+    }
+
+    pub(crate) fn state_of(&self, job: u64) -> Option<JobState> {
+        self.bed.state.job_state(JobId(job))
+    }
+
+    /// How many crashes under a task are in the replicated state.
+    pub(crate) fn crashes(&self, task: TaskId) -> usize {
+        let job = &self.bed.state.jobs[&task.job()];
+        let progress = job.progress(task.step).into_iter();
+        let mut crashes = progress.flat_map(|step| step.crashes());
+        crashes
+            .find(|(index, _)| *index == task.index)
+            .map_or(0, |(_, count)| count)
+    }
+}
