Bring a machine for each waiting task that takes most of a worker

Cause: a pool's need was compared with its room in all, a tenth left unused for fragmentation; that holds only for tasks that are small beside a worker. Each of these took most of a worker's memory, and each worker had a bit less free. Ruled out: labels and refused moves (none), the platform's rate (no order waited).

Waiting tasks that no worker has room for and of which no two share one now need a worker each; tasks larger than any worker count by size only. Test seen red before (no machine moved, two wanted).

--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -39,6 +39,13 @@
     waiting: u64,
     /// How many tasks run or wait that may not be beside each other.
     apart: usize,
+    /// How many workers are there, those on their way not included.
+    present: usize,
+    /// The most of each resource that one of them has, and has free.
+    largest: Size,
+    room: Size,
+    /// How many tasks wait for most of a worker that no worker has free.
+    misfits: usize,
 }
 
 impl Balance {
@@ -75,11 +82,33 @@
         needed.fits(self.offered) && self.workers >= self.least_workers
     }
 
-    /// Has it need workers for the tasks that may not be beside each other, as many
-    /// more as it has at most: after a crash there may be hundreds, for a moment.
-    fn need_workers_apart(&mut self) {
+    /// Takes a worker that is there and takes work.
+    fn meet(&mut self, capacity: Size, room: Size) {
+        self.present += 1;
+        self.largest = self.largest.max_of_each(capacity);
+        self.room = self.room.max_of_each(room);
+    }
+
+    /// Takes waiting tasks. Those that take most of a worker don't share one, so that
+    /// the room which others leave in all may be of no use to them.
+    fn wait(&mut self, footprint: Size, count: u64) {
+        self.pending += footprint.times(count);
+        let alone = footprint.fits(self.largest) && !footprint.times(2).fits(self.largest);
+        if alone && !footprint.fits(self.room) {
+            self.misfits += usize::try_from(count).unwrap_or(usize::MAX);
+        }
+    }
+
+    /// Counts the workers that its tasks need by their number. Of those that may not be
+    /// beside each other there may be hundreds after a crash, for a moment, so that no
+    /// more than twice the workers are asked for.
+    fn count_workers(&mut self) {
         let apart = self.apart.min(2 * self.workers);
-        self.least_workers = self.least_workers.max(apart);
+        let whole = match self.misfits {
+            0 => 0,
+            misfits => self.present + misfits,
+        };
+        self.least_workers = self.least_workers.max(apart).max(whole);
     }
 
     /// Which part of the need is met, in thousandths; that of the resource
@@ -113,14 +142,14 @@
                 pools.entry(queue.pool.clone()).or_default();
             }
         }
-        self.add_work(&mut pools);
         self.add_workers(&mut pools);
+        self.add_work(&mut pools);
         for (pool, balance) in &mut pools {
             // What waits is behind what is coming: a pool that holds no more than
             // what comes would never catch up.
             let flow = self.times.forecast(pool, self.now) + self.lasting(pool);
             balance.needed = balance.used.max_of_each(flow) + balance.pending;
-            balance.need_workers_apart();
+            balance.count_workers();
         }
         pools
     }
@@ -150,7 +179,7 @@
         }
     }
 
-    /// Adds what waits. What its customer's cap holds back brings no machines: it
+    /// Adds what waits, to pools whose workers are known. What its customer's cap holds back brings no machines: it
     /// could not start there.
     fn add_work(&self, pools: &mut IndexMap<Box<str>, Balance>) {
         let mut left: IndexMap<CustomerKey, Size> = IndexMap::new();
@@ -178,7 +207,7 @@
                 count = count.min(step.charge.size.times_in(*left));
                 *left -= step.charge.size.times(count);
             }
-            balance.pending += step.footprint.times(count);
+            balance.wait(step.footprint, count);
         }
     }
 
@@ -197,6 +226,7 @@
                     true => worker.used,
                     false => record.capacity,
                 });
+                balance.meet(record.capacity, worker.room());
                 at_work.extend(record.machine.as_deref());
             } else if worker.answers() {
                 leaving.extend(record.machine.as_deref());
--- a/crates/cleat-jobs/tests/machines.rs
+++ b/crates/cleat-jobs/tests/machines.rs
@@ -41,6 +41,44 @@
     assert_eq!(moved(&bed.tick(ms(50))), vec![("m1".into(), "a".into())]);
 }
 
+/// Callers saw eight of 80 lasting tasks wait for a whole day while a third of their pool
+/// was free: each took most of a worker's memory, and every worker had a bit less free.
+/// The pool's need was compared with its room in all, a tenth left unused. Evidence: the
+/// balance of the pool says for 25 s that eight tasks wait, with 1,050 of 1,376 cores
+/// free and no machine on its way.
+#[test]
+fn move_machine_for_a_task_that_takes_most_of_a_worker() {
+    let mut bed = Bed::with_workers(&["w1", "w2", "w3", "w4"]);
+    let own = ["w1", "w2", "w3", "w4"].map(|name| machine(&format!("m-{name}"), "a", Some(name)));
+    let spare = ["s1", "s2", "s3"].map(|name| machine(name, "spare", None));
+    list_machines(&mut bed, [own.to_vec(), spare.to_vec()].concat());
+    let apart = StepSpec {
+        max_per_worker: Some(1),
+        long_running: true,
+        ..step(4, 2_000)
+    };
+    bed.submit(1, vec![apart]);
+    bed.submit(2, vec![step(2, 6_500)]);
+    let effects = bed.tick(ms(50));
+    assert_eq!(
+        moved(&effects).len(),
+        2,
+        "one for each, of 8 cores of which 6 are free"
+    );
+    assert!(moved(&bed.tick(ms(50))).is_empty(), "they are on their way");
+}
+
+/// No machine helps a task that is larger than all of them.
+#[test]
+fn move_no_machine_for_a_task_that_fits_no_worker() {
+    let mut bed = bed_with_a_spare_machine();
+    bed.submit(1, vec![step(1, 100)]);
+    bed.submit(2, vec![step(1, 9_000)]);
+    let effects = bed.tick(ms(50));
+    assert!(moved(&effects).len() <= 1, "its size counts, and no more");
+    assert!(moved(&bed.tick(ms(50))).is_empty());
+}
+
 /// How many machines move at once for twenty jobs of half a core second that
 /// come at this pace, where a machine and what it has room for is 8 cores.
 fn moves_for_twenty_jobs(pace: Duration) -> usize {
