Look after machines without walking the fleet for each move

Now the idle machines of each pool are listed once a tick, and only where a pool lacks some; orders without an answer are counted once a tick; passes copy the names that they act on.

What is left grows with the machines: a look at each a tick.

--- /dev/null
+++ b/crates/cleat-jobs/examples/fleet_cost.rs
@@ -0,0 +1,239 @@
+//! What it costs the owner to look after the machines of a fleet: a scheduler over
+//! idle workers, of which those of the pools go back to the spare pool, and then a pool
+//! that asks for a tenth of them. Prints processor time a tick while nothing happens,
+//! while machines go back, and while they come.
+//!
+//! `cargo run --release -p cleat-jobs --example fleet_cost -- [MACHINES]...`
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cleat_jobs::{
+    Catalogue, Command, ControlState, Draft, Effect, Event, Heartbeat, JobId, JobSpec,
+    MachineAnswer, MachineState, MachineView, Pool, Queue, RenewalAnswer, Scheduler,
+    SchedulerConfig, Size, StepSpec, WorkerHistory, WorkerRecord,
+};
+
+const POOLS: usize = 5;
+const SPARE: &str = "pool0";
+const TICK: Duration = Duration::from_millis(50);
+const TICKS: u32 = 100;
+const CAPACITY: Size = Size {
+    cpu_milli: 32_000,
+    memory_mb: 65_536,
+    gpu: 0,
+};
+
+struct World {
+    now: Duration,
+    state: ControlState,
+    index: u64,
+    owner: Scheduler,
+    machines: Vec<MachineView>,
+    spent: Duration,
+    moves: usize,
+}
+
+fn main() {
+    let sizes: Vec<usize> = std::env::args()
+        .skip(1)
+        .flat_map(|arg| arg.parse())
+        .collect();
+    let sizes = if sizes.is_empty() {
+        vec![350, 1_200, 6_000, 12_000]
+    } else {
+        sizes
+    };
+    println!("machines  at rest us  going back us (moves)  coming us (moves)");
+    for size in sizes {
+        let mut world = World::new(size);
+        world.list();
+        world.settle();
+        let (back, back_moves) = world.ticks();
+        world.list();
+        world.settle();
+        let (rest, _) = world.ticks();
+        world.submit(size / 10);
+        let (come, come_moves) = world.ticks();
+        println!(
+            "{size:>8}  {rest:>10}  {back:>13} ({back_moves:>5})  {come:>9} ({come_moves:>5})"
+        );
+    }
+}
+
+impl World {
+    fn new(size: usize) -> World {
+        let mut state = ControlState::default();
+        state.apply(1, Command::Found);
+        state.apply(2, Command::Configure(Arc::new(catalogue())));
+        state.apply(3, Command::TakeOver { member: 1 });
+        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO, 0);
+        let mut world = World {
+            now: Duration::ZERO,
+            state,
+            index: 3,
+            owner: owner.expect("owned"),
+            machines: (0..size).map(machine).collect(),
+            spent: Duration::ZERO,
+            moves: 0,
+        };
+        for at in 0..size {
+            world.begin_life(at, 0);
+        }
+        world
+    }
+
+    /// A worker begins on a machine, and answers.
+    fn begin_life(&mut self, at: usize, life: u64) {
+        let view = &self.machines[at];
+        let name: Box<str> = format!("w{at}-{life}").into();
+        let record = WorkerRecord {
+            name: name.clone(),
+            address: format!("10.0.0.1:{at}").into(),
+            pool: view.pool.clone(),
+            machine: Some(view.name.clone()),
+            data_centre: "dc1".into(),
+            capacity: CAPACITY,
+            labels: Vec::new(),
+            rack: None,
+            history: WorkerHistory::default(),
+        };
+        self.machines[at].worker = Some(name.clone());
+        self.feed(Event::Heartbeat(Heartbeat {
+            record,
+            draining: false,
+            sequence: 1,
+        }));
+        self.feed(Event::RenewalAnswered {
+            worker: name,
+            sent_at: self.now,
+            acked: 0,
+            answer: RenewalAnswer::default(),
+        });
+    }
+
+    fn list(&mut self) {
+        self.feed(Event::MachinesListed {
+            sent_at: self.now,
+            machines: Some(self.machines.clone()),
+        });
+    }
+
+    /// Lets all orders come to an end.
+    fn settle(&mut self) {
+        self.now += Duration::from_secs(7);
+    }
+
+    /// Processor time a tick in microseconds, and the moves.
+    fn ticks(&mut self) -> (u128, usize) {
+        self.spent = Duration::ZERO;
+        self.moves = 0;
+        for _ in 0..TICKS {
+            self.now += TICK;
+            let began = Instant::now();
+            let effects = self
+                .owner
+                .handle(&self.state, [Event::Tick { wall_ms: 1 }], self.now);
+            self.spent += began.elapsed();
+            self.carry_out(effects);
+        }
+        (self.spent.as_micros() / u128::from(TICKS), self.moves)
+    }
+
+    fn feed(&mut self, event: Event) {
+        let effects = self.owner.handle(&self.state, [event], self.now);
+        self.carry_out(effects);
+    }
+
+    /// Orders are carried out and commands committed at once.
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Propose(command) => {
+                    self.index += 1;
+                    self.state.apply(self.index, command.clone());
+                    let command = Arc::new(command);
+                    self.feed(Event::Applied { command });
+                }
+                Effect::OrderMachine { machine, order, .. } => {
+                    self.moves += 1;
+                    self.feed(Event::MachineOrdered {
+                        machine,
+                        order,
+                        answer: MachineAnswer::Done,
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn submit(&mut self, machines: usize) {
+        let queue = self.state.catalogue.as_ref().expect("configured").queues[0].clone();
+        let step = StepSpec {
+            count: u32::try_from(machines).expect("few"),
+            size: CAPACITY,
+            estimate_ms: 1_000,
+            ..StepSpec::default()
+        };
+        self.index += 1;
+        let command = Command::Submit {
+            id: JobId(1),
+            queue,
+            customer: None,
+            spec: Arc::new(JobSpec {
+                specification: "".into(),
+                steps: vec![step],
+                repeat: None,
+            }),
+            came_ms: 0,
+        };
+        self.state.apply(self.index, command.clone());
+        let command = Arc::new(command);
+        self.feed(Event::Applied { command });
+    }
+}
+
+fn machine(at: usize) -> MachineView {
+    MachineView {
+        name: format!("m{at}").into(),
+        pool: format!("pool{}", at % POOLS).into(),
+        state: MachineState::Up,
+        worker: None,
+        capacity: CAPACITY,
+        labels: Vec::new(),
+    }
+}
+
+fn catalogue() -> Catalogue {
+    let queue = |at: usize| Queue {
+        name: format!("queue{at}").into(),
+        host: "host".into(),
+        prefix: format!("/queue{at}/").into(),
+        pool: format!("pool{at}").into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.5,
+        target_latency_ms: 500,
+        timeout_ms: 3_000,
+        public: false,
+        advice: None,
+    };
+    let pool = |at: usize| {
+        let name: Box<str> = format!("pool{at}").into();
+        Pool {
+            guards_capacity: true,
+            spare: *name == *SPARE,
+            health_path: "/health".into(),
+            name,
+        }
+    };
+    let draft = Draft {
+        version: 1,
+        queues: (1..POOLS).map(queue).collect(),
+        pools: (0..POOLS).map(pool).collect(),
+        customers: None,
+        document: "{}".into(),
+    };
+    Catalogue::new(draft).expect("a valid catalogue")
+}
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -237,13 +237,11 @@
                 balance.offer(machine.view.capacity);
                 continue;
             }
-            let stays = machine.ordered.is_none() && leaving.contains(&**name);
-            if stays || at_work.contains(&**name) {
+            let Some(balance) = arrives_in(machine).and_then(|pool| pools.get_mut(pool)) else {
                 continue;
-            }
-            if let Some(pool) = arrives_in(machine)
-                && let Some(balance) = pools.get_mut(pool)
-            {
+            };
+            let stays = machine.ordered.is_none() && leaving.contains(&**name);
+            if !stays && !at_work.contains(&**name) {
                 balance.offer(machine.view.capacity);
             }
         }
--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -159,8 +159,28 @@
     pub(crate) listing: bool,
     /// When the next list is due.
     pub(crate) list_due: Duration,
-    /// Moves that the platform refuses: the pool takes other machines.
-    pub(crate) refused: IndexSet<(Box<str>, Box<str>)>,
+    /// The pools to which the platform refuses to move each machine: they take others.
+    refused: IndexMap<Box<str>, IndexSet<Box<str>>>,
     /// When each wave became known here.
     pub(crate) wave_known: IndexMap<u64, Duration>,
 }
+
+impl Machines {
+    /// Notes that the platform refuses to move a machine to a pool.
+    pub(crate) fn refuse(&mut self, name: &str, pool: &str) {
+        let pools = self.refused.entry(name.into()).or_default();
+        pools.insert(pool.into());
+    }
+
+    /// Whether the platform refused to move a machine to a pool.
+    pub(crate) fn refuses(&self, name: &str, pool: &str) -> bool {
+        let pools = self.refused.get(name);
+        pools.is_some_and(|pools| pools.contains(pool))
+    }
+
+    /// How many orders wait for an answer.
+    pub(crate) fn unanswered(&self) -> usize {
+        let machines = self.by_name.values();
+        machines.filter(|machine| machine.awaits_answer()).count()
+    }
+}
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -10,29 +10,25 @@
 use crate::schedule::{Scheduler, forecast};
 use crate::state::ControlState;
 
-/// How long a machine stays without work before it goes back to the spare
-/// pool. A move costs as much as a machine for 1.1 s by the platform's prices,
-/// so waiting about that long costs at most twice the optimum (ski rental).
-/// Chosen together with the forecast's windows, which took a calm day from
-/// 1,459 to 1,397 seconds of machines.
+/// How long a machine stays without work before it goes back to the spare pool. A move
+/// costs about as much as a machine for this long, so waiting costs at most twice what
+/// knowing the future would (ski rental).
 const IDLE_LIMIT: Duration = Duration::from_millis(900);
-/// The same in a pool that holds far more than it needs: demand has fallen, and
-/// what is still to come finds room. Saves 4% of the seconds of machines, for 4%
-/// more moves (mean of nine played days, jobs in time as before).
+/// The same in a pool that holds far more than it needs: demand has fallen, and what is
+/// still to come finds room.
 const PLENTY_IDLE_LIMIT: Duration = Duration::from_millis(150);
 /// How much more than its need a pool holds that has plenty, in percent.
 const PLENTY_PERCENT: u64 = 50;
-/// What tasks of different sizes leave unused of a worker, in percent: they
-/// take up about a tenth of one each. Chosen without a measurement.
+/// What tasks of different sizes leave unused of a worker, in percent: they take up
+/// about a tenth of one each.
 pub(super) const FRAGMENTATION_PERCENT: u64 = 10;
 
-/// How many orders for machines may be without an answer. The platform takes
-/// some hundred a second: what waits longer than its call may take is ordered
-/// again, and holds up what is more urgent by then.
+/// How many orders for machines may be without an answer. The platform takes some
+/// hundred a second: what waits longer than its call may take is ordered again, and holds
+/// up what is more urgent by then.
 const ORDERS_AT_ONCE: usize = 64;
-/// The same before idle machines go back to the spare pool, which can wait: a
-/// fleet of 3,000 that had just started sent 1,400 of them back at once, and the
-/// first pool that lacked machines waited 3 s for its own.
+/// The same before idle machines go back to the spare pool, which can wait for those
+/// that a pool lacks.
 const RETURNS_AT_ONCE: usize = 16;
 
 /// Where a machine for a pool comes from; the first goes first.
@@ -48,6 +44,8 @@
 
 /// The balance of each pool that queues use.
 pub(super) type Balances = IndexMap<Box<str>, Balance>;
+/// The names of idle machines, by pool.
+type IdleMachines = IndexMap<Box<str>, Vec<Box<str>>>;
 
 impl Scheduler {
     /// Moves idle machines to pools whose tasks find no room, and back to the
@@ -55,12 +53,18 @@
     pub(super) fn move_machines(&mut self, state: &ControlState) {
         let mut balances = self.balances(state);
         self.tell_balances(&balances);
+        let mut room = ORDERS_AT_ONCE.saturating_sub(self.machines.unanswered());
         let mut without_donor = IndexSet::new();
-        while self.may_order(ORDERS_AT_ONCE)
+        let mut idle = None;
+        while room > 0
             && let Some(pool) = most_lacking(&balances, &without_donor)
         {
-            match self.donor(state, &pool, &balances) {
-                Some(name) => self.give(&name, &pool, &mut balances),
+            let idle = idle.get_or_insert_with(|| self.idle_machines());
+            match self.take_donor(state, &pool, &balances, idle) {
+                Some(name) => {
+                    self.give(&name, &pool, &mut balances);
+                    room -= 1;
+                }
                 None => drop(without_donor.insert(pool)),
             }
         }
@@ -72,53 +76,68 @@
         self.send_back(state, &mut balances);
     }
 
+    /// The machines of each pool that are idle and free to go, the last by name first.
+    fn idle_machines(&self) -> IdleMachines {
+        let mut idle = IdleMachines::new();
+        let free = self.machines.by_name.iter();
+        for (name, machine) in free.filter(|(_, machine)| self.may_move(machine)) {
+            let pool = idle.entry(machine.view.pool.clone()).or_default();
+            pool.push(name.clone());
+        }
+        for names in idle.values_mut() {
+            names.sort_by(|a, b| b.cmp(a));
+        }
+        idle
+    }
+
     /// An idle machine for a pool: one of the pool that has most to spare, else a
-    /// spare one. The other way round each machine of a turn of demand that ends
-    /// moves twice, back and out again: 2 to 8% more moves (nine played days).
-    fn donor(&self, state: &ControlState, pool: &str, balances: &Balances) -> Option<Box<str>> {
+    /// spare one. The other way round each machine of a turn of demand that ends moves
+    /// twice, back and out again.
+    fn take_donor(
+        &self,
+        state: &ControlState,
+        pool: &str,
+        balances: &Balances,
+        idle: &mut IdleMachines,
+    ) -> Option<Box<str>> {
         let lender = match self.knows_demand() {
             true => Donor::Surplus,
             false => Donor::Unsure,
         };
-        let rank = |machine: &Machine| {
-            let view = &machine.view;
-            if *view.pool == *pool || !self.may_move(machine, pool) {
-                return None;
-            }
-            if is_spare(state, &view.pool) {
+        let rank = |from: &str, name: &str| {
+            if is_spare(state, from) {
                 return Some((Donor::Spare, 0));
             }
-            let rest = balances.get(&view.pool)?.without(view.capacity);
+            let size = self.machines.by_name.get(name)?.view.capacity;
+            let rest = balances.get(from)?.without(size);
             let spares = rest.workers > 0 && rest.suffices(FRAGMENTATION_PERCENT);
             let surplus = rest.offered.cpu_milli.saturating_sub(rest.needed.cpu_milli);
             spares.then_some((lender, u64::MAX - surplus))
         };
-        let machines = self.machines.by_name.iter();
-        let ranked = machines.filter_map(|(name, machine)| Some((rank(machine)?, name)));
-        ranked.min().map(|(_, name)| name.clone())
+        let first = |names: &[Box<str>]| {
+            let mut names = names.iter();
+            names.rposition(|name| !self.machines.refuses(name, pool))
+        };
+        let others = idle.iter().filter(|(from, _)| ***from != *pool);
+        let ranked = others.filter_map(|(from, names)| {
+            let at = first(names)?;
+            Some((rank(from, &names[at])?, from.clone(), at))
+        });
+        let (_, from, at) = ranked.min()?;
+        Some(idle[&from].remove(at))
     }
 
     /// Whether this owner has seen demand for as long as its forecast looks back.
     /// Before, a pool between two turns looks as one that needs nothing, and what
-    /// is given away may be missing a second later. Its own gain is within chance:
-    /// mean worth of six played days with outages 0.612 without and 0.616 with it.
+    /// is given away may be missing a second later.
     fn knows_demand(&self) -> bool {
         self.now >= self.taken_over_at + forecast::MEMORY
     }
 
-    /// Whether fewer orders than `most` wait for an answer.
-    fn may_order(&self, most: usize) -> bool {
-        let machines = self.machines.by_name.values();
-        machines.filter(|machine| machine.awaits_answer()).count() < most
-    }
-
     /// Whether a machine is idle and free to go.
-    fn may_move(&self, machine: &Machine, pool: &str) -> bool {
-        let view = &machine.view;
-        let refused = (view.name.clone(), pool.into());
-        let free = machine.is_free();
-        let up = view.state == MachineState::Up && machine.missing_since.is_none();
-        free && up && !self.machines.refused.contains(&refused) && self.is_idle(machine)
+    fn may_move(&self, machine: &Machine) -> bool {
+        let up = machine.view.state == MachineState::Up && machine.missing_since.is_none();
+        up && machine.is_free() && self.is_idle(machine)
     }
 
     /// Whether nothing runs on a machine, and all that ended there has been
@@ -162,7 +181,15 @@
         let Some(spare) = spare_pool(state) else {
             return;
         };
-        let names: Vec<Box<str>> = self.machines.by_name.keys().cloned().collect();
+        let rested = |machine: &Machine| {
+            let since = machine.idle_since;
+            since.is_some_and(|since| self.now >= since + PLENTY_IDLE_LIMIT)
+        };
+        let machines = self.machines.by_name.iter();
+        let of_pools = machines.filter(|(_, machine)| balances.contains_key(&machine.view.pool));
+        let idle = of_pools.filter(|(_, machine)| rested(machine));
+        let names: Vec<Box<str>> = idle.map(|(name, _)| name.clone()).collect();
+        let mut room = RETURNS_AT_ONCE.saturating_sub(self.machines.unanswered());
         for name in names {
             let machine = &self.machines.by_name[&name];
             let size = machine.view.capacity;
@@ -180,10 +207,12 @@
             };
             let idle = since.is_some_and(|since| self.now >= since + limit);
             let spares = rest.workers > 0 && rest.suffices(FRAGMENTATION_PERCENT);
-            if idle && spares && self.may_move(machine, &spare) {
-                if !self.may_order(RETURNS_AT_ONCE) {
+            let goes = !self.machines.refuses(&name, &spare) && self.may_move(machine);
+            if idle && spares && goes {
+                if room == 0 {
                     return;
                 }
+                room -= 1;
                 self.give(&name, &spare, balances);
             }
         }
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -113,9 +113,11 @@
     /// have no clear answer.
     fn settle_orders(&mut self) {
         let listed_at = self.machines.listed_at.unwrap_or_default();
-        let back = self.machines_back();
-        let names: Vec<Box<str>> = self.machines.by_name.keys().cloned().collect();
+        let machines = self.machines.by_name.iter();
+        let ordered = machines.filter(|(_, machine)| machine.ordered.is_some());
+        let names: Vec<Box<str>> = ordered.map(|(name, _)| name.clone()).collect();
         for name in names {
+            let back = self.is_back(&name);
             let machine = &mut self.machines.by_name[&name];
             let Some(ordered) = &machine.ordered else {
                 continue;
@@ -123,7 +125,7 @@
             match ordered.accepted {
                 Some(at) => {
                     let listed = machine.view.state == MachineState::Up && listed_at > at;
-                    let up = listed || back.contains(&name);
+                    let up = listed || back;
                     if up || self.now > at + ORDER_LIMIT {
                         machine.ordered = None;
                         machine.idle_since = None;
@@ -138,11 +140,10 @@
         }
     }
 
-    /// The machines whose order was accepted and whose new worker answers.
-    fn machines_back(&self) -> IndexSet<Box<str>> {
-        let workers = self.workers.iter().filter(|(_, worker)| worker.answers());
-        let on = workers.filter_map(|(_, worker)| worker.record.machine.clone());
-        on.collect()
+    /// Whether a worker that says that it runs on a machine answers.
+    fn is_back(&self, name: &str) -> bool {
+        let worker = self.workers.on_machine(name);
+        worker.is_some_and(|worker| self.workers[worker].answers())
     }
 
     pub(super) fn order_machine(&mut self, name: &str, order: MachineOrder) {
@@ -236,8 +237,7 @@
                 if answer == MachineAnswer::Refused
                     && let MachineOrder::Move { pool } = order
                 {
-                    let pair = (name.into(), pool.clone());
-                    self.machines.refused.insert(pair);
+                    self.machines.refuse(name, pool);
                 }
                 if let Some(worker) = self.worker_on(name) {
                     self.workers[worker].cordoned = false;
@@ -275,12 +275,9 @@
     /// Notes since when each machine has been idle.
     fn watch_idle(&mut self) {
         let now = self.now;
-        let machines = self.machines.by_name.iter();
-        let seen: Vec<(Box<str>, bool)> = machines
-            .map(|(name, machine)| (name.clone(), self.is_idle(machine)))
-            .collect();
-        for (name, idle) in seen {
-            let machine = &mut self.machines.by_name[&name];
+        let machines = self.machines.by_name.values();
+        let idle: Vec<bool> = machines.map(|machine| self.is_idle(machine)).collect();
+        for (machine, idle) in self.machines.by_name.values_mut().zip(idle) {
             machine.idle_since = idle.then(|| machine.idle_since.unwrap_or(now));
         }
     }
--- a/crates/cleat-jobs/src/schedule/fleet/reserve.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/reserve.rs
@@ -65,10 +65,9 @@
         let view = &machine.view;
         let free =
             machine.is_free() && view.state == MachineState::Up && machine.missing_since.is_none();
-        let refused = (view.name.clone(), pool.into());
         let worker = &self.workers[key];
         let stays = worker.answers() && !worker.draining && !worker.cordoned;
-        free && stays && !self.machines.refused.contains(&refused)
+        free && stays && !self.machines.refuses(&view.name, pool)
     }
 
     /// Moves the reserved machines that are empty, and lets go of those that
