Bring machines for tasks kept apart where others fill the rest

Cause: the same as for tasks that take most of a worker, the need compared with the room in all; the mend before looked at the largest room only.

A waiting task now counts as fitting only where a worker takes it beside what runs there, apart from its step's own where that is asked. Two tests seen red before (0 machines moved, 1 wanted).

--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -7,6 +7,7 @@
 use super::machine::{Machine, MachineOrder, MachineState};
 use crate::Size;
 use crate::schedule::account::CustomerKey;
+use crate::schedule::step::ActiveStep;
 use crate::schedule::timing::Prospect;
 use crate::schedule::{Decision, Scheduler};
 use crate::state::ControlState;
@@ -44,8 +45,8 @@
     /// The most of each resource that one of them has, and has free.
     largest: Size,
     room: Size,
-    /// How many tasks wait for most of a worker that no worker has free.
-    misfits: usize,
+    /// What the tasks take up that wait and fit beside no worker's runs.
+    misfits: Size,
 }
 
 impl Balance {
@@ -89,14 +90,23 @@
         self.room = self.room.max_of_each(room);
     }
 
-    /// Takes waiting tasks. Those that take most of a worker don't share one, so that
-    /// the room which others leave in all may be of no use to them.
-    fn wait(&mut self, footprint: Size, count: u64) {
+    /// Takes waiting tasks, for which so many workers that are there have a place.
+    fn wait(&mut self, footprint: Size, count: u64, places: u64) {
         self.pending += footprint.times(count);
-        let alone = footprint.fits(self.largest) && !footprint.times(2).fits(self.largest);
-        if alone && !footprint.fits(self.room) {
-            self.misfits += usize::try_from(count).unwrap_or(usize::MAX);
+        if !footprint.fits(self.largest) {
+            return;
         }
+        let shares = footprint.times(2).fits(self.largest);
+        let part = if shares { footprint } else { self.largest };
+        self.misfits += part.times(count.saturating_sub(places));
+    }
+
+    /// How many workers the tasks fill that fit beside no worker's runs.
+    fn workers_of_misfits(&self) -> usize {
+        let workers = |part: u64, of: u64| part.div_ceil(of.max(1));
+        let cpu = workers(self.misfits.cpu_milli, self.largest.cpu_milli);
+        let memory = workers(self.misfits.memory_mb, self.largest.memory_mb);
+        usize::try_from(cpu.max(memory)).unwrap_or(usize::MAX)
     }
 
     /// Counts the workers that its tasks need by their number. Of those that may not be
@@ -104,11 +114,11 @@
     /// more than twice the workers are asked for.
     fn count_workers(&mut self) {
         let apart = self.apart.min(2 * self.workers);
-        let whole = match self.misfits {
+        let more = match self.workers_of_misfits() {
             0 => 0,
             misfits => self.present + misfits,
         };
-        self.least_workers = self.least_workers.max(apart).max(whole);
+        self.least_workers = self.least_workers.max(apart).max(more);
     }
 
     /// Which part of the need is met, in thousandths; that of the resource
@@ -207,7 +217,7 @@
                 count = count.min(step.charge.size.times_in(*left));
                 *left -= step.charge.size.times(count);
             }
-            balance.wait(step.footprint, count);
+            balance.wait(step.footprint, count, self.places(step, balance.room));
         }
     }
 
@@ -247,6 +257,25 @@
         }
     }
 
+    /// How many tasks of a step find a place on workers that are there, of which none has
+    /// more than `room` free. What others leave of each may be much in all and of no use
+    /// to a large task, or to one that others of its step have to be apart from.
+    fn places(&self, step: &ActiveStep, room: Size) -> u64 {
+        if step.pending.is_empty() || !step.footprint.fits(room) {
+            return 0;
+        }
+        if step.most_on_one.is_none() {
+            return u64::MAX;
+        }
+        let workers = self.workers.in_pool(&step.pool);
+        let takes = workers.filter(|(key, worker)| {
+            worker.takes_work(self.now)
+                && step.footprint.fits(worker.room())
+                && !step.is_full_on(*key)
+        });
+        takes.count() as u64
+    }
+
     /// What the tasks of a pool take up that run until they are cancelled.
     fn lasting(&self, pool: &str) -> Size {
         let steps = self.steps.values();
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -36,6 +36,8 @@
     pub(crate) ready_at: u64,
     /// How many workers it needs, by how many of its tasks may run on one.
     pub(crate) least_workers: usize,
+    /// How many of its tasks may run on one worker, if that is limited.
+    pub(crate) most_on_one: Option<u32>,
     /// What each of its tasks takes up.
     pub(crate) footprint: Size,
     /// What each of its tasks counts for.
@@ -98,6 +100,12 @@
         }
     }
 
+    /// Whether as many of its tasks as may be run on a worker.
+    pub(crate) fn is_full_on(&self, worker: WorkerKey) -> bool {
+        let placed = self.placed.get(&worker).copied().unwrap_or_default();
+        self.most_on_one.is_some_and(|most| placed >= most)
+    }
+
     pub(crate) fn place(&mut self, index: u32, worker: WorkerKey) {
         self.pending.remove(&index);
         *self.placed.entry(worker).or_default() += 1;
@@ -219,6 +227,7 @@
             since: self.now,
             ready_at: job.ready_at(id),
             least_workers: spec.least_workers(),
+            most_on_one: spec.max_per_worker,
             footprint: spec.footprint(),
             charge,
             standing: self.standings.get(&id.job).copied().unwrap_or_default(),
--- a/crates/cleat-jobs/tests/machines.rs
+++ b/crates/cleat-jobs/tests/machines.rs
@@ -68,6 +68,43 @@
     assert!(moved(&bed.tick(ms(50))).is_empty(), "they are on their way");
 }
 
+/// The same where two would share a worker, and none has room for one.
+#[test]
+fn move_machine_for_tasks_that_fit_beside_no_others() {
+    let workers = ["w1", "w2", "w3", "w4"];
+    let mut bed = Bed::with_workers(&workers);
+    let own = workers.map(|name| machine(&format!("m-{name}"), "a", Some(name)));
+    let spare = ["s1", "s2"].map(|name| machine(name, "spare", None));
+    list_machines(&mut bed, [own.to_vec(), spare.to_vec()].concat());
+    bed.submit(1, vec![step(4, 5_500)]);
+    bed.submit(2, vec![step(2, 3_000)]);
+    let effects = bed.tick(ms(50));
+    assert_eq!(moved(&effects).len(), 1, "2.5 of 8 cores are free on each");
+}
+
+/// The same where the only worker with room for a task has another of its step, from
+/// which it has to be apart.
+#[test]
+fn move_machine_for_tasks_kept_apart_where_others_fill_the_rest() {
+    let workers = ["w1", "w2", "w3"];
+    let mut bed = Bed::with_workers(&workers);
+    let own = workers.map(|name| machine(&format!("m-{name}"), "a", Some(name)));
+    let spare = ["s1", "s2"].map(|name| machine(name, "spare", None));
+    list_machines(&mut bed, [own.to_vec(), spare.to_vec()].concat());
+    bed.submit(1, vec![step(2, 7_000)]);
+    let apart = StepSpec {
+        max_per_worker: Some(1),
+        ..step(2, 2_000)
+    };
+    bed.submit(2, vec![apart]);
+    let effects = bed.tick(ms(50));
+    assert_eq!(
+        moved(&effects).len(),
+        1,
+        "of 24 cores 6 are free on one worker"
+    );
+}
+
 /// No machine helps a task that is larger than all of them.
 #[test]
 fn move_no_machine_for_a_task_that_fits_no_worker() {
