Free the room of an ended run in one place, and take tuning out of comments

A run's room was freed in the same way by its listed end and by its worker's crash; the way in which a life is over was found by two look-ups of the same machine. No decision changes; the tests of cleat-jobs pass.

--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -91,6 +91,19 @@
         self.attempts.insert(task, attempt);
     }
 
+    /// Takes a run as ended and frees its room. Its task waits for a commit.
+    pub(super) fn end_attempt(&mut self, task: TaskId) -> Option<&Attempt> {
+        let attempt = self.attempts.get_mut(&task)?;
+        if !attempt.holds_room() {
+            return None;
+        }
+        attempt.phase = Phase::Ended;
+        self.workers[attempt.worker].used -= attempt.footprint;
+        let charge = attempt.charge;
+        self.release_charge(charge);
+        self.attempts.get(&task)
+    }
+
     /// Removes a run and frees its room.
     pub(super) fn remove_attempt(&mut self, task: TaskId) -> Option<Attempt> {
         let attempt = self.attempts.swap_remove(&task)?;
--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -181,14 +181,10 @@
 
     /// Frees the room of a run that is lost. Its task waits for a commit.
     fn end_uncommitted(&mut self, task: TaskId, reason: LossReason) {
-        let Some(attempt) = self.attempts.get_mut(&task) else {
+        let Some(attempt) = self.end_attempt(task) else {
             return;
         };
-        attempt.phase = Phase::Ended;
         let (key, run, crashes) = (attempt.worker, attempt.run, attempt.suspicion.crashes + 1);
-        let (footprint, charge) = (attempt.footprint, attempt.charge);
-        self.workers[key].used -= footprint;
-        self.release_charge(charge);
         let worker = self.worker_name(key);
         self.tell(Decision::Lost {
             task: task.to_string().into(),
--- a/crates/cleat-jobs/src/schedule/fleet/absent.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/absent.rs
@@ -24,34 +24,28 @@
             .collect();
         let by_machine: IndexMap<&str, &MachineView> =
             list.iter().map(|view| (&*view.name, view)).collect();
-        let is_absent = |worker: &Worker| {
-            let machine = worker.record.machine.as_deref();
-            let view = machine.and_then(|machine| by_machine.get(machine));
+        // How the life of a worker would be over that the list leaves out.
+        let absent = |worker: &Worker| {
             let known_before = worker.known_since <= sent_at;
-            known_before
-                && worker.is_out_of_reach()
-                && !named.contains(&*worker.record.name)
-                && view.is_some_and(|view| tells_what_it_runs(view))
+            if !known_before || !worker.is_out_of_reach() || named.contains(&*worker.record.name) {
+                return None;
+            }
+            let view = by_machine.get(worker.record.machine.as_deref()?)?;
+            tells_what_it_runs(view).then(|| match view.was_taken_from(&worker.record.pool) {
+                true => LifeOver::MachineOrdered,
+                false => LifeOver::Absent,
+            })
         };
-        let mut over: Vec<(WorkerKey, bool)> = Vec::new();
+        let mut over: Vec<(WorkerKey, LifeOver)> = Vec::new();
         for key in self.workers.keys() {
             let worker = &mut self.workers[key];
-            if !is_absent(worker) {
-                worker.absent_since = None;
-            } else if worker.absent_since.is_none() {
-                worker.absent_since = Some(sent_at);
-            } else {
-                let machine = worker.record.machine.as_deref();
-                let view = machine.and_then(|machine| by_machine.get(machine));
-                let pool = &worker.record.pool;
-                over.push((key, view.is_some_and(|view| view.was_taken_from(pool))));
+            match absent(worker) {
+                None => worker.absent_since = None,
+                Some(how) if worker.absent_since.is_some() => over.push((key, how)),
+                Some(_) => worker.absent_since = Some(sent_at),
             }
         }
-        for (key, ordered) in over {
-            let how = match ordered {
-                true => LifeOver::MachineOrdered,
-                false => LifeOver::Absent,
-            };
+        for (key, how) in over {
             self.life_over(key, how);
         }
     }
--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -108,8 +108,7 @@
 
     /// Takes what a list says that was asked for at `sent_at`, unless an order
     /// came since. Else a machine that has moved looks idle in its old pool, and
-    /// an order ends what runs there: 506 runs in a played day of 3,000 machines,
-    /// whose lists take long.
+    /// an order ends what runs there. Lists of large fleets take long.
     pub(crate) fn take_view(&mut self, view: MachineView, sent_at: Duration) {
         let outdated = self.changed_at.is_some_and(|at| at >= sent_at);
         if !outdated && !self.awaits_answer() {
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -57,7 +57,7 @@
 
     /// A worker's lease is over. The next owner learns so from the replicated
     /// state; else each pool with such a worker would stand still for another
-    /// lease after a takeover (4.9 s, in which 57 to 64 tasks waited).
+    /// lease after a takeover.
     fn lapse(&mut self, state: &ControlState, key: WorkerKey) {
         self.believe(key, WorkerState::Lapsed);
         if let Some((name, token, uses)) = self.end_use(state, key) {
--- a/crates/cleat-jobs/src/schedule/place.rs
+++ b/crates/cleat-jobs/src/schedule/place.rs
@@ -13,9 +13,7 @@
 /// day and restarts a task each second stays below it.
 const RUNS_AN_OWNER: u64 = 1 << 20;
 /// How many steps may find no place before a pass over a pool ends, so that
-/// room gathers for large tasks and a pass over a full pool is short. 40 and 12
-/// earn the same within noise (0.005 of worth a day over 17 days played with
-/// each); with no limit, days with more work than room earn 0.03 less.
+/// room gathers for large tasks and a pass over a full pool is short.
 const MISFITS: usize = 12;
 
 impl Scheduler {
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -1,9 +1,8 @@
 //! Which pools have to be looked at, and which of their steps.
 //!
-//! Looking at every step of every pool after each event took 204 us a start
-//! where 350 workers have more work than room (measured by the example
-//! `decision_cost`); so each pool is looked at only after something changed
-//! there.
+//! With more work than room, looking at every step of every pool after each event
+//! takes most of an owner's processor; so each pool is looked at only after something
+//! changed there.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -20,8 +19,7 @@
 
 /// What a task takes beside its run: the call that starts it, the one that lists its
 /// end, and the commit of that. Without it a pool with more work than room starts
-/// each task just too late: beside a customer within its share, one that sends ten
-/// times its own has 38 jobs in time in place of 85 (played by the test of shares).
+/// each task just too late.
 const ON_THE_WAY: Duration = Duration::from_millis(50);
 
 /// Which step of a pool goes first; lower goes first.
@@ -75,8 +73,9 @@
     }
 
     /// The steps of a pool that wait for a place: the queue's class first, then
-    /// what is within its customer's share, then what can still be in time. None if no step may fit into `room`. Steps
-    /// of a customer that has all it may have are left out.
+    /// what is within its customer's share, then what can still be in time. None if
+    /// no step may fit into `room`. Steps of a customer that has all it may have are
+    /// left out.
     ///
     /// A pass looks at the first few only, so they are not sorted all.
     pub(super) fn ready_steps(
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -238,13 +238,11 @@
         if attempt.worker != key || attempt.run != end.run || !attempt.holds_room() {
             return;
         }
-        attempt.phase = Phase::Ended;
-        let (footprint, charge, began) = (attempt.footprint, attempt.charge, attempt.began);
         if !end.checkpoint.is_empty() {
             attempt.checkpoint = end.checkpoint.clone();
         }
-        self.workers[key].used -= footprint;
-        self.release_charge(charge);
+        let began = attempt.began;
+        self.end_attempt(end.task);
         self.note_begun(end.task.job());
         let worker = self.worker_name(key);
         self.tell(Decision::Ended {
--- a/crates/cleat-quorum/src/core/timing.rs
+++ b/crates/cleat-quorum/src/core/timing.rs
@@ -39,11 +39,9 @@
     /// For a group whose work stands still while nobody leads, and whose members
     /// are few: half the default's silence for twice its heartbeats.
     ///
-    /// A change of leader then takes 0.3 to 0.6 s rather than 0.6 to 1.1 s. In
-    /// 15 played days with two to four changes each, callers' requests in time
-    /// rose in the two worst windows of a day from 0.57 to 0.60 (mean; a
-    /// difference as large as chance makes). The silence has to stay above the
-    /// pauses of a busy or capped processor, some 0.1 s, and two heartbeats.
+    /// A change of leader then takes 0.3 to 0.6 s rather than 0.6 to 1.1 s. The
+    /// silence has to stay above the pauses of a busy or capped processor, some
+    /// 0.1 s, and two heartbeats.
     pub fn prompt() -> Timing {
         Timing {
             heartbeat: Duration::from_millis(100),
