Bound the moves beside the machine-seconds

The example tells from an owner's log how few moves and machine-seconds would have done together, for what a move costs.

--- a/crates/cleat-jobs/examples/machine_bound.rs
+++ b/crates/cleat-jobs/examples/machine_bound.rs
@@ -6,7 +6,12 @@
 //! may put only so many tasks on one. It knows neither that a machine takes time to
 //! come, nor that tasks of different sizes leave room unused.
 //!
-//!     cargo run --release -p cleat-jobs --example machine_bound < owners.log
+//! With what a move costs, in seconds of a machine, it adds how few of both would have
+//! done: each machine that a pool needs stays through a pause that is shorter than a
+//! move is dear, and else goes and comes back. The way back costs nothing, since another
+//! pool may need the machine, so no policy does with less.
+//!
+//!     cargo run --release -p cleat-jobs --example machine_bound -- [MOVE_SECONDS] < owners.log
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead};
@@ -16,6 +21,8 @@
 /// What a `pool` line says; other lines lack some of it.
 #[derive(Deserialize)]
 struct PoolLine {
+    /// Milliseconds since the Unix epoch.
+    time_ms: u64,
     pool: Box<str>,
     used_cpu_milli: u64,
     offered_cpu_milli: u64,
@@ -25,12 +32,14 @@
 }
 
 /// The sums of one pool.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Default)]
 struct Sums {
     seconds: u64,
     had: f64,
     bound: f64,
     waiting: u64,
+    /// How many machines were needed, by second.
+    needs: BTreeMap<u64, usize>,
 }
 
 impl Sums {
@@ -38,14 +47,43 @@
     fn add(&mut self, line: &PoolLine) {
         let machine = line.offered_cpu_milli as f64 / line.workers.max(1) as f64;
         let filled = line.used_cpu_milli as f64 / machine.max(1.0);
+        let need = filled.max(line.least_workers as f64);
         self.seconds += 1;
         self.had += line.workers as f64;
-        self.bound += filled.max(line.least_workers as f64);
+        self.bound += need;
         self.waiting += line.waiting;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        self.needs
+            .insert(line.time_ms / 1_000, need.ceil() as usize);
+    }
+
+    /// The fewest machine-seconds and moves for these needs.
+    fn least(&self, move_seconds: u64) -> (u64, u64) {
+        let most = self.needs.values().copied().max().unwrap_or_default();
+        let each = (1..=most).map(|nth| self.least_of(nth, move_seconds));
+        each.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+    }
+
+    /// The same for the one machine that is needed while at least `nth` are.
+    fn least_of(&self, nth: usize, move_seconds: u64) -> (u64, u64) {
+        let needed = self.needs.iter().filter(|(_, need)| **need >= nth);
+        let mut last: Option<u64> = None;
+        let (mut seconds, mut moves) = (0, 0);
+        for (second, _) in needed {
+            let pause = last.map(|last| second - last - 1);
+            match pause {
+                Some(pause) if pause < move_seconds => seconds += pause,
+                _ => moves += 1,
+            }
+            seconds += 1;
+            last = Some(*second);
+        }
+        (seconds, moves)
     }
 }
 
 fn main() -> io::Result<()> {
+    let move_seconds: Option<u64> = std::env::args().nth(1).and_then(|arg| arg.parse().ok());
     let mut pools: BTreeMap<Box<str>, Sums> = BTreeMap::new();
     for line in io::stdin().lock().lines() {
         let line = line?;
@@ -69,6 +107,9 @@
         all.waiting += sums.waiting;
     }
     print("all", &all);
+    if let Some(move_seconds) = move_seconds {
+        print_least(&pools, move_seconds);
+    }
     Ok(())
 }
 
@@ -80,3 +121,16 @@
         sums.seconds, sums.had, sums.bound, sums.waiting
     );
 }
+
+fn print_least(pools: &BTreeMap<Box<str>, Sums>, move_seconds: u64) {
+    println!("\nfewest, where a move costs {move_seconds} s of a machine:");
+    println!("{:<16} {:>15} {:>8}", "pool", "machine-seconds", "moves");
+    let (mut seconds, mut moves) = (0, 0);
+    for (pool, sums) in pools {
+        let least = sums.least(move_seconds);
+        println!("{pool:<16} {:>15} {:>8}", least.0, least.1);
+        seconds += least.0;
+        moves += least.1;
+    }
+    println!("{:<16} {seconds:>15} {moves:>8}", "all");
+}
