Keep the port of a killed target bound in the fault matrix

Cause: a cell of request_every_step_and_fault that kills its target freed the target's port. Another process on the machine could listen there before the retry connected, and its answer was taken for the target's. Ruled out: a fault of the entry; the cells fail in the same way with the sources as landed. Change: a second socket stays bound to the target's port without listening, so that a connection to a dead target is refused and no other process gets the port. Measured beside two processes that bind and answer on ports all the time: 1 of 6 runs failed before (Get | Connecting | KillTarget), 0 of 6 with it.

--- a/crates/cleat-entry/tests/matrix_support/target.rs
+++ b/crates/cleat-entry/tests/matrix_support/target.rs
@@ -31,6 +31,9 @@
 pub struct Target {
     pub address: SocketAddr,
     pub mode: Arc<watch::Sender<Mode>>,
+    /// Keeps the port bound once the target is dead. Otherwise another process could
+    /// listen on the freed port, and answer the retry in place of the dead target.
+    _port: TcpSocket,
     /// The connection that fills the backlog.
     _filler: Option<TcpStream>,
 }
@@ -39,7 +42,12 @@
     pub async fn spawn(number: usize, scenario: &Arc<Scenario>, mode: Mode) -> Target {
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+        // Two sockets can be bound to a port only if both allow it.
+        socket.set_reuseport(true).unwrap();
         socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let port = TcpSocket::new_v4().unwrap();
+        port.set_reuseport(true).unwrap();
+        port.bind(socket.local_addr().unwrap()).unwrap();
         let full = mode == Mode::Full;
         let listener = socket.listen(if full { 0 } else { 64 }).unwrap();
         let address = listener.local_addr().unwrap();
@@ -57,6 +65,7 @@
         Target {
             address,
             mode,
+            _port: port,
             _filler: filler,
         }
     }
