--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -7,11 +7,11 @@
 
 use cleat_control::{ControlConfig, ControlNode, Metrics, PeerAddressing, PlatformClients};
 use cleat_http::{ConnectionBudget, Listener};
-use cleat_jobs::SchedulerConfig;
+use cleat_jobs::{Features, SchedulerConfig};
 use cleat_operate::JobOperatorServer;
 use cleat_platform::{ControlApi, HttpAdviser, HttpMachines, HttpWorkers, WorkerTimeouts};
 use cleat_quorum::Timing;
-use cleat_settings::{AnySettings, ControlSettings, OrderPath};
+use cleat_settings::{AnySettings, ControlSettings, OrderPath, SchedulingSettings};
 use snafu::ResultExt;
 
 use super::{Life, follow_seeds, seed_keys, serve_metrics, start_events, until_told_to_stop};
@@ -108,6 +108,7 @@
     if let Some(remember) = timing.remember_ms {
         scheduler.ended_job_retention = Duration::from_millis(remember);
     }
+    scheduler.features = features(settings.scheduling);
     ControlConfig {
         name: settings.name.clone(),
         id: PeerAddressing::member_id(settings.ip),
@@ -122,3 +123,14 @@
         scheduler,
     }
 }
+
+fn features(settings: SchedulingSettings) -> Features {
+    Features {
+        admission: settings.admission,
+        worker_speed: settings.worker_speed,
+        speculation_percent: settings.speculation_percent,
+        machine_plan: settings.machine_plan,
+        carry_over_interval: Duration::from_millis(settings.carry_over_ms),
+        preemption: settings.preemption,
+    }
+}
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -13,6 +13,7 @@
 mod decision;
 mod durations;
 mod event;
+mod features;
 mod fleet;
 mod forecast;
 mod heartbeat;
@@ -43,6 +44,7 @@
     Effect, EndedRun, Event, Heartbeat, MachineAnswer, Order, OrderAnswer, RenewalAnswer,
     RenewalOrder, RunningTask, TaskOrder,
 };
+pub use features::Features;
 pub use fleet::{MachineOrder, MachineState, MachineView};
 pub use forecast::{Arrivals, JobUsage};
 pub use protections::Protections;
@@ -92,6 +94,8 @@
     pub max_early_start: Duration,
     /// How customers' shares affect the order of work.
     pub share_policy: SharePolicy,
+    /// The optional decisions that the settings enable.
+    pub features: Features,
     /// Test-only switches.
     #[doc(hidden)]
     pub protections: Protections,
@@ -111,6 +115,7 @@
             ended_job_retention: Duration::from_secs(240),
             max_early_start: Duration::ZERO,
             share_policy: SharePolicy::default(),
+            features: Features::default(),
             protections: Protections::default(),
         }
     }
--- a/crates/cleat-settings/src/lib.rs
+++ b/crates/cleat-settings/src/lib.rs
@@ -9,7 +9,9 @@
 
 pub use defaults::default_text;
 pub use error::SettingsError;
-pub use roles::{AnySettings, ControlSettings, GatewaySettings, OrderPath, TimingSettings};
+pub use roles::{
+    AnySettings, ControlSettings, GatewaySettings, OrderPath, SchedulingSettings, TimingSettings,
+};
 pub use settings::{
     Listen, LogFormat, LogSettings, MetricsSettings, Peer, Settings, TraceSettings,
 };
--- a/crates/cleat-settings/src/roles/control.rs
+++ b/crates/cleat-settings/src/roles/control.rs
@@ -62,6 +62,37 @@
     /// Durations that differ between platforms.
     #[serde(default)]
     pub timing: TimingSettings,
+    /// Optional decisions of the scheduler. All control instances have to state
+    /// the same.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
+    /// Whether heartbeats that arrive while this instance reaches no leader are
+    /// redirected to another instance.
+    #[serde(default)]
+    pub redirect_heartbeats: bool,
+}
+
+/// Optional decisions of the scheduler; what is left out is disabled.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SchedulingSettings {
+    /// Whether jobs that cannot be completed in time are refused when they are
+    /// submitted.
+    pub admission: bool,
+    /// Whether the speed of each worker is estimated and considered when tasks
+    /// are placed.
+    pub worker_speed: bool,
+    /// The maximum part of a pool's capacity that second copies of speculative
+    /// tasks may use, in percent; 0 disables them.
+    #[serde(deserialize_with = "percent")]
+    pub speculation_percent: u32,
+    /// Whether machines are assigned to all pools by one plan.
+    pub machine_plan: bool,
+    /// The interval at which learned statistics are committed for the next
+    /// leader, in milliseconds; 0 disables this.
+    pub carry_over_ms: u64,
+    /// Whether a task that writes checkpoints may be stopped for urgent work.
+    pub preemption: bool,
 }
 
 /// How workers get their orders.
@@ -104,6 +135,15 @@
     Ok(files)
 }
 
+fn percent<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    let percent = u32::deserialize(deserializer)?;
+    if percent > 100 {
+        let text = format!("speculation_percent: {percent} is too much, give 100 at most");
+        return Err(D::Error::custom(text));
+    }
+    Ok(percent)
+}
+
 fn one() -> usize {
     1
 }
--- a/crates/cleat-settings/src/roles/mod.rs
+++ b/crates/cleat-settings/src/roles/mod.rs
@@ -5,7 +5,7 @@
 mod control;
 mod gateway;
 
-pub use control::{ControlSettings, OrderPath, TimingSettings};
+pub use control::{ControlSettings, OrderPath, SchedulingSettings, TimingSettings};
 pub use gateway::GatewaySettings;
 
 use std::net::SocketAddrV4;
