Redirect calls of workers and operators while no leader is reached

Cause: during a partition of the control group, an instance on the smaller side waits for its time limit (150 ms for a heartbeat, 900 ms for other calls) and answers 503, and a new worker that draws it retries with growing delays. Change: with redirect_heartbeats, such an instance answers 307 with the same path at an instance that it has not heard from within an election timeout. It does so if it has heard of no leader within an election timeout, or a call has just found none, and if its side has no majority. Calls with redirected=1 and calls whose outcome may be unknown are not redirected. Counts calls.no_leader and heartbeats.redirected, events no_leader and leader_reached. Measured: linter, and the tests of cleat-control, cleat-platform and celerycleatd pass.

--- a/crates/celerycleatd/src/dev_jobs.rs
+++ b/crates/celerycleatd/src/dev_jobs.rs
@@ -126,6 +126,7 @@
         voters: 1,
         remove_silent_after: Duration::MAX,
         data_folder: folder.join("jobs"),
+        redirect_calls: false,
         timing: Timing::fast_failover(),
         scheduler: SchedulerConfig::default(),
     }
--- a/crates/celerycleatd/src/roles/control.rs
+++ b/crates/celerycleatd/src/roles/control.rs
@@ -119,6 +119,7 @@
         voters: 2 * settings.losses_to_bear + 1,
         remove_silent_after: REPLACE_AFTER,
         data_folder: settings.data_folder.clone(),
+        redirect_calls: settings.redirect_heartbeats,
         timing: Timing::fast_failover(),
         scheduler,
     }
--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -46,6 +46,11 @@
     /// Commands of the owner commit again, or this instance is no longer the
     /// owner.
     CommitsFailEnd { failed: u64, lasted_ms: u128 },
+    /// A call of a worker or an operator found no leader; logged for the first such
+    /// call after one that was answered.
+    NoLeader,
+    /// A call was answered again. `calls` found no leader before.
+    LeaderReached { calls: u64, lasted_ms: u128 },
     /// This instance is no longer the owner of the workers.
     OwnsNoMore { token: u64, reason: OwnershipEnd },
 }
--- a/crates/cleat-control/src/gateway.rs
+++ b/crates/cleat-control/src/gateway.rs
@@ -113,6 +113,11 @@
         self.seeds.store(Arc::new(seeds));
     }
 
+    /// The control instances to call while the leader is unknown.
+    pub(crate) fn seeds(&self) -> Arc<Vec<MemberId>> {
+        self.seeds.load_full()
+    }
+
     /// Sets the leader that the local replica knows; `None` has no effect.
     pub(crate) fn set_leader_hint(&self, leader: Option<MemberId>) {
         if let Some(MemberId(id)) = leader {
--- a/crates/cleat-control/src/lib.rs
+++ b/crates/cleat-control/src/lib.rs
@@ -25,7 +25,7 @@
 pub use error::StartError;
 pub use gateway::{Gateway, GatewayConfig};
 pub use metrics::Metrics;
-pub use node::{ControlConfig, ControlNode};
+pub use node::{ControlConfig, ControlNode, ForwardError};
 pub use platform::{
     AdviceClient, MachineClient, NoAdviser, NoMachines, PlatformClients, RenewalError, WorkerClient,
 };
--- a/crates/cleat-control/src/node/config.rs
+++ b/crates/cleat-control/src/node/config.rs
@@ -32,6 +32,9 @@
     pub remove_silent_after: Duration,
     /// The folder of its log and snapshots.
     pub data_folder: PathBuf,
+    /// Whether calls of workers and operators are redirected to another instance while
+    /// this one reaches no leader.
+    pub redirect_calls: bool,
     /// The timeouts and leases of the consensus group.
     pub timing: Timing,
     /// The configuration of the scheduler.
--- /dev/null
+++ b/crates/cleat-control/src/node/group_contact.rs
@@ -0,0 +1,312 @@
+//! Decides whether a call is forwarded or redirected while no leader is reached.
+//!
+//! See `docs/design/partitioned-control.md`.
+
+use std::time::Duration;
+
+use cleat_quorum::{Body, MemberId, Message, Timing};
+use indexmap::IndexMap;
+
+/// The maximum number of members whose last message is remembered. A group has 5 to 7
+/// members; the bound holds if senders announce arbitrary IDs.
+const MAX_HEARD: usize = 64;
+
+/// What to do with a call that this instance can't answer itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Route {
+    /// Forward it: a leader is reached, or can be elected on this side.
+    Forward,
+    /// Do not forward it. A caller may be redirected to the member, if there is one.
+    NoLeader { elsewhere: Option<MemberId> },
+}
+
+/// What an instance knows about its contact with the group.
+///
+/// Times are measured from any fixed origin.
+#[derive(Debug)]
+pub(crate) struct GroupContact {
+    own: MemberId,
+    majority: usize,
+    timing: Timing,
+    /// The last sign of a leader, initially the start of the instance.
+    leader_at: Duration,
+    /// When a call last found no leader, unless one was answered since.
+    failed_at: Option<Duration>,
+    /// The time of the last message of each member.
+    heard: IndexMap<MemberId, Duration>,
+    /// The number of redirects, by which the targets take turns.
+    redirects: usize,
+}
+
+impl GroupContact {
+    /// Creates the state of the instance `own` in a group with `voters` voters.
+    pub(crate) fn new(own: MemberId, voters: usize, timing: Timing, now: Duration) -> GroupContact {
+        GroupContact {
+            own,
+            majority: voters / 2 + 1,
+            timing,
+            leader_at: now,
+            failed_at: None,
+            heard: IndexMap::new(),
+            redirects: 0,
+        }
+    }
+
+    /// Records a message of another member.
+    pub(crate) fn record_message(&mut self, message: &Message, now: Duration) {
+        if matches!(message.body, Body::Append(_) | Body::InstallSnapshot(_)) {
+            self.leader_at = now;
+        }
+        self.heard.insert(message.from, now);
+        if self.heard.len() > MAX_HEARD {
+            let oldest = self.heard.iter().min_by_key(|(_, at)| **at);
+            if let Some(id) = oldest.map(|(id, _)| *id) {
+                self.heard.swap_remove(&id);
+            }
+        }
+    }
+
+    /// Records that a call reached a leader.
+    pub(crate) fn record_leader(&mut self, now: Duration) {
+        self.leader_at = now;
+        self.failed_at = None;
+    }
+
+    /// Records that a call reached no leader within its time limit.
+    pub(crate) fn record_failure(&mut self, now: Duration) {
+        self.failed_at = Some(now);
+    }
+
+    /// Decides about a call. `members` are the known members of the group.
+    ///
+    /// Calls are redirected only if this side of a partition has no majority: if it has
+    /// one, an election ends here soon, and the silent member may be a dead machine.
+    pub(crate) fn route(&mut self, members: &[MemberId], now: Duration) -> Route {
+        if !self.is_without_leader(now) || self.side(now) >= self.majority {
+            return Route::Forward;
+        }
+        let unheard = |id: &&MemberId| **id != self.own && !self.hears(**id, now);
+        let targets: Vec<MemberId> = members.iter().filter(unheard).copied().collect();
+        let elsewhere = targets.get(self.redirects % targets.len().max(1)).copied();
+        Route::NoLeader { elsewhere }
+    }
+
+    /// Records that a caller was redirected, so that the next one is sent elsewhere.
+    pub(crate) fn record_redirect(&mut self) {
+        self.redirects = self.redirects.wrapping_add(1);
+    }
+
+    /// Whether no leader was heard of within an election timeout, or a call just found
+    /// none. The second condition covers followers of a leader without a majority,
+    /// which sends heartbeats until its election timeout has passed. It expires, so
+    /// that a call finds out whether it still holds.
+    fn is_without_leader(&self, now: Duration) -> bool {
+        let silent = now.saturating_sub(self.leader_at) >= self.timing.election_timeout_max;
+        let failed = self
+            .failed_at
+            .is_some_and(|at| now.saturating_sub(at) < self.timing.election_timeout_min);
+        silent || failed
+    }
+
+    /// The number of members on this side, including this one.
+    fn side(&self, now: Duration) -> usize {
+        let others = self.heard.keys().filter(|id| **id != self.own);
+        1 + others.filter(|id| self.hears(**id, now)).count()
+    }
+
+    fn hears(&self, id: MemberId, now: Duration) -> bool {
+        let window = self.timing.election_timeout_max;
+        let heard_at = self.heard.get(&id);
+        heard_at.is_some_and(|at| now.saturating_sub(*at) < window)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use cleat_quorum::{Append, VoteReply};
+
+    use super::*;
+
+    const MEMBERS: [MemberId; 5] = [
+        MemberId(1),
+        MemberId(2),
+        MemberId(3),
+        MemberId(4),
+        MemberId(5),
+    ];
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    fn contact(own: u32, voters: usize) -> GroupContact {
+        GroupContact::new(MemberId(own), voters, Timing::fast_failover(), ms(0))
+    }
+
+    fn message(from: u32, body: Body) -> Message {
+        Message {
+            group: 1,
+            from: MemberId(from),
+            to: MemberId(0),
+            term: 1,
+            body,
+        }
+    }
+
+    fn append(from: u32) -> Message {
+        let append = Append {
+            round: 1,
+            prev_index: 0,
+            prev_term: 0,
+            commit: 0,
+            echo: None,
+            entries: Vec::new(),
+        };
+        message(from, Body::Append(append))
+    }
+
+    fn vote_reply(from: u32) -> Message {
+        let reply = VoteReply {
+            pre: true,
+            granted: false,
+            identity: 1,
+        };
+        message(from, Body::VoteReply(reply))
+    }
+
+    /// The side of a member in a partition into {1, 2} and {3, 4, 5}.
+    fn side(id: MemberId) -> bool {
+        id.0 <= 2
+    }
+
+    /// Guards against new workers that are kept on the side without a leader: 225
+    /// workers start during 4.5 s of a partition and call the five instances in turn.
+    /// Once two election timeouts have passed, each reaches the larger side without
+    /// waiting and by at most one redirect. The leader is on either side.
+    #[test]
+    fn workers_that_start_during_a_partition_reach_the_larger_side() {
+        for old_leader in [1, 5] {
+            let mut group: Vec<_> = (1..=5).map(|id| contact(id, 5)).collect();
+            let mut redirected = Vec::new();
+            for step in 0..225_u32 {
+                let now = ms(u64::from(step) * 20);
+                exchange_messages(&mut group, old_leader, now);
+                let first = MEMBERS[step as usize % 5];
+                let at = first.0 as usize - 1;
+                match group[at].route(&MEMBERS, now) {
+                    Route::Forward if side(first) => assert!(
+                        now < ms(1_250),
+                        "an instance without a leader made a worker wait at {now:?}"
+                    ),
+                    Route::Forward => {}
+                    Route::NoLeader { elsewhere } => {
+                        assert!(side(first), "the larger side turned a worker away");
+                        group[at].record_redirect();
+                        redirected.push(elsewhere.expect("three members are silent"));
+                    }
+                }
+            }
+            assert!(
+                !redirected.iter().any(|id| side(*id)),
+                "sent to its own side"
+            );
+            for target in &MEMBERS[2..] {
+                let count = redirected.iter().filter(|id| *id == target).count();
+                assert!(count * 4 >= redirected.len(), "{target:?} was skipped");
+            }
+        }
+    }
+
+    /// The messages of 20 ms: heartbeats of leaders every 100 ms, and pre-votes every
+    /// 460 ms where there is no leader; each is answered. An old leader on the smaller
+    /// side sends heartbeats for an election timeout. The larger side has a leader from
+    /// the start or from 0.6 s on.
+    fn exchange_messages(group: &mut [GroupContact], old_leader: u32, now: Duration) {
+        let at = now.as_millis();
+        let mut exchange = |from: MemberId, message: fn(u32) -> Message| {
+            let peers = MEMBERS.iter().filter(|to| **to != from);
+            for to in peers.filter(|to| side(**to) == side(from)) {
+                group[to.0 as usize - 1].record_message(&message(from.0), now);
+                group[from.0 as usize - 1].record_message(&vote_reply(to.0), now);
+            }
+        };
+        let old_leader_is_cut_off = side(MemberId(old_leader));
+        let is_heartbeat_due = at.is_multiple_of(100);
+        if is_heartbeat_due && old_leader_is_cut_off && at < 600 {
+            exchange(MemberId(old_leader), append);
+        }
+        if is_heartbeat_due && (!old_leader_is_cut_off || at >= 600) {
+            exchange(MemberId(5), append);
+        }
+        if at > 0 && at.is_multiple_of(460) {
+            exchange(MemberId(2), vote_reply);
+        }
+        if at == 460 && old_leader_is_cut_off {
+            exchange(MemberId(4), vote_reply);
+        }
+    }
+
+    /// Guards against redirects to a dead machine: after the loss of a leader, the
+    /// others still have a majority, and an election ends soon.
+    #[test]
+    fn lost_leader_causes_no_redirect() {
+        let mut contact = contact(1, 5);
+        contact.record_message(&append(5), ms(100));
+        for from in 2..=4 {
+            contact.record_message(&vote_reply(from), ms(600));
+        }
+        assert_eq!(contact.route(&MEMBERS, ms(900)), Route::Forward);
+    }
+
+    /// Guards against calls that wait at a follower whose leader has lost its majority
+    /// but still sends heartbeats, and against a failure that is never forgotten.
+    #[test]
+    fn failed_call_redirects_the_next_ones_for_a_while() {
+        let mut contact = contact(2, 5);
+        contact.record_message(&append(1), ms(100));
+        assert_eq!(contact.route(&MEMBERS, ms(120)), Route::Forward);
+        contact.record_failure(ms(150));
+        let elsewhere = Some(MemberId(3));
+        assert_eq!(
+            contact.route(&MEMBERS, ms(160)),
+            Route::NoLeader { elsewhere }
+        );
+        contact.record_message(&append(1), ms(400));
+        assert_eq!(contact.route(&MEMBERS, ms(450)), Route::Forward);
+    }
+
+    /// Guards against redirects after the partition has ended.
+    #[test]
+    fn heartbeat_of_a_leader_ends_the_redirects() {
+        let mut contact = contact(1, 5);
+        let elsewhere = Some(MemberId(2));
+        assert_eq!(
+            contact.route(&MEMBERS, ms(600)),
+            Route::NoLeader { elsewhere }
+        );
+        contact.record_message(&append(3), ms(620));
+        assert_eq!(contact.route(&MEMBERS, ms(640)), Route::Forward);
+    }
+
+    /// Guards against a target where there is none: an instance that knows only itself.
+    #[test]
+    fn without_other_members_there_is_no_target() {
+        let mut contact = contact(1, 3);
+        let elsewhere = None;
+        assert_eq!(
+            contact.route(&MEMBERS[..1], ms(600)),
+            Route::NoLeader { elsewhere }
+        );
+    }
+
+    /// Guards against unbounded memory if senders announce arbitrary IDs.
+    #[test]
+    fn number_of_remembered_members_is_bounded() {
+        let mut contact = contact(1, 3);
+        for from in 2..1_000 {
+            contact.record_message(&vote_reply(from), ms(from.into()));
+        }
+        assert_eq!(contact.heard.len(), MAX_HEARD);
+        assert!(contact.heard.contains_key(&MemberId(999)));
+    }
+}
--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -3,8 +3,11 @@
 mod answer;
 mod config;
 mod disk_recovery;
+mod group_contact;
+mod redirect;
 
 pub use config::ControlConfig;
+pub use redirect::ForwardError;
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -29,6 +32,8 @@
     AdviceClient, MachineClient, Metrics, PlatformClients, StartError, WorkerClient, owner,
 };
 
+use redirect::Redirector;
+
 /// The state shared by the tasks of a control instance.
 pub(crate) struct Shared {
     pub(crate) id: MemberId,
@@ -43,6 +48,8 @@
     pub(crate) scheduler: Mutex<Option<Scheduler>>,
     pub(crate) events: EventLog,
     pub(crate) metrics: Metrics,
+    /// `None` if calls are not redirected.
+    redirector: Option<Redirector>,
 }
 
 impl Shared {
@@ -101,6 +108,7 @@
             scheduler: Mutex::new(None),
             events: events.clone(),
             metrics: metrics.clone(),
+            redirector: cfg.redirect_calls.then(|| Redirector::new(&cfg)),
         });
         let owner = owner::spawn(shared.clone(), cfg.scheduler, clients);
         let handler = Arc::new(PeerHandler(shared.clone()));
@@ -201,6 +209,9 @@
 
 impl ControlHandler for PeerHandler {
     fn deliver(&self, messages: Vec<Message>) {
+        if let Some(redirector) = &self.0.redirector {
+            redirector.record_messages(&messages);
+        }
         let replica = self.0.replica();
         for message in messages {
             replica.deliver(message);
