Redirect calls at an old leader before it steps down

Cause: a leader that is cut off on the smaller side loses its lease after 285 ms and steps down after 600 ms. In between it still counted the other side as heard, and answered calls with 503 after their time limit. Change: a leader whose lease has run out reaches no leader, and counts members as heard for the shortest election timeout (300 ms), since each of them acknowledges its heartbeats every 100 ms. The new test fails without either half of the change.

--- a/crates/cleat-control/src/node/group_contact.rs
+++ b/crates/cleat-control/src/node/group_contact.rs
@@ -77,15 +77,26 @@
         self.failed_at = Some(now);
     }
 
-    /// Decides about a call. `members` are the known members of the group.
+    /// Decides about a call. `members` are the known members of the group;
+    /// `has_lost_lease` is set on a leader whose lease has run out.
+    ///
+    /// Every member acknowledges each heartbeat of a leader, so a leader whose lease has
+    /// run out can tell earlier than others which members are silent.
     ///
     /// Calls are redirected only if this side of a partition has no majority: if it has
     /// one, an election ends here soon, and the silent member may be a dead machine.
-    pub(crate) fn route(&mut self, members: &[MemberId], now: Duration) -> Route {
-        if !self.is_without_leader(now) || self.side(now) >= self.majority {
+    pub(crate) fn route(&self, members: &[MemberId], has_lost_lease: bool, now: Duration) -> Route {
+        let window = if has_lost_lease {
+            self.timing.election_timeout_min
+        } else {
+            self.timing.election_timeout_max
+        };
+        let since = now.saturating_sub(window);
+        let reaches_leader = !has_lost_lease && !self.is_without_leader(now);
+        if reaches_leader || self.side(since) >= self.majority {
             return Route::Forward;
         }
-        let unheard = |id: &&MemberId| **id != self.own && !self.hears(**id, now);
+        let unheard = |id: &&MemberId| **id != self.own && !self.was_heard(**id, since);
         let targets: Vec<MemberId> = members.iter().filter(unheard).copied().collect();
         let elsewhere = targets.get(self.redirects % targets.len().max(1)).copied();
         Route::NoLeader { elsewhere }
@@ -108,16 +119,14 @@
         silent || failed
     }
 
-    /// The number of members on this side, including this one.
-    fn side(&self, now: Duration) -> usize {
+    /// The number of members heard after `since`, including this one.
+    fn side(&self, since: Duration) -> usize {
         let others = self.heard.keys().filter(|id| **id != self.own);
-        1 + others.filter(|id| self.hears(**id, now)).count()
+        1 + others.filter(|id| self.was_heard(**id, since)).count()
     }
 
-    fn hears(&self, id: MemberId, now: Duration) -> bool {
-        let window = self.timing.election_timeout_max;
-        let heard_at = self.heard.get(&id);
-        heard_at.is_some_and(|at| now.saturating_sub(*at) < window)
+    fn was_heard(&self, id: MemberId, since: Duration) -> bool {
+        self.heard.get(&id).is_some_and(|at| *at > since)
     }
 }
 
@@ -193,7 +202,7 @@
                 exchange_messages(&mut group, old_leader, now);
                 let first = MEMBERS[step as usize % 5];
                 let at = first.0 as usize - 1;
-                match group[at].route(&MEMBERS, now) {
+                match group[at].route(&MEMBERS, false, now) {
                     Route::Forward if side(first) => assert!(
                         now < ms(1_250),
                         "an instance without a leader made a worker wait at {now:?}"
@@ -246,6 +255,21 @@
         }
     }
 
+    /// Guards against calls that wait at an old leader until it steps down, and against
+    /// redirects by a leader that only renews its lease late.
+    #[test]
+    fn old_leader_without_a_majority_redirects_before_it_steps_down() {
+        let mut contact = contact(1, 5);
+        (2..=5).for_each(|from| contact.record_message(&vote_reply(from), ms(100)));
+        contact.record_message(&vote_reply(2), ms(300));
+        assert_eq!(contact.route(&MEMBERS, true, ms(390)), Route::Forward);
+        let elsewhere = Some(MemberId(3));
+        assert_eq!(
+            contact.route(&MEMBERS, true, ms(400)),
+            Route::NoLeader { elsewhere }
+        );
+    }
+
     /// Guards against redirects to a dead machine: after the loss of a leader, the
     /// others still have a majority, and an election ends soon.
     #[test]
@@ -255,7 +279,7 @@
         for from in 2..=4 {
             contact.record_message(&vote_reply(from), ms(600));
         }
-        assert_eq!(contact.route(&MEMBERS, ms(900)), Route::Forward);
+        assert_eq!(contact.route(&MEMBERS, false, ms(900)), Route::Forward);
     }
 
     /// Guards against calls that wait at a follower whose leader has lost its majority
@@ -264,15 +288,15 @@
     fn failed_call_redirects_the_next_ones_for_a_while() {
         let mut contact = contact(2, 5);
         contact.record_message(&append(1), ms(100));
-        assert_eq!(contact.route(&MEMBERS, ms(120)), Route::Forward);
+        assert_eq!(contact.route(&MEMBERS, false, ms(120)), Route::Forward);
         contact.record_failure(ms(150));
         let elsewhere = Some(MemberId(3));
         assert_eq!(
-            contact.route(&MEMBERS, ms(160)),
+            contact.route(&MEMBERS, false, ms(160)),
             Route::NoLeader { elsewhere }
         );
         contact.record_message(&append(1), ms(400));
-        assert_eq!(contact.route(&MEMBERS, ms(450)), Route::Forward);
+        assert_eq!(contact.route(&MEMBERS, false, ms(450)), Route::Forward);
     }
 
     /// Guards against redirects after the partition has ended.
@@ -281,20 +305,20 @@
         let mut contact = contact(1, 5);
         let elsewhere = Some(MemberId(2));
         assert_eq!(
-            contact.route(&MEMBERS, ms(600)),
+            contact.route(&MEMBERS, false, ms(600)),
             Route::NoLeader { elsewhere }
         );
         contact.record_message(&append(3), ms(620));
-        assert_eq!(contact.route(&MEMBERS, ms(640)), Route::Forward);
+        assert_eq!(contact.route(&MEMBERS, false, ms(640)), Route::Forward);
     }
 
     /// Guards against a target where there is none: an instance that knows only itself.
     #[test]
     fn without_other_members_there_is_no_target() {
-        let mut contact = contact(1, 3);
+        let contact = contact(1, 3);
         let elsewhere = None;
         assert_eq!(
-            contact.route(&MEMBERS[..1], ms(600)),
+            contact.route(&MEMBERS[..1], false, ms(600)),
             Route::NoLeader { elsewhere }
         );
     }
--- a/crates/cleat-control/src/node/redirect.rs
+++ b/crates/cleat-control/src/node/redirect.rs
@@ -120,7 +120,10 @@
             return Route::Forward;
         }
         let members = self.gateway.seeds();
-        redirector.contact().route(&members, boot_time())
+        let has_lost_lease = self.shared.replica().status().is_leader();
+        redirector
+            .contact()
+            .route(&members, has_lost_lease, boot_time())
     }
 
     fn record_answer(&self, redirector: &Redirector, answer: &Result<ControlReply, AskError>) {
