Move the unit test of redirected calls to a test file

Cause: tests live in test files. Change: the module becomes a folder with a file of tests; no code changes.

--- a/crates/cleat-control/src/node/redirect.rs
+++ b/crates/cleat-control/src/node/redirect/mod.rs
@@ -1,5 +1,8 @@
 //! Calls of workers and operators that are redirected while no leader is reached.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::Ipv4Addr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -151,20 +154,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use cleat_link::ControlError;
-
-    use super::*;
-
-    /// Guards against a call that is carried out on both sides of a partition.
-    #[test]
-    fn call_with_an_unknown_outcome_is_not_redirected() {
-        let source = ControlError::TooLarge;
-        assert!(may_redirect(&AskError::NotDone));
-        assert!(!may_redirect(&AskError::Unknown));
-        assert!(!may_redirect(&AskError::TooManyKeys));
-        assert!(!may_redirect(&AskError::Refused { source }));
-    }
-}
