--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 mod account;
 mod advice;
 mod attempt;
+mod choice;
 mod commits;
 mod crashes;
 mod decision;
@@ -25,6 +26,7 @@
 mod ready;
 mod renewal;
 mod shares;
+mod start;
 mod step;
 mod takeover;
 mod throttle;
