Estimate the speed of workers and avoid slow ones

A worker at a quarter of its speed makes every job late that has a task on it. With `worker_speed`, runs are compared with what their queue and estimate predict and with the same step's runs on other workers; elapsed times of runs that have not ended count too. A worker found slow gets no urgent work, counts by its speed in the balances, is the first to return to the spare pool, and does not teach its queue's durations. Probes find out when it has recovered.

--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -51,6 +51,9 @@
                     self.count_by("workers.over", over);
                 }
             }
+            Decision::WorkerSpeed { slow_workers, .. } => {
+                self.counters.gauge("workers.slow").set(*slow_workers);
+            }
             Decision::Pool { pool, waiting, .. } => {
                 let gauge = self.counters.gauge(&format!("pool.{pool}.waiting"));
                 gauge.set(*waiting);
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -232,6 +232,19 @@
         /// How this owner knows that the worker's life is over, if it is.
         over: Option<LifeOver>,
     },
+    /// A worker was found to be slow, or no longer counts as slow.
+    WorkerSpeed {
+        /// The worker.
+        worker: Box<str>,
+        /// Its pool.
+        pool: Box<str>,
+        /// The result.
+        state: WorkerSpeedState,
+        /// Its estimated speed in percent of the normal one.
+        speed_percent: u32,
+        /// The number of workers that count as slow, in all pools.
+        slow_workers: u64,
+    },
 }
 
 impl Decision {
@@ -253,7 +266,8 @@
             | Decision::Adopted { .. }
             | Decision::Resized { .. }
             | Decision::CapReached { .. }
-            | Decision::Worker { .. } => false,
+            | Decision::Worker { .. }
+            | Decision::WorkerSpeed { .. } => false,
         }
     }
 
@@ -278,6 +292,19 @@
     }
 }
 
+/// Whether a worker runs its tasks at normal speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WorkerSpeedState {
+    /// Its runs take notably longer than on other workers.
+    Slow,
+    /// It runs at normal speed again, or has had no runs for so long that its
+    /// speed is unknown.
+    Normal,
+    /// It was slow when its life ended.
+    Gone,
+}
+
 /// Why a run is stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cleat-jobs/src/schedule/durations.rs
+++ b/crates/cleat-jobs/src/schedule/durations.rs
@@ -67,12 +67,25 @@
         if estimate_ms == 0 || self.tasks == 0 {
             return Duration::from_millis(estimate_ms);
         }
+        let (expected_log, residual_variance) = self.expected_log(estimate_ms);
+        let mean_ms = (expected_log + residual_variance / 2.0).exp();
+        Duration::from_secs_f64(mean_ms / 1_000.0)
+    }
+
+    /// The mean of the logarithm of the duration of a task with this estimate,
+    /// in milliseconds, if at least `min_tasks` tasks were observed.
+    pub(crate) fn log_prediction(&self, estimate_ms: u64, min_tasks: u32) -> Option<f64> {
+        let known = estimate_ms > 0 && self.tasks >= min_tasks;
+        known.then(|| self.expected_log(estimate_ms).0)
+    }
+
+    /// The mean of the logarithm of the duration, and its variance.
+    fn expected_log(&self, estimate_ms: u64) -> (f64, f64) {
         let slope = self.slope();
         let expected_log =
             self.mean_log_duration + slope * (logarithm(estimate_ms) - self.mean_log_estimate);
         let residual_variance = (self.duration_variance - slope * self.covariance).max(0.0);
-        let mean_ms = (expected_log + residual_variance / 2.0).exp();
-        Duration::from_secs_f64(mean_ms / 1_000.0)
+        (expected_log, residual_variance)
     }
 
     /// The slope of the regression: 1 if estimates are good, 0 if they are
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -244,15 +244,20 @@
             let Some(balance) = pools.get_mut(&record.pool) else {
                 continue;
             };
-            balance.used += worker.used;
+            balance.used += self.at_speed(key, worker.used);
             balance.isolated_tasks += usize::from(self.is_isolated(key));
             if worker.answers() && !worker.draining && !worker.cordoned {
                 // No other task may use what an isolated task leaves free.
                 balance.add_worker(match self.is_isolated(key) {
                     true => worker.used,
-                    false => record.capacity,
+                    false => self.at_speed(key, record.capacity),
                 });
-                balance.add_accepting(record.capacity, worker.free_capacity());
+                // Tasks are placed on slow workers only as a last resort.
+                let free = match self.is_slow(key) {
+                    true => Size::default(),
+                    false => worker.free_capacity(),
+                };
+                balance.add_accepting(record.capacity, free);
                 accepting.extend(record.machine.as_deref());
             } else if worker.answers() {
                 leaving.extend(record.machine.as_deref());
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -89,7 +89,12 @@
             pool.push(name.clone());
         }
         for names in idle.values_mut() {
-            names.sort_by(|a, b| b.cmp(a));
+            // A donor is taken from the end, so slow machines come first.
+            names.sort_by(|a, b| {
+                self.is_slow_machine(b)
+                    .cmp(&self.is_slow_machine(a))
+                    .then(b.cmp(a))
+            });
         }
         idle
     }
@@ -113,7 +118,7 @@
             if is_spare_pool(state, from) {
                 return Some((Donor::SparePool, 0));
             }
-            let size = self.machines.by_name.get(name)?.view.capacity;
+            let size = self.offered_size(self.machines.by_name.get(name)?);
             let rest = balances.get(from)?.without_machine(size);
             let has_surplus = rest.workers > 0 && rest.covers_need(FRAGMENTATION_PERCENT);
             let surplus = rest.offered.cpu_milli.saturating_sub(rest.needed.cpu_milli);
@@ -173,8 +178,9 @@
             return;
         };
         let size = machine.view.capacity;
+        let offered = self.offered_size(machine);
         if let Some(from) = balances.get_mut(&machine.view.pool) {
-            *from = from.without_machine(size);
+            *from = from.without_machine(offered);
         }
         if let Some(to) = balances.get_mut(pool) {
             *to = to.with_machine(size);
@@ -195,18 +201,21 @@
         let machines = self.machines.by_name.iter();
         let of_pools = machines.filter(|(_, machine)| balances.contains_key(&machine.view.pool));
         let idle = of_pools.filter(|(_, machine)| has_been_idle(machine));
-        let names: Vec<Box<str>> = idle.map(|(name, _)| name.clone()).collect();
+        let mut names: Vec<Box<str>> = idle.map(|(name, _)| name.clone()).collect();
+        names.sort_by_key(|name| !self.is_slow_machine(name));
         let mut allowed_orders =
             MAX_UNANSWERED_BEFORE_RETURNS.saturating_sub(self.machines.unanswered_orders());
         for name in names {
             let machine = &self.machines.by_name[&name];
-            let size = machine.view.capacity;
+            let size = self.offered_size(machine);
             let since = machine.idle_since;
             let Some(balance) = balances.get(&machine.view.pool) else {
                 continue;
             };
             // Keeps the free capacity of one machine for new work.
-            let rest = balance.without_machine(size).without_machine(size);
+            let rest = balance
+                .without_machine(size)
+                .without_machine(machine.view.capacity);
             let large_surplus = self.has_demand_history() && rest.covers_need(SURPLUS_PERCENT);
             let limit = if large_surplus {
                 SURPLUS_IDLE_LIMIT
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -26,6 +26,7 @@
 mod ready;
 mod renewal;
 mod shares;
+mod speed;
 mod start;
 mod step;
 mod takeover;
@@ -62,6 +63,7 @@
 use fleet::Machines;
 use ready::DirtyPools;
 use shares::ShareStatus;
+use speed::SpeedStats;
 use step::ActiveStep;
 use throttle::{Throttle, ThrottleTimes};
 use timing::{Objective, WorkloadStats};
@@ -79,6 +81,8 @@
     /// The resources that its runs use, without those whose end is being
     /// committed.
     pub used: Size,
+    /// Whether its runs take notably longer than those on other workers.
+    pub slow: bool,
 }
 
 /// Settings of the scheduler. All owners of a cluster have to use the same.
@@ -190,6 +194,7 @@
     /// The share status of each active job that exceeds its customer's share.
     share_statuses: IndexMap<JobId, ShareStatus>,
     workload: WorkloadStats,
+    speeds: SpeedStats,
     /// The adviser's permissions for each step that needs them.
     advice: IndexMap<StepId, StepAdvice>,
     /// The current throttle of the best-effort tasks on each worker.
@@ -244,6 +249,7 @@
             objectives: IndexMap::new(),
             share_statuses: IndexMap::new(),
             workload: WorkloadStats::default(),
+            speeds: SpeedStats::default(),
             advice: IndexMap::new(),
             throttles: IndexMap::new(),
             throttle_sent_at: ThrottleTimes::new(),
@@ -344,11 +350,12 @@
 
     /// All workers that are not removed.
     pub fn workers(&self) -> impl Iterator<Item = WorkerView<'_>> {
-        self.workers.iter().map(|(_, worker)| WorkerView {
+        self.workers.iter().map(|(key, worker)| WorkerView {
             record: &worker.record,
             state: worker.state,
             runs: worker.tasks.len(),
             used: worker.used,
+            slow: self.is_slow(key),
         })
     }
 
--- a/crates/cleat-jobs/src/schedule/placement.rs
+++ b/crates/cleat-jobs/src/schedule/placement.rs
@@ -1,6 +1,7 @@
 //! Placement: which task starts on which worker.
 
 use super::Scheduler;
+use super::speed::SlowWorkers;
 use super::worker::WorkerKey;
 use crate::state::{ControlState, Job};
 use crate::{Size, StepId, StepSpec};
@@ -28,11 +29,13 @@
         if candidates.is_empty() {
             return;
         }
+        let mut slow = self.split_off_slow(pool, &mut candidates);
         self.reserve_for_suspects(state, &candidates);
         // Starting tasks does not change this position, so it is determined
         // once per pass.
         let unknown_until = self.unknown_until(pool);
-        let mut max_free = self.max_free_capacity(&candidates);
+        let usable = [&candidates[..], &slow.keys].concat();
+        let mut max_free = self.max_free_capacity(&usable);
         let mut unplaced = 0;
         for id in self.ready_steps(pool, max_free) {
             if !self
@@ -41,9 +44,9 @@
                 .is_some_and(|step| step.may_fit(max_free))
             {
                 unplaced += 1;
-            } else if self.place_step(state, id, &candidates, unknown_until) {
+            } else if self.place_on_any(state, id, &candidates, &mut slow, unknown_until) {
                 unplaced += 1;
-                max_free = self.max_free_capacity(&candidates);
+                max_free = self.max_free_capacity(&usable);
             }
             if unplaced >= MAX_UNPLACED_STEPS {
                 return;
@@ -51,6 +54,27 @@
         }
     }
 
+    /// Starts tasks of a step on the candidates and, as far as that is sooner, on
+    /// slow workers. Returns whether some are left that fit on no worker.
+    fn place_on_any(
+        &mut self,
+        state: &ControlState,
+        id: StepId,
+        candidates: &[WorkerKey],
+        slow: &mut SlowWorkers,
+        unknown_until: Option<u64>,
+    ) -> bool {
+        if slow.keys.is_empty() {
+            return self.place_step(state, id, candidates, unknown_until);
+        }
+        self.place_probe(state, id, slow, unknown_until, true);
+        if !self.place_step(state, id, candidates, unknown_until) {
+            return false;
+        }
+        self.place_probe(state, id, slow, unknown_until, false);
+        self.place_on_slow(state, id, slow, unknown_until)
+    }
+
     /// The maximum of each resource that is free on any of the workers.
     fn max_free_capacity(&self, keys: &[WorkerKey]) -> Size {
         let free = keys.iter().map(|key| self.workers[*key].free_capacity());
@@ -69,7 +93,7 @@
     /// whether some are left that fit on no worker. Steps that became ready up
     /// to the log position `unknown_until` are skipped, since their tasks may
     /// already run.
-    fn place_step(
+    pub(super) fn place_step(
         &mut self,
         state: &ControlState,
         id: StepId,
@@ -99,7 +123,7 @@
         has_unplaced
     }
 
-    fn place_tasks(
+    pub(super) fn place_tasks(
         &mut self,
         id: StepId,
         job: &Job,
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -279,8 +279,12 @@
 
     /// Records the duration of a run for its queue. Runs that resumed from a
     /// checkpoint are included: they distort the expected durations, but are
-    /// rare.
+    /// rare. Runs on slow workers are not, since they say nothing about the
+    /// queue.
     fn observe_duration(&mut self, state: &ControlState, end: &End, ran: Duration) {
+        if !self.observe_end(end.task, end.run, ran) {
+            return;
+        }
         let Some(job) = state.jobs.get(&end.task.job()) else {
             return;
         };
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/speed.rs
@@ -0,0 +1,496 @@
+//! Estimates of the speed of workers (setting `worker_speed`).
+//!
+//! The runs of a worker are compared with what their queue and estimate
+//! predict, and with the runs of the same step on other workers
+//! ([`evidence`]). Runs that have not ended count with the time that has
+//! passed. A worker becomes slow once its runs show it, and normal again when a
+//! run that was started since took as long as predicted. Without the setting
+//! nothing is recorded, and no worker is slow.
+
+mod evidence;
+mod placement;
+mod worker;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::attempt::Phase;
+use super::decision::WorkerSpeedState;
+use super::fleet::Machine;
+use super::worker::{WorkerKey, WorkerState};
+use super::{Decision, Scheduler};
+use crate::state::Job;
+use crate::{Queue, Run, Size, StepId, StepSpec, TaskId};
+use evidence::{Prediction, Spread};
+pub(super) use placement::SlowWorkers;
+use worker::WorkerSpeed;
+
+/// The score at which a worker counts as slow. In a fleet of 350 workers, of
+/// which each has some observations a second, a lower one finds slow workers
+/// every few seconds where there are none.
+const SLOW_SCORE: f64 = 8.0;
+/// The interval at which runs that have not ended are examined: short compared
+/// to a task, so that a slow worker is found within about one task's time.
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of ended tasks from which a queue's durations are known: three
+/// steps of eight tasks. The tasks of one step share an estimate, so a single
+/// step says nothing about the spread.
+const MIN_QUEUE_TASKS: u32 = 24;
+/// The first assumption about the variance of a queue's tasks around their
+/// prediction: estimates that are off by a factor of two.
+const TOTAL_VARIANCE: f64 = 0.48;
+/// The first assumption about the variance of the tasks of one step.
+const WITHIN_STEP_VARIANCE: f64 = 0.08;
+/// The number of tasks that the first assumptions count for, and the number
+/// that the running means cover at most. The tasks of a step share an
+/// estimate, so 200 tasks are only 25 independent observations of the variance.
+const PRIOR_TASKS: f64 = 80.0;
+const MAX_TASKS: f64 = 200.0;
+/// The largest squared deviation that is counted, so that runs on workers that
+/// are not yet known to be slow do not raise the spread much.
+const MAX_SQUARED_DEVIATION: f64 = 1.0;
+/// The number of ended runs of a step that are compared with others.
+const MAX_PEERS: usize = 16;
+/// The part of a pool's workers that may count as slow: one of this many. If
+/// more take longer than predicted, the cause is the work or the prediction.
+const WORKERS_PER_SLOW_WORKER: usize = 4;
+/// The delay of an answer beyond the agreed wait after which the runs of a
+/// worker are not examined: they may have ended.
+const MAX_ANSWER_DELAY: Duration = Duration::from_millis(100);
+
+/// A run whose duration tells the speed of its worker.
+#[derive(Clone, Debug)]
+struct ObservedRun {
+    run: Run,
+    worker: WorkerKey,
+    started_at: Duration,
+    /// The logarithm of the predicted duration in milliseconds.
+    predicted_log_ms: f64,
+    queue: Arc<Queue>,
+    /// Whether the run takes longer if its step is spread over several racks.
+    rack_local: bool,
+}
+
+impl ObservedRun {
+    /// The logarithm of a duration relative to the predicted one.
+    fn residual(&self, ran: Duration) -> f64 {
+        (ran.as_secs_f64() * 1_000.0).max(1.0).ln() - self.predicted_log_ms
+    }
+}
+
+/// Running means of a queue's squared deviations.
+#[derive(Clone, Copy, Debug)]
+struct QueueSpread {
+    spread: Spread,
+    tasks: f64,
+}
+
+impl Default for QueueSpread {
+    fn default() -> Self {
+        QueueSpread {
+            spread: Spread {
+                total: TOTAL_VARIANCE,
+                within_step: WITHIN_STEP_VARIANCE,
+            },
+            tasks: PRIOR_TASKS,
+        }
+    }
+}
+
+impl QueueSpread {
+    /// Adds a task with its deviation from the prediction, and with that from
+    /// the mean of its step if other tasks of the step have ended.
+    fn observe(&mut self, deviation: f64, within_step: Option<f64>) {
+        self.tasks = (self.tasks + 1.0).min(MAX_TASKS);
+        let update = |variance: &mut f64, deviation: f64| {
+            let seen = (deviation * deviation).min(MAX_SQUARED_DEVIATION);
+            *variance += (seen - *variance) / self.tasks;
+        };
+        update(&mut self.spread.total, deviation);
+        if let Some(deviation) = within_step {
+            update(&mut self.spread.within_step, deviation);
+        }
+    }
+}
+
+/// A duration or elapsed time on a worker, relative to the predicted duration.
+type Residual = (WorkerKey, f64);
+
+/// The runs that are observed, and what they say about their workers.
+#[derive(Debug, Default)]
+pub(super) struct SpeedStats {
+    runs: IndexMap<TaskId, ObservedRun>,
+    /// The ended runs of each active step, except those on slow workers.
+    ended: IndexMap<StepId, Vec<Residual>>,
+    workers: IndexMap<WorkerKey, WorkerSpeed>,
+    spreads: IndexMap<Box<str>, QueueSpread>,
+    evaluated_at: Duration,
+    /// The pools whose next scheduling pass considers slow workers.
+    pools_with_slow_workers: IndexSet<Box<str>>,
+}
+
+impl SpeedStats {
+    fn is_slow(&self, key: WorkerKey) -> bool {
+        self.workers.get(&key).is_some_and(|w| w.slow.is_some())
+    }
+
+    fn spread(&self, queue: &str) -> Spread {
+        let known = self.spreads.get(queue).copied();
+        known.unwrap_or_default().spread
+    }
+
+    /// The ended runs of a step on other workers.
+    fn ended_elsewhere(&self, step: StepId, key: WorkerKey) -> impl Iterator<Item = f64> {
+        let ended = self.ended.get(&step).into_iter().flatten();
+        let elsewhere = ended.filter(move |(worker, _)| *worker != key);
+        elsewhere.map(|(_, residual)| *residual)
+    }
+
+    /// Adds the end of a run to what is known of its step.
+    fn add_peer(&mut self, step: StepId, run: &ObservedRun, residual: f64) {
+        let peers = self.ended.entry(step).or_default();
+        let count = f64::from(u32::try_from(peers.len()).unwrap_or(u32::MAX));
+        let within_step = (count > 0.0).then(|| {
+            let mean = peers.iter().map(|(_, peer)| peer).sum::<f64>() / count;
+            // The mean of `count` tasks deviates from that of the step as well.
+            (residual - mean) * (count / (count + 1.0)).sqrt()
+        });
+        let spread = self.spreads.entry(run.queue.name.clone()).or_default();
+        spread.observe(residual, within_step);
+        if peers.len() < MAX_PEERS {
+            peers.push((run.worker, residual));
+        }
+    }
+}
+
+impl Scheduler {
+    /// Whether a worker runs its tasks notably slower than others, as far as
+    /// its runs show.
+    pub(crate) fn is_slow(&self, key: WorkerKey) -> bool {
+        self.cfg.features.worker_speed && self.speeds.is_slow(key)
+    }
+
+    /// Whether there is some evidence that a worker is slow.
+    pub(super) fn is_suspected_slow(&self, key: WorkerKey) -> bool {
+        let worker = self.speeds.workers.get(&key);
+        self.cfg.features.worker_speed && worker.is_some_and(WorkerSpeed::is_suspect)
+    }
+
+    /// The estimated speed of a worker; 1 unless it is slow.
+    pub(super) fn speed(&self, key: WorkerKey) -> f64 {
+        let worker = self.speeds.workers.get(&key);
+        worker.and_then(|w| w.slow).map_or(1.0, |slow| slow.speed)
+    }
+
+    /// The part of a size that a worker provides at its estimated speed.
+    pub(super) fn at_speed(&self, key: WorkerKey, size: Size) -> Size {
+        if !self.is_slow(key) {
+            return size;
+        }
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let percent = (self.speed(key) * 100.0) as u64;
+        Size {
+            cpu_milli: size.cpu_milli * percent / 100,
+            memory_mb: size.memory_mb * percent / 100,
+            gpu: size.gpu,
+        }
+    }
+
+    /// Whether the worker of a machine is slow.
+    pub(super) fn is_slow_machine(&self, name: &str) -> bool {
+        let known = self.cfg.features.worker_speed;
+        let worker = known.then(|| self.workers.on_machine(name)).flatten();
+        worker.is_some_and(|key| self.is_slow(key))
+    }
+
+    /// What a machine adds to the offer of its pool.
+    pub(super) fn offered_size(&self, machine: &Machine) -> Size {
+        let size = machine.view.capacity;
+        let worker = self.workers.on_machine(&machine.view.name);
+        worker.map_or(size, |key| self.at_speed(key, size))
+    }
+
+    /// Observes a run that is being started, if its duration can tell the speed
+    /// of its worker.
+    pub(super) fn observe_start(
+        &mut self,
+        task: TaskId,
+        run: Run,
+        key: WorkerKey,
+        job: &Job,
+        spec: &StepSpec,
+        resumes: bool,
+    ) {
+        if !self.cfg.features.worker_speed {
+            return;
+        }
+        let rack = self.workers[key].record.rack.as_deref();
+        let off_rack = spec.data_rack.is_some() && spec.data_rack.as_deref() != rack;
+        // The tasks of a gang end together, so all last as long as the slowest.
+        if spec.long_running || spec.fills || spec.gang || off_rack || resumes {
+            return;
+        }
+        let prediction =
+            self.workload
+                .log_prediction(&job.queue.name, spec.estimate_ms, MIN_QUEUE_TASKS);
+        let Some(predicted_log_ms) = prediction else {
+            return;
+        };
+        let observed = ObservedRun {
+            run,
+            worker: key,
+            started_at: self.now,
+            predicted_log_ms,
+            queue: job.queue.clone(),
+            rack_local: spec.rack_local,
+        };
+        self.speeds.runs.insert(task, observed);
+        let worker = self.speeds.workers.entry(key).or_default();
+        if let Some(slow) = &mut worker.slow {
+            slow.record_start(task, self.now);
+        }
+    }
+
+    /// Observes the end of a run that completed its task. Returns whether its
+    /// duration may be learned for its queue.
+    pub(super) fn observe_end(&mut self, task: TaskId, run: Run, ran: Duration) -> bool {
+        if !self.cfg.features.worker_speed {
+            return true;
+        }
+        let observed = self.speeds.runs.swap_remove(&task);
+        let Some(observed) = observed.filter(|observed| observed.run == run) else {
+            let attempt = self.attempts.get(&task);
+            return attempt.is_none_or(|attempt| !self.speeds.is_slow(attempt.worker));
+        };
+        let key = observed.worker;
+        let was_slow = self.speeds.is_slow(key);
+        if observed.rack_local && self.is_spread_over_racks(task.step) {
+            return !was_slow;
+        }
+        let residual = observed.residual(ran);
+        let spread = self.speeds.spread(&observed.queue.name);
+        let prediction = Prediction::new(spread, self.speeds.ended_elsewhere(task.step, key));
+        let score = prediction.score_ended(residual);
+        let worker = self.speeds.workers.entry(key).or_default();
+        let Some(slow) = &mut worker.slow else {
+            worker.add_ended(task.step, score, prediction.from_peers, self.now);
+            self.speeds.add_peer(task.step, &observed, residual);
+            return true;
+        };
+        slow.last_run_at = self.now;
+        if slow.probe == Some(task) {
+            slow.probe = None;
+        }
+        if observed.started_at > slow.since && score < 0.0 {
+            self.set_normal_speed(key, WorkerSpeedState::Normal);
+            return true;
+        }
+        false
+    }
+
+    /// Examines the runs that have not ended, and updates which workers are
+    /// slow.
+    pub(super) fn update_speeds(&mut self) {
+        let due = self.now >= self.speeds.evaluated_at + EVALUATION_INTERVAL;
+        if !self.cfg.features.worker_speed || !due {
+            return;
+        }
+        self.speeds.evaluated_at = self.now;
+        self.drop_ended();
+        let running = self.running_residuals();
+        let mut scores: IndexMap<WorkerKey, Vec<(StepId, f64, bool)>> = IndexMap::new();
+        let mut residuals: IndexMap<WorkerKey, Vec<f64>> = IndexMap::new();
+        for (step, (spread, runs)) in &running {
+            self.score_step(*step, *spread, runs, &mut scores, &mut residuals);
+        }
+        let mut found = Vec::new();
+        for (key, worker) in &mut self.speeds.workers {
+            let of_worker = scores.get(key).map_or(&[][..], |scores| scores);
+            worker.update_total(of_worker, self.now);
+            let speed = residuals.get_mut(key).and_then(|all| speed_from(all));
+            if let Some(slow) = &mut worker.slow {
+                slow.limit_speed(speed.unwrap_or(1.0));
+            } else if worker.is_slow_by_score() {
+                found.push((*key, worker.total, speed));
+            }
+        }
+        found.sort_by(|a, b| b.1.total_cmp(&a.1));
+        for (key, _, speed) in found {
+            if self.may_be_slow(key) {
+                self.set_slow(key, speed.unwrap_or(1.0));
+            }
+        }
+        let workers = self.speeds.workers.iter();
+        let slow = workers.filter(|(_, worker)| worker.slow.is_some());
+        let pools = slow.map(|(key, _)| self.workers[*key].record.pool.clone());
+        self.speeds.pools_with_slow_workers = pools.collect();
+    }
+
+    /// Drops the runs that ended or were lost, the steps that ended, and the
+    /// workers that are gone or whose speed is unknown by now.
+    fn drop_ended(&mut self) {
+        let (attempts, steps) = (&self.attempts, &self.steps);
+        self.speeds.runs.retain(|task, observed| {
+            let attempt = attempts.get(task);
+            attempt.is_some_and(|at| at.run == observed.run && at.uses_capacity())
+        });
+        self.speeds.ended.retain(|step, _| steps.contains_key(step));
+        let runs = &self.speeds.runs;
+        for worker in self.speeds.workers.values_mut() {
+            if let Some(slow) = &mut worker.slow {
+                slow.probe = slow.probe.filter(|task| runs.contains_key(task));
+            }
+        }
+        let is_gone = |key: WorkerKey| {
+            let worker = &self.workers[key];
+            worker.state == WorkerState::Gone || self.workers.key(&worker.record.name) != Some(key)
+        };
+        let mut over = Vec::new();
+        for (key, worker) in &self.speeds.workers {
+            if is_gone(*key) {
+                over.push((*key, WorkerSpeedState::Gone));
+            } else if worker.slow.is_some_and(|slow| slow.is_outdated(self.now)) {
+                over.push((*key, WorkerSpeedState::Normal));
+            }
+        }
+        for (key, state) in over {
+            self.set_normal_speed(key, state);
+            if state == WorkerSpeedState::Gone {
+                self.speeds.workers.swap_remove(&key);
+            }
+        }
+    }
+
+    /// The elapsed times of the runs that certainly have not ended, by step,
+    /// with the spread of the step's queue.
+    fn running_residuals(&self) -> IndexMap<StepId, (Spread, Vec<Residual>)> {
+        let max_silence = self.cfg.renewal_wait + MAX_ANSWER_DELAY;
+        let mut running: IndexMap<StepId, (Spread, Vec<Residual>)> = IndexMap::new();
+        for (task, observed) in &self.speeds.runs {
+            let attempt = self.attempts.get(task);
+            if !attempt.is_some_and(|at| matches!(at.phase, Phase::Running { .. })) {
+                continue;
+            }
+            let worker = &self.workers[observed.worker];
+            let heard = |at: Duration| self.now <= at + max_silence;
+            if !worker.answers() || !worker.answered_at.is_some_and(heard) {
+                continue;
+            }
+            if observed.rack_local && self.is_spread_over_racks(task.step) {
+                continue;
+            }
+            let residual = observed.residual(self.now.saturating_sub(observed.started_at));
+            if residual > 0.0 || self.speeds.ended.contains_key(&task.step) {
+                let spread = || (self.speeds.spread(&observed.queue.name), Vec::new());
+                let (_, of_step) = running.entry(task.step).or_insert_with(spread);
+                of_step.push((observed.worker, residual));
+            }
+        }
+        running
+    }
+
+    /// Scores the runs of a step that have not ended. Runs on other workers
+    /// that take longer than predicted count as peers: if all tasks of the step
+    /// do, their estimate is bad.
+    fn score_step(
+        &self,
+        step: StepId,
+        spread: Spread,
+        runs: &[Residual],
+        scores: &mut IndexMap<WorkerKey, Vec<(StepId, f64, bool)>>,
+        residuals: &mut IndexMap<WorkerKey, Vec<f64>>,
+    ) {
+        let mut of_step: IndexMap<WorkerKey, (f64, f64, bool)> = IndexMap::new();
+        for (key, residual) in runs {
+            let long = runs.iter().filter(|(other, elapsed)| {
+                other != key && *elapsed > 0.0 && !self.speeds.is_slow(*other)
+            });
+            let ended = self.speeds.ended_elsewhere(step, *key);
+            let peers = ended.chain(long.map(|(_, elapsed)| *elapsed));
+            let prediction = Prediction::new(spread, peers);
+            let score = prediction.score_running(*residual);
+            let (sum, max, from_peers) = of_step.entry(*key).or_default();
+            *sum += score;
+            *max = score.max(*max);
+            *from_peers = prediction.from_peers;
+            if *residual > prediction.mean {
+                let of_worker = residuals.entry(*key).or_default();
+                of_worker.push(residual - prediction.mean);
+            }
+        }
+        for (key, (sum, max, from_peers)) in of_step {
+            let score = if from_peers { sum } else { max };
+            scores
+                .entry(key)
+                .or_default()
+                .push((step, score, from_peers));
+        }
+    }
+
+    /// Whether the tasks of a step were placed in more than one rack.
+    fn is_spread_over_racks(&self, step: StepId) -> bool {
+        let placed = self
+            .steps
+            .get(&step)
+            .into_iter()
+            .flat_map(|s| s.placed.keys());
+        let mut racks = placed.map(|key| self.workers[*key].record.rack.as_deref());
+        let first = racks.next();
+        first.is_some_and(|first| racks.any(|rack| rack != first))
+    }
+
+    /// Whether one more worker of the pool of this one may count as slow.
+    fn may_be_slow(&self, key: WorkerKey) -> bool {
+        let pool = &self.workers[key].record.pool;
+        let answering = self.workers.in_pool(pool).filter(|(_, w)| w.answers());
+        let (mut workers, mut slow) = (0, 0);
+        for (key, _) in answering {
+            workers += 1;
+            slow += usize::from(self.speeds.is_slow(key));
+        }
+        workers > 1 && slow < (workers / WORKERS_PER_SLOW_WORKER).max(1)
+    }
+
+    fn set_slow(&mut self, key: WorkerKey, speed: f64) {
+        let worker = self.speeds.workers.entry(key).or_default();
+        worker.set_slow(speed, self.now);
+        self.log_speed(key, WorkerSpeedState::Slow);
+    }
+
+    fn set_normal_speed(&mut self, key: WorkerKey, state: WorkerSpeedState) {
+        let Some(worker) = self.speeds.workers.get_mut(&key) else {
+            return;
+        };
+        let was_slow = worker.slow.is_some();
+        worker.reset();
+        if was_slow {
+            self.log_speed(key, state);
+            self.request_scheduling_for_worker(key);
+        }
+    }
+
+    fn log_speed(&mut self, key: WorkerKey, state: WorkerSpeedState) {
+        let workers = self.speeds.workers.values();
+        let slow_workers = workers.filter(|worker| worker.slow.is_some()).count();
+        let record = &self.workers[key].record;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let speed_percent = (self.speed(key) * 100.0) as u32;
+        let decision = Decision::WorkerSpeed {
+            worker: record.name.clone(),
+            pool: record.pool.clone(),
+            state,
+            speed_percent,
+            slow_workers: slow_workers as u64,
+        };
+        self.log(decision);
+    }
+}
+
+/// The speed at which the median of these runs would take as long as predicted.
+fn speed_from(residuals: &mut [f64]) -> Option<f64> {
+    residuals.sort_by(f64::total_cmp);
+    let median = residuals.get(residuals.len() / 2)?;
+    Some((-median).exp())
+}
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/speed/placement.rs
@@ -0,0 +1,127 @@
+//! The use of slow workers when tasks are placed.
+
+use std::time::Duration;
+
+use crate::StepId;
+use crate::schedule::Scheduler;
+use crate::schedule::timing::Timeliness;
+use crate::schedule::worker::WorkerKey;
+use crate::state::ControlState;
+
+/// How long a probe waits for a task that is late anyway, or that gets a second
+/// copy, if no other worker has room for the tasks that are in time. While the
+/// worker is still slow, each probe with such a task makes a job late.
+const PATIENCE_WITHOUT_ROOM: Duration = Duration::from_secs(8);
+/// The same if other workers have room, so that the worker is not needed.
+const PATIENCE_WITH_ROOM: Duration = Duration::from_secs(30);
+
+/// The slow workers that one scheduling pass may use.
+#[derive(Debug, Default)]
+pub(in crate::schedule) struct SlowWorkers {
+    pub(in crate::schedule) keys: Vec<WorkerKey>,
+    /// The number of runs on the other workers that end by themselves.
+    running_elsewhere: usize,
+    /// The number of tasks examined in this pass that wait for room.
+    ahead: usize,
+}
+
+impl Scheduler {
+    /// Removes the slow workers from the candidates of a pass, unless all are
+    /// slow. Returns those that the pass may use: none in most passes, since
+    /// free capacity of slow workers would make each pass over a full pool
+    /// examine steps that fit nowhere else.
+    pub(in crate::schedule) fn split_off_slow(
+        &mut self,
+        pool: &str,
+        candidates: &mut Vec<WorkerKey>,
+    ) -> SlowWorkers {
+        if !self.cfg.features.worker_speed || self.speeds.workers.is_empty() {
+            return SlowWorkers::default();
+        }
+        let (slow, normal): (Vec<_>, Vec<_>) = candidates
+            .iter()
+            .partition(|key| self.speeds.is_slow(**key));
+        if slow.is_empty() || normal.is_empty() {
+            return SlowWorkers::default();
+        }
+        let due = self.speeds.pools_with_slow_workers.swap_remove(pool);
+        let workers = normal.iter().map(|key| &self.workers[*key]);
+        let finite = workers.map(|worker| worker.tasks.len() - worker.long_running);
+        let running_elsewhere = finite.sum();
+        *candidates = normal;
+        SlowWorkers {
+            keys: if due { slow } else { Vec::new() },
+            running_elsewhere,
+            ahead: 0,
+        }
+    }
+
+    /// Starts a task of a step on a slow worker whose probe is due. `has_room`
+    /// says whether other workers may have room for the task.
+    pub(in crate::schedule) fn place_probe(
+        &mut self,
+        state: &ControlState,
+        id: StepId,
+        slow: &SlowWorkers,
+        unknown_until: Option<u64>,
+        has_room: bool,
+    ) {
+        let Some((job, step)) = state.jobs.get(&id.job).zip(self.steps.get(&id)) else {
+            return;
+        };
+        let Some(spec) = job.step(id) else {
+            return;
+        };
+        let unsuitable = spec.long_running || spec.fills || spec.gang || step.advised;
+        let by_rack = spec.rack_local || spec.data_rack.is_some();
+        let may_run = unknown_until.is_some_and(|until| step.ready_index <= until);
+        if unsuitable || by_rack || may_run || spec.estimate_ms == 0 {
+            return;
+        }
+        let has_copy = spec.speculative && self.cfg.features.speculation_percent > 0;
+        let expendable = has_copy || step.timeliness(self.now) != Timeliness::InTime;
+        let patience = match (expendable, has_room) {
+            (true, _) => Duration::ZERO,
+            (false, true) => PATIENCE_WITH_ROOM,
+            (false, false) => PATIENCE_WITHOUT_ROOM,
+        };
+        let is_due = |key: &&WorkerKey| {
+            let slow = self.speeds.workers.get(*key).and_then(|w| w.slow);
+            slow.is_some_and(|slow| slow.needs_probe(self.now.saturating_sub(patience)))
+        };
+        let Some(key) = slow.keys.iter().find(is_due).copied() else {
+            return;
+        };
+        let mut pending = step.pending.iter().copied();
+        let Some(index) = pending.find(|index| step.suspicion(*index).crashes == 0) else {
+            return;
+        };
+        self.place_tasks(id, job, spec, vec![index], &[key]);
+    }
+
+    /// Starts the remaining tasks of a step, which fit on no other worker, on
+    /// slow workers where they are expected to end sooner than by waiting.
+    /// Returns whether tasks are left.
+    ///
+    /// A task with `ahead` tasks before it waits for one of `running` runs to
+    /// end `ahead + 1` times, each about `duration / running`, and then takes
+    /// `duration`. On a slow worker it takes `duration / speed` from now on.
+    pub(in crate::schedule) fn place_on_slow(
+        &mut self,
+        state: &ControlState,
+        id: StepId,
+        slow: &mut SlowWorkers,
+        unknown_until: Option<u64>,
+    ) -> bool {
+        let as_f64 = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        let durations = as_f64(slow.ahead + 1) / as_f64(slow.running_elsewhere);
+        let keys = slow.keys.iter().copied();
+        let sooner: Vec<WorkerKey> = keys
+            .filter(|key| 1.0 / self.speed(*key) < 1.0 + durations)
+            .collect();
+        let left = sooner.is_empty() || self.place_step(state, id, &sooner, unknown_until);
+        let step = self.steps.get(&id);
+        slow.ahead += step.map_or(0, |step| step.pending.len());
+        left
+    }
+}
--- a/crates/cleat-jobs/src/schedule/start.rs
+++ b/crates/cleat-jobs/src/schedule/start.rs
@@ -60,7 +60,9 @@
             checkpoint: checkpoint.clone(),
         };
         self.add_attempt(task, attempt);
-        self.log_start(task, run, key, free, waited_ms, !checkpoint.is_empty());
+        let resumes = !checkpoint.is_empty();
+        self.observe_start(task, run, key, job, spec, resumes);
+        self.log_start(task, run, key, free, waited_ms, resumes);
         let order = Order::Start {
             spec: job.spec.clone(),
             checkpoint,
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -20,6 +20,7 @@
         self.forget_ended_jobs();
         self.crashed_machines.remove_expired(self.now);
         self.propose_stopped_jobs(state);
+        self.update_speeds();
         self.manage_machines(state);
         // Workers on which starts were paused may accept work again.
         self.dirty_pools = DirtyPools::All;
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -92,6 +92,18 @@
         stats.durations.expected(estimate_ms)
     }
 
+    /// The expected logarithm of the duration in milliseconds, once this many
+    /// tasks of the queue with estimates have ended.
+    pub(crate) fn log_prediction(
+        &self,
+        queue: &str,
+        estimate_ms: u64,
+        min_tasks: u32,
+    ) -> Option<f64> {
+        let stats = self.queues.get(queue)?;
+        stats.durations.log_prediction(estimate_ms, min_tasks)
+    }
+
     /// For each step of a job, the expected duration of the longest chain of
     /// steps from it on, the step included.
     pub(crate) fn critical_paths(&self, queue: &str, spec: &JobSpec) -> Vec<Duration> {
