Use only durations of runs that are certain to judge workers

Times up to now counted for runs that had not ended. Now the time up to the worker's latest answer counts, and ends that were listed long after the answer before do not.

--- a/crates/cleat-jobs/examples/decision_cost.rs
+++ b/crates/cleat-jobs/examples/decision_cost.rs
@@ -2,7 +2,9 @@
 //! simulated workers on a simulated clock, where each pool in turn has a demand peak.
 //! Prints the processor time per start and per event, and the fraction of one core.
 //!
-//! `cargo run --release -p cleat-jobs --example decision_cost -- [WORKERS] [SECONDS] [CUSTOMERS]`
+//! `cargo run --release -p cleat-jobs --example decision_cost -- [WORKERS] [SECONDS] [CUSTOMERS] [WORKER_SPEED]`
+//!
+//! `WORKER_SPEED` is `true` to estimate the speed of workers.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -12,8 +14,9 @@
 use cleat_control::{SimulatedRun, SimulatedWorker};
 use cleat_jobs::{
     Cap, Catalogue, CatalogueDraft, Command, ControlState, Customer, CustomerDraft, Effect,
-    EndKind, Event, Heartbeat, JobId, JobSpec, Order, OrderAnswer, Pool, Queue, RenewalOrder,
-    Scheduler, SchedulerConfig, Size, StepSpec, TaskOrder, WorkerHistory, WorkerRecord,
+    EndKind, Event, Features, Heartbeat, JobId, JobSpec, Order, OrderAnswer, Pool, Queue,
+    RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec, TaskOrder, WorkerHistory,
+    WorkerRecord,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -71,8 +74,13 @@
     let workers = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(350);
     let seconds = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(30);
     let customers = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(0);
+    let worker_speed = args.next().and_then(|arg| arg.parse().ok());
     let end = Duration::from_secs(seconds);
-    let mut world = World::new(workers, customers);
+    let features = Features {
+        worker_speed: worker_speed.unwrap_or(false),
+        ..Features::default()
+    };
+    let mut world = World::new(workers, customers, features);
     while let Some(Reverse((at, slot))) = world.queue.pop() {
         if at > end {
             break;
@@ -95,12 +103,16 @@
 }
 
 impl World {
-    fn new(workers: usize, customers: u64) -> World {
+    fn new(workers: usize, customers: u64, features: Features) -> World {
         let mut state = ControlState::default();
         state.apply(1, Command::Bootstrapped);
         state.apply(2, Command::Configure(Arc::new(catalogue(customers))));
         state.apply(3, Command::TakeOver { member: 1 });
-        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO, 0);
+        let cfg = SchedulerConfig {
+            features,
+            ..SchedulerConfig::default()
+        };
+        let owner = Scheduler::new(cfg, &state, Duration::ZERO, 0);
         let mut world = World {
             rng: StdRng::seed_from_u64(7),
             now: Duration::ZERO,
--- a/crates/cleat-jobs/src/schedule/choice.rs
+++ b/crates/cleat-jobs/src/schedule/choice.rs
@@ -38,12 +38,11 @@
             // their machines can move to other pools.
             let may_become_idle = worker.long_running == 0;
             let isolation = self.isolation_rank(step, index, worker);
-            let suspected_slow = self.is_suspected_slow(*key);
             (
                 failed,
                 off_rack,
                 isolation,
-                suspected_slow,
+                worker.suspected_slow,
                 may_become_idle,
                 cpu,
                 remaining.memory_mb,
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -170,7 +170,8 @@
             worker_ms: clock_ms,
             at: now,
         });
-        worker.answered_at = Some(now);
+        let last_answer = worker.answered_at.replace(now);
+        worker.answered_after = last_answer.map_or(Duration::ZERO, |last| now - last);
         worker.unanswered_since = None;
         worker.lapsed_runs.clear();
         self.set_worker_state(key, WorkerState::Live);
--- a/crates/cleat-jobs/src/schedule/speed.rs
+++ b/crates/cleat-jobs/src/schedule/speed.rs
@@ -7,6 +7,7 @@
 //! run that was started since took as long as predicted. Without the setting
 //! nothing is recorded, and no worker is slow.
 
+mod evaluate;
 mod evidence;
 mod placement;
 mod worker;
@@ -16,10 +17,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::attempt::Phase;
 use super::decision::WorkerSpeedState;
 use super::fleet::Machine;
-use super::worker::{WorkerKey, WorkerState};
+use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
 use crate::state::Job;
 use crate::{Queue, Run, Size, StepId, StepSpec, TaskId};
@@ -30,7 +30,7 @@
 /// The score at which a worker counts as slow. In a fleet of 350 workers, of
 /// which each has some observations a second, a lower one finds slow workers
 /// every few seconds where there are none.
-const SLOW_SCORE: f64 = 8.0;
+const SLOW_SCORE: f64 = 10.0;
 /// The interval at which runs that have not ended are examined: short compared
 /// to a task, so that a slow worker is found within about one task's time.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
@@ -56,9 +56,13 @@
 /// The part of a pool's workers that may count as slow: one of this many. If
 /// more take longer than predicted, the cause is the work or the prediction.
 const WORKERS_PER_SLOW_WORKER: usize = 4;
-/// The delay of an answer beyond the agreed wait after which the runs of a
-/// worker are not examined: they may have ended.
+/// The delay of an answer beyond the agreed wait after which the ends that it
+/// lists are not used: they may have happened long before. The owner or the
+/// network was delayed.
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(100);
+/// A worker whose long runs would take as long as predicted at a higher speed
+/// than this does not count as slow.
+const MAX_SLOW_SPEED: f64 = 0.6;
 
 /// A run whose duration tells the speed of its worker.
 #[derive(Clone, Debug)]
@@ -132,10 +136,6 @@
 }
 
 impl SpeedStats {
-    fn is_slow(&self, key: WorkerKey) -> bool {
-        self.workers.get(&key).is_some_and(|w| w.slow.is_some())
-    }
-
     fn spread(&self, queue: &str) -> Spread {
         let known = self.spreads.get(queue).copied();
         known.unwrap_or_default().spread
@@ -169,13 +169,7 @@
     /// Whether a worker runs its tasks notably slower than others, as far as
     /// its runs show.
     pub(crate) fn is_slow(&self, key: WorkerKey) -> bool {
-        self.cfg.features.worker_speed && self.speeds.is_slow(key)
-    }
-
-    /// Whether there is some evidence that a worker is slow.
-    pub(super) fn is_suspected_slow(&self, key: WorkerKey) -> bool {
-        let worker = self.speeds.workers.get(&key);
-        self.cfg.features.worker_speed && worker.is_some_and(WorkerSpeed::is_suspect)
+        self.workers[key].slow
     }
 
     /// The estimated speed of a worker; 1 unless it is slow.
@@ -262,11 +256,13 @@
         let observed = self.speeds.runs.swap_remove(&task);
         let Some(observed) = observed.filter(|observed| observed.run == run) else {
             let attempt = self.attempts.get(&task);
-            return attempt.is_none_or(|attempt| !self.speeds.is_slow(attempt.worker));
+            return attempt.is_none_or(|attempt| !self.is_slow(attempt.worker));
         };
         let key = observed.worker;
-        let was_slow = self.speeds.is_slow(key);
-        if observed.rack_local && self.is_spread_over_racks(task.step) {
+        let was_slow = self.is_slow(key);
+        let is_delayed =
+            self.workers[key].answered_after > self.cfg.renewal_wait + MAX_ANSWER_DELAY;
+        if is_delayed || observed.rack_local && self.is_spread_over_racks(task.step) {
             return !was_slow;
         }
         let residual = observed.residual(ran);
@@ -290,145 +286,6 @@
         false
     }
 
-    /// Examines the runs that have not ended, and updates which workers are
-    /// slow.
-    pub(super) fn update_speeds(&mut self) {
-        let due = self.now >= self.speeds.evaluated_at + EVALUATION_INTERVAL;
-        if !self.cfg.features.worker_speed || !due {
-            return;
-        }
-        self.speeds.evaluated_at = self.now;
-        self.drop_ended();
-        let running = self.running_residuals();
-        let mut scores: IndexMap<WorkerKey, Vec<(StepId, f64, bool)>> = IndexMap::new();
-        let mut residuals: IndexMap<WorkerKey, Vec<f64>> = IndexMap::new();
-        for (step, (spread, runs)) in &running {
-            self.score_step(*step, *spread, runs, &mut scores, &mut residuals);
-        }
-        let mut found = Vec::new();
-        for (key, worker) in &mut self.speeds.workers {
-            let of_worker = scores.get(key).map_or(&[][..], |scores| scores);
-            worker.update_total(of_worker, self.now);
-            let speed = residuals.get_mut(key).and_then(|all| speed_from(all));
-            if let Some(slow) = &mut worker.slow {
-                slow.limit_speed(speed.unwrap_or(1.0));
-            } else if worker.is_slow_by_score() {
-                found.push((*key, worker.total, speed));
-            }
-        }
-        found.sort_by(|a, b| b.1.total_cmp(&a.1));
-        for (key, _, speed) in found {
-            if self.may_be_slow(key) {
-                self.set_slow(key, speed.unwrap_or(1.0));
-            }
-        }
-        let workers = self.speeds.workers.iter();
-        let slow = workers.filter(|(_, worker)| worker.slow.is_some());
-        let pools = slow.map(|(key, _)| self.workers[*key].record.pool.clone());
-        self.speeds.pools_with_slow_workers = pools.collect();
-    }
-
-    /// Drops the runs that ended or were lost, the steps that ended, and the
-    /// workers that are gone or whose speed is unknown by now.
-    fn drop_ended(&mut self) {
-        let (attempts, steps) = (&self.attempts, &self.steps);
-        self.speeds.runs.retain(|task, observed| {
-            let attempt = attempts.get(task);
-            attempt.is_some_and(|at| at.run == observed.run && at.uses_capacity())
-        });
-        self.speeds.ended.retain(|step, _| steps.contains_key(step));
-        let runs = &self.speeds.runs;
-        for worker in self.speeds.workers.values_mut() {
-            if let Some(slow) = &mut worker.slow {
-                slow.probe = slow.probe.filter(|task| runs.contains_key(task));
-            }
-        }
-        let is_gone = |key: WorkerKey| {
-            let worker = &self.workers[key];
-            worker.state == WorkerState::Gone || self.workers.key(&worker.record.name) != Some(key)
-        };
-        let mut over = Vec::new();
-        for (key, worker) in &self.speeds.workers {
-            if is_gone(*key) {
-                over.push((*key, WorkerSpeedState::Gone));
-            } else if worker.slow.is_some_and(|slow| slow.is_outdated(self.now)) {
-                over.push((*key, WorkerSpeedState::Normal));
-            }
-        }
-        for (key, state) in over {
-            self.set_normal_speed(key, state);
-            if state == WorkerSpeedState::Gone {
-                self.speeds.workers.swap_remove(&key);
-            }
-        }
-    }
-
-    /// The elapsed times of the runs that certainly have not ended, by step,
-    /// with the spread of the step's queue.
-    fn running_residuals(&self) -> IndexMap<StepId, (Spread, Vec<Residual>)> {
-        let max_silence = self.cfg.renewal_wait + MAX_ANSWER_DELAY;
-        let mut running: IndexMap<StepId, (Spread, Vec<Residual>)> = IndexMap::new();
-        for (task, observed) in &self.speeds.runs {
-            let attempt = self.attempts.get(task);
-            if !attempt.is_some_and(|at| matches!(at.phase, Phase::Running { .. })) {
-                continue;
-            }
-            let worker = &self.workers[observed.worker];
-            let heard = |at: Duration| self.now <= at + max_silence;
-            if !worker.answers() || !worker.answered_at.is_some_and(heard) {
-                continue;
-            }
-            if observed.rack_local && self.is_spread_over_racks(task.step) {
-                continue;
-            }
-            let residual = observed.residual(self.now.saturating_sub(observed.started_at));
-            if residual > 0.0 || self.speeds.ended.contains_key(&task.step) {
-                let spread = || (self.speeds.spread(&observed.queue.name), Vec::new());
-                let (_, of_step) = running.entry(task.step).or_insert_with(spread);
-                of_step.push((observed.worker, residual));
-            }
-        }
-        running
-    }
-
-    /// Scores the runs of a step that have not ended. Runs on other workers
-    /// that take longer than predicted count as peers: if all tasks of the step
-    /// do, their estimate is bad.
-    fn score_step(
-        &self,
-        step: StepId,
-        spread: Spread,
-        runs: &[Residual],
-        scores: &mut IndexMap<WorkerKey, Vec<(StepId, f64, bool)>>,
-        residuals: &mut IndexMap<WorkerKey, Vec<f64>>,
-    ) {
-        let mut of_step: IndexMap<WorkerKey, (f64, f64, bool)> = IndexMap::new();
-        for (key, residual) in runs {
-            let long = runs.iter().filter(|(other, elapsed)| {
-                other != key && *elapsed > 0.0 && !self.speeds.is_slow(*other)
-            });
-            let ended = self.speeds.ended_elsewhere(step, *key);
-            let peers = ended.chain(long.map(|(_, elapsed)| *elapsed));
-            let prediction = Prediction::new(spread, peers);
-            let score = prediction.score_running(*residual);
-            let (sum, max, from_peers) = of_step.entry(*key).or_default();
-            *sum += score;
-            *max = score.max(*max);
-            *from_peers = prediction.from_peers;
-            if *residual > prediction.mean {
-                let of_worker = residuals.entry(*key).or_default();
-                of_worker.push(residual - prediction.mean);
-            }
-        }
-        for (key, (sum, max, from_peers)) in of_step {
-            let score = if from_peers { sum } else { max };
-            scores
-                .entry(key)
-                .or_default()
-                .push((step, score, from_peers));
-        }
-    }
-
     /// Whether the tasks of a step were placed in more than one rack.
     fn is_spread_over_racks(&self, step: StepId) -> bool {
         let placed = self
@@ -441,30 +298,14 @@
         first.is_some_and(|first| racks.any(|rack| rack != first))
     }
 
-    /// Whether one more worker of the pool of this one may count as slow.
-    fn may_be_slow(&self, key: WorkerKey) -> bool {
-        let pool = &self.workers[key].record.pool;
-        let answering = self.workers.in_pool(pool).filter(|(_, w)| w.answers());
-        let (mut workers, mut slow) = (0, 0);
-        for (key, _) in answering {
-            workers += 1;
-            slow += usize::from(self.speeds.is_slow(key));
-        }
-        workers > 1 && slow < (workers / WORKERS_PER_SLOW_WORKER).max(1)
-    }
-
-    fn set_slow(&mut self, key: WorkerKey, speed: f64) {
-        let worker = self.speeds.workers.entry(key).or_default();
-        worker.set_slow(speed, self.now);
-        self.log_speed(key, WorkerSpeedState::Slow);
-    }
-
     fn set_normal_speed(&mut self, key: WorkerKey, state: WorkerSpeedState) {
         let Some(worker) = self.speeds.workers.get_mut(&key) else {
             return;
         };
         let was_slow = worker.slow.is_some();
         worker.reset();
+        let flags = &mut self.workers[key];
+        (flags.slow, flags.suspected_slow) = (false, false);
         if was_slow {
             self.log_speed(key, state);
             self.request_scheduling_for_worker(key);
@@ -487,10 +328,3 @@
         self.log(decision);
     }
 }
-
-/// The speed at which the median of these runs would take as long as predicted.
-fn speed_from(residuals: &mut [f64]) -> Option<f64> {
-    residuals.sort_by(f64::total_cmp);
-    let median = residuals.get(residuals.len() / 2)?;
-    Some((-median).exp())
-}
--- a/crates/cleat-jobs/src/schedule/speed/evidence.rs
+++ b/crates/cleat-jobs/src/schedule/speed/evidence.rs
@@ -12,7 +12,7 @@
 /// The speed of the alternative hypothesis. A run counts against its worker if
 /// it indicates a speed below the geometric mean of 1 and this: 0.63.
 const SLOW_SPEED: f64 = 0.4;
-/// The most that one run counts for or against its worker. Two independent
+/// The most that one run counts for or against its worker. Three independent
 /// observations are needed to reach [`super::SLOW_SCORE`].
 pub(super) const MAX_RUN_SCORE: f64 = 4.0;
 /// The minimum variance of a prediction. Ends become known up to 150 ms after
--- a/crates/cleat-jobs/src/schedule/speed/placement.rs
+++ b/crates/cleat-jobs/src/schedule/speed/placement.rs
@@ -38,9 +38,8 @@
         if !self.cfg.features.worker_speed || self.speeds.workers.is_empty() {
             return SlowWorkers::default();
         }
-        let (slow, normal): (Vec<_>, Vec<_>) = candidates
-            .iter()
-            .partition(|key| self.speeds.is_slow(**key));
+        let (slow, normal): (Vec<_>, Vec<_>) =
+            candidates.iter().partition(|key| self.is_slow(**key));
         if slow.is_empty() || normal.is_empty() {
             return SlowWorkers::default();
         }
--- a/crates/cleat-jobs/src/schedule/speed/worker.rs
+++ b/crates/cleat-jobs/src/schedule/speed/worker.rs
@@ -106,8 +106,11 @@
     pub(super) fn update_total(&mut self, running: &[(StepId, f64, bool)], now: Duration) {
         let additional = running.iter().map(|(step, score, from_peers)| {
             let ended = self.steps.iter().find(|(known, _)| known == step);
-            let ended = ended.map_or(0.0, |(_, score)| score.max(0.0));
-            score.min((max_step_score(*from_peers) - ended).max(0.0))
+            let ended = ended.map_or(0.0, |(_, score)| *score);
+            // What speaks for the worker is part of the same observation. It may
+            // be missing in `score`, which is never negative.
+            let of_step = (ended + score).min(max_step_score(*from_peers));
+            (of_step - ended.max(0.0)).max(0.0)
         });
         self.total = self.score_at(now) + additional.sum::<f64>();
     }
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -64,6 +64,13 @@
     pub(crate) max_lease_end_ms: u64,
     /// When it last answered a renewal.
     pub(crate) answered_at: Option<Duration>,
+    /// The time between its last two answers; zero after the first.
+    pub(crate) answered_after: Duration,
+    /// Whether its runs take notably longer than those on other workers, and
+    /// whether there is some evidence of that. Invariant: as estimated in
+    /// `Scheduler::speeds`; `false` without the setting.
+    pub(crate) slow: bool,
+    pub(crate) suspected_slow: bool,
     /// When its last heartbeat arrived, or when this owner first learned of it.
     pub(crate) heartbeat_at: Duration,
     /// Since when renewals to it fail. Meanwhile its lease is not extended: a
@@ -163,6 +170,9 @@
             clock: None,
             max_lease_end_ms: 0,
             answered_at: None,
+            answered_after: Duration::ZERO,
+            slow: false,
+            suspected_slow: false,
             heartbeat_at: now,
             unanswered_since: None,
             renewing: false,
