Test worker speed with remote data, and the order in which workers leave

The test of machines that return to the spare pool passed without the order that it was to show, since only slow workers were idle. Now all are idle, and it fails without the order.

--- a/crates/cleat-jobs/src/schedule/speed.rs
+++ b/crates/cleat-jobs/src/schedule/speed.rs
@@ -2,8 +2,8 @@
 //!
 //! The runs of a worker are compared with what their queue and estimate
 //! predict, and with the runs of the same step on other workers
-//! ([`evidence`]). Runs that have not ended count with the time that has
-//! passed. A worker becomes slow once its runs show it, and normal again when a
+//! ([`evidence`]). Runs that have not ended count with the time up to the latest
+//! answer that listed them. A worker becomes slow once its runs show it, and normal again when a
 //! run that was started since took as long as predicted. Without the setting
 //! nothing is recorded, and no worker is slow.
 
--- a/crates/cleat-jobs/tests/speed.rs
+++ b/crates/cleat-jobs/tests/speed.rs
@@ -40,6 +40,9 @@
     slow_until: Duration,
     /// The largest factor by which an estimate is off, either way.
     estimate_error: f64,
+    /// Whether the data of all tasks is in rack `r0`, so that they take three
+    /// times as long in other racks.
+    data_in_one_rack: bool,
     duration: Duration,
     seed: u64,
 }
@@ -54,6 +57,7 @@
             slow_from: Duration::from_secs(8),
             slow_until: Duration::from_secs(36),
             estimate_error: 2.0,
+            data_in_one_rack: false,
             duration: Duration::from_secs(46),
             seed,
         }
@@ -111,6 +115,7 @@
             let name = format!("w{index:02}");
             let record = WorkerRecord {
                 capacity: CAPACITY,
+                rack: Some(format!("r{}", index % 4).into()),
                 ..record(&name, "a")
             };
             let model = SimulatedWorker::new(record, 100, 1_000);
@@ -184,6 +189,7 @@
                 estimate_ms: u64::try_from(Duration::from_secs_f64(seconds * error).as_millis())
                     .expect("value out of range"),
                 after: (0..step).collect(),
+                data_rack: self.scenario.data_in_one_rack.then(|| "r0".into()),
                 ..StepSpec::default()
             });
             let mut longest = Duration::ZERO;
@@ -308,9 +314,12 @@
                     Order::Start { spec, .. } => spec.steps[usize::from(order.task.step.step)].size,
                     _ => Size::default(),
                 };
+                let rack = self.workers[&worker].0.record.rack.as_deref();
+                let is_far = self.scenario.data_in_one_rack && rack != Some("r0");
+                let distance = if is_far { 3 } else { 1 };
                 let planned = SimulatedRun {
                     run: order.run,
-                    ends_at: now + self.durations[&order.task] * slowdown,
+                    ends_at: now + self.durations[&order.task] * slowdown * distance,
                     end_kind: EndKind::Done,
                     size: spec,
                 };
@@ -452,16 +461,11 @@
     }
 }
 
-/// Guards against slow workers that count as full capacity, and that keep their
-/// place in the pool while machines at normal speed are returned.
+/// Guards against slow workers that count as full capacity.
 #[test]
-fn slow_workers_count_by_their_speed_and_leave_first() {
-    let mut simulation = Simulation::new(Scenario::slow_twelfth(1));
-    simulation.run_until(Duration::from_secs(18));
-    let slow = simulation.owner.workers().filter(|view| view.slow);
-    let slow: IndexSet<Box<str>> = slow.map(|view| view.record.name.clone()).collect();
-    assert!(!slow.is_empty());
-    while simulation.moved.is_empty() && simulation.now < simulation.scenario.duration {
+fn slow_workers_count_by_their_speed() {
+    let (mut simulation, slow) = with_slow_workers();
+    while simulation.offered_cpu_milli == 0 && simulation.now < simulation.scenario.duration {
         simulation.list_machines();
         simulation.advance();
     }
@@ -469,14 +473,52 @@
     let offered = simulation.offered_cpu_milli;
     let most = normal + slow.len() as u64 * CAPACITY.cpu_milli / 2;
     assert!(offered > normal && offered < most, "{offered}");
+}
 
-    let first: IndexSet<Box<str>> = simulation.moved.iter().take(slow.len()).cloned().collect();
+/// Guards against slow workers that stay in the pool while machines at normal
+/// speed are returned. All are idle.
+#[test]
+fn slow_workers_leave_first() {
+    let (mut simulation, slow) = with_slow_workers();
+    (0..1_000).for_each(|_| simulation.advance());
+    while simulation.moved.is_empty() && simulation.now < simulation.scenario.duration {
+        simulation.list_machines();
+        simulation.advance();
+    }
+    assert!(
+        simulation.moved.len() > slow.len(),
+        "{:?}",
+        simulation.moved
+    );
+    let (first, _) = simulation.moved.split_at(slow.len());
     assert!(
         first.iter().all(|machine| slow.contains(&machine[2..])),
         "{first:?} {slow:?}"
     );
 }
 
+/// A simulation in which slow workers were found, and these.
+fn with_slow_workers() -> (Simulation, IndexSet<Box<str>>) {
+    let mut simulation = Simulation::new(Scenario::slow_twelfth(1));
+    simulation.run_until(Duration::from_secs(18));
+    let slow = simulation.owner.workers().filter(|view| view.slow);
+    let slow: IndexSet<Box<str>> = slow.map(|view| view.record.name.clone()).collect();
+    assert!(!slow.is_empty());
+    (simulation, slow)
+}
+
+/// Guards against workers that count as slow because their tasks' data is in
+/// another rack.
+#[test]
+fn tasks_far_from_their_data_make_no_worker_slow() {
+    let simulation = Simulation::run(Scenario {
+        slow_workers: 0,
+        data_in_one_rack: true,
+        ..Scenario::slow_twelfth(9)
+    });
+    assert_eq!(simulation.found, []);
+}
+
 /// Guards against workers that count as slow because the owner was delayed. Its
 /// ticks come before the answers that arrived meanwhile, so all runs seem not to
 /// have ended.
