--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -170,7 +170,8 @@
             worker_ms: clock_ms,
             at: now,
         });
-        worker.answered_at = Some(now);
+        let last_answer = worker.answered_at.replace(now);
+        worker.answered_after = last_answer.map_or(Duration::ZERO, |last| now - last);
         worker.unanswered_since = None;
         worker.lapsed_runs.clear();
         self.set_worker_state(key, WorkerState::Live);
@@ -279,8 +280,12 @@
 
     /// Records the duration of a run for its queue. Runs that resumed from a
     /// checkpoint are included: they distort the expected durations, but are
-    /// rare.
+    /// rare. Runs on slow workers are not, since they say nothing about the
+    /// queue.
     fn observe_duration(&mut self, state: &ControlState, end: &End, ran: Duration) {
+        if !self.observe_end(end.task, end.run, ran) {
+            return;
+        }
         let Some(job) = state.jobs.get(&end.task.job()) else {
             return;
         };
