Run speculative tasks twice when their first run may end too late

Cause: a task on a silent or slow worker delays its job until the lease expires or the run ends, although speculative tasks may run twice. Change: with speculation_percent above 0, a task whose worker is silent, or that takes much longer than expected, is queued again, and its earlier run stays as a superseded run. Its capacity and its charge count until it has ended. A new owner does not wait for the leases of speculative tasks. An end that completes a task is held while the start of its other run has no answer. Without the setting no decision changes.

--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -36,6 +36,9 @@
             }
             Decision::Lost { reason, .. } => self.count_by("runs.lost", reason),
             Decision::Adopted { .. } => self.count("runs.adopted"),
+            Decision::CopyStarted { .. } => self.count("speculation.started"),
+            Decision::CopyEnded { won: true, .. } => self.count("speculation.won"),
+            Decision::CopyEnded { won: false, .. } => self.count("speculation.wasted"),
             Decision::Resized { .. } => self.count("workers.resized"),
             Decision::JobOver { state, .. } => self.count_by("jobs.over", state),
             Decision::Machine { .. } => self.count("machines.ordered"),
--- a/crates/cleat-jobs/src/schedule/account/mod.rs
+++ b/crates/cleat-jobs/src/schedule/account/mod.rs
@@ -41,8 +41,8 @@
     recent_jobs: RecentJobs,
     /// The total size of its runs that this owner knows of.
     ///
-    /// Invariant: the sum of the charges of its strays and of its attempts, except those
-    /// that have ended.
+    /// Invariant: the sum of the charges of its strays, of its superseded runs and of its
+    /// attempts, except those that have ended.
     pub(crate) used: Size,
     /// The total size of the tasks that may be running in addition, started by an earlier
     /// owner and not yet reported to this one.
--- a/crates/cleat-jobs/src/schedule/account/usage.rs
+++ b/crates/cleat-jobs/src/schedule/account/usage.rs
@@ -5,10 +5,11 @@
 use super::{Charge, CustomerKey, Stray};
 use crate::schedule::Scheduler;
 use crate::schedule::attempt::Attempt;
+use crate::schedule::placement::RUN_NUMBERS_PER_OWNER;
 use crate::schedule::ready::DirtyPools;
 use crate::schedule::worker::WorkerKey;
 use crate::state::{Command, ControlState, Job};
-use crate::{JobId, Run, Size, StepSpec, TaskId};
+use crate::{JobId, Run, Size, StepId, StepSpec, TaskId};
 
 impl Scheduler {
     /// The charge for a run of a step of the job: what it counts against the customer's cap.
@@ -146,6 +147,7 @@
                 *hidden_sizes.entry(customer).or_default() += step.charge.size.scaled(pending);
             }
         }
+        self.add_hidden_copies(&mut hidden_sizes);
         for stopping in state.stopping.values() {
             let catalogue = state.catalogue.as_deref();
             let customer = self.accounts.get_or_create(&stopping.customer, catalogue);
@@ -158,6 +160,41 @@
         }
     }
 
+    /// Counts the runs that an earlier owner may have started beside the known run of a
+    /// task: the runs of tasks that this owner started without waiting for them, and copies
+    /// within the budget of each pool.
+    fn add_hidden_copies(&self, hidden_sizes: &mut IndexMap<CustomerKey, Size>) {
+        if !self.speculates() {
+            return;
+        }
+        let own_runs = Run(u64::from(self.owner.ordinal) * RUN_NUMBERS_PER_OWNER);
+        let mut replaced: IndexMap<StepId, u64> = IndexMap::new();
+        let mut single: IndexMap<StepId, u64> = IndexMap::new();
+        let attempts = self.attempts.iter();
+        for (task, attempt) in attempts.filter(|(task, _)| !self.superseded.contains(**task)) {
+            *single.entry(task.step).or_default() += 1;
+            if attempt.run > own_runs {
+                *replaced.entry(task.step).or_default() += 1;
+            }
+        }
+        let mut copies: IndexMap<(CustomerKey, &str), Size> = IndexMap::new();
+        for (id, step) in self.steps.iter().filter(|(_, step)| step.speculative) {
+            let unknown_until = self.unknown_until(&step.pool);
+            let may_be_hidden = unknown_until.is_some_and(|index| step.ready_index <= index);
+            let Some(customer) = step.charge.customer.filter(|_| may_be_hidden) else {
+                continue;
+            };
+            let replaced = replaced.get(id).copied().unwrap_or_default();
+            *hidden_sizes.entry(customer).or_default() += step.charge.size.scaled(replaced);
+            let count = single.get(id).copied().unwrap_or_default() + step.pending.len() as u64;
+            *copies.entry((customer, &*step.pool)).or_default() += step.charge.size.scaled(count);
+        }
+        for ((customer, pool), size) in copies {
+            *hidden_sizes.entry(customer).or_default() +=
+                size.component_min(self.copy_budget(pool));
+        }
+    }
+
     /// Proposes to record the cancelled and failed jobs of which no task can be running
     /// any more, so that the next owner need not count their tasks as possibly running.
     pub(in crate::schedule) fn propose_stopped_jobs(&mut self, state: &ControlState) {
@@ -170,6 +207,7 @@
                 && !self.active_jobs.contains(*id)
                 && !self.job_tasks.contains_key(*id)
                 && !strays.contains(*id)
+                && self.superseded.of_job(**id).next().is_none()
         };
         let ids: Vec<JobId> = state.stopping.keys().filter(has_stopped).copied().collect();
         if !ids.is_empty() {
@@ -185,8 +223,11 @@
         let attempts = self.attempts.values().filter(|a| a.uses_capacity());
         let attempts = attempts.map(|attempt: &Attempt| attempt.charge);
         let strays = self.strays.values().map(|stray| stray.charge);
+        let superseded = self.superseded.iter().map(|(_, run)| run);
+        let superseded = superseded.filter(|run| run.uses_capacity());
+        let superseded = superseded.map(|run| run.charge);
         let mut counted: IndexMap<CustomerKey, Size> = IndexMap::new();
-        for charge in attempts.chain(strays) {
+        for charge in attempts.chain(strays).chain(superseded) {
             if let Some(customer) = charge.customer {
                 *counted.entry(customer).or_default() += charge.size;
             }
--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -85,8 +85,13 @@
         if attempt.uses_capacity() {
             self.accounts.add(attempt.charge);
         }
+        self.workers[attempt.worker].used += attempt.footprint;
+        self.insert_attempt(task, attempt);
+    }
+
+    /// Adds a run whose capacity and charge are already counted.
+    pub(super) fn insert_attempt(&mut self, task: TaskId, attempt: Attempt) {
         let worker = &mut self.workers[attempt.worker];
-        worker.used += attempt.footprint;
         worker.long_running += usize::from(attempt.long_running);
         worker.task_crashes += attempt.suspicion.crashes;
         worker.tasks.insert(task);
@@ -110,6 +115,16 @@
 
     /// Removes a run and frees its capacity.
     pub(super) fn remove_attempt(&mut self, task: TaskId) -> Option<Attempt> {
+        let attempt = self.take_attempt(task)?;
+        if attempt.uses_capacity() {
+            self.workers[attempt.worker].used -= attempt.footprint;
+            self.release_charge(attempt.charge);
+        }
+        Some(attempt)
+    }
+
+    /// Removes a run without freeing its capacity.
+    pub(super) fn take_attempt(&mut self, task: TaskId) -> Option<Attempt> {
         let attempt = self.attempts.swap_remove(&task)?;
         let worker = &mut self.workers[attempt.worker];
         worker.tasks.swap_remove(&task);
@@ -121,10 +136,6 @@
                 self.job_tasks.swap_remove(&task.job());
             }
         }
-        if attempt.uses_capacity() {
-            worker.used -= attempt.footprint;
-            self.release_charge(attempt.charge);
-        }
         Some(attempt)
     }
 }
--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -128,6 +128,14 @@
     fn settle_end(&mut self, state: &ControlState, key: Option<WorkerKey>, end: &crate::End) {
         let job = state.jobs.get(&end.task.job());
         let done = job.is_none_or(|job| job.is_task_done(end.task.step, end.task.index));
+        if let Some(worker) = self.settle_superseded_end(end)
+            && end.kind == EndKind::Failed
+        {
+            self.record_failure(key.unwrap_or(worker), end);
+        }
+        if done {
+            self.stop_superseded(end.task, StopReason::Done);
+        }
         let known = self.attempts.get(&end.task);
         let Some(attempt) = known.filter(|attempt| attempt.run == end.run) else {
             if done {
--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -146,32 +146,39 @@
     fn end_suspect_runs(&mut self, key: WorkerKey, reason: LossReason) -> Vec<CrashedRun> {
         let suspects = self.suspect_tasks_on(key);
         let worker = &self.workers[key];
-        let alone = suspects.len() == 1 && !worker.has_strays;
+        let superseded = self.suspect_superseded_on(key);
+        let alone = suspects.len() + superseded.len() == 1 && !worker.has_strays;
         let crashed_at = worker.unanswered_since.unwrap_or(self.now);
         let mut runs = Vec::new();
         for task in suspects {
             let Some(attempt) = self.attempts.get(&task) else {
                 continue;
             };
-            let sudden = crashed_at <= attempt.started_at + STARTUP_CRASH_WINDOW;
-            let evidence = match (has_started(attempt.phase), alone, sudden) {
-                (false, ..) => CrashEvidence::StartUnanswered,
-                (true, false, false) => CrashEvidence::Running,
-                (true, false, true) => CrashEvidence::JustStarted,
-                (true, true, false) => CrashEvidence::RunningAlone,
-                (true, true, true) => CrashEvidence::JustStartedAlone,
-            };
-            let run = attempt.run;
-            runs.push(CrashedRun {
-                task,
-                run,
-                evidence,
-            });
+            runs.push(crashed_run(task, attempt, alone, crashed_at));
             self.end_lost_run(task, reason);
         }
+        for task in superseded {
+            let Some(attempt) = self.superseded.get(task) else {
+                continue;
+            };
+            runs.push(crashed_run(task, attempt, alone, crashed_at));
+            self.crash_superseded(task, reason);
+        }
         runs
     }
 
+    /// The tasks whose superseded runs may have crashed a worker.
+    fn suspect_superseded_on(&self, key: WorkerKey) -> Vec<TaskId> {
+        let runs = self.superseded.on(key);
+        let suspects = runs.filter(|(task, run)| {
+            self.cfg.protections.count_crashes
+                && run.uses_capacity()
+                && self.steps.contains_key(&task.step)
+                && !self.is_cleared(run)
+        });
+        suspects.map(|(task, _)| task).collect()
+    }
+
     /// The tasks that may have crashed a worker; none if crashes are not
     /// counted.
     fn suspect_tasks_on(&self, key: WorkerKey) -> Vec<TaskId> {
@@ -222,6 +229,7 @@
         for CrashedRun { task, run, .. } in runs {
             jobs.insert(task.job());
             self.update_suspicions(state, task.step);
+            self.settle_superseded_crash(*task, *run);
             let known = self.attempts.get(task);
             let waits = known.is_some_and(|a| a.run == *run && a.phase == Phase::Ended);
             if waits && let Some(attempt) = self.remove_attempt(*task) {
@@ -234,6 +242,23 @@
     }
 }
 
+/// A run that was lost in a crash of its worker, with the evidence against it.
+fn crashed_run(task: TaskId, attempt: &Attempt, alone: bool, crashed_at: Duration) -> CrashedRun {
+    let sudden = crashed_at <= attempt.started_at + STARTUP_CRASH_WINDOW;
+    let evidence = match (has_started(attempt.phase), alone, sudden) {
+        (false, ..) => CrashEvidence::StartUnanswered,
+        (true, false, false) => CrashEvidence::Running,
+        (true, false, true) => CrashEvidence::JustStarted,
+        (true, true, false) => CrashEvidence::RunningAlone,
+        (true, true, true) => CrashEvidence::JustStartedAlone,
+    };
+    CrashedRun {
+        task,
+        run: attempt.run,
+        evidence,
+    }
+}
+
 /// Whether the worker has confirmed that the run started.
 fn has_started(phase: Phase) -> bool {
     matches!(phase, Phase::Running { .. } | Phase::Stopping { .. })
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -116,6 +116,31 @@
         /// The worker.
         worker: Box<str>,
     },
+    /// A second run of a task was started.
+    CopyStarted {
+        /// The task.
+        task: Box<str>,
+        /// The second run.
+        run: u64,
+        /// The worker of the second run.
+        worker: Box<str>,
+        /// The earlier run, which continues.
+        earlier_run: u64,
+        /// The worker of the earlier run.
+        earlier_worker: Box<str>,
+        /// The reason.
+        reason: CopyReason,
+        /// How long the earlier run had taken, in milliseconds.
+        ran_ms: u64,
+    },
+    /// One of the two runs of a task ended or was lost.
+    CopyEnded {
+        /// The task.
+        task: Box<str>,
+        /// Whether the second run completed the task, or replaced an earlier
+        /// run that failed or was lost.
+        won: bool,
+    },
     /// The capacity of a worker changed.
     Resized {
         /// The worker.
@@ -251,6 +276,8 @@
             | Decision::Stop { .. }
             | Decision::Lost { .. }
             | Decision::Adopted { .. }
+            | Decision::CopyStarted { .. }
+            | Decision::CopyEnded { .. }
             | Decision::Resized { .. }
             | Decision::CapReached { .. }
             | Decision::Worker { .. } => false,
@@ -294,6 +321,16 @@
     Draining,
 }
 
+/// Why a second run of a task is started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CopyReason {
+    /// The worker of the earlier run does not answer.
+    Silent,
+    /// The earlier run has taken much longer than expected.
+    Straggler,
+}
+
 /// How an owner knows that a worker's life is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -163,6 +163,7 @@
     pub(super) fn is_worker_empty(&self, key: WorkerKey) -> bool {
         let worker = &self.workers[key];
         worker.tasks.is_empty()
+            && worker.superseded_runs == 0
             && worker.answers()
             && worker.last_proposed_end == worker.last_acknowledged_end
             && !worker.has_strays
--- a/crates/cleat-jobs/src/schedule/isolation.rs
+++ b/crates/cleat-jobs/src/schedule/isolation.rs
@@ -78,6 +78,8 @@
     fn uncleared_runs(&self, key: WorkerKey) -> impl Iterator<Item = &Attempt> {
         let tasks = self.workers[key].tasks.iter();
         let runs = tasks.filter_map(|task| self.attempts.get(task));
+        let superseded = self.superseded.on(key).map(|(_, run)| run);
+        let runs = runs.chain(superseded);
         runs.filter(|run| run.uses_capacity() && !self.is_cleared(run))
     }
 
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -11,7 +11,7 @@
 use crate::state::{Command, ControlState};
 
 /// How long renewals to a worker may fail before it counts as silent.
-const SILENT_AFTER: Duration = Duration::from_millis(800);
+pub(super) const SILENT_AFTER: Duration = Duration::from_millis(800);
 
 impl Scheduler {
     /// Detects workers that became silent, whose lease expired, or that never
@@ -143,6 +143,7 @@
 
     pub(super) fn mark_all_lost(&mut self, key: WorkerKey, reason: LossReason) {
         self.release_strays(key, |_, _| false);
+        self.lose_all_superseded(key, reason);
         let active = |task: &&TaskId| self.attempts.get(*task).is_some_and(Attempt::uses_capacity);
         let tasks = self.workers[key].tasks.iter();
         let lost: Vec<TaskId> = tasks.filter(active).copied().collect();
@@ -169,15 +170,22 @@
     }
 
     /// Returns a task to the pending tasks of its step, if the step is active
-    /// and the task is not done.
+    /// and the task is not done. If the task has a superseded run, that becomes
+    /// its run again instead.
     pub(super) fn requeue(&mut self, task: TaskId, from: WorkerKey, checkpoint: Box<str>) {
         if let Some(step) = self.steps.get_mut(&task.step) {
             step.unassign(from);
             if step.done.contains(&task.index) {
                 return;
             }
-            step.pending.insert(task.index);
             step.store_checkpoint(task.index, checkpoint);
+            if self.resume_superseded(task) {
+                return;
+            }
+            let Some(step) = self.steps.get_mut(&task.step) else {
+                return;
+            };
+            step.pending.insert(task.index);
             let pool = step.pool.clone();
             self.mark_step_ready(task.step, pool);
         }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -25,6 +25,7 @@
 mod ready;
 mod renewal;
 mod shares;
+mod speculation;
 mod step;
 mod takeover;
 mod throttle;
@@ -60,6 +61,7 @@
 use fleet::Machines;
 use ready::DirtyPools;
 use shares::ShareStatus;
+use speculation::SupersededRuns;
 use step::ActiveStep;
 use throttle::{Throttle, ThrottleTimes};
 use timing::{Objective, WorkloadStats};
@@ -154,6 +156,10 @@
     /// Runs that a worker lists although this owner does not expect them there:
     /// their job has ended, or another run took their place.
     strays: IndexMap<(WorkerKey, TaskId, Run), Stray>,
+    /// The earlier runs of tasks that were copied.
+    superseded: SupersededRuns,
+    /// Whether a tick has passed since tasks were last examined for copies.
+    copies_due: bool,
     accounts: Accounts,
     /// Whether some worker may still have runs of an earlier owner that it has
     /// not listed to this owner.
@@ -227,6 +233,8 @@
             attempts: IndexMap::new(),
             job_tasks: IndexMap::new(),
             strays: IndexMap::new(),
+            superseded: SupersededRuns::default(),
+            copies_due: false,
             accounts: Accounts::default(),
             may_have_hidden_runs: true,
             stopped_jobs_proposed: IndexSet::new(),
@@ -273,6 +281,7 @@
         }
         self.update_accounts(state);
         self.place_ready_steps(state);
+        self.start_copies(state);
         std::mem::take(&mut self.effects)
     }
 
@@ -337,7 +346,9 @@
     pub fn running_tasks(&self, id: JobId) -> usize {
         let tasks = self.job_tasks.get(&id).into_iter().flatten();
         let attempts = tasks.filter_map(|task| self.attempts.get(task));
-        attempts.filter(|attempt| attempt.uses_capacity()).count()
+        let superseded = self.superseded.of_job(id).map(|(_, run)| run);
+        let runs = attempts.chain(superseded);
+        runs.filter(|run| run.uses_capacity()).count()
     }
 
     /// All workers that are not removed.
@@ -345,7 +356,7 @@
         self.workers.iter().map(|(_, worker)| WorkerView {
             record: &worker.record,
             state: worker.state,
-            runs: worker.tasks.len(),
+            runs: worker.tasks.len() + worker.superseded_runs,
             used: worker.used,
         })
     }
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -11,7 +11,7 @@
 use crate::{JobId, Run, TaskId};
 
 /// How long after a stop order that had no effect the order is sent again.
-const STOP_RETRY_DELAY: Duration = Duration::from_millis(300);
+pub(super) const STOP_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// How long starts are paused on a worker that is unhealthy, or that lacks the
 /// free capacity that this owner expected.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
@@ -25,6 +25,7 @@
         for task in tasks {
             self.stop(task, StopReason::JobOver);
         }
+        self.stop_superseded_of_job(id);
     }
 
     /// Stops a run. Its capacity stays reserved until its worker lists the end.
@@ -88,6 +89,7 @@
             };
             self.stop(task, reason);
         }
+        self.resend_superseded_stops();
     }
 
     pub(super) fn handle_order_answer(
--- a/crates/cleat-jobs/src/schedule/placement.rs
+++ b/crates/cleat-jobs/src/schedule/placement.rs
@@ -11,7 +11,7 @@
 
 /// The number of run numbers that each owner can assign to a task. An owner
 /// that restarts a task each second for a day uses fewer.
-const RUN_NUMBERS_PER_OWNER: u64 = 1 << 20;
+pub(super) const RUN_NUMBERS_PER_OWNER: u64 = 1 << 20;
 /// The number of steps that fit on no worker after which a scheduling pass over
 /// a pool ends. Free capacity can then accumulate for large tasks, and a pass
 /// over a full pool is short.
@@ -38,7 +38,10 @@
         self.reserve_for_suspects(state, &candidates);
         // Starting tasks does not change this position, so it is determined
         // once per pass.
-        let unknown_until = self.unknown_until(pool);
+        let unknown_until = [
+            self.unknown_until(pool),
+            self.unknown_until_for_copies(pool),
+        ];
         let mut max_free = self.max_free_capacity(&candidates);
         let mut unplaced = 0;
         for id in self.ready_steps(pool, max_free) {
@@ -75,13 +78,14 @@
     /// Starts tasks of a step as far as there is free capacity, and returns
     /// whether some are left that fit on no worker. Steps that became ready up
     /// to the log position `unknown_until` are skipped, since their tasks may
-    /// already run.
+    /// already run. Its second value is for steps whose tasks may have two
+    /// runs.
     fn place_step(
         &mut self,
         state: &ControlState,
         id: StepId,
         keys: &[WorkerKey],
-        unknown_until: Option<u64>,
+        unknown_until: [Option<u64>; 2],
     ) -> bool {
         let Some(job) = state.jobs.get(&id.job) else {
             return false;
@@ -90,6 +94,9 @@
             return false;
         };
         let step = &self.steps[&id];
+        let [single, copied] = unknown_until;
+        let allows_two_runs = step.speculative && step.suspect_tasks().next().is_none();
+        let unknown_until = if allows_two_runs { copied } else { single };
         if unknown_until.is_some_and(|until| step.ready_index <= until) {
             return false;
         }
@@ -245,6 +252,7 @@
             let label = spec.required_label.as_ref();
             let has_slot = |most| step.placed.get(*key).is_none_or(|placed| *placed < most);
             footprint.fits(worker.free_capacity())
+                && !self.has_superseded_on(**key, id.task(index))
                 && self.answered_recently(step, index, worker)
                 && self.provides_isolation(step, index, **key)
                 && label.is_none_or(|label| worker.has_label(label))
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -21,7 +21,7 @@
 /// The time that a task takes in addition to its run: the call that starts it,
 /// the call that lists its end, and the commit of that end. Without it, a pool
 /// with more work than capacity would start each task just too late.
-const DISPATCH_OVERHEAD: Duration = Duration::from_millis(50);
+pub(super) const DISPATCH_OVERHEAD: Duration = Duration::from_millis(50);
 
 /// The order in which the steps of a pool are scheduled; the lowest is first.
 type Rank = (u32, (ShareStatus, Timeliness), StepOrder);
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -28,6 +28,9 @@
 /// commit takes a disk sync (6 ms on the platform's disks) and a round trip
 /// (2.8 ms). If it takes longer, a later renewal acknowledges them.
 const MAX_COMMIT_WAIT: Duration = Duration::from_millis(100);
+/// The delay of the next renewal to a worker one of whose ends is held until a
+/// start is answered, which takes some milliseconds.
+const HELD_END_DELAY: Duration = Duration::from_millis(20);
 /// How long a worker may delay its answer while best-effort tasks run beside
 /// tasks that serve users: the response times have to be checked more often
 /// than runs end.
@@ -127,7 +130,8 @@
         }
         self.record_answer(key, answer.clock_ms);
         self.record_use(state, key);
-        self.handle_ends(state, key, &answer.ended);
+        let has_held_ends = self.handle_ends(state, key, &answer.ended);
+        let more_ended = answer.more_ended || has_held_ends;
         let listed: IndexSet<(TaskId, Run)> = answer
             .running
             .iter()
@@ -137,21 +141,24 @@
             self.reconcile_run(state, key, listed);
         }
         self.adjust_throttle(state, key, &answer.running);
-        if !answer.more_ended {
+        if !more_ended {
             self.mark_vanished(key, sent_at, &listed);
+            self.mark_superseded_vanished(key, sent_at, &listed);
         }
         self.release_strays(key, |task, run| listed.contains(&(task, run)));
         let has_strays = self.strays.keys().any(|(at, ..)| *at == key);
         let now = self.now;
         let worker = &mut self.workers[key];
         worker.has_strays = has_strays;
-        worker.fully_listed |= !answer.more_ended;
+        worker.fully_listed |= !more_ended;
         worker.last_acknowledged_end = worker.last_acknowledged_end.max(acked);
         worker.renewing = false;
         // The next renewal waits until it can acknowledge the ends that are
         // being committed.
         if worker.last_proposed_end > worker.last_committed_end {
             worker.renewal_due = now + MAX_COMMIT_WAIT;
+        } else if has_held_ends {
+            worker.renewal_due = now + HELD_END_DELAY;
         } else {
             self.send_renewal(key);
         }
@@ -215,19 +222,22 @@
 
     /// Frees the capacity of runs that ended, and proposes new ends for commit.
     /// Ends of a worker without a record would have no effect when applied; the
-    /// worker lists them again once it has one.
-    fn handle_ends(&mut self, state: &ControlState, key: WorkerKey, ended: &[TaskEnd]) {
+    /// worker lists them again once it has one. Returns whether an end is held,
+    /// with all later ones of the worker, which are committed in their order.
+    fn handle_ends(&mut self, state: &ControlState, key: WorkerKey, ended: &[TaskEnd]) -> bool {
         if !state.workers.contains_key(&self.workers[key].record.name) {
-            return;
+            return false;
         }
         let proposed = self.workers[key].last_proposed_end;
-        let ends: Vec<TaskEnd> = ended
-            .iter()
-            .filter(|end| end.number > proposed)
+        let new = ended.iter().filter(|end| end.number > proposed);
+        let ends: Vec<TaskEnd> = new
+            .clone()
+            .take_while(|end| !self.is_end_held(key, &end.end))
             .cloned()
             .collect();
+        let has_held_ends = ends.len() < new.count();
         let Some(last) = ends.last() else {
-            return;
+            return has_held_ends;
         };
         self.workers[key].last_proposed_end = last.number;
         for end in &ends {
@@ -240,10 +250,14 @@
             ends,
         });
         self.request_scheduling_for_worker(key);
+        has_held_ends
     }
 
     fn handle_end(&mut self, state: &ControlState, key: WorkerKey, listed: &TaskEnd) {
         let end = &listed.end;
+        if self.handle_superseded_end(state, key, end) {
+            return;
+        }
         self.drop_superseded(end.task, end.run);
         let Some(attempt) = self.attempts.get_mut(&end.task) else {
             return self.await_inherited_end(key, end);
@@ -262,6 +276,20 @@
         }
         let started_at = attempt.started_at;
         self.end_attempt(end.task);
+        self.record_listed_end(state, key, end, started_at);
+        if end.kind != EndKind::Stopped {
+            self.log_copy_outcome(end.task, end.kind == EndKind::Done);
+        }
+    }
+
+    /// Logs the end of a run and records its duration.
+    pub(super) fn record_listed_end(
+        &mut self,
+        state: &ControlState,
+        key: WorkerKey,
+        end: &End,
+        started_at: Duration,
+    ) {
         self.record_job_started(end.task.job());
         let worker = self.worker_name(key);
         self.log(Decision::Ended {
@@ -293,6 +321,9 @@
     /// Reconciles a run that a worker lists with the known run of its task.
     fn reconcile_run(&mut self, state: &ControlState, key: WorkerKey, listed: &RunningTask) {
         let now = self.now;
+        if self.reconcile_superseded(key, listed) {
+            return;
+        }
         self.drop_superseded(listed.task, listed.run);
         if let Some(attempt) = self.attempts.get_mut(&listed.task)
             && attempt.worker == key
@@ -307,7 +338,7 @@
             }
             return self.record_job_started(listed.task.job());
         }
-        if !self.adopt_run(state, key, listed) {
+        if !self.adopt_run(state, key, listed) && !self.adopt_superseded(state, key, listed) {
             self.stop_stray(state, key, listed.task, listed.run);
         }
     }
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -49,6 +49,8 @@
     pub(crate) share_status: ShareStatus,
     /// Whether its tasks start all together or not at all.
     pub(crate) gang: bool,
+    /// Whether its tasks may have two runs at a time.
+    pub(crate) speculative: bool,
     /// The expected duration of the longest chain of steps from this one on,
     /// this one included.
     pub(crate) critical_path: Duration,
@@ -110,6 +112,12 @@
         }
     }
 
+    /// How much later its remaining steps may start without missing the job's
+    /// objective.
+    pub(crate) fn spare_time(&self, now: Duration) -> Duration {
+        self.order.due.saturating_sub(now + self.critical_path)
+    }
+
     /// Whether its maximum number of tasks runs on a worker.
     pub(crate) fn is_full_on(&self, worker: WorkerKey) -> bool {
         let placed = self.placed.get(&worker).copied().unwrap_or_default();
@@ -251,6 +259,7 @@
                 .copied()
                 .unwrap_or_default(),
             gang: spec.gang,
+            speculative: self.speculates() && spec.allows_copies(),
             critical_path,
             placed: IndexMap::new(),
             failed_on: IndexMap::new(),
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -9,7 +9,8 @@
 use super::account::Charge;
 use super::attempt::{Attempt, Phase};
 use super::event::RunningTask;
-use super::worker::WorkerKey;
+use super::loss::SILENT_AFTER;
+use super::worker::{Worker, WorkerKey, WorkerState};
 use super::{Decision, Scheduler};
 use crate::state::{ControlState, End, Suspicion};
 use crate::{Run, Size, TaskId};
@@ -44,11 +45,30 @@
     /// simulations of one day, 177 to 278 tasks waited although there was free
     /// capacity for all of them.
     pub(super) fn unknown_until(&self, pool: &str) -> Option<u64> {
+        self.unknown_until_on(pool, |_| true)
+    }
+
+    /// As [`Self::unknown_until`], for steps whose tasks may have two runs at a
+    /// time. They wait only for workers that may answer soon, and not for
+    /// leases to expire. Otherwise every takeover would copy all tasks of the
+    /// workers that answer last.
+    pub(super) fn unknown_until_for_copies(&self, pool: &str) -> Option<u64> {
+        if !self.speculates() {
+            return self.unknown_until(pool);
+        }
+        let may_have_answered = self.now > self.taken_over_at + SILENT_AFTER;
+        self.unknown_until_on(pool, |worker| {
+            let is_unseen = worker.state == WorkerState::Unseen;
+            worker.unanswered_since.is_none() && !(is_unseen && may_have_answered)
+        })
+    }
+
+    fn unknown_until_on(&self, pool: &str, awaited: impl Fn(&Worker) -> bool) -> Option<u64> {
         if !self.cfg.protections.await_inherited_runs {
             return None;
         }
         let workers = self.workers.in_pool(pool);
-        let unknown = workers.filter(|(_, worker)| !worker.runs_are_known());
+        let unknown = workers.filter(|(_, worker)| !worker.runs_are_known() && awaited(worker));
         let until = unknown.map(|(_, worker)| worker.record.history.silent_index);
         let latest = until
             .map(|silent_index| silent_index.unwrap_or(u64::MAX))
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -23,6 +23,7 @@
         self.manage_machines(state);
         // Workers on which starts were paused may accept work again.
         self.dirty_pools = DirtyPools::All;
+        self.copies_due = self.speculates();
     }
 
     fn activate_due(&mut self, state: &ControlState) {
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -90,6 +90,9 @@
     ///
     /// Invariant: at most the number of `tasks`.
     pub(crate) long_running: usize,
+    /// The number of its superseded runs, including those whose end is being
+    /// committed. They are not among `tasks`.
+    pub(crate) superseded_runs: usize,
     /// The sum of the crashes that count against its tasks.
     pub(crate) task_crashes: usize,
     /// The runs that it had when its lease expired and that may have crashed it,
@@ -146,6 +149,7 @@
             absent_since: None,
             fully_listed: false,
             long_running: 0,
+            superseded_runs: 0,
             task_crashes: 0,
             lapsed_runs: Vec::new(),
             colocated: false,
--- a/crates/cleat-jobs/src/size.rs
+++ b/crates/cleat-jobs/src/size.rs
@@ -44,6 +44,16 @@
         }
     }
 
+    /// The minimum of each resource.
+    #[must_use]
+    pub fn component_min(self, other: Size) -> Size {
+        Size {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            gpu: self.gpu.min(other.gpu),
+        }
+    }
+
     /// The total for `count` tasks of this size.
     #[must_use]
     pub fn scaled(self, count: u64) -> Size {
--- a/crates/cleat-jobs/tests/simulation/plan.rs
+++ b/crates/cleat-jobs/tests/simulation/plan.rs
@@ -94,6 +94,9 @@
     /// A fault injected immediately after this stage, a few times per schedule.
     pub(crate) injection: Option<(JobStage, Fault)>,
     pub(crate) protections: Protections,
+    /// The part of the capacity, in percent, that copies of tasks may use. Unless it is 0,
+    /// most jobs are speculative and some runs are slow.
+    pub(crate) speculation_percent: u32,
 }
 
 impl Plan {
@@ -102,6 +105,7 @@
             faults: faults.to_vec(),
             injection: None,
             protections: Protections::default(),
+            speculation_percent: 0,
         }
     }
 
@@ -113,6 +117,14 @@
         }
     }
 
+    /// A schedule with speculative jobs.
+    pub(crate) fn speculative(faults: &[Fault]) -> Plan {
+        Plan {
+            speculation_percent: 50,
+            ..Plan::with(faults)
+        }
+    }
+
     pub(crate) fn has(&self, fault: Fault) -> bool {
         self.faults.contains(&fault)
     }
