Start no copy while the end of an unknown run is being committed

Cause: a new owner adopted the earlier run of a task and copied it while the end 'done' of the earlier copy, which it had proposed itself, was being committed. Change: such an end is kept as an ended superseded run until it is committed.

--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -268,9 +268,12 @@
             // later run, whose commit is in progress.
             attempt.run = end.run;
         }
-        if attempt.worker != key || attempt.run != end.run || !attempt.uses_capacity() {
+        if !attempt.uses_capacity() {
             return;
         }
+        if attempt.worker != key || attempt.run != end.run {
+            return self.await_second_end(key, end);
+        }
         if !end.checkpoint.is_empty() {
             attempt.checkpoint = end.checkpoint.clone();
         }
--- a/crates/cleat-jobs/src/schedule/speculation/superseded.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/superseded.rs
@@ -2,14 +2,15 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use crate::schedule::account::Charge;
 use crate::schedule::attempt::{Attempt, Phase};
 use crate::schedule::decision::{LossReason, StopReason};
 use crate::schedule::event::RunningTask;
 use crate::schedule::orders::STOP_RETRY_DELAY;
 use crate::schedule::worker::WorkerKey;
 use crate::schedule::{Decision, Scheduler};
-use crate::state::{ControlState, End, EndKind};
-use crate::{JobId, Run, TaskId};
+use crate::state::{ControlState, End, EndKind, Suspicion};
+use crate::{JobId, Run, Size, TaskId};
 
 /// The earlier run of a task that was copied.
 #[derive(Clone, Debug)]
@@ -324,6 +325,31 @@
         true
     }
 
+    /// Prevents a copy of a task while the end of another run, which this owner did not
+    /// know of, is being committed: that run may have completed the task.
+    pub(in crate::schedule) fn await_second_end(&mut self, key: WorkerKey, end: &End) {
+        let Some(step) = self.steps.get_mut(&end.task.step) else {
+            return;
+        };
+        if !step.speculative || self.superseded.contains(end.task) {
+            return;
+        }
+        *step.placed.entry(key).or_default() += 1;
+        let attempt = Attempt {
+            run: end.run,
+            worker: key,
+            phase: Phase::Ended,
+            footprint: Size::default(),
+            charge: Charge::default(),
+            long_running: false,
+            started_at: self.now,
+            at_full_speed: false,
+            suspicion: Suspicion::default(),
+            checkpoint: end.checkpoint.clone(),
+        };
+        self.insert_superseded(end.task, attempt);
+    }
+
     /// Removes the superseded runs of a worker that are missing in a list that
     /// was requested after they were known to run or were ordered to stop.
     pub(in crate::schedule) fn mark_superseded_vanished(
--- a/crates/cleat-jobs/tests/speculation.rs
+++ b/crates/cleat-jobs/tests/speculation.rs
@@ -680,3 +680,20 @@
     let done = commit_end(&mut harness, "w1", &earlier, EndKind::Done);
     assert_stops(&done, "w2", &copy);
 }
+
+/// The copy ended before the owner died. Guards against a third run that is started while
+/// the end `done` of the copy is being committed.
+#[test]
+fn no_copy_while_the_end_of_another_run_is_committed() {
+    let mut harness = harness(&["w1", "w2", "w3"], 50);
+    let (earlier, copy) = running_copy(&mut harness);
+    harness.replace_owner();
+    let adopted = list(&mut harness, "w1", &earlier);
+    let listed = list_end(&mut harness, "w2", &copy, EndKind::Done);
+    let idle = harness.answer_renewal("w3", RenewalAnswer::default());
+    let ready = [harness.commit(&adopted), harness.commit(&idle)].concat();
+    let silent = silence(&mut harness, "w1");
+    assert!(starts(&[ready, silent].concat()).is_empty());
+    harness.commit(&listed);
+    assert_eq!(job_state(&harness), Some(JobState::Completed));
+}
