--- a/crates/cleat-jobs/tests/speculation.rs
+++ b/crates/cleat-jobs/tests/speculation.rs
@@ -284,28 +284,97 @@
     assert!(starts(&silence(&mut harness, "w1")).is_empty());
 }
 
-/// The superseded run counts on its worker too, where a third task of the step has to wait.
+/// The superseded run counts on its worker too: a task that failed on `w2` starts there again
+/// rather than beside the superseded run on `w1`.
 #[test]
 fn superseded_runs_count_against_the_maximum_per_worker() {
     let limited = StepSpec {
         max_per_worker: Some(1),
-        ..speculative(3, 1_000)
+        ..short(2, 1_000)
     };
-    let mut harness = harness(&["w1", "w2"], 100);
+    let mut harness = harness(&["w1", "w2", "w3"], 100);
     let started = submit(&mut harness, vec![limited]);
-    assert_eq!(started.len(), 2);
-    commit_end(&mut harness, "w2", &started[1].1, EndKind::Done);
-    let third = starts(&harness.tick(ms(50)));
-    assert_eq!(third.len(), 1);
-    confirm(&mut harness, &third);
-    silence(&mut harness, "w1");
-    harness.now += ms(1);
-    let number_two = end(2, third[0].1.task, third[0].1.run.0, EndKind::Done);
-    let effects = harness.answer_renewal("w2", ended(vec![number_two]));
-    harness.commit(&effects);
-    let copy = starts(&harness.tick(ms(50)));
-    assert_eq!(copy.len(), 1, "the task of the silent worker is copied");
-    assert_eq!(copy[0].1.task, started[0].1.task);
+    let copies = starts(&harness.tick(ms(760)));
+    assert_eq!(copies.len(), 1, "one worker is free");
+    confirm(&mut harness, &copies);
+    let copied = copies[0].1.task;
+    let (worker, failed) = started
+        .iter()
+        .find(|(_, order)| order.task != copied)
+        .expect("two tasks");
+    let mut effects = commit_end(&mut harness, worker, failed, EndKind::Failed);
+    effects.extend(harness.tick(ms(50)));
+    let retried = starts(&effects);
+    assert_eq!(retried.len(), 1);
+    assert_eq!(retried[0].0, *worker);
+}
+
+/// Two tasks straggle, and one worker is free. Guards against a task that stays queued
+/// beside its superseded run, and is started without the checks of a copy.
+#[test]
+fn copy_without_a_worker_is_withdrawn() {
+    let mut harness = harness(&["w1", "w2", "w3"], 100);
+    submit(&mut harness, vec![short(2, 8_000)]);
+    let copies = starts(&harness.tick(ms(760)));
+    assert_eq!(copies.len(), 1, "one worker is free");
+    confirm(&mut harness, &copies);
+    let (worker, copy) = &copies[0];
+    let done = commit_end(&mut harness, worker, copy, EndKind::Done);
+    assert!(starts(&done).is_empty());
+    assert_eq!(starts(&harness.tick(ms(50))).len(), 1);
+}
+
+/// Guards against a superseded run that uses capacity until its job ends.
+#[test]
+fn superseded_run_is_stopped_while_its_job_continues() {
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 1_000)
+    };
+    let mut harness = harness(&["w1", "w2"], 50);
+    let (_, earlier) = submit(&mut harness, vec![speculative(1, 1_000), second]).remove(0);
+    let copies = starts(&silence(&mut harness, "w1"));
+    confirm(&mut harness, &copies);
+    let done = commit_end(&mut harness, "w2", &copies[0].1, EndKind::Done);
+    assert_eq!(job_state(&harness), Some(JobState::Active));
+    assert_stops(&done, "w1", &earlier);
+}
+
+/// Guards against a second worker that a task crashes while it runs on the first one.
+#[test]
+fn no_copy_of_a_task_that_may_have_crashed_a_worker() {
+    let mut harness = harness(&["w1", "w2", "w3"], 50);
+    submit(&mut harness, vec![speculative(1, 1_000)]);
+    let crashed = harness.feed(cleat_jobs::Event::RenewalFailed {
+        worker: "w1".into(),
+        other_life: true,
+    });
+    let restarted = starts(&harness.commit(&crashed));
+    confirm(&mut harness, &restarted);
+    assert_eq!(restarted.len(), 1);
+    assert!(starts(&silence(&mut harness, &restarted[0].0)).is_empty());
+}
+
+/// The earlier owner may have started the task and a copy on `w1`. Guards against a start
+/// beyond the cap: with these two, the new run and another task, 4 of 3.5 cores are in use.
+#[test]
+fn hidden_runs_of_copied_tasks_count_against_the_cap() {
+    let mut harness = harness(&["w1", "w2"], 50);
+    let draft = CatalogueDraft {
+        customers: Some(vec![customer("c", &[], 3_500)]),
+        ..draft(2)
+    };
+    let catalogue = Catalogue::new(draft).expect("valid");
+    harness.apply(Command::Configure(Arc::new(catalogue)));
+    harness.submit_for(Some("c"), 0, 1, vec![speculative(1, 1_000)]);
+    harness.replace_owner();
+    harness.answer_renewal("w2", RenewalAnswer::default());
+    harness.fail_renewal("w1");
+    let started = starts(&harness.tick(ms(50)));
+    assert_eq!(started.len(), 1);
+    confirm(&mut harness, &started);
+    let other = harness.submit_for(Some("c"), 0, 2, vec![step(1, 1_000)]);
+    assert!(starts(&other).is_empty());
 }
 
 /// Guards against a job that fails because a copy used up the attempts: two are allowed.
@@ -522,10 +591,15 @@
         2,
         "stops are sent again"
     );
-    commit_end(&mut harness, "w1", &started[0].1, EndKind::Stopped);
-    assert_eq!(charged(&harness), 1_000);
     commit_end(&mut harness, "w2", &copies[0].1, EndKind::Stopped);
+    assert_eq!(charged(&harness), 1_000);
+    let waiting = proposals(&harness.tick(ms(50)));
+    let stopped = |command: &Command| matches!(command, Command::JobsStopped { .. });
+    assert!(!waiting.iter().any(stopped), "one run may not have stopped");
+    commit_end(&mut harness, "w1", &started[0].1, EndKind::Stopped);
     assert_eq!(charged(&harness), 0);
+    let settled = proposals(&harness.tick(ms(50)));
+    assert!(settled.iter().any(stopped), "the job counts for ever");
     assert_eq!(harness.owner.running_tasks(id), 0);
 }
 
