--- a/crates/cleat-jobs/tests/speculation.rs
+++ b/crates/cleat-jobs/tests/speculation.rs
@@ -352,7 +352,14 @@
     let restarted = starts(&harness.commit(&crashed));
     confirm(&mut harness, &restarted);
     assert_eq!(restarted.len(), 1);
-    assert!(starts(&silence(&mut harness, &restarted[0].0)).is_empty());
+    let worker = &restarted[0].0;
+    harness.fail_renewal(worker);
+    harness.now += ms(850);
+    // A suspect task starts only on a worker that has answered a moment ago.
+    for other in ["w2", "w3"].iter().filter(|other| **other != &**worker) {
+        harness.answer_renewal(other, RenewalAnswer::default());
+    }
+    assert!(starts(&harness.tick(ms(1))).is_empty());
 }
 
 /// The earlier owner may have started the task and a copy on `w1`. Guards against a start
