--- a/crates/cleat-jobs/src/schedule/choice.rs
+++ b/crates/cleat-jobs/src/schedule/choice.rs
@@ -54,6 +54,7 @@
             let label = spec.required_label.as_ref();
             let has_slot = |most| step.placed.get(*key).is_none_or(|placed| *placed < most);
             footprint.fits(worker.free_capacity())
+                && !self.has_superseded_on(**key, id.task(index))
                 && self.answered_recently(step, index, worker)
                 && self.provides_isolation(step, index, **key)
                 && label.is_none_or(|label| worker.has_label(label))
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -26,6 +26,7 @@
 mod ready;
 mod renewal;
 mod shares;
+mod speculation;
 mod speed;
 mod start;
 mod step;
@@ -63,6 +64,7 @@
 use fleet::Machines;
 use ready::DirtyPools;
 use shares::ShareStatus;
+use speculation::SupersededRuns;
 use speed::SpeedStats;
 use step::ActiveStep;
 use throttle::{Throttle, ThrottleTimes};
@@ -160,6 +162,10 @@
     /// Runs that a worker lists although this owner does not expect them there:
     /// their job has ended, or another run took their place.
     strays: IndexMap<(WorkerKey, TaskId, Run), Stray>,
+    /// The earlier runs of tasks that were copied.
+    superseded: SupersededRuns,
+    /// Whether a tick has passed since tasks were last examined for copies.
+    copies_due: bool,
     accounts: Accounts,
     /// Whether some worker may still have runs of an earlier owner that it has
     /// not listed to this owner.
@@ -234,6 +240,8 @@
             attempts: IndexMap::new(),
             job_tasks: IndexMap::new(),
             strays: IndexMap::new(),
+            superseded: SupersededRuns::default(),
+            copies_due: false,
             accounts: Accounts::default(),
             may_have_hidden_runs: true,
             stopped_jobs_proposed: IndexSet::new(),
@@ -281,6 +289,7 @@
         }
         self.update_accounts(state);
         self.place_ready_steps(state);
+        self.start_copies(state);
         std::mem::take(&mut self.effects)
     }
 
@@ -345,7 +354,9 @@
     pub fn running_tasks(&self, id: JobId) -> usize {
         let tasks = self.job_tasks.get(&id).into_iter().flatten();
         let attempts = tasks.filter_map(|task| self.attempts.get(task));
-        attempts.filter(|attempt| attempt.uses_capacity()).count()
+        let superseded = self.superseded.of_job(id).map(|(_, run)| run);
+        let runs = attempts.chain(superseded);
+        runs.filter(|run| run.uses_capacity()).count()
     }
 
     /// All workers that are not removed.
@@ -353,7 +364,7 @@
         self.workers.iter().map(|(key, worker)| WorkerView {
             record: &worker.record,
             state: worker.state,
-            runs: worker.tasks.len(),
+            runs: worker.tasks.len() + worker.superseded_runs,
             used: worker.used,
             slow: self.is_slow(key),
         })
--- a/crates/cleat-jobs/src/schedule/placement.rs
+++ b/crates/cleat-jobs/src/schedule/placement.rs
@@ -2,6 +2,7 @@
 
 use super::Scheduler;
 use super::speed::SlowWorkers;
+use super::takeover::HiddenStarts;
 use super::worker::WorkerKey;
 use crate::state::{ControlState, Job};
 use crate::{Size, StepId, StepSpec};
@@ -33,7 +34,7 @@
         self.reserve_for_suspects(state, &candidates);
         // Starting tasks does not change this position, so it is determined
         // once per pass.
-        let unknown_until = self.unknown_until(pool);
+        let hidden = self.hidden_starts(pool);
         let usable = [&candidates[..], &slow.keys].concat();
         let mut max_free = self.max_free_capacity(&usable);
         let mut unplaced = 0;
@@ -44,7 +45,7 @@
                 .is_some_and(|step| step.may_fit(max_free))
             {
                 unplaced += 1;
-            } else if self.place_on_any(state, id, &candidates, &mut slow, unknown_until) {
+            } else if self.place_on_any(state, id, &candidates, &mut slow, hidden) {
                 unplaced += 1;
                 max_free = self.max_free_capacity(&usable);
             }
@@ -62,17 +63,17 @@
         id: StepId,
         candidates: &[WorkerKey],
         slow: &mut SlowWorkers,
-        unknown_until: Option<u64>,
+        hidden: HiddenStarts,
     ) -> bool {
         if slow.keys.is_empty() {
-            return self.place_step(state, id, candidates, unknown_until);
+            return self.place_step(state, id, candidates, hidden);
         }
-        self.place_probe(state, id, slow, unknown_until, true);
-        if !self.place_step(state, id, candidates, unknown_until) {
+        self.place_probe(state, id, slow, hidden, true);
+        if !self.place_step(state, id, candidates, hidden) {
             return false;
         }
-        self.place_probe(state, id, slow, unknown_until, false);
-        self.place_on_slow(state, id, slow, unknown_until)
+        self.place_probe(state, id, slow, hidden, false);
+        self.place_on_slow(state, id, slow, hidden)
     }
 
     /// The maximum of each resource that is free on any of the workers.
@@ -90,15 +91,14 @@
     }
 
     /// Starts tasks of a step as far as there is free capacity, and returns
-    /// whether some are left that fit on no worker. Steps that became ready up
-    /// to the log position `unknown_until` are skipped, since their tasks may
-    /// already run.
+    /// whether some are left that fit on no worker. Steps in `hidden` are
+    /// skipped, since their tasks may already run.
     pub(super) fn place_step(
         &mut self,
         state: &ControlState,
         id: StepId,
         keys: &[WorkerKey],
-        unknown_until: Option<u64>,
+        hidden: HiddenStarts,
     ) -> bool {
         let Some(job) = state.jobs.get(&id.job) else {
             return false;
@@ -107,7 +107,7 @@
             return false;
         };
         let step = &self.steps[&id];
-        if unknown_until.is_some_and(|until| step.ready_index <= until) {
+        if hidden.may_include(step) {
             return false;
         }
         let pending: Vec<u32> = step.pending.iter().copied().collect();
--- a/crates/cleat-jobs/src/schedule/speed/placement.rs
+++ b/crates/cleat-jobs/src/schedule/speed/placement.rs
@@ -4,6 +4,7 @@
 
 use crate::StepId;
 use crate::schedule::Scheduler;
+use crate::schedule::takeover::HiddenStarts;
 use crate::schedule::timing::Timeliness;
 use crate::schedule::worker::WorkerKey;
 use crate::state::ControlState;
@@ -62,7 +63,7 @@
         state: &ControlState,
         id: StepId,
         slow: &SlowWorkers,
-        unknown_until: Option<u64>,
+        hidden: HiddenStarts,
         has_room: bool,
     ) {
         let Some((job, step)) = state.jobs.get(&id.job).zip(self.steps.get(&id)) else {
@@ -73,7 +74,7 @@
         };
         let unsuitable = spec.long_running || spec.fills || spec.gang || step.advised;
         let by_rack = spec.rack_local || spec.data_rack.is_some();
-        let may_run = unknown_until.is_some_and(|until| step.ready_index <= until);
+        let may_run = hidden.may_include(step);
         if unsuitable || by_rack || may_run || spec.estimate_ms == 0 {
             return;
         }
@@ -110,7 +111,7 @@
         state: &ControlState,
         id: StepId,
         slow: &mut SlowWorkers,
-        unknown_until: Option<u64>,
+        hidden: HiddenStarts,
     ) -> bool {
         let as_f64 = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
         let durations = as_f64(slow.ahead + 1) / as_f64(slow.running_elsewhere);
@@ -118,7 +119,7 @@
         let sooner: Vec<WorkerKey> = keys
             .filter(|key| 1.0 / self.speed(*key) < 1.0 + durations)
             .collect();
-        let left = sooner.is_empty() || self.place_step(state, id, &sooner, unknown_until);
+        let left = sooner.is_empty() || self.place_step(state, id, &sooner, hidden);
         let step = self.steps.get(&id);
         slow.ahead += step.map_or(0, |step| step.pending.len());
         left
--- a/crates/cleat-jobs/src/schedule/start.rs
+++ b/crates/cleat-jobs/src/schedule/start.rs
@@ -9,7 +9,7 @@
 
 /// The number of run numbers that each owner can assign to a task. An owner
 /// that restarts a task each second for a day uses fewer.
-const RUN_NUMBERS_PER_OWNER: u64 = 1 << 20;
+pub(super) const RUN_NUMBERS_PER_OWNER: u64 = 1 << 20;
 
 impl Scheduler {
     /// A run number that is higher than all that this owner or an earlier one
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -9,11 +9,37 @@
 use super::account::Charge;
 use super::attempt::{Attempt, Phase};
 use super::event::RunningTask;
-use super::worker::WorkerKey;
+use super::loss::SILENT_AFTER;
+use super::step::ActiveStep;
+use super::worker::{Worker, WorkerKey, WorkerState};
 use super::{Decision, Scheduler};
 use crate::state::{ControlState, End, Suspicion};
 use crate::{Run, Size, TaskId};
 
+/// The log positions up to which steps of a pool that became ready may have been
+/// started by an earlier owner without this owner's knowledge.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HiddenStarts {
+    /// For steps whose tasks have one run at a time.
+    single: Option<u64>,
+    /// For steps whose tasks may have two.
+    copied: Option<u64>,
+}
+
+impl HiddenStarts {
+    /// Whether an earlier owner may have started tasks of the step that this owner
+    /// does not know of, and that must not be started again.
+    pub(super) fn may_include(self, step: &ActiveStep) -> bool {
+        let allows_two_runs = step.speculative && step.suspect_tasks().next().is_none();
+        let until = if allows_two_runs {
+            self.copied
+        } else {
+            self.single
+        };
+        until.is_some_and(|until| step.ready_index <= until)
+    }
+}
+
 impl Scheduler {
     /// Loads the workers and jobs of the replicated state, and asks all workers
     /// for their runs.
@@ -44,11 +70,30 @@
     /// simulations of one day, 177 to 278 tasks waited although there was free
     /// capacity for all of them.
     pub(super) fn unknown_until(&self, pool: &str) -> Option<u64> {
+        self.unknown_until_on(pool, |_| true)
+    }
+
+    /// As [`Self::unknown_until`], for steps whose tasks may have two runs at a
+    /// time. They wait only for workers that may answer soon, and not for
+    /// leases to expire. Otherwise every takeover would copy all tasks of the
+    /// workers that answer last.
+    pub(super) fn unknown_until_for_copies(&self, pool: &str) -> Option<u64> {
+        if !self.speculates() {
+            return self.unknown_until(pool);
+        }
+        let may_have_answered = self.now > self.taken_over_at + SILENT_AFTER;
+        self.unknown_until_on(pool, |worker| {
+            let is_unseen = worker.state == WorkerState::Unseen;
+            worker.unanswered_since.is_none() && !(is_unseen && may_have_answered)
+        })
+    }
+
+    fn unknown_until_on(&self, pool: &str, awaited: impl Fn(&Worker) -> bool) -> Option<u64> {
         if !self.cfg.protections.await_inherited_runs {
             return None;
         }
         let workers = self.workers.in_pool(pool);
-        let unknown = workers.filter(|(_, worker)| !worker.runs_are_known());
+        let unknown = workers.filter(|(_, worker)| !worker.runs_are_known() && awaited(worker));
         let until = unknown.map(|(_, worker)| worker.record.history.silent_index);
         let latest = until
             .map(|silent_index| silent_index.unwrap_or(u64::MAX))
@@ -56,6 +101,14 @@
         latest.map(|until| until.min(self.owner.token))
     }
 
+    /// The starts of earlier owners in a pool that this owner may not know of.
+    pub(super) fn hidden_starts(&self, pool: &str) -> HiddenStarts {
+        HiddenStarts {
+            single: self.unknown_until(pool),
+            copied: self.unknown_until_for_copies(pool),
+        }
+    }
+
     /// Prevents a task from being started while the end of a run that an
     /// earlier owner started is being committed: that run may have completed
     /// the task.
