Plan the machines of all pools at once with machine_plan

Machines followed the largest shortage, counted machines in transit as capacity, and left pools right after they had joined them. With the setting, one plan per tick divides the fleet between the pools: a minimum for each, work in time and within shares, other work, and the forecast beyond shares, each by priority and in proportion to the need. Accepting, joining and drained capacity are kept apart; join times are observed; a move needs work that is left when the machine arrives; a machine that joined stays as long as its move took; failed joins hold back further moves; a silent platform gets no orders. Without the setting the decisions do not change; only the event pool has new fields.

--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -55,6 +55,19 @@
                 let gauge = self.counters.gauge(&format!("pool.{pool}.waiting"));
                 gauge.set(*waiting);
             }
+            Decision::Plan {
+                paid, held_back, ..
+            } => {
+                self.counter("moves.paid").add(*paid);
+                for (reason, count) in held_back {
+                    let name = format!("moves.held_back.{}", reason.name());
+                    self.counter(&name).add(*count);
+                }
+            }
+            Decision::MachineJoined { took_ms, .. } => {
+                let took = Duration::from_millis(*took_ms);
+                self.latencies.latency("machine.join").record(took);
+            }
         }
     }
 
--- a/crates/cleat-jobs/examples/fleet_cost.rs
+++ b/crates/cleat-jobs/examples/fleet_cost.rs
@@ -3,14 +3,16 @@
 //! a tenth of the machines. Prints the processor time per tick without changes, while
 //! machines move back, and while machines move to the pool.
 //!
-//! `cargo run --release -p cleat-jobs --example fleet_cost -- [MACHINES]...`
+//! `cargo run --release -p cleat-jobs --example fleet_cost -- [--plan] [MACHINES]...`
+//!
+//! `--plan` enables the machine plan.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cleat_jobs::{
-    Catalogue, CatalogueDraft, Command, ControlState, Effect, Event, Heartbeat, JobId, JobSpec,
-    MachineAnswer, MachineState, MachineView, Pool, Queue, RenewalAnswer, Scheduler,
+    Catalogue, CatalogueDraft, Command, ControlState, Effect, Event, Features, Heartbeat, JobId,
+    JobSpec, MachineAnswer, MachineState, MachineView, Pool, Queue, RenewalAnswer, Scheduler,
     SchedulerConfig, Size, StepSpec, WorkerHistory, WorkerRecord,
 };
 
@@ -44,15 +46,19 @@
     } else {
         sizes
     };
+    let machine_plan = std::env::args().any(|arg| arg == "--plan");
     println!("machines  at rest us  going back us (moves)  coming us (moves)");
     for size in sizes {
-        let mut world = World::new(size);
+        let mut world = World::new(size, machine_plan);
         world.list();
         world.pass_settling_time();
+        world.answer_list(machine_plan);
         let (back_us, back_moves) = world.run_ticks();
         world.list();
         world.pass_settling_time();
+        world.answer_list(machine_plan);
         let (idle_us, _) = world.run_ticks();
+        world.answer_list(machine_plan);
         world.submit(size / 10);
         let (demand_us, demand_moves) = world.run_ticks();
         println!(
@@ -62,12 +68,20 @@
 }
 
 impl World {
-    fn new(size: usize) -> World {
+    fn new(size: usize, machine_plan: bool) -> World {
         let mut state = ControlState::default();
         state.apply(1, Command::Bootstrapped);
         state.apply(2, Command::Configure(Arc::new(catalogue())));
         state.apply(3, Command::TakeOver { member: 1 });
-        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO, 0);
+        let features = Features {
+            machine_plan,
+            ..Features::default()
+        };
+        let cfg = SchedulerConfig {
+            features,
+            ..SchedulerConfig::default()
+        };
+        let owner = Scheduler::new(cfg, &state, Duration::ZERO, 0);
         let mut world = World {
             now: Duration::ZERO,
             state,
@@ -119,6 +133,14 @@
         });
     }
 
+    /// Answers a list for the machine plan, which orders nothing while the platform has not
+    /// answered for some seconds.
+    fn answer_list(&mut self, machine_plan: bool) {
+        if machine_plan {
+            self.list();
+        }
+    }
+
     /// Advances the clock until all orders are settled.
     fn pass_settling_time(&mut self) {
         self.now += Duration::from_secs(7);
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -25,9 +25,9 @@
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
     Arrivals, CustomerView, Decision, DurationModel, Effect, EndedRun, Event, Features, Heartbeat,
-    JobUsage, MachineAnswer, MachineOrder, MachineState, MachineView, Order, OrderAnswer,
-    Protections, RenewalAnswer, RenewalOrder, RunningTask, Scheduler, SchedulerConfig, SharePolicy,
-    TaskOrder, WorkerState, WorkerView,
+    HoldReason, JobUsage, MachineAnswer, MachineOrder, MachineState, MachineView, Order,
+    OrderAnswer, Protections, RenewalAnswer, RenewalOrder, RunningTask, Scheduler, SchedulerConfig,
+    SharePolicy, TaskOrder, WorkerState, WorkerView,
 };
 pub use size::Size;
 pub use state::{
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -175,6 +175,36 @@
         free_cpu_milli: u64,
         /// The number of tasks that wait for free capacity.
         waiting: u64,
+        /// The processor time of machines that are about to arrive, in
+        /// thousandths of a core.
+        joining_cpu_milli: u64,
+        /// The expected time from the order of a move to the pool to the first
+        /// accepted work, in milliseconds.
+        expected_join_ms: u64,
+    },
+    /// The moves that the machine plan ordered and held back, once a second
+    /// while there are any.
+    Plan {
+        /// The machines that the pools lacked at this tick.
+        wanted: u64,
+        /// The moves between pools that were ordered since the last such
+        /// event.
+        paid: u64,
+        /// The idle machines that were returned to the spare pool since then.
+        returned: u64,
+        /// The machines that are being emptied for another pool.
+        draining: u64,
+        /// The moves that were wanted at this tick and held back, by reason.
+        held_back: Vec<(HoldReason, u64)>,
+    },
+    /// The worker of a machine that was moved accepts work.
+    MachineJoined {
+        /// The machine.
+        machine: Box<str>,
+        /// The pool that it joined.
+        pool: Box<str>,
+        /// The time since the move was ordered, in milliseconds.
+        took_ms: u64,
     },
     /// A customer's cap is reached while some of its tasks wait. Logged at most
     /// once a second for each customer.
@@ -243,6 +273,8 @@
             | Decision::Start { .. }
             | Decision::Machine { .. }
             | Decision::Pool { .. }
+            | Decision::Plan { .. }
+            | Decision::MachineJoined { .. }
             | Decision::Advised { .. } => true,
             Decision::Ended { kind, .. } => *kind == EndKind::Done,
             Decision::JobOver { state, .. } => *state == JobState::Completed,
@@ -278,6 +310,24 @@
     }
 }
 
+/// Why the machine plan holds back a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HoldReason {
+    /// The work would be done or late before the machine arrives.
+    Unpaid,
+    /// Machines that were moved to the pool do not join it.
+    JoinsFailing,
+    /// The platform does not answer.
+    PlatformSilent,
+    /// The machine joined its pool too recently.
+    JustJoined,
+    /// No other pool has a machine to give.
+    NoDonor,
+    /// Too many orders are unanswered.
+    OrderLimit,
+}
+
 /// Why a run is stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -328,6 +378,20 @@
     Vanished,
 }
 
+impl HoldReason {
+    /// Its name in the log and in counts.
+    pub fn name(self) -> &'static str {
+        match self {
+            HoldReason::Unpaid => "unpaid",
+            HoldReason::JoinsFailing => "joins_failing",
+            HoldReason::PlatformSilent => "platform_silent",
+            HoldReason::JustJoined => "just_joined",
+            HoldReason::NoDonor => "no_donor",
+            HoldReason::OrderLimit => "order_limit",
+        }
+    }
+}
+
 impl OrderAnswer {
     pub(crate) fn name(self) -> Box<str> {
         format!("{self:?}").into()
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -9,19 +9,20 @@
 use crate::schedule::account::CustomerKey;
 use crate::schedule::step::ActiveStep;
 use crate::schedule::timing::Timeliness;
+use crate::schedule::worker::millis;
 use crate::schedule::{Decision, Scheduler};
 use crate::state::ControlState;
 
 /// The percentage of late work that counts as demand for machines. The result of late
 /// work has less than a tenth of the value that it would have had in time, but the work
 /// has to be done eventually.
-const LATE_WORK_PERCENT: u64 = 30;
+pub(super) const LATE_WORK_PERCENT: u64 = 30;
 /// The percentage of work that counts as demand for machines if it will end too late
 /// for its result to have any value.
 const TOO_LATE_WORK_PERCENT: u64 = 5;
 
 /// The interval at which the balances are logged.
-const BALANCE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const BALANCE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The resources that a pool needs and offers.
 #[derive(Clone, Copy, Debug, Default)]
@@ -45,6 +46,8 @@
     isolated_tasks: usize,
     /// The number of workers that accept tasks now, without those expected to join.
     accepting: usize,
+    /// The capacity of the accepting workers.
+    accepting_capacity: Size,
     /// The maximum capacity of any accepting worker, for each resource.
     max_capacity: Size,
     /// The maximum free capacity of any accepting worker, for each resource.
@@ -90,6 +93,7 @@
     /// Adds a worker that accepts tasks now.
     fn add_accepting(&mut self, capacity: Size, free: Size) {
         self.accepting += 1;
+        self.accepting_capacity += capacity;
         self.max_capacity = self.max_capacity.component_max(capacity);
         self.max_free = self.max_free.component_max(free);
     }
@@ -184,6 +188,7 @@
             let free = candidates
                 .iter()
                 .map(|key| self.workers[*key].free_capacity().cpu_milli);
+            let joining = balance.offered.saturating_sub(balance.accepting_capacity);
             self.log(Decision::Pool {
                 pool: pool.clone(),
                 needed_cpu_milli: balance.needed.cpu_milli,
@@ -196,6 +201,8 @@
                 taking: candidates.len(),
                 free_cpu_milli: free.sum(),
                 waiting: balance.waiting_tasks,
+                joining_cpu_milli: joining.cpu_milli,
+                expected_join_ms: millis(self.machines.joins.expected(pool)),
             });
         }
     }
@@ -307,7 +314,7 @@
 }
 
 /// The pool that a machine without an answering worker is expected to join.
-fn expected_pool(machine: &Machine) -> Option<&str> {
+pub(super) fn expected_pool(machine: &Machine) -> Option<&str> {
     let view = &machine.view;
     if let Some(pending) = &machine.pending_order {
         return match &pending.order {
--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -5,6 +5,8 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 
+use super::joins::{Join, JoinTimes, Joined};
+use super::plan::PlanReport;
 use crate::Size;
 
 /// The state of a machine as reported by the platform.
@@ -92,6 +94,10 @@
     pub(crate) reserved_for: Option<Box<str>>,
     /// Since when the platform has not listed it.
     pub(crate) missing_since: Option<Duration>,
+    /// The move by which it is joining a pool; recorded only by the machine plan.
+    pub(crate) join: Option<Join>,
+    /// The move by which it joined its pool, if this owner observed it.
+    pub(crate) joined: Option<Joined>,
 }
 
 impl Machine {
@@ -105,6 +111,8 @@
             draining_for_wave: None,
             reserved_for: None,
             missing_since: None,
+            join: None,
+            joined: None,
         }
     }
 
@@ -175,6 +183,12 @@
     refused: IndexMap<Box<str>, IndexSet<Box<str>>>,
     /// When this owner first saw each wave.
     pub(crate) wave_seen_at: IndexMap<u64, Duration>,
+    /// When the platform last answered; none before its first list.
+    pub(crate) heard_at: Option<Duration>,
+    /// How long machines take to join each pool.
+    pub(crate) joins: JoinTimes,
+    /// What the machine plan decided since it was last logged.
+    pub(crate) plan_report: PlanReport,
 }
 
 impl Machines {
--- a/crates/cleat-jobs/src/schedule/fleet/mod.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/mod.rs
@@ -3,9 +3,12 @@
 mod absent;
 mod demand;
 mod evict;
+mod joins;
 mod machine;
 mod moves;
+mod need;
 mod orders;
+mod plan;
 mod reservations;
 mod waves;
 
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -26,11 +26,11 @@
 /// The maximum number of orders without an answer. The platform processes some hundred
 /// orders a second. An order that waits longer than the time-out of its call is sent
 /// again, and would delay orders that are more urgent by then.
-const MAX_UNANSWERED_ORDERS: usize = 64;
+pub(super) const MAX_UNANSWERED_ORDERS: usize = 64;
 /// The number of orders without an answer from which no idle machine is returned to the
 /// spare pool. It is lower because returns are less urgent than moves to a pool with a
 /// shortage.
-const MAX_UNANSWERED_BEFORE_RETURNS: usize = 16;
+pub(super) const MAX_UNANSWERED_BEFORE_RETURNS: usize = 16;
 
 /// The kind of pool from which a machine is moved to a pool with a shortage, most
 /// preferred first.
@@ -48,7 +48,7 @@
 /// The balance of each pool that a queue uses.
 pub(super) type Balances = IndexMap<Box<str>, Balance>;
 /// The names of idle machines, by pool.
-type IdleMachines = IndexMap<Box<str>, Vec<Box<str>>>;
+pub(super) type IdleMachines = IndexMap<Box<str>, Vec<Box<str>>>;
 
 impl Scheduler {
     /// Moves idle machines to pools with a shortage, and back to the spare pool once they
@@ -81,7 +81,7 @@
     }
 
     /// The movable machines of each pool, in descending order of their names.
-    fn idle_machines(&self) -> IdleMachines {
+    pub(super) fn idle_machines(&self) -> IdleMachines {
         let mut idle = IdleMachines::new();
         let free = self.machines.by_name.iter();
         for (name, machine) in free.filter(|(_, machine)| self.is_movable(machine)) {
@@ -135,12 +135,12 @@
     /// Whether this owner has observed the demand for the whole window of its forecast.
     /// Before that, a pool between two demand peaks seems to need nothing, and a
     /// machine that is moved away may be needed there a second later.
-    fn has_demand_history(&self) -> bool {
+    pub(super) fn has_demand_history(&self) -> bool {
         self.now >= self.taken_over_at + forecast::ARRIVAL_WINDOW
     }
 
     /// Whether a machine is up, idle and not assigned to anything.
-    fn is_movable(&self, machine: &Machine) -> bool {
+    pub(super) fn is_movable(&self, machine: &Machine) -> bool {
         let up = machine.view.state == MachineState::Up && machine.missing_since.is_none();
         up && machine.is_unassigned() && self.is_idle(machine)
     }
@@ -246,7 +246,7 @@
     pool.is_some_and(|pool| pool.spare)
 }
 
-fn spare_pool(state: &ControlState) -> Option<Box<str>> {
+pub(super) fn spare_pool(state: &ControlState) -> Option<Box<str>> {
     let catalogue = state.catalogue.as_ref()?;
     let spare = catalogue.pools.values().find(|pool| pool.spare)?;
     Some(spare.name.clone())
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -37,7 +37,11 @@
         self.check_orders();
         self.advance_waves(state);
         self.evict_long_running(state);
-        self.move_machines(state);
+        if self.cfg.features.machine_plan {
+            self.plan_machines(state);
+        } else {
+            self.move_machines(state);
+        }
     }
 
     fn list_machines(&mut self) {
@@ -64,6 +68,7 @@
             return;
         };
         self.machines.list_requested_at = Some(sent_at);
+        self.machines.heard_at = Some(self.now);
         self.end_absent_workers(&list, sent_at);
         let names: IndexSet<Box<str>> = list.iter().map(|view| view.name.clone()).collect();
         for view in list {
@@ -211,6 +216,9 @@
         let Some(machine) = self.machines.by_name.get_mut(name) else {
             return;
         };
+        if answer != MachineAnswer::Unknown {
+            self.machines.heard_at = Some(now);
+        }
         let Some(pending) = machine
             .pending_order
             .as_mut()
--- a/crates/cleat-jobs/src/schedule/fleet/reservations.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/reservations.rs
@@ -63,7 +63,7 @@
 
     /// Whether a machine may be reserved for a pool: it is up and unassigned, its worker
     /// answers and is not leaving, and the platform has not refused the move.
-    fn is_reservable(&self, machine: &Machine, key: WorkerKey, pool: &str) -> bool {
+    pub(super) fn is_reservable(&self, machine: &Machine, key: WorkerKey, pool: &str) -> bool {
         let view = &machine.view;
         let available = machine.is_unassigned()
             && view.state == MachineState::Up
@@ -98,7 +98,7 @@
         }
     }
 
-    fn release_reservation(&mut self, name: &str) {
+    pub(super) fn release_reservation(&mut self, name: &str) {
         if let Some(machine) = self.machines.by_name.get_mut(name) {
             machine.reserved_for = None;
         }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -38,7 +38,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 pub use account::CustomerView;
-pub use decision::Decision;
+pub use decision::{Decision, HoldReason};
 pub use durations::DurationModel;
 pub use event::{
     Effect, EndedRun, Event, Heartbeat, MachineAnswer, Order, OrderAnswer, RenewalAnswer,
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -70,7 +70,7 @@
     }
 
     /// Whether a step is within its customer's share, by the policy in force.
-    fn share_status(&self, step: &ActiveStep) -> ShareStatus {
+    pub(super) fn share_status(&self, step: &ActiveStep) -> ShareStatus {
         match (self.cfg.share_policy, step.charge.customer) {
             (SharePolicy::DeadlineFirst, _) | (_, None) => ShareStatus::Within,
             (SharePolicy::ArrivalRate, _) => step.share_status,
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -77,6 +77,8 @@
 pub(crate) struct WorkloadStats {
     queues: IndexMap<Box<str>, QueueStats>,
     arrivals: IndexMap<Box<str>, Arrivals>,
+    /// The arrivals within customers' shares, by pool.
+    arrivals_within_shares: IndexMap<Box<str>, Arrivals>,
 }
 
 impl WorkloadStats {
@@ -110,7 +112,14 @@
 
     /// Records the arrival of a job at its pool. `span` is the expected
     /// duration of its longest chain of steps.
-    fn record_arrival(&mut self, queue: &Queue, spec: &JobSpec, at: Duration, span: Duration) {
+    fn record_arrival(
+        &mut self,
+        queue: &Queue,
+        spec: &JobSpec,
+        at: Duration,
+        span: Duration,
+        counts_within_share: bool,
+    ) {
         let finite_steps = spec.steps.iter().filter(|step| !step.long_running);
         let usage = finite_steps.fold(JobUsage::default(), |sum, step| {
             let duration = self.expected_duration(&queue.name, step.estimate_ms);
@@ -128,6 +137,10 @@
         let mean = stats.usage;
         let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
         arrivals.record(at, mean);
+        if counts_within_share {
+            let within = self.arrivals_within_shares.entry(queue.pool.clone());
+            within.or_default().record(at, mean);
+        }
     }
 
     /// The forecast of the resources that a pool's tasks will use if jobs keep
@@ -136,6 +149,12 @@
         let arrivals = self.arrivals.get_mut(pool);
         arrivals.map_or(Size::default(), |arrivals| arrivals.forecast(now))
     }
+
+    /// The same for jobs within their customers' shares.
+    pub(crate) fn forecast_within_shares(&mut self, pool: &str, now: Duration) -> Size {
+        let arrivals = self.arrivals_within_shares.get_mut(pool);
+        arrivals.map_or(Size::default(), |arrivals| arrivals.forecast(now))
+    }
 }
 
 #[allow(clippy::cast_precision_loss)]
@@ -162,9 +181,10 @@
         self.objectives.insert(id, objective);
         self.log_accepted(id, job, span);
         let arrived_at = self.now.saturating_sub(age);
-        self.workload
-            .record_arrival(queue, &job.spec, arrived_at, critical_path);
         self.record_share_status(state, id, job, arrived_at);
+        let within = self.cfg.features.machine_plan && !self.share_statuses.contains_key(&id);
+        self.workload
+            .record_arrival(queue, &job.spec, arrived_at, critical_path, within);
     }
 
     /// Records whether the job exceeds its customer's share.
--- a/crates/cleat-jobs/tests/support/mod.rs
+++ b/crates/cleat-jobs/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod crash_scenario;
+pub(crate) mod fleet;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -154,11 +155,20 @@
     }
 
     pub(crate) fn with_workers(workers: &[&str]) -> Harness {
+        Harness::with_config(SchedulerConfig::default(), catalogue(1), workers)
+    }
+
+    /// An owner with workers of pool `a`, which have answered a renewal.
+    pub(crate) fn with_config(
+        cfg: SchedulerConfig,
+        catalogue: Arc<Catalogue>,
+        workers: &[&str],
+    ) -> Harness {
         let mut state = ControlState::default();
         state.apply(1, Command::Bootstrapped);
-        state.apply(2, Command::Configure(catalogue(1)));
+        state.apply(2, Command::Configure(catalogue));
         state.apply(3, Command::TakeOver { member: 1 });
-        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO, 0);
+        let owner = Scheduler::new(cfg, &state, Duration::ZERO, 0);
         let mut harness = Harness {
             state,
             owner: owner.expect("the state has an owner"),
