--- a/crates/cleat-jobs/tests/machine_plan.rs
+++ b/crates/cleat-jobs/tests/machine_plan.rs
@@ -7,7 +7,7 @@
 
 use cleat_jobs::{
     Catalogue, CatalogueDraft, Command, Decision, Effect, Event, Features, JobId, MachineAnswer,
-    MachineOrder, RenewalAnswer, SchedulerConfig, StepSpec,
+    MachineOrder, RenewalAnswer, Scheduler, SchedulerConfig, StepSpec,
 };
 use support::fleet::{Fleet, Outcome, Scenario};
 use support::{
@@ -221,6 +221,23 @@
     assert_eq!(moved(&harness.tick(ms(50))).len(), 2);
 }
 
+/// After a takeover the machines of workers that have not answered yet count as capacity that
+/// is about to join, so that no machines are moved to replace them.
+#[test]
+fn new_owner_counts_workers_that_have_not_answered() {
+    let mut harness = Harness::with_config(config(), catalogue(1), &["w1", "w2"]);
+    harness.apply(Command::TakeOver { member: 2 });
+    let owner = Scheduler::new(config(), &harness.state, harness.now, 0);
+    harness.owner = owner.expect("the state has an owner");
+    let own = ["w1", "w2"].map(|name| machine(&format!("m-{name}"), "a", Some(name)));
+    let spare = vec![machine("s0", "spare", None)];
+    list_machines(&mut harness, [own.to_vec(), spare].concat());
+    harness.submit(1, vec![long_step(3)]);
+    assert!(moved(&harness.tick(ms(50))).is_empty());
+    harness.submit(2, vec![long_step(3)]);
+    assert_eq!(moved(&harness.tick(ms(50))).len(), 1);
+}
+
 /// A catalogue with pools `a`, `b` and `c` whose queues have these priorities.
 fn three_pools(priorities: [u32; 3]) -> Arc<Catalogue> {
     let names = ["a", "b", "c"];
