--- a/crates/cleat-jobs/tests/speculation.rs
+++ b/crates/cleat-jobs/tests/speculation.rs
@@ -28,7 +28,7 @@
         features,
         ..SchedulerConfig::default()
     };
-    Harness::with_config(workers, cfg)
+    Harness::with_config(cfg, support::catalogue(1), workers)
 }
 
 /// A step whose tasks are not stragglers for a while.
