Refuse jobs that cannot be completed while their results have value

Cause: with more work than capacity, all jobs were accepted and half of them waited until their results had no value. Change: with scheduling.admission, the leader estimates for each submitted job when it would start, from sums of the work and the capacity of its pool that are rebuilt once a tick, and refuses it with a time to retry if it would end without value or make other accepted work late. Refusals book their work at the time that the caller was told, weighted by how many callers do return. Gateways answer a refusal after an attempt without an answer as unknown. Without the setting no decision changes.

--- a/crates/celerycleat/src/client/in_turn.rs
+++ b/crates/celerycleat/src/client/in_turn.rs
@@ -11,7 +11,7 @@
     Done(T),
     /// Decided by the replicated state: final wherever else it was sent.
     Decided(CliError),
-    /// This server found it invalid and did not propose it.
+    /// This server found it invalid, or the leader refused it, and it was not proposed.
     Invalid(CliError),
     /// This server could not propose it; another one may.
     NotProposed(CliError),
--- a/crates/celerycleat/src/client/order.rs
+++ b/crates/celerycleat/src/client/order.rs
@@ -42,6 +42,10 @@
         StatusCode::CONFLICT | StatusCode::NOT_FOUND if !problem.is_unknown_path() => {
             Verdict::Decided(problem.into_refusal(server, answer))
         }
+        // Every server forwards the job to the same leader.
+        StatusCode::SERVICE_UNAVAILABLE if problem.is_overloaded() => {
+            Verdict::Invalid(problem.into_refusal(server, answer))
+        }
         StatusCode::SERVICE_UNAVAILABLE => {
             Verdict::NotProposed(problem.into_refusal(server, answer))
         }
--- a/crates/celerycleat/src/client/problem.rs
+++ b/crates/celerycleat/src/client/problem.rs
@@ -7,6 +7,8 @@
 
 /// The type of the problem of a path that a server does not know.
 const UNKNOWN_PATH: &str = "urn:celerycleat:problem:not-found";
+/// The type of the problem of a job that the leader refused for lack of capacity.
+const OVERLOADED: &str = "urn:celerycleat:problem:overloaded";
 
 /// A server's error.
 #[derive(Debug, Deserialize)]
@@ -29,6 +31,11 @@
         &*self.r#type == UNKNOWN_PATH
     }
 
+    /// Whether the leader refused a job for lack of capacity.
+    pub(super) fn is_overloaded(&self) -> bool {
+        &*self.r#type == OVERLOADED
+    }
+
     /// It leaves open what became of the request.
     pub(super) fn into_failure(self, answer: &Answer) -> Failure {
         Failure::Problem {
--- a/crates/celerycleat/tests/servers.rs
+++ b/crates/celerycleat/tests/servers.rs
@@ -19,6 +19,11 @@
     503,
     r#"{"type":"urn:t","title":"No quorum","status":503,"detail":"nothing was changed"}"#,
 );
+const OVERLOADED: Reply = Reply::Json(
+    503,
+    r#"{"type":"urn:celerycleat:problem:overloaded","title":"The job could not be completed in time",
+        "status":503,"detail":"job 0000000000000001 was not stored; submit it again in 3 s"}"#,
+);
 const IN_DOUBT: Reply = Reply::Json(
     504,
     r#"{"type":"urn:t","title":"The outcome is unknown","status":504,"detail":"no majority"}"#,
@@ -222,3 +227,26 @@
     let none = ask(&[&gone, &rude], "pool list");
     assert_snapshot!("query_no_server", none.text(&[&gone, &rude]));
 }
+
+/// Guards against an overload that is reported as success or as unknown, against asking
+/// further servers that forward the job to the same leader, and against a refusal that
+/// hides an earlier attempt without answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_refused_for_lack_of_capacity_names_the_time() {
+    let submit = "job submit job.json --id 0000000000000001";
+    let (first, second) = (
+        FakeServer::bind(OVERLOADED).await,
+        FakeServer::bind(OVERLOADED).await,
+    );
+    let done = ask(&[&first, &second], submit);
+    assert_eq!(done.code, Some(1), "{}", done.stderr);
+    assert!(
+        done.stderr.contains("submit it again in 3 s"),
+        "{}",
+        done.stderr
+    );
+    assert_eq!((first.asked().len(), second.asked().len()), (1, 0));
+    let silent = FakeServer::bind(Reply::HangUp).await;
+    let done = ask(&[&silent, &second], submit);
+    assert_eq!(done.code, Some(3), "{}", done.stderr);
+}
--- a/crates/cleat-control/src/gateway.rs
+++ b/crates/cleat-control/src/gateway.rs
@@ -222,6 +222,11 @@
                 leader = self.leader_other_than(target) => Attempt::LeaderChanged(leader),
             };
             match outcome {
+                // An earlier attempt may have stored the job at another leader.
+                Attempt::Answered(ControlReply::Overloaded { .. }) if may_be_done => {
+                    self.set_leader(target);
+                    return Err(AskError::Unknown);
+                }
                 Attempt::Answered(reply) => {
                     self.set_leader(target);
                     return Ok(reply);
--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -25,6 +25,8 @@
                 let waited = Duration::from_millis(*waited_ms);
                 self.latencies.latency("task.wait").record(waited);
             }
+            // Each refusal is counted when its call is answered.
+            Decision::Refused { .. } => {}
             Decision::StartFailed { answer, .. } => self.count_by("starts.failed", answer),
             Decision::Stop { reason, .. } => self.count_by("tasks.stopped", reason),
             Decision::Ended { kind, ran_ms, .. } => {
--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -1,11 +1,12 @@
 //! Handles calls on the leader.
 
-use std::sync::Arc;
-use std::time::Instant;
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
 
 use cleat_jobs::{
-    Caller, Cap, Catalogue, Command, CommandOutcome, ControlState, Customer, Customers, Event,
-    Heartbeat, Job, JobId, JobSpec, JobState, KeyDigest, Queue, Scheduler, WorkerView,
+    Admission, Caller, Cap, Catalogue, Command, CommandOutcome, ControlState, Customer, Customers,
+    Event, Heartbeat, Job, JobId, JobSpec, JobState, KeyDigest, Queue, Scheduler, Submission,
+    WorkerView,
 };
 use cleat_link::{
     ControlCall, ControlError, ControlReply, CustomerLine, JobLine, JobView, Overview, WorkerLine,
@@ -56,6 +57,10 @@
             return Err(ControlError::NoQuorum);
         }
         match self.plan(call)? {
+            // Another instance may have stored the job if the lease ended meanwhile.
+            Action::Reply(ControlReply::Overloaded { .. }) if !self.leads() => {
+                Err(ControlError::NoQuorum)
+            }
             Action::Reply(reply) => Ok(reply),
             Action::Commit(command) => {
                 let reply = self.commit(&command).await?;
@@ -76,12 +81,8 @@
                 spec,
                 waited_ms,
             } => {
-                let arrived_ms = wall_ms().saturating_sub(waited_ms);
-                self.submit(
-                    &RequestAddress::of(&host, &path, key.as_ref()),
-                    spec,
-                    arrived_ms,
-                )
+                let age = Duration::from_millis(waited_ms);
+                self.submit(&RequestAddress::of(&host, &path, key.as_ref()), spec, age)?
             }
             ControlCall::Look { host, path, key } => {
                 Action::Reply(self.look_up(&RequestAddress::of(&host, &path, key.as_ref()))?)
@@ -89,7 +90,7 @@
             ControlCall::Cancel { host, path, key } => {
                 self.cancel(&RequestAddress::of(&host, &path, key.as_ref()))
             }
-            ControlCall::SubmitTo { queue, id, spec } => self.submit_to(&queue, id, spec),
+            ControlCall::SubmitTo { queue, id, spec } => self.submit_to(&queue, id, spec)?,
             ControlCall::LookAt { id } => {
                 Action::Reply(self.state.read(|state| self.job(state, id)))
             }
@@ -141,18 +142,17 @@
         })
     }
 
-    fn submit(&self, address: &RequestAddress<'_>, spec: Arc<JobSpec>, arrived_ms: u64) -> Action {
-        self.state.read(|state| match resolve(state, address) {
+    fn submit(
+        &self,
+        address: &RequestAddress<'_>,
+        spec: Arc<JobSpec>,
+        age: Duration,
+    ) -> Result<Action, ControlError> {
+        self.with_admission(|state, scheduler| match resolve(state, address) {
             Err(refusal) => Action::Reply(refusal),
             Ok(Route::Queue(_)) => Action::Reply(ControlReply::NotAJob),
             Ok(Route::Job(queue, id, caller)) => match state.customer_of(id) {
-                None => Action::Commit(Command::Submit {
-                    id,
-                    queue,
-                    customer: caller.name().map(Into::into),
-                    spec,
-                    arrived_ms,
-                }),
+                None => self.admit_and_commit(state, scheduler, (queue, id, &caller), spec, age),
                 // A repeated submission: the job is already stored.
                 Some(owner) if owner == caller.name() => Action::Reply(ControlReply::Done),
                 Some(_) => Action::Reply(ControlReply::Taken),
@@ -160,6 +160,87 @@
         })
     }
 
+    /// Calls `plan` with the state, and with the scheduler if jobs may be refused. While
+    /// the takeover is in progress nothing is decided then: a job that is proposed
+    /// without the scheduler's knowledge might be refused when it is submitted again.
+    fn with_admission<T>(
+        &self,
+        plan: impl FnOnce(&ControlState, Option<&mut Scheduler>) -> T,
+    ) -> Result<T, ControlError> {
+        if !self.admission {
+            return Ok(self.state.read(|state| plan(state, None)));
+        }
+        // In the same order as in the owner task: the scheduler before the state.
+        let mut guard = self
+            .scheduler
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let scheduler = guard.as_mut().ok_or(ControlError::NoQuorum)?;
+        Ok(self.state.read(|state| plan(state, Some(scheduler))))
+    }
+
+    /// Commits a job that the state does not contain, unless it is refused for lack of
+    /// capacity.
+    fn admit_and_commit(
+        &self,
+        state: &ControlState,
+        scheduler: Option<&mut Scheduler>,
+        (queue, id, caller): (Arc<Queue>, JobId, &Caller),
+        spec: Arc<JobSpec>,
+        age: Duration,
+    ) -> Action {
+        let submission = Submission {
+            id,
+            queue: &queue,
+            customer: caller.name(),
+            spec: &spec,
+            age,
+        };
+        if let Some(scheduler) = scheduler
+            && let Some(refusal) = self.admit(state, scheduler, &submission)
+        {
+            return Action::Reply(refusal);
+        }
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        Action::Commit(Command::Submit {
+            id,
+            queue,
+            customer: caller.name().map(Into::into),
+            spec,
+            arrived_ms: wall_ms().saturating_sub(age_ms),
+        })
+    }
+
+    /// Decides whether a job is accepted; returns the reply if it is refused.
+    fn admit(
+        &self,
+        state: &ControlState,
+        scheduler: &mut Scheduler,
+        submission: &Submission<'_>,
+    ) -> Option<ControlReply> {
+        match scheduler.admit(state, submission) {
+            Admission::Accept { wait } => {
+                self.metrics.count("admission.accepted");
+                if let Some(wait) = wait {
+                    self.metrics
+                        .latencies
+                        .latency("admission.wait")
+                        .record(wait);
+                }
+                None
+            }
+            Admission::Refuse {
+                retry_after,
+                reason,
+            } => {
+                let name = format!("admission.refused.{}", reason.name());
+                self.metrics.count(&name);
+                let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                Some(ControlReply::Overloaded { retry_after_ms })
+            }
+        }
+    }
+
     fn look_up(&self, address: &RequestAddress<'_>) -> Result<ControlReply, ControlError> {
         self.state.read(|state| match resolve(state, address) {
             Err(refusal) => Ok(refusal),
@@ -195,8 +276,13 @@
         })
     }
 
-    fn submit_to(&self, queue: &str, id: JobId, spec: Arc<JobSpec>) -> Action {
-        self.state.read(|state| {
+    fn submit_to(
+        &self,
+        queue: &str,
+        id: JobId,
+        spec: Arc<JobSpec>,
+    ) -> Result<Action, ControlError> {
+        self.with_admission(|state, scheduler| {
             let Some(catalogue) = &state.catalogue else {
                 return Action::Reply(ControlReply::NoConfiguration);
             };
@@ -205,14 +291,8 @@
                 None => Action::Reply(ControlReply::NoSuchQueue),
                 Some(_) if state.job_state(id).is_some() => Action::Reply(ControlReply::Done),
                 Some(queue) => {
-                    let queue = queue.clone();
-                    Action::Commit(Command::Submit {
-                        id,
-                        queue,
-                        customer: None,
-                        spec,
-                        arrived_ms: wall_ms(),
-                    })
+                    let route = (queue.clone(), id, &Caller::Anyone);
+                    self.admit_and_commit(state, scheduler, route, spec, Duration::ZERO)
                 }
             }
         })
--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -41,6 +41,8 @@
     pub(crate) state: Arc<SharedState>,
     /// The scheduler of the owner task; `None` while this instance does not lead.
     pub(crate) scheduler: Mutex<Option<Scheduler>>,
+    /// Whether the scheduler decides which submitted jobs are accepted.
+    pub(crate) admission: bool,
     pub(crate) events: EventLog,
     pub(crate) metrics: Metrics,
 }
@@ -99,6 +101,7 @@
             stopping: AtomicBool::new(false),
             state,
             scheduler: Mutex::new(None),
+            admission: cfg.scheduler.features.admission,
             events: events.clone(),
             metrics: metrics.clone(),
         });
--- a/crates/cleat-jobs/examples/decision_cost.rs
+++ b/crates/cleat-jobs/examples/decision_cost.rs
@@ -2,7 +2,10 @@
 //! simulated workers on a simulated clock, where each pool in turn has a demand peak.
 //! Prints the processor time per start and per event, and the fraction of one core.
 //!
-//! `cargo run --release -p cleat-jobs --example decision_cost -- [WORKERS] [SECONDS] [CUSTOMERS]`
+//! With ADMISSION of 1, each job is first accepted or refused, and refused jobs are not
+//! submitted again.
+//!
+//! `cargo run --release -p cleat-jobs --example decision_cost -- [WORKERS] [SECONDS] [CUSTOMERS] [ADMISSION]`
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -11,9 +14,10 @@
 
 use cleat_control::{SimulatedRun, SimulatedWorker};
 use cleat_jobs::{
-    Cap, Catalogue, CatalogueDraft, Command, ControlState, Customer, CustomerDraft, Effect,
-    EndKind, Event, Heartbeat, JobId, JobSpec, Order, OrderAnswer, Pool, Queue, RenewalOrder,
-    Scheduler, SchedulerConfig, Size, StepSpec, TaskOrder, WorkerHistory, WorkerRecord,
+    Admission, Cap, Catalogue, CatalogueDraft, Command, ControlState, Customer, CustomerDraft,
+    Effect, EndKind, Event, Features, Heartbeat, JobId, JobSpec, Order, OrderAnswer, Pool, Queue,
+    RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec, Submission, TaskOrder, WorkerHistory,
+    WorkerRecord,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -64,6 +68,9 @@
     starts: u64,
     events: u64,
     decision_time: Duration,
+    refused: u64,
+    admission_time: Duration,
+    longest_admission: Duration,
 }
 
 fn main() {
@@ -71,8 +78,9 @@
     let workers = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(350);
     let seconds = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(30);
     let customers = args.next().and_then(|arg| arg.parse().ok()).unwrap_or(0);
+    let admission = args.next().is_some_and(|arg| arg == "1");
     let end = Duration::from_secs(seconds);
-    let mut world = World::new(workers, customers);
+    let mut world = World::new(workers, customers, admission);
     while let Some(Reverse((at, slot))) = world.queue.pop() {
         if at > end {
             break;
@@ -92,15 +100,30 @@
         world.decision_time.as_secs_f64() * 1e6 / world.events as f64,
         world.decision_time.as_secs_f64() / end.as_secs_f64(),
     );
+    if admission {
+        println!(
+            "{} refused; {:.1} us to accept or refuse a job, {:.0} us at most",
+            world.refused,
+            world.admission_time.as_secs_f64() * 1e6 / world.jobs.max(1) as f64,
+            world.longest_admission.as_secs_f64() * 1e6,
+        );
+    }
 }
 
 impl World {
-    fn new(workers: usize, customers: u64) -> World {
+    fn new(workers: usize, customers: u64, admission: bool) -> World {
         let mut state = ControlState::default();
         state.apply(1, Command::Bootstrapped);
         state.apply(2, Command::Configure(Arc::new(catalogue(customers))));
         state.apply(3, Command::TakeOver { member: 1 });
-        let owner = Scheduler::new(SchedulerConfig::default(), &state, Duration::ZERO, 0);
+        let cfg = SchedulerConfig {
+            features: Features {
+                admission,
+                ..Features::default()
+            },
+            ..SchedulerConfig::default()
+        };
+        let owner = Scheduler::new(cfg, &state, Duration::ZERO, 0);
         let mut world = World {
             rng: StdRng::seed_from_u64(7),
             now: Duration::ZERO,
@@ -115,6 +138,9 @@
             starts: 0,
             events: 0,
             decision_time: Duration::ZERO,
+            refused: 0,
+            admission_time: Duration::ZERO,
+            longest_admission: Duration::ZERO,
         };
         for at in 0..workers {
             let worker = SimulatedWorker::new(record(at), 100, 1_000);
@@ -238,12 +264,29 @@
             repeat: None,
         };
         let (id, spec) = (JobId(self.jobs), Arc::new(spec));
+        let customer = self.jobs.checked_rem(self.customers).map(customer);
+        let submission = Submission {
+            id,
+            queue: &queue,
+            customer: customer.as_deref(),
+            spec: &spec,
+            age: Duration::ZERO,
+        };
+        let began = Instant::now();
+        let admission = self.owner.admit(&self.state, &submission);
+        let took = began.elapsed();
+        self.admission_time += took;
+        self.longest_admission = self.longest_admission.max(took);
+        if matches!(admission, Admission::Refuse { .. }) {
+            self.refused += 1;
+            return;
+        }
         self.schedule(
             COMMIT_LATENCY,
             SimEvent::Commit(Command::Submit {
                 id,
                 queue,
-                customer: self.jobs.checked_rem(self.customers).map(customer),
+                customer,
                 spec,
                 arrived_ms: 0,
             }),
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -24,10 +24,10 @@
 pub use ids::{JobId, ParseIdError, Run, StepId, TaskId};
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
-    Arrivals, CustomerView, Decision, DurationModel, Effect, EndedRun, Event, Features, Heartbeat,
-    JobUsage, MachineAnswer, MachineOrder, MachineState, MachineView, Order, OrderAnswer,
-    Protections, RenewalAnswer, RenewalOrder, RunningTask, Scheduler, SchedulerConfig, SharePolicy,
-    TaskOrder, WorkerState, WorkerView,
+    Admission, Arrivals, CustomerView, Decision, DurationModel, Effect, EndedRun, Event, Features,
+    Heartbeat, JobUsage, MachineAnswer, MachineOrder, MachineState, MachineView, Order,
+    OrderAnswer, Protections, RefusalReason, RenewalAnswer, RenewalOrder, RunningTask, Scheduler,
+    SchedulerConfig, SharePolicy, Submission, TaskOrder, WorkerState, WorkerView,
 };
 pub use size::Size;
 pub use state::{
--- a/crates/cleat-jobs/src/schedule/account/mod.rs
+++ b/crates/cleat-jobs/src/schedule/account/mod.rs
@@ -186,6 +186,12 @@
         account.recent_jobs.admit(at, account.weight)
     }
 
+    /// Whether a job that a customer submits at `at` would be within its share.
+    pub(crate) fn next_job_status(&mut self, key: CustomerKey, at: Duration) -> ShareStatus {
+        let account = self.get_mut(key);
+        account.recent_jobs.next_status(at, account.weight)
+    }
+
     /// Whether a customer is within its share of the capacity in use. A customer
     /// exceeds its share if its part of that capacity is larger than its part of the
     /// sum of all weights.
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::{MachineAnswer, MachineOrder, OrderAnswer};
+use super::{MachineAnswer, MachineOrder, OrderAnswer, RefusalReason};
 use crate::state::{EndKind, JobState};
 
 /// One decision with the facts behind it. Fields of the same meaning have the
@@ -41,6 +41,21 @@
         /// owner may have started it.
         inherited: bool,
     },
+    /// Jobs were refused since the last such event. Logged at most once a second for
+    /// each queue, customer and reason.
+    Refused {
+        /// The queue.
+        queue: Box<str>,
+        /// The customer that submitted them, if any.
+        customer: Option<Box<str>>,
+        /// The reason.
+        reason: RefusalReason,
+        /// The number of refusals.
+        count: u64,
+        /// The time after which the latest caller was told to return, in
+        /// milliseconds.
+        retry_after_ms: u64,
+    },
     /// A worker was ordered to start a run.
     Start {
         /// The task.
@@ -247,7 +262,8 @@
             Decision::Ended { kind, .. } => *kind == EndKind::Done,
             Decision::JobOver { state, .. } => *state == JobState::Completed,
             Decision::MachineAnswered { answer, .. } => *answer == MachineAnswer::Done,
-            Decision::StartFailed { .. }
+            Decision::Refused { .. }
+            | Decision::StartFailed { .. }
             | Decision::Stop { .. }
             | Decision::Lost { .. }
             | Decision::Adopted { .. }
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -25,11 +25,11 @@
 
 /// The resources that a pool needs and offers.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Balance {
+pub(in crate::schedule) struct Balance {
     /// The resources for its running and waiting tasks and for the work that is forecast.
-    pub(super) needed: Size,
+    pub(in crate::schedule) needed: Size,
     /// The capacity of its workers, including those that are expected to join.
-    pub(super) offered: Size,
+    pub(in crate::schedule) offered: Size,
     /// The number of workers in `offered`.
     pub(super) workers: usize,
     /// The minimum number of workers that its tasks need, since tasks of some steps
@@ -154,7 +154,10 @@
 
 impl Scheduler {
     /// The balance of each pool that a queue uses.
-    pub(super) fn balances(&mut self, state: &ControlState) -> IndexMap<Box<str>, Balance> {
+    pub(in crate::schedule) fn balances(
+        &mut self,
+        state: &ControlState,
+    ) -> IndexMap<Box<str>, Balance> {
         let mut pools: IndexMap<Box<str>, Balance> = IndexMap::new();
         if let Some(catalogue) = &state.catalogue {
             for queue in &catalogue.queues {
--- a/crates/cleat-jobs/src/schedule/fleet/mod.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/mod.rs
@@ -9,5 +9,6 @@
 mod reservations;
 mod waves;
 
-pub(super) use machine::Machines;
+pub(super) use machine::{Machine, Machines};
 pub use machine::{MachineOrder, MachineState, MachineView};
+pub(super) use moves::FRAGMENTATION_PERCENT;
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -21,7 +21,7 @@
 const SURPLUS_PERCENT: u64 = 50;
 /// The part of a worker that tasks of different sizes leave unused, in percent. A task
 /// uses about a tenth of a worker.
-pub(super) const FRAGMENTATION_PERCENT: u64 = 10;
+pub(in crate::schedule) const FRAGMENTATION_PERCENT: u64 = 10;
 
 /// The maximum number of orders without an answer. The platform processes some hundred
 /// orders a second. An order that waits longer than the time-out of its call is sent
@@ -149,7 +149,7 @@
     /// been acknowledged. If the list names no worker for the machine, a worker that
     /// reports the machine as its own is checked instead, because an order for the
     /// machine would end its tasks.
-    pub(super) fn is_idle(&self, machine: &Machine) -> bool {
+    pub(in crate::schedule) fn is_idle(&self, machine: &Machine) -> bool {
         let is_empty = |key| self.is_worker_empty(key);
         match &machine.view.worker {
             None => self
--- a/crates/cleat-jobs/src/schedule/forecast.rs
+++ b/crates/cleat-jobs/src/schedule/forecast.rs
@@ -48,7 +48,7 @@
 const FALL_DEVIATIONS: f64 = 2.7;
 /// How long it takes until a machine that is ordered now can run tasks: the
 /// platform takes 1.5 s to move it, and its worker has to start.
-const LEAD_TIME: Duration = Duration::from_millis(2_000);
+pub(crate) const LEAD_TIME: Duration = Duration::from_millis(2_000);
 
 /// The resources that a job uses over its whole duration.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -6,6 +6,7 @@
 //! advances while the machine is suspended.
 
 mod account;
+mod admission;
 mod advice;
 mod attempt;
 mod commits;
@@ -38,6 +39,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 pub use account::CustomerView;
+pub use admission::{Admission, RefusalReason, Submission};
 pub use decision::Decision;
 pub use durations::DurationModel;
 pub use event::{
@@ -54,6 +56,7 @@
 use crate::state::{Command, ControlState, Owner, WorkerRecord};
 use crate::{JobId, Run, Size, StepId, TaskId};
 use account::{Accounts, Stray};
+use admission::AdmissionState;
 use advice::StepAdvice;
 use attempt::Attempt;
 use crashes::CrashedMachines;
@@ -198,6 +201,8 @@
     /// The pools in which capacity or work may have changed since their last
     /// scheduling pass.
     dirty_pools: DirtyPools,
+    /// What the decisions on submitted jobs are based on.
+    admission: AdmissionState,
     /// The steps of each pool that may have tasks waiting for a worker.
     ready: IndexMap<Box<str>, IndexSet<StepId>>,
     effects: Vec<Effect>,
@@ -247,6 +252,7 @@
             throttle_sent_at: ThrottleTimes::new(),
             balances_logged_at: now,
             dirty_pools: DirtyPools::All,
+            admission: AdmissionState::default(),
             ready: IndexMap::new(),
             effects: Vec::new(),
         };
@@ -352,7 +358,10 @@
 
     fn handle_applied(&mut self, state: &ControlState, command: &Command) {
         match command {
-            Command::Submit { id, .. } => self.activate_job(state, *id),
+            Command::Submit { id, .. } => {
+                self.admission.record_applied(*id);
+                self.activate_job(state, *id);
+            }
             Command::Cancel { id } => self.remove_ended_job(state, *id),
             Command::RecordEnds { .. } => self.handle_ends_applied(state, command),
             Command::AddWorker(record) => self.handle_worker_recorded(&record.name),
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -21,7 +21,7 @@
 /// The time that a task takes in addition to its run: the call that starts it,
 /// the call that lists its end, and the commit of that end. Without it, a pool
 /// with more work than capacity would start each task just too late.
-const DISPATCH_OVERHEAD: Duration = Duration::from_millis(50);
+pub(super) const DISPATCH_OVERHEAD: Duration = Duration::from_millis(50);
 
 /// The order in which the steps of a pool are scheduled; the lowest is first.
 type Rank = (u32, (ShareStatus, Timeliness), StepOrder);
@@ -70,7 +70,7 @@
     }
 
     /// Whether a step is within its customer's share, by the policy in force.
-    fn share_status(&self, step: &ActiveStep) -> ShareStatus {
+    pub(super) fn share_status(&self, step: &ActiveStep) -> ShareStatus {
         match (self.cfg.share_policy, step.charge.customer) {
             (SharePolicy::DeadlineFirst, _) | (_, None) => ShareStatus::Within,
             (SharePolicy::ArrivalRate, _) => step.share_status,
--- a/crates/cleat-jobs/src/schedule/shares.rs
+++ b/crates/cleat-jobs/src/schedule/shares.rs
@@ -50,6 +50,16 @@
     /// so a customer that constantly submits too many jobs still gets its
     /// share.
     pub(crate) fn admit(&mut self, at: Duration, weight: f64) -> ShareStatus {
+        let status = self.next_status(at, weight);
+        if status == ShareStatus::Within {
+            self.times.push_back(at);
+        }
+        status
+    }
+
+    /// Whether a job that arrives at `at` would be within the share. Does not record
+    /// it.
+    pub(crate) fn next_status(&mut self, at: Duration, weight: f64) -> ShareStatus {
         while self
             .times
             .front()
@@ -60,9 +70,9 @@
         #[allow(clippy::cast_precision_loss)]
         let sent = self.times.len() as f64;
         if sent + 1.0 > weight.max(1.0) {
-            return ShareStatus::Exceeded;
+            ShareStatus::Exceeded
+        } else {
+            ShareStatus::Within
         }
-        self.times.push_back(at);
-        ShareStatus::Within
     }
 }
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -42,7 +42,7 @@
 impl Objective {
     /// The objective of a job that arrived `age` ago and should be done within
     /// `span` of its arrival.
-    fn new(now: Duration, age: Duration, span: Duration) -> Objective {
+    pub(crate) fn new(now: Duration, age: Duration, span: Duration) -> Objective {
         let until = |span: Duration| now + span.saturating_sub(age);
         Objective {
             due: until(span),
--- a/crates/cleat-link/src/control.rs
+++ b/crates/cleat-link/src/control.rs
@@ -209,6 +209,12 @@
     NoSuchWave,
     /// All jobs that are not over, workers and waves.
     Overview(Overview),
+    /// The job was not stored, since it could not be completed while its result
+    /// has value.
+    Overloaded {
+        /// After how many milliseconds the job should be submitted again.
+        retry_after_ms: u64,
+    },
 }
 
 /// What operators are shown.
--- a/crates/cleat-operate/src/http/problem.rs
+++ b/crates/cleat-operate/src/http/problem.rs
@@ -11,7 +11,7 @@
 const TYPE_PREFIX: &str = "urn:celerycleat:problem:";
 /// The `Retry-After` header of an answer without a quorum: an election takes about
 /// this long.
-const RETRY_AFTER_S: &str = "2";
+const RETRY_AFTER_S: u64 = 2;
 
 /// The kinds of problem. Each has a stable name, which ends the `type` URN.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,6 +64,8 @@
     UnknownJob,
     /// The job has ended and can no longer be cancelled.
     JobOver,
+    /// The job was not stored, since it could not be completed in time.
+    Overloaded,
 }
 
 impl ProblemKind {
@@ -92,6 +94,7 @@
             ProblemKind::UnknownQueue => "unknown-queue",
             ProblemKind::UnknownJob => "unknown-job",
             ProblemKind::JobOver => "job-over",
+            ProblemKind::Overloaded => "overloaded",
         }
     }
 
@@ -119,7 +122,7 @@
             | ProblemKind::WaveInProgress
             | ProblemKind::NoWave
             | ProblemKind::JobOver => StatusCode::CONFLICT,
-            ProblemKind::NoQuorum => StatusCode::SERVICE_UNAVAILABLE,
+            ProblemKind::NoQuorum | ProblemKind::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
             ProblemKind::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -148,6 +151,7 @@
             ProblemKind::UnknownQueue => "There is no such queue",
             ProblemKind::UnknownJob => "There is no such job",
             ProblemKind::JobOver => "The job is over",
+            ProblemKind::Overloaded => "The job could not be completed in time",
             ProblemKind::NoWave => "No maintenance wave of the pool is under way",
         }
     }
@@ -158,6 +162,8 @@
 pub(crate) struct Problem {
     pub(crate) kind: ProblemKind,
     pub(crate) detail: Box<str>,
+    /// The number of seconds after which the request may be repeated, if known.
+    retry_after_s: Option<u64>,
 }
 
 #[derive(Serialize)]
@@ -171,7 +177,20 @@
 impl Problem {
     pub(crate) fn new(kind: ProblemKind, detail: impl Into<Box<str>>) -> Problem {
         let detail = detail.into();
-        Problem { kind, detail }
+        Problem {
+            kind,
+            detail,
+            retry_after_s: (kind == ProblemKind::NoQuorum).then_some(RETRY_AFTER_S),
+        }
+    }
+
+    /// The same problem with the number of seconds after which the request may be
+    /// repeated.
+    pub(crate) fn with_retry_after(self, seconds: u64) -> Problem {
+        Problem {
+            retry_after_s: Some(seconds),
+            ..self
+        }
     }
 
     pub(crate) fn into_answer(self) -> Answer {
@@ -183,8 +202,8 @@
             detail: &self.detail,
         };
         let mut answer = json_with_media_type(status, MEDIA_TYPE, &body);
-        if self.kind == ProblemKind::NoQuorum {
-            let value = HeaderValue::from_static(RETRY_AFTER_S);
+        if let Some(seconds) = self.retry_after_s {
+            let value = HeaderValue::from(seconds);
             answer.headers_mut().insert(RETRY_AFTER, value);
         }
         answer
--- a/crates/cleat-operate/src/jobs/mod.rs
+++ b/crates/cleat-operate/src/jobs/mod.rs
@@ -118,6 +118,12 @@
             ControlReply::NoSuchQueue => {
                 Err(Problem::new(ProblemKind::UnknownQueue, queue.to_string()))
             }
+            ControlReply::Overloaded { retry_after_ms } => {
+                let seconds = retry_after_ms.div_ceil(1_000).max(1);
+                let detail = format!("job {id} was not stored; submit it again in {seconds} s");
+                let problem = Problem::new(ProblemKind::Overloaded, detail);
+                Err(problem.with_retry_after(seconds))
+            }
             ControlReply::NoConfiguration => {
                 let detail = "there is no configuration yet".to_owned();
                 Err(Problem::new(ProblemKind::NoQuorum, detail))
