--- a/crates/cleat-jobs/src/schedule/admission/estimate.rs
+++ b/crates/cleat-jobs/src/schedule/admission/estimate.rs
@@ -375,10 +375,21 @@
     }
 
     /// The first time, in seconds after the rebuild, at which the supply covers `work`
-    /// and what arrives meanwhile at the rate `inflow`.
-    fn first_covered(&self, demand: &Demand, work: Work, inflow: Work) -> Option<f64> {
+    /// and what arrives meanwhile: of higher ranks at the rate `inflow`, and of the same
+    /// rank at the rate `own_inflow`.
+    fn first_covered(
+        &self,
+        demand: &Demand,
+        work: Work,
+        inflow: Work,
+        own_inflow: Work,
+    ) -> Option<f64> {
         (0..=BUCKETS).map(seconds).find(|at| {
-            let needed = work + inflow.scaled(*at);
+            // Work of the same rank goes ahead only if it is in time, and no more of it
+            // can be in time than the pool completes.
+            let completed = self.supply(*at, 0.0, demand.rank);
+            let own = own_inflow.scaled(*at).component_min(completed);
+            let needed = work + inflow.scaled(*at) + own;
             needed.fits(self.supply(*at, demand.task_s, demand.rank))
         })
     }
@@ -395,7 +406,7 @@
         let latest = demand.latest_start - self.rebuilt_at;
         let needed = work + ahead.inflow.scaled(latest);
         if latest >= 0.0 && needed.fits(self.supply(latest, demand.task_s, demand.rank)) {
-            let start = self.first_covered(demand, work, ahead.inflow);
+            let start = self.first_covered(demand, work, ahead.inflow, Work::default());
             let start = start.unwrap_or(latest).min(latest);
             return match booked {
                 BookedAhead::ByDueTime if self.displaces(demand, ahead) => Estimate::Displaces,
@@ -406,7 +417,7 @@
         let (all, own_inflow) =
             class.map_or_else(Default::default, |class| (class.total, class.inflow));
         let work = ahead.outranking + all + demand.first;
-        match self.first_covered(demand, work, ahead.inflow + own_inflow) {
+        match self.first_covered(demand, work, ahead.inflow, own_inflow) {
             Some(start) if start <= demand.last_start - self.rebuilt_at => {
                 match self.displaces(demand, ahead) {
                     true => Estimate::Displaces,
@@ -431,8 +442,9 @@
             if index < first {
                 continue;
             }
+            // Accepted jobs in the bucket of the job itself came before it.
             let start = bucket.latest_start.max(0.0);
-            if start.is_finite() {
+            if index > first && start.is_finite() {
                 let needed = sum + ahead.inflow.scaled(start);
                 let supply = supply(start);
                 if needed.fits(supply) && !(needed + demand.total).fits(supply) {
--- a/crates/cleat-jobs/src/schedule/admission/load.rs
+++ b/crates/cleat-jobs/src/schedule/admission/load.rs
@@ -104,8 +104,9 @@
             };
             let ordered_at = pending.accepted_at.unwrap_or(pending.sent_at);
             let overdue = self.now > ordered_at + forecast::LEAD_TIME * 2;
-            let joined = *machine.view.pool == **pool
-                && self.workers.on_machine(&machine.view.name).is_some();
+            // Until the order ends it, the life of the old pool is still known.
+            let worker = self.workers.on_machine(&machine.view.name);
+            let joined = worker.is_some_and(|key| self.workers[key].record.pool == *pool);
             let joins = !overdue && !joined;
             return joins.then(|| (&**pool, ordered_at + forecast::LEAD_TIME));
         }
--- a/crates/cleat-jobs/tests/admission.rs
+++ b/crates/cleat-jobs/tests/admission.rs
@@ -9,7 +9,7 @@
 use cleat_jobs::{
     Admission, Catalogue, CatalogueDraft, Command, ControlState, Effect, EndKind, Event, Features,
     Heartbeat, JobId, JobState, MachineAnswer, MachineOrder, MachineState, MachineView, Order,
-    RefusalReason, RenewalOrder, Scheduler, SchedulerConfig, Size, Submission,
+    RefusalReason, RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec, Submission,
 };
 use indexmap::IndexMap;
 use support::{customer, draft, job, machine, record, step};
@@ -17,10 +17,13 @@
 const STEP: Duration = Duration::from_millis(10);
 /// How long a task runs.
 const TASK_MS: u64 = 400;
-/// The time limit of a job: one and a half times as long as a task, plus 500 ms.
+/// The time limit of a job of one step: one and a half times as long as a task, plus
+/// 500 ms.
 const OBJECTIVE: Duration = Duration::from_millis(1_100);
-/// From when on a result has no value.
-const ZERO_VALUE: Duration = Duration::from_millis(3_300);
+/// By how much each further step extends the time limit.
+const STEP_OBJECTIVE: Duration = Duration::from_millis(600);
+/// After how many times its limit a result has no value.
+const ZERO_VALUE_OBJECTIVES: u32 = 3;
 /// How long the platform takes to move a machine.
 const MOVE_TIME: Duration = Duration::from_millis(1_500);
 /// How often a caller submits a job again after a refusal.
@@ -56,6 +59,8 @@
     moves: Vec<(Duration, Box<str>, Box<str>)>,
     events: Vec<Event>,
     calls: IndexMap<JobId, Call>,
+    /// The number of steps of each job, of which each waits for the one before.
+    steps: u16,
     /// Whether refused callers submit again.
     callers_return: bool,
     /// Callers that will submit again.
@@ -100,6 +105,7 @@
             moves: Vec::new(),
             events: Vec::new(),
             calls: IndexMap::new(),
+            steps: 1,
             callers_return: true,
             returning: Vec::new(),
             refusals_logged: Vec::new(),
@@ -146,9 +152,12 @@
     /// Submits a job, for the first time or again.
     fn call(&mut self, id: JobId) {
         let queue = self.state.catalogue.as_ref().expect("configured").queues[0].clone();
-        let mut step = step(4, 1_000);
-        step.estimate_ms = TASK_MS;
-        let spec = job(vec![step]);
+        let step = |at: u16| StepSpec {
+            estimate_ms: TASK_MS,
+            after: at.checked_sub(1).into_iter().collect(),
+            ..step(4, 1_000)
+        };
+        let spec = job((0..self.steps).map(step).collect());
         let customer = self.calls[&id].customer;
         let submission = Submission {
             id,
@@ -356,8 +365,10 @@
                 let both = call.accepted_at.zip(call.completed_at);
                 both.is_some_and(|(accepted, completed)| completed <= accepted + span)
             };
-            sum.in_time += usize::from(ended_within(OBJECTIVE));
-            sum.worthless += usize::from(call.accepted_at.is_some() && !ended_within(ZERO_VALUE));
+            let objective = OBJECTIVE + STEP_OBJECTIVE * u32::from(self.steps - 1);
+            let has_value = ended_within(objective * ZERO_VALUE_OBJECTIVES);
+            sum.in_time += usize::from(ended_within(objective));
+            sum.worthless += usize::from(call.accepted_at.is_some() && !has_value);
         }
         sum
     }
@@ -404,6 +415,37 @@
     assert!(events <= load.now.as_secs() * 2, "too many events");
 }
 
+/// Guards against refusing a customer within its share because running work beyond other
+/// customers' shares uses the capacity.
+#[test]
+fn running_work_beyond_shares_does_not_count_for_work_within() {
+    let mut load = Load::new(2, 0, &[("large", 1.0), ("small", 6.0)]);
+    for _ in 0..8 {
+        load.submit(Some("large"));
+    }
+    load.run_until(load.now + Duration::from_millis(100));
+    for _ in 0..6 {
+        load.submit(Some("small"));
+    }
+    let small = load.summary(Some("small"));
+    assert_eq!(small.refused_first, 0, "{small:?}");
+}
+
+/// Guards against an estimate without the steps that wait for others.
+#[test]
+fn later_steps_of_accepted_jobs_are_counted() {
+    let mut load = Load::new(2, 0, &[]);
+    load.steps = 3;
+    let rate = 2.0 * JOBS_PER_WORKER;
+    load.send(Duration::from_secs(8), &[(None, rate)]);
+    load.settle();
+    let all = load.summary(None);
+    eprintln!("{all:?}");
+    assert!(all.refused_first > 0, "{all:?}");
+    assert_eq!(all.worthless, 0, "{all:?}");
+    assert!(all.accepted_in_time() >= 0.9, "{all:?}");
+}
+
 /// Guards against accepting work that then waits until its result has no value, and
 /// against refusing so much that capacity is left unused.
 #[test]
@@ -432,13 +474,12 @@
 /// results still have value.
 #[test]
 fn peak_is_accepted_if_machines_come_in_time() {
-    let mut with_spare = Load::new(1, 8, &[]);
-    with_spare.send(Duration::from_secs(2), &[(None, 0.2 * JOBS_PER_WORKER)]);
-    let before = with_spare.calls.len();
-    with_spare.send(Duration::from_secs(4), &[(None, 2.5 * JOBS_PER_WORKER)]);
-    with_spare.settle();
-    let all = with_spare.summary(None);
-    eprintln!("with spare machines {all:?}, {before} before the peak");
+    let mut load = Load::new(1, 8, &[]);
+    load.send(Duration::from_secs(2), &[(None, 0.2 * JOBS_PER_WORKER)]);
+    load.send(Duration::from_secs(4), &[(None, 5.0 * JOBS_PER_WORKER)]);
+    load.settle();
+    let all = load.summary(None);
+    eprintln!("{all:?}");
     assert!(
         all.refused_first * 10 <= all.jobs,
         "refused although machines come: {all:?}"
@@ -446,6 +487,32 @@
     assert_eq!(all.worthless, 0, "{all:?}");
 }
 
+/// Guards against an estimate without the machines that can be ordered, and against one
+/// that counts machines that do not exist: the jobs arrive before any machine can have
+/// been ordered for them.
+#[test]
+fn burst_is_accepted_as_far_as_machines_can_be_obtained() {
+    let accepted_at_once = |spare| {
+        let mut load = Load::new(1, spare, &[]);
+        load.send(Duration::from_secs(2), &[(None, 0.2 * JOBS_PER_WORKER)]);
+        let before = load.calls.len();
+        for _ in 0..30 {
+            load.submit(None);
+        }
+        let burst = load.calls.values().skip(before);
+        let accepted = burst.filter(|call| call.refusals.is_empty()).count();
+        load.settle();
+        let all = load.summary(None);
+        eprintln!("{spare} spare machines: {accepted} accepted at once, {all:?}");
+        assert_eq!(all.worthless, 0, "{all:?}");
+        accepted
+    };
+    let (with_machines, without) = (accepted_at_once(8), accepted_at_once(0));
+    // A worker completes 5 jobs a second, and results have value for 3.3 s.
+    assert!(without <= 15, "{without}");
+    assert!(with_machines >= 2 * without, "{with_machines}, {without}");
+}
+
 /// Guards against telling callers a time at which they are refused again.
 #[test]
 fn returning_callers_are_accepted_in_their_window() {
@@ -589,7 +656,7 @@
         load.submit(None);
     }
     let catalogue = load.state.catalogue.clone().expect("configured");
-    let mut admit = |queue: usize, change: fn(&mut cleat_jobs::StepSpec), id| {
+    let mut admit = |queue: usize, change: fn(&mut StepSpec), id| {
         let mut step = step(4, 1_000);
         change(&mut step);
         let submission = Submission {
