--- a/crates/cleat-control/src/node/mod.rs
+++ b/crates/cleat-control/src/node/mod.rs
@@ -46,6 +46,8 @@
     pub(crate) state: Arc<SharedState>,
     /// The scheduler of the owner task; `None` while this instance does not lead.
     pub(crate) scheduler: Mutex<Option<Scheduler>>,
+    /// Whether the scheduler decides which submitted jobs are accepted.
+    pub(crate) admission: bool,
     pub(crate) events: EventLog,
     pub(crate) metrics: Metrics,
     /// `None` if calls are not redirected.
@@ -106,6 +108,7 @@
             stopping: AtomicBool::new(false),
             state,
             scheduler: Mutex::new(None),
+            admission: cfg.scheduler.features.admission,
             events: events.clone(),
             metrics: metrics.clone(),
             redirector: cfg.redirect_calls.then(|| Redirector::new(&cfg)),
--- a/crates/cleat-jobs/src/schedule/fleet/mod.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/mod.rs
@@ -14,3 +14,4 @@
 
 pub(super) use machine::{Machine, Machines};
 pub use machine::{MachineOrder, MachineState, MachineView};
+pub(super) use moves::FRAGMENTATION_PERCENT;
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -22,6 +22,7 @@
         self.propose_stopped_jobs(state);
         self.update_speeds();
         self.manage_machines(state);
+        self.rebuild_admission(state);
         // Workers on which starts were paused may accept work again.
         self.dirty_pools = DirtyPools::All;
         self.copies_due = self.speculates();
