Count refused jobs as arrivals at their pool

Cause: with admission on, refused jobs neither waited nor were counted as arrivals, so a pool that refused jobs appeared to need no more machines than it had, and went on refusing. Change: a job of a customer within its share that is refused for the first time is recorded as an arrival, so that the forecast and the machine plan see it.

--- a/crates/cleat-jobs/src/schedule/admission/decision.rs
+++ b/crates/cleat-jobs/src/schedule/admission/decision.rs
@@ -94,6 +94,9 @@
             ShareStatus::Within => RefusalReason::Capacity,
         };
         let earlier = self.remove_booking(submission);
+        if earlier.is_none() && reason == RefusalReason::Capacity {
+            self.record_refused_arrival(submission);
+        }
         let pool = &submission.queue.pool;
         let refused_at = earlier
             .as_ref()
@@ -130,6 +133,18 @@
         }
     }
 
+    /// Counts a refused job as an arrival at its pool. Without it, a pool that refuses
+    /// jobs would appear to need no more machines than it has.
+    fn record_refused_arrival(&mut self, submission: &Submission<'_>) {
+        let Submission { queue, spec, .. } = submission;
+        let paths = self.workload.critical_paths(&queue.name, spec);
+        let path = paths.into_iter().max().unwrap_or_default();
+        let arrived_at = self.now.saturating_sub(submission.age);
+        let within = self.cfg.features.machine_plan;
+        self.workload
+            .record_arrival(queue, spec, arrived_at, path, within);
+    }
+
     /// What a job asks of its pool.
     fn demand(&mut self, state: &ControlState, submission: &Submission<'_>) -> Demand {
         let Submission { queue, spec, .. } = submission;
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -124,7 +124,7 @@
 
     /// Records the arrival of a job at its pool. `span` is the expected
     /// duration of its longest chain of steps.
-    fn record_arrival(
+    pub(crate) fn record_arrival(
         &mut self,
         queue: &Queue,
         spec: &JobSpec,
