Carry durations and arrivals over to the next owner

Cause: a new owner takes each estimate as the duration, knows only the arrivals of jobs that are still active, and takes no machine from other pools as surplus for 6 s. If the old owner died during a demand peak, machines were held or moved wrongly.

A new owner checks the values and starts from them, and assumes the current rate for the time since the commit until jobs of that time are known. Runs of earlier owners are left out of the durations then, since only their time since the takeover is known.

--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -51,6 +51,9 @@
                     self.count_by("workers.over", over);
                 }
             }
+            Decision::LearnedCommitted { .. } => self.count("learned.committed"),
+            Decision::LearnedRestored { .. } => self.count("learned.restored"),
+            Decision::LearnedRejected { .. } => self.count("learned.rejected"),
             Decision::Pool { pool, waiting, .. } => {
                 let gauge = self.counters.gauge(&format!("pool.{pool}.waiting"));
                 gauge.set(*waiting);
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -25,13 +25,13 @@
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
     Arrivals, CustomerView, Decision, DurationModel, Effect, EndedRun, Event, Features, Heartbeat,
-    JobUsage, MachineAnswer, MachineOrder, MachineState, MachineView, Order, OrderAnswer,
-    Protections, RenewalAnswer, RenewalOrder, RunningTask, Scheduler, SchedulerConfig, SharePolicy,
-    TaskOrder, WorkerState, WorkerView,
+    JobUsage, LearnedFault, MachineAnswer, MachineOrder, MachineState, MachineView, Order,
+    OrderAnswer, Protections, RenewalAnswer, RenewalOrder, RunningTask, Scheduler, SchedulerConfig,
+    SharePolicy, TaskOrder, WorkerState, WorkerView,
 };
 pub use size::Size;
 pub use state::{
     Command, CommandOutcome, ControlState, CrashEvidence, CrashedRun, DecodeError, End, EndKind,
-    EndedJob, Job, JobState, Occurrence, Owner, StepProgress, StoppingJob, TaskCrashes, TaskEnd,
-    Wave, WorkerHistory, WorkerRecord,
+    EndedJob, Job, JobState, LearnedDurations, LearnedQueue, LearnedStats, Occurrence, Owner,
+    StepProgress, StoppingJob, TaskCrashes, TaskEnd, Wave, WorkerHistory, WorkerRecord,
 };
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -232,6 +232,33 @@
         /// How this owner knows that the worker's life is over, if it is.
         over: Option<LifeOver>,
     },
+    /// Learned statistics were committed for the next owner.
+    LearnedCommitted {
+        /// The number of queues in them.
+        queues: usize,
+        /// Their encoded size.
+        bytes: usize,
+    },
+    /// A new owner starts with the statistics of an earlier owner.
+    LearnedRestored {
+        /// The number of queues that were restored.
+        queues: usize,
+        /// The number of arrivals that were restored.
+        arrivals: usize,
+        /// The number of arrivals that are assumed for the time since.
+        assumed: usize,
+        /// The age of the statistics, in milliseconds; `None` if the times of
+        /// day do not allow to use the arrivals.
+        age_ms: Option<u64>,
+    },
+    /// Statistics of an earlier owner were dropped because their values are
+    /// invalid.
+    LearnedRejected {
+        /// The queue; `None` if all statistics were dropped.
+        queue: Option<Box<str>>,
+        /// What is invalid.
+        fault: super::LearnedFault,
+    },
 }
 
 impl Decision {
@@ -243,7 +270,8 @@
             | Decision::Start { .. }
             | Decision::Machine { .. }
             | Decision::Pool { .. }
-            | Decision::Advised { .. } => true,
+            | Decision::Advised { .. }
+            | Decision::LearnedCommitted { .. } => true,
             Decision::Ended { kind, .. } => *kind == EndKind::Done,
             Decision::JobOver { state, .. } => *state == JobState::Completed,
             Decision::MachineAnswered { answer, .. } => *answer == MachineAnswer::Done,
@@ -253,7 +281,9 @@
             | Decision::Adopted { .. }
             | Decision::Resized { .. }
             | Decision::CapReached { .. }
-            | Decision::Worker { .. } => false,
+            | Decision::Worker { .. }
+            | Decision::LearnedRestored { .. }
+            | Decision::LearnedRejected { .. } => false,
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/durations.rs
+++ b/crates/cleat-jobs/src/schedule/durations.rs
@@ -10,6 +10,8 @@
 
 use std::time::Duration;
 
+use crate::state::LearnedDurations;
+
 /// The weight of a new task in the running means, once 50 tasks were observed.
 /// The means then cover about the last 50 tasks, which a queue has within
 /// seconds.
@@ -24,6 +26,16 @@
 /// estimate is far off.
 const MAX_LOG_RATIO: f64 = 6.9;
 
+/// The longest duration, in milliseconds, that is plausible in the statistics
+/// of an earlier owner: a month.
+const MAX_PLAUSIBLE_MS: u64 = 30 * 24 * 3_600 * 1_000;
+/// Allows for the rounding of variances to single precision.
+const ROUNDING: f64 = 1.001;
+/// The change of the logarithm of an expected duration that is committed. An
+/// owner without statistics is off by a factor of two or more; a tenth is
+/// within the random variation of the mean of 50 tasks.
+const NOTABLE_LOG_CHANGE: f64 = 0.1;
+
 /// The regression of one queue's durations on its estimates.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DurationModel {
@@ -67,12 +79,70 @@
         if estimate_ms == 0 || self.tasks == 0 {
             return Duration::from_millis(estimate_ms);
         }
+        Duration::from_secs_f64(self.expected_ms(estimate_ms) / 1_000.0)
+    }
+
+    fn expected_ms(&self, estimate_ms: u64) -> f64 {
         let slope = self.slope();
         let expected_log =
             self.mean_log_duration + slope * (logarithm(estimate_ms) - self.mean_log_estimate);
         let residual_variance = (self.duration_variance - slope * self.covariance).max(0.0);
-        let mean_ms = (expected_log + residual_variance / 2.0).exp();
-        Duration::from_secs_f64(mean_ms / 1_000.0)
+        (expected_log + residual_variance / 2.0).exp()
+    }
+
+    /// The model as it is committed for the next owner.
+    #[allow(clippy::cast_possible_truncation)]
+    pub(super) fn learned(&self) -> LearnedDurations {
+        LearnedDurations {
+            tasks: self.tasks,
+            mean_log_estimate: self.mean_log_estimate as f32,
+            mean_log_duration: self.mean_log_duration as f32,
+            estimate_variance: self.estimate_variance as f32,
+            duration_variance: self.duration_variance as f32,
+            covariance: self.covariance as f32,
+        }
+    }
+
+    /// The model of an earlier owner; `None` if its values are not finite or
+    /// can't result from observations.
+    pub(super) fn from_learned(learned: &LearnedDurations) -> Option<DurationModel> {
+        let model = DurationModel {
+            tasks: learned.tasks,
+            mean_log_estimate: learned.mean_log_estimate.into(),
+            mean_log_duration: learned.mean_log_duration.into(),
+            estimate_variance: learned.estimate_variance.into(),
+            duration_variance: learned.duration_variance.into(),
+            covariance: learned.covariance.into(),
+        };
+        // NaN is in no range, and infinite values are beyond all limits.
+        let max_log = logarithm(MAX_PLAUSIBLE_MS);
+        let max_variance = MAX_LOG_RATIO * MAX_LOG_RATIO;
+        let variances = model.estimate_variance * model.duration_variance;
+        let plausible = (0.0..=max_log).contains(&model.mean_log_estimate)
+            && (-MAX_LOG_RATIO..=max_log).contains(&model.mean_log_duration)
+            && (0.0..=max_variance).contains(&model.estimate_variance)
+            && (0.0..=max_variance).contains(&model.duration_variance)
+            && model.covariance.powi(2) <= variances * ROUNDING + f64::EPSILON
+            && model.expected_ms(MAX_PLAUSIBLE_MS) <= 1_000.0 * logarithm(MAX_PLAUSIBLE_MS).exp();
+        plausible.then_some(model)
+    }
+
+    /// Whether a successor's expectations would differ by more than
+    /// [`NOTABLE_LOG_CHANGE`] with this model instead of the committed one.
+    pub(super) fn differs_notably(&self, committed: &LearnedDurations) -> bool {
+        let Some(known) = DurationModel::from_learned(committed) else {
+            return true;
+        };
+        if self.tasks == 0 || known.tasks == 0 {
+            return (self.tasks == 0) != (known.tasks == 0);
+        }
+        let at = [-1.0, 0.0, 1.0].map(|offset: f64| (self.mean_log_estimate + offset).exp());
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let mut at = at.into_iter().map(|estimate| (estimate as u64).max(1));
+        at.any(|estimate| {
+            let change = self.expected_ms(estimate).ln() - known.expected_ms(estimate).ln();
+            change.abs() > NOTABLE_LOG_CHANGE
+        })
     }
 
     /// The slope of the regression: 1 if estimates are good, 0 if they are
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -6,8 +6,8 @@
 
 use super::demand::Balance;
 use super::machine::{Machine, MachineOrder, MachineState};
+use crate::schedule::Scheduler;
 use crate::schedule::worker::WorkerKey;
-use crate::schedule::{Scheduler, forecast};
 use crate::state::ControlState;
 
 /// How long a machine is idle before it returns to the spare pool. A move costs about
@@ -132,11 +132,12 @@
         Some(idle[&from].remove(at))
     }
 
-    /// Whether this owner has observed the demand for the whole window of its forecast.
+    /// Whether this owner has observed the demand for the whole window of its forecast,
+    /// or continues the observation of an earlier owner.
     /// Before that, a pool between two demand peaks seems to need nothing, and a
     /// machine that is moved away may be needed there a second later.
     fn has_demand_history(&self) -> bool {
-        self.now >= self.taken_over_at + forecast::ARRIVAL_WINDOW
+        self.now >= self.carry_over.history_complete_at
     }
 
     /// Whether a machine is up, idle and not assigned to anything.
--- a/crates/cleat-jobs/src/schedule/forecast.rs
+++ b/crates/cleat-jobs/src/schedule/forecast.rs
@@ -84,6 +84,22 @@
         self.recent.insert(position, (at, usage));
     }
 
+    /// Removes one job that was recorded with these values.
+    pub(super) fn remove(&mut self, at: Duration, usage: JobUsage) {
+        if let Some(position) = self.recent.iter().position(|known| *known == (at, usage)) {
+            self.recent.remove(position);
+        }
+    }
+
+    /// The current number of arriving jobs per second.
+    pub(super) fn rate(&mut self, now: Duration) -> f64 {
+        self.remove_expired(now);
+        let segment = self.latest_segment(now);
+        #[allow(clippy::cast_precision_loss)]
+        let jobs = segment.jobs as f64;
+        jobs / segment.span.as_secs_f64()
+    }
+
     /// The resources that the pool's tasks will use at the time when a machine
     /// ordered now arrives, if jobs keep arriving at the current rate.
     pub fn forecast(&mut self, now: Duration) -> Size {
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -8,6 +8,7 @@
 mod account;
 mod advice;
 mod attempt;
+mod carry_over;
 mod commits;
 mod crashes;
 mod decision;
@@ -38,6 +39,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 pub use account::CustomerView;
+pub use carry_over::LearnedFault;
 pub use decision::Decision;
 pub use durations::DurationModel;
 pub use event::{
@@ -56,6 +58,7 @@
 use account::{Accounts, Stray};
 use advice::StepAdvice;
 use attempt::Attempt;
+use carry_over::CarryOver;
 use crashes::CrashedMachines;
 use fleet::Machines;
 use ready::DirtyPools;
@@ -188,6 +191,7 @@
     /// The share status of each active job that exceeds its customer's share.
     share_statuses: IndexMap<JobId, ShareStatus>,
     workload: WorkloadStats,
+    carry_over: CarryOver,
     /// The adviser's permissions for each step that needs them.
     advice: IndexMap<StepId, StepAdvice>,
     /// The current throttle of the best-effort tasks on each worker.
@@ -242,6 +246,7 @@
             objectives: IndexMap::new(),
             share_statuses: IndexMap::new(),
             workload: WorkloadStats::default(),
+            carry_over: CarryOver::new(now),
             advice: IndexMap::new(),
             throttles: IndexMap::new(),
             throttle_sent_at: ThrottleTimes::new(),
@@ -359,6 +364,7 @@
             Command::RemoveWorkers { names } => self.handle_workers_removed(names),
             Command::Draining { name } => self.mark_draining(name),
             Command::Crashed { runs } => self.handle_crashes_applied(state, runs),
+            Command::Learned(learned) => self.log_learned_committed(learned),
             Command::JobsStopped { ids } => {
                 self.stopped_jobs_proposed.retain(|id| !ids.contains(id));
             }
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -279,8 +279,13 @@
 
     /// Records the duration of a run for its queue. Runs that resumed from a
     /// checkpoint are included: they distort the expected durations, but are
-    /// rare.
+    /// rare. With the statistics of an earlier owner, its runs are left out:
+    /// only the time since the takeover is known, and the restored durations
+    /// would be shortened by it.
     fn observe_duration(&mut self, state: &ControlState, end: &End, ran: Duration) {
+        if self.carry_over.restored && !self.has_started_task(end.task) {
+            return;
+        }
         let Some(job) = state.jobs.get(&end.task.job()) else {
             return;
         };
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -22,6 +22,7 @@
             let key = self.workers.add(record.clone(), self.now);
             self.workers[key].draining = state.draining.contains(&record.name);
         }
+        self.restore_learned(state);
         for (id, job) in &state.jobs {
             self.activate_job(state, *id);
             if !job.occurrences.is_empty() {
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -21,6 +21,7 @@
         self.crashed_machines.remove_expired(self.now);
         self.propose_stopped_jobs(state);
         self.manage_machines(state);
+        self.propose_learned(state);
         // Workers on which starts were paused may accept work again.
         self.dirty_pools = DirtyPools::All;
     }
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use super::carry_over::ArrivalTimes;
 use super::durations::DurationModel;
 use super::forecast::{Arrivals, JobUsage};
 use super::shares::ShareStatus;
@@ -53,12 +54,12 @@
 
 /// Statistics of one queue.
 #[derive(Clone, Copy, Debug, Default)]
-struct QueueStats {
-    durations: DurationModel,
+pub(super) struct QueueStats {
+    pub(super) durations: DurationModel,
     /// The running mean of its jobs' resource usage, and the number of jobs in
     /// it.
-    usage: JobUsage,
-    jobs: u32,
+    pub(super) usage: JobUsage,
+    pub(super) jobs: u32,
 }
 
 impl QueueStats {
@@ -75,8 +76,10 @@
 /// Statistics of queues and pools.
 #[derive(Debug, Default)]
 pub(crate) struct WorkloadStats {
-    queues: IndexMap<Box<str>, QueueStats>,
-    arrivals: IndexMap<Box<str>, Arrivals>,
+    pub(super) queues: IndexMap<Box<str>, QueueStats>,
+    pub(super) arrivals: IndexMap<Box<str>, Arrivals>,
+    /// The recent arrivals of each queue, for the next owner.
+    pub(super) arrival_times: IndexMap<Box<str>, ArrivalTimes>,
 }
 
 impl WorkloadStats {
@@ -127,9 +130,20 @@
         stats.record_usage(usage);
         let mean = stats.usage;
         let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
+        let times = self.arrival_times.entry(queue.name.clone()).or_default();
+        if let Some((assumed_at, usage)) = times.record(at) {
+            arrivals.remove(assumed_at, usage);
+        }
         arrivals.record(at, mean);
     }
 
+    /// Whether the statistics that an earlier owner committed count the job that
+    /// was accepted at this log position.
+    fn has_restored(&self, queue: &str, accepted_index: u64) -> bool {
+        let times = self.arrival_times.get(queue);
+        times.is_some_and(|times| accepted_index <= times.restored_index)
+    }
+
     /// The forecast of the resources that a pool's tasks will use if jobs keep
     /// arriving at the current rate.
     pub(crate) fn forecast(&mut self, pool: &str, now: Duration) -> Size {
@@ -162,8 +176,11 @@
         self.objectives.insert(id, objective);
         self.log_accepted(id, job, span);
         let arrived_at = self.now.saturating_sub(age);
-        self.workload
-            .record_arrival(queue, &job.spec, arrived_at, critical_path);
+        self.carry_over.record_job(job.accepted_index);
+        if !self.workload.has_restored(&queue.name, job.accepted_index) {
+            self.workload
+                .record_arrival(queue, &job.spec, arrived_at, critical_path);
+        }
         self.record_share_status(state, id, job, arrived_at);
     }
 
--- a/crates/cleat-jobs/src/state/apply.rs
+++ b/crates/cleat-jobs/src/state/apply.rs
@@ -123,6 +123,11 @@
                 sequence,
             } => self.resize(&name, capacity, sequence),
             Command::Crashed { runs } => self.record_crashes(&runs),
+            Command::Learned(learned) => {
+                if self.owner.is_some_and(|owner| owner.token == learned.token) {
+                    self.learned = Some(learned);
+                }
+            }
         }
         CommandOutcome::Done
     }
--- a/crates/cleat-jobs/src/state/command.rs
+++ b/crates/cleat-jobs/src/state/command.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use super::{CrashedRun, WorkerRecord};
+use super::{CrashedRun, LearnedStats, WorkerRecord};
 use crate::{Catalogue, JobId, JobSpec, Queue, Run, Size, TaskId};
 
 /// One command in the replicated log.
@@ -130,6 +130,8 @@
         /// The runs.
         runs: Vec<CrashedRun>,
     },
+    /// What the owner has learned about the load, for its successor.
+    Learned(Box<LearnedStats>),
 }
 
 /// How a run of a task ended.
--- a/crates/cleat-jobs/src/state/mod.rs
+++ b/crates/cleat-jobs/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod crash;
 mod job;
+mod learned;
 mod wave;
 mod worker;
 
@@ -12,6 +13,7 @@
 pub(crate) use crash::Suspicion;
 pub use crash::{CrashEvidence, CrashedRun, TaskCrashes};
 pub use job::{EndedJob, Job, JobState, Occurrence, StepProgress, StoppingJob};
+pub use learned::{LearnedDurations, LearnedQueue, LearnedStats};
 pub use wave::Wave;
 pub use worker::{WorkerHistory, WorkerRecord};
 
@@ -64,6 +66,10 @@
     /// Invariant: a worker is recorded here before its announcement is acknowledged, so
     /// that no later owner starts tasks there.
     pub draining: IndexSet<Box<str>>,
+    /// The statistics that the last owner committed, if any. In a snapshot they follow
+    /// the other fields, and are absent while there are none.
+    #[serde(skip)]
+    pub learned: Option<Box<LearnedStats>>,
 }
 
 impl ControlState {
@@ -83,8 +89,12 @@
 
     /// Encodes the whole state.
     pub fn snapshot(&self) -> Box<[u8]> {
-        // Can't fail: the value is plain data, and the vector grows as needed.
-        postcard::to_stdvec(self).unwrap_or_default().into()
+        // Can't fail: the values are plain data, and the vector grows as needed.
+        let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
+        if let Some(learned) = &self.learned {
+            bytes.extend(postcard::to_stdvec(learned).unwrap_or_default());
+        }
+        bytes.into()
     }
 
     /// Decodes the result of [`snapshot`](Self::snapshot).
@@ -92,6 +102,13 @@
     /// # Errors
     /// [`DecodeError`] if another version wrote the bytes.
     pub fn restore(data: &[u8]) -> Result<ControlState, DecodeError> {
-        postcard::from_bytes(data).context(DecodeSnafu { what: "snapshot" })
+        let (mut state, rest): (ControlState, _) =
+            postcard::take_from_bytes(data).context(DecodeSnafu { what: "snapshot" })?;
+        if !rest.is_empty() {
+            // Statistics that can't be decoded must not prevent a start. The default
+            // marks them, and a new owner logs that it rejects them.
+            state.learned = Some(postcard::from_bytes(rest).unwrap_or_default());
+        }
+        Ok(state)
     }
 }
