--- a/crates/cleat-jobs/tests/carry_over.rs
+++ b/crates/cleat-jobs/tests/carry_over.rs
@@ -424,6 +424,9 @@
     assert_eq!(state.learned.as_deref(), Some(&learned()));
     let snapshot = state.snapshot();
     assert!(snapshot.starts_with(EARLIER_SNAPSHOT));
+    // The decoder of earlier builds, which have the same other fields.
+    let earlier: ControlState = postcard::from_bytes(&snapshot).expect("readable");
+    assert_eq!(earlier, fixed_state());
     let restored = ControlState::restore(&snapshot).expect("readable");
     assert_eq!(restored, state);
 }
