--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -59,6 +59,9 @@
             Decision::WorkerSpeed { slow_workers, .. } => {
                 self.counters.gauge("workers.slow").set(*slow_workers);
             }
+            Decision::LearnedCommitted { .. } => self.count("learned.committed"),
+            Decision::LearnedRestored { .. } => self.count("learned.restored"),
+            Decision::LearnedRejected { .. } => self.count("learned.rejected"),
             Decision::Pool { pool, waiting, .. } => {
                 let gauge = self.counters.gauge(&format!("pool.{pool}.waiting"));
                 gauge.set(*waiting);
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -25,13 +25,14 @@
 pub use job::{JobSpec, JobSpecError, Repeat, StepSpec};
 pub use schedule::{
     Admission, Arrivals, CustomerView, Decision, DurationModel, Effect, EndedRun, Event, Features,
-    Heartbeat, HoldReason, JobUsage, MachineAnswer, MachineOrder, MachineState, MachineView, Order,
-    OrderAnswer, Protections, RefusalReason, RenewalAnswer, RenewalOrder, RunningTask, Scheduler,
-    SchedulerConfig, SharePolicy, Submission, TaskOrder, WorkerState, WorkerView,
+    Heartbeat, HoldReason, JobUsage, LearnedFault, MachineAnswer, MachineOrder, MachineState,
+    MachineView, Order, OrderAnswer, Protections, RefusalReason, RenewalAnswer, RenewalOrder,
+    RunningTask, Scheduler, SchedulerConfig, SharePolicy, Submission, TaskOrder, WorkerState,
+    WorkerView,
 };
 pub use size::Size;
 pub use state::{
     Command, CommandOutcome, ControlState, CrashEvidence, CrashedRun, DecodeError, End, EndKind,
-    EndedJob, Job, JobState, Occurrence, Owner, StepProgress, StoppingJob, TaskCrashes, TaskEnd,
-    Wave, WorkerHistory, WorkerRecord,
+    EndedJob, Job, JobState, LearnedDurations, LearnedQueue, LearnedStats, Occurrence, Owner,
+    StepProgress, StoppingJob, TaskCrashes, TaskEnd, Wave, WorkerHistory, WorkerRecord,
 };
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -315,6 +315,33 @@
         /// The number of workers that count as slow, in all pools.
         slow_workers: u64,
     },
+    /// Learned statistics were committed for the next owner.
+    LearnedCommitted {
+        /// The number of queues in them.
+        queues: usize,
+        /// Their encoded size.
+        bytes: usize,
+    },
+    /// A new owner starts with the statistics of an earlier owner.
+    LearnedRestored {
+        /// The number of queues that were restored.
+        queues: usize,
+        /// The number of arrivals that were restored.
+        arrivals: usize,
+        /// The number of arrivals that are assumed for the time since.
+        assumed: usize,
+        /// The age of the statistics, in milliseconds; `None` if the times of
+        /// day do not allow to use the arrivals.
+        age_ms: Option<u64>,
+    },
+    /// Statistics of an earlier owner were dropped because their values are
+    /// invalid.
+    LearnedRejected {
+        /// The queue; `None` if all statistics were dropped.
+        queue: Option<Box<str>>,
+        /// What is invalid.
+        fault: super::LearnedFault,
+    },
 }
 
 impl Decision {
@@ -328,7 +355,8 @@
             | Decision::Pool { .. }
             | Decision::Plan { .. }
             | Decision::MachineJoined { .. }
-            | Decision::Advised { .. } => true,
+            | Decision::Advised { .. }
+            | Decision::LearnedCommitted { .. } => true,
             Decision::Ended { kind, .. } => *kind == EndKind::Done,
             Decision::JobOver { state, .. } => *state == JobState::Completed,
             Decision::MachineAnswered { answer, .. } => *answer == MachineAnswer::Done,
@@ -342,7 +370,9 @@
             | Decision::Resized { .. }
             | Decision::CapReached { .. }
             | Decision::Worker { .. }
-            | Decision::WorkerSpeed { .. } => false,
+            | Decision::WorkerSpeed { .. }
+            | Decision::LearnedRestored { .. }
+            | Decision::LearnedRejected { .. } => false,
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod advice;
 mod attempt;
+mod carry_over;
 mod choice;
 mod commits;
 mod crashes;
@@ -44,6 +45,7 @@
 
 pub use account::CustomerView;
 pub use admission::{Admission, RefusalReason, Submission};
+pub use carry_over::LearnedFault;
 pub use decision::{Decision, HoldReason};
 pub use durations::DurationModel;
 pub use event::{
@@ -63,6 +65,7 @@
 use admission::AdmissionState;
 use advice::StepAdvice;
 use attempt::Attempt;
+use carry_over::CarryOver;
 use crashes::CrashedMachines;
 use fleet::Machines;
 use ready::DirtyPools;
@@ -204,6 +207,7 @@
     share_statuses: IndexMap<JobId, ShareStatus>,
     workload: WorkloadStats,
     speeds: SpeedStats,
+    carry_over: CarryOver,
     /// The adviser's permissions for each step that needs them.
     advice: IndexMap<StepId, StepAdvice>,
     /// The current throttle of the best-effort tasks on each worker.
@@ -263,6 +267,7 @@
             share_statuses: IndexMap::new(),
             workload: WorkloadStats::default(),
             speeds: SpeedStats::default(),
+            carry_over: CarryOver::new(now),
             advice: IndexMap::new(),
             throttles: IndexMap::new(),
             throttle_sent_at: ThrottleTimes::new(),
@@ -388,6 +393,7 @@
             Command::RemoveWorkers { names } => self.handle_workers_removed(names),
             Command::Draining { name } => self.mark_draining(name),
             Command::Crashed { runs } => self.handle_crashes_applied(state, runs),
+            Command::Learned(learned) => self.log_learned_committed(learned),
             Command::JobsStopped { ids } => {
                 self.stopped_jobs_proposed.retain(|id| !ids.contains(id));
             }
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -23,6 +23,7 @@
         self.update_speeds();
         self.manage_machines(state);
         self.rebuild_admission(state);
+        self.propose_learned(state);
         // Workers on which starts were paused may accept work again.
         self.dirty_pools = DirtyPools::All;
         self.copies_due = self.speculates();
