Copy silent and straggling runs only, and test copies beside slow workers

Cause: the merge had added a copy for each run on a slow worker. In the played load it never happened: by the time that a worker is found slow, its runs are stragglers already, and later runs there are probes, which a copy would defeat. Change: that reason is taken out; a test plays a twelfth of slow workers with speculative tasks, with and without copies.

--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -450,8 +450,6 @@
 pub enum CopyReason {
     /// The worker of the earlier run does not answer.
     Silent,
-    /// The worker of the earlier run is slow.
-    Slow,
     /// The earlier run has taken much longer than expected.
     Straggler,
 }
--- a/crates/cleat-jobs/src/schedule/speculation/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/mod.rs
@@ -129,8 +129,6 @@
     ) -> Option<CopyReason> {
         if self.workers[attempt.worker].state == WorkerState::Silent {
             Some(CopyReason::Silent)
-        } else if self.ends_sooner_elsewhere(job, task, attempt) {
-            Some(CopyReason::Slow)
         } else if self.is_straggler(job, step, task, attempt) {
             Some(CopyReason::Straggler)
         } else {
@@ -138,21 +136,6 @@
         }
     }
 
-    /// Whether a run is on a slow worker, and a copy that starts now on a worker of
-    /// normal speed is expected to end before it.
-    fn ends_sooner_elsewhere(&self, job: &Job, task: TaskId, attempt: &Attempt) -> bool {
-        let Some(spec) = job.step(task.step) else {
-            return false;
-        };
-        if !self.is_slow(attempt.worker) {
-            return false;
-        }
-        let queue = &job.queue.name;
-        let expected = self.workload.expected_duration(queue, spec.estimate_ms);
-        let ends_at = attempt.started_at + expected.div_f64(self.speed(attempt.worker));
-        ends_at > self.now + DISPATCH_OVERHEAD + expected
-    }
-
     /// Whether a run has taken much longer than expected, and most other tasks
     /// of its step are done or its job would miss its objective if the copy
     /// started later.
--- a/crates/cleat-jobs/tests/speed.rs
+++ b/crates/cleat-jobs/tests/speed.rs
@@ -43,6 +43,8 @@
     /// Whether the data of all tasks is in rack `r0`, so that they take three
     /// times as long in other racks.
     data_in_one_rack: bool,
+    /// The part of the pool that second copies may use; tasks have none if it is 0.
+    speculation_percent: u32,
     duration: Duration,
     seed: u64,
 }
@@ -58,6 +60,7 @@
             slow_until: Duration::from_secs(36),
             estimate_error: 2.0,
             data_in_one_rack: false,
+            speculation_percent: 0,
             duration: Duration::from_secs(46),
             seed,
         }
@@ -88,6 +91,8 @@
     offered_cpu_milli: u64,
     /// The machines that were ordered to move, in order.
     moved: Vec<Box<str>>,
+    /// The workers whose runs were copied.
+    copied_from: Vec<Box<str>>,
 }
 
 impl Simulation {
@@ -106,6 +111,7 @@
         let cfg = SchedulerConfig {
             features: Features {
                 worker_speed: scenario.worker_speed,
+                speculation_percent: scenario.speculation_percent,
                 ..Features::default()
             },
             ..SchedulerConfig::default()
@@ -138,6 +144,7 @@
             found: Vec::new(),
             offered_cpu_milli: 0,
             moved: Vec::new(),
+            copied_from: Vec::new(),
         };
         for (model, _) in simulation.workers.values() {
             simulation.events.push(Event::Heartbeat(Heartbeat {
@@ -190,6 +197,7 @@
                     .expect("value out of range"),
                 after: (0..step).collect(),
                 data_rack: self.scenario.data_in_one_rack.then(|| "r0".into()),
+                speculative: self.scenario.speculation_percent > 0,
                 ..StepSpec::default()
             });
             let mut longest = Duration::ZERO;
@@ -336,6 +344,9 @@
                 if logged["event"] == "worker_speed" {
                     let worker = logged["worker"].as_str().expect("a name").into();
                     self.found.push((now, worker, logged["state"] == "slow"));
+                } else if logged["event"] == "copy_started" {
+                    let worker = logged["earlier_worker"].as_str().expect("a name");
+                    self.copied_from.push(worker.into());
                 } else if logged["event"] == "pool" {
                     self.offered_cpu_milli =
                         logged["offered_cpu_milli"].as_u64().expect("a number");
@@ -424,6 +435,26 @@
     assert_eq!(simulation.found, []);
 }
 
+/// Guards against jobs that wait for tasks which were on a worker before it was found
+/// to be slow: such a task gets a second copy elsewhere, if it may have one.
+#[test]
+fn copies_save_jobs_with_tasks_on_slow_workers() {
+    let mut late = [0, 0];
+    for seed in 1..=2 {
+        for (index, speculation_percent) in [0, 10].into_iter().enumerate() {
+            let scenario = Scenario {
+                speculation_percent,
+                ..Scenario::slow_twelfth(seed)
+            };
+            let simulation = Simulation::run(scenario);
+            late[index] += simulation.late(scenario.slow_from, scenario.slow_until).0;
+            assert_eq!(simulation.copied_from.is_empty(), speculation_percent == 0);
+        }
+    }
+    eprintln!("late without and with copies: {late:?}");
+    assert!(late[1] < late[0], "late without and with copies: {late:?}");
+}
+
 /// Guards against workers that count as slow because estimates are bad.
 #[test]
 fn bad_estimates_make_no_worker_slow() {
