Observe the speed of workers whose runs are copied

Cause: a copied run left the observed ones, so a worker whose runs were all copied was never found slow and went on getting work. The test that plays both found it. Change: observed runs are kept by task and run, superseded ones among them, and one that is stopped since its copy won counts as if it had ended then. A task that may have a copy is no probe any more, since a copy starts too late to save it.

--- a/crates/cleat-jobs/src/schedule/speculation/superseded.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/superseded.rs
@@ -166,6 +166,9 @@
         }
         attempt.phase = Phase::Stopping { stop_sent: now };
         let (key, run) = (attempt.worker, attempt.run);
+        if reason == StopReason::Done {
+            self.observe_superseded_stop(task, run);
+        }
         self.send_stop(key, task, run, reason);
     }
 
--- a/crates/cleat-jobs/src/schedule/speed/evaluate.rs
+++ b/crates/cleat-jobs/src/schedule/speed/evaluate.rs
@@ -8,7 +8,7 @@
 };
 use crate::StepId;
 use crate::schedule::Scheduler;
-use crate::schedule::attempt::Phase;
+use crate::schedule::attempt::{Attempt, Phase};
 use crate::schedule::worker::{WorkerKey, WorkerState};
 
 impl Scheduler {
@@ -56,16 +56,18 @@
     /// Drops the runs that ended or were lost, the steps that ended, and the
     /// workers that are gone or whose speed is unknown by now.
     fn drop_ended(&mut self) {
-        let (attempts, steps) = (&self.attempts, &self.steps);
-        self.speeds.runs.retain(|task, observed| {
-            let attempt = attempts.get(task);
-            attempt.is_some_and(|at| at.run == observed.run && at.uses_capacity())
+        let mut runs = std::mem::take(&mut self.speeds.runs);
+        runs.retain(|(task, run), _| {
+            let known = self.known_run(*task, *run);
+            known.is_some_and(Attempt::uses_capacity)
         });
+        self.speeds.runs = runs;
+        let steps = &self.steps;
         self.speeds.ended.retain(|step, _| steps.contains_key(step));
         let runs = &self.speeds.runs;
         for worker in self.speeds.workers.values_mut() {
             if let Some(slow) = &mut worker.slow {
-                slow.probe = slow.probe.filter(|task| runs.contains_key(task));
+                slow.probe = slow.probe.filter(|run| runs.contains_key(run));
             }
         }
         let is_gone = |key: WorkerKey| {
@@ -92,8 +94,8 @@
     /// with the spread of the step's queue.
     fn running_residuals(&self) -> IndexMap<StepId, (Spread, Vec<Residual>)> {
         let mut running: IndexMap<StepId, (Spread, Vec<Residual>)> = IndexMap::new();
-        for (task, observed) in &self.speeds.runs {
-            let attempt = self.attempts.get(task);
+        for ((task, run), observed) in &self.speeds.runs {
+            let attempt = self.known_run(*task, *run);
             if !attempt.is_some_and(|at| matches!(at.phase, Phase::Running { .. })) {
                 continue;
             }
--- a/crates/cleat-jobs/src/schedule/speed/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speed/mod.rs
@@ -17,6 +17,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::attempt::Attempt;
 use super::decision::WorkerSpeedState;
 use super::fleet::Machine;
 use super::worker::WorkerKey;
@@ -67,7 +68,6 @@
 /// A run whose duration tells the speed of its worker.
 #[derive(Clone, Debug)]
 struct ObservedRun {
-    run: Run,
     worker: WorkerKey,
     started_at: Duration,
     /// The logarithm of the predicted duration in milliseconds.
@@ -125,7 +125,8 @@
 /// The runs that are observed, and what they say about their workers.
 #[derive(Debug, Default)]
 pub(super) struct SpeedStats {
-    runs: IndexMap<TaskId, ObservedRun>,
+    /// By task and run, since a copied task has two.
+    runs: IndexMap<(TaskId, Run), ObservedRun>,
     /// The ended runs of each active step, except those on slow workers.
     ended: IndexMap<StepId, Vec<Residual>>,
     workers: IndexMap<WorkerKey, WorkerSpeed>,
@@ -233,17 +234,16 @@
             return;
         };
         let observed = ObservedRun {
-            run,
             worker: key,
             started_at: self.now,
             predicted_log_ms,
             queue: job.queue.clone(),
             rack_local: spec.rack_local,
         };
-        self.speeds.runs.insert(task, observed);
+        self.speeds.runs.insert((task, run), observed);
         let worker = self.speeds.workers.entry(key).or_default();
         if let Some(slow) = &mut worker.slow {
-            slow.record_start(task, self.now);
+            slow.record_start((task, run), self.now);
         }
     }
 
@@ -253,9 +253,8 @@
         if !self.cfg.features.worker_speed {
             return true;
         }
-        let observed = self.speeds.runs.swap_remove(&task);
-        let Some(observed) = observed.filter(|observed| observed.run == run) else {
-            let attempt = self.attempts.get(&task);
+        let Some(observed) = self.speeds.runs.swap_remove(&(task, run)) else {
+            let attempt = self.known_run(task, run);
             return attempt.is_none_or(|attempt| !self.is_slow(attempt.worker));
         };
         let key = observed.worker;
@@ -276,7 +275,7 @@
             return true;
         };
         slow.last_run_at = self.now;
-        if slow.probe == Some(task) {
+        if slow.probe == Some((task, run)) {
             slow.probe = None;
         }
         if observed.started_at > slow.since && score < 0.0 {
@@ -286,6 +285,38 @@
         false
     }
 
+    /// Observes that a run is stopped since its copy completed the task. It had not
+    /// ended at the worker's latest answer, which says as much as an end at that time.
+    /// Otherwise a worker whose runs are all copied would never be found slow.
+    pub(super) fn observe_superseded_stop(&mut self, task: TaskId, run: Run) {
+        let Some(observed) = self.speeds.runs.swap_remove(&(task, run)) else {
+            return;
+        };
+        let key = observed.worker;
+        let Some(answered_at) = self.workers[key].answered_at else {
+            return;
+        };
+        if observed.rack_local && self.is_spread_over_racks(task.step) {
+            return;
+        }
+        let residual = observed.residual(answered_at.saturating_sub(observed.started_at));
+        let spread = self.speeds.spread(&observed.queue.name);
+        let prediction = Prediction::new(spread, self.speeds.ended_elsewhere(task.step, key));
+        let score = prediction.score_running(residual);
+        let worker = self.speeds.workers.entry(key).or_default();
+        if worker.slow.is_none() {
+            worker.add_ended(task.step, score, prediction.from_peers, self.now);
+        }
+    }
+
+    /// The run of a task, if it is known, whether a copy has superseded it or not.
+    fn known_run(&self, task: TaskId, run: Run) -> Option<&Attempt> {
+        let latest = self.attempts.get(&task);
+        let earlier = self.superseded.get(task);
+        let mut known = latest.into_iter().chain(earlier);
+        known.find(|attempt| attempt.run == run)
+    }
+
     /// Whether the tasks of a step were placed in more than one rack.
     fn is_spread_over_racks(&self, step: StepId) -> bool {
         let placed = self
--- a/crates/cleat-jobs/src/schedule/speed/placement.rs
+++ b/crates/cleat-jobs/src/schedule/speed/placement.rs
@@ -78,8 +78,9 @@
         if unsuitable || by_rack || may_run || spec.estimate_ms == 0 {
             return;
         }
-        let has_copy = spec.speculative && self.cfg.features.speculation_percent > 0;
-        let expendable = has_copy || step.timeliness(self.now) != Timeliness::InTime;
+        // A copy would start too late to save the job, so tasks that may have one are
+        // no exception.
+        let expendable = step.timeliness(self.now) != Timeliness::InTime;
         let patience = match (expendable, has_room) {
             (true, _) => Duration::ZERO,
             (false, true) => PATIENCE_WITH_ROOM,
--- a/crates/cleat-jobs/src/schedule/speed/worker.rs
+++ b/crates/cleat-jobs/src/schedule/speed/worker.rs
@@ -5,7 +5,7 @@
 
 use super::SLOW_SCORE;
 use super::evidence::MAX_RUN_SCORE;
-use crate::{StepId, TaskId};
+use crate::{Run, StepId, TaskId};
 
 /// How long after a worker became slow it gets a first run as a probe. The run
 /// is probably late if the worker is still slow, so a probe is not sent at
@@ -34,7 +34,7 @@
     pub(super) since: Duration,
     pub(super) speed: f64,
     /// The last run that was started as a probe, if it has not ended.
-    pub(super) probe: Option<TaskId>,
+    pub(super) probe: Option<(TaskId, Run)>,
     pub(super) next_probe_at: Duration,
     /// When a run last was on the worker.
     pub(super) last_run_at: Duration,
@@ -47,8 +47,8 @@
         self.probe.is_none() && now >= self.next_probe_at
     }
 
-    pub(super) fn record_start(&mut self, task: TaskId, now: Duration) {
-        self.probe = Some(task);
+    pub(super) fn record_start(&mut self, run: (TaskId, Run), now: Duration) {
+        self.probe = Some(run);
         self.next_probe_at = now + NEXT_PROBE_DELAY;
         self.last_run_at = now;
     }
