Clarify names and split long functions of admission control

A bare pair held the expected joins of machines, and several names had to be guessed: last_start beside latest_start, bucket as a function and a value, and minus, which stops at 0. Adding a booking is now a function of its own, and constants and fields state their unit and clock.

--- a/crates/cleat-jobs/src/schedule/admission/bookings.rs
+++ b/crates/cleat-jobs/src/schedule/admission/bookings.rs
@@ -17,7 +17,11 @@
 /// and of the owner advance in different steps: the owner's by one tick.
 const EARLY_RETURN: Duration = Duration::from_millis(100);
 
-/// A refused job.
+/// The weight of one booking in the probability that callers return: the average covers
+/// about the last 30, so that callers who never return withhold capacity only briefly.
+const RETURN_WEIGHT: f64 = 1.0 / 32.0;
+
+/// A refused job. Times are on the owner's clock.
 #[derive(Clone, Debug)]
 pub(super) struct Booking {
     pub(super) pool: Box<str>,
@@ -40,10 +44,6 @@
     }
 }
 
-/// The weight of one booking in the probability that callers return: the average covers
-/// about the last 30, so that callers who never return withhold capacity only briefly.
-const RETURN_WEIGHT: f64 = 1.0 / 32.0;
-
 /// The refused jobs whose callers are expected to return.
 #[derive(Debug)]
 pub(super) struct Bookings {
@@ -92,7 +92,8 @@
         None
     }
 
-    /// Removes the booking of a job that is submitted again.
+    /// Removes the booking of a job that is submitted again. If the caller returns within
+    /// its window, the return probability rises.
     pub(super) fn remove(&mut self, id: JobId, now: Duration) -> Option<Booking> {
         let booking = self.by_id.swap_remove(&id)?;
         if booking.is_due(now) {
@@ -101,6 +102,8 @@
         Some(booking)
     }
 
+    /// Removes the bookings whose callers did not return. Each lowers the return
+    /// probability.
     pub(super) fn remove_expired(&mut self, now: Duration) {
         let before = self.by_id.len();
         self.by_id.retain(|_, booking| now <= booking.expires_at());
--- a/crates/cleat-jobs/src/schedule/admission/decision.rs
+++ b/crates/cleat-jobs/src/schedule/admission/decision.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use super::bookings::Booking;
-use super::estimate::{BookedAhead, Demand, Estimate, Rank, Work, clock};
+use super::estimate::{BookedAhead, Demand, Estimate, Rank, Work, clock_seconds};
 use super::{Admission, RefusalReason, Submission, Unapplied};
+use crate::JobId;
 use crate::schedule::Scheduler;
 use crate::schedule::ready::DISPATCH_OVERHEAD;
 use crate::schedule::shares::{SharePolicy, ShareStatus};
@@ -22,26 +23,26 @@
 const MIN_UNBOOKED_RETRY_S: u32 = 6;
 
 impl Scheduler {
-    /// Decides whether a job is accepted that the state does not contain. An accepted
+    /// Decides whether a job that the state does not contain is accepted. An accepted
     /// job counts as waiting work at once, so the caller has to commit it.
     pub fn admit(&mut self, state: &ControlState, submission: &Submission<'_>) -> Admission {
-        let unlimited = Admission::Accept { wait: None };
+        let without_estimate = Admission::Accept { wait: None };
         if !self.cfg.features.admission
             || state.catalogue.is_none()
             || !is_limited(submission)
             // The job may be committed, so refusing it now could be untrue.
             || self.admission.unapplied.contains_key(&submission.id)
         {
-            return unlimited;
+            return without_estimate;
         }
         let demand = self.demand(state, submission);
         let pool = &submission.queue.pool;
         // Before the first tick no pool is known. The job is remembered nevertheless.
         let Some(load) = self.admission.pools.get(pool).filter(|load| load.seen) else {
             self.record_accepted(submission, demand, true);
-            return unlimited;
+            return without_estimate;
         };
-        let now = clock(self.now);
+        let now = clock_seconds(self.now);
         let booking = self.admission.bookings.get(submission.id);
         let due_booking = booking.filter(|booking| booking.is_due(self.now));
         let booked = due_booking.map_or(BookedAhead::ByDueTime, |booking| {
@@ -59,6 +60,7 @@
         }
     }
 
+    /// Counts an accepted job as waiting work until it is applied.
     fn record_accepted(&mut self, submission: &Submission<'_>, demand: Demand, in_time: bool) {
         self.remove_booking(submission);
         if !in_time {
@@ -77,6 +79,7 @@
         self.admission.record_accepted(submission.id, unapplied);
     }
 
+    /// Removes the booking of a job, if there is one, from the sums of its pool.
     fn remove_booking(&mut self, submission: &Submission<'_>) -> Option<Booking> {
         let probability = self.admission.bookings.return_probability();
         let booking = self.admission.bookings.remove(submission.id, self.now)?;
@@ -97,33 +100,22 @@
         if earlier.is_none() && reason == RefusalReason::Capacity {
             self.record_refused_arrival(submission);
         }
-        let pool = &submission.queue.pool;
         let refused_at = earlier
             .as_ref()
             .map_or(self.now, |booking| booking.refused_at);
-        let known = earlier.filter(|booking| booking.returns_at > self.now);
-        let known_s = known.map(|booking| whole_seconds(booking.returns_at - self.now));
-        let load = self.admission.pools.get(pool);
-        let free_s = known_s.or_else(|| load?.retry_after(demand, MAX_RETRY_S));
-        let retry_s = free_s.unwrap_or_else(|| unbooked_retry(submission));
-        if free_s.is_some() {
-            let probability = self.admission.bookings.return_probability();
-            let returns_at = self.now + Duration::from_secs(u64::from(retry_s));
+        let too_early = earlier.filter(|booking| booking.returns_at > self.now);
+        let told_s = too_early.map(|booking| whole_seconds(booking.returns_at - self.now));
+        let load = self.admission.pools.get(&submission.queue.pool);
+        let booked_s = told_s.or_else(|| load?.retry_after(demand, MAX_RETRY_S));
+        let retry_s = booked_s.unwrap_or_else(|| unbooked_retry_s(submission));
+        if booked_s.is_some() {
             let booking = Booking {
-                pool: pool.clone(),
+                pool: submission.queue.pool.clone(),
                 demand: demand.after(f64::from(retry_s)),
-                returns_at,
+                returns_at: self.now + Duration::from_secs(u64::from(retry_s)),
                 refused_at,
             };
-            if let Some(load) = self.admission.pools.get_mut(pool) {
-                load.book(&booking.demand, probability);
-            }
-            let dropped = self.admission.bookings.add(submission.id, booking);
-            if let Some(dropped) = dropped
-                && let Some(load) = self.admission.pools.get_mut(&dropped.pool)
-            {
-                load.unbook(&dropped.demand, probability);
-            }
+            self.add_booking(submission.id, booking);
         }
         self.admission.report.record(submission, reason, retry_s);
         let retry_after = Duration::from_secs(u64::from(retry_s));
@@ -133,6 +125,20 @@
         }
     }
 
+    /// Adds a booking to the sums of its pool. If there are too many, the oldest is
+    /// dropped and its work subtracted.
+    fn add_booking(&mut self, id: JobId, booking: Booking) {
+        let probability = self.admission.bookings.return_probability();
+        if let Some(load) = self.admission.pools.get_mut(&booking.pool) {
+            load.book(&booking.demand, probability);
+        }
+        if let Some(dropped) = self.admission.bookings.add(id, booking)
+            && let Some(load) = self.admission.pools.get_mut(&dropped.pool)
+        {
+            load.unbook(&dropped.demand, probability);
+        }
+    }
+
     /// Counts a refused job as an arrival at its pool. Without it, a pool that refuses
     /// jobs would appear to need no more machines than it has.
     fn record_refused_arrival(&mut self, submission: &Submission<'_>) {
@@ -167,9 +173,12 @@
                 task_s = f64::max(task_s, took_s);
             }
         }
-        let path_s = clock(path + DISPATCH_OVERHEAD);
-        let (due, zero_value_at) = (clock(objective.due), clock(objective.zero_value_at));
-        let margin_s = clock(span * MARGIN_PERCENT / 100);
+        let path_s = clock_seconds(path + DISPATCH_OVERHEAD);
+        let (due, zero_value_at) = (
+            clock_seconds(objective.due),
+            clock_seconds(objective.zero_value_at),
+        );
+        let margin_s = clock_seconds(span * MARGIN_PERCENT / 100);
         Demand {
             rank: Rank {
                 priority: queue.priority,
@@ -180,7 +189,7 @@
             task_s,
             due,
             latest_start: due - path_s - margin_s,
-            last_start: zero_value_at - path_s - margin_s,
+            latest_start_with_value: zero_value_at - path_s - margin_s,
         }
     }
 
@@ -213,9 +222,9 @@
     submission.spec.repeat.is_none() && !steps.iter().any(|step| step.long_running || step.fills)
 }
 
-/// When a caller returns for which no free time was found. The times are spread by the
+/// After how many seconds a caller returns for which no free time was found. The times are spread by the
 /// id of the job, so that the callers do not return all at once.
-fn unbooked_retry(submission: &Submission<'_>) -> u32 {
+fn unbooked_retry_s(submission: &Submission<'_>) -> u32 {
     let times = u64::from(MAX_RETRY_S - MIN_UNBOOKED_RETRY_S) + 1;
     let spread = u32::try_from(submission.id.0 % times).unwrap_or(0);
     MIN_UNBOOKED_RETRY_S + spread
--- a/crates/cleat-jobs/src/schedule/admission/estimate.rs
+++ b/crates/cleat-jobs/src/schedule/admission/estimate.rs
@@ -21,7 +21,7 @@
 /// window in which the jobs of a customer are counted.
 const INFLOW_WINDOW_S: f64 = 1.0;
 
-/// By how much earlier than necessary a booked job has to be able to start, in seconds:
+/// How much earlier than necessary a booked job has to be able to start, in seconds:
 /// due times are rounded to a bucket, and sums are up to one tick old.
 const BOOKING_MARGIN_S: f64 = BUCKET_S + 0.05;
 
@@ -55,7 +55,7 @@
     }
 
     /// Subtracts `other`; a resource of which `other` has more becomes 0.
-    pub(super) fn minus(self, other: Work) -> Work {
+    pub(super) fn saturating_sub(self, other: Work) -> Work {
         Work {
             cpu: (self.cpu - other.cpu).max(0.0),
             memory: (self.memory - other.memory).max(0.0),
@@ -69,7 +69,7 @@
         }
     }
 
-    fn fits(self, other: Work) -> bool {
+    fn fits_in(self, other: Work) -> bool {
         self.cpu <= other.cpu && self.memory <= other.memory
     }
 }
@@ -106,13 +106,14 @@
     pub(super) first: Work,
     /// The work of all steps.
     pub(super) total: Work,
-    /// How long a task of the first steps takes.
+    /// How long the longest task of these steps takes.
     pub(super) task_s: f64,
+    /// When the job has to end to be in time.
     pub(super) due: f64,
     /// The latest start after which the job is in time.
     pub(super) latest_start: f64,
     /// The latest start after which its result has any value.
-    pub(super) last_start: f64,
+    pub(super) latest_start_with_value: f64,
 }
 
 impl Demand {
@@ -121,7 +122,7 @@
         Demand {
             due: self.due + span,
             latest_start: self.latest_start + span,
-            last_start: self.last_start + span,
+            latest_start_with_value: self.latest_start_with_value + span,
             ..self
         }
     }
@@ -187,8 +188,16 @@
     pub(super) free: Work,
     /// What work beyond customers' shares uses.
     pub(super) used_beyond_shares: Work,
-    /// Machines that will join, with the time in seconds after the rebuild.
-    pub(super) joins: Vec<(f64, Work)>,
+    /// The machines that will join.
+    pub(super) joins: Vec<ExpectedJoin>,
+}
+
+/// Machines that will join a pool at the same time.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ExpectedJoin {
+    /// The time in seconds after the rebuild.
+    pub(super) at: f64,
+    pub(super) capacity: Work,
 }
 
 /// The supply at the boundaries of the buckets.
@@ -196,13 +205,14 @@
 struct SupplyPoint {
     /// The work that is completed by then.
     completed: Work,
-    /// What is free now, and what joined since.
+    /// What is free at the rebuild, and what joins until then.
     free: Work,
-    /// The capacity.
+    /// The capacity, which is also the rate at which work is completed per second.
     rate: Work,
 }
 
-/// The sums of one pool.
+/// The waiting work and the supply of one pool, as of the last rebuild and the jobs
+/// accepted and refused since.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PoolLoad {
     /// In ascending order of rank.
@@ -210,17 +220,18 @@
     /// Empty before the first rebuild.
     supply: Vec<SupplyPoint>,
     used_beyond_shares: Work,
+    /// On the owner's clock, in seconds.
     rebuilt_at: f64,
     /// Whether a worker or a machine of the pool was ever seen.
     pub(super) seen: bool,
 }
 
-/// The work that a job has to wait for.
+/// The work of higher ranks, which goes before a job.
 #[derive(Clone, Copy, Debug)]
 struct Ahead {
-    /// Of higher ranks.
+    /// The waiting work of higher ranks.
     outranking: Work,
-    /// The rate at which work of higher ranks arrives.
+    /// The rate at which work of higher ranks arrives, per second.
     inflow: Work,
 }
 
@@ -233,7 +244,7 @@
     Only(Work),
 }
 
-/// What the sums say about a job.
+/// When a job would start, or why it should be refused.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Estimate {
     /// It starts after this many seconds, and is in time.
@@ -270,10 +281,10 @@
         self.supply.clear();
         let mut from = f64::NEG_INFINITY;
         for index in 0..=BUCKETS {
-            let at = seconds(index);
-            let joining = capacity.joins.iter().filter(|(t, _)| *t > from && *t <= at);
-            for (_, size) in joining {
-                let size = usable(*size);
+            let at = bucket_start(index);
+            let joins = capacity.joins.iter();
+            for join in joins.filter(|join| join.at > from && join.at <= at) {
+                let size = usable(join.capacity);
                 point.rate += size;
                 point.free += size;
             }
@@ -287,10 +298,10 @@
     /// `task_s` seconds.
     fn supply(&self, at: f64, task_s: f64, rank: Rank) -> Work {
         let at = at.max(0.0);
-        let Some(point) = self.supply.get(bucket(at)) else {
+        let Some(point) = self.supply.get(bucket_index(at)) else {
             return Work::default();
         };
-        let since = at - seconds(bucket(at));
+        let since = at - bucket_start(bucket_index(at));
         // Work within shares must not be refused because of running work beyond them.
         let free = match rank.share {
             ShareStatus::Within => point.free + self.used_beyond_shares,
@@ -310,8 +321,9 @@
         &mut self.classes[index]
     }
 
-    /// Adds accepted work. `latest_start` is that of its job if the job can still be in
-    /// time, and infinite if it was accepted although it will be late.
+    /// Adds accepted work. `latest_start` is that of its job; it is infinite if the job
+    /// must not cause the refusal of others. Without it, the work goes after all work of
+    /// its rank that can be in time.
     pub(super) fn add(&mut self, rank: Rank, due: f64, work: Work, latest_start: Option<f64>) {
         let rebuilt_at = self.rebuilt_at;
         let class = self.class_mut(rank);
@@ -320,7 +332,7 @@
             class.late += work;
             return;
         };
-        let bucket = &mut class.buckets[bucket(due - rebuilt_at).min(BUCKETS - 1)];
+        let bucket = &mut class.buckets[bucket_index(due - rebuilt_at).min(BUCKETS - 1)];
         bucket.accepted += work;
         bucket.latest_start = bucket.latest_start.min(latest_start - rebuilt_at);
     }
@@ -339,7 +351,7 @@
 
     /// Adds the work of a booking whose caller returns with this probability.
     pub(super) fn book(&mut self, demand: &Demand, probability: f64) {
-        let at = bucket(demand.due - self.rebuilt_at).min(BUCKETS - 1);
+        let at = bucket_index(demand.due - self.rebuilt_at).min(BUCKETS - 1);
         let latest_start = demand.latest_start - self.rebuilt_at;
         let work = demand.total.scaled(probability);
         let class = self.class_mut(demand.rank);
@@ -351,11 +363,11 @@
 
     /// Removes the work of a booking.
     pub(super) fn unbook(&mut self, demand: &Demand, probability: f64) {
-        let at = bucket(demand.due - self.rebuilt_at).min(BUCKETS - 1);
+        let at = bucket_index(demand.due - self.rebuilt_at).min(BUCKETS - 1);
         let work = demand.total.scaled(probability);
         let class = self.class_mut(demand.rank);
-        class.total = class.total.minus(work);
-        class.buckets[at].booked = class.buckets[at].booked.minus(work);
+        class.total = class.total.saturating_sub(work);
+        class.buckets[at].booked = class.buckets[at].booked.saturating_sub(work);
     }
 
     fn ahead(&self, rank: Rank) -> Ahead {
@@ -384,13 +396,13 @@
         inflow: Work,
         own_inflow: Work,
     ) -> Option<f64> {
-        (0..=BUCKETS).map(seconds).find(|at| {
+        (0..=BUCKETS).map(bucket_start).find(|at| {
             // Work of the same rank goes ahead only if it is in time, and no more of it
             // can be in time than the pool completes.
             let completed = self.supply(*at, 0.0, demand.rank);
             let own = own_inflow.scaled(*at).component_min(completed);
             let needed = work + inflow.scaled(*at) + own;
-            needed.fits(self.supply(*at, demand.task_s, demand.rank))
+            needed.fits_in(self.supply(*at, demand.task_s, demand.rank))
         })
     }
 
@@ -400,12 +412,12 @@
         let ahead = self.ahead(demand.rank);
         let class = self.class(demand.rank);
         let own = class.map_or(Work::default(), |class| {
-            due_until(class, bucket(demand.due - self.rebuilt_at), booked)
+            due_until(class, bucket_index(demand.due - self.rebuilt_at), booked)
         });
         let work = ahead.outranking + own + demand.first;
         let latest = demand.latest_start - self.rebuilt_at;
         let needed = work + ahead.inflow.scaled(latest);
-        if latest >= 0.0 && needed.fits(self.supply(latest, demand.task_s, demand.rank)) {
+        if latest >= 0.0 && needed.fits_in(self.supply(latest, demand.task_s, demand.rank)) {
             let start = self.first_covered(demand, work, ahead.inflow, Work::default());
             let start = start.unwrap_or(latest).min(latest);
             return match booked {
@@ -418,7 +430,7 @@
             class.map_or_else(Default::default, |class| (class.total, class.inflow));
         let work = ahead.outranking + all + demand.first;
         match self.first_covered(demand, work, ahead.inflow, own_inflow) {
-            Some(start) if start <= demand.last_start - self.rebuilt_at => {
+            Some(start) if start <= demand.latest_start_with_value - self.rebuilt_at => {
                 match self.displaces(demand, ahead) {
                     true => Estimate::Displaces,
                     false => Estimate::Late((start - elapsed).max(0.0)),
@@ -434,7 +446,7 @@
         let Some(class) = self.class(demand.rank) else {
             return false;
         };
-        let first = bucket(demand.due - self.rebuilt_at);
+        let first = bucket_index(demand.due - self.rebuilt_at);
         let mut sum = ahead.outranking;
         let supply = |start: f64| self.supply(start, demand.task_s, demand.rank);
         for (index, bucket) in class.buckets.iter().enumerate() {
@@ -447,7 +459,7 @@
             if index > first && start.is_finite() {
                 let needed = sum + ahead.inflow.scaled(start);
                 let supply = supply(start);
-                if needed.fits(supply) && !(needed + demand.total).fits(supply) {
+                if needed.fits_in(supply) && !(needed + demand.total).fits_in(supply) {
                     return true;
                 }
             }
@@ -456,7 +468,7 @@
             let start = bucket.booked_latest_start - BOOKING_MARGIN_S;
             if start.is_finite() && start > 0.0 && bucket.booked.cpu > 0.0 {
                 let needed = sum + ahead.inflow.scaled(start) + demand.total;
-                if !needed.fits(supply(start)) {
+                if !needed.fits_in(supply(start)) {
                     return true;
                 }
             }
@@ -472,7 +484,7 @@
         (1..=max).find(|span| {
             let later = demand.after(f64::from(*span));
             let due = later.due - self.rebuilt_at;
-            let last = bucket(due);
+            let last = bucket_index(due);
             let due_by = |last: usize| {
                 class.map_or(Work::default(), |class| {
                     due_until(class, last, BookedAhead::ByDueTime)
@@ -486,12 +498,12 @@
             // Neighbouring buckets are included, as due times are rounded.
             let before = last.checked_sub(BUCKETS_IN_SECOND);
             let earlier = before.map_or(Work::default(), due_by);
-            let in_second = due_by(last + 1).minus(earlier) + demand.total + ahead.inflow;
+            let in_second = due_by(last + 1).saturating_sub(earlier) + demand.total + ahead.inflow;
             let capacity = self.supply(due, 0.0, demand.rank);
-            let capacity = capacity.minus(self.supply(due - 1.0, 0.0, demand.rank));
+            let capacity = capacity.saturating_sub(self.supply(due - 1.0, 0.0, demand.rank));
             let capacity = capacity.scaled(BOOKED_PART);
-            needed.fits(self.supply(start, demand.task_s, demand.rank))
-                && in_second.fits(capacity)
+            needed.fits_in(self.supply(start, demand.task_s, demand.rank))
+                && in_second.fits_in(capacity)
                 && !self.displaces(&later, ahead)
         })
     }
@@ -521,17 +533,17 @@
 
 /// The index of the bucket that contains a time in seconds, at most [`BUCKETS`].
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn bucket(at: f64) -> usize {
+fn bucket_index(at: f64) -> usize {
     ((at / BUCKET_S).max(0.0) as usize).min(BUCKETS)
 }
 
 /// The start of a bucket, in seconds.
 #[allow(clippy::cast_precision_loss)]
-fn seconds(bucket: usize) -> f64 {
+fn bucket_start(bucket: usize) -> f64 {
     bucket as f64 * BUCKET_S
 }
 
 /// A time on the owner's clock in seconds.
-pub(super) fn clock(at: Duration) -> f64 {
+pub(super) fn clock_seconds(at: Duration) -> f64 {
     at.as_secs_f64()
 }
--- a/crates/cleat-jobs/src/schedule/admission/load.rs
+++ b/crates/cleat-jobs/src/schedule/admission/load.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 
-use super::estimate::{Capacity, PoolLoad, Rank, Work, clock};
+use super::estimate::{Capacity, ExpectedJoin, PoolLoad, Rank, Work, clock_seconds};
 use crate::StepId;
 use crate::schedule::fleet::{FRAGMENTATION_PERCENT, Machine, MachineOrder, MachineState};
 use crate::schedule::ready::DISPATCH_OVERHEAD;
@@ -46,7 +46,7 @@
         self.admission
             .accepted_late
             .retain(|id| active.contains(id) || unapplied.contains_key(id));
-        let now = clock(self.now);
+        let now = clock_seconds(self.now);
         let mut pools = std::mem::take(&mut self.admission.pools);
         for (pool, capacity) in &capacities {
             let seen = self.workers.in_pool(pool).next().is_some()
@@ -84,9 +84,9 @@
                 continue;
             };
             if let Some(capacity) = capacities.get_mut(pool) {
-                let after = joins_at.saturating_sub(self.now).as_secs_f64();
+                let at = joins_at.saturating_sub(self.now).as_secs_f64();
                 let size = Work::of(machine.view.capacity);
-                capacity.joins.push((after, size));
+                capacity.joins.push(ExpectedJoin { at, capacity: size });
             }
         }
     }
@@ -103,11 +103,11 @@
             };
             let ordered_at = pending.accepted_at.unwrap_or(pending.sent_at);
             let overdue = self.now > ordered_at + forecast::LEAD_TIME * 2;
-            // Until the order ends it, the life of the old pool is still known.
+            // Until the move ends it, the worker is still known with its old pool.
             let worker = self.workers.on_machine(&machine.view.name);
             let joined = worker.is_some_and(|key| self.workers[key].record.pool == *pool);
-            let joins = !overdue && !joined;
-            return joins.then(|| (&**pool, ordered_at + forecast::LEAD_TIME));
+            let is_expected = !overdue && !joined;
+            return is_expected.then(|| (&**pool, ordered_at + forecast::LEAD_TIME));
         }
         let moving = machine.view.state == MachineState::Moving;
         moving.then(|| (&*machine.view.pool, self.now + forecast::LEAD_TIME))
@@ -127,14 +127,19 @@
         for (pool, balance) in &balances {
             let needed = Work::of(balance.needed).scaled(reserve);
             let offered = Work::of(balance.offered);
-            surplus.insert(pool, offered.minus(needed));
-            shortage.insert(pool, needed.minus(offered));
+            surplus.insert(pool, offered.saturating_sub(needed));
+            shortage.insert(pool, needed.saturating_sub(offered));
         }
-        let is_idle = |machine: &&Machine| {
+        let is_available = |machine: &&Machine| {
             let up = machine.view.state == MachineState::Up && machine.missing_since.is_none();
             up && machine.is_unassigned() && self.is_idle(machine)
         };
-        let idle: Vec<&Machine> = self.machines.by_name.values().filter(is_idle).collect();
+        let idle: Vec<&Machine> = self
+            .machines
+            .by_name
+            .values()
+            .filter(is_available)
+            .collect();
         for (pool, capacity) in capacities {
             let mut by_pool: IndexMap<&str, Work> = IndexMap::new();
             let others = idle.iter().filter(|machine| machine.view.pool != *pool);
@@ -153,10 +158,10 @@
                 .iter()
                 .filter(|(other, _)| ***other != **pool)
                 .fold(Work::default(), |sum, (_, short)| sum + *short);
-            let size = obtainable.minus(others_need);
+            let size = obtainable.saturating_sub(others_need);
             if size.cpu > 0.0 {
-                let after = forecast::LEAD_TIME.as_secs_f64();
-                capacity.joins.push((after, size));
+                let at = forecast::LEAD_TIME.as_secs_f64();
+                capacity.joins.push(ExpectedJoin { at, capacity: size });
             }
         }
     }
@@ -177,8 +182,8 @@
                 continue;
             }
             let waiting = Work::of(step.footprint.scaled(step.pending.len() as u64));
-            capacity.present = capacity.present.minus(running + waiting);
-            capacity.free = capacity.free.minus(waiting);
+            capacity.present = capacity.present.saturating_sub(running + waiting);
+            capacity.free = capacity.free.saturating_sub(waiting);
         }
     }
 
@@ -203,11 +208,11 @@
             let latest_start = if self.admission.accepted_late.contains(&id.job) {
                 f64::INFINITY
             } else {
-                clock(step.order.due) - clock(step.critical_path)
+                clock_seconds(step.order.due) - clock_seconds(step.critical_path)
             };
             load.add(
                 rank,
-                clock(step.order.due),
+                clock_seconds(step.order.due),
                 work,
                 in_time.then_some(latest_start),
             );
@@ -226,34 +231,31 @@
             let Some(objective) = self.objectives.get(id) else {
                 continue;
             };
+            let Some(load) = pools.get_mut(&job.queue.pool) else {
+                continue;
+            };
+            let due = clock_seconds(objective.due);
+            // Only active steps have a latest start; see `add_active_steps`.
+            let latest_start = (objective.due > self.now).then_some(f64::INFINITY);
             let share = self.share_statuses.get(id).copied().unwrap_or_default();
             let rank = Rank {
                 priority: job.queue.priority,
                 share,
             };
-            for at in 0..job.spec.steps.len() {
-                let Ok(at) = u16::try_from(at) else {
-                    break;
-                };
+            for (index, spec) in (0..=u16::MAX).zip(&job.spec.steps) {
                 let step = StepId {
                     job: *id,
                     occurrence: 0,
-                    step: at,
+                    step: index,
                 };
-                let spec = &job.spec.steps[usize::from(at)];
                 let waits = !spec.long_running
                     && !self.steps.contains_key(&step)
                     && !job.is_step_done(step);
                 if !waits {
                     continue;
                 }
-                let Some(work) = self.step_work(state, step, u64::from(spec.count)) else {
-                    continue;
-                };
-                if let Some(load) = pools.get_mut(&job.queue.pool) {
-                    let due = clock(objective.due);
-                    let in_time = objective.due > self.now;
-                    load.add(rank, due, work, in_time.then_some(f64::INFINITY));
+                if let Some(work) = self.step_work(state, step, u64::from(spec.count)) {
+                    load.add(rank, due, work, latest_start);
                 }
             }
         }
--- a/crates/cleat-jobs/src/schedule/admission/mod.rs
+++ b/crates/cleat-jobs/src/schedule/admission/mod.rs
@@ -87,7 +87,9 @@
 struct Unapplied {
     pool: Box<str>,
     demand: Demand,
+    /// Whether the job was expected to be in time when it was accepted.
     in_time: bool,
+    /// The time on the owner's clock.
     accepted_at: Duration,
 }
 
@@ -99,10 +101,12 @@
     /// Jobs that were accepted and may still be committed. A repeated submission of one
     /// of them must not be refused.
     unapplied: IndexMap<JobId, Unapplied>,
+    /// The same jobs in the order in which they were accepted. May contain applied ones.
     unapplied_order: VecDeque<JobId>,
     /// Active jobs that were accepted although they will be late. Other jobs need not be
     /// refused for their sake.
     accepted_late: IndexSet<JobId>,
+    /// Refused jobs whose callers are expected to return.
     bookings: Bookings,
     report: RefusalReport,
 }
