Clarify names and comments of calls that are refused or redirected

A job to be decided was passed on as a tuple; it is now the struct NewJob. admit_and_commit is now commit_or_refuse, since it returns a command and commits nothing. side is now count_heard; the function of this name in the tests returned something else and is is_on_smaller_side. The comment on redirect_heartbeats now says that other calls of workers and operators are redirected as well.

--- a/crates/cleat-control/src/node/answer.rs
+++ b/crates/cleat-control/src/node/answer.rs
@@ -44,6 +44,16 @@
     Job(Arc<Queue>, JobId, Caller),
 }
 
+/// A submitted job that the state does not contain.
+struct NewJob<'a> {
+    id: JobId,
+    queue: Arc<Queue>,
+    caller: &'a Caller,
+    spec: Arc<JobSpec>,
+    /// How long ago it arrived.
+    age: Duration,
+}
+
 impl Shared {
     pub(crate) async fn answer(&self, call: ControlCall) -> Result<ControlReply, ControlError> {
         let status = self.replica().status();
@@ -152,7 +162,16 @@
             Err(refusal) => Action::Reply(refusal),
             Ok(Route::Queue(_)) => Action::Reply(ControlReply::NotAJob),
             Ok(Route::Job(queue, id, caller)) => match state.customer_of(id) {
-                None => self.admit_and_commit(state, scheduler, (queue, id, &caller), spec, age),
+                None => {
+                    let job = NewJob {
+                        id,
+                        queue,
+                        caller: &caller,
+                        spec,
+                        age,
+                    };
+                    self.commit_or_refuse(state, scheduler, job)
+                }
                 // A repeated submission: the job is already stored.
                 Some(owner) if owner == caller.name() => Action::Reply(ControlReply::Done),
                 Some(_) => Action::Reply(ControlReply::Taken),
@@ -160,15 +179,18 @@
         })
     }
 
-    /// Calls `plan` with the state, and with the scheduler if jobs may be refused. While
-    /// the takeover is in progress nothing is decided then: a job that is proposed
-    /// without the scheduler's knowledge might be refused when it is submitted again.
+    /// Calls `decide` with the state, and with the scheduler if admission control is
+    /// enabled.
+    ///
+    /// With admission control, this fails until the takeover is complete: a job that is
+    /// proposed without the scheduler's knowledge might be refused when it is submitted
+    /// again.
     fn with_admission<T>(
         &self,
-        plan: impl FnOnce(&ControlState, Option<&mut Scheduler>) -> T,
+        decide: impl FnOnce(&ControlState, Option<&mut Scheduler>) -> T,
     ) -> Result<T, ControlError> {
         if !self.admission {
-            return Ok(self.state.read(|state| plan(state, None)));
+            return Ok(self.state.read(|state| decide(state, None)));
         }
         // In the same order as in the owner task: the scheduler before the state.
         let mut guard = self
@@ -176,19 +198,24 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let scheduler = guard.as_mut().ok_or(ControlError::NoQuorum)?;
-        Ok(self.state.read(|state| plan(state, Some(scheduler))))
+        Ok(self.state.read(|state| decide(state, Some(scheduler))))
     }
 
-    /// Commits a job that the state does not contain, unless it is refused for lack of
+    /// Returns the command that stores a job that the state does not contain, unless it is refused for lack of
     /// capacity.
-    fn admit_and_commit(
+    fn commit_or_refuse(
         &self,
         state: &ControlState,
         scheduler: Option<&mut Scheduler>,
-        (queue, id, caller): (Arc<Queue>, JobId, &Caller),
-        spec: Arc<JobSpec>,
-        age: Duration,
+        job: NewJob<'_>,
     ) -> Action {
+        let NewJob {
+            id,
+            queue,
+            caller,
+            spec,
+            age,
+        } = job;
         let submission = Submission {
             id,
             queue: &queue,
@@ -291,8 +318,14 @@
                 None => Action::Reply(ControlReply::NoSuchQueue),
                 Some(_) if state.job_state(id).is_some() => Action::Reply(ControlReply::Done),
                 Some(queue) => {
-                    let route = (queue.clone(), id, &Caller::Anyone);
-                    self.admit_and_commit(state, scheduler, route, spec, Duration::ZERO)
+                    let job = NewJob {
+                        id,
+                        queue: queue.clone(),
+                        caller: &Caller::Anyone,
+                        spec,
+                        age: Duration::ZERO,
+                    };
+                    self.commit_or_refuse(state, scheduler, job)
                 }
             }
         })
--- a/crates/cleat-control/src/node/group_contact/mod.rs
+++ b/crates/cleat-control/src/node/group_contact/mod.rs
@@ -17,7 +17,7 @@
 /// What to do with a call that this instance can't answer itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Route {
-    /// Forward it: a leader is reached, or can be elected on this side.
+    /// Forward it: a leader is reached, or can be elected on this side of the partition.
     Forward,
     /// Do not forward it. A caller may be redirected to the member, if there is one.
     NoLeader { elsewhere: Option<MemberId> },
@@ -31,13 +31,14 @@
     own: MemberId,
     majority: usize,
     timing: Timing,
-    /// The last sign of a leader, initially the start of the instance.
+    /// The time of the last message or answer of a leader, initially the start of the instance.
     leader_at: Duration,
     /// When a call last found no leader, unless one was answered since.
     failed_at: Option<Duration>,
     /// The time of the last message of each member.
     heard: IndexMap<MemberId, Duration>,
-    /// The number of redirects, by which the targets take turns.
+    /// The number of redirects so far. It selects the next target, so that targets are
+    /// used in turn.
     redirects: usize,
 }
 
@@ -96,11 +97,11 @@
         };
         let since = now.saturating_sub(window);
         let reaches_leader = !has_lost_lease && !self.is_without_leader(now);
-        if reaches_leader || self.side(since) >= self.majority {
+        if reaches_leader || self.count_heard(since) >= self.majority {
             return Route::Forward;
         }
-        let unheard = |id: &&MemberId| **id != self.own && !self.was_heard(**id, since);
-        let targets: Vec<MemberId> = members.iter().filter(unheard).copied().collect();
+        let is_silent = |id: &&MemberId| **id != self.own && !self.was_heard(**id, since);
+        let targets: Vec<MemberId> = members.iter().filter(is_silent).copied().collect();
         let elsewhere = targets.get(self.redirects % targets.len().max(1)).copied();
         Route::NoLeader { elsewhere }
     }
@@ -123,7 +124,7 @@
     }
 
     /// The number of members heard after `since`, including this one.
-    fn side(&self, since: Duration) -> usize {
+    fn count_heard(&self, since: Duration) -> usize {
         let others = self.heard.keys().filter(|id| **id != self.own);
         1 + others.filter(|id| self.was_heard(**id, since)).count()
     }
--- a/crates/cleat-control/src/node/group_contact/tests.rs
+++ b/crates/cleat-control/src/node/group_contact/tests.rs
@@ -1,4 +1,4 @@
-//! Plays of partitions with hand-fed messages.
+//! Partitions, simulated by the messages that each instance receives.
 
 use cleat_quorum::{Append, VoteReply};
 
@@ -51,8 +51,8 @@
     message(from, Body::VoteReply(reply))
 }
 
-/// The side of a member in a partition into {1, 2} and {3, 4, 5}.
-fn side(id: MemberId) -> bool {
+/// Whether a member is on the smaller side of a partition into {1, 2} and {3, 4, 5}.
+fn is_on_smaller_side(id: MemberId) -> bool {
     id.0 <= 2
 }
 
@@ -71,20 +71,23 @@
             let first = MEMBERS[step as usize % 5];
             let at = first.0 as usize - 1;
             match group[at].route(&MEMBERS, false, now) {
-                Route::Forward if side(first) => assert!(
+                Route::Forward if is_on_smaller_side(first) => assert!(
                     now < ms(1_250),
                     "an instance without a leader made a worker wait at {now:?}"
                 ),
                 Route::Forward => {}
                 Route::NoLeader { elsewhere } => {
-                    assert!(side(first), "the larger side turned a worker away");
+                    assert!(
+                        is_on_smaller_side(first),
+                        "the larger side turned a worker away"
+                    );
                     group[at].record_redirect();
                     redirected.push(elsewhere.expect("three members are silent"));
                 }
             }
         }
         assert!(
-            !redirected.iter().any(|id| side(*id)),
+            !redirected.iter().any(|id| is_on_smaller_side(*id)),
             "sent to its own side"
         );
         for target in &MEMBERS[2..] {
@@ -102,12 +105,12 @@
     let at = now.as_millis();
     let mut exchange = |from: MemberId, message: fn(u32) -> Message| {
         let peers = MEMBERS.iter().filter(|to| **to != from);
-        for to in peers.filter(|to| side(**to) == side(from)) {
+        for to in peers.filter(|to| is_on_smaller_side(**to) == is_on_smaller_side(from)) {
             group[to.0 as usize - 1].record_message(&message(from.0), now);
             group[from.0 as usize - 1].record_message(&vote_reply(to.0), now);
         }
     };
-    let old_leader_is_cut_off = side(MemberId(old_leader));
+    let old_leader_is_cut_off = is_on_smaller_side(MemberId(old_leader));
     let is_heartbeat_due = at.is_multiple_of(100);
     if is_heartbeat_due && old_leader_is_cut_off && at < 600 {
         exchange(MemberId(old_leader), append);
--- a/crates/cleat-jobs/src/schedule/admission/decision.rs
+++ b/crates/cleat-jobs/src/schedule/admission/decision.rs
@@ -222,8 +222,8 @@
     submission.spec.repeat.is_none() && !steps.iter().any(|step| step.long_running || step.fills)
 }
 
-/// After how many seconds a caller returns for which no free time was found. The times are spread by the
-/// id of the job, so that the callers do not return all at once.
+/// After how many seconds a caller returns for which no free time was found. The times
+/// are spread by the id of the job, so that the callers do not return all at once.
 fn unbooked_retry_s(submission: &Submission<'_>) -> u32 {
     let times = u64::from(MAX_RETRY_S - MIN_UNBOOKED_RETRY_S) + 1;
     let spread = u32::try_from(submission.id.0 % times).unwrap_or(0);
--- a/crates/cleat-jobs/src/schedule/admission/report.rs
+++ b/crates/cleat-jobs/src/schedule/admission/report.rs
@@ -11,13 +11,16 @@
 /// bounds the log volume under any load.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The queue, the customer and the reason of refusals that are logged together.
 type Key = (Box<str>, Option<Box<str>>, RefusalReason);
 
 /// The refusals since the last event.
 #[derive(Clone, Copy, Debug, Default)]
 struct Refusals {
     count: u64,
-    retry_ms: u64,
+    /// After how many milliseconds the most recent caller was told to return.
+    retry_after_ms: u64,
+    /// The time of the last event on the owner's clock.
     logged_at: Option<Duration>,
 }
 
@@ -33,7 +36,7 @@
         let key = (sub.queue.name.clone(), customer, reason);
         let refusals = self.by_key.entry(key).or_default();
         refusals.count += 1;
-        refusals.retry_ms = u64::from(retry_s) * 1_000;
+        refusals.retry_after_ms = u64::from(retry_s) * 1_000;
     }
 }
 
@@ -55,7 +58,7 @@
                 customer,
                 reason,
                 count: refusals.count,
-                retry_after_ms: refusals.retry_ms,
+                retry_after_ms: refusals.retry_after_ms,
             });
             refusals.count = 0;
             refusals.logged_at = Some(now);
--- a/crates/cleat-settings/src/roles/control.rs
+++ b/crates/cleat-settings/src/roles/control.rs
@@ -62,12 +62,12 @@
     /// Durations that differ between platforms.
     #[serde(default)]
     pub timing: TimingSettings,
-    /// Optional decisions of the scheduler. All control instances have to state
-    /// the same.
+    /// Optional decisions of the scheduler. All control instances must use the same
+    /// values.
     #[serde(default)]
     pub scheduling: SchedulingSettings,
-    /// Whether heartbeats that arrive while this instance reaches no leader are
-    /// redirected to another instance.
+    /// Whether heartbeats and other calls of workers and operators that arrive while
+    /// this instance reaches no leader are redirected to another instance.
     #[serde(default)]
     pub redirect_heartbeats: bool,
 }
