Clarify comments and names of learned statistics and joins

Several doc comments lacked a unit or a subject, and restoring a queue's arrivals was part of a long function. It is a step of its own now. No behaviour changes.

--- a/crates/cleat-jobs/src/schedule/carry_over.rs
+++ b/crates/cleat-jobs/src/schedule/carry_over.rs
@@ -37,12 +37,13 @@
 /// By how much the clocks of two control instances may differ. If the statistics
 /// seem to be from further in the future, the time of day has jumped.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_millis(500);
-/// The maximum usage of one job that is plausible, in thousandths of a core or
-/// MB times milliseconds: 10,000 cores for a day.
+/// The maximum usage of one job that is plausible, in thousandths of a core times
+/// milliseconds (about 10,000 cores for a day) and in MB times milliseconds.
 const MAX_PLAUSIBLE_USAGE: f64 = 1e15;
 /// The maximum duration of a job that is plausible: a month.
 const MAX_PLAUSIBLE_JOB_MS: f64 = 30.0 * 24.0 * 3_600.0 * 1_000.0;
-/// The change of a queue's mean usage that is committed, relative to the mean.
+/// The change of a queue's mean usage from which it is committed, relative to the
+/// committed mean.
 const NOTABLE_USAGE_CHANGE: f64 = 0.1;
 
 /// Why statistics of an earlier owner are dropped.
@@ -54,11 +55,11 @@
     /// They are from the future, so the time of day has jumped. The arrivals
     /// are dropped, not the durations.
     TimeOfDay,
-    /// The regression of the durations.
+    /// The regression of the durations has values that are not plausible.
     Durations,
-    /// The mean usage.
+    /// The mean usage is not plausible.
     Usage,
-    /// The number of arrivals.
+    /// There are more intervals, or more arrivals in one, than an owner commits.
     Arrivals,
 }
 
@@ -95,6 +96,7 @@
 /// The recent arrivals of one queue.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ArrivalTimes {
+    /// Arrivals that were observed by this owner or restored from an earlier one.
     known: VecDeque<Duration>,
     /// The log position of the latest job that restored arrivals count; 0 if
     /// none were restored.
@@ -103,8 +105,11 @@
     /// statistics and the takeover, in ascending order. Each is replaced once a
     /// job is known that arrived in that time.
     assumed: VecDeque<Duration>,
+    /// The usage of each assumed job.
     assumed_usage: JobUsage,
+    /// The time of the commit of the restored statistics.
     assumed_from: Duration,
+    /// The time of the takeover.
     assumed_until: Duration,
 }
 
@@ -237,6 +242,8 @@
         }
     }
 
+    /// Whether a successor would decide differently with these statistics instead of the
+    /// committed ones.
     fn differs_notably(&self, learned: &LearnedStats, committed: &LearnedStats) -> bool {
         let has_arrivals = |queue: &LearnedQueue| !queue.arrivals.is_empty();
         // Arrivals age, so they are out of date in any case.
@@ -257,6 +264,7 @@
         })
     }
 
+    /// Logs the commit of statistics that this owner proposed.
     pub(super) fn log_learned_committed(&mut self, learned: &LearnedStats) {
         if learned.token == self.owner.token {
             self.log(Decision::LearnedCommitted {
@@ -302,16 +310,7 @@
                 times.assume_rate(stats.usage, written_at, self.now);
                 arrivals += times.known.len();
                 assumed += times.assumed.len();
-                let workload = &mut self.workload;
-                let of_pool = workload.arrivals.entry(pool.clone()).or_default();
-                // Shares are not carried over, so all count as within them.
-                let within = workload.arrivals_within_shares.entry(pool).or_default();
-                for at in times.known.iter().chain(&times.assumed) {
-                    of_pool.record(*at, stats.usage);
-                    within.record(*at, stats.usage);
-                }
-                let name = queue.name.clone();
-                self.workload.arrival_times.insert(name, times);
+                self.restore_arrivals(queue.name.clone(), pool, times, stats.usage);
             }
         }
         self.carry_over.restored = queues > 0;
@@ -328,6 +327,26 @@
         });
     }
 
+    /// Records the arrivals of a queue whose jobs have this usage, for the queue and its
+    /// pool.
+    fn restore_arrivals(
+        &mut self,
+        queue: Box<str>,
+        pool: Box<str>,
+        times: ArrivalTimes,
+        usage: JobUsage,
+    ) {
+        let workload = &mut self.workload;
+        let of_pool = workload.arrivals.entry(pool.clone()).or_default();
+        // Shares are not carried over, so all count as within them.
+        let within = workload.arrivals_within_shares.entry(pool).or_default();
+        for at in times.known.iter().chain(&times.assumed) {
+            of_pool.record(*at, usage);
+            within.record(*at, usage);
+        }
+        workload.arrival_times.insert(queue, times);
+    }
+
     /// How long ago the statistics were written; `None` if that is longer than
     /// arrivals count, or the time of day has jumped.
     fn age_of(&mut self, learned: &LearnedStats) -> Option<Duration> {
@@ -346,6 +365,7 @@
 }
 
 impl QueueStats {
+    /// The statistics as they are committed for the next owner.
     #[allow(clippy::cast_possible_truncation)]
     fn learned(&self, name: &str, arrivals: Option<Vec<u8>>) -> LearnedQueue {
         let usage = &self.usage;
@@ -387,6 +407,7 @@
     }
 }
 
+/// Whether any of the values changed by more than [`NOTABLE_USAGE_CHANGE`].
 fn usage_differs_notably(usage: &[f32; 3], committed: &[f32; 3]) -> bool {
     let mut pairs = usage.iter().zip(committed);
     pairs.any(|(now, known)| {
--- a/crates/cleat-jobs/src/schedule/durations.rs
+++ b/crates/cleat-jobs/src/schedule/durations.rs
@@ -29,9 +29,10 @@
 /// The longest duration, in milliseconds, that is plausible in the statistics
 /// of an earlier owner: a month.
 const MAX_PLAUSIBLE_MS: u64 = 30 * 24 * 3_600 * 1_000;
-/// Allows for the rounding of variances to single precision.
-const ROUNDING: f64 = 1.001;
-/// The change of the logarithm of an expected duration that is committed. An
+/// The factor by which the squared covariance may exceed the product of the
+/// variances, since they are rounded to single precision.
+const ROUNDING_TOLERANCE: f64 = 1.001;
+/// The change of the logarithm of an expected duration from which it is committed. An
 /// owner without statistics is off by a factor of two or more; a tenth is
 /// within the random variation of the mean of 50 tasks.
 const NOTABLE_LOG_CHANGE: f64 = 0.1;
@@ -82,6 +83,7 @@
         Duration::from_secs_f64(self.expected_ms(estimate_ms) / 1_000.0)
     }
 
+    /// The mean duration of a task with this estimate, both in milliseconds.
     fn expected_ms(&self, estimate_ms: u64) -> f64 {
         let (expected_log, residual_variance) = self.expected_log(estimate_ms);
         (expected_log + residual_variance / 2.0).exp()
@@ -94,7 +96,8 @@
         known.then(|| self.expected_log(estimate_ms).0)
     }
 
-    /// The mean of the logarithm of the duration, and its variance.
+    /// The mean of the logarithm of the duration in milliseconds, and the residual
+    /// variance of that logarithm.
     fn expected_log(&self, estimate_ms: u64) -> (f64, f64) {
         let slope = self.slope();
         let expected_log =
@@ -135,7 +138,7 @@
             && (-MAX_LOG_RATIO..=max_log).contains(&model.mean_log_duration)
             && (0.0..=max_variance).contains(&model.estimate_variance)
             && (0.0..=max_variance).contains(&model.duration_variance)
-            && model.covariance.powi(2) <= variances * ROUNDING + f64::EPSILON
+            && model.covariance.powi(2) <= variances * ROUNDING_TOLERANCE + f64::EPSILON
             && model.expected_ms(MAX_PLAUSIBLE_MS) <= 1_000.0 * logarithm(MAX_PLAUSIBLE_MS).exp();
         plausible.then_some(model)
     }
@@ -149,10 +152,11 @@
         if self.tasks == 0 || known.tasks == 0 {
             return (self.tasks == 0) != (known.tasks == 0);
         }
-        let at = [-1.0, 0.0, 1.0].map(|offset: f64| (self.mean_log_estimate + offset).exp());
+        // Compares at the mean estimate, and at an e-th and e times of it.
+        let estimates = [-1.0, 0.0, 1.0].map(|offset: f64| (self.mean_log_estimate + offset).exp());
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let mut at = at.into_iter().map(|estimate| (estimate as u64).max(1));
-        at.any(|estimate| {
+        let mut estimates = estimates.into_iter().map(|ms| (ms as u64).max(1));
+        estimates.any(|estimate| {
             let change = self.expected_ms(estimate).ln() - known.expected_ms(estimate).ln();
             change.abs() > NOTABLE_LOG_CHANGE
         })
--- a/crates/cleat-jobs/src/schedule/fleet/joins.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/joins.rs
@@ -14,7 +14,7 @@
 /// The weight of a new join in the running mean of its pool's join times. The mean covers
 /// about the last ten joins, so it follows a platform that becomes slower.
 const JOIN_WEIGHT: f64 = 0.1;
-/// From how many times the expected duration on a join counts as failed.
+/// A join that takes longer than this multiple of its expected time counts as failed.
 const OVERDUE_FACTOR: u32 = 2;
 /// How long the record of a failed join is kept. The platform completes a move in 1.5 to
 /// 2 s, so a machine that has not joined by then needs another order.
@@ -30,13 +30,16 @@
     pub(crate) overdue: bool,
 }
 
-/// A completed join.
+/// A completed join, as the owner observed it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Joined {
+    /// When the worker first accepted work in the pool.
     pub(crate) at: Duration,
+    /// The time from the order to `at`.
     pub(crate) took: Duration,
 }
 
+/// The joins of one pool.
 #[derive(Clone, Copy, Debug, Default)]
 struct PoolJoins {
     /// The running mean of the join times; none before the first join.
@@ -63,9 +66,9 @@
         self.pools.get(pool).is_some_and(|joins| joins.failing)
     }
 
-    /// Records a join. One that took too long counts only as far as it was not overdue, so
-    /// that a single one does not hide later failures.
-    fn succeeded(&mut self, pool: &str, took: Duration) {
+    /// Records a join. At most [`OVERDUE_FACTOR`] times the expected time is counted, so
+    /// that a single slow join does not hide later failures.
+    fn record_success(&mut self, pool: &str, took: Duration) {
         let took = took.min(self.expected(pool) * OVERDUE_FACTOR);
         let joins = self.pools.entry(pool.into()).or_default();
         let mean = joins.mean.map_or(took, |mean| {
@@ -75,18 +78,21 @@
         joins.failing = false;
     }
 
-    fn failed(&mut self, pool: &str) {
+    /// Records that a join became overdue.
+    fn record_failure(&mut self, pool: &str) {
         self.pools.entry(pool.into()).or_default().failing = true;
     }
 }
 
 impl Machine {
-    /// Whether a move to a pool was ordered and has not completed in twice the usual time.
+    /// Whether it is joining a pool and has taken longer than [`OVERDUE_FACTOR`] times the
+    /// expected time.
     pub(crate) fn is_join_overdue(&self) -> bool {
         self.join.as_ref().is_some_and(|join| join.overdue)
     }
 
-    /// Whether it is joining its pool, or joined it less than its move there took ago.
+    /// Whether it is joining a pool and not overdue, or has been in its pool for less time
+    /// than its move there took.
     pub(crate) fn has_just_joined(&self, now: Duration) -> bool {
         let joined = self.joined.as_ref();
         let just_joined = joined.is_some_and(|joined| now < joined.at + joined.took);
@@ -131,7 +137,7 @@
             if accepts {
                 machine.join = None;
                 machine.joined = Some(Joined { at: now, took });
-                self.machines.joins.succeeded(&pool, took);
+                self.machines.joins.record_success(&pool, took);
                 self.log(Decision::MachineJoined {
                     machine: name,
                     pool,
@@ -141,14 +147,15 @@
                 machine.join = None;
             } else if !join.overdue && took > self.machines.joins.expected(&pool) * OVERDUE_FACTOR {
                 join.overdue = true;
-                self.machines.joins.failed(&pool);
+                self.machines.joins.record_failure(&pool);
             }
         }
     }
 
-    /// Whether no move to a pool may be ordered since joins of the pool fail. Once all
-    /// moves to it have joined or were abandoned, a single one is tried; otherwise a pool
-    /// whose failed machines never return would get no machine again.
+    /// Whether no move to a pool may be ordered, because joins of the pool fail and some
+    /// are not over. Once all of them have completed or were abandoned, a single move is
+    /// tried; otherwise a pool whose failed machines never return would get no machine
+    /// again.
     pub(super) fn are_joins_held(&self, pool: &str) -> bool {
         self.machines.joins.is_failing(pool) && {
             let mut machines = self.machines.by_name.values();
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -126,7 +126,8 @@
     }
 
     /// Records the arrival of a job at its pool. `span` is the expected
-    /// duration of its longest chain of steps.
+    /// duration of its longest chain of steps. `counts_within_share` is whether the
+    /// forecast of jobs within shares includes the job.
     pub(crate) fn record_arrival(
         &mut self,
         queue: &Queue,
@@ -181,7 +182,7 @@
         arrivals.map_or(Size::default(), |arrivals| arrivals.forecast(now))
     }
 
-    /// The same for jobs within their customers' shares.
+    /// Like [`forecast`](Self::forecast), for the jobs within their customers' shares only.
     pub(crate) fn forecast_within_shares(&mut self, pool: &str, now: Duration) -> Size {
         let arrivals = self.arrivals_within_shares.get_mut(pool);
         arrivals.map_or(Size::default(), |arrivals| arrivals.forecast(now))
