Clarify units and names of the machine plan

The mean machine, the unit of all amounts, was called machine like the listed machines; running and waiting counts were a bare tuple; several fields had no unit. The order of donors uses Reverse instead of a subtraction from the maximum, which sorts the same. No behaviour changes.

--- a/crates/cleat-jobs/src/schedule/carry_over.rs
+++ b/crates/cleat-jobs/src/schedule/carry_over.rs
@@ -42,8 +42,8 @@
 const MAX_PLAUSIBLE_USAGE: f64 = 1e15;
 /// The maximum duration of a job that is plausible: a month.
 const MAX_PLAUSIBLE_JOB_MS: f64 = 30.0 * 24.0 * 3_600.0 * 1_000.0;
-/// The change of a queue's mean usage from which it is committed, relative to the
-/// committed mean.
+/// The change of a queue's mean usage from which it is committed again, relative
+/// to the committed mean.
 const NOTABLE_USAGE_CHANGE: f64 = 0.1;
 
 /// Why statistics of an earlier owner are dropped.
--- a/crates/cleat-jobs/src/schedule/durations.rs
+++ b/crates/cleat-jobs/src/schedule/durations.rs
@@ -32,9 +32,9 @@
 /// The factor by which the squared covariance may exceed the product of the
 /// variances, since they are rounded to single precision.
 const ROUNDING_TOLERANCE: f64 = 1.001;
-/// The change of the logarithm of an expected duration from which it is committed. An
-/// owner without statistics is off by a factor of two or more; a tenth is
-/// within the random variation of the mean of 50 tasks.
+/// The change of the logarithm of an expected duration from which the model is
+/// committed again. An owner without statistics is off by a factor of two or
+/// more; a tenth is within the random variation of the mean of 50 tasks.
 const NOTABLE_LOG_CHANGE: f64 = 0.1;
 
 /// The regression of one queue's durations on its estimates.
--- a/crates/cleat-jobs/src/schedule/fleet/need.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/need.rs
@@ -1,7 +1,7 @@
 //! What each pool needs and has, for the machine plan.
 //!
-//! Amounts are in thousandths of an average machine, of the scarcer of processor time and
-//! memory, so that pools can be compared.
+//! Amounts are in thousandths of a machine of mean capacity, so that pools can be compared.
+//! The resource of which the largest part of that machine is used counts.
 
 use std::time::Duration;
 
@@ -26,13 +26,13 @@
 pub(super) enum Class {
     /// The minimum of a pool with waiting work.
     Floor,
-    /// Running and waiting work that can be in time and is within shares, or else such
-    /// work as is forecast: work that arrives while a machine moves would be late before a
-    /// machine that is ordered for it when it waits.
+    /// Running and waiting work that can be in time and is within shares, or the forecast
+    /// of such work if that is larger. A machine that is ordered only when the work waits
+    /// joins too late for it.
     InTime,
     /// Other work whose result has value.
     Other,
-    /// Work beyond shares that is forecast.
+    /// The forecast of all work, including work beyond shares.
     Forecast,
 }
 
@@ -45,7 +45,7 @@
 pub(super) struct PoolState {
     /// The lowest number, which is the most urgent, among the priorities of its queues.
     pub(super) priority: u32,
-    /// The need up to and including each class.
+    /// The need up to and including each class, in the order of [`Class::ALL`].
     pub(super) needs: [u64; 4],
     /// What the pool will need when a machine that is ordered now joins it, for as long as
     /// the move takes.
@@ -56,7 +56,7 @@
     pub(super) joining: u64,
     /// The machines of other pools that are being emptied for this pool.
     pub(super) draining: u64,
-    /// The number of machines in all of these.
+    /// The number of machines in `accepting`, `joining` and `draining`.
     pub(super) machines: usize,
     /// Whether tasks of the pool run, wait or are forecast.
     pub(super) has_work: bool,
@@ -65,11 +65,12 @@
     demand: Demand,
 }
 
-/// What new jobs of a pool will use if they keep arriving at the current rate.
+/// What a pool's jobs will use if they keep arriving at the current rate.
 #[derive(Clone, Copy, Debug)]
 struct Forecast {
-    /// Those within their customers' shares.
+    /// The use of the jobs within their customers' shares.
     within_shares: u64,
+    /// The use of all jobs.
     all: u64,
 }
 
@@ -80,27 +81,41 @@
     in_time: u64,
     /// Running and waiting work that is beyond shares or late, as far as it has value.
     other: u64,
-    /// The total size of its runs.
+    /// The size of all running tasks.
     running: u64,
     /// The work of running tasks, of waiting ones that can be in time, and of the later
-    /// steps of their jobs, times milliseconds.
+    /// steps of their jobs: their size times milliseconds.
     work_ms: u64,
+    /// The size of running tasks that run until they are cancelled.
     long_running: u64,
-    /// Waiting tasks that run until they are cancelled and fit on no accepting worker.
+    /// The size of waiting tasks of this kind that fit on no accepting worker.
     unplaceable: u64,
+    /// The number of waiting tasks, including those beyond their customers' caps.
     waiting_tasks: u64,
-    /// The largest waiting task that some machine of the fleet can run.
+    /// The largest waiting task that some machine of the fleet can run, for each
+    /// resource.
     largest_waiting: Size,
+    /// The minimum number of workers that its tasks need, since tasks of some steps run on
+    /// different workers and isolated tasks alone on theirs.
     min_workers: usize,
+    /// The maximum free capacity of any accepting worker, for each resource.
     max_free: Size,
 }
 
+/// The numbers of tasks of a step that count as demand.
+#[derive(Clone, Copy, Debug)]
+struct TaskCounts {
+    running: u64,
+    waiting: u64,
+}
+
 impl PoolState {
     /// The capacity that the pool has or will get.
     pub(super) fn planned(&self) -> u64 {
         self.accepting + self.joining + self.draining
     }
 
+    /// Adds a machine that will join the pool. `size` is its capacity in the unit of the plan.
     pub(super) fn add_joining(&mut self, capacity: Size, size: u64) {
         self.joining += size;
         self.machines += 1;
@@ -114,6 +129,7 @@
         largest.fits(self.max_capacity) || largest.fits(capacity)
     }
 
+    /// The need up to and including this class.
     pub(super) fn need(&self, class: Class) -> u64 {
         self.needs[class as usize]
     }
@@ -144,20 +160,20 @@
                 });
             pool.priority = pool.priority.min(queue.priority);
         }
-        let machine = self.mean_machine();
+        let mean_machine = self.mean_machine();
         let machines = self.machines.by_name.values();
         let max_machine = machines.fold(Size::default(), |max, listed| {
             max.component_max(listed.view.capacity)
         });
-        self.add_capacity(&mut pools, machine);
-        self.add_demand(&mut pools, machine, max_machine);
+        self.add_capacity(&mut pools, mean_machine);
+        self.add_demand(&mut pools, mean_machine, max_machine);
         let now = self.now;
         for (name, pool) in &mut pools {
             let within_shares = self.workload.forecast_within_shares(name, now);
             let all = self.workload.forecast(name, now);
             let forecast = Forecast {
-                within_shares: in_machines(within_shares, machine),
-                all: in_machines(all, machine),
+                within_shares: in_machines(within_shares, mean_machine),
+                all: in_machines(all, mean_machine),
             };
             let join = self.machines.joins.expected(name);
             pool.set_needs(forecast, join);
@@ -165,7 +181,8 @@
         pools
     }
 
-    fn add_capacity(&self, pools: &mut IndexMap<Box<str>, PoolState>, machine: Size) {
+    /// Adds the workers that accept work and the machines that are joining or draining.
+    fn add_capacity(&self, pools: &mut IndexMap<Box<str>, PoolState>, mean_machine: Size) {
         let (mut accepting, mut leaving) = (IndexSet::new(), IndexSet::new());
         for (key, worker) in self.workers.iter() {
             let record = &worker.record;
@@ -185,13 +202,13 @@
                 true => (worker.used, Size::default()),
                 false => (record.capacity, worker.free_capacity()),
             };
-            pool.accepting += in_machines(capacity, machine);
+            pool.accepting += in_machines(capacity, mean_machine);
             pool.machines += 1;
             pool.max_capacity = pool.max_capacity.component_max(record.capacity);
             pool.demand.max_free = pool.demand.max_free.component_max(free);
         }
         for (name, listed) in &self.machines.by_name {
-            let size = in_machines(listed.view.capacity, machine);
+            let size = in_machines(listed.view.capacity, mean_machine);
             if let Some(to) = &listed.reserved_for {
                 if let Some(pool) = pools.get_mut(to) {
                     pool.draining += size;
@@ -217,7 +234,7 @@
     fn add_demand(
         &self,
         pools: &mut IndexMap<Box<str>, PoolState>,
-        machine: Size,
+        mean_machine: Size,
         max_machine: Size,
     ) {
         let mut remaining: IndexMap<CustomerKey, Size> = IndexMap::new();
@@ -242,23 +259,25 @@
                 waiting = waiting.min(step.charge.size.count_in(*remaining));
                 *remaining -= step.charge.size.scaled(waiting);
             }
-            demand.add_step(step, running, waiting, machine, self.now);
+            let counts = TaskCounts { running, waiting };
+            demand.add_constraints(step, counts, mean_machine, self.now);
             let within = !step.order.finite || self.share_status(step) == ShareStatus::Within;
-            demand.add_classes(step, within, (running, waiting), machine, self.now);
+            demand.add_classes(step, within, counts, mean_machine, self.now);
         }
     }
 }
 
 impl Demand {
-    fn add_step(
+    /// Adds the running tasks of a step, and what its tasks need beside free capacity.
+    fn add_constraints(
         &mut self,
         step: &ActiveStep,
-        running: u64,
-        waiting: u64,
-        machine: Size,
+        counts: TaskCounts,
+        mean_machine: Size,
         now: Duration,
     ) {
-        let size = in_machines(step.footprint, machine);
+        let TaskCounts { running, waiting } = counts;
+        let size = in_machines(step.footprint, mean_machine);
         self.running += size * running;
         let timeliness = step.timeliness(now);
         if timeliness == Timeliness::InTime {
@@ -274,16 +293,18 @@
         }
     }
 
-    /// Adds the tasks of a step to the classes of need.
+    /// Adds the tasks of a step to the classes of need. `within` is whether they are within
+    /// their customer's share.
     fn add_classes(
         &mut self,
         step: &ActiveStep,
         within: bool,
-        (running, waiting): (u64, u64),
-        machine: Size,
+        counts: TaskCounts,
+        mean_machine: Size,
         now: Duration,
     ) {
-        let size = in_machines(step.footprint, machine);
+        let TaskCounts { running, waiting } = counts;
+        let size = in_machines(step.footprint, mean_machine);
         let path_ms = millis(step.critical_path);
         // On average, a running task has half of its duration left.
         let half_done = now + step.critical_path / 2;
@@ -352,10 +373,10 @@
     }
 }
 
-/// A size in thousandths of a machine.
-pub(super) fn in_machines(size: Size, machine: Size) -> u64 {
+/// A size in the unit of the plan, thousandths of the mean machine.
+pub(super) fn in_machines(size: Size, mean_machine: Size) -> u64 {
     let part = |amount: u64, of: u64| (amount * MACHINE).checked_div(of).unwrap_or_default();
-    let cpu = part(size.cpu_milli, machine.cpu_milli);
-    let memory = part(size.memory_mb, machine.memory_mb);
-    cpu.max(memory).max(part(size.gpu, machine.gpu))
+    let cpu = part(size.cpu_milli, mean_machine.cpu_milli);
+    let memory = part(size.memory_mb, mean_machine.memory_mb);
+    cpu.max(memory).max(part(size.gpu, mean_machine.gpu))
 }
--- a/crates/cleat-jobs/src/schedule/fleet/plan.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/plan.rs
@@ -2,10 +2,13 @@
 //!
 //! At each tick the fleet's capacity is divided between the pools: first the minimum of
 //! each pool, then work that can be in time and is within shares, then other work, then
-//! the forecast beyond shares, each class by priority, and in proportion to the need where too little is
-//! left. Machines move from pools with more than their part to pools with less. A move has
-//! to pay: work must be left when the machine arrives.
+//! the forecast beyond shares. Each class is met by priority, and in proportion to the need
+//! where too little is left. Machines move from pools with more than their target to pools
+//! with less. A move has to pay: work must be left when the machine arrives.
+//!
+//! Capacities are in thousandths of a machine; see [`need`](super::need).
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -39,7 +42,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct PlanReport {
     logged_at: Duration,
+    /// The number of moves that were ordered to pools with a shortage.
     paid: u64,
+    /// The number of machines that were returned to the spare pool.
     returned: u64,
 }
 
@@ -47,7 +52,7 @@
 #[derive(Clone, Debug)]
 struct PoolPlan {
     state: PoolState,
-    /// The part of the fleet's capacity that the pool gets.
+    /// The capacity of the fleet that is allocated to the pool.
     target: u64,
 }
 
@@ -70,6 +75,11 @@
         self.target.saturating_sub(self.state.planned())
     }
 
+    /// The capacity beyond the pool's target.
+    fn surplus(&self) -> u64 {
+        self.state.planned().saturating_sub(self.target)
+    }
+
     /// Whether the pool keeps what it needs without one machine of this size.
     fn can_give(&self, size: u64) -> bool {
         self.state.machines > 1 && self.state.planned() >= self.target + size
@@ -78,7 +88,7 @@
 
 type Plans = IndexMap<Box<str>, PoolPlan>;
 
-/// The moves of one tick that are wanted and held back.
+/// The number of moves of one tick that are wanted and held back, by reason.
 #[derive(Debug, Default)]
 struct HeldBack(IndexMap<HoldReason, u64>);
 
@@ -98,16 +108,19 @@
             let balances = self.balances(state);
             self.log_balances(&balances);
         }
-        let machine = self.mean_machine();
-        let mut plans = self.divide_capacity(state, machine);
+        let mean_machine = self.mean_machine();
+        let mut plans = self.divide_capacity(state, mean_machine);
         let mut held_back = HeldBack::default();
-        let wanted = plans.values().map(|plan| whole(plan.unmet())).sum();
-        self.move_drained_machines(&plans, machine);
+        let wanted = plans
+            .values()
+            .map(|plan| whole_machines(plan.unmet()))
+            .sum();
+        self.move_drained_machines(&plans, mean_machine);
         if self.is_platform_silent() {
             held_back.add(HoldReason::PlatformSilent, wanted);
         } else {
-            self.fill_shortages(state, &mut plans, machine, &mut held_back);
-            self.return_surplus(state, &mut plans, machine);
+            self.fill_shortages(state, &mut plans, mean_machine, &mut held_back);
+            self.return_surplus(state, &mut plans, mean_machine);
         }
         self.log_plan(wanted, &held_back);
     }
@@ -118,7 +131,7 @@
     }
 
     /// Divides the capacity of the machines that are or can be in a pool.
-    fn divide_capacity(&mut self, state: &ControlState, machine: Size) -> Plans {
+    fn divide_capacity(&mut self, state: &ControlState, mean_machine: Size) -> Plans {
         let pools = self.pool_states(state);
         let spare_pool = spare_pool(state);
         let listed = self.machines.by_name.values();
@@ -126,7 +139,7 @@
             spare_pool.as_ref() == Some(&listed.view.pool) && self.is_movable(listed)
         });
         let spare: u64 = spare
-            .map(|listed| in_machines(listed.view.capacity, machine))
+            .map(|listed| in_machines(listed.view.capacity, mean_machine))
             .sum();
         let total = spare + pools.values().map(PoolState::planned).sum::<u64>();
         let states: Vec<&PoolState> = pools.values().collect();
@@ -142,16 +155,16 @@
         &mut self,
         state: &ControlState,
         plans: &mut Plans,
-        machine: Size,
+        mean_machine: Size,
         held_back: &mut HeldBack,
     ) {
         let mut receivers: Vec<Box<str>> = Vec::new();
         for (name, plan) in plans.iter() {
             held_back.add(
                 HoldReason::Unpaid,
-                whole(plan.unmet() - plan.shortage().min(plan.unmet())),
+                whole_machines(plan.unmet().saturating_sub(plan.shortage())),
             );
-            let shortage = whole(plan.shortage());
+            let shortage = whole_machines(plan.shortage());
             if shortage > 0 && self.are_joins_held(name) {
                 held_back.add(HoldReason::JoinsFailing, shortage);
             } else if shortage > 0 {
@@ -166,25 +179,31 @@
             self.idle_machines()
         };
         for pool in receivers {
+            // While joins of the pool fail, a single move is tried.
             let probing = self.machines.joins.is_failing(&pool);
             while plans[&pool].has_shortage() {
                 if allowed == 0 {
-                    held_back.add(HoldReason::OrderLimit, whole(plans[&pool].shortage()));
+                    held_back.add(
+                        HoldReason::OrderLimit,
+                        whole_machines(plans[&pool].shortage()),
+                    );
                     break;
                 }
-                if let Some(name) = self.idle_machine_for(state, &pool, plans, machine, &mut idle) {
-                    self.transfer(&name, &pool, plans, machine);
+                if let Some(name) =
+                    self.idle_machine_for(state, &pool, plans, mean_machine, &mut idle)
+                {
+                    self.transfer(&name, &pool, plans, mean_machine);
                     self.order_join(&name, &pool);
                     self.machines.plan_report.paid += 1;
                     allowed -= 1;
-                } else if let Some(name) = self.busy_machine_for(&pool, plans, machine) {
-                    self.drain_for(&name, &pool, plans, machine);
+                } else if let Some(name) = self.busy_machine_for(&pool, plans, mean_machine) {
+                    self.drain_for(&name, &pool, plans, mean_machine);
                 } else {
-                    let reason = match self.any_just_joined(&pool, plans, machine) {
+                    let reason = match self.any_just_joined(&pool, plans, mean_machine) {
                         true => HoldReason::JustJoined,
                         false => HoldReason::NoDonor,
                     };
-                    held_back.add(reason, whole(plans[&pool].shortage()));
+                    held_back.add(reason, whole_machines(plans[&pool].shortage()));
                     break;
                 }
                 if probing {
@@ -202,7 +221,7 @@
         state: &ControlState,
         pool: &str,
         plans: &Plans,
-        machine: Size,
+        mean_machine: Size,
         idle: &mut IdleMachines,
     ) -> Option<Box<str>> {
         let spare = spare_pool(state);
@@ -212,19 +231,17 @@
             let is_spare = Some(from) == spare.as_ref();
             let at = names.iter().rposition(|name| {
                 let listed = &self.machines.by_name[name];
-                let size = in_machines(listed.view.capacity, machine);
+                let size = in_machines(listed.view.capacity, mean_machine);
                 let plan = plans.get(from);
                 let suits = plans[pool].state.suits(listed.view.capacity);
                 let gives = is_spare
                     || plan.is_some_and(|plan| plan.can_give(size) && !self.stays(listed, plan));
                 gives && suits && !self.machines.is_refused(name, pool)
             })?;
-            let surplus = plans
-                .get(from)
-                .map_or(0, |plan| plan.state.planned().saturating_sub(plan.target));
+            let surplus = plans.get(from).map_or(0, PoolPlan::surplus);
             Some((
                 is_spare == surplus_first,
-                u64::MAX - surplus,
+                Reverse(surplus),
                 from.clone(),
                 at,
             ))
@@ -233,15 +250,16 @@
         Some(idle.get_mut(&from)?.remove(at))
     }
 
-    /// The machine with the lowest load of the pool that exceeds its part by most.
-    fn busy_machine_for(&self, pool: &str, plans: &Plans, machine: Size) -> Option<Box<str>> {
+    /// The machine with the lowest load in the pool with the largest surplus. None shortly
+    /// after a takeover, for the reason given at [`has_demand_history`](Self::has_demand_history).
+    fn busy_machine_for(&self, pool: &str, plans: &Plans, mean_machine: Size) -> Option<Box<str>> {
         if !self.has_demand_history() {
             return None;
         }
         let machines = self.machines.by_name.iter();
         let ranked = machines.filter_map(|(name, listed)| {
             let plan = plans.get(&listed.view.pool)?;
-            let size = in_machines(listed.view.capacity, machine);
+            let size = in_machines(listed.view.capacity, mean_machine);
             if *listed.view.pool == *pool || !plan.can_give(size) || self.stays(listed, plan) {
                 return None;
             }
@@ -250,10 +268,7 @@
             let suits = plans[pool].state.suits(listed.view.capacity);
             let suitable =
                 suits && worker.long_running == 0 && self.is_reservable(listed, key, pool);
-            suitable.then(|| {
-                let surplus = plan.state.planned().saturating_sub(plan.target);
-                (u64::MAX - surplus, worker.used.cpu_milli, name)
-            })
+            suitable.then(|| (Reverse(plan.surplus()), worker.used.cpu_milli, name))
         });
         ranked.min().map(|(.., name)| name.clone())
     }
@@ -264,10 +279,11 @@
         machine.has_just_joined(self.now) && plan.state.has_work
     }
 
-    /// Whether a pool could give a machine if that had not just joined it.
-    fn any_just_joined(&self, pool: &str, plans: &Plans, machine: Size) -> bool {
+    /// Whether a pool other than this one could give a machine if the machine had not just
+    /// joined it.
+    fn any_just_joined(&self, pool: &str, plans: &Plans, mean_machine: Size) -> bool {
         self.machines.by_name.values().any(|listed| {
-            let size = in_machines(listed.view.capacity, machine);
+            let size = in_machines(listed.view.capacity, mean_machine);
             let plan = plans.get(&listed.view.pool);
             *listed.view.pool != *pool
                 && plan.is_some_and(|plan| plan.can_give(size) && self.stays(listed, plan))
@@ -275,8 +291,8 @@
     }
 
     /// Starts to empty a machine for a pool.
-    fn drain_for(&mut self, name: &str, pool: &str, plans: &mut Plans, machine: Size) {
-        self.transfer(name, pool, plans, machine);
+    fn drain_for(&mut self, name: &str, pool: &str, plans: &mut Plans, mean_machine: Size) {
+        self.transfer(name, pool, plans, mean_machine);
         self.machines.by_name[name].reserved_for = Some(pool.into());
         if let Some(worker) = self.worker_on(name) {
             self.workers[worker].cordoned = true;
@@ -284,9 +300,9 @@
     }
 
     /// Records in the plan that a machine leaves its pool for another.
-    fn transfer(&self, name: &str, pool: &str, plans: &mut Plans, machine: Size) {
+    fn transfer(&self, name: &str, pool: &str, plans: &mut Plans, mean_machine: Size) {
         let view = &self.machines.by_name[name].view;
-        let size = in_machines(view.capacity, machine);
+        let size = in_machines(view.capacity, mean_machine);
         if let Some(from) = plans.get_mut(&view.pool) {
             from.state.accepting = from.state.accepting.saturating_sub(size);
             from.state.machines = from.state.machines.saturating_sub(1);
@@ -298,7 +314,7 @@
 
     /// Moves the machines that were emptied for a pool, and releases those that it no longer
     /// needs.
-    fn move_drained_machines(&mut self, plans: &Plans, machine: Size) {
+    fn move_drained_machines(&mut self, plans: &Plans, mean_machine: Size) {
         let reserved = self.machines.by_name.iter().filter_map(|(name, listed)| {
             let pool = listed.reserved_for.clone()?;
             listed.pending_order.is_none().then(|| (name.clone(), pool))
@@ -308,7 +324,7 @@
         let silent = self.is_platform_silent();
         for (name, pool) in reserved {
             let listed = &self.machines.by_name[&name];
-            let size = in_machines(listed.view.capacity, machine);
+            let size = in_machines(listed.view.capacity, mean_machine);
             let released = released.entry(pool.clone()).or_default();
             let needed = plans.get(&pool).is_some_and(|plan| {
                 let wanted = plan.target.min(plan.state.need_after_join);
@@ -327,7 +343,7 @@
 
     /// Returns machines that have been idle for long enough to the spare pool, as long as
     /// their pool keeps the free capacity of one machine.
-    fn return_surplus(&mut self, state: &ControlState, plans: &mut Plans, machine: Size) {
+    fn return_surplus(&mut self, state: &ControlState, plans: &mut Plans, mean_machine: Size) {
         let Some(spare) = spare_pool(state) else {
             return;
         };
@@ -344,7 +360,7 @@
         let mut allowed = MAX_UNANSWERED_BEFORE_RETURNS.saturating_sub(unanswered);
         for name in names {
             let listed = &self.machines.by_name[&name];
-            let size = in_machines(listed.view.capacity, machine);
+            let size = in_machines(listed.view.capacity, mean_machine);
             let plan = &plans[&listed.view.pool];
             if allowed == 0 {
                 return;
@@ -352,7 +368,7 @@
             // Keeps the free capacity of one machine for new work.
             if plan.can_give(2 * size) && !self.stays(listed, plan) {
                 allowed -= 1;
-                self.transfer(&name, &spare, plans, machine);
+                self.transfer(&name, &spare, plans, mean_machine);
                 self.machines.plan_report.returned += 1;
                 let pool = spare.clone();
                 self.order_machine(&name, MachineOrder::Move { pool });
@@ -384,8 +400,9 @@
     }
 }
 
-/// The machines that make up a capacity. Less than [`MIN_SHORTAGE`] counts as none.
-fn whole(capacity: u64) -> u64 {
+/// The number of whole machines nearest to a capacity. A rest of [`MIN_SHORTAGE`] or more
+/// counts as a machine.
+fn whole_machines(capacity: u64) -> u64 {
     (capacity + MACHINE - MIN_SHORTAGE) / MACHINE
 }
 
