Name the parts of the worker speed estimate

Cause: the examination of running runs used tuples and one long function, and constants and fields of the estimate had no unit. Change: tuples became types, the examination was split into steps, the speed limit that was defined twice is defined once, and comments give units. Behaviour is unchanged.

--- a/crates/cleat-jobs/src/schedule/speed/evaluate.rs
+++ b/crates/cleat-jobs/src/schedule/speed/evaluate.rs
@@ -3,14 +3,46 @@
 use indexmap::IndexMap;
 
 use super::evidence::{Prediction, Spread};
+use super::worker::StepScore;
 use super::{
-    EVALUATION_INTERVAL, MAX_SLOW_SPEED, Residual, WORKERS_PER_SLOW_WORKER, WorkerSpeedState,
+    EVALUATION_INTERVAL, MAX_SLOW_SPEED, RunResidual, WORKERS_PER_SLOW_WORKER, WorkerSpeedState,
 };
 use crate::StepId;
 use crate::schedule::Scheduler;
 use crate::schedule::attempt::Phase;
 use crate::schedule::worker::{WorkerKey, WorkerState};
 
+/// The runs of one step that have not ended.
+struct RunningStep {
+    /// The spread of the step's queue.
+    spread: Spread,
+    runs: Vec<RunResidual>,
+}
+
+/// What the runs that have not ended say about their worker.
+#[derive(Debug, Default)]
+struct RunningEvidence {
+    scores: Vec<StepScore>,
+    /// How much longer than predicted the runs have taken, as natural
+    /// logarithms, for those that have.
+    excesses: Vec<f64>,
+}
+
+/// The scores of the runs of one step on one worker.
+#[derive(Default)]
+struct RunScores {
+    sum: f64,
+    max: f64,
+    from_peers: bool,
+}
+
+/// A worker whose runs show that it is slow.
+struct SlowCandidate {
+    key: WorkerKey,
+    score: f64,
+    speed: f64,
+}
+
 impl Scheduler {
     /// Examines the runs that have not ended, and updates which workers are
     /// slow.
@@ -20,42 +52,54 @@
             return;
         }
         self.speeds.evaluated_at = self.now;
-        self.drop_ended();
-        let running = self.running_residuals();
-        let mut scores: IndexMap<WorkerKey, Vec<(StepId, f64, bool)>> = IndexMap::new();
-        let mut residuals: IndexMap<WorkerKey, Vec<f64>> = IndexMap::new();
-        for (step, (spread, runs)) in &running {
-            self.score_step(*step, *spread, runs, &mut scores, &mut residuals);
+        self.drop_ended_runs();
+        self.reset_unknown_workers();
+        let mut evidence = IndexMap::new();
+        for (step, running) in &self.running_steps() {
+            self.score_step(*step, running, &mut evidence);
         }
-        let mut found = Vec::new();
+        let mut candidates = self.update_workers(evidence);
+        candidates.sort_by(|a, b| b.score.total_cmp(&a.score));
+        for SlowCandidate { key, speed, .. } in candidates {
+            if self.may_be_slow(key) {
+                self.set_slow(key, speed);
+            }
+        }
+        let workers = self.speeds.workers.iter();
+        let slow = workers.filter(|(_, worker)| worker.slow.is_some());
+        let pools = slow.map(|(key, _)| self.workers[*key].record.pool.clone());
+        self.speeds.pools_with_slow_workers = pools.collect();
+    }
+
+    /// Updates the score of each worker and the speed of those that are slow.
+    /// Returns the other workers whose runs show that they are slow.
+    fn update_workers(
+        &mut self,
+        mut evidence: IndexMap<WorkerKey, RunningEvidence>,
+    ) -> Vec<SlowCandidate> {
+        let mut candidates = Vec::new();
         for (key, worker) in &mut self.speeds.workers {
-            let of_worker = scores.get(key).map_or(&[][..], |scores| scores);
-            worker.update_total(of_worker, self.now);
+            let of_worker = evidence.entry(*key).or_default();
+            worker.update_total(&of_worker.scores, self.now);
             self.workers[*key].suspected_slow = worker.is_suspect();
-            let speed = residuals.get_mut(key).and_then(|all| speed_from(all));
+            let speed = speed_from(&mut of_worker.excesses);
             if let Some(slow) = &mut worker.slow {
                 slow.limit_speed(speed.unwrap_or(1.0));
             } else if worker.is_slow_by_score()
                 && let Some(speed) = speed.filter(|speed| *speed <= MAX_SLOW_SPEED)
             {
-                found.push((*key, worker.total, speed));
-            }
-        }
-        found.sort_by(|a, b| b.1.total_cmp(&a.1));
-        for (key, _, speed) in found {
-            if self.may_be_slow(key) {
-                self.set_slow(key, speed);
+                candidates.push(SlowCandidate {
+                    key: *key,
+                    score: worker.total,
+                    speed,
+                });
             }
         }
-        let workers = self.speeds.workers.iter();
-        let slow = workers.filter(|(_, worker)| worker.slow.is_some());
-        let pools = slow.map(|(key, _)| self.workers[*key].record.pool.clone());
-        self.speeds.pools_with_slow_workers = pools.collect();
+        candidates
     }
 
-    /// Drops the runs that ended or were lost, the steps that ended, and the
-    /// workers that are gone or whose speed is unknown by now.
-    fn drop_ended(&mut self) {
+    /// Drops the runs that ended or were lost, and the steps that ended.
+    fn drop_ended_runs(&mut self) {
         let (attempts, steps) = (&self.attempts, &self.steps);
         self.speeds.runs.retain(|task, observed| {
             let attempt = attempts.get(task);
@@ -68,19 +112,24 @@
                 slow.probe = slow.probe.filter(|task| runs.contains_key(task));
             }
         }
+    }
+
+    /// Drops the workers that are gone, and resets the slow workers on which
+    /// nothing has run for so long that their speed is unknown.
+    fn reset_unknown_workers(&mut self) {
         let is_gone = |key: WorkerKey| {
             let worker = &self.workers[key];
             worker.state == WorkerState::Gone || self.workers.key(&worker.record.name) != Some(key)
         };
-        let mut over = Vec::new();
+        let mut resets = Vec::new();
         for (key, worker) in &self.speeds.workers {
             if is_gone(*key) {
-                over.push((*key, WorkerSpeedState::Gone));
+                resets.push((*key, WorkerSpeedState::Gone));
             } else if worker.slow.is_some_and(|slow| slow.is_outdated(self.now)) {
-                over.push((*key, WorkerSpeedState::Normal));
+                resets.push((*key, WorkerSpeedState::Normal));
             }
         }
-        for (key, state) in over {
+        for (key, state) in resets {
             self.set_normal_speed(key, state);
             if state == WorkerSpeedState::Gone {
                 self.speeds.workers.swap_remove(&key);
@@ -88,10 +137,10 @@
         }
     }
 
-    /// The times for which runs certainly have not ended, by step,
-    /// with the spread of the step's queue.
-    fn running_residuals(&self) -> IndexMap<StepId, (Spread, Vec<Residual>)> {
-        let mut running: IndexMap<StepId, (Spread, Vec<Residual>)> = IndexMap::new();
+    /// The runs that have not ended, by step, each with the time up to the
+    /// latest answer of its worker.
+    fn running_steps(&self) -> IndexMap<StepId, RunningStep> {
+        let mut running: IndexMap<StepId, RunningStep> = IndexMap::new();
         for (task, observed) in &self.speeds.runs {
             let attempt = self.attempts.get(task);
             if !attempt.is_some_and(|at| matches!(at.phase, Phase::Running { .. })) {
@@ -106,9 +155,14 @@
             }
             let residual = observed.residual(answered_at.saturating_sub(observed.started_at));
             if residual > 0.0 || self.speeds.ended.contains_key(&task.step) {
-                let spread = || (self.speeds.spread(&observed.queue.name), Vec::new());
-                let (_, of_step) = running.entry(task.step).or_insert_with(spread);
-                of_step.push((observed.worker, residual));
+                let of_step = running.entry(task.step).or_insert_with(|| RunningStep {
+                    spread: self.speeds.spread(&observed.queue.name),
+                    runs: Vec::new(),
+                });
+                of_step.runs.push(RunResidual {
+                    worker: observed.worker,
+                    residual,
+                });
             }
         }
         running
@@ -120,35 +174,36 @@
     fn score_step(
         &self,
         step: StepId,
-        spread: Spread,
-        runs: &[Residual],
-        scores: &mut IndexMap<WorkerKey, Vec<(StepId, f64, bool)>>,
-        residuals: &mut IndexMap<WorkerKey, Vec<f64>>,
+        running: &RunningStep,
+        evidence: &mut IndexMap<WorkerKey, RunningEvidence>,
     ) {
-        let mut of_step: IndexMap<WorkerKey, (f64, f64, bool)> = IndexMap::new();
-        for (key, residual) in runs {
-            let long = runs
-                .iter()
-                .filter(|(other, elapsed)| other != key && *elapsed > 0.0 && !self.is_slow(*other));
-            let ended = self.speeds.ended_elsewhere(step, *key);
-            let peers = ended.chain(long.map(|(_, elapsed)| *elapsed));
-            let prediction = Prediction::new(spread, peers);
+        let mut of_step: IndexMap<WorkerKey, RunScores> = IndexMap::new();
+        for RunResidual { worker, residual } in &running.runs {
+            let long = running.runs.iter().filter(|other| {
+                other.worker != *worker && other.residual > 0.0 && !self.is_slow(other.worker)
+            });
+            let ended = self.speeds.ended_elsewhere(step, *worker);
+            let peers = ended.chain(long.map(|other| other.residual));
+            let prediction = Prediction::new(running.spread, peers);
             let score = prediction.score_running(*residual);
-            let (sum, max, from_peers) = of_step.entry(*key).or_default();
-            *sum += score;
-            *max = score.max(*max);
-            *from_peers = prediction.from_peers;
+            let scores = of_step.entry(*worker).or_default();
+            scores.sum += score;
+            scores.max = score.max(scores.max);
+            scores.from_peers = prediction.from_peers;
             if *residual > prediction.mean {
-                let of_worker = residuals.entry(*key).or_default();
-                of_worker.push(residual - prediction.mean);
+                let of_worker = evidence.entry(*worker).or_default();
+                of_worker.excesses.push(residual - prediction.mean);
             }
         }
-        for (key, (sum, max, from_peers)) in of_step {
-            let score = if from_peers { sum } else { max };
-            scores
-                .entry(key)
-                .or_default()
-                .push((step, score, from_peers));
+        for (key, scores) in of_step {
+            let from_peers = scores.from_peers;
+            // Runs that are predicted from the same estimate are one observation.
+            let score = if from_peers { scores.sum } else { scores.max };
+            evidence.entry(key).or_default().scores.push(StepScore {
+                step,
+                score,
+                from_peers,
+            });
         }
     }
 
@@ -172,9 +227,10 @@
     }
 }
 
-/// The speed at which the median of these runs would take as long as predicted.
-fn speed_from(residuals: &mut [f64]) -> Option<f64> {
-    residuals.sort_by(f64::total_cmp);
-    let median = residuals.get(residuals.len() / 2)?;
+/// The speed at which the median of these runs would take as long as predicted,
+/// given the natural logarithms of how much longer they have taken.
+fn speed_from(excesses: &mut [f64]) -> Option<f64> {
+    excesses.sort_by(f64::total_cmp);
+    let median = excesses.get(excesses.len() / 2)?;
     Some((-median).exp())
 }
--- a/crates/cleat-jobs/src/schedule/speed/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speed/mod.rs
@@ -3,9 +3,10 @@
 //! The runs of a worker are compared with what their queue and estimate
 //! predict, and with the runs of the same step on other workers
 //! ([`evidence`]). Runs that have not ended count with the time up to the latest
-//! answer that listed them. A worker becomes slow once its runs show it, and normal again when a
-//! run that was started since took as long as predicted. Without the setting
-//! nothing is recorded, and no worker is slow.
+//! answer that listed them. A worker becomes slow once its runs show it. It
+//! becomes normal again when a run that was started since took about as long as
+//! predicted, or when nothing has run on it for so long that its speed is
+//! unknown. Without the setting nothing is recorded, and no worker is slow.
 
 mod evaluate;
 mod evidence;
@@ -43,10 +44,12 @@
 const TOTAL_VARIANCE: f64 = 0.48;
 /// The first assumption about the variance of the tasks of one step.
 const WITHIN_STEP_VARIANCE: f64 = 0.08;
-/// The number of tasks that the first assumptions count for, and the number
-/// that the running means cover at most. The tasks of a step share an
-/// estimate, so 200 tasks are only 25 independent observations of the variance.
+/// The number of tasks that the first assumptions count for: ten steps of eight
+/// tasks.
 const PRIOR_TASKS: f64 = 80.0;
+/// The number of tasks that the running means cover at most. The tasks of a step
+/// share an estimate, so 200 tasks are only 25 independent observations of the
+/// variance.
 const MAX_TASKS: f64 = 200.0;
 /// The largest squared deviation that is counted, so that runs on workers that
 /// are not yet known to be slow do not raise the spread much.
@@ -69,8 +72,9 @@
 struct ObservedRun {
     run: Run,
     worker: WorkerKey,
+    /// The scheduler's time of the start.
     started_at: Duration,
-    /// The logarithm of the predicted duration in milliseconds.
+    /// The natural logarithm of the predicted duration in milliseconds.
     predicted_log_ms: f64,
     queue: Arc<Queue>,
     /// Whether the run takes longer if its step is spread over several racks.
@@ -78,7 +82,7 @@
 }
 
 impl ObservedRun {
-    /// The logarithm of a duration relative to the predicted one.
+    /// The natural logarithm of a duration relative to the predicted one.
     fn residual(&self, ran: Duration) -> f64 {
         (ran.as_secs_f64() * 1_000.0).max(1.0).ln() - self.predicted_log_ms
     }
@@ -88,6 +92,7 @@
 #[derive(Clone, Copy, Debug)]
 struct QueueSpread {
     spread: Spread,
+    /// The number of tasks that the means cover, up to [`MAX_TASKS`].
     tasks: f64,
 }
 
@@ -119,19 +124,26 @@
     }
 }
 
-/// A duration or elapsed time on a worker, relative to the predicted duration.
-type Residual = (WorkerKey, f64);
+/// How long a run on a worker took, or has taken so far.
+#[derive(Clone, Copy, Debug)]
+struct RunResidual {
+    worker: WorkerKey,
+    /// The natural logarithm of the time relative to the predicted duration.
+    residual: f64,
+}
 
 /// The runs that are observed, and what they say about their workers.
 #[derive(Debug, Default)]
 pub(super) struct SpeedStats {
     runs: IndexMap<TaskId, ObservedRun>,
     /// The ended runs of each active step, except those on slow workers.
-    ended: IndexMap<StepId, Vec<Residual>>,
+    ended: IndexMap<StepId, Vec<RunResidual>>,
     workers: IndexMap<WorkerKey, WorkerSpeed>,
     spreads: IndexMap<Box<str>, QueueSpread>,
+    /// When the runs that have not ended were last examined.
     evaluated_at: Duration,
-    /// The pools whose next scheduling pass considers slow workers.
+    /// The pools whose next scheduling pass considers slow workers. Set at each
+    /// examination, so that only one pass in each interval does.
     pools_with_slow_workers: IndexSet<Box<str>>,
 }
 
@@ -141,11 +153,11 @@
         known.unwrap_or_default().spread
     }
 
-    /// The ended runs of a step on other workers.
+    /// The residuals of a step's ended runs on other workers.
     fn ended_elsewhere(&self, step: StepId, key: WorkerKey) -> impl Iterator<Item = f64> {
         let ended = self.ended.get(&step).into_iter().flatten();
-        let elsewhere = ended.filter(move |(worker, _)| *worker != key);
-        elsewhere.map(|(_, residual)| *residual)
+        let elsewhere = ended.filter(move |run| run.worker != key);
+        elsewhere.map(|run| run.residual)
     }
 
     /// Adds the end of a run to what is known of its step.
@@ -153,14 +165,17 @@
         let peers = self.ended.entry(step).or_default();
         let count = f64::from(u32::try_from(peers.len()).unwrap_or(u32::MAX));
         let within_step = (count > 0.0).then(|| {
-            let mean = peers.iter().map(|(_, peer)| peer).sum::<f64>() / count;
+            let mean = peers.iter().map(|peer| peer.residual).sum::<f64>() / count;
             // The mean of `count` tasks deviates from that of the step as well.
             (residual - mean) * (count / (count + 1.0)).sqrt()
         });
         let spread = self.spreads.entry(run.queue.name.clone()).or_default();
         spread.observe(residual, within_step);
         if peers.len() < MAX_PEERS {
-            peers.push((run.worker, residual));
+            peers.push(RunResidual {
+                worker: run.worker,
+                residual,
+            });
         }
     }
 }
@@ -172,7 +187,8 @@
         self.workers[key].slow
     }
 
-    /// The estimated speed of a worker; 1 unless it is slow.
+    /// The estimated speed of a worker relative to a normal one; 1 unless it is
+    /// slow.
     pub(super) fn speed(&self, key: WorkerKey) -> f64 {
         let worker = self.speeds.workers.get(&key);
         worker.and_then(|w| w.slow).map_or(1.0, |slow| slow.speed)
@@ -259,11 +275,10 @@
             return attempt.is_none_or(|attempt| !self.is_slow(attempt.worker));
         };
         let key = observed.worker;
-        let was_slow = self.is_slow(key);
         let is_delayed =
             self.workers[key].answered_after > self.cfg.renewal_wait + MAX_ANSWER_DELAY;
         if is_delayed || observed.rack_local && self.is_spread_over_racks(task.step) {
-            return !was_slow;
+            return !self.is_slow(key);
         }
         let residual = observed.residual(ran);
         let spread = self.speeds.spread(&observed.queue.name);
@@ -298,6 +313,7 @@
         first.is_some_and(|first| racks.any(|rack| rack != first))
     }
 
+    /// Forgets all evidence about a worker, and logs `state` if it was slow.
     fn set_normal_speed(&mut self, key: WorkerKey, state: WorkerSpeedState) {
         let Some(worker) = self.speeds.workers.get_mut(&key) else {
             return;
--- a/crates/cleat-jobs/src/schedule/speed/placement.rs
+++ b/crates/cleat-jobs/src/schedule/speed/placement.rs
@@ -9,12 +9,13 @@
 use crate::schedule::worker::WorkerKey;
 use crate::state::ControlState;
 
-/// How long a probe waits for a task that is late anyway, or that gets a second
-/// copy, if no other worker has room for the tasks that are in time. While the
-/// worker is still slow, each probe with such a task makes a job late.
-const PATIENCE_WITHOUT_ROOM: Duration = Duration::from_secs(8);
+/// How long a probe that is due waits for a task that is late anyway, or that may
+/// have a second run, before it takes one that is in time, if no other worker
+/// has room for that one. While the worker is still slow, each probe with a task
+/// that is in time makes a job late.
+const PROBE_WAIT_WITHOUT_ROOM: Duration = Duration::from_secs(8);
 /// The same if other workers have room, so that the worker is not needed.
-const PATIENCE_WITH_ROOM: Duration = Duration::from_secs(30);
+const PROBE_WAIT_WITH_ROOM: Duration = Duration::from_secs(30);
 
 /// The slow workers that one scheduling pass may use.
 #[derive(Debug, Default)]
@@ -23,7 +24,7 @@
     /// The number of runs on the other workers that end by themselves.
     running_elsewhere: usize,
     /// The number of tasks examined in this pass that wait for room.
-    ahead: usize,
+    waiting: usize,
 }
 
 impl Scheduler {
@@ -52,7 +53,7 @@
         SlowWorkers {
             keys: if due { slow } else { Vec::new() },
             running_elsewhere,
-            ahead: 0,
+            waiting: 0,
         }
     }
 
@@ -74,20 +75,20 @@
         };
         let unsuitable = spec.long_running || spec.fills || spec.gang || step.advised;
         let by_rack = spec.rack_local || spec.data_rack.is_some();
-        let may_run = hidden.may_include(step);
-        if unsuitable || by_rack || may_run || spec.estimate_ms == 0 {
+        let may_already_run = hidden.may_include(step);
+        if unsuitable || by_rack || may_already_run || spec.estimate_ms == 0 {
             return;
         }
-        let has_copy = spec.speculative && self.cfg.features.speculation_percent > 0;
-        let expendable = has_copy || step.timeliness(self.now) != Timeliness::InTime;
-        let patience = match (expendable, has_room) {
+        let may_be_copied = spec.speculative && self.cfg.features.speculation_percent > 0;
+        let may_be_slowed = may_be_copied || step.timeliness(self.now) != Timeliness::InTime;
+        let wait = match (may_be_slowed, has_room) {
             (true, _) => Duration::ZERO,
-            (false, true) => PATIENCE_WITH_ROOM,
-            (false, false) => PATIENCE_WITHOUT_ROOM,
+            (false, true) => PROBE_WAIT_WITH_ROOM,
+            (false, false) => PROBE_WAIT_WITHOUT_ROOM,
         };
         let is_due = |key: &&WorkerKey| {
             let slow = self.speeds.workers.get(*key).and_then(|w| w.slow);
-            slow.is_some_and(|slow| slow.needs_probe(self.now.saturating_sub(patience)))
+            slow.is_some_and(|slow| slow.needs_probe(self.now.saturating_sub(wait)))
         };
         let Some(key) = slow.keys.iter().find(is_due).copied() else {
             return;
@@ -103,8 +104,8 @@
     /// slow workers where they are expected to end sooner than by waiting.
     /// Returns whether tasks are left.
     ///
-    /// A task with `ahead` tasks before it waits for one of `running` runs to
-    /// end `ahead + 1` times, each about `duration / running`, and then takes
+    /// A task with `waiting` tasks before it waits for one of `running` runs to
+    /// end `waiting + 1` times, each about `duration / running`, and then takes
     /// `duration`. On a slow worker it takes `duration / speed` from now on.
     pub(in crate::schedule) fn place_on_slow(
         &mut self,
@@ -114,14 +115,15 @@
         hidden: HiddenStarts,
     ) -> bool {
         let as_f64 = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
-        let durations = as_f64(slow.ahead + 1) / as_f64(slow.running_elsewhere);
+        // In units of the task's duration; infinite if nothing runs elsewhere.
+        let wait = as_f64(slow.waiting + 1) / as_f64(slow.running_elsewhere);
         let keys = slow.keys.iter().copied();
         let sooner: Vec<WorkerKey> = keys
-            .filter(|key| 1.0 / self.speed(*key) < 1.0 + durations)
+            .filter(|key| 1.0 / self.speed(*key) < 1.0 + wait)
             .collect();
         let left = sooner.is_empty() || self.place_step(state, id, &sooner, hidden);
         let step = self.steps.get(&id);
-        slow.ahead += step.map_or(0, |step| step.pending.len());
+        slow.waiting += step.map_or(0, |step| step.pending.len());
         left
     }
 }
--- a/crates/cleat-jobs/src/schedule/speed/worker.rs
+++ b/crates/cleat-jobs/src/schedule/speed/worker.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::SLOW_SCORE;
 use super::evidence::MAX_RUN_SCORE;
+use super::{MAX_SLOW_SPEED, SLOW_SCORE};
 use crate::{StepId, TaskId};
 
 /// How long after a worker became slow it gets a first run as a probe. The run
@@ -21,22 +21,32 @@
 /// that no further work goes to a slow worker until a second one decides. A
 /// wrong suspicion costs little: the work goes to another worker with room.
 const SUSPECT_SCORE: f64 = 2.0;
-/// The range of estimated speeds of slow workers. Runs that have not ended give
-/// an upper bound only.
-const SPEED_RANGE: (f64, f64) = (0.05, 0.6);
+/// The lowest estimated speed. Runs that have not ended give an upper bound only.
+const MIN_SPEED: f64 = 0.05;
 /// The number of steps for which it is remembered what their runs on a worker
 /// said.
 const MAX_REMEMBERED_STEPS: usize = 8;
 
-/// Why a worker counts as slow.
+/// The runs of one step on a worker that have not ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StepScore {
+    pub(super) step: StepId,
+    /// The log-likelihood ratio of a slow worker to a normal one.
+    pub(super) score: f64,
+    /// Whether the runs were predicted from other runs of the step.
+    pub(super) from_peers: bool,
+}
+
+/// The state of a worker that counts as slow.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Slow {
     pub(super) since: Duration,
+    /// The estimated speed relative to a normal worker.
     pub(super) speed: f64,
-    /// The last run that was started as a probe, if it has not ended.
+    /// The task of the last run that was started since, if it has not ended.
     pub(super) probe: Option<TaskId>,
     pub(super) next_probe_at: Duration,
-    /// When a run last was on the worker.
+    /// When a run last started or ended on the worker.
     pub(super) last_run_at: Duration,
 }
 
@@ -47,6 +57,8 @@
         self.probe.is_none() && now >= self.next_probe_at
     }
 
+    /// Records a run that is being started. Each run on a slow worker serves as
+    /// a probe.
     pub(super) fn record_start(&mut self, task: TaskId, now: Duration) {
         self.probe = Some(task);
         self.next_probe_at = now + NEXT_PROBE_DELAY;
@@ -55,7 +67,7 @@
 
     /// Lowers the estimate to what a run that has not ended allows.
     pub(super) fn limit_speed(&mut self, speed: f64) {
-        self.speed = self.speed.min(speed).max(SPEED_RANGE.0);
+        self.speed = self.speed.min(speed).max(MIN_SPEED);
     }
 
     /// Whether nothing has run on the worker for so long that its speed is
@@ -85,8 +97,8 @@
     /// estimate makes all of them long.
     pub(super) fn add_ended(&mut self, step: StepId, score: f64, from_peers: bool, now: Duration) {
         let index = self.steps.iter().position(|(known, _)| *known == step);
-        let mut known = index.and_then(|index| self.steps.remove(index));
-        let known = known.take().map_or(0.0, |(_, score)| score);
+        let known = index.and_then(|index| self.steps.remove(index));
+        let known = known.map_or(0.0, |(_, score)| score);
         let updated = (known + score).clamp(-MAX_RUN_SCORE, max_step_score(from_peers).max(known));
         self.score = (self.score_at(now) + updated - known).clamp(0.0, 2.0 * SLOW_SCORE);
         self.scored_at = now;
@@ -103,14 +115,14 @@
     }
 
     /// Updates the total with the scores of the current runs, by step.
-    pub(super) fn update_total(&mut self, running: &[(StepId, f64, bool)], now: Duration) {
-        let additional = running.iter().map(|(step, score, from_peers)| {
-            let ended = self.steps.iter().find(|(known, _)| known == step);
+    pub(super) fn update_total(&mut self, running: &[StepScore], now: Duration) {
+        let additional = running.iter().map(|of_step| {
+            let ended = self.steps.iter().find(|(step, _)| *step == of_step.step);
             let ended = ended.map_or(0.0, |(_, score)| *score);
             // What speaks for the worker is part of the same observation. It may
             // be missing in `score`, which is never negative.
-            let of_step = (ended + score).min(max_step_score(*from_peers));
-            (of_step - ended.max(0.0)).max(0.0)
+            let total = (ended + of_step.score).min(max_step_score(of_step.from_peers));
+            (total - ended.max(0.0)).max(0.0)
         });
         self.total = self.score_at(now) + additional.sum::<f64>();
     }
@@ -127,7 +139,7 @@
     pub(super) fn set_slow(&mut self, speed: f64, now: Duration) {
         self.slow = Some(Slow {
             since: now,
-            speed: speed.clamp(SPEED_RANGE.0, SPEED_RANGE.1),
+            speed: speed.clamp(MIN_SPEED, MAX_SLOW_SPEED),
             probe: None,
             next_probe_at: now + FIRST_PROBE_DELAY,
             last_run_at: now,
@@ -143,7 +155,7 @@
 /// The most that the runs of one step count. If the step's runs on other
 /// workers show how long its tasks take, its runs are independent of the
 /// estimate, and several together suffice.
-pub(super) fn max_step_score(from_peers: bool) -> f64 {
+fn max_step_score(from_peers: bool) -> f64 {
     if from_peers {
         SLOW_SCORE
     } else {
