Correct comments on superseded runs and takeovers

Cause: two comments described what another function does, a predicate changed the budget that it checked, and a suspect task had the name of a suspected worker. Change: comments and names say what the code does. Behaviour is unchanged.

--- a/crates/cleat-jobs/src/schedule/choice.rs
+++ b/crates/cleat-jobs/src/schedule/choice.rs
@@ -7,9 +7,9 @@
 use crate::{StepId, StepSpec};
 
 impl Scheduler {
-    /// Chooses the worker for a task: in the preferred rack, and with the least
-    /// free capacity that suffices, so that the free capacity of other workers
-    /// remains for large tasks.
+    /// Chooses the worker for a task: in the preferred rack, not suspected to be
+    /// slow, and with the least free capacity that suffices, so that the free
+    /// capacity of other workers remains for large tasks.
     pub(super) fn choose_worker(
         &self,
         id: StepId,
--- a/crates/cleat-jobs/src/schedule/placement.rs
+++ b/crates/cleat-jobs/src/schedule/placement.rs
@@ -123,6 +123,8 @@
         has_unplaced
     }
 
+    /// Starts the given tasks of a step as far as the customer's cap and the free
+    /// capacity allow, and returns whether some are left that fit on no worker.
     pub(super) fn place_tasks(
         &mut self,
         id: StepId,
--- a/crates/cleat-jobs/src/schedule/speculation/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/mod.rs
@@ -30,13 +30,14 @@
 use budget::Budgets;
 
 /// A run counts as a straggler once it has taken this many percent of its
-/// expected duration. A copy that starts later than that ends too late for most
+/// expected duration. A copy that starts later ends too late for most
 /// jobs with a stretch of 1.6.
 const STRAGGLER_PERCENT: u32 = 150;
 
 /// A task that may be copied.
 struct Candidate {
-    /// Tasks of suspect workers come first, then the order of their steps.
+    /// Whether the task is a straggler, and the order of its step. Tasks of slow
+    /// and silent workers come first.
     rank: (bool, StepOrder),
     task: TaskId,
     reason: CopyReason,
@@ -71,7 +72,7 @@
         let mut budgets = Budgets::default();
         let mut queued = Vec::new();
         for Candidate { task, reason, .. } in candidates {
-            if self.has_room_for_copy(state, task, &mut budgets) {
+            if self.book_copy(state, task, &mut budgets) {
                 self.supersede(task);
                 queued.push((task, reason));
             }
@@ -95,6 +96,8 @@
             .collect()
     }
 
+    /// A running task as a candidate, if its run may end too late and a copy is
+    /// allowed.
     fn copy_candidate(
         &self,
         state: &ControlState,
@@ -105,8 +108,8 @@
             return None;
         }
         let step = self.steps.get(&task.step)?;
-        let is_suspect = step.suspicion(task.index).crashes > 0;
-        if !step.speculative || step.advised || is_suspect || self.superseded.contains(task) {
+        let has_crashed = step.suspicion(task.index).crashes > 0;
+        if !step.speculative || step.advised || has_crashed || self.superseded.contains(task) {
             return None;
         }
         let job = state.jobs.get(&task.job())?;
@@ -180,9 +183,10 @@
         }
     }
 
-    /// Whether the budget of the pool, the customer's cap and the free capacity
-    /// allow a copy of the task now.
-    fn has_room_for_copy(&self, state: &ControlState, task: TaskId, budgets: &mut Budgets) -> bool {
+    /// Subtracts a copy of the task from the budget of its pool if that budget,
+    /// the customer's cap and the free capacity allow it now. Returns whether
+    /// they do.
+    fn book_copy(&self, state: &ControlState, task: TaskId, budgets: &mut Budgets) -> bool {
         let job = state.jobs.get(&task.job());
         let spec = job.and_then(|job| job.step(task.step));
         let (Some(step), Some(spec)) = (self.steps.get(&task.step), spec) else {
--- a/crates/cleat-jobs/src/schedule/speculation/superseded.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/superseded.rs
@@ -1,5 +1,7 @@
 //! Superseded runs, from the start of a copy until they are settled.
 
+use std::time::Duration;
+
 use indexmap::{IndexMap, IndexSet};
 
 use crate::schedule::account::Charge;
@@ -244,8 +246,8 @@
         true
     }
 
-    /// Removes a superseded run whose end was committed. Returns whether it was
-    /// one.
+    /// Removes a superseded run whose end was committed. Returns its worker if
+    /// the run was one.
     pub(in crate::schedule) fn settle_superseded_end(&mut self, end: &End) -> Option<WorkerKey> {
         let known = self.superseded.get(end.task);
         known.filter(|known| known.run == end.run)?;
@@ -253,9 +255,8 @@
         Some(attempt.worker)
     }
 
-    /// Reconciles a listed run with the superseded run of its task. A second
-    /// run of a task that an earlier owner copied becomes a superseded run.
-    /// Returns whether the listed run is one.
+    /// Updates the checkpoint of a superseded run that its worker lists. Returns
+    /// whether the listed run is a superseded one.
     pub(in crate::schedule) fn reconcile_superseded(
         &mut self,
         key: WorkerKey,
@@ -272,8 +273,9 @@
         true
     }
 
-    /// Adopts a listed run as the superseded run of a task that has another
-    /// run. Returns whether it did.
+    /// Adopts a listed run as the superseded run of a task that has another run,
+    /// as after a takeover from an owner that copied the task. Returns whether
+    /// it did.
     pub(in crate::schedule) fn adopt_superseded(
         &mut self,
         state: &ControlState,
@@ -325,8 +327,8 @@
         true
     }
 
-    /// Prevents a copy of a task while the end of another run, which this owner did not
-    /// know of, is being committed: that run may have completed the task.
+    /// Prevents a copy of a task while the end of another run, which this owner
+    /// did not know of, is being committed: that run may have completed the task.
     pub(in crate::schedule) fn await_second_end(&mut self, key: WorkerKey, end: &End) {
         let Some(step) = self.steps.get_mut(&end.task.step) else {
             return;
@@ -355,13 +357,13 @@
     pub(in crate::schedule) fn mark_superseded_vanished(
         &mut self,
         key: WorkerKey,
-        sent_at: std::time::Duration,
+        requested_at: Duration,
         listed: &IndexSet<(TaskId, Run)>,
     ) {
         let missing = |(task, run): &(TaskId, &Attempt)| {
             let due = match run.phase {
                 Phase::Running { known_at: since } | Phase::Stopping { stop_sent: since } => {
-                    since < sent_at
+                    since < requested_at
                 }
                 _ => false,
             };
--- a/crates/cleat-jobs/src/schedule/start.rs
+++ b/crates/cleat-jobs/src/schedule/start.rs
@@ -22,6 +22,8 @@
         Run(base + u64::from(started) + 1)
     }
 
+    /// Starts a run of a task on a worker: reserves its capacity and sends the
+    /// order. Does nothing if the worker's clock is not known.
     pub(super) fn start(
         &mut self,
         task: TaskId,
@@ -92,8 +94,8 @@
         });
     }
 
-    /// Extends the worker's lease and returns its new end on the worker's
-    /// clock.
+    /// Extends the worker's lease and returns its new end on the worker's clock
+    /// in milliseconds; `None` if that clock is not known.
     fn extend_lease(&mut self, key: WorkerKey) -> Option<u64> {
         let lease = millis(self.cfg.lease);
         let worker = &mut self.workers[key];
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -17,12 +17,13 @@
 use crate::{Run, Size, TaskId};
 
 /// The log positions up to which steps of a pool that became ready may have been
-/// started by an earlier owner without this owner's knowledge.
+/// started by an earlier owner without this owner's knowledge; `None` if there
+/// are no such steps.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HiddenStarts {
     /// For steps whose tasks have one run at a time.
     single: Option<u64>,
-    /// For steps whose tasks may have two.
+    /// For steps whose tasks may have two runs at a time.
     copied: Option<u64>,
 }
 
@@ -89,6 +90,8 @@
         })
     }
 
+    /// As [`Self::unknown_until`], with only those workers with unknown runs that
+    /// are `awaited`.
     fn unknown_until_on(&self, pool: &str, awaited: impl Fn(&Worker) -> bool) -> Option<u64> {
         if !self.cfg.protections.await_inherited_runs {
             return None;
