Settle runs in doubt by lists with held ends

Callers saw jobs that never end, though all their tasks had: with copies, two workers listed ends that were not committed for as long as the schedule ran, and all later ends of these workers waited behind them. Cause: the end `done` of a run is held while the start of the task's other run is in doubt. A complete list of that run's worker settles it, and a list with a held end did not count as complete. Two tasks copied crosswise held their ends for each other. Ruled out: a stop that is never confirmed, a proposal that is lost. Fix: the runs of held ends count as listed, so a list shows what is missing though it has held ends. A new owner still waits for them. Looked for elsewhere: superseded runs vanish by the same lists, mended with it; strays are released by the runs alone, and never waited for held ends.

--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -131,7 +131,6 @@
         self.record_answer(key, answer.clock_ms);
         self.record_use(state, key);
         let has_held_ends = self.handle_ends(state, key, &answer.ended);
-        let more_ended = answer.more_ended || has_held_ends;
         let listed: IndexSet<(TaskId, Run)> = answer
             .running
             .iter()
@@ -141,16 +140,23 @@
             self.reconcile_run(state, key, listed);
         }
         self.adjust_throttle(state, key, &answer.running);
-        if !more_ended {
-            self.mark_vanished(key, sent_at, &listed);
-            self.mark_superseded_vanished(key, sent_at, &listed);
+        if !answer.more_ended {
+            // A run whose end is held counts as listed, so that the list shows
+            // which runs are missing. Otherwise two workers could each hold an
+            // end until the other one's list shows that a run is missing.
+            let ends = answer.ended.iter();
+            let ended = ends.map(|TaskEnd { end, .. }| (end.task, end.run));
+            let known: IndexSet<_> = listed.iter().copied().chain(ended).collect();
+            self.mark_vanished(key, sent_at, &known);
+            self.mark_superseded_vanished(key, sent_at, &known);
         }
         self.release_strays(key, |task, run| listed.contains(&(task, run)));
         let has_strays = self.strays.keys().any(|(at, ..)| *at == key);
         let now = self.now;
         let worker = &mut self.workers[key];
         worker.has_strays = has_strays;
-        worker.fully_listed |= !more_ended;
+        // The owner does not know the tasks of held ends yet.
+        worker.fully_listed |= !answer.more_ended && !has_held_ends;
         worker.last_acknowledged_end = worker.last_acknowledged_end.max(acked);
         worker.renewing = false;
         // The next renewal waits until it can acknowledge the ends that are
@@ -357,7 +363,8 @@
     }
 
     /// Handles runs that are missing in a list that was requested after they
-    /// were known to run, or should have started.
+    /// were known to run, or should have started. `listed` are the runs and the
+    /// ends in the list.
     fn mark_vanished(
         &mut self,
         key: WorkerKey,
