Start no task while an end that may complete it is being committed

Callers saw a task that was done run a second time, until its stop arrived. Cause: a task waited for the commit of an end only while the owner knew that run. A committed crash or expired lease, a list that shows that a later run does not exist, and a refused start remove the known run, and queued the task though the end `done` of an earlier run was proposed and not applied. Ruled out: a start in transit when the end arrived; a path that does not fill the step's `done` (the task was not done in the replicated state when it was queued). Fix: the owner keeps the ends `done` and `failed` that it proposed; such a task is queued when they are applied and did not complete it, by one function. Looked for elsewhere: copies check the same; a gang starts only with all its tasks pending, so one member that waits holds it.

--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -171,7 +171,8 @@
 
     /// Returns a task to the pending tasks of its step, if the step is active
     /// and the task is not done. If the task has a superseded run, that becomes
-    /// its run again instead.
+    /// its run again instead. If an end of the task is being committed, the task
+    /// is queued once that is applied.
     pub(super) fn requeue(&mut self, task: TaskId, from: WorkerKey, checkpoint: Box<str>) {
         if let Some(step) = self.steps.get_mut(&task.step) {
             step.unassign(from);
@@ -182,12 +183,7 @@
             if self.resume_superseded(task) {
                 return;
             }
-            let Some(step) = self.steps.get_mut(&task.step) else {
-                return;
-            };
-            step.pending.insert(task.index);
-            let pool = step.pool.clone();
-            self.mark_step_ready(task.step, pool);
+            self.queue_unless_running(task);
         }
     }
 }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -24,6 +24,7 @@
 mod loss;
 mod orders;
 mod placement;
+mod proposed_ends;
 mod protections;
 mod ready;
 mod renewal;
@@ -68,6 +69,7 @@
 use carry_over::CarryOver;
 use crashes::CrashedMachines;
 use fleet::Machines;
+use proposed_ends::ProposedEnds;
 use ready::DirtyPools;
 use shares::ShareStatus;
 use speculation::SupersededRuns;
@@ -165,6 +167,11 @@
     attempts: IndexMap<TaskId, Attempt>,
     /// The tasks of each job that have an entry in `attempts`.
     job_tasks: IndexMap<JobId, IndexSet<TaskId>>,
+    /// The ends that are being committed and may complete or fail their task.
+    ///
+    /// Invariant: such a task starts only after they are applied. Until then it
+    /// may have no entry in `attempts` and not be pending either.
+    proposed_ends: ProposedEnds,
     /// Runs that a worker lists although this owner does not expect them there:
     /// their job has ended, or another run took their place.
     strays: IndexMap<(WorkerKey, TaskId, Run), Stray>,
@@ -248,6 +255,7 @@
             steps: IndexMap::new(),
             attempts: IndexMap::new(),
             job_tasks: IndexMap::new(),
+            proposed_ends: ProposedEnds::default(),
             strays: IndexMap::new(),
             superseded: SupersededRuns::default(),
             copies_due: false,
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/proposed_ends.rs
@@ -0,0 +1,59 @@
+//! Ends that are being committed and may decide the fate of their task.
+//!
+//! A worker that comes back after its lease expired lists how its runs ended.
+//! By then its tasks may be waiting for a start, or have other runs. Once such
+//! an end is committed, the task may be done or have failed for the last time,
+//! so it is not started before.
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::Scheduler;
+use crate::state::{End, EndKind};
+use crate::{Run, TaskId};
+
+/// The runs of each task whose end `done` or `failed` this owner proposed, and
+/// whose proposal is not applied yet.
+#[derive(Debug, Default)]
+pub(crate) struct ProposedEnds(IndexMap<TaskId, IndexSet<Run>>);
+
+impl ProposedEnds {
+    /// Adds an end that is proposed, if it may decide the fate of its task.
+    pub(super) fn add(&mut self, end: &End) {
+        if matches!(end.kind, EndKind::Done | EndKind::Failed) {
+            self.0.entry(end.task).or_default().insert(end.run);
+        }
+    }
+
+    /// Removes an end that was applied. Does nothing for other ends.
+    pub(super) fn remove(&mut self, end: &End) {
+        let Some(runs) = self.0.get_mut(&end.task) else {
+            return;
+        };
+        runs.swap_remove(&end.run);
+        if runs.is_empty() {
+            self.0.swap_remove(&end.task);
+        }
+    }
+
+    /// Whether an end of the task is being committed.
+    pub(super) fn contains(&self, task: TaskId) -> bool {
+        self.0.contains_key(&task)
+    }
+}
+
+impl Scheduler {
+    /// Queues a task that has no run, after the ends of it that were being
+    /// committed did not complete it.
+    pub(super) fn queue_unless_running(&mut self, task: TaskId) {
+        if self.attempts.contains_key(&task) || self.proposed_ends.contains(task) {
+            return;
+        }
+        let Some(step) = self.steps.get_mut(&task.step) else {
+            return;
+        };
+        if !step.done.contains(&task.index) && step.pending.insert(task.index) {
+            let pool = step.pool.clone();
+            self.mark_step_ready(task.step, pool);
+        }
+    }
+}
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -249,6 +249,7 @@
         self.workers[key].last_proposed_end = last.number;
         for end in &ends {
             self.handle_end(state, key, end);
+            self.proposed_ends.add(&end.end);
         }
         let worker = self.worker_name(key);
         self.propose(Command::RecordEnds {
--- a/crates/cleat-jobs/src/schedule/speculation/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/mod.rs
@@ -115,7 +115,8 @@
         let job = state.jobs.get(&task.job())?;
         let reason = self.reason_for_copy(job, step, task, attempt)?;
         let is_done = step.done.contains(&task.index) || job.is_task_done(task.step, task.index);
-        (!is_done && allows_two_more_failures(job, task)).then_some(Candidate {
+        let may_be_done = is_done || self.proposed_ends.contains(task);
+        (!may_be_done && allows_two_more_failures(job, task)).then_some(Candidate {
             rank: (reason == CopyReason::Straggler, step.order),
             task,
             reason,
