--- a/crates/cleat-jobs/src/state/crash.rs
+++ b/crates/cleat-jobs/src/state/crash.rs
@@ -91,8 +91,9 @@
 
     /// Whether the task has crashed so many workers that its job fails. Up to
     /// `uncounted` more workers that ran it may have crashed; like crashes in doubt,
-    /// they strengthen the evidence of certain ones but do not replace them. A long-running task needs
-    /// two crashes while it ran alone, because callers depend on its availability.
+    /// they strengthen the evidence of certain ones but do not replace them. A
+    /// long-running task needs two crashes while it ran alone, because callers depend on
+    /// its availability.
     pub(super) fn reaches_limit(&self, uncounted: usize, long_running: bool) -> bool {
         let alone = self.count_at_least(CrashEvidence::RunningAlone);
         let proved = match long_running {
