--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -375,9 +375,9 @@
 }
 
 /// The number of seeds of each plan in the runs by hand.
-const MANY_SEEDS: u64 = 3_000;
+const MANY_SEEDS: u64 = 9_000;
 /// The number of seeds of each pair of faults, and of each injection, in the runs by hand.
-const MANY_MATRIX_SEEDS: u64 = 60;
+const MANY_MATRIX_SEEDS: u64 = 180;
 
 /// A plan with the name under which its violations are printed.
 type NamedPlan = (String, Plan);
@@ -466,28 +466,28 @@
 
 /// Runs further seeds of the schedules with speculative jobs, by hand.
 #[test]
-#[ignore = "21,000 schedules, which take minutes in a debug build"]
+#[ignore = "63,000 schedules, which take minutes in a debug build"]
 fn schedule_copies_many_seeds() {
     assert_eq!(count_violations(&plans_of_many_seeds(50), MANY_SEEDS), 0);
 }
 
 /// Runs further seeds of the same schedules without copies, by hand.
 #[test]
-#[ignore = "21,000 schedules, which take minutes in a debug build"]
+#[ignore = "63,000 schedules, which take minutes in a debug build"]
 fn schedule_many_seeds() {
     assert_eq!(count_violations(&plans_of_many_seeds(0), MANY_SEEDS), 0);
 }
 
 /// Runs further seeds of the pairs of faults, by hand.
 #[test]
-#[ignore = "14,520 schedules, which take minutes in a debug build"]
+#[ignore = "43,560 schedules, which take minutes in a debug build"]
 fn matrix_pairs_of_faults_many_seeds() {
     assert_eq!(count_violations(&plans_of_pairs(), MANY_MATRIX_SEEDS), 0);
 }
 
 /// Runs further seeds of the injections at each stage of a job, by hand.
 #[test]
-#[ignore = "7,920 schedules, which take minutes in a debug build"]
+#[ignore = "23,760 schedules, which take minutes in a debug build"]
 fn matrix_injections_many_seeds() {
     assert_eq!(
         count_violations(&plans_of_injections(), MANY_MATRIX_SEEDS),
