Put the entry of the copied schedules back in its own words, and its test as it was

Cause: the entry of schedule_copies_many_seeds was reworded (other seeds, another command, other kinds) and its test was changed from six plans of 300 seeds to seven of 9,000, while its faults may stand: its kinds come back in wider seeds. The wider runs have names of their own: schedule_copies_wide_seeds (the 9,000 seeds, with the words of the entry for them), schedule_copies_further_seeds and schedule_further_seeds (seeds 20,000 to 31,999), schedule_chosen_seeds (any). The first six plans of the wider runs are those of the test, in its order, so that a plan has the same number in every entry.

--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -2,6 +2,8 @@
 
 mod simulation;
 
+use std::ops::Range;
+
 use cleat_jobs::Protections;
 use simulation::{Fault, JobStage, Plan, Violation, run, run_traced};
 
@@ -374,15 +376,42 @@
     }
 }
 
-/// The number of seeds of each plan in the runs by hand.
-const MANY_SEEDS: u64 = 9_000;
-/// The number of seeds of each pair of faults, and of each injection, in the runs by hand.
-const MANY_MATRIX_SEEDS: u64 = 180;
+/// Runs further seeds of the schedules with speculative jobs, by hand.
+#[test]
+#[ignore = "1,800 schedules, which take a minute"]
+fn schedule_copies_many_seeds() {
+    let plans = [
+        Plan::speculative(&[]),
+        Plan::speculative(&[Fault::WorkerCut, Fault::WorkerCut]),
+        copies_caps_and_dying_owners(),
+        copies_and_late_orders(),
+        Plan::speculative(&Fault::ALL),
+        Plan::speculative(&Fault::EACH),
+    ];
+    let mut violations = 0;
+    for (at, plan) in plans.iter().enumerate() {
+        for seed in 0..300 {
+            if let Err(violation) = run(plan, seed) {
+                println!("plan {at}, seed {seed}: {violation}");
+                violations += 1;
+            }
+        }
+    }
+    assert_eq!(violations, 0);
+}
+
+/// The seeds of each plan in the runs by hand.
+const MANY_SEEDS: Range<u64> = 0..9_000;
+/// Seeds of each plan in the runs by hand that are not among [`MANY_SEEDS`].
+const FURTHER_SEEDS: Range<u64> = 20_000..32_000;
+/// The seeds of each pair of faults, and of each injection, in the runs by hand.
+const MANY_MATRIX_SEEDS: Range<u64> = 0..180;
 
 /// A plan with the name under which its violations are printed.
 type NamedPlan = (String, Plan);
 
-/// The plans of the runs by hand.
+/// The plans of the runs by hand. The first six are those of
+/// [`schedule_copies_many_seeds`], in the same order.
 fn plans_of_many_seeds(speculation_percent: u32) -> Vec<NamedPlan> {
     let plans = [
         Plan::with(&[]),
@@ -439,18 +468,19 @@
 
 /// Runs the seeds of each plan on all processors, and prints each violation. Returns their
 /// number.
-fn count_violations(plans: &[NamedPlan], seeds: u64) -> usize {
+fn count_violations(plans: &[NamedPlan], seeds: Range<u64>) -> usize {
     let threads = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
-    let run_share = |first: usize| {
-        let first = first as u64;
+    let run_share = |thread: usize| {
+        let seeds = seeds.clone().skip(thread).step_by(threads);
         let share = plans.iter().enumerate().flat_map(move |(at, (_, plan))| {
-            let seeds = (first..seeds).step_by(threads);
+            let seeds = seeds.clone();
             seeds.filter_map(move |seed| Some((at, seed, run(plan, seed).err()?)))
         });
         share.collect::<Vec<_>>()
     };
     let mut found = std::thread::scope(|scope| {
-        let shares = (0..threads).map(|first| scope.spawn(move || run_share(first)));
+        let run_share = &run_share;
+        let shares = (0..threads).map(|thread| scope.spawn(move || run_share(thread)));
         let shares: Vec<_> = shares.collect();
         let shares = shares.into_iter().map(std::thread::ScopedJoinHandle::join);
         let found = shares.flat_map(|found| found.expect("a schedule panicked"));
@@ -464,20 +494,45 @@
     found.len()
 }
 
-/// Runs further seeds of the schedules with speculative jobs, by hand.
+/// Runs the plans with speculative jobs, by hand.
 #[test]
 #[ignore = "63,000 schedules, which take minutes in a debug build"]
-fn schedule_copies_many_seeds() {
+fn schedule_copies_wide_seeds() {
     assert_eq!(count_violations(&plans_of_many_seeds(50), MANY_SEEDS), 0);
 }
 
-/// Runs further seeds of the same schedules without copies, by hand.
+/// Runs the same plans without copies, by hand.
 #[test]
 #[ignore = "63,000 schedules, which take minutes in a debug build"]
 fn schedule_many_seeds() {
     assert_eq!(count_violations(&plans_of_many_seeds(0), MANY_SEEDS), 0);
 }
 
+/// Runs further seeds of the plans with speculative jobs, by hand.
+#[test]
+#[ignore = "84,000 schedules, which take minutes in a debug build"]
+fn schedule_copies_further_seeds() {
+    assert_eq!(count_violations(&plans_of_many_seeds(50), FURTHER_SEEDS), 0);
+}
+
+/// Runs further seeds of the plans without copies, by hand.
+#[test]
+#[ignore = "84,000 schedules, which take minutes in a debug build"]
+fn schedule_further_seeds() {
+    assert_eq!(count_violations(&plans_of_many_seeds(0), FURTHER_SEEDS), 0);
+}
+
+/// Runs any seeds of the plans, by hand: `SCHEDULE_COUNT` seeds from `SCHEDULE_SEED` on, with
+/// `SCHEDULE_COPIES` percent of copies.
+#[test]
+#[ignore = "runs the seeds that the environment names, by hand"]
+fn schedule_chosen_seeds() {
+    let copies = u32::try_from(number_from_env("SCHEDULE_COPIES")).expect("a percentage");
+    let first = number_from_env("SCHEDULE_SEED");
+    let seeds = first..first + number_from_env("SCHEDULE_COUNT");
+    assert_eq!(count_violations(&plans_of_many_seeds(copies), seeds), 0);
+}
+
 /// Runs further seeds of the pairs of faults, by hand.
 #[test]
 #[ignore = "43,560 schedules, which take minutes in a debug build"]
@@ -501,16 +556,16 @@
 #[test]
 #[ignore = "prints one schedule, by hand"]
 fn schedule_trace() {
-    let number = |name: &str| {
-        let value = std::env::var(name).ok();
-        value
-            .and_then(|value| value.parse::<u64>().ok())
-            .unwrap_or(0)
-    };
-    let copies = u32::try_from(number("SCHEDULE_COPIES")).expect("a percentage");
-    let at = usize::try_from(number("SCHEDULE_PLAN")).expect("the number of a plan");
+    let copies = u32::try_from(number_from_env("SCHEDULE_COPIES")).expect("a percentage");
+    let at = usize::try_from(number_from_env("SCHEDULE_PLAN")).expect("the number of a plan");
     let (_, plan) = &plans_of_many_seeds(copies)[at];
-    let (result, trace) = run_traced(plan, number("SCHEDULE_SEED"));
+    let (result, trace) = run_traced(plan, number_from_env("SCHEDULE_SEED"));
     trace.iter().for_each(|line| println!("{line}"));
     println!("{result:?}");
 }
+
+/// A number from the environment; 0 if it is not set.
+fn number_from_env(name: &str) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(0, |value| value.parse().expect("a number"))
+}
