Count no ended run as a crash while its end is held

Cause: an end that completes a task is held while its copy's start has no answer, with all later ends of the worker. Nothing recorded that these runs were over, so they counted as certain crashes when their worker crashed, and were copied again. Ruled out: an end that nobody had heard (it was listed); a crash that is committed twice (one record for each run). Change: the held ends of a worker are kept. Their runs are no suspects and are not copied; when the life of the worker is over, the ends that are held only behind another one are committed. The three new tests fail without the change.

--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -174,6 +174,7 @@
             self.cfg.protections.count_crashes
                 && run.uses_capacity()
                 && self.steps.contains_key(&task.step)
+                && !self.workers[key].holds_end_of(*task, run.run)
                 && !self.is_cleared(run)
         });
         suspects.map(|(task, _)| task).collect()
@@ -193,7 +194,9 @@
         let Some(attempt) = self.attempts.get(&task) else {
             return false;
         };
-        let may_run = !matches!(attempt.phase, Phase::StopAnswered { .. } | Phase::Ended);
+        // A run whose end is listed, though held, had ended before the crash.
+        let may_run = !matches!(attempt.phase, Phase::StopAnswered { .. } | Phase::Ended)
+            && !self.workers[attempt.worker].holds_end_of(task, attempt.run);
         may_run && self.steps.contains_key(&task.step) && !self.is_cleared(attempt)
     }
 
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/held_ends.rs
@@ -0,0 +1,78 @@
+//! Ends that a worker listed and that are not proposed for commit yet.
+//!
+//! An end that completes a task is held while the start of the task's other run
+//! has no answer, since that start could be executed afterwards. The ends behind
+//! it on its worker are held as well, since the ends of a worker are committed
+//! in their order. The runs are over all the same: they cannot crash their
+//! worker any more, and need no copies.
+
+use super::Scheduler;
+use super::attempt::Phase;
+use super::worker::{Worker, WorkerKey};
+use crate::state::{Command, End, EndKind, TaskEnd};
+use crate::{Run, TaskId};
+
+impl Worker {
+    /// Whether the worker listed the end of a run, and that end is held.
+    pub(super) fn holds_end_of(&self, task: TaskId, run: Run) -> bool {
+        let mut ends = self.held_ends.iter().map(|held| &held.end);
+        ends.any(|end| end.task == task && end.run == run)
+    }
+}
+
+impl Scheduler {
+    /// Whether an end completes a task while the start of its copy has no
+    /// answer. Such an end is not committed yet, since the start could be
+    /// executed afterwards.
+    pub(super) fn is_end_held(&self, key: WorkerKey, end: &End) -> bool {
+        if !self.speculates() || end.kind != EndKind::Done {
+            return false;
+        }
+        let step = self.steps.get(&end.task.step);
+        let known = self.attempts.get(&end.task);
+        let other = known.filter(|known| (known.worker, known.run) != (key, end.run));
+        step.is_some_and(|step| step.speculative)
+            && other.is_some_and(|other| {
+                !matches!(
+                    other.phase,
+                    Phase::Running { .. } | Phase::Stopping { .. } | Phase::Ended
+                )
+            })
+    }
+
+    /// Proposes the held ends of a worker whose life is over, except those that
+    /// must not be committed yet: their runs are lost. The worker acknowledges
+    /// nothing any more, so the order of its ends does not matter.
+    pub(super) fn propose_held_ends(&mut self, key: WorkerKey) {
+        let listed = std::mem::take(&mut self.workers[key].held_ends);
+        let (held, ends): (Vec<TaskEnd>, Vec<TaskEnd>) = listed
+            .into_iter()
+            .partition(|listed| self.is_end_held(key, &listed.end));
+        self.workers[key].held_ends = held;
+        let Some(last) = ends.last().map(|end| end.number) else {
+            return;
+        };
+        for TaskEnd { end, .. } in &ends {
+            self.end_listed_run(key, end);
+            self.proposed_ends.add(end);
+        }
+        let after = std::mem::replace(&mut self.workers[key].last_proposed_end, last);
+        let worker = self.worker_name(key);
+        self.propose(Command::RecordEnds {
+            worker,
+            after,
+            ends,
+        });
+    }
+
+    /// Marks a run as ended whose end is proposed, if this owner knows it.
+    fn end_listed_run(&mut self, key: WorkerKey, end: &End) {
+        if self.is_superseded(key, end.task, end.run) {
+            return self.end_superseded(end.task);
+        }
+        let known = self.attempts.get(&end.task);
+        if known.is_some_and(|known| (known.worker, known.run) == (key, end.run)) {
+            self.end_attempt(end.task);
+        }
+    }
+}
--- a/crates/cleat-jobs/src/schedule/isolation.rs
+++ b/crates/cleat-jobs/src/schedule/isolation.rs
@@ -76,11 +76,14 @@
     /// The runs on a worker that may still crash it: those that have not run
     /// for long enough to be cleared.
     fn uncleared_runs(&self, key: WorkerKey) -> impl Iterator<Item = &Attempt> {
-        let tasks = self.workers[key].tasks.iter();
-        let runs = tasks.filter_map(|task| self.attempts.get(task));
-        let superseded = self.superseded.on(key).map(|(_, run)| run);
-        let runs = runs.chain(superseded);
-        runs.filter(|run| run.uses_capacity() && !self.is_cleared(run))
+        let worker = &self.workers[key];
+        let tasks = worker.tasks.iter();
+        let runs = tasks.filter_map(|task| Some((*task, self.attempts.get(task)?)));
+        let runs = runs.chain(self.superseded.on(key));
+        let uncleared = runs.filter(|(task, run)| {
+            run.uses_capacity() && !worker.holds_end_of(*task, run.run) && !self.is_cleared(run)
+        });
+        uncleared.map(|(_, run)| run)
     }
 
     /// Updates the suspect tasks of a step from the replicated state.
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -30,6 +30,9 @@
                     self.expire_lease(state, key);
                     self.record_lapse(key);
                     self.mark_all_lost(key, LossReason::Lapsed);
+                    // Their tasks start again. If the worker comes back, it lists
+                    // these ends again.
+                    self.workers[key].held_ends.clear();
                 }
                 WorkerState::Lapsed if self.is_abandoned(key) => {
                     self.end_life(key, LifeOver::Forgotten);
@@ -134,6 +137,7 @@
     pub(super) fn end_life(&mut self, key: WorkerKey, how: LifeOver) {
         self.workers[key].life_over = Some(how);
         self.set_worker_state(key, WorkerState::Gone);
+        self.propose_held_ends(key);
         self.record_crash(key, how);
         self.mark_all_lost(key, LossReason::WorkerGone);
         let name = self.worker_name(key);
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -20,6 +20,7 @@
 mod fleet;
 mod forecast;
 mod heartbeat;
+mod held_ends;
 mod isolation;
 mod loss;
 mod orders;
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -242,7 +242,9 @@
             .take_while(|end| !self.is_end_held(key, &end.end))
             .cloned()
             .collect();
-        let has_held_ends = ends.len() < new.count();
+        let held: Vec<TaskEnd> = new.skip(ends.len()).cloned().collect();
+        let has_held_ends = !held.is_empty();
+        self.workers[key].held_ends = held;
         let Some(last) = ends.last() else {
             return has_held_ends;
         };
--- a/crates/cleat-jobs/src/schedule/speculation/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/mod.rs
@@ -104,7 +104,8 @@
         task: TaskId,
         attempt: &Attempt,
     ) -> Option<Candidate> {
-        if !matches!(attempt.phase, Phase::Running { .. }) {
+        let has_ended = self.workers[attempt.worker].holds_end_of(task, attempt.run);
+        if has_ended || !matches!(attempt.phase, Phase::Running { .. }) {
             return None;
         }
         let step = self.steps.get(&task.step)?;
--- a/crates/cleat-jobs/src/schedule/speculation/superseded.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/superseded.rs
@@ -129,7 +129,7 @@
     }
 
     /// Marks a superseded run as ended and frees its capacity.
-    fn end_superseded(&mut self, task: TaskId) {
+    pub(in crate::schedule) fn end_superseded(&mut self, task: TaskId) {
         let Some(attempt) = self.superseded.get_mut(task) else {
             return;
         };
@@ -144,7 +144,12 @@
     }
 
     /// Whether a run is the superseded run of its task on the worker.
-    fn is_superseded(&self, key: WorkerKey, task: TaskId, run: Run) -> bool {
+    pub(in crate::schedule) fn is_superseded(
+        &self,
+        key: WorkerKey,
+        task: TaskId,
+        run: Run,
+    ) -> bool {
         let known = self.superseded.get(task);
         known.is_some_and(|known| known.worker == key && known.run == run)
     }
@@ -202,25 +207,6 @@
         }
     }
 
-    /// Whether an end completes a task while the start of its copy has no
-    /// answer. Such an end is not committed yet, since the start could be
-    /// executed afterwards.
-    pub(in crate::schedule) fn is_end_held(&self, key: WorkerKey, end: &End) -> bool {
-        if !self.speculates() || end.kind != EndKind::Done {
-            return false;
-        }
-        let step = self.steps.get(&end.task.step);
-        let known = self.attempts.get(&end.task);
-        let other = known.filter(|known| (known.worker, known.run) != (key, end.run));
-        step.is_some_and(|step| step.speculative)
-            && other.is_some_and(|other| {
-                !matches!(
-                    other.phase,
-                    Phase::Running { .. } | Phase::Stopping { .. } | Phase::Ended
-                )
-            })
-    }
-
     /// Handles the listed end of a superseded run. Returns whether it is one.
     pub(in crate::schedule) fn handle_superseded_end(
         &mut self,
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::decision::LifeOver;
-use crate::state::{CrashedRun, WorkerRecord};
+use crate::state::{CrashedRun, TaskEnd, WorkerRecord};
 use crate::{Size, TaskId};
 
 /// The index of a worker in the arena. Keys are never reused.
@@ -90,6 +90,10 @@
     /// The number of the last end that was acknowledged by a renewal that the
     /// worker answered.
     pub(crate) last_acknowledged_end: u64,
+    /// The ends that it listed last and that are not proposed yet.
+    ///
+    /// Invariant: their numbers are above `last_proposed_end`.
+    pub(crate) held_ends: Vec<TaskEnd>,
     /// Whether nothing is started here, since its machine has to become empty
     /// for a move or for maintenance.
     pub(crate) cordoned: bool,
@@ -145,6 +149,7 @@
             last_committed_end: record.history.last_recorded_end,
             last_proposed_end: record.history.last_recorded_end,
             last_acknowledged_end: record.history.last_recorded_end,
+            held_ends: Vec::new(),
             // `silent_index` is the log position at which it was recorded as
             // silent. After that, its use has to be recorded again before
             // anything is started here.
--- a/crates/cleat-jobs/tests/held_ends.rs
+++ b/crates/cleat-jobs/tests/held_ends.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Effect, EndKind, Features, JobId, JobState, OrderAnswer, RenewalAnswer, SchedulerConfig,
-    StepSpec, TaskOrder,
+    Command, Effect, EndKind, Event, Features, JobId, JobState, OrderAnswer, RenewalAnswer,
+    SchedulerConfig, StepSpec, TaskOrder,
 };
-use support::{Harness, end, ended, running, starts, step, stops};
+use support::{Harness, end, ended, proposals, running, starts, step, stops};
 
 /// A run and the worker that it was started on.
 type Placed = (Box<str>, TaskOrder);
@@ -138,3 +138,74 @@
     let both = harness.owner.running_tasks(second.task.job());
     assert_eq!(both, 2, "a run counts as lost although its end is listed");
 }
+
+/// Both tasks end on `w1`: the end of the first one is held, since the start of its copy on
+/// `w2` has no answer, and the end of the second one's copy behind it. Then `w1` crashes.
+fn crash_with_held_ends(harness: &mut Harness, crossed: &CrossedCopies) -> Vec<Effect> {
+    let [(worker, first), _] = &crossed.earlier;
+    let (copy_worker, copy) = &crossed.copies[1];
+    assert_eq!(worker, copy_worker);
+    harness.answer(copy_worker, copy, OrderAnswer::Done);
+    harness.now += ms(10);
+    let held = vec![
+        end(1, first.task, first.run.0, EndKind::Done),
+        end(2, copy.task, copy.run.0, EndKind::Done),
+    ];
+    harness.answer_renewal(worker, ended(held));
+    harness.now += ms(10);
+    harness.feed(Event::RenewalFailed {
+        worker: worker.clone(),
+        other_life: true,
+    })
+}
+
+/// Guards against jobs that fail though no two workers crashed under their tasks. A run had
+/// ended, which its worker had listed, but the end was held since the start of the task's
+/// copy had no answer. When the worker crashed, the run counted as one that may have caused it.
+#[test]
+fn crash_after_held_ends_counts_against_no_task() {
+    let mut harness = harness();
+    let crossed = crossed_copies(&mut harness);
+    let effects = crash_with_held_ends(&mut harness, &crossed);
+    let crashed = proposals(&effects);
+    let mut crashed = crashed
+        .iter()
+        .filter(|command| matches!(command, Command::Crashed { .. }));
+    assert!(crashed.next().is_none(), "an ended run counts as crashed");
+}
+
+/// Guards against losing the result of a task whose end is held only behind another one, when
+/// their worker crashes.
+#[test]
+fn end_behind_a_held_one_is_committed_after_a_crash() {
+    let mut harness = harness();
+    let crossed = crossed_copies(&mut harness);
+    let effects = crash_with_held_ends(&mut harness, &crossed);
+    let effects = harness.commit(&effects);
+    let second = crossed.earlier[1].1.task.job();
+    let state = harness.state.job_state(second);
+    assert_eq!(state, Some(JobState::Completed));
+    assert!(starts(&effects).is_empty(), "a task was started again");
+}
+
+/// Guards against a second copy of a task whose end is known. Its copy's start had no answer
+/// and was stopped; a list without it arrived before the next list of the worker that holds
+/// the end.
+#[test]
+fn task_with_a_held_end_is_not_copied_again() {
+    let mut harness = harness();
+    let crossed = crossed_copies(&mut harness);
+    let [(worker, first), second] = &crossed.earlier;
+    let (copy_worker, copy) = &crossed.copies[0];
+    let done = end(1, first.task, first.run.0, EndKind::Done);
+    harness.answer_renewal(worker, ended(vec![done]));
+    let doubted = harness.answer(copy_worker, copy, OrderAnswer::Unknown);
+    let (_, stop) = stops(&doubted).remove(0);
+    harness.answer(copy_worker, &stop, OrderAnswer::Done);
+    harness.now += ms(10);
+    harness.answer_renewal(copy_worker, lists(&[second]));
+    let effects = harness.tick(ms(50));
+    let copies = starts(&effects);
+    let again = copies.iter().any(|(_, order)| order.task == first.task);
+    assert!(!again, "a task whose end is listed was copied");
+}
