Count the runs that copies leave behind against their customer's cap

Cause: a task that its copy completed may still have its earlier run, on a worker that the next owner has not heard. Tasks that are done counted nowhere, and tasks of cancelled jobs once, though they may have two runs. Change: the end that completes a task records the size of the run that may be left, in the state that had cancelled and failed jobs only. The owner settles these jobs with the same command; it walks the ended ones, not all. The three new tests fail without the change.

--- a/crates/cleat-jobs/src/schedule/account/usage.rs
+++ b/crates/cleat-jobs/src/schedule/account/usage.rs
@@ -8,7 +8,7 @@
 use crate::schedule::ready::DirtyPools;
 use crate::schedule::start::RUN_NUMBERS_PER_OWNER;
 use crate::schedule::worker::WorkerKey;
-use crate::state::{Command, ControlState, Job};
+use crate::state::{Command, ControlState, Job, JobState};
 use crate::{JobId, Run, Size, StepId, StepSpec, TaskId};
 
 impl Scheduler {
@@ -148,11 +148,7 @@
             }
         }
         self.add_hidden_copies(&mut hidden_sizes);
-        for stopping in state.stopping.values() {
-            let catalogue = state.catalogue.as_deref();
-            let customer = self.accounts.get_or_create(&stopping.customer, catalogue);
-            *hidden_sizes.entry(customer).or_default() += stopping.size;
-        }
+        self.add_stopping_jobs(state, &mut hidden_sizes);
         for (index, account) in self.accounts.arena.iter_mut().enumerate() {
             let key = CustomerKey(u32::try_from(index).unwrap_or(u32::MAX));
             let size = hidden_sizes.get(&key).copied().unwrap_or_default();
@@ -160,6 +156,35 @@
         }
     }
 
+    /// Counts the runs that may be left of cancelled and failed jobs, and of tasks that are
+    /// done and may have been copied. The latter are copies, so the budgets of the pools limit
+    /// them.
+    fn add_stopping_jobs(
+        &mut self,
+        state: &ControlState,
+        hidden_sizes: &mut IndexMap<CustomerKey, Size>,
+    ) {
+        let catalogue = state.catalogue.as_deref();
+        let mut copies: IndexMap<CustomerKey, Size> = IndexMap::new();
+        for (id, stopping) in &state.stopping {
+            let customer = self.accounts.get_or_create(&stopping.customer, catalogue);
+            let tasks_run_on = matches!(
+                state.job_state(*id),
+                None | Some(JobState::Cancelled | JobState::Failed)
+            );
+            let sizes = if tasks_run_on {
+                &mut *hidden_sizes
+            } else {
+                &mut copies
+            };
+            *sizes.entry(customer).or_default() += stopping.size;
+        }
+        let budget = self.total_copy_budget();
+        for (customer, size) in copies {
+            *hidden_sizes.entry(customer).or_default() += size.component_min(budget);
+        }
+    }
+
     /// Counts the runs that an earlier owner may have started beside the known run of a
     /// task: the runs of tasks that this owner started without waiting for them, and copies
     /// within the budget of each pool.
@@ -195,23 +220,24 @@
         }
     }
 
-    /// Proposes to record the cancelled and failed jobs of which no task can be running
-    /// any more, so that the next owner need not count their tasks as possibly running.
-    pub(in crate::schedule) fn propose_stopped_jobs(&mut self, state: &ControlState) {
-        if state.stopping.is_empty() || self.may_have_hidden_runs {
+    /// Proposes to record the ended jobs of which no task can be running any more, so that
+    /// the next owner need not count their tasks as possibly running.
+    pub(in crate::schedule) fn propose_stopped_jobs(&mut self) {
+        if self.jobs_to_settle.is_empty() || self.may_have_hidden_runs {
             return;
         }
         let strays: IndexSet<JobId> = self.strays.keys().map(|(_, task, _)| task.job()).collect();
         let has_stopped = |id: &&JobId| {
-            !self.stopped_jobs_proposed.contains(*id)
-                && !self.active_jobs.contains(*id)
-                && !self.job_tasks.contains_key(*id)
+            !self.job_tasks.contains_key(*id)
                 && !strays.contains(*id)
                 && self.superseded.of_job(**id).next().is_none()
         };
-        let ids: Vec<JobId> = state.stopping.keys().filter(has_stopped).copied().collect();
+        let stopped = self.jobs_to_settle.iter().filter(has_stopped);
+        let ids: Vec<JobId> = stopped.copied().collect();
         if !ids.is_empty() {
-            self.stopped_jobs_proposed.extend(&ids);
+            for id in &ids {
+                self.jobs_to_settle.swap_remove(id);
+            }
             self.propose(Command::JobsStopped { ids });
         }
     }
--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -61,9 +61,7 @@
                     self.workers[key].use_proposed = false;
                 }
             }
-            Command::JobsStopped { ids } => {
-                self.stopped_jobs_proposed.retain(|id| !ids.contains(id));
-            }
+            Command::JobsStopped { ids } => self.jobs_to_settle.extend(ids),
             Command::Forget { ids } => {
                 let ids = ids.iter().rev();
                 ids.for_each(|id| self.ended_jobs.push_front((self.now, *id)));
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -186,8 +186,9 @@
     /// Whether some worker may still have runs of an earlier owner that it has
     /// not listed to this owner.
     may_have_hidden_runs: bool,
-    /// Jobs for which [`Command::JobsStopped`] is proposed and not yet applied.
-    stopped_jobs_proposed: IndexSet<JobId>,
+    /// Ended jobs of which runs may be left, according to the replicated state, and for
+    /// which [`Command::JobsStopped`] is not proposed yet.
+    jobs_to_settle: IndexSet<JobId>,
     /// Jobs that have not ended.
     active_jobs: IndexSet<JobId>,
     /// Jobs of which a worker has confirmed that a task started. A start
@@ -265,7 +266,7 @@
             copies_due: false,
             accounts: Accounts::default(),
             may_have_hidden_runs: true,
-            stopped_jobs_proposed: IndexSet::new(),
+            jobs_to_settle: IndexSet::new(),
             active_jobs: IndexSet::new(),
             started_jobs: IndexSet::new(),
             start_counts: IndexMap::new(),
@@ -406,9 +407,6 @@
             Command::Draining { name } => self.mark_draining(name),
             Command::Crashed { runs } => self.handle_crashes_applied(state, runs),
             Command::Learned(learned) => self.log_learned_committed(learned),
-            Command::JobsStopped { ids } => {
-                self.stopped_jobs_proposed.retain(|id| !ids.contains(id));
-            }
             Command::Configure(_)
             | Command::StartWave { .. }
             | Command::Maintained { .. }
@@ -418,6 +416,7 @@
             | Command::TakeOver { .. }
             | Command::WorkerSilent { .. }
             | Command::WorkerLapsed { .. }
+            | Command::JobsStopped { .. }
             | Command::Forget { .. } => {}
         }
     }
--- a/crates/cleat-jobs/src/schedule/speculation/budget.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/budget.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// What copies may use of all pools in total.
+    pub(in crate::schedule) fn total_copy_budget(&self) -> Size {
+        let pools = self.workers.pools();
+        pools.fold(Size::default(), |sum, pool| sum + self.copy_budget(pool))
+    }
+
     /// What copies may use of a pool in addition to those that exist.
     fn remaining_copy_budget(&self, pool: &str) -> Size {
         let runs = self.superseded.iter().map(|(_, run)| run);
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -293,6 +293,9 @@
             return;
         }
         self.ended_jobs.push_back((self.now, id));
+        if state.stopping.contains_key(&id) {
+            self.jobs_to_settle.insert(id);
+        }
         self.log(Decision::JobOver {
             job: id.to_string().into(),
             state: ended.state,
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -58,6 +58,9 @@
         }
         let ended = state.ended.keys().map(|id| (self.now, *id));
         self.ended_jobs.extend(ended);
+        let stopping = state.stopping.keys().copied();
+        let ended_ones = stopping.filter(|id| !state.jobs.contains_key(id));
+        self.jobs_to_settle.extend(ended_ones);
         self.send_renewals();
     }
 
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -19,7 +19,7 @@
         self.activate_due(state);
         self.forget_ended_jobs();
         self.crashed_machines.remove_expired(self.now);
-        self.propose_stopped_jobs(state);
+        self.propose_stopped_jobs();
         self.update_speeds();
         self.manage_machines(state);
         self.rebuild_admission(state);
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -310,6 +310,11 @@
         keys.map(|key| (*key, &self[*key]))
     }
 
+    /// The pools that have had workers.
+    pub(crate) fn pools(&self) -> impl Iterator<Item = &str> {
+        self.by_pool.keys().map(|pool| &**pool)
+    }
+
     /// The keys of the workers that are not removed.
     pub(crate) fn keys(&self) -> Vec<WorkerKey> {
         self.by_name.values().copied().collect()
--- a/crates/cleat-jobs/src/state/apply.rs
+++ b/crates/cleat-jobs/src/state/apply.rs
@@ -207,9 +207,7 @@
         if let Some(customer) = customer.clone()
             && state != JobState::Completed
         {
-            // Its tasks may still be running. Until they have stopped they count against
-            // the customer's cap, also under a later owner.
-            self.stopping.insert(id, StoppingJob { customer, size });
+            self.add_stopping(id, customer, size);
         }
         let ended = EndedJob {
             state,
@@ -219,6 +217,16 @@
         self.ended.insert(id, ended);
     }
 
+    /// Records that runs of a job may be left. Until they have stopped they count against the
+    /// customer's cap, also under a later owner.
+    fn add_stopping(&mut self, id: JobId, customer: Box<str>, size: Size) {
+        let stopping = self.stopping.entry(id).or_insert(StoppingJob {
+            customer,
+            size: Size::default(),
+        });
+        stopping.size += size;
+    }
+
     /// Records ends that a worker reported, except those that were recorded before. All of
     /// `ends` are ignored unless every end up to number `after` is recorded.
     fn record_ends(&mut self, index: u64, worker: &str, after: u64, ends: &[TaskEnd]) {
@@ -237,7 +245,12 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
+            let size_left = job.size_left_by_end(end);
+            let customer = job.customer.clone();
             let state = job.record_end(index, end);
+            if let Some(customer) = customer.filter(|_| size_left != Size::default()) {
+                self.add_stopping(id, customer, size_left);
+            }
             if state != JobState::Active {
                 self.end_job(id, state);
             }
--- a/crates/cleat-jobs/src/state/job.rs
+++ b/crates/cleat-jobs/src/state/job.rs
@@ -60,12 +60,14 @@
     pub largest_task: Size,
 }
 
-/// A cancelled or failed job of a customer, whose tasks may still be running.
+/// A customer's job of which runs may be left that are to be stopped: those of its tasks if
+/// it was cancelled or failed, and those of its tasks that were done by another run, since
+/// they had been copied.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoppingJob {
-    /// The customer that the job belonged to.
+    /// The customer that the job belongs to.
     pub customer: Box<str>,
-    /// The total size of the tasks that may still be running.
+    /// The total size of these runs, at most.
     pub size: Size,
 }
 
@@ -232,7 +234,18 @@
         sizes.fold(Size::default(), Size::component_max)
     }
 
-    /// The total size of all tasks that may have been started and are not done.
+    /// The maximum size of the runs of a task that are left once this end completes it:
+    /// that of its other run, if the task may have been copied.
+    pub(crate) fn size_left_by_end(&self, end: &End) -> Size {
+        let id = end.task.step;
+        let completes = end.kind == EndKind::Done && !self.is_task_done(id, end.task.index);
+        let step = self
+            .step(id)
+            .filter(|spec| completes && spec.allows_copies());
+        step.map(|spec| spec.size).unwrap_or_default()
+    }
+
+    /// The total size of all runs that may have been started of tasks that are not done.
     pub(crate) fn possibly_running_size(&self) -> Size {
         let mut sum = Size::default();
         for occurrence in 0..self.spec.occurrences() {
@@ -256,7 +269,9 @@
             return Size::default();
         };
         let done = self.progress(id).map_or(0, StepProgress::done_count);
-        spec.size.scaled(u64::from(spec.count.saturating_sub(done)))
+        let runs_per_task = if spec.allows_copies() { 2 } else { 1 };
+        let tasks = u64::from(spec.count.saturating_sub(done));
+        spec.size.scaled(tasks * runs_per_task)
     }
 
     /// Records an end at position `index` of the log and returns the resulting state of
--- a/crates/cleat-jobs/src/state/mod.rs
+++ b/crates/cleat-jobs/src/state/mod.rs
@@ -57,7 +57,8 @@
     pub jobs: IndexMap<JobId, Job>,
     /// The ended jobs, for as long as they are retained.
     pub ended: IndexMap<JobId, EndedJob>,
-    /// Cancelled or failed jobs of customers, until none of their tasks can be running.
+    /// Jobs of customers of which runs may be left that are to be stopped, until none can be
+    /// running.
     pub stopping: IndexMap<JobId, StoppingJob>,
     /// The maintenance waves, by number.
     pub waves: IndexMap<u64, Wave>,
--- a/crates/cleat-jobs/tests/caps.rs
+++ b/crates/cleat-jobs/tests/caps.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Catalogue, CatalogueDraft, Command, Effect, EndKind, JobId, OrderAnswer, RenewalAnswer,
-    StepSpec,
+    Catalogue, CatalogueDraft, Command, Effect, EndKind, Features, JobId, OrderAnswer,
+    RenewalAnswer, SchedulerConfig, StepSpec,
 };
 use support::{Harness, customer, draft, end, ended, running, starts, step, stops, task};
 
@@ -206,6 +206,91 @@
     assert_eq!(starts(&finish(&mut harness, worker, stopped)).len(), 1);
 }
 
+/// A harness whose copies may use the whole capacity, and a customer `c` with this cap.
+fn capped_with_copies(cpu_milli: u64) -> Harness {
+    let features = Features {
+        speculation_percent: 100,
+        ..Features::default()
+    };
+    let cfg = SchedulerConfig {
+        features,
+        ..SchedulerConfig::default()
+    };
+    let mut harness = Harness::with_config(cfg, support::catalogue(1), &["w1", "w2"]);
+    configure(&mut harness, 2, cpu_milli);
+    harness
+}
+
+/// A task on `w1` that is expected to take 500 ms is copied to `w2` after `late_ms`, which
+/// completes it. The run on `w1` has not stopped when the owner changes.
+fn complete_by_copy_and_replace_owner(harness: &mut Harness, steps: Vec<StepSpec>, late_ms: u64) {
+    let started = starts(&submit(harness, 1, steps));
+    let (first, order) = &started[0];
+    harness.answer(first, order, OrderAnswer::Done);
+    let copies = starts(&harness.tick(Duration::from_millis(late_ms)));
+    let (second, copy) = &copies[0];
+    assert_eq!([&**first, &**second], ["w1", "w2"]);
+    harness.answer(second, copy, OrderAnswer::Done);
+    let done = end(1, copy.task, copy.run.0, EndKind::Done);
+    let listed = harness.answer_renewal("w2", ended(vec![done]));
+    harness.commit(&listed);
+    harness.replace_owner();
+    harness.answer_renewal("w2", RenewalAnswer::default());
+}
+
+fn copied(cpu_milli: u64) -> StepSpec {
+    StepSpec {
+        speculative: true,
+        ..step(1, cpu_milli)
+    }
+}
+
+/// Guards against starts beyond a customer's cap. The run of a task that its copy had
+/// completed went on, and the next owner did not count it, since the job was over.
+#[test]
+fn new_owner_counts_the_run_that_a_copy_left_behind() {
+    let mut harness = capped_with_copies(2_000);
+    complete_by_copy_and_replace_owner(&mut harness, vec![copied(1_000)], 760);
+    let other = submit(&mut harness, 2, vec![step(2, 1_000)]);
+    let started = starts(&other).len();
+    assert_eq!(started, 1, "the run on w1 does not count");
+    let effects = harness.answer_renewal("w1", RenewalAnswer::default());
+    assert_eq!(starts(&effects).len(), 1, "no run is left, but it counts");
+    let settled = harness.tick(Duration::from_millis(50));
+    harness.commit(&settled);
+    assert!(harness.state.stopping.is_empty());
+}
+
+/// As above, but the job goes on with its next step, which counts as well.
+#[test]
+fn new_owner_counts_the_run_that_a_copy_left_behind_in_an_active_job() {
+    let mut harness = capped_with_copies(2_500);
+    let next = StepSpec {
+        after: vec![0],
+        ..step(1, 500)
+    };
+    complete_by_copy_and_replace_owner(&mut harness, vec![copied(1_000), next], 1_300);
+    let other = submit(&mut harness, 2, vec![step(2, 1_000)]);
+    assert_eq!(starts(&other).len(), 1, "the run on w1 does not count");
+}
+
+/// Guards against starts beyond a customer's cap. Each task of a cancelled job may have two
+/// runs if it may be copied, and the next owner counted one.
+#[test]
+fn new_owner_counts_both_runs_of_a_cancelled_copied_task() {
+    let mut harness = capped_with_copies(2_000);
+    let started = starts(&submit(&mut harness, 1, vec![copied(1_000)]));
+    let (first, order) = &started[0];
+    harness.answer(first, order, OrderAnswer::Done);
+    assert_eq!(starts(&harness.tick(Duration::from_millis(760))).len(), 1);
+    harness.apply(Command::Cancel { id: JobId(1) });
+    harness.replace_owner();
+    let other = submit(&mut harness, 2, vec![step(1, 1_000)]);
+    assert!(starts(&other).is_empty());
+    let effects = harness.answer_renewal("w2", RenewalAnswer::default());
+    assert!(starts(&effects).is_empty(), "one run counts of two");
+}
+
 #[test]
 fn silent_workers_run_counts_until_its_lease_expires() {
     let mut harness = capped(1_000);
