Limit the starts without an answer, so that an overload ends with its cause

Cause: an owner decided all that fits at once. Its thread could send a part of it within the 250 ms that an order may wait; the rest was given up and decided again. So orders that were never sent used up what would have sent them. Evidence: the owner's log now shows its load once a second (`owner_load`: orders pending and their age, the wait of renewals, the turns of the event loop). Change: the starts without an answer are limited by a window, which grows with answers and is halved when an order was given up. A pool that filled it last is scheduled last.

--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::metrics::call_kind;
+use crate::owner::OwnerLoad;
 
 /// An event of the structured log. Fields that also occur in the scheduler's
 /// decisions have the same names there.
@@ -51,6 +52,8 @@
     NoLeader,
     /// A call was answered again. `calls` found no leader before.
     LeaderReached { calls: u64, lasted_ms: u128 },
+    /// The load of this instance as the owner, about once a second.
+    OwnerLoad(OwnerLoad),
     /// This instance is no longer the owner of the workers.
     OwnsNoMore { token: u64, reason: OwnershipEnd },
 }
--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -62,8 +62,11 @@
 
     fn renew(&self, worker: Box<str>, address: Box<str>, order: RenewalOrder) -> PendingCall {
         let (shared, workers) = (self.shared.clone(), self.workers.clone());
+        let load = self.load.clone();
+        let decided_at = boot_time();
         Box::pin(async move {
             let sent_at = boot_time();
+            load.renewal_started(sent_at.saturating_sub(decided_at));
             // Without a valid leader lease, another owner may already send orders.
             if !shared.leads() {
                 sleep(TICK_INTERVAL).await;
@@ -94,6 +97,9 @@
         order: TaskOrder,
     ) -> PendingCall {
         let (shared, workers) = (self.shared.clone(), self.workers.clone());
+        let load = self.load.clone();
+        let decided_at = boot_time();
+        load.order_decided();
         Box::pin(async move {
             let answer = if shared.leads() {
                 workers.send_order(&worker, &address, token, &order).await
@@ -101,6 +107,7 @@
                 sleep(TICK_INTERVAL).await;
                 OrderAnswer::NotSent
             };
+            load.order_ended(boot_time().saturating_sub(decided_at));
             Some(Event::Ordered {
                 worker,
                 order,
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -2,6 +2,7 @@
 //! instance leads.
 
 mod effects;
+mod load;
 
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -20,6 +21,8 @@
 use crate::node::Shared;
 use crate::platform::{AdviceClient, MachineClient, PlatformClients, WorkerClient};
 use effects::{PendingCall, end_commit_failures};
+use load::LoadMeter;
+pub(crate) use load::OwnerLoad;
 
 /// How often an instance that does not lead checks whether it became the leader:
 /// well below the time of an election.
@@ -42,6 +45,7 @@
         machines: Arc::new(clients.machines),
         adviser: Arc::new(clients.adviser),
         commit_failures: Arc::default(),
+        load: Arc::default(),
     };
     tokio::spawn(owner.run())
 }
@@ -54,6 +58,7 @@
     adviser: Arc<A>,
     /// Tracks whether proposed commands fail to commit.
     commit_failures: Arc<Condition>,
+    load: Arc<LoadMeter>,
 }
 
 /// The calls that have not completed yet.
@@ -142,6 +147,7 @@
 
     async fn run_event_loop(&self, rx: &mut UnboundedReceiver<Event>) -> OwnershipEnd {
         let mut calls = PendingCalls::new();
+        self.load.begin_ownership();
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut events = Vec::with_capacity(MAX_EVENT_BATCH);
@@ -181,10 +187,16 @@
             .shared
             .state
             .read(|state| scheduler.handle(state, events.drain(..), now));
+        let report = self.load.report(now, scheduler.unanswered_starts());
         drop(guard);
-        effects
+        if let Some(report) = report {
+            self.shared.events.emit(&ControlEvent::OwnerLoad(report));
+        }
+        let goes_on = effects
             .into_iter()
-            .all(|effect| self.execute(effect, calls))
+            .all(|effect| self.execute(effect, calls));
+        self.load.turn_ended(boot_time().saturating_sub(now));
+        goes_on
     }
 }
 
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -33,6 +33,7 @@
 mod speculation;
 mod speed;
 mod start;
+mod start_window;
 mod step;
 mod takeover;
 mod throttle;
@@ -75,6 +76,7 @@
 use shares::ShareStatus;
 use speculation::SupersededRuns;
 use speed::SpeedStats;
+use start_window::StartWindow;
 use step::ActiveStep;
 use throttle::{Throttle, ThrottleTimes};
 use timing::{Objective, WorkloadStats};
@@ -233,6 +235,7 @@
     admission: AdmissionState,
     /// The steps of each pool that may have tasks waiting for a worker.
     ready: IndexMap<Box<str>, ReadySteps>,
+    start_window: StartWindow,
     effects: Vec<Effect>,
 }
 
@@ -288,6 +291,7 @@
             dirty_pools: DirtyPools::All,
             admission: AdmissionState::default(),
             ready: IndexMap::new(),
+            start_window: StartWindow::new(),
             effects: Vec::new(),
         };
         scheduler.take_over_state(state);
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -99,6 +99,9 @@
         order: &TaskOrder,
         answer: OrderAnswer,
     ) {
+        if matches!(order.order, Order::Start { .. }) {
+            self.record_start_answer(answer);
+        }
         let Some(key) = self.workers.key(worker) else {
             return;
         };
--- a/crates/cleat-jobs/src/schedule/placement.rs
+++ b/crates/cleat-jobs/src/schedule/placement.rs
@@ -21,6 +21,9 @@
     }
 
     fn schedule_pool(&mut self, state: &ControlState, pool: &str) {
+        if self.waits_for_window(pool) {
+            return;
+        }
         let mut candidates = self.candidates(pool);
         if !pool_enforces_capacity(state, pool) {
             // The recorded capacity of the other workers may exceed their
@@ -53,7 +56,7 @@
                 unplaced += 1;
                 max_free = self.max_free_capacity(&usable);
             }
-            if unplaced >= MAX_UNPLACED_STEPS {
+            if unplaced >= MAX_UNPLACED_STEPS || self.has_filled_window(pool) {
                 return;
             }
         }
@@ -141,6 +144,9 @@
             return self.place_gang(id, job, spec, &pending, keys);
         }
         for index in pending {
+            if self.start_window.is_full() {
+                return false;
+            }
             if !self.is_within_cap(id, 1) {
                 return false;
             }
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -150,10 +150,12 @@
     /// them.
     pub(super) fn take_dirty_pools(&mut self) -> Vec<Box<str>> {
         let none = DirtyPools::Pools(IndexSet::new());
-        match std::mem::replace(&mut self.dirty_pools, none) {
+        let mut pools: Vec<Box<str>> = match std::mem::replace(&mut self.dirty_pools, none) {
             DirtyPools::Pools(pools) => pools.into_iter().collect(),
             DirtyPools::All => self.ready.keys().cloned().collect(),
-        }
+        };
+        self.order_by_window_use(&mut pools);
+        pools
     }
 
     /// Whether a step is within its customer's share, by the policy in force.
--- a/crates/cleat-jobs/src/schedule/start.rs
+++ b/crates/cleat-jobs/src/schedule/start.rs
@@ -71,6 +71,7 @@
             deadline_ms,
             ticket: self.ticket(task.step, key),
         };
+        self.record_start_sent();
         self.send_order(key, TaskOrder { task, run, order });
     }
 
