Walk the active steps once a tick, without names and hashes

Cause: with a backlog of ten thousand steps the owner's processor went into walks over all of them: the balances of the pools, twice a tick, with a hash of the pool's name and of the customer for each step and a walk a pool for its long-running tasks; and the removal of an ended step moved all behind it. Change: a step knows its pool by a small key; the second balance is made only if a machine has been idle for long enough to be returned; steps are boxed. A machine of the spare pool is no candidate for a return to it.

--- a/crates/cleat-jobs/src/schedule/account/mod.rs
+++ b/crates/cleat-jobs/src/schedule/account/mod.rs
@@ -21,6 +21,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct CustomerKey(u32);
 
+impl CustomerKey {
+    /// The index among all accounts, below [`Accounts::count`].
+    pub(crate) fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
 /// The size that a run counts for, and the customer whose account it counts against.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Charge {
@@ -102,12 +109,17 @@
         key
     }
 
+    /// The number of accounts.
+    pub(crate) fn count(&self) -> usize {
+        self.arena.len()
+    }
+
     pub(crate) fn get(&self, key: CustomerKey) -> &Account {
-        &self.arena[key.0 as usize]
+        &self.arena[key.index()]
     }
 
     fn get_mut(&mut self, key: CustomerKey) -> &mut Account {
-        &mut self.arena[key.0 as usize]
+        &mut self.arena[key.index()]
     }
 
     /// Adds the charge of a run.
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -6,7 +6,6 @@
 
 use super::machine::{Machine, MachineOrder, MachineState};
 use crate::Size;
-use crate::schedule::account::CustomerKey;
 use crate::schedule::step::ActiveStep;
 use crate::schedule::timing::Timeliness;
 use crate::schedule::worker::millis;
@@ -169,11 +168,11 @@
             }
         }
         self.add_workers(&mut pools);
-        self.add_waiting_work(&mut pools);
-        for (pool, balance) in &mut pools {
+        let long_running = self.add_steps(&mut pools);
+        for ((pool, balance), long_running) in pools.iter_mut().zip(long_running) {
             // Waiting tasks are added to the forecast. A pool with capacity for new work
             // only would never reduce its backlog.
-            let expected = self.workload.forecast(pool, self.now) + self.long_running_usage(pool);
+            let expected = self.workload.forecast(pool, self.now) + long_running;
             balance.needed = balance.used.component_max(expected) + balance.pending;
             balance.update_min_workers();
         }
@@ -210,15 +209,26 @@
         }
     }
 
-    /// Adds the waiting tasks. Workers must have been added before. Tasks beyond the cap
-    /// of their customer don't count as demand, since they could not start on more
+    /// Adds the waiting tasks, and returns the total size of the placed tasks of each pool
+    /// that run until they are cancelled. Workers must have been added before. Tasks beyond
+    /// the cap of their customer don't count as demand, since they could not start on more
     /// machines either.
-    fn add_waiting_work(&self, pools: &mut IndexMap<Box<str>, Balance>) {
-        let mut remaining: IndexMap<CustomerKey, Size> = IndexMap::new();
+    fn add_steps(&self, pools: &mut IndexMap<Box<str>, Balance>) -> Vec<Size> {
+        let mut remaining: Vec<Option<Size>> = vec![None; self.accounts.count()];
+        let mut long_running = vec![Size::default(); pools.len()];
+        let names = self.pool_names.iter();
+        let indexes: Vec<Option<usize>> = names.map(|name| pools.get_index_of(name)).collect();
         for step in self.steps.values() {
-            let Some(balance) = pools.get_mut(&step.pool) else {
+            let Some(index) = indexes[step.pool_key.index()] else {
                 continue;
             };
+            let Some((_, balance)) = pools.get_index_mut(index) else {
+                continue;
+            };
+            if !step.order.finite {
+                let placed: u32 = step.placed.values().sum();
+                long_running[index] += step.footprint.scaled(u64::from(placed));
+            }
             balance.min_workers = balance.min_workers.max(step.min_workers);
             let mut count = step.pending.len() as u64;
             balance.waiting_tasks += count;
@@ -233,9 +243,8 @@
             };
             count = (count * percent).div_ceil(100);
             if let Some(key) = step.charge.customer {
-                let remaining = remaining
-                    .entry(key)
-                    .or_insert_with(|| self.accounts.get(key).remaining());
+                let remaining = remaining[key.index()]
+                    .get_or_insert_with(|| self.accounts.get(key).remaining());
                 count = count.min(step.charge.size.count_in(*remaining));
                 *remaining -= step.charge.size.scaled(count);
             }
@@ -245,6 +254,7 @@
                 self.placeable_tasks(step, balance.max_free),
             );
         }
+        long_running
     }
 
     fn add_workers(&self, pools: &mut IndexMap<Box<str>, Balance>) {
@@ -289,7 +299,7 @@
         }
     }
 
-    /// The number of tasks of a step that are assumed to fit on the accepting workers, of
+    /// The number of waiting tasks of a step that are assumed to fit on the accepting workers, of
     /// which none has more than `max_free` free: one on each suitable worker if the step
     /// limits its tasks on a worker, else any number. The total free capacity is no
     /// measure, since it may be spread over workers that are each too full for a large
@@ -307,17 +317,7 @@
                 && step.footprint.fits(worker.free_capacity())
                 && !step.is_full_on(*key)
         });
-        suitable.count() as u64
-    }
-
-    /// The total size of the placed tasks of a pool that run until they are cancelled.
-    fn long_running_usage(&self, pool: &str) -> Size {
-        let steps = self.steps.values();
-        let long_running = steps.filter(|step| *step.pool == *pool && !step.order.finite);
-        long_running.fold(Size::default(), |sum, step| {
-            let placed: u32 = step.placed.values().sum();
-            sum + step.footprint.scaled(u64::from(placed))
-        })
+        suitable.take(step.pending.len()).count() as u64
     }
 }
 
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -76,8 +76,7 @@
             self.reserve_machines(&pool, &mut balances);
         }
         self.move_reserved_machines(&balances);
-        let mut balances = self.balances(state);
-        self.return_idle_machines(state, &mut balances);
+        self.return_idle_machines(state);
     }
 
     /// The movable machines of each pool, in descending order of their names.
@@ -192,7 +191,7 @@
 
     /// Returns idle machines to the spare pool, as long as their pool keeps the free
     /// capacity of one machine.
-    fn return_idle_machines(&mut self, state: &ControlState, balances: &mut Balances) {
+    fn return_idle_machines(&mut self, state: &ControlState) {
         let Some(spare) = spare_pool(state) else {
             return;
         };
@@ -201,9 +200,14 @@
             since.is_some_and(|since| self.now >= since + SURPLUS_IDLE_LIMIT)
         };
         let machines = self.machines.by_name.iter();
-        let of_pools = machines.filter(|(_, machine)| balances.contains_key(&machine.view.pool));
-        let idle = of_pools.filter(|(_, machine)| has_been_idle(machine));
+        let in_use = machines.filter(|(_, machine)| machine.view.pool != spare);
+        let idle = in_use.filter(|(_, machine)| has_been_idle(machine) && self.is_movable(machine));
         let mut names: Vec<Box<str>> = idle.map(|(name, _)| name.clone()).collect();
+        if names.is_empty() {
+            // The balances take a walk over all steps.
+            return;
+        }
+        let balances = &mut self.balances(state);
         names.sort_by_key(|name| !self.is_slow_machine(name));
         let mut allowed_orders =
             MAX_UNANSWERED_BEFORE_RETURNS.saturating_sub(self.machines.unanswered_orders());
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -25,6 +25,7 @@
 mod loss;
 mod orders;
 mod placement;
+mod pool_names;
 mod proposed_ends;
 mod protections;
 mod ready;
@@ -71,6 +72,7 @@
 use carry_over::CarryOver;
 use crashes::CrashedMachines;
 use fleet::Machines;
+use pool_names::PoolNames;
 use proposed_ends::ProposedEnds;
 use ready::{DirtyPools, ReadySteps};
 use shares::ShareStatus;
@@ -164,8 +166,10 @@
     /// The time of day, in milliseconds since the Unix epoch; 0 while unknown.
     wall_ms: u64,
     workers: Workers,
-    /// The unfinished steps that wait for no other step.
-    steps: IndexMap<StepId, ActiveStep>,
+    /// The unfinished steps that wait for no other step, in the order in which they
+    /// became active. They are boxed, since the removal of one moves those behind it.
+    steps: IndexMap<StepId, Box<ActiveStep>>,
+    pool_names: PoolNames,
     /// The steps of each job that have an entry in `steps`.
     job_steps: IndexMap<JobId, Vec<StepId>>,
     /// The runs that this owner knows of, at most one for each task.
@@ -260,6 +264,7 @@
             wall_ms,
             workers: Workers::default(),
             steps: IndexMap::new(),
+            pool_names: PoolNames::default(),
             job_steps: IndexMap::new(),
             attempts: IndexMap::new(),
             job_tasks: IndexMap::new(),
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use super::account::Charge;
+use super::pool_names::PoolKey;
 use super::shares::ShareStatus;
 use super::timing::{Objective, Timeliness};
 use super::worker::WorkerKey;
@@ -21,6 +22,7 @@
     /// From when on its job's result has no value.
     pub(crate) zero_value_at: Duration,
     pub(crate) pool: Box<str>,
+    pub(crate) pool_key: PoolKey,
     /// Whether its starts need the adviser's permission.
     pub(crate) advised: bool,
     /// The tasks that are not done and have no run.
@@ -256,6 +258,7 @@
             },
             zero_value_at,
             pool: job.queue.pool.clone(),
+            pool_key: self.pool_names.key(&job.queue.pool),
             advised: job.queue.advice.is_some(),
             pending: (0..spec.count).filter(unstarted).collect(),
             done: BTreeSet::new(),
@@ -279,7 +282,7 @@
             checkpoints: IndexMap::new(),
         };
         self.mark_step_ready(id, step.pool.clone());
-        self.steps.insert(id, step);
+        self.steps.insert(id, Box::new(step));
         self.job_steps.entry(id.job).or_default().push(id);
         self.update_suspicions(state, id);
     }
