Copy no task that may have crashed its silent worker under earlier owners

Cause: a task without a recorded crash was copied when its worker was silent. After a change of owner the crashes may be lost, and a worker that falls silent right after a start was probably crashed by it: each start cost two workers. Ruled out as a mend (trial): counting an unanswered start as certain if it was alone on a worker that had just answered. Change: if the owner has changed since the job came, no copy for silence unless the worker has answered since the start.

--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -200,6 +200,13 @@
         may_run && self.steps.contains_key(&task.step) && !self.is_cleared(attempt)
     }
 
+    /// Whether a run may have crashed its worker as it started: the worker has not
+    /// answered since then.
+    pub(super) fn may_have_crashed_worker(&self, attempt: &Attempt) -> bool {
+        let answered_at = self.workers[attempt.worker].answered_at.unwrap_or_default();
+        answered_at <= attempt.started_at + STARTUP_CRASH_WINDOW
+    }
+
     /// Whether a run has been listed for so long that a crash of its worker is
     /// no evidence against its task.
     pub(super) fn is_cleared(&self, attempt: &Attempt) -> bool {
--- a/crates/cleat-jobs/src/schedule/speculation/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/mod.rs
@@ -115,6 +115,9 @@
         }
         let job = state.jobs.get(&task.job())?;
         let reason = self.reason_for_copy(job, step, task, attempt)?;
+        if reason == CopyReason::Silent && self.may_crash_workers(job, task, attempt) {
+            return None;
+        }
         let is_done = step.done.contains(&task.index) || job.is_task_done(task.step, task.index);
         let may_be_done = is_done || self.proposed_ends.contains(task);
         (!may_be_done && allows_two_more_failures(job, task)).then_some(Candidate {
@@ -124,6 +127,15 @@
         })
     }
 
+    /// Whether a task whose worker is silent may be one that crashes its workers, with
+    /// crashes that earlier owners did not record. A copy would crash another worker before
+    /// this one's crash is counted.
+    fn may_crash_workers(&self, job: &Job, task: TaskId, attempt: &Attempt) -> bool {
+        let spec = job.step(task.step);
+        let uncounted = spec.map_or(0, |spec| job.uncounted_crashes(spec, self.owner.ordinal));
+        uncounted > 0 && self.may_have_crashed_worker(attempt)
+    }
+
     /// Why a run may end too late, if it may.
     fn reason_for_copy(
         &self,
--- a/crates/cleat-jobs/src/state/job.rs
+++ b/crates/cleat-jobs/src/state/job.rs
@@ -365,7 +365,7 @@
     /// The maximum number of crashes that a task of the step may have caused without a
     /// record: one for each change of owner. It is 0 for long-running and repeated jobs,
     /// which see many changes of owner that are no evidence against their tasks.
-    fn uncounted_crashes(&self, spec: &StepSpec, ordinal: u32) -> usize {
+    pub(crate) fn uncounted_crashes(&self, spec: &StepSpec, ordinal: u32) -> usize {
         if spec.long_running || self.spec.repeat.is_some() {
             return 0;
         }
--- a/crates/cleat-jobs/tests/speculation.rs
+++ b/crates/cleat-jobs/tests/speculation.rs
@@ -177,6 +177,36 @@
     assert_stops(&done, "w1", &earlier);
 }
 
+/// Guards against copies of a task that crashes its workers. Two owners died before they
+/// recorded its crashes, and it was copied since the worker that it had just crashed was
+/// silent, so that each of its starts cost two workers.
+#[test]
+fn task_that_may_have_crashed_its_silent_worker_is_not_copied() {
+    let mut harness = harness(&["w1", "w2"], 50);
+    harness.submit(1, vec![speculative(1, 1_000)]);
+    harness.replace_owner();
+    harness.answer_renewal("w1", RenewalAnswer::default());
+    let effects = harness.answer_renewal("w2", RenewalAnswer::default());
+    let (worker, order) = starts(&effects).remove(0);
+    harness.answer(&worker, &order, OrderAnswer::Done);
+    assert!(starts(&silence(&mut harness, &worker)).is_empty());
+}
+
+/// As above, but the worker listed the run before it fell silent, so it is copied.
+#[test]
+fn task_that_ran_on_before_its_worker_was_silent_is_copied() {
+    let mut harness = harness(&["w1", "w2"], 50);
+    harness.submit(1, vec![speculative(1, 1_000)]);
+    harness.replace_owner();
+    harness.answer_renewal("w1", RenewalAnswer::default());
+    let effects = harness.answer_renewal("w2", RenewalAnswer::default());
+    let (worker, order) = starts(&effects).remove(0);
+    harness.answer(&worker, &order, OrderAnswer::Done);
+    harness.now += ms(150);
+    list(&mut harness, &worker, &order);
+    assert_eq!(starts(&silence(&mut harness, &worker)).len(), 1);
+}
+
 #[test]
 fn copy_is_logged() {
     let mut harness = harness(&["w1", "w2"], 50);
