--- a/crates/cleat-jobs/tests/caps.rs
+++ b/crates/cleat-jobs/tests/caps.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Catalogue, CatalogueDraft, Command, Effect, EndKind, Features, JobId, OrderAnswer,
-    RenewalAnswer, SchedulerConfig, StepSpec,
+    Catalogue, CatalogueDraft, Command, Effect, EndKind, JobId, OrderAnswer, RenewalAnswer,
+    StepSpec,
 };
-use support::{Harness, customer, draft, end, ended, running, starts, step, stops, task};
+use support::{Harness, copying, customer, draft, end, ended, running, starts, step, stops, task};
 
 /// A harness with 16 cores in pool `a` and a customer `c` with this cap.
 fn capped(cpu_milli: u64) -> Harness {
@@ -208,15 +208,8 @@
 
 /// A harness whose copies may use the whole capacity, and a customer `c` with this cap.
 fn capped_with_copies(cpu_milli: u64) -> Harness {
-    let features = Features {
-        speculation_percent: 100,
-        ..Features::default()
-    };
-    let cfg = SchedulerConfig {
-        features,
-        ..SchedulerConfig::default()
-    };
-    let mut harness = Harness::with_config(cfg, support::catalogue(1), &["w1", "w2"]);
+    let catalogue = support::catalogue(1);
+    let mut harness = Harness::with_config(copying(100), catalogue, &["w1", "w2"]);
     configure(&mut harness, 2, cpu_milli);
     harness
 }
--- a/crates/cleat-jobs/tests/held_ends.rs
+++ b/crates/cleat-jobs/tests/held_ends.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Command, Effect, EndKind, Event, Features, JobId, JobState, OrderAnswer, RenewalAnswer,
-    SchedulerConfig, StepSpec, TaskOrder,
+    Command, Effect, EndKind, Event, JobId, JobState, OrderAnswer, RenewalAnswer, StepSpec,
+    TaskOrder,
 };
-use support::{Harness, end, ended, proposals, running, starts, step, stops};
+use support::{Harness, copying, end, ended, proposals, running, starts, step, stops};
 
 /// A run and the worker that it was started on.
 type Placed = (Box<str>, TaskOrder);
@@ -19,15 +19,7 @@
 
 /// An owner of `w1` and `w2` that may copy tasks up to the whole capacity.
 fn harness() -> Harness {
-    let features = Features {
-        speculation_percent: 100,
-        ..Features::default()
-    };
-    let cfg = SchedulerConfig {
-        features,
-        ..SchedulerConfig::default()
-    };
-    Harness::with_config(cfg, support::catalogue(1), &["w1", "w2"])
+    Harness::with_config(copying(100), support::catalogue(1), &["w1", "w2"])
 }
 
 /// Starts a job of one task, which is expected to take 500 ms, and confirms its start.
--- a/crates/cleat-jobs/tests/speculation.rs
+++ b/crates/cleat-jobs/tests/speculation.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use cleat_jobs::{
-    Catalogue, CatalogueDraft, Command, Decision, Effect, EndKind, Features, JobState, OrderAnswer,
-    RenewalAnswer, RunningTask, SchedulerConfig, StepSpec, TaskOrder,
+    Catalogue, CatalogueDraft, Command, Decision, Effect, EndKind, JobState, OrderAnswer,
+    RenewalAnswer, RunningTask, StepSpec, TaskOrder,
 };
 use support::{
-    Harness, customer, draft, end, ended, list_machines, machine, moved, proposals, running,
-    starts, step, stops, task,
+    Harness, copying, customer, draft, end, ended, list_machines, machine, moved, proposals,
+    running, starts, step, stops, task,
 };
 
 fn ms(ms: u64) -> Duration {
@@ -20,15 +20,7 @@
 
 /// An owner whose copies may use this part of each pool's capacity.
 fn harness(workers: &[&str], speculation_percent: u32) -> Harness {
-    let features = Features {
-        speculation_percent,
-        ..Features::default()
-    };
-    let cfg = SchedulerConfig {
-        features,
-        ..SchedulerConfig::default()
-    };
-    Harness::with_config(cfg, support::catalogue(1), workers)
+    Harness::with_config(copying(speculation_percent), support::catalogue(1), workers)
 }
 
 /// A step whose tasks are not stragglers for a while.
@@ -177,18 +169,24 @@
     assert_stops(&done, "w1", &earlier);
 }
 
-/// Guards against copies of a task that crashes its workers. Two owners died before they
-/// recorded its crashes, and it was copied since the worker that it had just crashed was
-/// silent, so that each of its starts cost two workers.
-#[test]
-fn task_that_may_have_crashed_its_silent_worker_is_not_copied() {
-    let mut harness = harness(&["w1", "w2"], 50);
+/// The owner changes after a job has come, and the next one starts its task.
+fn start_under_a_second_owner(harness: &mut Harness) -> (Box<str>, TaskOrder) {
     harness.submit(1, vec![speculative(1, 1_000)]);
     harness.replace_owner();
     harness.answer_renewal("w1", RenewalAnswer::default());
     let effects = harness.answer_renewal("w2", RenewalAnswer::default());
     let (worker, order) = starts(&effects).remove(0);
     harness.answer(&worker, &order, OrderAnswer::Done);
+    (worker, order)
+}
+
+/// Guards against copies of a task that crashes its workers. Two owners died before they
+/// recorded its crashes, and it was copied since the worker that it had just crashed was
+/// silent, so that each of its starts cost two workers.
+#[test]
+fn task_that_may_have_crashed_its_silent_worker_is_not_copied() {
+    let mut harness = harness(&["w1", "w2"], 50);
+    let (worker, _) = start_under_a_second_owner(&mut harness);
     assert!(starts(&silence(&mut harness, &worker)).is_empty());
 }
 
@@ -196,12 +194,7 @@
 #[test]
 fn task_that_ran_on_before_its_worker_was_silent_is_copied() {
     let mut harness = harness(&["w1", "w2"], 50);
-    harness.submit(1, vec![speculative(1, 1_000)]);
-    harness.replace_owner();
-    harness.answer_renewal("w1", RenewalAnswer::default());
-    let effects = harness.answer_renewal("w2", RenewalAnswer::default());
-    let (worker, order) = starts(&effects).remove(0);
-    harness.answer(&worker, &order, OrderAnswer::Done);
+    let (worker, order) = start_under_a_second_owner(&mut harness);
     harness.now += ms(150);
     list(&mut harness, &worker, &order);
     assert_eq!(starts(&silence(&mut harness, &worker)).len(), 1);
--- a/crates/cleat-jobs/tests/support/mod.rs
+++ b/crates/cleat-jobs/tests/support/mod.rs
@@ -10,9 +10,9 @@
 
 use cleat_jobs::{
     Cap, Catalogue, CatalogueDraft, Command, ControlState, Customer, CustomerDraft, Effect, End,
-    EndKind, Event, Heartbeat, JobId, JobSpec, MachineOrder, MachineState, MachineView, Order,
-    OrderAnswer, Pool, Queue, RenewalAnswer, Run, RunningTask, Scheduler, SchedulerConfig, Size,
-    StepId, StepSpec, TaskEnd, TaskId, TaskOrder, WorkerHistory, WorkerRecord, WorkerState,
+    EndKind, Event, Features, Heartbeat, JobId, JobSpec, MachineOrder, MachineState, MachineView,
+    Order, OrderAnswer, Pool, Queue, RenewalAnswer, Run, RunningTask, Scheduler, SchedulerConfig,
+    Size, StepId, StepSpec, TaskEnd, TaskId, TaskOrder, WorkerHistory, WorkerRecord, WorkerState,
 };
 
 pub(crate) fn queue(name: &str, pool: &str) -> Queue {
@@ -138,6 +138,18 @@
     }
 }
 
+/// Settings with which copies may use this part of each pool's capacity.
+pub(crate) fn copying(speculation_percent: u32) -> SchedulerConfig {
+    let features = Features {
+        speculation_percent,
+        ..Features::default()
+    };
+    SchedulerConfig {
+        features,
+        ..SchedulerConfig::default()
+    }
+}
+
 /// A replicated state and its owner, driven one event at a time.
 pub(crate) struct Harness {
     pub(crate) state: ControlState,
