--- a/crates/cleat-control/src/owner/load.rs
+++ b/crates/cleat-control/src/owner/load.rs
@@ -9,7 +9,8 @@
 /// How often the load is logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Measures an owner's load between two log events.
+/// Measures an owner's load between two log events. The calls report to it as well as the
+/// event loop, and are dropped unfinished when the ownership ends.
 #[derive(Debug, Default)]
 pub(super) struct LoadMeter {
     pending_orders: AtomicU64,
@@ -36,8 +37,9 @@
     max_turn_ms: u64,
     /// The sum of the turns of the event loop.
     busy_ms: u64,
-    /// The starts without an answer, and their limit.
+    /// The starts without an answer.
     unanswered_starts: usize,
+    /// The limit of the starts without an answer.
     start_window: usize,
 }
 
@@ -51,26 +53,31 @@
         self.pending_orders.store(0, Relaxed);
     }
 
+    /// Records that the scheduler decided an order.
     pub(super) fn order_decided(&self) {
         self.pending_orders.fetch_add(1, Relaxed);
     }
 
+    /// Records that an order was answered or given up, `took` after it was decided.
     pub(super) fn order_ended(&self, took: Duration) {
         self.pending_orders.fetch_sub(1, Relaxed);
         self.orders.fetch_add(1, Relaxed);
         self.max_order_us.fetch_max(micros(took), Relaxed);
     }
 
+    /// Records that a renewal begins to be sent, `waited` after it was decided.
     pub(super) fn renewal_started(&self, waited: Duration) {
         self.max_renewal_start_us.fetch_max(micros(waited), Relaxed);
     }
 
+    /// Records a turn of the event loop: events, decisions and the start of their calls.
     pub(super) fn turn_ended(&self, took: Duration) {
         self.max_turn_us.fetch_max(micros(took), Relaxed);
         self.busy_us.fetch_add(micros(took), Relaxed);
     }
 
-    /// The load since the last report, if the next one is due.
+    /// The load since the last report, if the next one is due. `starts` are the starts without
+    /// an answer and their limit.
     pub(super) fn report(&self, now: Duration, starts: (usize, usize)) -> Option<OwnerLoad> {
         let mut logged_at = self
             .logged_at
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -239,6 +239,7 @@
     admission: AdmissionState,
     /// The steps of each pool that may have tasks waiting for a worker.
     ready: IndexMap<Box<str>, ReadySteps>,
+    /// The limit of starts that have no answer yet.
     start_window: StartWindow,
     effects: Vec<Effect>,
 }
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -146,8 +146,8 @@
         self.request_scheduling(&pool);
     }
 
-    /// Returns the pools that need a scheduling pass, and clears the record of
-    /// them.
+    /// Returns the pools that need a scheduling pass, in the order in which they
+    /// may use the window of starts, and clears the record of them.
     pub(super) fn take_dirty_pools(&mut self) -> Vec<Box<str>> {
         let none = DirtyPools::Pools(IndexSet::new());
         let mut pools: Vec<Box<str>> = match std::mem::replace(&mut self.dirty_pools, none) {
