Use a reply that arrived in time when the thread reaches its limit late

Callers saw a done task run a second time: the owner let the lease of a worker expire that was alive and answered each renewal, and started its tasks elsewhere.

Cause: the time limit of a call covered the whole exchange, and its timer decided alone. A thread that comes to a call when the limit is over has not read its socket yet; the call failed with the reply unread, and the connection was closed with it. Orders use the same client, so a start that was answered in time became one without an answer.

Ruled out: a sleeping event loop alone.

Change: when the limit is over, the event loop reads from all sockets before the call is given up. That waits for no reply that is not there.

--- a/crates/cleat-http/src/client.rs
+++ b/crates/cleat-http/src/client.rs
@@ -11,10 +11,10 @@
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 use crate::ConnectionBudget;
 use crate::pool::{Pool, Sender};
+use crate::time_limit::within;
 
 /// How a client treats each address.
 #[derive(Clone, Debug)]
@@ -116,7 +116,7 @@
             address: address.into(),
             reason: reason.into(),
         };
-        let Ok(Ok(_permit)) = timeout(limit, permits.acquire()).await else {
+        let Some(Ok(_permit)) = within(limit, permits.acquire()).await else {
             return Err(not_sent("all connections are in use"));
         };
         let mut req = Request::builder()
@@ -134,11 +134,8 @@
             None => self.connect(address, limit).await?,
         };
         let exchange = exchange(&mut tx, req, self.cfg.max_body);
-        let result = match timeout(limit, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err("no whole answer in time".into()),
-        };
-        match result {
+        let result = within(limit, exchange).await;
+        match result.unwrap_or_else(|| Err("no whole answer in time".into())) {
             Ok(reply) => {
                 if !self.cfg.budget.is_short() {
                     self.pool.keep(address, tx);
@@ -172,8 +169,8 @@
         }
         let counted = self.cfg.budget.count();
         let limit = limit.min(self.cfg.connect_limit);
-        let opening = timeout(limit, TcpStream::connect(address)).await;
-        let opening = opening.map_err(|_| not_sent("not connected in time".into()))?;
+        let opening = within(limit, TcpStream::connect(address)).await;
+        let opening = opening.ok_or_else(|| not_sent("not connected in time".into()))?;
         let stream = opening.map_err(|error| not_sent(error.to_string()))?;
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY: {error}");
--- a/crates/cleat-http/src/lib.rs
+++ b/crates/cleat-http/src/lib.rs
@@ -6,6 +6,7 @@
 mod pool;
 mod respond;
 mod server;
+mod time_limit;
 
 pub use body::{BodyError, read_body};
 pub use budget::ConnectionBudget;
