Examine leases after the answers of a batch

Callers see a done task started again if the lease of its worker expires in a tick while the worker's answer, which lists the end, is in the same batch of events.

Cause: the event loop put the tick first and collected completed calls behind it; a batch holds 256 events, and a task that has used up its budget sees completed calls as pending.

Ruled out by reading: that answers always come first in a batch. Tried and not taken: the whole tick last.

Change: the scheduler examines leases after all events of a batch, the rest of the tick stays where it was; and the event loop adds a tick only when no completed call is left, or 150 ms after it was due (chosen: three ticks).

--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -14,6 +14,7 @@
 use log::warn;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::JoinHandle;
+use tokio::task::coop::has_budget_remaining;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::clock::{boot_time, wall_ms};
@@ -29,6 +30,8 @@
 const LEADERSHIP_POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// The interval of the scheduler's tick events, which trigger what is due by time.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a tick waits while answers are there that are not handled yet.
+const MAX_TICK_DELAY: Duration = Duration::from_millis(150);
 /// The maximum number of events that are handled before effects are executed.
 const MAX_EVENT_BATCH: usize = 256;
 
@@ -151,6 +154,7 @@
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut events = Vec::with_capacity(MAX_EVENT_BATCH);
+        let mut tick_due_since = None;
         loop {
             tokio::select! {
                 count = rx.recv_many(&mut events, MAX_EVENT_BATCH) => {
@@ -159,9 +163,17 @@
                     }
                 }
                 Some(event) = calls.next(), if !calls.is_empty() => events.extend(event),
-                _ = ticks.tick() => events.push(Event::Tick { wall_ms: wall_ms() }),
+                _ = ticks.tick() => tick_due_since = tick_due_since.or(Some(boot_time())),
+            }
+            // Leases may expire with a tick, so it waits for the answers that are here.
+            let none_left = collect_completed(&mut calls, &mut events);
+            let now = boot_time();
+            let tick_due =
+                tick_due_since.is_some_and(|since| none_left || now >= since + MAX_TICK_DELAY);
+            if tick_due {
+                tick_due_since = None;
+                events.insert(0, Event::Tick { wall_ms: wall_ms() });
             }
-            collect_completed(&mut calls, &mut events);
             if !self.shared.replica().status().is_leader() {
                 return OwnershipEnd::LeadLost;
             }
@@ -201,11 +213,15 @@
 }
 
 /// Adds the events of calls that have already completed, as the scheduler handles a
-/// batch of events at little more cost than a single one.
-fn collect_completed(calls: &mut PendingCalls, events: &mut Vec<Event>) {
-    while events.len() < MAX_EVENT_BATCH
-        && let Some(Some(event)) = calls.next().now_or_never()
-    {
+/// batch of events at little more cost than a single one. Returns whether no completed
+/// call is left.
+fn collect_completed(calls: &mut PendingCalls, events: &mut Vec<Event>) -> bool {
+    while events.len() < MAX_EVENT_BATCH {
+        let Some(Some(event)) = calls.next().now_or_never() else {
+            // A task that has used up its budget sees no call as completed.
+            return has_budget_remaining();
+        };
         events.extend(event);
     }
+    false
 }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -311,6 +311,9 @@
 
     /// Processes events and returns the effects to execute. The state may
     /// already contain commands whose [`Event::Applied`] comes later.
+    ///
+    /// With a tick among the events, leases may expire. That is examined after all
+    /// events, since an answer among them may prevent it.
     pub fn handle(
         &mut self,
         state: &ControlState,
@@ -318,9 +321,14 @@
         now: Duration,
     ) -> Vec<Effect> {
         self.now = self.now.max(now);
+        let mut ticked = false;
         for event in events {
+            ticked |= matches!(event, Event::Tick { .. });
             self.handle_event(state, event);
         }
+        if ticked {
+            self.watch_workers(state);
+        }
         self.update_accounts(state);
         self.place_ready_steps(state);
         self.start_copies(state);
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -14,7 +14,6 @@
     pub(super) fn tick(&mut self, state: &ControlState, wall_ms: u64) {
         self.wall_ms = wall_ms;
         self.send_renewals();
-        self.watch_workers(state);
         self.resend_stops();
         self.activate_due(state);
         self.forget_ended_jobs();
