Let no lease expire by what a stalled owner did not hear

Callers saw a done task started again: its owner was stalled while the worker listed the end, and judged the worker by its own clock before it came to the answer.

Cause: silence and the end of a lease were judged without asking whether the owner had listened. An owner that was not certain of its lead for a moment also counted the renewals that it did not send as unanswered.

Evidence: the simulation has a fault OwnerStalls now (answers that arrived are handled later, between ticks) and a check that no task starts whose end its owner has been sent.

Ruled out: an early arithmetic of the lease (it was over). Kept: an owner that is on time decides at the same moment as before; a worker that is gone is given up after one more failed renewal, and after the time of another lease however often the owner stalls (lease_expires_in_spite_of_repeated_stalls).

A renewal that is not sent says nothing about its worker.

--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -70,8 +70,7 @@
             // Without a valid leader lease, another owner may already send orders.
             if !shared.leads() {
                 sleep(TICK_INTERVAL).await;
-                let other_life = false;
-                return Some(Event::RenewalFailed { worker, other_life });
+                return Some(Event::RenewalNotSent { worker });
             }
             let acked = order.acked;
             Some(match workers.renew(&worker, &address, order).await {
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -3,6 +3,7 @@
 
 mod effects;
 mod load;
+mod stall;
 
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -24,6 +25,7 @@
 use effects::{PendingCall, end_commit_failures};
 use load::LoadMeter;
 pub(crate) use load::OwnerLoad;
+use stall::StallDetector;
 
 /// How often an instance that does not lead checks whether it became the leader:
 /// well below the time of an election.
@@ -155,6 +157,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut events = Vec::with_capacity(MAX_EVENT_BATCH);
         let mut tick_due_since = None;
+        let mut stalls = StallDetector::new(boot_time());
         loop {
             tokio::select! {
                 count = rx.recv_many(&mut events, MAX_EVENT_BATCH) => {
@@ -172,6 +175,12 @@
                 tick_due_since.is_some_and(|since| none_left || now >= since + MAX_TICK_DELAY);
             if tick_due {
                 tick_due_since = None;
+                if let Some(stall) = stalls.tick(now, none_left) {
+                    let lasted_ms = stall.as_millis();
+                    let event = ControlEvent::OwnerStalled { lasted_ms };
+                    self.shared.events.emit(&event);
+                    events.push(Event::Stalled);
+                }
                 events.insert(0, Event::Tick { wall_ms: wall_ms() });
             }
             if !self.shared.replica().status().is_leader() {
--- a/crates/cleat-jobs/src/schedule/event.rs
+++ b/crates/cleat-jobs/src/schedule/event.rs
@@ -47,6 +47,14 @@
         /// that this life is over.
         other_life: bool,
     },
+    /// A renewal was not sent, since this owner was not certain to lead.
+    RenewalNotSent {
+        /// The worker.
+        worker: Box<str>,
+    },
+    /// This owner handled no events for a while. Comes before the tick at which that is
+    /// noticed.
+    Stalled,
     /// The outcome of [`Effect::Order`].
     Ordered {
         /// The worker.
@@ -241,8 +249,8 @@
 /// An action that the scheduler asks its caller to execute.
 #[derive(Clone, Debug)]
 pub enum Effect {
-    /// Send a renewal to a worker. Answered by [`Event::RenewalAnswered`] or
-    /// [`Event::RenewalFailed`].
+    /// Send a renewal to a worker. Answered by [`Event::RenewalAnswered`],
+    /// [`Event::RenewalFailed`] or [`Event::RenewalNotSent`].
     Renew {
         /// The worker.
         worker: Box<str>,
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -20,9 +20,7 @@
         for key in self.workers.keys() {
             let worker = &self.workers[key];
             match worker.state {
-                WorkerState::Unseen
-                    if self.now > self.taken_over_at + self.inherited_lease_limit() =>
-                {
+                WorkerState::Unseen if self.is_inherited_lease_over(key) => {
                     self.expire_lease(state, key);
                 }
                 WorkerState::Live if self.is_silent(key) => self.mark_silent(state, key),
@@ -86,6 +84,12 @@
         }
     }
 
+    /// Whether the leases have expired that earlier owners granted to a worker.
+    fn is_inherited_lease_over(&self, key: WorkerKey) -> bool {
+        let over_at = self.taken_over_at + self.inherited_lease_limit();
+        self.counts_as_expired(key, |at| at > over_at)
+    }
+
     /// How long after a takeover all leases of earlier owners have expired. The
     /// last of them were granted before the takeover, by calls that may have
     /// been delayed.
@@ -95,7 +99,8 @@
 
     /// Whether the lease of a silent worker has expired.
     fn is_lease_over(&self, key: WorkerKey) -> bool {
-        let lapsed = self.workers[key].is_lease_expired(self.now, self.cfg.max_clock_drift_percent);
+        let (worker, drift) = (&self.workers[key], self.cfg.max_clock_drift_percent);
+        let lapsed = self.counts_as_expired(key, |at| worker.is_lease_expired(at, drift));
         lapsed || !self.cfg.protections.await_lease_expiry
     }
 
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -33,6 +33,7 @@
 mod shares;
 mod speculation;
 mod speed;
+mod stall;
 mod start;
 mod start_window;
 mod step;
@@ -163,6 +164,8 @@
     owner: Owner,
     taken_over_at: Duration,
     now: Duration,
+    /// When this owner last came to the end of a stall.
+    stalled_until: Option<Duration>,
     /// The time of day, in milliseconds since the Unix epoch; 0 while unknown.
     wall_ms: u64,
     workers: Workers,
@@ -262,6 +265,7 @@
             owner,
             taken_over_at: now,
             now,
+            stalled_until: None,
             wall_ms,
             workers: Workers::default(),
             steps: IndexMap::new(),
@@ -348,6 +352,8 @@
                 answer,
             } => self.handle_renewal_answer(state, &worker, sent_at, acked, &answer),
             Event::RenewalFailed { worker, other_life } => self.renewal_failed(&worker, other_life),
+            Event::RenewalNotSent { worker } => self.renewal_not_sent(&worker),
+            Event::Stalled => self.record_stall(),
             Event::Ordered {
                 worker,
                 order,
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -19,6 +19,9 @@
 /// The delay after the first failure, which may just be a connection that was
 /// reset.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// The delay after a renewal that was not sent. The leadership is certain again after
+/// some milliseconds, or lost.
+const UNSENT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The delay for a worker whose lease has expired, so that it has no runs left
 /// that could be lost. A heartbeat from the worker makes the renewal due
 /// earlier.
@@ -78,6 +81,7 @@
         };
         worker.max_lease_end_ms = worker.max_lease_end_ms.max(deadline_ms.unwrap_or_default());
         worker.renewing = true;
+        worker.renewal_sent_at = now;
         let order = RenewalOrder {
             token: self.owner.token,
             acked: worker.last_committed_end,
@@ -405,6 +409,7 @@
         if other_life {
             return self.end_life(key, LifeOver::Replaced);
         }
+        self.record_failed_renewal(key);
         let now = self.now;
         let worker = &mut self.workers[key];
         worker.renewing = false;
@@ -418,6 +423,15 @@
             };
     }
 
+    /// Handles a renewal that was not sent. It says nothing about the worker.
+    pub(super) fn renewal_not_sent(&mut self, worker: &str) {
+        if let Some(key) = self.workers.key(worker) {
+            let worker = &mut self.workers[key];
+            worker.renewing = false;
+            worker.renewal_due = self.now + UNSENT_RETRY_DELAY;
+        }
+    }
+
     fn stop_stray(&mut self, state: &ControlState, key: WorkerKey, task: TaskId, run: Run) {
         if !self.cfg.protections.stop_strays {
             return;
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -77,8 +77,12 @@
     /// call without an answer may still arrive, and would postpone the time at
     /// which the lease has certainly expired.
     pub(crate) unanswered_since: Option<Duration>,
+    /// When a renewal last failed that was sent and awaited without a stall of this owner.
+    pub(crate) confirmed_silent_at: Option<Duration>,
     /// Whether a renewal is in progress.
     pub(crate) renewing: bool,
+    /// When the last renewal was sent.
+    pub(crate) renewal_sent_at: Duration,
     /// When the next renewal is due, if none is in progress.
     pub(crate) renewal_due: Duration,
     /// The number of the last end that was proposed for commit. The worker
@@ -184,7 +188,9 @@
             suspected_slow: false,
             heartbeat_at: now,
             unanswered_since: None,
+            confirmed_silent_at: None,
             renewing: false,
+            renewal_sent_at: now,
             renewal_due: now,
             used: Size::default(),
             used_by_strays: Size::default(),
--- a/crates/cleat-jobs/tests/late_answers.rs
+++ b/crates/cleat-jobs/tests/late_answers.rs
@@ -74,3 +74,84 @@
     assert!(commit_all(&mut harness, effects).is_empty());
     assert_eq!(harness.state.job_state(JobId(1)), Some(JobState::Completed));
 }
+
+/// Guards against starting a task again that is done. Its owner was stalled from a failed
+/// renewal until after the lease, while the worker answered the next renewal; that answer is
+/// handled after the first ticks.
+#[test]
+fn lease_does_not_expire_by_a_stall_of_the_owner() {
+    let (mut harness, run) = silent_worker();
+    harness.tick(ms(50));
+    harness.now += LEASE_OVER;
+    harness.feed(Event::Stalled);
+    for _ in 0..3 {
+        let effects = harness.tick(ms(50));
+        assert!(commit_all(&mut harness, effects).is_empty());
+    }
+    assert_eq!(state_of(&harness, "w1"), WorkerState::Silent);
+    let answered = done(&harness, &run);
+    let effects = harness.feed(answered);
+    assert!(commit_all(&mut harness, effects).is_empty());
+    assert_eq!(harness.state.job_state(JobId(1)), Some(JobState::Completed));
+}
+
+/// A renewal that was sent before the end of the stall may have had no time for its answer.
+/// The next one that fails shows that the worker is gone, and its task starts elsewhere.
+#[test]
+fn lease_expires_when_a_renewal_after_a_stall_fails() {
+    let (mut harness, _) = silent_worker();
+    harness.tick(ms(50));
+    harness.now += LEASE_OVER;
+    harness.feed(Event::Stalled);
+    harness.fail_renewal("w1");
+    harness.tick(ms(300));
+    assert_eq!(state_of(&harness, "w1"), WorkerState::Silent);
+    harness.fail_renewal("w1");
+    let effects = harness.tick(ms(50));
+    assert_eq!(state_of(&harness, "w1"), WorkerState::Lapsed);
+    let started = commit_all(&mut harness, effects);
+    assert_eq!(started.len(), 1, "the task of a lost worker waits");
+}
+
+/// The same for the lease that an earlier owner granted.
+#[test]
+fn inherited_lease_does_not_expire_by_a_stall_of_the_owner() {
+    let (mut harness, run) = silent_worker();
+    harness.replace_owner();
+    harness.now += LEASE_OVER;
+    harness.feed(Event::Stalled);
+    harness.answer_renewal("w2", RenewalAnswer::default());
+    let effects = harness.tick(ms(50));
+    assert!(commit_all(&mut harness, effects).is_empty());
+    let answered = done(&harness, &run);
+    let effects = harness.feed(answered);
+    assert!(commit_all(&mut harness, effects).is_empty());
+    assert_eq!(harness.state.job_state(JobId(1)), Some(JobState::Completed));
+}
+
+/// An owner that stalls again and again still gives up a worker that is gone.
+#[test]
+fn lease_expires_in_spite_of_repeated_stalls() {
+    let (mut harness, _) = silent_worker();
+    let silent_since = harness.now;
+    while state_of(&harness, "w1") != WorkerState::Lapsed {
+        harness.fail_renewal("w1");
+        harness.now += ms(300);
+        harness.feed(Event::Stalled);
+        harness.tick(ms(0));
+        assert!(harness.now < silent_since + 2 * LEASE_OVER);
+    }
+}
+
+/// Guards against taking the owner's own doubt about its leadership for a worker's silence.
+#[test]
+fn renewal_that_was_not_sent_makes_no_worker_silent() {
+    let mut harness = Harness::new();
+    for _ in 0..10 {
+        let worker = "w1".into();
+        harness.feed(Event::RenewalNotSent { worker });
+        harness.answer_renewal("w2", RenewalAnswer::default());
+        harness.tick(ms(100));
+    }
+    assert_eq!(state_of(&harness, "w1"), WorkerState::Live);
+}
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -215,6 +215,46 @@
     assert_holds(&cut_workers_and_dying_owners());
 }
 
+/// Workers are cut off for a while and their owner stalls, with its lead.
+fn cut_workers_and_a_stalled_owner() -> Plan {
+    Plan::with(&[
+        Fault::OwnerStalls,
+        Fault::OwnerStalls,
+        Fault::WorkerCut,
+        Fault::WorkerCut,
+    ])
+}
+
+/// Owners stall and die while workers are cut off and commits are slow.
+fn stalled_and_dying_owners() -> Plan {
+    Plan::with(&[
+        Fault::OwnerStalls,
+        Fault::OwnerStalls,
+        Fault::OwnerDies,
+        Fault::WorkerCut,
+        Fault::WorkerCut,
+        Fault::SlowCommits,
+    ])
+}
+
+/// Guards against starting a task again whose end `done` the owner has been sent: an owner
+/// that was stalled lets leases expire before it has handled the answers of the workers.
+#[test]
+fn schedule_cut_workers_and_a_stalled_owner() {
+    assert_holds(&cut_workers_and_a_stalled_owner());
+}
+
+/// The same with seeds in which a worker lists the end during the stall, and its lease is over
+/// when the owner resumes.
+#[test]
+fn schedule_end_listed_during_a_stall() {
+    let plan = cut_workers_and_a_stalled_owner();
+    run(&plan, 4088).unwrap_or_else(|violation| panic!("{violation}"));
+    for seed in [2192, 2457, 4471, 7990] {
+        run(&stalled_and_dying_owners(), seed).unwrap_or_else(|found| panic!("{seed}: {found}"));
+    }
+}
+
 /// Guards against a third start of a task that is done. A worker comes back after its lease
 /// expired and lists the task as done, which was meanwhile started elsewhere.
 #[test]
@@ -551,19 +591,44 @@
 }
 
 /// Prints what happens in one schedule, to find the cause of a violation. `SCHEDULE_PLAN` is
-/// the number of the plan in the runs by hand, `SCHEDULE_COPIES` the percentage of copies,
-/// `SCHEDULE_SEED` the seed.
+/// the number of the plan in the runs by hand, those with stalls of the owner being the last,
+/// `SCHEDULE_COPIES` the percentage of copies, `SCHEDULE_SEED` the seed.
 #[test]
 #[ignore = "prints one schedule, by hand"]
 fn schedule_trace() {
     let copies = u32::try_from(number_from_env("SCHEDULE_COPIES")).expect("a percentage");
     let at = usize::try_from(number_from_env("SCHEDULE_PLAN")).expect("the number of a plan");
-    let (_, plan) = &plans_of_many_seeds(copies)[at];
+    let plans = [plans_of_many_seeds(copies), plans_of_stalls(copies)].concat();
+    let (_, plan) = &plans[at];
     let (result, trace) = run_traced(plan, number_from_env("SCHEDULE_SEED"));
     trace.iter().for_each(|line| println!("{line}"));
     println!("{result:?}");
 }
 
+/// The plans with stalls of the owner.
+fn plans_of_stalls(speculation_percent: u32) -> Vec<NamedPlan> {
+    let plans = [
+        cut_workers_and_a_stalled_owner(),
+        stalled_and_dying_owners(),
+    ];
+    let named = plans.into_iter().enumerate().map(|(at, plan)| {
+        let plan = Plan {
+            speculation_percent,
+            ..plan
+        };
+        (format!("stalls {at}, {speculation_percent}%"), plan)
+    });
+    named.collect()
+}
+
+/// Runs the plans with stalls of the owner, by hand.
+#[test]
+#[ignore = "36,000 schedules, which take minutes in a debug build"]
+fn schedule_stalls_many_seeds() {
+    let plans = [plans_of_stalls(0), plans_of_stalls(50)].concat();
+    assert_eq!(count_violations(&plans, MANY_SEEDS), 0);
+}
+
 /// A number from the environment; 0 if it is not set.
 fn number_from_env(name: &str) -> u64 {
     let value = std::env::var(name).ok();
--- a/crates/cleat-jobs/tests/simulation/faults.rs
+++ b/crates/cleat-jobs/tests/simulation/faults.rs
@@ -23,6 +23,7 @@
         match fault {
             Fault::OwnerDies => {
                 self.owner = None;
+                self.reset_stall();
                 self.crashes.record_owner_change(self.now);
                 self.settle_commits();
                 let delay = ms(self.rng.random_range(50..3_000));
@@ -45,6 +46,7 @@
                 }
             }
             Fault::CapsChange => self.change_caps(),
+            Fault::OwnerStalls => self.stall_owner(),
             Fault::LateOrders
             | Fault::LostAnswers
             | Fault::Cancels
@@ -85,6 +87,7 @@
         let unlisted = unlisted.map(|end| end.end.task);
         let lost: Vec<TaskId> = worker.runs.keys().copied().chain(unlisted).collect();
         worker.runs.clear();
+        self.forget_listed_ends(at);
         lost.into_iter()
             .for_each(|task| self.crashes.record_crash(task));
     }
--- a/crates/cleat-jobs/tests/simulation/mod.rs
+++ b/crates/cleat-jobs/tests/simulation/mod.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod jobs;
 mod plan;
+mod stall;
 mod trace;
 mod violation;
 mod world;
--- a/crates/cleat-jobs/tests/simulation/plan.rs
+++ b/crates/cleat-jobs/tests/simulation/plan.rs
@@ -28,6 +28,9 @@
     /// Workers shrink and grow again, in a pool whose workers do not refuse starts beyond
     /// their capacity.
     WorkersShrink,
+    /// The owner handles no event for up to some seconds and keeps its leadership. Answers
+    /// that arrived meanwhile are handled soon afterwards, between its ticks.
+    OwnerStalls,
 }
 
 impl Fault {
@@ -43,7 +46,7 @@
         Fault::SlowCommits,
     ];
 
-    /// Every fault.
+    /// Every fault but stalls of the owner. Recorded seeds depend on this list.
     pub(crate) const EACH: [Fault; 11] = [
         Fault::OwnerDies,
         Fault::WorkerCut,
--- a/crates/cleat-jobs/tests/simulation/violation.rs
+++ b/crates/cleat-jobs/tests/simulation/violation.rs
@@ -11,6 +11,8 @@
     RunsTwice { task: TaskId, ms: u128 },
     /// A task that is done was started again.
     StartsDone { task: TaskId, ms: u128 },
+    /// A task was started by an owner that had been sent its end `done`.
+    StartsListedDone { task: TaskId, ms: u128 },
     /// A step was started before a step that it depends on was done.
     OutOfOrder { task: TaskId, ms: u128 },
     /// A run number did not increase.
@@ -40,6 +42,9 @@
             Violation::StartsDone { task, ms } => {
                 write!(f, "{task} is done but was started at {ms} ms")
             }
+            Violation::StartsListedDone { task, ms } => {
+                write!(f, "{task} is listed as done but was started at {ms} ms")
+            }
             Violation::OutOfOrder { task, ms } => {
                 write!(f, "{task} starts before the steps it depends on at {ms} ms")
             }
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -18,6 +18,7 @@
 use super::crashes::Crashes;
 use super::jobs::{catalogue, customer_of, spec};
 use super::plan::{Fault, JobStage, Plan};
+use super::stall::Stall;
 use super::trace::Trace;
 use super::violation::Violation;
 
@@ -57,6 +58,8 @@
     Cancel(JobId),
     Fault(Fault),
     TakeOver,
+    /// The owner may have come to the end of a stall.
+    OwnerResumes,
     /// A task crashes its worker if it still runs there.
     Crash(usize, Box<str>, TaskId),
     /// A worker that is down starts a new life.
@@ -116,6 +119,7 @@
     injections_left: u32,
     /// The previous caps, and until when orders sent under them may arrive.
     pub(super) previous_caps: (Vec<u64>, Duration),
+    pub(super) stall: Stall,
     pub(super) trace: Trace,
 }
 
@@ -168,6 +172,7 @@
             failures: IndexMap::new(),
             injections_left: INJECTIONS,
             previous_caps: (Vec::new(), Duration::ZERO),
+            stall: Stall::default(),
             trace,
         };
         world.begin();
@@ -271,6 +276,7 @@
                 self.inject(fault);
             }
             SimEvent::TakeOver => self.take_over(),
+            SimEvent::OwnerResumes => self.resume_owner(),
             SimEvent::Crash(at, life, task) => self.crash_worker_if_running(at, &life, task),
             SimEvent::Restart(at) => self.restart(at),
             SimEvent::Commit(ordinal, command) => self.commit(ordinal, command),
@@ -289,6 +295,7 @@
                 }
             }
         }
+        self.take_stall_violation()?;
         self.check_accounts()
     }
 
@@ -313,7 +320,7 @@
         1 + u64::try_from(self.now.as_millis()).expect("value out of range")
     }
 
-    fn ordinal(&self) -> Option<u32> {
+    pub(super) fn ordinal(&self) -> Option<u32> {
         self.owner.as_ref().map(|owner| owner.owner().ordinal)
     }
 
@@ -344,7 +351,10 @@
         self.failures.get(&id).copied().unwrap_or_default() >= MAX_ATTEMPTS
     }
 
-    fn feed(&mut self, event: Event) {
+    pub(super) fn feed(&mut self, event: Event) {
+        let Some(event) = self.hold_while_stalled(event) else {
+            return;
+        };
         let Some(mut owner) = self.owner.take() else {
             return;
         };
@@ -415,6 +425,7 @@
         order: TaskOrder,
     ) {
         if matches!(order.order, Order::Start { .. }) {
+            self.check_not_listed_done(&order);
             self.reach_stage(JobStage::StartSent);
         }
         let late =
@@ -563,6 +574,9 @@
                 self.last_listed_end[at] = last.number;
                 self.reach_stage(JobStage::EndListed);
             }
+            if self.ordinal() == Some(ordinal) {
+                self.record_listed_ends(at, &answer);
+            }
             Event::RenewalAnswered {
                 worker: life,
                 sent_at: sent,
