Start no task whose end is held

Callers saw a done task run again though its worker had listed the end to the owner, where other tasks are copied.

Cause: an end is held while the start of its task's copy has no answer, with all later ends of its worker. Held ends counted for crashes and copies only: they were forgotten when the lease of their worker expired, and a task whose end was held could be queued and started, also after its worker had come back.

Two tests in held_ends.rs, both seen failing.

Ruled out: that the lease expired too early (a renewal sent after the stall had failed), and that the end was not listed to this owner.

Change: the ends that a task waits for include held ones (proposed_ends is awaited_ends now). Runs whose end is held are not lost with the lease, and the ends are proposed once the copy's start is resolved. A worker whose life is over keeps none, as before.

--- a/crates/cleat-jobs/src/schedule/proposed_ends.rs
+++ b/crates/cleat-jobs/src/schedule/awaited_ends.rs
@@ -1,9 +1,10 @@
-//! Ends that are being committed and may decide the fate of their task.
+//! Ends that a worker has listed, that are not committed yet, and that may decide
+//! the fate of their task.
 //!
 //! A worker that comes back after its lease expired lists how its runs ended.
 //! By then its tasks may be waiting for a start, or have other runs. Once such
 //! an end is committed, the task may be done or have failed for the last time,
-//! so it is not started before.
+//! so it is not started before. That includes ends that are held.
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -11,20 +12,20 @@
 use crate::state::{End, EndKind};
 use crate::{Run, TaskId};
 
-/// The runs of each task whose end `done` or `failed` this owner proposed, and
-/// whose proposal is not applied yet.
+/// The runs of each task whose end `done` or `failed` this owner has proposed or
+/// holds, and has not seen applied.
 #[derive(Debug, Default)]
-pub(crate) struct ProposedEnds(IndexMap<TaskId, IndexSet<Run>>);
+pub(crate) struct AwaitedEnds(IndexMap<TaskId, IndexSet<Run>>);
 
-impl ProposedEnds {
-    /// Adds an end that is proposed, if it may decide the fate of its task.
+impl AwaitedEnds {
+    /// Adds an end that is listed, if it may decide the fate of its task.
     pub(super) fn add(&mut self, end: &End) {
         if matches!(end.kind, EndKind::Done | EndKind::Failed) {
             self.0.entry(end.task).or_default().insert(end.run);
         }
     }
 
-    /// Removes an end that was applied. Does nothing for other ends.
+    /// Removes an end that was applied or given up. Does nothing for other ends.
     pub(super) fn remove(&mut self, end: &End) {
         let Some(runs) = self.0.get_mut(&end.task) else {
             return;
@@ -35,17 +36,16 @@
         }
     }
 
-    /// Whether an end of the task is being committed.
+    /// Whether an end of the task is awaited.
     pub(super) fn contains(&self, task: TaskId) -> bool {
         self.0.contains_key(&task)
     }
 }
 
 impl Scheduler {
-    /// Queues a task that has no run, after the ends of it that were being
-    /// committed did not complete it.
+    /// Queues a task that has no run, unless an end of it is awaited.
     pub(super) fn queue_unless_running(&mut self, task: TaskId) {
-        if self.attempts.contains_key(&task) || self.proposed_ends.contains(task) {
+        if self.attempts.contains_key(&task) || self.awaited_ends.contains(task) {
             return;
         }
         let Some(step) = self.steps.get_mut(&task.step) else {
--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -124,7 +124,7 @@
     /// Removes the run that ended, if it is the one that this owner knows, and
     /// queues its task again if that is not done.
     fn settle_end(&mut self, state: &ControlState, key: Option<WorkerKey>, end: &crate::End) {
-        self.proposed_ends.remove(end);
+        self.awaited_ends.remove(end);
         let job = state.jobs.get(&end.task.job());
         let done = job.is_none_or(|job| job.is_task_done(end.task.step, end.task.index));
         if let Some(worker) = self.settle_superseded_end(end)
--- a/crates/cleat-jobs/src/schedule/held_ends.rs
+++ b/crates/cleat-jobs/src/schedule/held_ends.rs
@@ -4,12 +4,13 @@
 //! has no answer, since that start could be executed afterwards. The ends behind
 //! it on its worker are held as well, since the ends of a worker are committed
 //! in their order. The runs are over all the same: they cannot crash their
-//! worker any more, and need no copies.
+//! worker any more, need no copies, and are not lost when the lease of their
+//! worker expires.
 
 use super::Scheduler;
 use super::attempt::Phase;
 use super::worker::{Worker, WorkerKey};
-use crate::state::{Command, End, EndKind, TaskEnd};
+use crate::state::{Command, ControlState, End, EndKind, TaskEnd};
 use crate::{Run, TaskId};
 
 impl Worker {
@@ -40,6 +41,16 @@
             })
     }
 
+    /// Prevents tasks from being started whose ends are held.
+    pub(super) fn await_held_ends(&mut self, key: WorkerKey, held: &[TaskEnd]) {
+        for TaskEnd { end, .. } in held {
+            self.awaited_ends.add(end);
+            if self.awaited_ends.contains(end.task) && !self.attempts.contains_key(&end.task) {
+                self.await_inherited_end(key, end);
+            }
+        }
+    }
+
     /// Proposes the held ends of a worker whose life is over, except those that
     /// must not be committed yet: their runs are lost. The worker acknowledges
     /// nothing any more, so the order of its ends does not matter.
@@ -48,13 +59,16 @@
         let (held, ends): (Vec<TaskEnd>, Vec<TaskEnd>) = listed
             .into_iter()
             .partition(|listed| self.is_end_held(key, &listed.end));
+        for TaskEnd { end, .. } in &held {
+            self.awaited_ends.remove(end);
+        }
         self.workers[key].held_ends = held;
         let Some(last) = ends.last().map(|end| end.number) else {
             return;
         };
         for TaskEnd { end, .. } in &ends {
             self.end_listed_run(key, end);
-            self.proposed_ends.add(end);
+            self.awaited_ends.add(end);
         }
         let after = std::mem::replace(&mut self.workers[key].last_proposed_end, last);
         let worker = self.worker_name(key);
@@ -65,6 +79,13 @@
         });
     }
 
+    /// Proposes the ends that a worker listed before it stopped answering, as far as they
+    /// need not be held any more. If it answers again, it lists the others again.
+    pub(super) fn propose_released_ends(&mut self, state: &ControlState, key: WorkerKey) {
+        let held = std::mem::take(&mut self.workers[key].held_ends);
+        self.handle_ends(state, key, &held);
+    }
+
     /// Marks a run as ended whose end is proposed, if this owner knows it.
     fn end_listed_run(&mut self, key: WorkerKey, end: &End) {
         if self.is_superseded(key, end.task, end.run) {
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use super::attempt::Attempt;
 use super::decision::{LifeOver, LossReason};
 use super::worker::{Worker, WorkerKey, WorkerState};
 use super::{Decision, Scheduler};
@@ -18,6 +17,9 @@
     /// came back.
     pub(super) fn watch_workers(&mut self, state: &ControlState) {
         for key in self.workers.keys() {
+            if !self.workers[key].answers() && !self.workers[key].held_ends.is_empty() {
+                self.propose_released_ends(state, key);
+            }
             let worker = &self.workers[key];
             match worker.state {
                 WorkerState::Unseen if self.is_inherited_lease_over(key) => {
@@ -28,9 +30,6 @@
                     self.expire_lease(state, key);
                     self.record_lapse(key);
                     self.mark_all_lost(key, LossReason::Lapsed);
-                    // Their tasks start again. If the worker comes back, it lists
-                    // these ends again.
-                    self.workers[key].held_ends.clear();
                 }
                 WorkerState::Lapsed if self.is_abandoned(key) => {
                     self.end_life(key, LifeOver::Forgotten);
@@ -144,18 +143,26 @@
         self.set_worker_state(key, WorkerState::Gone);
         self.propose_held_ends(key);
         self.record_crash(key, how);
+        // Those that are left will not be committed, so their runs are lost.
+        self.workers[key].held_ends.clear();
         self.mark_all_lost(key, LossReason::WorkerGone);
         let name = self.worker_name(key);
         self.workers.remove(&name);
         self.propose(Command::RemoveWorkers { names: vec![name] });
     }
 
+    /// Marks the runs of a worker as lost whose end it has not listed.
     pub(super) fn mark_all_lost(&mut self, key: WorkerKey, reason: LossReason) {
         self.release_strays(key, |_, _| false);
         self.lose_all_superseded(key, reason);
-        let active = |task: &&TaskId| self.attempts.get(*task).is_some_and(Attempt::uses_capacity);
-        let tasks = self.workers[key].tasks.iter();
-        let lost: Vec<TaskId> = tasks.filter(active).copied().collect();
+        let worker = &self.workers[key];
+        let active = |task: &&TaskId| {
+            let attempt = self.attempts.get(*task);
+            attempt.is_some_and(|attempt| {
+                attempt.uses_capacity() && !worker.holds_end_of(**task, attempt.run)
+            })
+        };
+        let lost: Vec<TaskId> = worker.tasks.iter().filter(active).copied().collect();
         for task in lost {
             self.mark_lost(task, reason);
         }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod advice;
 mod attempt;
+mod awaited_ends;
 mod carry_over;
 mod choice;
 mod commits;
@@ -26,7 +27,6 @@
 mod orders;
 mod placement;
 mod pool_names;
-mod proposed_ends;
 mod protections;
 mod ready;
 mod renewal;
@@ -70,11 +70,11 @@
 use admission::AdmissionState;
 use advice::StepAdvice;
 use attempt::Attempt;
+use awaited_ends::AwaitedEnds;
 use carry_over::CarryOver;
 use crashes::CrashedMachines;
 use fleet::Machines;
 use pool_names::PoolNames;
-use proposed_ends::ProposedEnds;
 use ready::{DirtyPools, ReadySteps};
 use shares::ShareStatus;
 use speculation::SupersededRuns;
@@ -179,11 +179,12 @@
     attempts: IndexMap<TaskId, Attempt>,
     /// The tasks of each job that have an entry in `attempts`.
     job_tasks: IndexMap<JobId, IndexSet<TaskId>>,
-    /// The ends that are being committed and may complete or fail their task.
+    /// The ends that are listed, not applied yet, and may complete or fail their
+    /// task.
     ///
     /// Invariant: such a task starts only after they are applied. Until then it
     /// may have no entry in `attempts` and not be pending either.
-    proposed_ends: ProposedEnds,
+    awaited_ends: AwaitedEnds,
     /// Runs that a worker lists although this owner does not expect them there:
     /// their job has ended, or another run took their place.
     strays: IndexMap<(WorkerKey, TaskId, Run), Stray>,
@@ -273,7 +274,7 @@
             job_steps: IndexMap::new(),
             attempts: IndexMap::new(),
             job_tasks: IndexMap::new(),
-            proposed_ends: ProposedEnds::default(),
+            awaited_ends: AwaitedEnds::default(),
             strays: IndexMap::new(),
             superseded: SupersededRuns::default(),
             copies_due: false,
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -235,7 +235,12 @@
     /// Ends of a worker without a record would have no effect when applied; the
     /// worker lists them again once it has one. Returns whether an end is held,
     /// with all later ones of the worker, which are committed in their order.
-    fn handle_ends(&mut self, state: &ControlState, key: WorkerKey, ended: &[TaskEnd]) -> bool {
+    pub(super) fn handle_ends(
+        &mut self,
+        state: &ControlState,
+        key: WorkerKey,
+        ended: &[TaskEnd],
+    ) -> bool {
         if !state.workers.contains_key(&self.workers[key].record.name) {
             return false;
         }
@@ -248,6 +253,7 @@
             .collect();
         let held: Vec<TaskEnd> = new.skip(ends.len()).cloned().collect();
         let has_held_ends = !held.is_empty();
+        self.await_held_ends(key, &held);
         self.workers[key].held_ends = held;
         let Some(last) = ends.last() else {
             return has_held_ends;
@@ -255,7 +261,7 @@
         self.workers[key].last_proposed_end = last.number;
         for end in &ends {
             self.handle_end(state, key, end);
-            self.proposed_ends.add(&end.end);
+            self.awaited_ends.add(&end.end);
         }
         let worker = self.worker_name(key);
         self.propose(Command::RecordEnds {
--- a/crates/cleat-jobs/src/schedule/speculation/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/mod.rs
@@ -119,7 +119,7 @@
             return None;
         }
         let is_done = step.done.contains(&task.index) || job.is_task_done(task.step, task.index);
-        let may_be_done = is_done || self.proposed_ends.contains(task);
+        let may_be_done = is_done || self.awaited_ends.contains(task);
         (!may_be_done && allows_two_more_failures(job, task)).then_some(Candidate {
             rank: (reason == CopyReason::Straggler, step.order),
             task,
--- a/crates/cleat-jobs/src/schedule/speculation/superseded.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/superseded.rs
@@ -365,10 +365,13 @@
         }
     }
 
-    /// Removes the superseded runs of a worker that are lost with it.
+    /// Removes the superseded runs of a worker that are lost with it: those whose end it
+    /// has not listed.
     pub(in crate::schedule) fn lose_all_superseded(&mut self, key: WorkerKey, reason: LossReason) {
+        let worker = &self.workers[key];
         let active = self.superseded.on(key);
-        let active = active.filter(|(_, run)| run.uses_capacity());
+        let active = active
+            .filter(|(task, run)| run.uses_capacity() && !worker.holds_end_of(*task, run.run));
         let lost: Vec<TaskId> = active.map(|(task, _)| task).collect();
         for task in lost {
             self.lose_superseded(task, reason);
--- a/crates/cleat-jobs/tests/held_ends.rs
+++ b/crates/cleat-jobs/tests/held_ends.rs
@@ -201,3 +201,100 @@
     let again = copies.iter().any(|(_, order)| order.task == first.task);
     assert!(!again, "a task whose end is listed was copied");
 }
+
+/// The run of a task that may not be copied, and a copied task that ran on the same worker. The
+/// start of the copy has no answer.
+struct HeldBehind {
+    run: Placed,
+    copied: Placed,
+    copy: Placed,
+}
+
+fn run_beside_a_copied_task(harness: &mut Harness) -> HeldBehind {
+    let (worker, order) = starts(&harness.submit(3, vec![step(1, 500)])).remove(0);
+    harness.answer(&worker, &order, OrderAnswer::Done);
+    let crossed = crossed_copies(harness);
+    let copied = crossed.earlier.into_iter().zip(crossed.copies);
+    let mut on_worker = copied.filter(|((on, _), _)| *on == worker);
+    let (copied, copy) = on_worker.next().expect("one of the copied tasks");
+    HeldBehind {
+        run: (worker, order),
+        copied,
+        copy,
+    }
+}
+
+impl HeldBehind {
+    fn ends(&self) -> RenewalAnswer {
+        let [(_, copied), (_, run)] = [&self.copied, &self.run];
+        ended(vec![
+            end(1, copied.task, copied.run.0, EndKind::Done),
+            end(2, run.task, run.run.0, EndKind::Done),
+        ])
+    }
+
+    /// The worker lists the ends of both. That of the copied task is held until the start of
+    /// its copy is answered, and the other one behind it. Commits what else is proposed.
+    fn list_ends(&self, harness: &mut Harness) -> Vec<Effect> {
+        let mut effects = harness.answer_renewal(&self.run.0, self.ends());
+        effects.extend(harness.commit(&effects));
+        let ends = |command: &Command| matches!(command, Command::RecordEnds { .. });
+        assert!(!proposals(&effects).iter().any(ends), "the ends are held");
+        effects
+    }
+
+    /// The start of the copy was not sent, so the ends need not be held any more.
+    fn release_ends(&self, harness: &mut Harness) -> Vec<Effect> {
+        let (worker, copy) = &self.copy;
+        let mut effects = harness.answer(worker, copy, OrderAnswer::NotSent);
+        effects.extend(harness.tick(ms(50)));
+        effects.extend(harness.commit(&effects));
+        effects
+    }
+
+    fn is_started(&self, effects: &[Effect]) -> bool {
+        let started = starts(effects);
+        started
+            .iter()
+            .any(|(_, order)| order.task == self.run.1.task)
+    }
+}
+
+/// Guards against starting a task again that is done. Its worker had listed the end, which was
+/// held behind another one when the lease of the worker expired.
+#[test]
+fn end_behind_a_held_one_outlasts_the_lease_of_its_worker() {
+    let mut harness = harness();
+    let held = run_beside_a_copied_task(&mut harness);
+    held.list_ends(&mut harness);
+    let mut effects = harness.let_lease_expire(&held.run.0, &[]);
+    effects.extend(harness.commit(&effects));
+    effects.extend(held.release_ends(&mut harness));
+    assert!(!held.is_started(&effects), "a task was started again");
+    assert_eq!(harness.state.job_state(JobId(3)), Some(JobState::Completed));
+}
+
+/// Guards against starting a task again that is done. The lease of its worker had expired, so
+/// the task was queued when the worker listed the end, which was held behind another one.
+#[test]
+fn queued_task_waits_for_an_end_behind_a_held_one() {
+    let mut harness = harness();
+    let held = run_beside_a_copied_task(&mut harness);
+    let (worker, other) = (&held.run.0, &held.copy.0);
+    let mut effects = Vec::new();
+    while harness.owner.running_tasks(JobId(3)) > 0 {
+        harness.fail_renewal(worker);
+        // It keeps its lease and takes no work, as its next renewal fails.
+        harness.answer_renewal(other, RenewalAnswer::default());
+        harness.fail_renewal(other);
+        effects = harness.tick(ms(100));
+    }
+    harness.commit(&effects);
+    let mut effects = held.list_ends(&mut harness);
+    effects.extend(harness.tick(ms(50)));
+    assert!(!held.is_started(&effects), "a task was started again");
+    held.release_ends(&mut harness);
+    let effects = harness.answer_renewal(worker, held.ends());
+    harness.commit(&effects);
+    assert_eq!(harness.state.job_state(JobId(3)), Some(JobState::Completed));
+}
