Ask a worker at once that shows that it runs

Callers could see a done task started: a worker that had been cut off could be reached again and answered orders, but the owner asked it what had ended only with the next retry, in the tick in which its lease expired.

Cause: only a heartbeat made a renewal due earlier, and only to a worker whose lease had expired already.

The unit test fails before.

Ruled out: that the owner could not know (two orders were answered 160 ms before). An end that is listed while the start is in transit stays unknown, as before.

Change: a heartbeat, or an answer to an order, of a worker that left a renewal unanswered makes the next one due at once.

--- a/crates/cleat-jobs/src/schedule/event.rs
+++ b/crates/cleat-jobs/src/schedule/event.rs
@@ -224,6 +224,14 @@
 }
 
 impl OrderAnswer {
+    /// Whether the life of the worker that the order was meant for has answered.
+    pub(crate) fn is_from_worker(self) -> bool {
+        !matches!(
+            self,
+            OrderAnswer::OtherLife | OrderAnswer::NotSent | OrderAnswer::Unknown
+        )
+    }
+
     /// Whether the order was certainly not executed and never will be.
     pub fn rules_out_execution(self) -> bool {
         !matches!(self, OrderAnswer::Done | OrderAnswer::Unknown)
--- a/crates/cleat-jobs/src/schedule/heartbeat.rs
+++ b/crates/cleat-jobs/src/schedule/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Heartbeats, by which the owner discovers workers and learns their capacity.
 
-use super::worker::{WorkerKey, WorkerState};
+use super::worker::WorkerKey;
 use super::{Decision, Heartbeat, Scheduler};
 use crate::Size;
 use crate::state::{Command, ControlState};
@@ -27,10 +27,7 @@
         let drains = draining || state.draining.contains(&worker.record.name);
         let changed = drains && !worker.draining;
         worker.draining |= drains;
-        if worker.state == WorkerState::Lapsed && !worker.renewing {
-            worker.renewal_due = self.now;
-            self.send_renewals();
-        }
+        self.ask_if_unanswered(key);
         if changed {
             self.request_scheduling_for_worker(key);
         }
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -105,6 +105,9 @@
         let Some(key) = self.workers.key(worker) else {
             return;
         };
+        if answer.is_from_worker() {
+            self.ask_if_unanswered(key);
+        }
         match answer {
             OrderAnswer::OtherLife => {
                 // The start was not executed, so the run is not among those
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -23,8 +23,8 @@
 /// some milliseconds, or lost.
 const UNSENT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The delay for a worker whose lease has expired, so that it has no runs left
-/// that could be lost. A heartbeat from the worker makes the renewal due
-/// earlier.
+/// that could be lost. A heartbeat of the worker or its answer to an order makes
+/// the renewal due earlier.
 const LAPSED_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// The maximum delay of the next renewal to a worker while the ends that it
 /// listed are being committed, so that the renewal can acknowledge them. A
@@ -429,6 +429,16 @@
             };
     }
 
+    /// Sends a renewal at once to a worker that left the last one unanswered and has
+    /// shown since that it runs: it may have ended what its lease would lose.
+    pub(super) fn ask_if_unanswered(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        if !worker.answers() && !worker.renewing {
+            worker.renewal_due = self.now;
+            self.send_renewals();
+        }
+    }
+
     /// Handles a renewal that was not sent. It says nothing about the worker.
     pub(super) fn renewal_not_sent(&mut self, worker: &str) {
         if let Some(key) = self.workers.key(worker) {
--- a/crates/cleat-jobs/tests/late_answers.rs
+++ b/crates/cleat-jobs/tests/late_answers.rs
@@ -155,3 +155,18 @@
     }
     assert_eq!(state_of(&harness, "w1"), WorkerState::Live);
 }
+
+/// Guards against a lease that expires although the worker runs and can be reached: its answer
+/// to an order shows that, so it is asked at once what has ended.
+#[test]
+fn worker_that_answers_an_order_is_asked_before_its_lease_expires() {
+    let (mut harness, run) = silent_worker();
+    let asked = |effects: &[Effect]| {
+        let renewal =
+            |effect: &Effect| matches!(effect, Effect::Renew { worker, .. } if **worker == *"w1");
+        effects.iter().any(renewal)
+    };
+    assert!(!asked(&harness.answer("w1", &run, OrderAnswer::Unknown)));
+    harness.fail_renewal("w1");
+    assert!(asked(&harness.answer("w1", &run, OrderAnswer::Done)));
+}
