Keep the timing of an owner's ticks in one place, and count its stalls

When a tick is due, when it waits for answers and when it shows a stall stood partly in the event loop and partly in a detector; one module with tests has it now. A stall was a log event of its own, up to seven a second under load; the load that is logged each second counts them instead (stalls, max_stall_ms). Behaviour is the same otherwise.

--- a/crates/cleat-control/src/events.rs
+++ b/crates/cleat-control/src/events.rs
@@ -54,9 +54,6 @@
     LeaderReached { calls: u64, lasted_ms: u128 },
     /// The load of this instance as the owner, about once a second.
     OwnerLoad(OwnerLoad),
-    /// The owner's event loop handled nothing for this time. No lease expires by what
-    /// the owner knew before.
-    OwnerStalled { lasted_ms: u128 },
     /// This instance is no longer the owner of the workers.
     OwnsNoMore { token: u64, reason: OwnershipEnd },
 }
--- a/crates/cleat-control/src/owner/load.rs
+++ b/crates/cleat-control/src/owner/load.rs
@@ -19,6 +19,8 @@
     max_renewal_start_us: AtomicU64,
     max_turn_us: AtomicU64,
     busy_us: AtomicU64,
+    stalls: AtomicU64,
+    max_stall_us: AtomicU64,
     logged_at: Mutex<Duration>,
 }
 
@@ -37,6 +39,10 @@
     max_turn_ms: u64,
     /// The sum of the turns of the event loop.
     busy_ms: u64,
+    /// The number of stalls of the event loop.
+    stalls: u64,
+    /// The longest of these stalls.
+    max_stall_ms: u64,
     /// The starts without an answer.
     unanswered_starts: usize,
     /// The limit of the starts without an answer.
@@ -76,6 +82,12 @@
         self.busy_us.fetch_add(micros(took), Relaxed);
     }
 
+    /// Records a stall of the event loop: the time in which it did not hear all workers.
+    pub(super) fn stalled(&self, lasted: Duration) {
+        self.stalls.fetch_add(1, Relaxed);
+        self.max_stall_us.fetch_max(micros(lasted), Relaxed);
+    }
+
     /// The load since the last report, if the next one is due. `starts` are the starts without
     /// an answer and their limit.
     pub(super) fn report(&self, now: Duration, starts: (usize, usize)) -> Option<OwnerLoad> {
@@ -94,6 +106,8 @@
             max_renewal_start_ms: self.max_renewal_start_us.swap(0, Relaxed) / 1_000,
             max_turn_ms: self.max_turn_us.swap(0, Relaxed) / 1_000,
             busy_ms: self.busy_us.swap(0, Relaxed) / 1_000,
+            stalls: self.stalls.swap(0, Relaxed),
+            max_stall_ms: self.max_stall_us.swap(0, Relaxed) / 1_000,
             unanswered_starts: starts.0,
             start_window: starts.1,
         })
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -3,7 +3,7 @@
 
 mod effects;
 mod load;
-mod stall;
+mod ticks;
 
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
@@ -25,15 +25,13 @@
 use effects::{PendingCall, end_commit_failures};
 use load::LoadMeter;
 pub(crate) use load::OwnerLoad;
-use stall::StallDetector;
+use ticks::TickSchedule;
 
 /// How often an instance that does not lead checks whether it became the leader:
 /// well below the time of an election.
 const LEADERSHIP_POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// The interval of the scheduler's tick events, which trigger what is due by time.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// How long a tick waits while answers are there that are not handled yet.
-const MAX_TICK_DELAY: Duration = Duration::from_millis(150);
 /// The maximum number of events that are handled before effects are executed.
 const MAX_EVENT_BATCH: usize = 256;
 
@@ -156,8 +154,7 @@
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut events = Vec::with_capacity(MAX_EVENT_BATCH);
-        let mut tick_due_since = None;
-        let mut stalls = StallDetector::new(boot_time());
+        let mut schedule = TickSchedule::new(boot_time());
         loop {
             tokio::select! {
                 count = rx.recv_many(&mut events, MAX_EVENT_BATCH) => {
@@ -166,19 +163,12 @@
                     }
                 }
                 Some(event) = calls.next(), if !calls.is_empty() => events.extend(event),
-                _ = ticks.tick() => tick_due_since = tick_due_since.or(Some(boot_time())),
+                _ = ticks.tick() => schedule.record_due(boot_time()),
             }
-            // Leases may expire with a tick, so it waits for the answers that are here.
-            let none_left = collect_completed(&mut calls, &mut events);
-            let now = boot_time();
-            let tick_due =
-                tick_due_since.is_some_and(|since| none_left || now >= since + MAX_TICK_DELAY);
-            if tick_due {
-                tick_due_since = None;
-                if let Some(stall) = stalls.tick(now, none_left) {
-                    let lasted_ms = stall.as_millis();
-                    let event = ControlEvent::OwnerStalled { lasted_ms };
-                    self.shared.events.emit(&event);
+            let all_collected = collect_completed(&mut calls, &mut events);
+            if let Some(tick) = schedule.take_due(boot_time(), all_collected) {
+                if let Some(stall) = tick.stall {
+                    self.load.stalled(stall);
                     events.push(Event::Stalled);
                 }
                 events.insert(0, Event::Tick { wall_ms: wall_ms() });
