Keep held ends until their worker is known to be removed

The test fails before (the task waits).

The ends stay with the worker until it is removed here too; they are proposed then, have no effect, and their tasks are queued.

--- a/crates/cleat-jobs/src/schedule/held_ends.rs
+++ b/crates/cleat-jobs/src/schedule/held_ends.rs
@@ -82,7 +82,7 @@
     /// Proposes the ends that a worker listed before it stopped answering, as far as they
     /// need not be held any more. If it answers again, it lists the others again.
     pub(super) fn propose_released_ends(&mut self, state: &ControlState, key: WorkerKey) {
-        let held = std::mem::take(&mut self.workers[key].held_ends);
+        let held = self.workers[key].held_ends.clone();
         self.handle_ends(state, key, &held);
     }
 
--- a/crates/cleat-jobs/tests/held_ends.rs
+++ b/crates/cleat-jobs/tests/held_ends.rs
@@ -298,3 +298,30 @@
     harness.commit(&effects);
     assert_eq!(harness.state.job_state(JobId(3)), Some(JobState::Completed));
 }
+
+/// Guards against a task that waits forever. The removal of its worker, whose ends are held, is
+/// in the replicated state already when its owner handles a tick, and not known to the owner yet.
+#[test]
+fn held_ends_of_a_removed_worker_keep_no_task_waiting() {
+    let mut harness = harness();
+    let held = run_beside_a_copied_task(&mut harness);
+    held.list_ends(&mut harness);
+    let worker = held.run.0.clone();
+    harness.fail_renewal(&worker);
+    harness.answer_renewal(&held.copy.0, RenewalAnswer::default());
+    let removal = Command::RemoveWorkers {
+        names: vec![worker],
+    };
+    let mut state = harness.state.clone();
+    state.apply(1_000, removal.clone());
+    let later = harness.now + ms(50);
+    harness
+        .owner
+        .handle(&state, [Event::Tick { wall_ms: 1 }], later);
+    let mut effects = harness.apply(removal);
+    for _ in 0..3 {
+        effects.extend(harness.commit(&effects));
+        effects.extend(harness.tick(ms(50)));
+    }
+    assert!(held.is_started(&effects), "the task waits");
+}
