Let a worker answer also after a stall of two leases

Cause: the limit that keeps an owner which stalls again and again from sparing a worker forever counted from the end of the lease. A single stall of two leases was past it in the first tick, and the worker lapsed before its answer was handled.

Ruled out: a lease that expired by a renewal sent before the stall (none had failed since).

Change: the limit counts from when the owner first saw the lease over, so that there is time for another renewal after any stall. An owner that is on time, or stalls for less, decides as before.

--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -20,8 +20,8 @@
             if !self.workers[key].answers() && !self.workers[key].held_ends.is_empty() {
                 self.propose_released_ends(state, key);
             }
-            let worker = &self.workers[key];
-            match worker.state {
+            let known_state = self.workers[key].state;
+            match known_state {
                 WorkerState::Unseen if self.is_inherited_lease_over(key) => {
                     self.expire_lease(state, key);
                 }
@@ -84,9 +84,9 @@
     }
 
     /// Whether the leases have expired that earlier owners granted to a worker.
-    fn is_inherited_lease_over(&self, key: WorkerKey) -> bool {
+    fn is_inherited_lease_over(&mut self, key: WorkerKey) -> bool {
         let over_at = self.taken_over_at + self.inherited_lease_limit();
-        self.counts_as_expired(key, |at| at > over_at)
+        self.counts_as_expired(key, self.now > over_at)
     }
 
     /// How long after a takeover all leases of earlier owners have expired. The
@@ -97,9 +97,10 @@
     }
 
     /// Whether the lease of a silent worker has expired.
-    fn is_lease_over(&self, key: WorkerKey) -> bool {
-        let (worker, drift) = (&self.workers[key], self.cfg.max_clock_drift_percent);
-        let lapsed = self.counts_as_expired(key, |at| worker.is_lease_expired(at, drift));
+    fn is_lease_over(&mut self, key: WorkerKey) -> bool {
+        let drift = self.cfg.max_clock_drift_percent;
+        let is_over = self.workers[key].is_lease_expired(self.now, drift);
+        let lapsed = self.counts_as_expired(key, is_over);
         lapsed || !self.cfg.protections.await_lease_expiry
     }
 
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -190,6 +190,7 @@
         let last_answer = worker.answered_at.replace(now);
         worker.answered_after = last_answer.map_or(Duration::ZERO, |last| now - last);
         worker.unanswered_since = None;
+        worker.lease_over_seen_at = None;
         worker.lapsed_runs.clear();
         self.set_worker_state(key, WorkerState::Live);
     }
--- a/crates/cleat-jobs/src/schedule/stall.rs
+++ b/crates/cleat-jobs/src/schedule/stall.rs
@@ -5,8 +5,6 @@
 //! it knew before. It sends another renewal, and the lease counts as expired if that fails
 //! as well.
 
-use std::time::Duration;
-
 use super::Scheduler;
 use super::worker::WorkerKey;
 
@@ -26,16 +24,15 @@
         }
     }
 
-    /// Whether a worker's lease counts as expired, given whether it `has_expired` at a time.
-    /// It does so after the time of another lease at the latest, however often this owner
-    /// stalls.
-    pub(super) fn counts_as_expired(
-        &self,
-        key: WorkerKey,
-        has_expired: impl Fn(Duration) -> bool,
-    ) -> bool {
-        let latest = self.now.saturating_sub(self.cfg.max_lease_duration());
-        has_expired(self.now) && (self.is_silence_confirmed(key) || has_expired(latest))
+    /// Whether a worker's lease counts as expired, given whether it is over. However often
+    /// this owner stalls, it does so once the time of another lease has passed since this
+    /// owner first saw that it is over.
+    pub(super) fn counts_as_expired(&mut self, key: WorkerKey, is_over: bool) -> bool {
+        if !is_over || self.is_silence_confirmed(key) {
+            return is_over;
+        }
+        let seen_at = *self.workers[key].lease_over_seen_at.get_or_insert(self.now);
+        self.now >= seen_at + self.cfg.max_lease_duration()
     }
 
     /// Whether a renewal failed that was sent after the last stall.
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -79,6 +79,9 @@
     pub(crate) unanswered_since: Option<Duration>,
     /// When a renewal last failed that was sent and awaited without a stall of this owner.
     pub(crate) confirmed_silent_at: Option<Duration>,
+    /// When this owner first saw that its lease was over without knowing it to be silent,
+    /// since it last answered.
+    pub(crate) lease_over_seen_at: Option<Duration>,
     /// Whether a renewal is in progress.
     pub(crate) renewing: bool,
     /// When the last renewal was sent.
@@ -189,6 +192,7 @@
             heartbeat_at: now,
             unanswered_since: None,
             confirmed_silent_at: None,
+            lease_over_seen_at: None,
             renewing: false,
             renewal_sent_at: now,
             renewal_due: now,
--- a/crates/cleat-jobs/tests/late_answers.rs
+++ b/crates/cleat-jobs/tests/late_answers.rs
@@ -95,6 +95,22 @@
     assert_eq!(harness.state.job_state(JobId(1)), Some(JobState::Completed));
 }
 
+/// A stall that is longer than two leases leaves the owner time to hear the worker as well.
+#[test]
+fn lease_does_not_expire_by_a_stall_of_two_leases() {
+    let (mut harness, run) = silent_worker();
+    harness.tick(ms(50));
+    harness.now += 2 * LEASE_OVER;
+    harness.feed(Event::Stalled);
+    for _ in 0..3 {
+        let effects = harness.tick(ms(50));
+        assert!(commit_all(&mut harness, effects).is_empty());
+    }
+    let answered = done(&harness, &run);
+    let effects = harness.feed(answered);
+    assert!(commit_all(&mut harness, effects).is_empty());
+}
+
 /// A renewal that was sent before the end of the stall may have had no time for its answer.
 /// The next one that fails shows that the worker is gone, and its task starts elsewhere.
 #[test]
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -248,8 +248,10 @@
 /// when the owner resumes.
 #[test]
 fn schedule_end_listed_during_a_stall() {
-    let plan = cut_workers_and_a_stalled_owner();
-    run(&plan, 4088).unwrap_or_else(|violation| panic!("{violation}"));
+    for seed in [1002, 4088] {
+        let plan = cut_workers_and_a_stalled_owner();
+        run(&plan, seed).unwrap_or_else(|found| panic!("{seed}: {found}"));
+    }
     for seed in [2192, 2457, 4471, 7990] {
         run(&stalled_and_dying_owners(), seed).unwrap_or_else(|found| panic!("{seed}: {found}"));
     }
