--- a/crates/cleat-jobs/src/schedule/event.rs
+++ b/crates/cleat-jobs/src/schedule/event.rs
@@ -52,8 +52,8 @@
         /// The worker.
         worker: Box<str>,
     },
-    /// This owner handled no events for a while. Comes before the tick at which that is
-    /// noticed.
+    /// This owner handled no events for a while. Is in the batch of the tick at which that
+    /// is noticed.
     Stalled,
     /// The outcome of [`Effect::Order`].
     Ordered {
