Let no tick wait for answers

Cause: a tick waited up to 150 ms for completed calls. Under load there are always some, so the owner placed work and ordered machines late.

With calls left it counts as one after a stall, so no lease expires by it; what the wait guarded is guarded by that.

--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -163,7 +163,7 @@
                     }
                 }
                 Some(event) = calls.next(), if !calls.is_empty() => events.extend(event),
-                _ = ticks.tick() => schedule.record_due(boot_time()),
+                _ = ticks.tick() => schedule.record_due(),
             }
             let all_collected = collect_completed(&mut calls, &mut events);
             if let Some(tick) = schedule.take_due(boot_time(), all_collected) {
--- a/crates/cleat-control/src/owner/ticks/mod.rs
+++ b/crates/cleat-control/src/owner/ticks/mod.rs
@@ -3,9 +3,6 @@
 
 use std::time::Duration;
 
-/// How long a tick waits while answers are there that are not handled yet. Leases may
-/// expire with a tick, which these answers may prevent.
-const MAX_TICK_DELAY: Duration = Duration::from_millis(150);
 /// The time between two ticks from which on the event loop counts as stalled: half of the
 /// time within which a worker has to answer a renewal. After a shorter delay there was
 /// time left to hear it.
@@ -22,8 +19,7 @@
 #[derive(Debug)]
 pub(super) struct TickSchedule {
     last_tick: Duration,
-    /// Since when a tick is due that was not passed on yet.
-    due_since: Option<Duration>,
+    is_due: bool,
 }
 
 impl TickSchedule {
@@ -31,23 +27,22 @@
     pub(super) fn new(now: Duration) -> TickSchedule {
         TickSchedule {
             last_tick: now,
-            due_since: None,
+            is_due: false,
         }
     }
 
     /// Records that a tick is due.
-    pub(super) fn record_due(&mut self, now: Duration) {
-        self.due_since.get_or_insert(now);
+    pub(super) fn record_due(&mut self) {
+        self.is_due = true;
     }
 
     /// The tick to pass to the scheduler now, if there is one. `all_collected` tells
-    /// whether the answers that are there are handled with it.
+    /// whether the answers that are there are handled with it. Leases may expire with a
+    /// tick, which the others may prevent, so without them it counts as one after a stall.
     pub(super) fn take_due(&mut self, now: Duration, all_collected: bool) -> Option<DueTick> {
-        let due_since = self.due_since?;
-        if !all_collected && now < due_since + MAX_TICK_DELAY {
+        if !std::mem::take(&mut self.is_due) {
             return None;
         }
-        self.due_since = None;
         let last_tick = std::mem::replace(&mut self.last_tick, now);
         let since_last = now.saturating_sub(last_tick);
         let is_stall = since_last >= MIN_STALL || !all_collected;
