Log runs that a list lacks, and ends under acknowledged numbers

A run that a list lacks is now logged with the acknowledged and the recorded number, and an end that is listed under an acknowledged number with both. The check of lists against known runs moves out of renewal.rs into a module of its own.

--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -37,6 +37,8 @@
                 }
             }
             Decision::Lost { reason, .. } => self.count_by("runs.lost", reason),
+            Decision::RunMissing { .. } => self.count("runs.missing"),
+            Decision::EndRenumbered { .. } => self.count("ends.renumbered"),
             Decision::Adopted { .. } => self.count("runs.adopted"),
             Decision::CopyStarted { .. } => self.count("speculation.started"),
             Decision::CopyEnded { won: true, .. } => self.count("speculation.won"),
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -122,6 +122,34 @@
         /// The number of crashes that count against the task.
         crashes: usize,
     },
+    /// A list of a worker has neither a run that was expected there nor its end.
+    RunMissing {
+        /// The task.
+        task: Box<str>,
+        /// The run.
+        run: u64,
+        /// The worker.
+        worker: Box<str>,
+        /// Whether the worker had confirmed the start; otherwise the run was in doubt.
+        confirmed: bool,
+        /// The ends up to this number were acknowledged when the list was requested.
+        acked: u64,
+        /// The number of the worker's last end that is recorded.
+        last_recorded_end: u64,
+    },
+    /// A worker lists an end whose number was acknowledged before.
+    EndRenumbered {
+        /// The task.
+        task: Box<str>,
+        /// The run that ended.
+        run: u64,
+        /// The worker.
+        worker: Box<str>,
+        /// The number of the end.
+        number: u64,
+        /// The ends up to this number were acknowledged when the list was requested.
+        acked: u64,
+    },
     /// A run of an earlier owner was adopted.
     Adopted {
         /// The task.
@@ -364,6 +392,8 @@
             | Decision::StartFailed { .. }
             | Decision::Stop { .. }
             | Decision::Lost { .. }
+            | Decision::RunMissing { .. }
+            | Decision::EndRenumbered { .. }
             | Decision::Adopted { .. }
             | Decision::CopyStarted { .. }
             | Decision::CopyEnded { .. }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -41,6 +41,7 @@
 mod throttle;
 mod tick;
 mod timing;
+mod vanished;
 mod worker;
 
 use std::collections::VecDeque;
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 
 use super::attempt::Phase;
-use super::decision::{LifeOver, LossReason, StopReason};
+use super::decision::{LifeOver, StopReason};
 use super::event::{RenewalAnswer, RenewalOrder, RunningTask};
 use super::worker::{ClockReading, WorkerKey, WorkerState, millis};
 use super::{Decision, Effect, Scheduler};
@@ -134,6 +134,7 @@
         }
         self.record_answer(key, answer.clock_ms);
         self.record_use(state, key);
+        self.check_end_numbers(key, acked, &answer.ended);
         let has_held_ends = self.handle_ends(state, key, &answer.ended);
         let listed: IndexSet<(TaskId, Run)> = answer
             .running
@@ -151,7 +152,7 @@
             let ends = answer.ended.iter();
             let ended = ends.map(|TaskEnd { end, .. }| (end.task, end.run));
             let known: IndexSet<_> = listed.iter().copied().chain(ended).collect();
-            self.mark_vanished(key, sent_at, &known);
+            self.mark_vanished(key, sent_at, acked, &known);
             self.mark_superseded_vanished(key, sent_at, &known);
         }
         self.release_strays(key, |task, run| listed.contains(&(task, run)));
@@ -376,39 +377,6 @@
         }
     }
 
-    /// Handles runs that are missing in a list that was requested after they
-    /// were known to run, or should have started. `listed` are the runs and the
-    /// ends in the list.
-    fn mark_vanished(
-        &mut self,
-        key: WorkerKey,
-        sent_at: Duration,
-        listed: &IndexSet<(TaskId, Run)>,
-    ) {
-        let missing = |task: &&TaskId| {
-            let Some(attempt) = self.attempts.get(*task) else {
-                return false;
-            };
-            let due = match attempt.phase {
-                Phase::Running { known_at } => known_at < sent_at,
-                Phase::StopAnswered { at: since } | Phase::Unanswered { since } => since < sent_at,
-                _ => false,
-            };
-            due && !listed.contains(&(**task, attempt.run))
-        };
-        let tasks = self.workers[key].tasks.iter();
-        let vanished: Vec<TaskId> = tasks.filter(missing).copied().collect();
-        for task in vanished {
-            let phase = self.attempts.get(&task).map(|attempt| attempt.phase);
-            if matches!(phase, Some(Phase::Unanswered { .. })) {
-                // The worker may still execute the start order.
-                self.stop(task, StopReason::InDoubt);
-            } else {
-                self.mark_lost(task, LossReason::Vanished);
-            }
-        }
-    }
-
     pub(super) fn renewal_failed(&mut self, worker: &str, other_life: bool) {
         let Some(key) = self.workers.key(worker) else {
             return;
