Tell the lives of a worker apart that keeps its id

What callers saw: tasks that may run once ran twice, both runs ended done and were noted, and the second was never told to stop.

The new life's ends had numbers that were acknowledged already: they were taken for known ones, the next renewal let the worker forget them, and the list without the run counted the run as vanished, so its task was started again. That went on until the new life had ended as many runs as the old one. Its heartbeats and its lease were reckoned by the old counts as well.

Change: the name of a life is its id and its start (`ID@BORN`), so records, numbers, heartbeats and leases are those of one life; stored forms are unchanged. An answer of another start ends the life that was asked. A new life with the same id also executes orders that were meant for the old one, so on its first list it takes over the starts that it lists or may execute yet; the others count as crashed. A renewal acknowledges nothing to a worker that did not answer the last one, or that has not answered this owner: it may be another life by now. A late report that an id leaves counts only if the last life drains, and late heartbeats of earlier lives are ignored.

--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -80,6 +80,7 @@
                     acked,
                     answer,
                 },
+                Err(RenewalError::Restarted { life }) => Event::WorkerRestarted { worker, life },
                 Err(error) => Event::RenewalFailed {
                     worker,
                     other_life: error == RenewalError::OtherLife,
--- a/crates/cleat-control/src/platform.rs
+++ b/crates/cleat-control/src/platform.rs
@@ -18,10 +18,15 @@
 }
 
 /// Why the renewal of a worker's lease failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RenewalError {
     /// Another life of a worker answered at the address.
     OtherLife,
+    /// A later life with the same worker id answered.
+    Restarted {
+        /// The name of that life.
+        life: Box<str>,
+    },
     /// There was no answer, or it could not be decoded.
     NoAnswer,
 }
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -34,5 +34,6 @@
 pub use state::{
     Command, CommandOutcome, ControlState, CrashEvidence, CrashedRun, DecodeError, End, EndKind,
     EndedJob, Job, JobState, LearnedDurations, LearnedQueue, LearnedStats, Occurrence, Owner,
-    StepProgress, StoppingJob, TaskCrashes, TaskEnd, Wave, WorkerHistory, WorkerRecord,
+    StepProgress, StoppingJob, TaskCrashes, TaskEnd, Wave, WorkerHistory, WorkerRecord, life_name,
+    started_ms, worker_id,
 };
--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -39,9 +39,15 @@
         }
     }
 
-    /// Handles a worker's report that its life ends now.
+    /// Handles a worker's report that its life ends now. A report that names only the id of
+    /// a worker with several lives may be a late one of an earlier life. So it counts if the
+    /// last life drains, as a worker does before it leaves.
     pub(super) fn handle_worker_left(&mut self, name: &str) {
-        if let Some(key) = self.workers.key(name) {
+        let Some(key) = self.workers.key(name) else {
+            return;
+        };
+        let worker = &self.workers[key];
+        if worker.draining || *worker.record.name == *name {
             self.end_life(key, LifeOver::Left);
         }
     }
--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -104,7 +104,10 @@
     /// Whether a worker's life ended in a crash, rather than by draining or an
     /// order for its machine.
     fn has_crashed(&self, key: WorkerKey, how: LifeOver) -> bool {
-        let unintended = matches!(how, LifeOver::Replaced | LifeOver::Absent);
+        let unintended = matches!(
+            how,
+            LifeOver::Replaced | LifeOver::Restarted | LifeOver::Absent
+        );
         unintended && !self.workers[key].draining && !self.was_ended_by_order(key)
     }
 
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -495,6 +495,8 @@
     MachineOrdered,
     /// Another life answered at its address or on its machine.
     Replaced,
+    /// A later life with its id answered.
+    Restarted,
     /// The platform lists its machine as down, or with another life.
     Absent,
     /// It has neither answered nor sent heartbeats for as long as ended jobs
--- a/crates/cleat-jobs/src/schedule/event.rs
+++ b/crates/cleat-jobs/src/schedule/event.rs
@@ -24,7 +24,7 @@
     Heartbeat(Heartbeat),
     /// A worker reported that its life ends now.
     Left {
-        /// Its name.
+        /// Its name, or its id.
         worker: Box<str>,
     },
     /// A worker answered [`Effect::Renew`].
@@ -47,6 +47,13 @@
         /// that this life is over.
         other_life: bool,
     },
+    /// Another life with the worker's id answered a renewal, so this life is over.
+    WorkerRestarted {
+        /// The worker.
+        worker: Box<str>,
+        /// The name of the life that answered.
+        life: Box<str>,
+    },
     /// A renewal was not sent, since this owner was not certain to lead.
     RenewalNotSent {
         /// The worker.
--- a/crates/cleat-jobs/src/schedule/fleet/absent.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/absent.rs
@@ -14,6 +14,7 @@
 use crate::schedule::Scheduler;
 use crate::schedule::decision::LifeOver;
 use crate::schedule::worker::{Worker, WorkerKey};
+use crate::state::worker_id;
 
 impl Scheduler {
     /// Ends the lives of workers that two successive lists show as absent. A single list
@@ -28,7 +29,10 @@
         // How the life of a worker ended, if the list shows that it has.
         let how_ended = |worker: &Worker| {
             let known_before = worker.known_since <= sent_at;
-            if !known_before || !worker.is_unreachable() || named.contains(&*worker.record.name) {
+            if !known_before
+                || !worker.is_unreachable()
+                || named.contains(worker_id(&worker.record.name))
+            {
                 return None;
             }
             let view = by_machine.get(worker.record.machine.as_deref()?)?;
--- a/crates/cleat-jobs/src/schedule/heartbeat.rs
+++ b/crates/cleat-jobs/src/schedule/heartbeat.rs
@@ -7,8 +7,11 @@
 
 impl Scheduler {
     pub(super) fn handle_heartbeat(&mut self, state: &ControlState, heartbeat: Heartbeat) {
-        let known = self.workers.key(&heartbeat.record.name);
-        if known.is_none() && !is_configured_pool(state, &heartbeat.record.pool) {
+        let name = &heartbeat.record.name;
+        let known = self.workers.life(name);
+        let is_outdated = self.workers.has_later_life(name);
+        let is_expected = is_configured_pool(state, &heartbeat.record.pool) && !is_outdated;
+        if known.is_none() && !is_expected {
             return;
         }
         let Heartbeat {
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::decision::{LifeOver, LossReason};
-use super::worker::{Worker, WorkerKey, WorkerState};
+use super::worker::{WorkerKey, WorkerState};
 use super::{Decision, Scheduler};
 use crate::TaskId;
 use crate::state::{Command, ControlState};
@@ -121,23 +121,6 @@
         unanswered_since.is_some_and(|since| self.now > since + SILENT_AFTER)
     }
 
-    /// Ends the earlier lives on the machine of a worker that answered a
-    /// renewal. Only the lives that were known when the renewal was sent are
-    /// certain to have ended.
-    pub(super) fn end_earlier_lives(&mut self, key: WorkerKey, sent_at: Duration) {
-        let Some(machine) = self.workers[key].record.machine.clone() else {
-            return;
-        };
-        let earlier = |(other, worker): (WorkerKey, &Worker)| {
-            let same = worker.record.machine.as_ref() == Some(&machine);
-            (other != key && same && worker.known_since <= sent_at).then_some(other)
-        };
-        let earlier: Vec<WorkerKey> = self.workers.iter().filter_map(earlier).collect();
-        for other in earlier {
-            self.end_life(other, LifeOver::Replaced);
-        }
-    }
-
     /// Marks a worker's life as over, and its runs as lost.
     pub(super) fn end_life(&mut self, key: WorkerKey, how: LifeOver) {
         self.workers[key].life_over = Some(how);
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -30,6 +30,7 @@
 mod protections;
 mod ready;
 mod renewal;
+mod restart;
 mod shares;
 mod speculation;
 mod speed;
@@ -354,6 +355,7 @@
                 answer,
             } => self.handle_renewal_answer(state, &worker, sent_at, acked, &answer),
             Event::RenewalFailed { worker, other_life } => self.renewal_failed(&worker, other_life),
+            Event::WorkerRestarted { worker, life } => self.handle_restart(&worker, &life),
             Event::RenewalNotSent { worker } => self.renewal_not_sent(&worker),
             Event::Stalled => self.record_stall(),
             Event::Ordered {
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -80,11 +80,17 @@
             Some(_) => max_wait,
         };
         worker.max_lease_end_ms = worker.max_lease_end_ms.max(deadline_ms.unwrap_or_default());
+        // After a failure, or to a new owner, another life may answer, which numbers its ends
+        // from 1 as well.
+        let acked = match worker.answers() {
+            true => worker.last_committed_end,
+            false => 0,
+        };
         worker.renewing = true;
         worker.renewal_sent_at = now;
         let order = RenewalOrder {
             token: self.owner.token,
-            acked: worker.last_committed_end,
+            acked,
             deadline_ms,
             wait,
         };
@@ -130,7 +136,7 @@
             });
         }
         if self.workers[key].state != WorkerState::Live {
-            self.end_earlier_lives(key, sent_at);
+            self.end_earlier_lives(key, sent_at, answer);
         }
         self.record_answer(key, answer.clock_ms);
         self.record_use(state, key);
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/restart.rs
@@ -0,0 +1,136 @@
+//! Workers that start again, on the same machine or under the same id.
+//!
+//! A new life knows nothing of the earlier one: it has no runs, and numbers its ends and
+//! heartbeats from 1. If it has the id of the earlier life, it also executes orders that
+//! were meant for that one. Whether it did is known from its first list.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+
+use super::Scheduler;
+use super::attempt::Phase;
+use super::decision::{LifeOver, StopReason};
+use super::event::RenewalAnswer;
+use super::worker::{Worker, WorkerKey};
+use crate::state::{WorkerHistory, WorkerRecord, worker_id};
+use crate::{Run, TaskId};
+
+impl Scheduler {
+    /// Handles that a later life with the id of a worker answered a renewal that was meant
+    /// for it. The later life is asked for its runs; its answer ends the earlier one.
+    pub(super) fn handle_restart(&mut self, worker: &str, life: &str) {
+        let Some(key) = self.workers.key(worker) else {
+            return;
+        };
+        self.renewal_failed(worker, false);
+        if self.workers.key(life).is_none() {
+            let record = WorkerRecord {
+                name: life.into(),
+                history: WorkerHistory::default(),
+                ..self.workers[key].record.clone()
+            };
+            self.workers.add(record, self.now);
+            self.send_renewals();
+        }
+    }
+
+    /// Ends the earlier lives of a worker that answered a renewal, and those on its
+    /// machine. Only the lives that were known when the renewal was sent are certain to
+    /// have ended.
+    pub(super) fn end_earlier_lives(
+        &mut self,
+        key: WorkerKey,
+        sent_at: Duration,
+        answer: &RenewalAnswer,
+    ) {
+        let record = &self.workers[key].record;
+        let (machine, id) = (record.machine.clone(), worker_id(&record.name));
+        let is_earlier = |(other, worker): (WorkerKey, &Worker)| {
+            let same_machine = machine.is_some() && worker.record.machine == machine;
+            let same = same_machine || worker_id(&worker.record.name) == id;
+            (other != key && same && worker.known_since <= sent_at).then_some(other)
+        };
+        let earlier: Vec<WorkerKey> = self.workers.iter().filter_map(is_earlier).collect();
+        for other in earlier {
+            let how = if self.have_same_id(key, other) {
+                self.move_starts(other, key, sent_at, answer);
+                LifeOver::Restarted
+            } else {
+                LifeOver::Replaced
+            };
+            self.end_life(other, how);
+        }
+    }
+
+    fn have_same_id(&self, key: WorkerKey, other: WorkerKey) -> bool {
+        let id = |key: WorkerKey| worker_id(&self.workers[key].record.name);
+        id(key) == id(other)
+    }
+
+    /// Moves the starts that the later life of a worker has executed, or may execute yet, to
+    /// that life. `answer` is its answer to a renewal that was sent at `sent_at`.
+    fn move_starts(
+        &mut self,
+        from: WorkerKey,
+        to: WorkerKey,
+        sent_at: Duration,
+        answer: &RenewalAnswer,
+    ) {
+        let running = answer
+            .running
+            .iter()
+            .map(|listed| (listed.task, listed.run));
+        let ended = answer
+            .ended
+            .iter()
+            .map(|listed| (listed.end.task, listed.end.run));
+        let listed: IndexSet<(TaskId, Run)> = running.chain(ended).collect();
+        let may_be_executed = |task: &&TaskId| {
+            let Some(attempt) = self.attempts.get(*task) else {
+                return false;
+            };
+            let is_open = match attempt.phase {
+                Phase::Running { known_at } => known_at >= sent_at,
+                Phase::Starting
+                | Phase::Unanswered { .. }
+                | Phase::InDoubt { .. }
+                | Phase::StopAnswered { .. } => true,
+                Phase::Stopping { .. } | Phase::Ended => false,
+            };
+            is_open || listed.contains(&(**task, attempt.run))
+        };
+        let tasks = self.workers[from].tasks.iter();
+        let moved: Vec<TaskId> = tasks.filter(may_be_executed).copied().collect();
+        for task in moved {
+            self.move_start(task, to);
+        }
+    }
+
+    /// Moves a run to the later life of its worker. If its start has no answer, it is
+    /// stopped there, since its answer will not be related to that life.
+    fn move_start(&mut self, task: TaskId, to: WorkerKey) {
+        let Some(mut attempt) = self.remove_attempt(task) else {
+            return;
+        };
+        if let Some(step) = self.steps.get_mut(&task.step) {
+            step.unassign(attempt.worker);
+            step.assign(task.index, to);
+        }
+        attempt.worker = to;
+        let is_in_doubt = matches!(
+            attempt.phase,
+            Phase::Starting
+                | Phase::Unanswered { .. }
+                | Phase::InDoubt { .. }
+                | Phase::StopAnswered { .. }
+        );
+        if is_in_doubt {
+            attempt.phase = Phase::Starting;
+        }
+        self.add_attempt(task, attempt);
+        if is_in_doubt {
+            self.stop(task, StopReason::InDoubt);
+        }
+    }
+}
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::decision::LifeOver;
-use crate::state::{CrashedRun, TaskEnd, WorkerRecord};
+use crate::state::{CrashedRun, TaskEnd, WorkerRecord, started_ms, worker_id};
 use crate::{Size, TaskId};
 
 /// The index of a worker in the arena. Keys are never reused.
@@ -265,6 +265,8 @@
 pub(crate) struct Workers {
     arena: Vec<Worker>,
     by_name: IndexMap<Box<str>, WorkerKey>,
+    /// The life of each worker id that started last, unless it was removed.
+    by_id: IndexMap<Box<str>, WorkerKey>,
     /// The workers that are not removed. A worker's pool never changes.
     by_pool: IndexMap<Box<str>, IndexSet<WorkerKey>>,
     /// The latest life on each machine, unless it was removed.
@@ -277,6 +279,9 @@
         // day.
         let key = WorkerKey(u32::try_from(self.arena.len()).unwrap_or(u32::MAX));
         self.by_name.insert(record.name.clone(), key);
+        if !self.has_later_life(&record.name) {
+            self.by_id.insert(worker_id(&record.name).into(), key);
+        }
         let pool = self.by_pool.entry(record.pool.clone()).or_default();
         pool.insert(key);
         if let Some(machine) = &record.machine {
@@ -286,8 +291,24 @@
         key
     }
 
+    /// The worker with this name. The platform names workers by their ids alone: an id
+    /// stands for the last life of the worker.
     pub(crate) fn key(&self, name: &str) -> Option<WorkerKey> {
-        self.by_name.get(name).copied()
+        let named = self.by_name.get(name);
+        named.or_else(|| self.by_id.get(name)).copied()
+    }
+
+    /// The life that a heartbeat of this life is about: the one with its name, or one
+    /// whose record has no time of its start, as earlier versions wrote it.
+    pub(crate) fn life(&self, name: &str) -> Option<WorkerKey> {
+        let named = self.by_name.get(name);
+        named.or_else(|| self.by_name.get(worker_id(name))).copied()
+    }
+
+    /// Whether a later life of the same worker is known.
+    pub(crate) fn has_later_life(&self, name: &str) -> bool {
+        let last = self.by_id.get(worker_id(name));
+        last.is_some_and(|last| started_ms(&self[*last].record.name) > started_ms(name))
     }
 
     /// Removes a worker from the indexes. Its key stays valid for entries that
@@ -295,6 +316,9 @@
     pub(crate) fn remove(&mut self, name: &str) -> Option<WorkerKey> {
         let key = self.by_name.swap_remove(name)?;
         let record = &self.arena[key.0 as usize].record;
+        if self.by_id.get(worker_id(name)) == Some(&key) {
+            self.by_id.swap_remove(worker_id(name));
+        }
         if let Some(pool) = self.by_pool.get_mut(&record.pool) {
             pool.shift_remove(&key);
         }
--- a/crates/cleat-jobs/src/state/mod.rs
+++ b/crates/cleat-jobs/src/state/mod.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod job;
 mod learned;
+mod life;
 mod wave;
 mod worker;
 
@@ -14,6 +15,7 @@
 pub use crash::{CrashEvidence, CrashedRun, TaskCrashes};
 pub use job::{EndedJob, Job, JobState, Occurrence, StepProgress, StoppingJob};
 pub use learned::{LearnedDurations, LearnedQueue, LearnedStats};
+pub use life::{life_name, started_ms, worker_id};
 pub use wave::Wave;
 pub use worker::{WorkerHistory, WorkerRecord};
 
--- a/crates/cleat-jobs/src/state/worker.rs
+++ b/crates/cleat-jobs/src/state/worker.rs
@@ -8,7 +8,8 @@
 /// which tasks it runs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
-    /// The name of this life; a restarted worker has a new one.
+    /// The name of this life, see [`life_name`](super::life_name). A restarted worker has
+    /// a new one, even if it keeps its id.
     pub name: Box<str>,
     /// The address at which it accepts orders, `IP:PORT`.
     pub address: Box<str>,
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -60,6 +60,57 @@
     assert_holds(&Plan::with(&[Fault::WorkerRestarts]));
 }
 
+/// Guards against ends that are acknowledged by the numbers of the process before.
+#[test]
+fn schedule_workers_restart_under_their_ids() {
+    assert_holds(&Plan::keeping_ids(&[
+        Fault::WorkerRestarts,
+        Fault::WorkerRestarts,
+    ]));
+}
+
+fn restarts_under_ids_and_dying_owners() -> Plan {
+    Plan::keeping_ids(&[
+        Fault::WorkerRestarts,
+        Fault::WorkerRestarts,
+        Fault::WorkerCut,
+        Fault::OwnerDies,
+        Fault::LostAnswers,
+        Fault::SlowCommits,
+    ])
+}
+
+/// Runs more seeds of these plans, by hand.
+#[test]
+#[ignore = "27,000 schedules, which take minutes in a debug build"]
+fn schedule_restarts_under_ids_many_seeds() {
+    let restarts = Plan::keeping_ids(&[Fault::WorkerRestarts, Fault::WorkerRestarts]);
+    let plans = [
+        ("restarts".into(), restarts),
+        ("dying owners".into(), restarts_under_ids_and_dying_owners()),
+        ("crashing tasks".into(), crashing_tasks_under_ids()),
+    ];
+    assert_eq!(count_violations(&plans, MANY_SEEDS), 0);
+}
+
+#[test]
+fn schedule_workers_restart_under_their_ids_and_owners_die() {
+    assert_holds(&restarts_under_ids_and_dying_owners());
+}
+
+#[test]
+fn schedule_crashing_tasks_on_workers_that_keep_their_ids() {
+    assert_holds(&crashing_tasks_under_ids());
+}
+
+fn crashing_tasks_under_ids() -> Plan {
+    Plan::keeping_ids(&[
+        Fault::CrashingTasks,
+        Fault::WorkerRestarts,
+        Fault::OwnerStalls,
+    ])
+}
+
 #[test]
 fn schedule_late_orders() {
     assert_holds(&Plan::with(&[Fault::LateOrders]));
--- a/crates/cleat-jobs/tests/simulation/checks.rs
+++ b/crates/cleat-jobs/tests/simulation/checks.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cleat_jobs::{JobId, Run, Scheduler, TaskOrder};
+use cleat_jobs::{EndKind, JobId, RenewalOrder, Run, Scheduler, TaskEnd, TaskOrder};
 
 use super::faults::looser_cap;
 use super::jobs::customer_of;
@@ -66,6 +66,30 @@
         Ok(())
     }
 
+    /// Ends `done` are in the replicated state before a renewal acknowledges them to a worker
+    /// whose record is there. The job may have ended since.
+    pub(super) fn check_acknowledged(
+        &self,
+        at: usize,
+        order: &RenewalOrder,
+    ) -> Result<(), Violation> {
+        let worker = &self.workers[at];
+        let token = self.state.owner.map_or(0, |owner| owner.token);
+        if order.token < worker.token || order.token < token {
+            return Ok(());
+        }
+        let acknowledged = worker.ended.iter().filter(|end| end.number <= order.acked);
+        for TaskEnd { end, .. } in acknowledged {
+            let job = self.state.jobs.get(&end.task.job());
+            let is_recorded = job.is_none_or(|job| job.is_task_done(end.task.step, end.task.index));
+            if end.kind == EndKind::Done && !is_recorded {
+                let (task, ms) = (end.task, self.now.as_millis());
+                return Err(Violation::AcknowledgedUnrecorded { task, ms });
+            }
+        }
+        Ok(())
+    }
+
     /// A start may not exceed its customer's cap, except by one task while the others use
     /// less than half of the cap. Orders may be reordered in transit, so any one of the
     /// runs may be that task.
--- a/crates/cleat-jobs/tests/simulation/plan.rs
+++ b/crates/cleat-jobs/tests/simulation/plan.rs
@@ -100,6 +100,8 @@
     /// The part of the capacity, in percent, that copies of tasks may use. Unless it is 0,
     /// most jobs are speculative and some runs are slow.
     pub(crate) speculation_percent: u32,
+    /// Whether a worker that starts again has the id that it had.
+    pub(crate) keeps_ids: bool,
 }
 
 impl Plan {
@@ -109,6 +111,15 @@
             injection: None,
             protections: Protections::default(),
             speculation_percent: 0,
+            keeps_ids: false,
+        }
+    }
+
+    /// Workers that start again have the ids that they had.
+    pub(crate) fn keeping_ids(faults: &[Fault]) -> Plan {
+        Plan {
+            keeps_ids: true,
+            ..Plan::with(faults)
         }
     }
 
--- a/crates/cleat-jobs/tests/simulation/violation.rs
+++ b/crates/cleat-jobs/tests/simulation/violation.rs
@@ -13,6 +13,8 @@
     StartsDone { task: TaskId, ms: u128 },
     /// A task was started by an owner that had been sent its end `done`.
     StartsListedDone { task: TaskId, ms: u128 },
+    /// An end `done` was acknowledged, and is not in the replicated state.
+    AcknowledgedUnrecorded { task: TaskId, ms: u128 },
     /// A step was started before a step that it depends on was done.
     OutOfOrder { task: TaskId, ms: u128 },
     /// A run number did not increase.
@@ -45,6 +47,12 @@
             Violation::StartsListedDone { task, ms } => {
                 write!(f, "{task} is listed as done but was started at {ms} ms")
             }
+            Violation::AcknowledgedUnrecorded { task, ms } => {
+                write!(
+                    f,
+                    "{task} is done, which was acknowledged unrecorded at {ms} ms"
+                )
+            }
             Violation::OutOfOrder { task, ms } => {
                 write!(f, "{task} starts before the steps it depends on at {ms} ms")
             }
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -9,7 +9,7 @@
 use cleat_jobs::{
     Command, ControlState, Effect, EndKind, Event, Features, Heartbeat, JobId, JobState, Order,
     OrderAnswer, RenewalOrder, Run, Scheduler, SchedulerConfig, Size, TaskId, TaskOrder,
-    WorkerHistory, WorkerRecord,
+    WorkerHistory, WorkerRecord, life_name, worker_id,
 };
 use indexmap::IndexMap;
 use rand::rngs::StdRng;
@@ -227,8 +227,12 @@
 
     pub(super) fn new_life(&mut self, at: usize) -> SimulatedWorker {
         self.lives += 1;
+        let name = match self.plan.keeps_ids {
+            true => life_name(&format!("w{at}"), Some(self.lives)),
+            false => format!("w{at}-{}", self.lives).into(),
+        };
         let record = WorkerRecord {
-            name: format!("w{at}-{}", self.lives).into(),
+            name,
             address: format!("10.0.0.{at}:1").into(),
             pool: "pool".into(),
             machine: Some(format!("m{at}").into()),
@@ -281,7 +285,7 @@
             SimEvent::Restart(at) => self.restart(at),
             SimEvent::Commit(ordinal, command) => self.commit(ordinal, command),
             SimEvent::Renew(ordinal, at, life, order, sent) => {
-                self.renew(ordinal, at, life, &order, sent);
+                self.renew(ordinal, at, life, &order, sent)?;
             }
             SimEvent::RenewalDue(ordinal, at, life, acked, sent) => {
                 self.renewal_due(ordinal, at, life, acked, sent);
@@ -533,7 +537,7 @@
         life: Box<str>,
         order: &RenewalOrder,
         sent: Duration,
-    ) {
+    ) -> Result<(), Violation> {
         let now = self.now;
         let worker = &mut self.workers[at];
         if !worker.reachable(now) {
@@ -541,18 +545,31 @@
                 worker: life,
                 other_life: false,
             };
-            return self.schedule(order.wait + ms(500), SimEvent::Deliver(ordinal, event));
+            self.schedule(order.wait + ms(500), SimEvent::Deliver(ordinal, event));
+            return Ok(());
         }
-        if worker.record.name != life {
+        if worker_id(&worker.record.name) != worker_id(&life) {
             let event = Event::RenewalFailed {
                 worker: life,
                 other_life: true,
             };
             let delay = self.delay();
-            return self.schedule(delay, SimEvent::Deliver(ordinal, event));
+            self.schedule(delay, SimEvent::Deliver(ordinal, event));
+            return Ok(());
         }
+        self.check_acknowledged(at, order)?;
+        let worker = &mut self.workers[at];
         if !worker.renew(now, order) {
-            return;
+            return Ok(());
+        }
+        if worker.record.name != life {
+            let event = Event::WorkerRestarted {
+                worker: life,
+                life: worker.record.name.clone(),
+            };
+            let delay = self.delay();
+            self.schedule(delay, SimEvent::Deliver(ordinal, event));
+            return Ok(());
         }
         let wait = if worker.ended.is_empty() {
             let next = worker.runs.values().map(|run| run.ends_at).min();
@@ -562,6 +579,7 @@
         };
         let due = SimEvent::RenewalDue(ordinal, at, life, order.acked, sent);
         self.schedule(wait, due);
+        Ok(())
     }
 
     fn renewal_due(&mut self, ordinal: u32, at: usize, life: Box<str>, acked: u64, sent: Duration) {
@@ -610,7 +628,7 @@
             let event = unanswered(&life, &order);
             self.schedule(ms(400), SimEvent::Deliver(ordinal, event));
             return Ok(());
-        } else if worker.record.name != life {
+        } else if worker_id(&worker.record.name) != worker_id(&life) {
             OrderAnswer::OtherLife
         } else {
             let already_running = worker.runs.contains_key(&order.task);
@@ -623,9 +641,10 @@
                         self.crashes.check_start(order.task, now)?;
                     }
                     let delay_to_crash = ms(self.rng.random_range(1..30));
+                    let crashing_life = self.workers[at].record.name.clone();
                     self.schedule(
                         delay_to_crash,
-                        SimEvent::Crash(at, life.clone(), order.task),
+                        SimEvent::Crash(at, crashing_life, order.task),
                     );
                 }
                 if delivery != Delivery::Late {
--- a/crates/cleat-jobs/tests/support/mod.rs
+++ b/crates/cleat-jobs/tests/support/mod.rs
@@ -224,13 +224,23 @@
     /// Feeds a heartbeat of a draining worker of pool `a` and commits the `Draining`
     /// command, as the control instance that receives the heartbeat does.
     pub(crate) fn heartbeat_draining(&mut self, name: &str, sequence: u64) -> Vec<Effect> {
+        self.heartbeat_life_draining(record(name, "a"), sequence)
+    }
+
+    /// As [`Self::heartbeat_draining`], of the worker with this record.
+    pub(crate) fn heartbeat_life_draining(
+        &mut self,
+        record: WorkerRecord,
+        sequence: u64,
+    ) -> Vec<Effect> {
+        let name = record.name.clone();
         let heartbeat = Heartbeat {
-            record: record(name, "a"),
+            record,
             draining: true,
             sequence,
         };
         let effects = self.feed(Event::Heartbeat(heartbeat));
-        let committed = self.apply(Command::Draining { name: name.into() });
+        let committed = self.apply(Command::Draining { name });
         [effects, committed].concat()
     }
 
