--- a/crates/celerycleatd/tests/soak.rs
+++ b/crates/celerycleatd/tests/soak.rs
@@ -40,6 +40,21 @@
     assert_eq!(plan.control, SoakPlan::default().control);
 }
 
+#[test]
+fn plan_read_takes_a_large_fleet_and_refuses_a_larger_one() {
+    let folder = TempDir::new().unwrap();
+    let file = folder.path().join("plan.json");
+    let read = |gateways: u16, workers: u16| {
+        let plan = format!(r#"{{"gateways": {gateways}, "workers": {workers}}}"#);
+        std::fs::write(&file, plan).unwrap();
+        SoakPlan::read(&file)
+    };
+    let plan = read(40, 400).unwrap();
+    assert_eq!((plan.gateways, plan.workers), (40, 400));
+    assert!(read(41, 400).is_err());
+    assert!(read(40, 401).is_err());
+}
+
 #[test]
 fn plan_read_refuses_unknown_keys_with_their_place() {
     let folder = TempDir::new().unwrap();
