Acknowledge no end that was applied without a record of its worker

What callers would see: a task that is done is started again.

Cause: a worker that is alive was taken for absent, heard of again, and removed and heard of once more while an end that it had listed was being committed. RecordEnds has no effect while the worker has no record, but the owner took such ends for recorded: it acknowledged them to the new entry of the worker and released their tasks.

Ruled out: to raise nothing and settle nothing. An end that the worker never lists again, or whose worker leaves, would keep its task waiting forever. To keep failed ends as well: one that is applied twice, the second time after the removal, is not listed again.

Change: without a record neither number is raised. An end `done` that the state does not show, of a worker that is known under that name, stays awaited until the worker lists it again and it is proposed, a full list that was requested later lacks it, or that life ends. The others are settled as before. Nothing waits longer while the worker has its record.

--- a/crates/cleat-jobs/src/schedule/awaited_ends.rs
+++ b/crates/cleat-jobs/src/schedule/awaited_ends.rs
@@ -6,10 +6,13 @@
 //! an end is committed, the task may be done or have failed for the last time,
 //! so it is not started before. That includes ends that are held.
 
+use std::time::Duration;
+
 use indexmap::{IndexMap, IndexSet};
 
 use super::Scheduler;
-use crate::state::{End, EndKind};
+use super::worker::WorkerKey;
+use crate::state::{End, EndKind, TaskEnd};
 use crate::{Run, TaskId};
 
 /// The runs of each task whose end `done` or `failed` this owner has proposed or
@@ -43,6 +46,33 @@
 }
 
 impl Scheduler {
+    /// Prevents tasks from being started whose ends are listed or were applied while the
+    /// worker had no record. They cannot be proposed yet.
+    pub(super) fn add_unrecorded_ends(&mut self, key: WorkerKey, ends: &[TaskEnd]) {
+        self.await_held_ends(key, ends);
+        let now = self.now;
+        let unrecorded = &mut self.workers[key].unrecorded_ends;
+        for new in ends {
+            if !unrecorded.iter().any(|(_, known)| known == new) {
+                unrecorded.push((now, new.clone()));
+            }
+        }
+    }
+
+    /// Gives up the ends that were listed or applied while the worker had no record, except
+    /// those for which `is_kept` holds, given since when they are known and their number.
+    /// Their tasks would otherwise wait forever.
+    pub(super) fn abandon_unrecorded_ends(
+        &mut self,
+        key: WorkerKey,
+        is_kept: impl Fn(Duration, u64) -> bool,
+    ) {
+        let unrecorded = &mut self.workers[key].unrecorded_ends;
+        let abandoned = unrecorded.extract_if(.., |(since, end)| !is_kept(*since, end.number));
+        let abandoned = abandoned.map(|(_, listed)| listed.end);
+        self.abandoned_ends.extend(abandoned);
+    }
+
     /// Queues a task that has no run, unless an end of it is awaited.
     pub(super) fn queue_unless_running(&mut self, task: TaskId) {
         if self.attempts.contains_key(&task) || self.awaited_ends.contains(task) {
--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -8,7 +8,7 @@
 use super::attempt::Attempt;
 use super::decision::{LifeOver, StopReason};
 use super::worker::WorkerKey;
-use crate::state::{Command, ControlState, EndKind, TaskEnd};
+use crate::state::{Command, ControlState, End, EndKind, TaskEnd};
 use crate::{JobId, StepId, TaskId};
 
 /// After this many consecutive tasks that failed for the first time on a
@@ -94,9 +94,11 @@
         let Command::RecordEnds { worker, ends, .. } = command else {
             return;
         };
-        let record = state.workers.get(worker);
         let last = ends.last().map_or(0, |end| end.number);
-        if record.is_none_or(|record| record.history.last_recorded_end >= last) {
+        let Some(record) = state.workers.get(worker) else {
+            return self.handle_unrecorded_ends(state, worker, ends);
+        };
+        if record.history.last_recorded_end >= last {
             return self.handle_committed_ends(state, worker, ends);
         }
         let key = self.workers.key(worker);
@@ -105,9 +107,8 @@
         }
     }
 
-    /// Handles ends that are in the replicated state, or never will be since
-    /// their worker was removed. They may be acknowledged, and tasks that
-    /// waited for them may start.
+    /// Handles ends that are in the replicated state. They may be acknowledged, and
+    /// tasks that waited for them may start.
     fn handle_committed_ends(&mut self, state: &ControlState, name: &str, ends: &[TaskEnd]) {
         let key = self.workers.key(name);
         if let (Some(key), Some(last)) = (key, ends.last()) {
@@ -116,20 +117,57 @@
             worker.last_proposed_end = worker.last_proposed_end.max(last.number);
             worker.renewal_due = self.now;
         }
+        self.settle_ends(state, key, ends.iter().map(|listed| &listed.end));
+        self.send_renewals();
+    }
+
+    /// Handles ends that were applied while their worker had no record, so they may not be
+    /// recorded. They are not acknowledged. If the worker is known again, it lists them
+    /// again, and a task that one of them completes waits for that.
+    fn handle_unrecorded_ends(&mut self, state: &ControlState, name: &str, ends: &[TaskEnd]) {
+        let key = self.workers.key(name);
+        let key = key.filter(|key| *self.workers[*key].record.name == *name);
+        let completes = |end: &End| {
+            let job = state.jobs.get(&end.task.job());
+            let is_done = job.is_none_or(|job| job.is_task_done(end.task.step, end.task.index));
+            end.kind == EndKind::Done && !is_done
+        };
+        let (kept, over): (Vec<TaskEnd>, Vec<TaskEnd>) = ends
+            .iter()
+            .cloned()
+            .partition(|listed| key.is_some() && completes(&listed.end));
+        if let Some(key) = key {
+            self.add_unrecorded_ends(key, &kept);
+        }
+        self.settle_ends(state, key, over.iter().map(|listed| &listed.end));
+    }
+
+    /// Releases the tasks whose ends are not awaited any more.
+    pub(super) fn settle_abandoned_ends(&mut self, state: &ControlState) {
+        let ends = std::mem::take(&mut self.abandoned_ends);
+        self.settle_ends(state, None, &ends);
+    }
+
+    /// Settles ends, and advances their jobs.
+    fn settle_ends<'a>(
+        &mut self,
+        state: &ControlState,
+        key: Option<WorkerKey>,
+        ends: impl IntoIterator<Item = &'a End>,
+    ) {
         let mut jobs = IndexSet::new();
-        for TaskEnd { end, .. } in ends {
+        for end in ends {
             self.settle_end(state, key, end);
             jobs.insert(end.task.job());
         }
         for id in jobs {
             self.advance_job(state, id);
         }
-        self.send_renewals();
     }
 
     /// Removes the run that ended, if it is the one that this owner knows, and
     /// queues its task again if that is not done.
-    fn settle_end(&mut self, state: &ControlState, key: Option<WorkerKey>, end: &crate::End) {
+    fn settle_end(&mut self, state: &ControlState, key: Option<WorkerKey>, end: &End) {
         self.awaited_ends.remove(end);
         let job = state.jobs.get(&end.task.job());
         let done = job.is_none_or(|job| job.is_task_done(end.task.step, end.task.index));
@@ -178,7 +216,7 @@
 
     /// Counts a failure against the worker if the task failed for the first
     /// time. A task that failed elsewhere before is itself the likely cause.
-    fn record_failure(&mut self, key: WorkerKey, end: &crate::End) {
+    fn record_failure(&mut self, key: WorkerKey, end: &End) {
         let first = match self.steps.get_mut(&end.task.step) {
             Some(step) => step.failed_on.insert(end.task.index, key).is_none(),
             None => false,
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -129,6 +129,7 @@
         self.record_crash(key, how);
         // Those that are left will not be committed, so their runs are lost.
         self.workers[key].held_ends.clear();
+        self.abandon_unrecorded_ends(key, |_, _| false);
         self.mark_all_lost(key, LossReason::WorkerGone);
         let name = self.worker_name(key);
         self.workers.remove(&name);
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -66,7 +66,7 @@
 pub use shares::SharePolicy;
 pub use worker::WorkerState;
 
-use crate::state::{Command, ControlState, Owner, WorkerRecord};
+use crate::state::{Command, ControlState, End, Owner, WorkerRecord};
 use crate::{JobId, Run, Size, StepId, TaskId};
 use account::{Accounts, Stray};
 use admission::AdmissionState;
@@ -187,6 +187,8 @@
     /// Invariant: such a task starts only after they are applied. Until then it
     /// may have no entry in `attempts` and not be pending either.
     awaited_ends: AwaitedEnds,
+    /// Ends that will not be recorded any more, whose tasks are released after all events.
+    abandoned_ends: Vec<End>,
     /// Runs that a worker lists although this owner does not expect them there:
     /// their job has ended, or another run took their place.
     strays: IndexMap<(WorkerKey, TaskId, Run), Stray>,
@@ -277,6 +279,7 @@
             attempts: IndexMap::new(),
             job_tasks: IndexMap::new(),
             awaited_ends: AwaitedEnds::default(),
+            abandoned_ends: Vec::new(),
             strays: IndexMap::new(),
             superseded: SupersededRuns::default(),
             copies_due: false,
@@ -336,6 +339,7 @@
         if ticked {
             self.watch_workers(state);
         }
+        self.settle_abandoned_ends(state);
         self.update_accounts(state);
         self.place_ready_steps(state);
         self.start_copies(state);
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -160,6 +160,10 @@
             let known: IndexSet<_> = listed.iter().copied().chain(ended).collect();
             self.mark_vanished(key, sent_at, acked, &known);
             self.mark_superseded_vanished(key, sent_at, &known);
+            let is_kept = |since, number| {
+                sent_at < since || answer.ended.iter().any(|end| end.number == number)
+            };
+            self.abandon_unrecorded_ends(key, is_kept);
         }
         self.release_strays(key, |task, run| listed.contains(&(task, run)));
         let has_strays = self.strays.keys().any(|(at, ..)| *at == key);
@@ -252,6 +256,9 @@
         if !state.workers.contains_key(&self.workers[key].record.name) {
             return false;
         }
+        let is_listed = |number| ended.iter().any(|end| end.number == number);
+        let unrecorded = &mut self.workers[key].unrecorded_ends;
+        unrecorded.retain(|(_, known)| !is_listed(known.number));
         let proposed = self.workers[key].last_proposed_end;
         let new = ended.iter().filter(|end| end.number > proposed);
         let ends: Vec<TaskEnd> = new
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -101,6 +101,10 @@
     ///
     /// Invariant: their numbers are above `last_proposed_end`.
     pub(crate) held_ends: Vec<TaskEnd>,
+    /// The ends that it listed or that were applied while it had no record, with the time
+    /// since which that is known. Their tasks wait until it lists them again and they are
+    /// proposed, a later list lacks them, or its life ends.
+    pub(crate) unrecorded_ends: Vec<(Duration, TaskEnd)>,
     /// Whether nothing is started here, since its machine has to become empty
     /// for a move or for maintenance.
     pub(crate) cordoned: bool,
@@ -157,6 +161,7 @@
             last_proposed_end: record.history.last_recorded_end,
             last_acknowledged_end: record.history.last_recorded_end,
             held_ends: Vec::new(),
+            unrecorded_ends: Vec::new(),
             // `silent_index` is the log position at which it was recorded as
             // silent. After that, its use has to be recorded again before
             // anything is started here.
