Keep a task whose end is listed while its worker has no record

What callers would see: a task that is done is started again.

Cause: ends that a worker lists while it has no record are not proposed, since they would have no effect. Nothing awaited them either, and the list counted as full. So after a worker that is alive had been removed and was heard of again, its task started as soon as the record of the worker was committed.

Ruled out: to propose such ends at once. They would be ignored unless the record is committed first, and two commits may swap.

Change: the tasks of such ends wait as those of ends that were applied without a record, until the worker has its record and lists them again, a full list lacks them, or its life ends. The list does not count as full, and the next renewal follows after the delay for held ends. A new test shows that a task does not wait forever when its worker leaves or its next list lacks the end. Nothing waits longer unless a worker without a record lists ends.

--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -244,9 +244,10 @@
     }
 
     /// Frees the capacity of runs that ended, and proposes new ends for commit.
-    /// Ends of a worker without a record would have no effect when applied; the
-    /// worker lists them again once it has one. Returns whether an end is held,
-    /// with all later ones of the worker, which are committed in their order.
+    /// Ends of a worker without a record would have no effect when applied; their
+    /// tasks wait until the worker has one and lists them again. Returns whether an
+    /// end is held, with all later ones of the worker, which are committed in their
+    /// order, or whether ends wait for the record.
     pub(super) fn handle_ends(
         &mut self,
         state: &ControlState,
@@ -254,7 +255,8 @@
         ended: &[TaskEnd],
     ) -> bool {
         if !state.workers.contains_key(&self.workers[key].record.name) {
-            return false;
+            self.add_unrecorded_ends(key, ended);
+            return !ended.is_empty();
         }
         let is_listed = |number| ended.iter().any(|end| end.number == number);
         let unrecorded = &mut self.workers[key].unrecorded_ends;
