Keep a worker's recorded silence when its activation is handled late

What callers would see: after a change of owner, a task that runs on a worker is started elsewhere.

Cause: the state may contain a worker's activation before the owner handles it. If the worker falls silent in between, WorkerSilent names that activation and applies to it. Handling the activation then marked the worker as recorded for use, so no new record was proposed when it answered again, and the next owner did not wait for what ran there.

Ruled out: to look at whether the worker is live, or at the silence in the state. The worker may answer before either command is handled.

Change: the owner keeps the number of the latest activation that it proposed to end, by silence or a lapse, and takes a worker as recorded for use only if the state has a later one. Otherwise the next answer leads to a new record. Nothing waits longer unless a worker falls silent while its record is being committed.

--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -19,14 +19,17 @@
 
 impl Scheduler {
     /// Handles the commit of the record that a worker is in use: tasks may be
-    /// started there, unless its life ended meanwhile.
-    pub(super) fn handle_worker_recorded(&mut self, name: &str) {
+    /// started there, unless its life ended meanwhile. The state may have contained the
+    /// record when the worker's silence was proposed, which then applies to it.
+    pub(super) fn handle_worker_recorded(&mut self, state: &ControlState, name: &str) {
         let Some(key) = self.workers.key(name) else {
             let names = vec![name.into()];
             return self.propose(Command::RemoveWorkers { names });
         };
         let worker = &mut self.workers[key];
-        worker.use_recorded = true;
+        let record = state.workers.get(&worker.record.name);
+        worker.use_recorded =
+            record.is_some_and(|record| record.history.activations > worker.ended_activation);
         worker.use_proposed = false;
         self.request_scheduling_for_worker(key);
     }
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -66,6 +66,7 @@
         worker.capacity_known = false;
         let name = worker.record.name.clone();
         let activations = state.workers.get(&name)?.history.activations;
+        worker.ended_activation = worker.ended_activation.max(activations);
         Some((name, self.owner.token, activations))
     }
 
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -434,7 +434,7 @@
             }
             Command::Cancel { id } => self.remove_ended_job(state, *id),
             Command::RecordEnds { .. } => self.handle_ends_applied(state, command),
-            Command::AddWorker(record) => self.handle_worker_recorded(&record.name),
+            Command::AddWorker(record) => self.handle_worker_recorded(state, &record.name),
             Command::RemoveWorkers { names } => self.handle_workers_removed(names),
             Command::Draining { name } => self.mark_draining(name),
             Command::Crashed { runs } => self.handle_crashes_applied(state, runs),
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -126,6 +126,9 @@
     /// Whether the replicated state records that something may run here, and no
     /// proposal to the contrary is in progress.
     pub(crate) use_recorded: bool,
+    /// The number of the latest activation for which this owner proposed a record that
+    /// the worker is silent or that its lease expired; 0 if there is none.
+    pub(crate) ended_activation: u32,
     /// Whether the record of its use is proposed and not yet applied.
     pub(crate) use_proposed: bool,
     /// When this owner first learned of it.
@@ -166,6 +169,7 @@
             // silent. After that, its use has to be recorded again before
             // anything is started here.
             use_recorded: record.history.may_have_runs && record.history.silent_index.is_none(),
+            ended_activation: 0,
             use_proposed: false,
             known_since: now,
             cordoned: false,
