Ignore answers to renewals of an earlier owner

What callers would see, if the event loop delivered such an answer: a task that runs on a worker is started again after a change of owner. The event loop drops its calls with the ownership, so this does not happen today.

Cause: an answer to a renewal that the earlier owner sent counted as a list of all runs. That owner may have started runs after it.

Evidence: answer_to_an_earlier_owner_does_not_show_all_runs fails on the sources before (run 1048577 starts while run 1 may run).

Ruled out: to use such an answer for its ends alone. It would still grant a clock reading and mark the worker as live, though it was not asked yet.

Change: answers to renewals that were sent before this owner knew the worker are ignored, so also those meant for an earlier entry of the same name. The renewal that this owner sent stays in progress and has its own answer. No answer to a renewal of this owner is ignored, so nothing waits longer.

--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -128,6 +128,11 @@
         let Some(key) = self.workers.key(worker) else {
             return;
         };
+        // The renewal was sent by an earlier owner, or to an earlier entry of that name.
+        // Starts may have been executed since then that this owner does not know.
+        if sent_at < self.workers[key].known_since {
+            return;
+        }
         if answer.fenced {
             self.workers[key].renewing = false;
             self.workers[key].renewal_due = self.now + RENEWAL_RETRY_DELAY;
