--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -66,6 +66,7 @@
         worker.capacity_known = false;
         let name = worker.record.name.clone();
         let activations = state.workers.get(&name)?.history.activations;
+        worker.ended_activation = worker.ended_activation.max(activations);
         Some((name, self.owner.token, activations))
     }
 
@@ -135,6 +136,7 @@
         self.record_crash(key, how);
         // Those that are left will not be committed, so their runs are lost.
         self.workers[key].held_ends.clear();
+        self.abandon_unrecorded_ends(key, |_, _| false);
         self.mark_all_lost(key, LossReason::WorkerGone);
         let name = self.worker_name(key);
         self.workers.remove(&name);
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -123,6 +123,11 @@
         let Some(key) = self.workers.key(worker) else {
             return;
         };
+        // The renewal was sent by an earlier owner, or to an earlier entry of that name.
+        // Starts may have been executed since then that this owner does not know.
+        if sent_at < self.workers[key].known_since {
+            return;
+        }
         if answer.fenced {
             self.workers[key].renewing = false;
             self.workers[key].renewal_due = self.now + RENEWAL_RETRY_DELAY;
@@ -155,6 +160,10 @@
             let known: IndexSet<_> = listed.iter().copied().chain(ended).collect();
             self.mark_vanished(key, sent_at, acked, &known);
             self.mark_superseded_vanished(key, sent_at, &known);
+            let is_kept = |since, number| {
+                sent_at < since || answer.ended.iter().any(|end| end.number == number)
+            };
+            self.abandon_unrecorded_ends(key, is_kept);
         }
         self.release_strays(key, |task, run| listed.contains(&(task, run)));
         let has_strays = self.strays.keys().any(|(at, ..)| *at == key);
@@ -236,9 +245,10 @@
     }
 
     /// Frees the capacity of runs that ended, and proposes new ends for commit.
-    /// Ends of a worker without a record would have no effect when applied; the
-    /// worker lists them again once it has one. Returns whether an end is held,
-    /// with all later ones of the worker, which are committed in their order.
+    /// Ends of a worker without a record would have no effect when applied; their
+    /// tasks wait until the worker has one and lists them again. Returns whether an
+    /// end is held, with all later ones of the worker, which are committed in their
+    /// order, or whether ends wait for the record.
     pub(super) fn handle_ends(
         &mut self,
         state: &ControlState,
@@ -246,8 +256,12 @@
         ended: &[TaskEnd],
     ) -> bool {
         if !state.workers.contains_key(&self.workers[key].record.name) {
-            return false;
+            self.add_unrecorded_ends(key, ended);
+            return !ended.is_empty();
         }
+        let is_listed = |number| ended.iter().any(|end| end.number == number);
+        let unrecorded = &mut self.workers[key].unrecorded_ends;
+        unrecorded.retain(|(_, known)| !is_listed(known.number));
         let proposed = self.workers[key].last_proposed_end;
         let new = ended.iter().filter(|end| end.number > proposed);
         let ends: Vec<TaskEnd> = new
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -103,6 +103,10 @@
     ///
     /// Invariant: their numbers are above `last_proposed_end`.
     pub(crate) held_ends: Vec<TaskEnd>,
+    /// The ends that it listed or that were applied while it had no record, with the time
+    /// since which that is known. Their tasks wait until it lists them again and they are
+    /// proposed, a later list lacks them, or its life ends.
+    pub(crate) unrecorded_ends: Vec<(Duration, TaskEnd)>,
     /// Whether nothing is started here, since its machine has to become empty
     /// for a move or for maintenance.
     pub(crate) cordoned: bool,
@@ -126,6 +130,9 @@
     /// Whether the replicated state records that something may run here, and no
     /// proposal to the contrary is in progress.
     pub(crate) use_recorded: bool,
+    /// The number of the latest activation for which this owner proposed a record that
+    /// the worker is silent or that its lease expired; 0 if there is none.
+    pub(crate) ended_activation: u32,
     /// Whether the record of its use is proposed and not yet applied.
     pub(crate) use_proposed: bool,
     /// When this owner first learned of it.
@@ -161,10 +168,12 @@
             last_proposed_end: record.history.last_recorded_end,
             last_acknowledged_end: record.history.last_recorded_end,
             held_ends: Vec::new(),
+            unrecorded_ends: Vec::new(),
             // `silent_index` is the log position at which it was recorded as
             // silent. After that, its use has to be recorded again before
             // anything is started here.
             use_recorded: record.history.may_have_runs && record.history.silent_index.is_none(),
+            ended_activation: 0,
             use_proposed: false,
             known_since: now,
             cordoned: false,
