Acknowledge by when an answer was handled, not by reported stalls

What callers saw: nothing yet; found in review. An end could be acknowledged by the numbers of a process that had started again during a stall, and an owner under load could acknowledge no end for as long as the load lasted.

Change: an answer counts as late if it is handled 500 ms after the time that the worker had for it; the renewal after that acknowledges nothing, the next one does.

--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -39,6 +39,10 @@
 /// than runs end.
 const COLOCATED_WAIT: Duration = Duration::from_millis(300);
 
+/// How much longer than the worker may delay it the handling of an answer may take, until
+/// the answer counts as late. Calls are given up after the same time.
+const LATE_ANSWER: Duration = Duration::from_millis(500);
+
 /// How long a worker may delay its answer while a stop of a run in doubt has no
 /// answer. Once the stop is answered, the next list is requested within this
 /// time. Each renewal costs processing time, so the wait is not shorter.
@@ -59,7 +63,7 @@
         let lease = millis(self.cfg.lease);
         let now = self.now;
         let max_wait = self.max_answer_wait(key);
-        let acked = self.acknowledged_end(key);
+        let acked = self.choose_acknowledged_end(key);
         let worker = &mut self.workers[key];
         let colocated = worker.colocated;
         // The first renewal is answered at once, to learn the worker's clock
@@ -83,6 +87,7 @@
         worker.max_lease_end_ms = worker.max_lease_end_ms.max(deadline_ms.unwrap_or_default());
         worker.renewing = true;
         worker.renewal_sent_at = now;
+        worker.renewal_wait = wait;
         let order = RenewalOrder {
             token: self.owner.token,
             acked,
@@ -198,7 +203,7 @@
             worker_ms: clock_ms,
             at: now,
         });
-        worker.answered_renewal_sent_at = worker.answered_renewal_sent_at.max(sent_at);
+        worker.answered_late = now > sent_at + worker.renewal_wait + LATE_ANSWER;
         let last_answer = worker.answered_at.replace(now);
         worker.answered_after = last_answer.map_or(Duration::ZERO, |last| now - last);
         worker.unanswered_since = None;
--- a/crates/cleat-jobs/src/schedule/restart.rs
+++ b/crates/cleat-jobs/src/schedule/restart.rs
@@ -90,16 +90,17 @@
         self.remove_earlier_records(key);
     }
 
-    /// The number up to which a renewal acknowledges the ends of a worker. Another life, which
-    /// numbers its ends from 1 as well, may answer the first renewal of this owner, the one
-    /// after a failure, and the one after a stall in which the last answer lay unread.
-    pub(super) fn acknowledged_end(&self, key: WorkerKey) -> u64 {
-        let worker = &self.workers[key];
-        let stalled_until = self.stalled_until.unwrap_or_default();
-        let is_same_life = worker.answers() && worker.answered_renewal_sent_at >= stalled_until;
-        match is_same_life {
-            true => worker.last_committed_end,
-            false => 0,
+    /// The number up to which the next renewal acknowledges the ends of a worker. Another
+    /// life, which numbers its ends from 1 as well, may answer the first renewal of this
+    /// owner, the one after a failure, and the one after an answer that was handled late. An
+    /// owner that handles all answers late acknowledges by every other renewal.
+    pub(super) fn choose_acknowledged_end(&mut self, key: WorkerKey) -> u64 {
+        let worker = &mut self.workers[key];
+        let may_have_restarted = worker.answered_late && !worker.withheld_acknowledgement;
+        worker.withheld_acknowledgement = !worker.answers() || may_have_restarted;
+        match worker.withheld_acknowledgement {
+            true => 0,
+            false => worker.last_committed_end,
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -97,8 +97,13 @@
     /// The number of the last end that was acknowledged by a renewal that the
     /// worker answered.
     pub(crate) last_acknowledged_end: u64,
-    /// When the last renewal was sent that it answered.
-    pub(crate) answered_renewal_sent_at: Duration,
+    /// How long the worker may delay its answer to the last renewal.
+    pub(crate) renewal_wait: Duration,
+    /// Whether the last renewal acknowledged no ends, since another life could answer it.
+    pub(crate) withheld_acknowledgement: bool,
+    /// Whether its last answer was handled so late that its process may have started again
+    /// since it was sent.
+    pub(crate) answered_late: bool,
     /// The ends that it listed last and that are not proposed yet.
     ///
     /// Invariant: their numbers are above `last_proposed_end`.
@@ -208,7 +213,9 @@
             lease_over_seen_at: None,
             renewing: false,
             renewal_sent_at: now,
-            answered_renewal_sent_at: Duration::ZERO,
+            renewal_wait: Duration::ZERO,
+            withheld_acknowledgement: false,
+            answered_late: false,
             earlier_records: Vec::new(),
             renewal_due: now,
             used: Size::default(),
