Let only the platform name a life by its id

What callers saw: nothing yet; found in review. After an upgrade, records have bare ids. The commit of an end of such a life, handled after the worker had come back with a start, raised the next life's acknowledged number; the removal of its record ended the next life; and a late notice that it drains kept the next one unused. A life whose clock was set back was not found by its id once the other was removed.

Cause: a name that no life has any more was looked up as an id, also for committed commands, which carry exact names.

Change: exact names everywhere, ids for lists of machines and for workers that report that they leave. If the life that an id stands for is removed, another life of that id takes its place.

--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -47,7 +47,7 @@
     /// a worker with several lives may be a late one of an earlier life. So it counts if the
     /// last life drains, as a worker does before it leaves.
     pub(super) fn handle_worker_left(&mut self, name: &str) {
-        let Some(key) = self.workers.key(name) else {
+        let Some(key) = self.workers.named_by_platform(name) else {
             return;
         };
         let worker = &self.workers[key];
@@ -130,7 +130,6 @@
     /// again, and a task that one of them completes waits for that.
     fn handle_unrecorded_ends(&mut self, state: &ControlState, name: &str, ends: &[TaskEnd]) {
         let key = self.workers.key(name);
-        let key = key.filter(|key| *self.workers[*key].record.name == *name);
         let completes = |end: &End| {
             let job = state.jobs.get(&end.task.job());
             let is_done = job.is_none_or(|job| job.is_task_done(end.task.step, end.task.index));
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -161,7 +161,7 @@
                 .workers
                 .on_machine(&machine.view.name)
                 .is_none_or(is_empty),
-            Some(worker) => self.workers.key(worker).is_some_and(is_empty),
+            Some(worker) => self.workers.named_by_platform(worker).is_some_and(is_empty),
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -184,7 +184,7 @@
     pub(super) fn worker_on(&self, name: &str) -> Option<WorkerKey> {
         let machine = self.machines.by_name.get(name)?;
         match &machine.view.worker {
-            Some(worker) => self.workers.key(worker),
+            Some(worker) => self.workers.named_by_platform(worker),
             None => self.workers.on_machine(name),
         }
     }
@@ -203,7 +203,8 @@
     /// The worker that is listed on a machine.
     fn listed_worker(&self, name: &str) -> Option<WorkerKey> {
         let machine = self.machines.by_name.get(name)?;
-        self.workers.key(machine.view.worker.as_deref()?)
+        self.workers
+            .named_by_platform(machine.view.worker.as_deref()?)
     }
 
     pub(in crate::schedule) fn machine_ordered(
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -313,11 +313,15 @@
         key
     }
 
-    /// The worker with this name. The platform names workers by their ids alone: an id
-    /// stands for the last life of the worker.
+    /// The worker with this name.
     pub(crate) fn key(&self, name: &str) -> Option<WorkerKey> {
-        let named = self.by_name.get(name);
-        named.or_else(|| self.by_id.get(name)).copied()
+        self.by_name.get(name).copied()
+    }
+
+    /// The worker that the platform names: by its name, or by its id alone, which stands for
+    /// the last life of the worker.
+    pub(crate) fn named_by_platform(&self, name: &str) -> Option<WorkerKey> {
+        self.key(name).or_else(|| self.by_id.get(name).copied())
     }
 
     /// The life that a heartbeat of this life is about: the one with its name, or one
@@ -337,10 +341,8 @@
     /// still refer to it.
     pub(crate) fn remove(&mut self, name: &str) -> Option<WorkerKey> {
         let key = self.by_name.swap_remove(name)?;
+        self.remove_from_ids(name, key);
         let record = &self.arena[key.0 as usize].record;
-        if self.by_id.get(worker_id(name)) == Some(&key) {
-            self.by_id.swap_remove(worker_id(name));
-        }
         if let Some(pool) = self.by_pool.get_mut(&record.pool) {
             pool.shift_remove(&key);
         }
@@ -352,6 +354,20 @@
         Some(key)
     }
 
+    /// Removes a life from the index by id. Another life of the worker takes its place.
+    fn remove_from_ids(&mut self, name: &str, key: WorkerKey) {
+        let id = worker_id(name);
+        if self.by_id.get(id) != Some(&key) {
+            return;
+        }
+        let mut others = self.by_name.iter();
+        let other = others.find(|(other, _)| worker_id(other) == id);
+        match other.map(|(_, other)| *other) {
+            Some(other) => drop(self.by_id.insert(id.into(), other)),
+            None => drop(self.by_id.swap_remove(id)),
+        }
+    }
+
     /// The worker that reports that it runs on a machine, if it may have runs
     /// there.
     pub(crate) fn on_machine(&self, machine: &str) -> Option<WorkerKey> {
