Count a lease that a new life took by its earlier life's clock

What callers saw: nothing yet; found in review. A start or renewal that was meant for the earlier life names a lease by that life's clock, which may be far ahead of the next life's. A next life that executed it and was then cut off counted as lapsed after 4 s, while it might keep its runs for longer, so its tasks could run twice.

--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -108,6 +108,8 @@
 pub struct SchedulerConfig {
     /// How long a worker keeps its runs without a renewal from its owner.
     pub lease: Duration,
+    /// The longest lease that a worker accepts; it shortens a longer one.
+    pub max_accepted_lease: Duration,
     /// How long a worker may delay its answer to a renewal until a run ends.
     pub renewal_wait: Duration,
     /// By how many percent a worker's clock may run slower than the owner's.
@@ -133,6 +135,7 @@
             // owner. It also covers the 2 to 3 s in which all processes may be
             // unavailable at once.
             lease: Duration::from_millis(4_000),
+            max_accepted_lease: Duration::from_secs(10),
             // A quarter of the lease: four renewals fit into one lease.
             renewal_wait: Duration::from_millis(1_000),
             max_clock_drift_percent: 2,
--- a/crates/cleat-jobs/src/schedule/restart.rs
+++ b/crates/cleat-jobs/src/schedule/restart.rs
@@ -12,7 +12,7 @@
 use super::attempt::Phase;
 use super::decision::{LifeOver, StopReason};
 use super::event::RenewalAnswer;
-use super::worker::{Worker, WorkerKey};
+use super::worker::{Worker, WorkerKey, millis};
 use crate::state::{Command, WorkerHistory, WorkerRecord, worker_id};
 use crate::{Run, TaskId};
 
@@ -55,6 +55,7 @@
         for other in earlier {
             if self.have_same_id(key, other) {
                 self.move_starts(other, key, sent_at, answer);
+                self.inherit_lease(other, key, answer.clock_ms);
                 self.end_restarted_life(other, key);
             } else {
                 self.end_life(other, LifeOver::Replaced);
@@ -104,6 +105,15 @@
         }
     }
 
+    /// Calls that were meant for the earlier life may have granted the later one a lease by
+    /// the earlier one's clock, up to the longest that workers accept.
+    fn inherit_lease(&mut self, earlier: WorkerKey, later: WorkerKey, clock_ms: u64) {
+        let longest_ms = clock_ms + millis(self.cfg.max_accepted_lease);
+        let granted_ms = self.workers[earlier].max_lease_end_ms.min(longest_ms);
+        let worker = &mut self.workers[later];
+        worker.max_lease_end_ms = worker.max_lease_end_ms.max(granted_ms);
+    }
+
     fn have_same_id(&self, key: WorkerKey, other: WorkerKey) -> bool {
         let id = |key: WorkerKey| worker_id(&self.workers[key].record.name);
         id(key) == id(other)
