Count no crash against a run whose end waits for its worker's record

The run counted as crashed, although its end was known, as the second crash of its task.

Change: an end that waits for a record counts like one that is held.

--- a/crates/cleat-jobs/src/schedule/held_ends.rs
+++ b/crates/cleat-jobs/src/schedule/held_ends.rs
@@ -14,9 +14,12 @@
 use crate::{Run, TaskId};
 
 impl Worker {
-    /// Whether the worker listed the end of a run, and that end is held.
+    /// Whether the worker listed the end of a run, and that end is held or waits for the
+    /// worker's record.
     pub(super) fn holds_end_of(&self, task: TaskId, run: Run) -> bool {
-        let mut ends = self.held_ends.iter().map(|held| &held.end);
+        let held = self.held_ends.iter();
+        let unrecorded = self.unrecorded_ends.iter().map(|(_, listed)| listed);
+        let mut ends = held.chain(unrecorded).map(|listed| &listed.end);
         ends.any(|end| end.task == task && end.run == run)
     }
 }
