Notice the restart of a worker whose record has no start

What callers saw: nothing yet; found in review. Records of the build before have bare ids.

Evidence: restart_of_a_life_recorded_without_a_start_is_noticed and end_of_a_restarted_life_recorded_without_a_start_is_recorded, seen failing.

Change: the first heartbeat tells the start of a life that was recorded without one. The first heartbeat of a later life supersedes the earlier one: answers under its name are not used, and the next life's first answer ends it.

--- a/crates/cleat-jobs/src/schedule/heartbeat.rs
+++ b/crates/cleat-jobs/src/schedule/heartbeat.rs
@@ -3,7 +3,7 @@
 use super::worker::WorkerKey;
 use super::{Decision, Heartbeat, Scheduler};
 use crate::Size;
-use crate::state::{Command, ControlState};
+use crate::state::{Command, ControlState, started_ms};
 
 impl Scheduler {
     pub(super) fn handle_heartbeat(&mut self, state: &ControlState, heartbeat: Heartbeat) {
@@ -20,8 +20,13 @@
             sequence,
         } = heartbeat;
         let capacity = record.capacity;
+        let started_ms = started_ms(&record.name);
         let key = known.unwrap_or_else(|| self.workers.add(record, self.now));
+        if known.is_none() {
+            self.supersede_earlier_lives(key);
+        }
         let worker = &mut self.workers[key];
+        worker.started_ms = worker.started_ms.or(started_ms);
         if sequence < worker.last_heartbeat_sequence {
             return;
         }
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -133,6 +133,9 @@
         if sent_at < self.workers[key].known_since {
             return;
         }
+        if self.workers[key].is_superseded {
+            return self.renewal_failed(worker, false);
+        }
         if answer.fenced {
             self.workers[key].renewing = false;
             self.workers[key].renewal_due = self.now + RENEWAL_RETRY_DELAY;
--- a/crates/cleat-jobs/src/schedule/restart.rs
+++ b/crates/cleat-jobs/src/schedule/restart.rs
@@ -105,6 +105,22 @@
         }
     }
 
+    /// Handles the first heartbeat of a life: earlier lives of the worker are over. They end
+    /// once the later life has listed its runs.
+    pub(super) fn supersede_earlier_lives(&mut self, key: WorkerKey) {
+        let started_ms = self.workers[key].started_ms;
+        let is_earlier = |(other, worker): (WorkerKey, &Worker)| {
+            let is_new = !worker.is_superseded && worker.started_ms < started_ms;
+            (other != key && is_new && self.have_same_id(key, other)).then_some(other)
+        };
+        let earlier: Vec<WorkerKey> = self.workers.iter().filter_map(is_earlier).collect();
+        for other in earlier {
+            self.workers[other].is_superseded = true;
+            let name = self.worker_name(other);
+            self.renewal_failed(&name, false);
+        }
+    }
+
     /// Calls that were meant for the earlier life may have granted the later one a lease by
     /// the earlier one's clock, up to the longest that workers accept.
     fn inherit_lease(&mut self, earlier: WorkerKey, later: WorkerKey, clock_ms: u64) {
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -45,6 +45,12 @@
 pub(crate) struct Worker {
     pub(crate) record: WorkerRecord,
     pub(crate) state: WorkerState,
+    /// When its process started, in milliseconds since the Unix epoch by its own clock, if
+    /// that is known.
+    pub(crate) started_ms: Option<u64>,
+    /// Whether a later life of the worker sent a heartbeat. Answers to calls that are meant
+    /// for this life are then those of the later one.
+    pub(crate) is_superseded: bool,
     /// How this owner knows that its life is over.
     ///
     /// Invariant: `None` unless the state is `Gone`.
@@ -198,6 +204,7 @@
             },
             last_heartbeat_sequence: record.history.capacity_sequence,
             capacity_known: false,
+            started_ms: started_ms(&record.name),
             record,
             life_over: None,
             draining: false,
@@ -216,6 +223,7 @@
             renewal_wait: Duration::ZERO,
             withheld_acknowledgement: false,
             answered_late: false,
+            is_superseded: false,
             earlier_records: Vec::new(),
             renewal_due: now,
             used: Size::default(),
@@ -325,16 +333,22 @@
     }
 
     /// The life that a heartbeat of this life is about: the one with its name, or one
-    /// whose record has no time of its start, as earlier versions wrote it.
+    /// whose record has no time of its start, as earlier versions wrote it. The first
+    /// heartbeat tells that time.
     pub(crate) fn life(&self, name: &str) -> Option<WorkerKey> {
-        let named = self.by_name.get(name);
-        named.or_else(|| self.by_name.get(worker_id(name))).copied()
+        let started_ms = started_ms(name);
+        let has_that_start = |key: &WorkerKey| {
+            let known = self[*key].started_ms;
+            known.is_none() || known == started_ms
+        };
+        let unnamed_start = || self.key(worker_id(name)).filter(has_that_start);
+        self.key(name).or_else(unnamed_start)
     }
 
     /// Whether a later life of the same worker is known.
     pub(crate) fn has_later_life(&self, name: &str) -> bool {
         let last = self.by_id.get(worker_id(name));
-        last.is_some_and(|last| started_ms(&self[*last].record.name) > started_ms(name))
+        last.is_some_and(|last| self[*last].started_ms > started_ms(name))
     }
 
     /// Removes a worker from the indexes. Its key stays valid for entries that
