--- a/crates/cleat-jobs/tests/restarted_worker.rs
+++ b/crates/cleat-jobs/tests/restarted_worker.rs
@@ -72,6 +72,15 @@
     order
 }
 
+/// Starts a task on the first life, whose end number 1 is recorded.
+fn end_first_run(harness: &mut Harness) -> Vec<Effect> {
+    let order = start_on_first(harness);
+    harness.answer(FIRST, &order, OrderAnswer::Done);
+    let listed = ended(vec![end(1, order.task, 1, EndKind::Done)]);
+    let effects = harness.answer_renewal(FIRST, listed);
+    harness.commit(&effects)
+}
+
 fn is_known(harness: &Harness, name: &str) -> bool {
     let mut views = harness.owner.workers();
     views.any(|view| *view.record.name == *name)
@@ -105,11 +114,7 @@
 #[test]
 fn restarted_worker_ends_are_recorded_from_number_1() {
     let mut harness = harness(false);
-    let order = start_on_first(&mut harness);
-    harness.answer(FIRST, &order, OrderAnswer::Done);
-    let listed = ended(vec![end(1, order.task, 1, EndKind::Done)]);
-    let effects = harness.answer_renewal(FIRST, listed);
-    harness.commit(&effects);
+    end_first_run(&mut harness);
 
     let effects = restart(&mut harness);
     assert_eq!(renewals(&effects, SECOND)[0].acked, 0);
@@ -129,11 +134,7 @@
 #[test]
 fn renewal_after_a_failure_acknowledges_no_end() {
     let mut harness = harness(false);
-    let order = start_on_first(&mut harness);
-    harness.answer(FIRST, &order, OrderAnswer::Done);
-    let listed = ended(vec![end(1, order.task, 1, EndKind::Done)]);
-    let effects = harness.answer_renewal(FIRST, listed);
-    let effects = harness.commit(&effects);
+    let effects = end_first_run(&mut harness);
     assert_eq!(renewals(&effects, FIRST)[0].acked, 1);
     harness.fail_renewal(FIRST);
     let effects = harness.tick(ms(100));
@@ -146,11 +147,7 @@
 #[test]
 fn first_renewal_of_an_owner_acknowledges_no_end() {
     let mut harness = harness(false);
-    let order = start_on_first(&mut harness);
-    harness.answer(FIRST, &order, OrderAnswer::Done);
-    let listed = ended(vec![end(1, order.task, 1, EndKind::Done)]);
-    let effects = harness.answer_renewal(FIRST, listed);
-    harness.commit(&effects);
+    end_first_run(&mut harness);
     harness.replace_owner();
     let effects = harness.tick(ms(1));
     assert_eq!(renewals(&effects, FIRST)[0].acked, 0);
@@ -160,11 +157,7 @@
 #[test]
 fn renewal_after_a_stall_acknowledges_no_end() {
     let mut harness = harness(false);
-    let order = start_on_first(&mut harness);
-    harness.answer(FIRST, &order, OrderAnswer::Done);
-    let listed = ended(vec![end(1, order.task, 1, EndKind::Done)]);
-    let effects = harness.answer_renewal(FIRST, listed);
-    harness.commit(&effects);
+    end_first_run(&mut harness);
     let sent_at = harness.now;
     harness.now += ms(3_000);
     let effects = harness.feed(Event::RenewalAnswered {
