--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -23,6 +23,7 @@
     let code = match name {
         "hopeless" => hopeless(record.clone(), root, trouble),
         "crashes" => crashes(record.clone(), root, trouble),
+        "gang-crash" => gang_crash(record.clone(), root, trouble),
         "gang" => gang(record.clone(), root, trouble),
         "timed" => timed(record.clone(), root, trouble),
         _ => FAILED_TO_RUN,
@@ -307,6 +308,70 @@
     }
 }
 
+/// A gang of 24 on nine runners, of which one crashes once.
+fn gang_crash(record: Record, root: &Path, trouble: bool) -> i32 {
+    const MEMBERS: usize = 24;
+    const MEMBER_CPU: u64 = 4_000;
+    const RUNNERS: usize = 9;
+    /// How long the crashed runner is down.
+    const DOWN_MS: u64 = 4_500;
+    /// `finish_s` and the 3 s after it, counted from the runner's return.
+    const WAIT: Duration = Duration::from_secs(17);
+    let config = configuration(&[route("r-gangs", "/gangs/", 4)]);
+    let Some(mut fleet) = Fleet::start(plan(RUNNERS), record.clone(), root, &config) else {
+        return FAILED_TO_RUN;
+    };
+    let id = job_id();
+    let body = format!(
+        "{{\"specification\":\"ms=4000 gang={MEMBERS}\",\"steps\":[{{\"count\":{MEMBERS},\"cpu\":{MEMBER_CPU},\"memMb\":1024,\"estimatedMs\":4000,\"gang\":true}}]}}"
+    );
+    if !fleet.submit("/gangs/", &id, &body) {
+        return FAILED_TO_RUN;
+    }
+    sleep(2_000);
+    let host = {
+        let seen = fleet.seen.lock().unwrap();
+        if seen.running(&id) < MEMBERS {
+            return FAILED_TO_RUN;
+        }
+        seen.runs[0].runner.clone()
+    };
+    if trouble {
+        let Some(place) = fleet.machine_of(&host) else {
+            return FAILED_TO_RUN;
+        };
+        fleet.crash_runner(place);
+        sleep(DOWN_MS);
+        fleet.start_runner(place);
+    }
+    let since = Instant::now();
+    let mut last_running = Instant::now();
+    let mut state = String::new();
+    while since.elapsed() < WAIT + Duration::from_secs(4) {
+        sleep(200);
+        if fleet.seen.lock().unwrap().running(&id) > 0 {
+            last_running = Instant::now();
+        }
+        state = fleet.state("/gangs/", &id);
+        if state == "completed" {
+            break;
+        }
+    }
+    let idle = last_running.elapsed();
+    record.tell(&format!(
+        "the gang is shown as {state}; runs begun: {} for {MEMBERS} members, none in progress for {:.1} s; it asks for {} of {} thousandths of a core, and nothing else runs",
+        fleet.seen.lock().unwrap().begun(&id),
+        idle.as_secs_f64(),
+        MEMBERS as u64 * MEMBER_CPU,
+        RUNNERS * 32_000
+    ));
+    match state.as_str() {
+        "completed" => HELD,
+        _ if idle >= WAIT => BROKEN,
+        _ => FAILED_TO_RUN,
+    }
+}
+
 /// A job that is due once a minute for ten years, beside short ones.
 fn timed(record: Record, root: &Path, trouble: bool) -> i32 {
     const MINUTE_MS: u64 = 60_000;
