Log why steps wait and where a pass over a pool ends

What callers saw: of review/1, twenty short jobs stay queued for 17 s while 23 of 128 cores are in use. Nothing that the owner logs tells why: a job that waits leaves no line, and a pass that ends early none either.

Three hypotheses had to be told apart: a pass counts steps that no worker can hold and ends before the sound ones; the window of starts or admission keeps the short jobs back; the pool's workers are taken from it.

- `step_waits`, once a step and reason: no worker that takes work could hold it whatever ends by itself (`unsuitable`), or workers have room and none may run it (`excluded`).
- `pass_limited`, once a second and pool: how many steps the pass could not place, by reason, the first one that it did not examine, and what was free.
- counts of both, and `step_waits` among the decisive lines of `explain`.

Nothing is decided otherwise: the same steps count towards the limit.

--- a/crates/celerycleat/src/explain/story.rs
+++ b/crates/celerycleat/src/explain/story.rs
@@ -6,12 +6,13 @@
 use crate::Report;
 
 /// Events that explain a failure or a delay, the weightiest first.
-const DECISIVE: [&str; 7] = [
+const DECISIVE: [&str; 8] = [
     "lost",
     "start_failed",
     "stop",
     CAP_REACHED,
     KEYS_REFUSED,
+    "step_waits",
     "job_over",
     "worker",
 ];
--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -52,6 +52,8 @@
                 self.latencies.latency("advice").record(took);
             }
             Decision::CapReached { .. } => self.count("customers.at_cap"),
+            Decision::PassLimited { .. } => self.count("passes.limited"),
+            Decision::StepWaits { reason, .. } => self.count_by("steps.waiting", reason),
             Decision::Worker { state, over, .. } => {
                 self.count_by("workers.became", state);
                 if let Some(over) = over {
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -27,8 +27,8 @@
     Admission, Arrivals, CustomerView, Decision, DurationModel, Effect, EndedRun, Event, Features,
     Heartbeat, HoldReason, JobUsage, LearnedFault, MachineAnswer, MachineOrder, MachineState,
     MachineView, Order, OrderAnswer, Protections, RefusalReason, RenewalAnswer, RenewalOrder,
-    RunningTask, Scheduler, SchedulerConfig, SharePolicy, Submission, TaskOrder, WorkerState,
-    WorkerView,
+    RunningTask, Scheduler, SchedulerConfig, SharePolicy, Submission, TaskOrder, WaitReason,
+    WorkerState, WorkerView,
 };
 pub use size::Size;
 pub use state::{
--- a/crates/cleat-jobs/src/schedule/advice.rs
+++ b/crates/cleat-jobs/src/schedule/advice.rs
@@ -55,6 +55,13 @@
         keys.iter().filter(has_ticket).copied().collect()
     }
 
+    /// The workers of `keys` on which the adviser has not forbidden to run the step.
+    pub(super) fn not_refused(&self, id: StepId, keys: &[WorkerKey]) -> Vec<WorkerKey> {
+        let advice = self.advice.get(&id);
+        let refused = |key: &WorkerKey| advice.is_some_and(|advice| advice.refused.contains(key));
+        keys.iter().filter(|key| !refused(key)).copied().collect()
+    }
+
     /// Asks the adviser about more workers for a step with waiting tasks.
     pub(super) fn ask_adviser(&mut self, id: StepId, pending: usize, keys: &[WorkerKey]) {
         let pending_calls = self
--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -4,7 +4,7 @@
 
 use super::Scheduler;
 use super::account::Charge;
-use super::worker::WorkerKey;
+use super::worker::{Worker, WorkerKey};
 use crate::state::Suspicion;
 use crate::{Run, Size, TaskId};
 
@@ -79,13 +79,29 @@
     }
 }
 
+impl Worker {
+    fn add_use(&mut self, attempt: &Attempt) {
+        self.used += attempt.footprint;
+        if attempt.long_running {
+            self.used_by_long_running += attempt.footprint;
+        }
+    }
+
+    fn release_use(&mut self, attempt: &Attempt) {
+        self.used -= attempt.footprint;
+        if attempt.long_running {
+            self.used_by_long_running -= attempt.footprint;
+        }
+    }
+}
+
 impl Scheduler {
     /// Adds a run and reserves its capacity on its worker.
     pub(super) fn add_attempt(&mut self, task: TaskId, attempt: Attempt) {
         if attempt.uses_capacity() {
             self.accounts.add(attempt.charge);
         }
-        self.workers[attempt.worker].used += attempt.footprint;
+        self.workers[attempt.worker].add_use(&attempt);
         self.insert_attempt(task, attempt);
     }
 
@@ -107,7 +123,7 @@
             return None;
         }
         attempt.phase = Phase::Ended;
-        self.workers[attempt.worker].used -= attempt.footprint;
+        self.workers[attempt.worker].release_use(attempt);
         let charge = attempt.charge;
         self.release_charge(charge);
         self.attempts.get(&task)
@@ -117,7 +133,7 @@
     pub(super) fn remove_attempt(&mut self, task: TaskId) -> Option<Attempt> {
         let attempt = self.take_attempt(task)?;
         if attempt.uses_capacity() {
-            self.workers[attempt.worker].used -= attempt.footprint;
+            self.workers[attempt.worker].release_use(&attempt);
             self.release_charge(attempt.charge);
         }
         Some(attempt)
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -294,6 +294,38 @@
         /// The cap on memory, in MB; 0 if unlimited.
         cap_memory_mb: u64,
     },
+    /// A scheduling pass over a pool ended before it had examined all waiting steps, since
+    /// many of them could not be placed. Logged at most once a second for each pool.
+    PassLimited {
+        /// The pool.
+        pool: Box<str>,
+        /// The number of steps that could not be placed, by the reason why they wait.
+        unplaced: Vec<(WaitReason, usize)>,
+        /// The first step that was not examined.
+        next_step: Box<str>,
+        /// The number of workers that accept work.
+        taking: usize,
+        /// The free processor time of these, in thousandths of a core.
+        free_cpu_milli: u64,
+    },
+    /// A step waits for neither capacity nor permission. Logged when a scheduling pass
+    /// finds that and when the reason changes.
+    StepWaits {
+        /// The step.
+        step: Box<str>,
+        /// Its pool.
+        pool: Box<str>,
+        /// The reason.
+        reason: WaitReason,
+        /// The processor time that each of its tasks uses, in thousandths of a core.
+        task_cpu_milli: u64,
+        /// The memory that each of its tasks uses, in MB.
+        task_memory_mb: u64,
+        /// The label that it needs of a worker, if any.
+        label: Option<Box<str>>,
+        /// The number of its tasks that wait.
+        waiting: usize,
+    },
     /// The platform answered an order for a machine.
     MachineAnswered {
         /// The machine.
@@ -399,6 +431,8 @@
             | Decision::CopyEnded { .. }
             | Decision::Resized { .. }
             | Decision::CapReached { .. }
+            | Decision::PassLimited { .. }
+            | Decision::StepWaits { .. }
             | Decision::Worker { .. }
             | Decision::WorkerSpeed { .. }
             | Decision::LearnedRestored { .. }
@@ -458,6 +492,24 @@
     OrderLimit,
 }
 
+/// Why a step with waiting tasks was not placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WaitReason {
+    /// Workers that could hold it have too little free capacity; runs that end by
+    /// themselves use the rest.
+    Capacity,
+    /// It needs the adviser's permission.
+    Permission,
+    /// Workers have free capacity for it, but none of them may run it now: it or another
+    /// task has to run alone, or an earlier run of the task is there.
+    Excluded,
+    /// No worker of the pool that accepts work could hold it, whatever ends by itself:
+    /// they are too small, lack its label, have their maximum of its tasks, or run tasks
+    /// that do not end.
+    Unsuitable,
+}
+
 /// Why a run is stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -43,6 +43,7 @@
 mod tick;
 mod timing;
 mod vanished;
+mod waiting;
 mod worker;
 
 use std::collections::VecDeque;
@@ -53,7 +54,7 @@
 pub use account::CustomerView;
 pub use admission::{Admission, RefusalReason, Submission};
 pub use carry_over::LearnedFault;
-pub use decision::{Decision, HoldReason};
+pub use decision::{Decision, HoldReason, WaitReason};
 pub use durations::DurationModel;
 pub use event::{
     Effect, EndedRun, Event, Heartbeat, MachineAnswer, Order, OrderAnswer, RenewalAnswer,
--- a/crates/cleat-jobs/src/schedule/placement.rs
+++ b/crates/cleat-jobs/src/schedule/placement.rs
@@ -2,7 +2,9 @@
 
 use super::Scheduler;
 use super::speed::SlowWorkers;
+use super::step::ActiveStep;
 use super::takeover::HiddenStarts;
+use super::waiting::UnplacedSteps;
 use super::worker::WorkerKey;
 use crate::state::{ControlState, Job};
 use crate::{Size, StepId, StepSpec};
@@ -40,23 +42,30 @@
         let hidden = self.hidden_starts(pool);
         let usable = [&candidates[..], &slow.keys].concat();
         let mut max_free = self.max_free_capacity(&usable);
-        let mut unplaced = 0;
+        let mut unplaced = UnplacedSteps::new();
         self.rank_ready_steps(pool);
         let mut previous = None;
         while let Some(rank) = self.next_ready_step(pool, previous) {
             previous = Some(rank);
             let id = rank.step();
-            if !self
-                .steps
-                .get(&id)
-                .is_some_and(|step| step.may_fit(max_free))
-            {
-                unplaced += 1;
-            } else if self.place_on_any(state, id, &candidates, &mut slow, hidden) {
-                unplaced += 1;
-                max_free = self.max_free_capacity(&usable);
+            let may_fit = |step: &ActiveStep| step.may_fit(max_free);
+            let is_unplaced = if self.steps.get(&id).is_some_and(|step| may_fit(step)) {
+                let left = self.place_on_any(state, id, &candidates, &mut slow, hidden);
+                if left {
+                    max_free = self.max_free_capacity(&usable);
+                }
+                left
+            } else {
+                true
+            };
+            if is_unplaced {
+                let reason = self.record_wait(state, id, &usable);
+                *unplaced.entry(reason).or_default() += 1;
+            }
+            if unplaced.values().sum::<usize>() >= MAX_UNPLACED_STEPS {
+                return self.log_limited_pass(pool, rank, &unplaced);
             }
-            if unplaced >= MAX_UNPLACED_STEPS || self.has_filled_window(pool) {
+            if self.has_filled_window(pool) {
                 return;
             }
         }
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -65,6 +65,8 @@
     expiries: BTreeSet<(Duration, StepId)>,
     /// Steps that became ready since the last pass and have no rank yet.
     unranked: IndexSet<StepId>,
+    /// When it was last logged that a pass was limited.
+    limit_logged_at: Option<Duration>,
 }
 
 impl ReadySteps {
@@ -106,8 +108,17 @@
         self.unranked.extend(self.steps.drain(..).map(|(id, _)| id));
     }
 
+    /// Whether a limited pass may be logged now. At most one is in each `interval`.
+    pub(super) fn may_log_limit(&mut self, now: Duration, interval: Duration) -> bool {
+        let allowed = self.limit_logged_at.is_none_or(|at| now >= at + interval);
+        if allowed {
+            self.limit_logged_at = Some(now);
+        }
+        allowed
+    }
+
     /// The step after the one with rank `previous`, or the first one.
-    fn after(&self, previous: Option<Rank>) -> Option<Rank> {
+    pub(super) fn after(&self, previous: Option<Rank>) -> Option<Rank> {
         let from = previous.map_or(Bound::Unbounded, Bound::Excluded);
         self.ranked.range((from, Bound::Unbounded)).next().copied()
     }
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use super::account::Charge;
+use super::decision::WaitReason;
 use super::pool_names::PoolKey;
 use super::shares::ShareStatus;
 use super::timing::{Objective, Timeliness};
@@ -58,6 +59,8 @@
     pub(crate) critical_path: Duration,
     /// The number of its tasks that run on each worker.
     pub(crate) placed: IndexMap<WorkerKey, u32>,
+    /// The reason why it waits that was logged last.
+    pub(crate) logged_wait: Option<WaitReason>,
     /// The worker on which each task last failed.
     pub(crate) failed_on: IndexMap<u32, WorkerKey>,
     /// The crashes that count against each task, for tasks with any.
@@ -277,6 +280,7 @@
             speculative: self.speculates() && spec.allows_copies(),
             critical_path,
             placed: IndexMap::new(),
+            logged_wait: None,
             failed_on: IndexMap::new(),
             suspicions: IndexMap::new(),
             checkpoints: IndexMap::new(),
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/waiting.rs
@@ -0,0 +1,165 @@
+//! Why a step has to wait that a scheduling pass could not place.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::decision::WaitReason;
+use super::ready::Rank;
+use super::step::ActiveStep;
+use super::worker::{Worker, WorkerKey};
+use super::{Decision, Scheduler};
+use crate::state::ControlState;
+use crate::{StepId, StepSpec};
+
+/// The minimum interval between two log events about limited passes of one pool. It
+/// bounds the log volume under any load.
+const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The number of steps that could not be placed, by the reason why they wait.
+pub(super) type UnplacedSteps = IndexMap<WaitReason, usize>;
+
+/// The numbers of tasks of a step that a worker could run.
+#[derive(Clone, Copy, Debug, Default)]
+struct TaskRoom {
+    /// With the capacity that is free.
+    now: u64,
+    /// Once all runs have ended there that end by themselves.
+    after_ends: u64,
+}
+
+impl TaskRoom {
+    /// The tasks that fit on a worker beside those of the step that it has already.
+    fn on(worker: &Worker, step: &ActiveStep, key: WorkerKey) -> TaskRoom {
+        let placed = step.placed.get(&key).copied().unwrap_or_default();
+        let most = step.max_per_worker;
+        let slots = most.map_or(u64::MAX, |most| u64::from(most.saturating_sub(placed)));
+        let count = |capacity| slots.min(step.footprint.count_in(capacity));
+        TaskRoom {
+            now: count(worker.free_capacity()),
+            after_ends: count(worker.reclaimable_capacity()),
+        }
+    }
+}
+
+impl Scheduler {
+    /// Determines and logs why a step waits that was not placed on these workers.
+    pub(super) fn record_wait(
+        &mut self,
+        state: &ControlState,
+        id: StepId,
+        workers: &[WorkerKey],
+    ) -> WaitReason {
+        let job = state.jobs.get(&id.job);
+        let spec = job.and_then(|job| job.step(id));
+        let Some((step, spec)) = self.steps.get(&id).zip(spec) else {
+            return WaitReason::Capacity;
+        };
+        let reason = self.wait_reason(step, spec, id, workers);
+        self.log_wait(id, spec, reason);
+        reason
+    }
+
+    /// Why a step waits that was not placed on these workers.
+    fn wait_reason(
+        &self,
+        step: &ActiveStep,
+        spec: &StepSpec,
+        id: StepId,
+        workers: &[WorkerKey],
+    ) -> WaitReason {
+        if !step.advised {
+            return self.wait_reason_among(step, spec, workers);
+        }
+        let permitted = self.permitted(id, workers);
+        let reason = self.wait_reason_among(step, spec, &permitted);
+        if reason != WaitReason::Unsuitable {
+            return reason;
+        }
+        let not_refused = self.not_refused(id, workers);
+        match self.wait_reason_among(step, spec, &not_refused) {
+            WaitReason::Unsuitable => WaitReason::Unsuitable,
+            _ => WaitReason::Permission,
+        }
+    }
+
+    fn wait_reason_among(
+        &self,
+        step: &ActiveStep,
+        spec: &StepSpec,
+        workers: &[WorkerKey],
+    ) -> WaitReason {
+        let label = spec.required_label.as_ref();
+        let tasks = step.min_start_count();
+        let (mut now, mut after_ends) = (0_u64, 0_u64);
+        for key in workers {
+            let worker = &self.workers[*key];
+            if label.is_some_and(|label| !worker.has_label(label)) {
+                continue;
+            }
+            let room = TaskRoom::on(worker, step, *key);
+            if !step.gang && room.after_ends > 0 && room.now == 0 {
+                return WaitReason::Capacity;
+            }
+            now = now.saturating_add(room.now);
+            after_ends = after_ends.saturating_add(room.after_ends);
+        }
+        if now >= tasks {
+            WaitReason::Excluded
+        } else if after_ends >= tasks {
+            WaitReason::Capacity
+        } else {
+            WaitReason::Unsuitable
+        }
+    }
+
+    /// Logs why a step waits, unless the reason is usual in a busy pool or the one that was
+    /// logged last.
+    fn log_wait(&mut self, id: StepId, spec: &StepSpec, reason: WaitReason) {
+        let Some(step) = self.steps.get_mut(&id) else {
+            return;
+        };
+        let is_usual = matches!(reason, WaitReason::Capacity | WaitReason::Permission);
+        if is_usual || step.logged_wait == Some(reason) {
+            return;
+        }
+        step.logged_wait = Some(reason);
+        let decision = Decision::StepWaits {
+            step: id.to_string().into(),
+            pool: step.pool.clone(),
+            reason,
+            task_cpu_milli: step.footprint.cpu_milli,
+            task_memory_mb: step.footprint.memory_mb,
+            label: spec.required_label.clone(),
+            waiting: step.pending.len(),
+        };
+        self.log(decision);
+    }
+
+    /// Logs that a pass over a pool ends before the steps behind `last`, at most once in
+    /// [`LIMIT_LOG_INTERVAL`].
+    pub(super) fn log_limited_pass(&mut self, pool: &str, last: Rank, unplaced: &UnplacedSteps) {
+        let Some(ready) = self.ready.get_mut(pool) else {
+            return;
+        };
+        let Some(next) = ready.after(Some(last)) else {
+            return;
+        };
+        if !ready.may_log_limit(self.now, LIMIT_LOG_INTERVAL) {
+            return;
+        }
+        let candidates = self.candidates(pool);
+        let workers = candidates.iter().map(|key| &self.workers[*key]);
+        let free_cpu_milli = workers.map(|worker| worker.free_capacity().cpu_milli).sum();
+        self.log(Decision::PassLimited {
+            pool: pool.into(),
+            unplaced: unplaced
+                .iter()
+                .map(|(reason, count)| (*reason, *count))
+                .collect(),
+            next_step: next.step().to_string().into(),
+            taking: candidates.len(),
+            free_cpu_milli,
+        });
+    }
+}
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -125,6 +125,10 @@
     ///
     /// Invariant: at most the number of `tasks`.
     pub(crate) long_running: usize,
+    /// The resources that these runs use.
+    ///
+    /// Invariant: included in `used`.
+    pub(crate) used_by_long_running: Size,
     /// The number of its superseded runs, including those whose end is being
     /// committed. They are not among `tasks`.
     pub(crate) superseded_runs: usize,
@@ -192,6 +196,7 @@
             absent_since: None,
             fully_listed: false,
             long_running: 0,
+            used_by_long_running: Size::default(),
             superseded_runs: 0,
             task_crashes: 0,
             lapsed_runs: Vec::new(),
@@ -239,6 +244,12 @@
         self.record.capacity.saturating_sub(used)
     }
 
+    /// The capacity that is free once all runs that end by themselves have ended.
+    pub(crate) fn reclaimable_capacity(&self) -> Size {
+        let capacity = self.record.capacity;
+        capacity.saturating_sub(self.used_by_long_running)
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         self.record.labels.iter().any(|have| **have == *label)
     }
