End a pass for steps that wait for capacity only, and not for long

Cause: a pass ends after twelve steps that it could not place, so that free capacity accumulates for large tasks and a pass over a full pool is short. It counted each step without a place, whatever it waited for. A step that waits for nothing that comes by itself then withheld the capacity of the whole pool for good. Class of fault: head-of-line blocking by work that can't proceed.

The same with memory, with a label, with lasting steps that run on each worker already and have one task left, with gangs larger than the pool, with steps for which lasting runs leave no room, with steps that wait for the adviser; lasting or ending, where priority or due time puts them ahead. And with steps that do wait for capacity, if the runs that use it take long: these withheld three quarters of a pool. So neither size nor one resource is the cause.

Ruled out: a rule for tasks larger than the largest worker (passes the case, leaves the rest); no limit at all (10,000 waiting steps at each event).

Now: - A step that is not placed is asked why. It withholds capacity only if some worker could hold it once the runs there that end by themselves have ended. - If no worker could, or workers have room and may not run it now, it is parked: passes leave it out until a worker joins, comes back or grows, a lasting run ends, one of its own tasks ends or its permission arrives. At each tick those that were parked first are tried as well. - Steps without permission are limited among themselves. - Capacity is withheld for 2 s without a start of any step that it is withheld for; others may then use it for 4 s. - A pass parks 256 steps at most, and the next one goes on behind them. - A worker that answers again has its pool scheduled at once rather than at the next tick.

--- a/crates/cleat-jobs/examples/decision_cost.rs
+++ b/crates/cleat-jobs/examples/decision_cost.rs
@@ -7,6 +7,9 @@
 //! `FEATURE` is `worker_speed`, to estimate the speed of workers, `speculation`, to copy
 //! tasks, or `admission`: each job is first accepted or refused, and refused jobs are not
 //! submitted again. `load=PERCENT` changes the arrival rate: from 200 on, jobs pile up.
+//! `unplaced=COUNT` adds jobs of a higher priority that no worker can hold, which run until
+//! they are cancelled, or end by themselves with `finite`. `large=COUNT` adds such jobs that
+//! need a whole worker.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -32,6 +35,8 @@
 /// The mean arrival rate of jobs per hundred workers. Each job has one or two steps of
 /// eight tasks.
 const JOBS_PER_SECOND_PER_100_WORKERS: u64 = 28;
+/// When jobs begin to arrive. What is decided before is not measured.
+const WARM_UP: Duration = Duration::from_secs(1);
 const CALL_LATENCY: Duration = Duration::from_millis(3);
 const COMMIT_LATENCY: Duration = Duration::from_millis(12);
 const TICK: Duration = Duration::from_millis(50);
@@ -91,13 +96,26 @@
     };
     let load = enabled.iter().find_map(|arg| arg.strip_prefix("load="));
     let load_percent = load.and_then(|load| load.parse().ok()).unwrap_or(100);
+    let count_of = |prefix: &str| {
+        let mut counts = enabled.iter().filter_map(|arg| arg.strip_prefix(prefix));
+        counts
+            .next()
+            .and_then(|count| count.parse().ok())
+            .unwrap_or(0)
+    };
+    let long_running = !is_enabled("finite");
     let end = Duration::from_secs(seconds);
     let mut world = World::new(workers, customers, features);
     world.load_percent = load_percent;
+    world.submit_unplaced(count_of("unplaced="), 2 * CAPACITY.cpu_milli, long_running);
+    world.submit_unplaced(count_of("large="), CAPACITY.cpu_milli, long_running);
     while let Some(Reverse((at, slot))) = world.queue.pop() {
         if at > end {
             break;
         }
+        if world.now < WARM_UP && at >= WARM_UP {
+            world.decision_time = Duration::ZERO;
+        }
         world.now = at;
         if let Some(sim_event) = world.sim_events[slot].take() {
             world.dispatch(sim_event);
@@ -165,7 +183,7 @@
         }
         world.schedule(Duration::ZERO, SimEvent::Tick);
         for pool in 0..POOLS {
-            world.schedule(Duration::from_secs(1), SimEvent::Submit(pool));
+            world.schedule(WARM_UP, SimEvent::Submit(pool));
         }
         world
     }
@@ -305,6 +323,43 @@
         );
     }
 
+    /// Submits jobs that go ahead of all others, each of one task of this size.
+    fn submit_unplaced(&mut self, count: u64, cpu_milli: u64, long_running: bool) {
+        for (at, pool) in (0..count).zip((0..POOLS).cycle()) {
+            self.jobs += 1;
+            let queues = &self.state.catalogue.as_ref().expect("configured").queues;
+            let mut queue = Queue::clone(&queues[pool]);
+            queue.priority = 0;
+            let step = StepSpec {
+                count: 1,
+                size: Size {
+                    // No two of them are alike.
+                    cpu_milli: cpu_milli - at % 1_000,
+                    memory_mb: 1_000 + at,
+                    gpu: 0,
+                },
+                estimate_ms: 600_000,
+                long_running,
+                ..StepSpec::default()
+            };
+            let spec = JobSpec {
+                specification: "".into(),
+                steps: vec![step],
+                repeat: None,
+            };
+            self.schedule(
+                COMMIT_LATENCY,
+                SimEvent::Commit(Command::Submit {
+                    id: JobId(self.jobs),
+                    queue: Arc::new(queue),
+                    customer: None,
+                    spec: Arc::new(spec),
+                    arrived_ms: 0,
+                }),
+            );
+        }
+    }
+
     fn renew(&mut self, at: usize, order: &RenewalOrder, sent: Duration) {
         let now = self.now;
         let worker = &mut self.workers[at];
@@ -390,7 +445,7 @@
         host: "host".into(),
         prefix: format!("/queue{at}/").into(),
         pool: format!("pool{at}").into(),
-        priority: 0,
+        priority: 1,
         max_attempts: 3,
         stretch: 1.5,
         target_latency_ms: 500,
--- a/crates/cleat-jobs/src/schedule/attempt.rs
+++ b/crates/cleat-jobs/src/schedule/attempt.rs
@@ -124,6 +124,7 @@
         }
         attempt.phase = Phase::Ended;
         self.workers[attempt.worker].release_use(attempt);
+        self.capacity_gains += u64::from(attempt.long_running);
         let charge = attempt.charge;
         self.release_charge(charge);
         self.attempts.get(&task)
@@ -134,6 +135,7 @@
         let attempt = self.take_attempt(task)?;
         if attempt.uses_capacity() {
             self.workers[attempt.worker].release_use(&attempt);
+            self.capacity_gains += u64::from(attempt.long_running);
             self.release_charge(attempt.charge);
         }
         Some(attempt)
--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -200,6 +200,7 @@
             self.requeue(end.task, worker, checkpoint);
         } else if let Some(step) = self.steps.get_mut(&end.task.step) {
             step.unassign(worker);
+            self.unpark_step(end.task.step);
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/heartbeat.rs
+++ b/crates/cleat-jobs/src/schedule/heartbeat.rs
@@ -51,6 +51,7 @@
         let resized = worker.record.capacity != capacity;
         worker.record.capacity = capacity;
         if resized {
+            self.capacity_gains += 1;
             let name = worker.record.name.clone();
             self.log_capacity(key);
             self.propose(Command::Resized {
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -183,6 +183,9 @@
     pub(super) fn requeue(&mut self, task: TaskId, from: WorkerKey, checkpoint: Box<str>) {
         if let Some(step) = self.steps.get_mut(&task.step) {
             step.unassign(from);
+            self.unpark_step(task.step);
+        }
+        if let Some(step) = self.steps.get_mut(&task.step) {
             if step.done.contains(&task.index) {
                 return;
             }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -25,6 +25,8 @@
 mod isolation;
 mod loss;
 mod orders;
+mod parked;
+mod pass;
 mod placement;
 mod pool_names;
 mod protections;
@@ -44,6 +46,7 @@
 mod timing;
 mod vanished;
 mod waiting;
+mod withholding;
 mod worker;
 
 use std::collections::VecDeque;
@@ -247,6 +250,12 @@
     /// The pools in which capacity or work may have changed since their last
     /// scheduling pass.
     dirty_pools: DirtyPools,
+    /// How often a worker may have come to offer more once all runs that end by themselves
+    /// have ended: it was resized, or a run ended that does not end by itself.
+    capacity_gains: u64,
+    /// Whether a tick has passed since steps were last examined for which no capacity is
+    /// withheld any more.
+    sharing_due: bool,
     /// What the decisions on submitted jobs are based on.
     admission: AdmissionState,
     /// The steps of each pool that may have tasks waiting for a worker.
@@ -309,6 +318,8 @@
             throttle_sent_at: ThrottleTimes::new(),
             balances_logged_at: now,
             dirty_pools: DirtyPools::All,
+            capacity_gains: 0,
+            sharing_due: false,
             admission: AdmissionState::default(),
             ready: IndexMap::new(),
             start_window: StartWindow::new(),
--- /dev/null
+++ b/crates/cleat-jobs/src/schedule/pass.rs
@@ -0,0 +1,274 @@
+//! A scheduling pass: which waiting steps of a pool are examined, and when it ends.
+//!
+//! A pass follows each change in a pool, so it may examine only a few steps in vain. It
+//! ends after some steps that wait for capacity in use, which withholds the free capacity
+//! for them. Steps that wait for anything else withhold nothing: they are parked, or left
+//! out of the rest of the pass.
+
+use super::Scheduler;
+use super::decision::WaitReason;
+use super::ready::Rank;
+use super::speed::SlowWorkers;
+use super::takeover::HiddenStarts;
+use super::waiting::UnplacedSteps;
+use super::withholding::Withholding;
+use super::worker::WorkerKey;
+use crate::state::ControlState;
+use crate::{Size, StepId};
+
+/// The number of steps that wait for capacity in use after which a pass ends. Free
+/// capacity can then accumulate for large tasks, and a pass over a full pool is short.
+const MAX_WAITING_STEPS: usize = 12;
+/// The number of steps without permission after which a pass examines no more of those
+/// that need one.
+const MAX_STEPS_WITHOUT_PERMISSION: usize = 12;
+/// The number of steps that one pass parks. The next one goes on behind them.
+const MAX_PARKED_STEPS: usize = 256;
+/// The number of steps behind those for which capacity was withheld that one pass examines,
+/// and the number of these that it examines in vain though some worker has as much free.
+const MAX_SHARING_STEPS: usize = 2_048;
+const MAX_UNPLACED_SHARING_STEPS: usize = 64;
+
+/// What a pass over one pool works with.
+#[derive(Debug)]
+struct Pass {
+    pool: Box<str>,
+    /// The workers on which tasks start.
+    candidates: Vec<WorkerKey>,
+    slow: SlowWorkers,
+    /// The candidates and the slow workers.
+    usable: Vec<WorkerKey>,
+    /// Starting tasks does not change this position, so it is determined once per pass.
+    hidden: HiddenStarts,
+    /// At least the maximum of each resource that is free on any usable worker.
+    max_free: Size,
+    /// Whether the last pass withheld capacity.
+    withheld: bool,
+    /// The steps that wait for capacity in use.
+    waiting: Vec<StepId>,
+    without_permission: usize,
+    parked: usize,
+}
+
+impl Pass {
+    fn examines_advised(&self) -> bool {
+        self.without_permission < MAX_STEPS_WITHOUT_PERMISSION
+    }
+}
+
+impl Scheduler {
+    /// Starts the tasks that fit, in the pools where something changed.
+    pub(super) fn place_ready_steps(&mut self, state: &ControlState) {
+        let ticked = std::mem::take(&mut self.sharing_due);
+        for pool in self.take_dirty_pools() {
+            self.schedule_pool(state, pool, ticked);
+        }
+    }
+
+    fn schedule_pool(&mut self, state: &ControlState, pool: Box<str>, ticked: bool) {
+        if self.waits_for_window(&pool) {
+            return;
+        }
+        let Some(mut pass) = self.begin_pass(state, pool) else {
+            return;
+        };
+        let changed = self.retry_parked_steps(&pass.pool, &pass.usable);
+        self.rank_ready_steps(&pass.pool);
+        self.run_pass(state, &mut pass, ticked);
+        if changed || pass.parked > 0 {
+            self.record_offers(&pass.pool, &pass.usable);
+        }
+    }
+
+    /// Determines the workers that a pass may use; `None` if there are none.
+    fn begin_pass(&mut self, state: &ControlState, pool: Box<str>) -> Option<Pass> {
+        let mut candidates = self.candidates(&pool);
+        if !pool_enforces_capacity(state, &pool) {
+            // The recorded capacity of the other workers may exceed their
+            // current capacity.
+            candidates.retain(|key| self.workers[*key].capacity_known);
+        }
+        if candidates.is_empty() {
+            return None;
+        }
+        let slow = self.split_off_slow(&pool, &mut candidates);
+        self.reserve_for_suspects(state, &candidates);
+        let usable = [&candidates[..], &slow.keys].concat();
+        Some(Pass {
+            hidden: self.hidden_starts(&pool),
+            max_free: self.max_free_capacity(&usable),
+            withheld: self
+                .ready
+                .get(&pool)
+                .is_some_and(|ready| ready.withholding.is_active()),
+            pool,
+            candidates,
+            slow,
+            usable,
+            waiting: Vec::new(),
+            without_permission: 0,
+            parked: 0,
+        })
+    }
+
+    fn run_pass(&mut self, state: &ControlState, pass: &mut Pass, ticked: bool) {
+        let mut previous = None;
+        while let Some(rank) = self.next_ready_step(&pass.pool, previous, pass.examines_advised()) {
+            previous = Some(rank);
+            self.examine_step(state, pass, rank.step());
+            if pass.parked >= MAX_PARKED_STEPS {
+                return self.request_scheduling(&pass.pool);
+            }
+            if pass.waiting.len() >= MAX_WAITING_STEPS {
+                return self.end_limited_pass(state, pass, rank, ticked);
+            }
+            if self.has_filled_window(&pass.pool) {
+                return;
+            }
+        }
+        if pass.withheld
+            && let Some(ready) = self.ready.get_mut(&pass.pool)
+        {
+            ready.withholding = Withholding::default();
+        }
+    }
+
+    /// Starts the tasks of a step that fit. If some do not, records why it waits.
+    fn examine_step(&mut self, state: &ControlState, pass: &mut Pass, id: StepId) {
+        let Some(step) = self.steps.get(&id) else {
+            return;
+        };
+        if step.may_fit(pass.max_free) {
+            let pending = step.pending.len();
+            let left = self.place_on_any(state, id, pass);
+            if pass.withheld && self.pending_tasks(id) < pending {
+                self.record_benefit(pass, id);
+            }
+            if !left {
+                return;
+            }
+            pass.max_free = self.max_free_capacity(&pass.usable);
+        }
+        match self.wait_reason(id, &pass.usable) {
+            WaitReason::Capacity => pass.waiting.push(id),
+            WaitReason::Permission => pass.without_permission += 1,
+            reason @ (WaitReason::Excluded | WaitReason::Unsuitable) => {
+                self.log_wait(id, reason);
+                self.park_step(id, reason);
+                pass.parked += 1;
+            }
+        }
+    }
+
+    fn pending_tasks(&self, id: StepId) -> usize {
+        self.steps.get(&id).map_or(0, |step| step.pending.len())
+    }
+
+    /// Records that a step started for which capacity may have been withheld.
+    fn record_benefit(&mut self, pass: &mut Pass, id: StepId) {
+        if let Some(ready) = self.ready.get_mut(&pass.pool)
+            && ready.withholding.benefits(id)
+        {
+            ready.withholding = Withholding::default();
+            pass.withheld = false;
+        }
+    }
+
+    /// Ends a pass after the step with rank `last`. If capacity was withheld for too long,
+    /// the steps behind it are examined as well, at ticks only.
+    fn end_limited_pass(
+        &mut self,
+        state: &ControlState,
+        pass: &mut Pass,
+        last: Rank,
+        ticked: bool,
+    ) {
+        if self.may_log_limited_pass(&pass.pool) {
+            let unplaced = self.unplaced_steps(pass);
+            self.log_limited_pass(&pass.pool, last, &unplaced);
+        }
+        let Some(ready) = self.ready.get_mut(&pass.pool) else {
+            return;
+        };
+        let waiting = std::mem::take(&mut pass.waiting);
+        let withheld = ready.withholding.withhold(self.now, waiting);
+        if !withheld && ticked {
+            self.share_capacity(state, pass, last);
+        }
+    }
+
+    /// The steps that wait, as far as the pass knows or earlier ones parked them.
+    fn unplaced_steps(&self, pass: &Pass) -> UnplacedSteps {
+        let ready = self.ready.get(&pass.pool);
+        let mut unplaced = ready.map_or_else(UnplacedSteps::new, |ready| ready.parked.counts());
+        unplaced.insert(WaitReason::Capacity, pass.waiting.len());
+        unplaced.insert(WaitReason::Permission, pass.without_permission);
+        unplaced.retain(|_, count| *count > 0);
+        unplaced
+    }
+
+    /// Examines steps behind those for which capacity was withheld: from where the last
+    /// such pass ended, or behind the one with rank `last`.
+    fn share_capacity(&mut self, state: &ControlState, pass: &mut Pass, last: Rank) {
+        let resumed = self.ready.get(&pass.pool);
+        let resumed = resumed.and_then(|ready| ready.withholding.resume_after);
+        let mut previous = resumed.max(Some(last));
+        let mut examined = 0;
+        while let Some(rank) = self.next_ready_step(&pass.pool, previous, pass.examines_advised()) {
+            previous = Some(rank);
+            examined += 1;
+            let step = self.steps.get(&rank.step());
+            if step.is_some_and(|step| step.may_fit(pass.max_free)) {
+                self.examine_step(state, pass, rank.step());
+            }
+            let unplaced = pass.waiting.len() + pass.parked;
+            if examined >= MAX_SHARING_STEPS
+                || unplaced >= MAX_UNPLACED_SHARING_STEPS
+                || self.has_filled_window(&pass.pool)
+            {
+                return self.resume_sharing_after(&pass.pool, previous);
+            }
+        }
+        self.resume_sharing_after(&pass.pool, None);
+    }
+
+    fn resume_sharing_after(&mut self, pool: &str, rank: Option<Rank>) {
+        if let Some(ready) = self.ready.get_mut(pool) {
+            ready.withholding.resume_after = rank;
+        }
+    }
+
+    /// Starts tasks of a step on the candidates and, as far as that is sooner, on
+    /// slow workers. Returns whether some are left that fit on no worker.
+    fn place_on_any(&mut self, state: &ControlState, id: StepId, pass: &mut Pass) -> bool {
+        let Pass {
+            candidates,
+            slow,
+            hidden,
+            ..
+        } = pass;
+        if slow.keys.is_empty() {
+            return self.place_step(state, id, candidates, *hidden);
+        }
+        self.place_probe(state, id, slow, *hidden, true);
+        if !self.place_step(state, id, candidates, *hidden) {
+            return false;
+        }
+        self.place_probe(state, id, slow, *hidden, false);
+        self.place_on_slow(state, id, slow, *hidden)
+    }
+
+    /// The maximum of each resource that is free on any of the workers.
+    fn max_free_capacity(&self, keys: &[WorkerKey]) -> Size {
+        let free = keys.iter().map(|key| self.workers[*key].free_capacity());
+        free.fold(Size::default(), Size::component_max)
+    }
+}
+
+/// Whether the workers of a pool reject tasks that do not fit. A pool that is
+/// not configured has no work.
+fn pool_enforces_capacity(state: &ControlState, pool: &str) -> bool {
+    let pools = state.catalogue.as_ref().map(|catalogue| &catalogue.pools);
+    let pool = pools.and_then(|pools| pools.get(pool));
+    pool.is_none_or(|pool| pool.enforces_capacity)
+}
--- a/crates/cleat-jobs/src/schedule/placement.rs
+++ b/crates/cleat-jobs/src/schedule/placement.rs
@@ -1,103 +1,12 @@
 //! Placement: which task starts on which worker.
 
 use super::Scheduler;
-use super::speed::SlowWorkers;
-use super::step::ActiveStep;
 use super::takeover::HiddenStarts;
-use super::waiting::UnplacedSteps;
 use super::worker::WorkerKey;
 use crate::state::{ControlState, Job};
-use crate::{Size, StepId, StepSpec};
-
-/// The number of steps that fit on no worker after which a scheduling pass over
-/// a pool ends. Free capacity can then accumulate for large tasks, and a pass
-/// over a full pool is short.
-const MAX_UNPLACED_STEPS: usize = 12;
+use crate::{StepId, StepSpec};
 
 impl Scheduler {
-    /// Starts the tasks that fit, in the pools where something changed.
-    pub(super) fn place_ready_steps(&mut self, state: &ControlState) {
-        for pool in self.take_dirty_pools() {
-            self.schedule_pool(state, &pool);
-        }
-    }
-
-    fn schedule_pool(&mut self, state: &ControlState, pool: &str) {
-        if self.waits_for_window(pool) {
-            return;
-        }
-        let mut candidates = self.candidates(pool);
-        if !pool_enforces_capacity(state, pool) {
-            // The recorded capacity of the other workers may exceed their
-            // current capacity.
-            candidates.retain(|key| self.workers[*key].capacity_known);
-        }
-        if candidates.is_empty() {
-            return;
-        }
-        let mut slow = self.split_off_slow(pool, &mut candidates);
-        self.reserve_for_suspects(state, &candidates);
-        // Starting tasks does not change this position, so it is determined
-        // once per pass.
-        let hidden = self.hidden_starts(pool);
-        let usable = [&candidates[..], &slow.keys].concat();
-        let mut max_free = self.max_free_capacity(&usable);
-        let mut unplaced = UnplacedSteps::new();
-        self.rank_ready_steps(pool);
-        let mut previous = None;
-        while let Some(rank) = self.next_ready_step(pool, previous) {
-            previous = Some(rank);
-            let id = rank.step();
-            let may_fit = |step: &ActiveStep| step.may_fit(max_free);
-            let is_unplaced = if self.steps.get(&id).is_some_and(|step| may_fit(step)) {
-                let left = self.place_on_any(state, id, &candidates, &mut slow, hidden);
-                if left {
-                    max_free = self.max_free_capacity(&usable);
-                }
-                left
-            } else {
-                true
-            };
-            if is_unplaced {
-                let reason = self.record_wait(state, id, &usable);
-                *unplaced.entry(reason).or_default() += 1;
-            }
-            if unplaced.values().sum::<usize>() >= MAX_UNPLACED_STEPS {
-                return self.log_limited_pass(pool, rank, &unplaced);
-            }
-            if self.has_filled_window(pool) {
-                return;
-            }
-        }
-    }
-
-    /// Starts tasks of a step on the candidates and, as far as that is sooner, on
-    /// slow workers. Returns whether some are left that fit on no worker.
-    fn place_on_any(
-        &mut self,
-        state: &ControlState,
-        id: StepId,
-        candidates: &[WorkerKey],
-        slow: &mut SlowWorkers,
-        hidden: HiddenStarts,
-    ) -> bool {
-        if slow.keys.is_empty() {
-            return self.place_step(state, id, candidates, hidden);
-        }
-        self.place_probe(state, id, slow, hidden, true);
-        if !self.place_step(state, id, candidates, hidden) {
-            return false;
-        }
-        self.place_probe(state, id, slow, hidden, false);
-        self.place_on_slow(state, id, slow, hidden)
-    }
-
-    /// The maximum of each resource that is free on any of the workers.
-    fn max_free_capacity(&self, keys: &[WorkerKey]) -> Size {
-        let free = keys.iter().map(|key| self.workers[*key].free_capacity());
-        free.fold(Size::default(), Size::component_max)
-    }
-
     /// The workers of a pool that accept work.
     pub(super) fn candidates(&self, pool: &str) -> Vec<WorkerKey> {
         let workers = self.workers.in_pool(pool);
@@ -237,11 +146,3 @@
         false
     }
 }
-
-/// Whether the workers of a pool reject tasks that do not fit. A pool that is
-/// not configured has no work.
-fn pool_enforces_capacity(state: &ControlState, pool: &str) -> bool {
-    let pools = state.catalogue.as_ref().map(|catalogue| &catalogue.pools);
-    let pool = pools.and_then(|pools| pools.get(pool));
-    pool.is_none_or(|pool| pool.enforces_capacity)
-}
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -13,9 +13,11 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::Scheduler;
+use super::parked::ParkedSteps;
 use super::shares::{SharePolicy, ShareStatus};
 use super::step::{ActiveStep, StepOrder};
 use super::timing::Timeliness;
+use super::withholding::Withholding;
 use super::worker::WorkerKey;
 use crate::StepId;
 
@@ -46,6 +48,8 @@
 #[derive(Clone, Copy, Debug)]
 struct RankedStep {
     rank: Rank,
+    /// Whether its starts need the adviser's permission.
+    advised: bool,
     /// The time after which the rank is outdated, since the step's timeliness
     /// changes; `None` if it does not.
     valid_until: Option<Duration>,
@@ -55,16 +59,24 @@
 #[derive(Debug, Default)]
 pub(crate) struct ReadySteps {
     steps: IndexMap<StepId, RankedStep>,
-    /// The ranks of `steps` in scheduling order.
+    /// The ranks of those of `steps` that need no permission, in scheduling order.
     ///
-    /// Invariant: one for each of `steps`.
+    /// Invariant: here or in `ranked_advised` is one for each of `steps`.
     ranked: BTreeSet<Rank>,
+    /// The ranks of those that need the adviser's permission.
+    ranked_advised: BTreeSet<Rank>,
     /// When ranks become outdated.
     ///
     /// Invariant: one for each of `steps` whose rank does.
     expiries: BTreeSet<(Duration, StepId)>,
     /// Steps that became ready since the last pass and have no rank yet.
     unranked: IndexSet<StepId>,
+    /// Steps that passes leave out.
+    ///
+    /// Invariant: they are not among `steps` and `unranked`.
+    pub(super) parked: ParkedSteps,
+    /// Whether free capacity is withheld from steps behind those that wait for it.
+    pub(super) withholding: Withholding,
     /// When it was last logged that a pass was limited.
     limit_logged_at: Option<Duration>,
 }
@@ -73,22 +85,35 @@
     fn insert(&mut self, step: RankedStep) {
         let id = step.rank.step();
         self.remove(id);
-        self.ranked.insert(step.rank);
+        self.ranks(step.advised).insert(step.rank);
         self.expiries
             .extend(step.valid_until.map(|until| (until, id)));
         self.steps.insert(id, step);
     }
 
-    fn remove(&mut self, id: StepId) {
+    fn ranks(&mut self, advised: bool) -> &mut BTreeSet<Rank> {
+        match advised {
+            true => &mut self.ranked_advised,
+            false => &mut self.ranked,
+        }
+    }
+
+    /// Removes the rank of a step.
+    pub(super) fn remove(&mut self, id: StepId) {
         let Some(step) = self.steps.swap_remove(&id) else {
             return;
         };
-        self.ranked.remove(&step.rank);
+        self.ranks(step.advised).remove(&step.rank);
         if let Some(until) = step.valid_until {
             self.expiries.remove(&(until, id));
         }
     }
 
+    /// Has these steps ranked by the next pass.
+    pub(super) fn rank_later(&mut self, ids: impl IntoIterator<Item = StepId>) {
+        self.unranked.extend(ids);
+    }
+
     /// Takes the steps that have to be ranked: those without a rank, and those
     /// whose rank is outdated at `now`.
     fn take_unranked(&mut self, now: Duration) -> IndexSet<StepId> {
@@ -104,6 +129,7 @@
     /// Removes all ranks.
     fn unrank_all(&mut self) {
         self.ranked.clear();
+        self.ranked_advised.clear();
         self.expiries.clear();
         self.unranked.extend(self.steps.drain(..).map(|(id, _)| id));
     }
@@ -117,10 +143,17 @@
         allowed
     }
 
-    /// The step after the one with rank `previous`, or the first one.
-    pub(super) fn after(&self, previous: Option<Rank>) -> Option<Rank> {
+    /// The step after the one with rank `previous`, or the first one; without those that
+    /// need permission unless `with_advised`.
+    pub(super) fn after(&self, previous: Option<Rank>, with_advised: bool) -> Option<Rank> {
         let from = previous.map_or(Bound::Unbounded, Bound::Excluded);
-        self.ranked.range((from, Bound::Unbounded)).next().copied()
+        let next = |ranks: &BTreeSet<Rank>| ranks.range((from, Bound::Unbounded)).next().copied();
+        let advised = if with_advised {
+            next(&self.ranked_advised)
+        } else {
+            None
+        };
+        next(&self.ranked).into_iter().chain(advised).min()
     }
 }
 
@@ -138,7 +171,9 @@
     /// Records that tasks of a step may wait for a worker.
     pub(super) fn mark_step_ready(&mut self, id: StepId, pool: Box<str>) {
         self.request_scheduling(&pool);
-        self.ready.entry(pool).or_default().unranked.insert(id);
+        let ready = self.ready.entry(pool).or_default();
+        ready.parked.remove(id);
+        ready.unranked.insert(id);
     }
 
     /// Requests a scheduling pass of a pool.
@@ -195,7 +230,7 @@
                 None => ready.remove(id),
             }
         }
-        if !ready.steps.is_empty() {
+        if !ready.steps.is_empty() || !ready.parked.is_empty() {
             self.ready.insert(pool.into(), ready);
         }
     }
@@ -214,16 +249,23 @@
         let latest_start = step.latest_start(timeliness);
         Some(RankedStep {
             rank,
+            advised: step.advised,
             valid_until: latest_start.map(|at| at.saturating_sub(DISPATCH_OVERHEAD)),
         })
     }
 
     /// The next step of a pool that may start tasks, in scheduling order after
-    /// `previous`. Steps of a customer whose cap is reached are left out.
-    pub(super) fn next_ready_step(&mut self, pool: &str, previous: Option<Rank>) -> Option<Rank> {
+    /// `previous`. Steps of a customer whose cap is reached are left out, and those that
+    /// need permission unless `with_advised`.
+    pub(super) fn next_ready_step(
+        &mut self,
+        pool: &str,
+        previous: Option<Rank>,
+        with_advised: bool,
+    ) -> Option<Rank> {
         let mut previous = previous;
         loop {
-            let rank = self.ready.get(pool)?.after(previous)?;
+            let rank = self.ready.get(pool)?.after(previous, with_advised)?;
             previous = Some(rank);
             let id = rank.step();
             let step = self.steps.get(&id);
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -209,10 +209,13 @@
         worker.answered_late = now > sent_at + worker.renewal_wait + LATE_ANSWER;
         let last_answer = worker.answered_at.replace(now);
         worker.answered_after = last_answer.map_or(Duration::ZERO, |last| now - last);
-        worker.unanswered_since = None;
+        let was_unanswered = worker.unanswered_since.take().is_some();
         worker.lease_over_seen_at = None;
         worker.lapsed_runs.clear();
         self.set_worker_state(key, WorkerState::Live);
+        if was_unanswered {
+            self.request_scheduling_for_worker(key);
+        }
     }
 
     /// Proposes a record that a worker is in use, before anything is started
--- a/crates/cleat-jobs/src/schedule/speculation/superseded.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/superseded.rs
@@ -124,6 +124,7 @@
         let attempt = self.take_superseded(task)?;
         if let Some(step) = self.steps.get_mut(&task.step) {
             step.unassign(attempt.worker);
+            self.unpark_step(task.step);
         }
         Some(attempt)
     }
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -44,6 +44,8 @@
     pub(crate) min_workers: usize,
     /// The maximum number of its tasks on one worker, if limited.
     pub(crate) max_per_worker: Option<u32>,
+    /// The label that it needs of a worker, if any.
+    pub(crate) required_label: Option<Box<str>>,
     /// The resources that each of its tasks uses on a worker.
     pub(crate) footprint: Size,
     /// What each of its tasks counts for in its customer's account.
@@ -269,6 +271,7 @@
             ready_index: job.ready_index(id),
             min_workers: spec.min_workers(),
             max_per_worker: spec.max_per_worker,
+            required_label: spec.required_label.clone(),
             footprint: spec.footprint(),
             charge,
             share_status: self
@@ -310,7 +313,10 @@
         for step in self.job_steps.swap_remove(&id).unwrap_or_default() {
             // Keeps the order: a customer's steps count as demand up to its cap,
             // the earlier ones first.
-            self.steps.shift_remove(&step);
+            let ended = self.steps.shift_remove(&step);
+            if let Some(ready) = ended.and_then(|ended| self.ready.get_mut(&ended.pool)) {
+                ready.parked.remove(step);
+            }
         }
         self.future_occurrences.retain(|(job, _), _| *job != id);
         self.advice.retain(|step, _| step.job != id);
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -25,6 +25,8 @@
         self.propose_learned(state);
         // Workers on which starts were paused may accept work again.
         self.dirty_pools = DirtyPools::All;
+        self.retry_oldest_parked_steps();
+        self.sharing_due = true;
         self.copies_due = self.speculates();
     }
 
--- a/crates/cleat-jobs/src/schedule/waiting.rs
+++ b/crates/cleat-jobs/src/schedule/waiting.rs
@@ -9,8 +9,7 @@
 use super::step::ActiveStep;
 use super::worker::{Worker, WorkerKey};
 use super::{Decision, Scheduler};
-use crate::state::ControlState;
-use crate::{StepId, StepSpec};
+use crate::StepId;
 
 /// The minimum interval between two log events about limited passes of one pool. It
 /// bounds the log volume under any load.
@@ -43,57 +42,32 @@
 }
 
 impl Scheduler {
-    /// Determines and logs why a step waits that was not placed on these workers.
-    pub(super) fn record_wait(
-        &mut self,
-        state: &ControlState,
-        id: StepId,
-        workers: &[WorkerKey],
-    ) -> WaitReason {
-        let job = state.jobs.get(&id.job);
-        let spec = job.and_then(|job| job.step(id));
-        let Some((step, spec)) = self.steps.get(&id).zip(spec) else {
-            return WaitReason::Capacity;
-        };
-        let reason = self.wait_reason(step, spec, id, workers);
-        self.log_wait(id, spec, reason);
-        reason
-    }
-
     /// Why a step waits that was not placed on these workers.
-    fn wait_reason(
-        &self,
-        step: &ActiveStep,
-        spec: &StepSpec,
-        id: StepId,
-        workers: &[WorkerKey],
-    ) -> WaitReason {
+    pub(super) fn wait_reason(&self, id: StepId, workers: &[WorkerKey]) -> WaitReason {
+        let Some(step) = self.steps.get(&id) else {
+            return WaitReason::Unsuitable;
+        };
         if !step.advised {
-            return self.wait_reason_among(step, spec, workers);
+            return self.wait_reason_among(step, workers);
         }
         let permitted = self.permitted(id, workers);
-        let reason = self.wait_reason_among(step, spec, &permitted);
+        let reason = self.wait_reason_among(step, &permitted);
         if reason != WaitReason::Unsuitable {
             return reason;
         }
         let not_refused = self.not_refused(id, workers);
-        match self.wait_reason_among(step, spec, &not_refused) {
+        match self.wait_reason_among(step, &not_refused) {
             WaitReason::Unsuitable => WaitReason::Unsuitable,
             _ => WaitReason::Permission,
         }
     }
 
-    fn wait_reason_among(
-        &self,
-        step: &ActiveStep,
-        spec: &StepSpec,
-        workers: &[WorkerKey],
-    ) -> WaitReason {
-        let label = spec.required_label.as_ref();
+    fn wait_reason_among(&self, step: &ActiveStep, workers: &[WorkerKey]) -> WaitReason {
         let tasks = step.min_start_count();
         let (mut now, mut after_ends) = (0_u64, 0_u64);
         for key in workers {
             let worker = &self.workers[*key];
+            let label = step.required_label.as_ref();
             if label.is_some_and(|label| !worker.has_label(label)) {
                 continue;
             }
@@ -113,41 +87,38 @@
         }
     }
 
-    /// Logs why a step waits, unless the reason is usual in a busy pool or the one that was
-    /// logged last.
-    fn log_wait(&mut self, id: StepId, spec: &StepSpec, reason: WaitReason) {
+    /// Logs why a step waits, unless the reason is the one that was logged last.
+    pub(super) fn log_wait(&mut self, id: StepId, reason: WaitReason) {
         let Some(step) = self.steps.get_mut(&id) else {
             return;
         };
-        let is_usual = matches!(reason, WaitReason::Capacity | WaitReason::Permission);
-        if is_usual || step.logged_wait == Some(reason) {
+        if step.logged_wait.replace(reason) == Some(reason) {
             return;
         }
-        step.logged_wait = Some(reason);
         let decision = Decision::StepWaits {
             step: id.to_string().into(),
             pool: step.pool.clone(),
             reason,
             task_cpu_milli: step.footprint.cpu_milli,
             task_memory_mb: step.footprint.memory_mb,
-            label: spec.required_label.clone(),
+            label: step.required_label.clone(),
             waiting: step.pending.len(),
         };
         self.log(decision);
     }
 
-    /// Logs that a pass over a pool ends before the steps behind `last`, at most once in
-    /// [`LIMIT_LOG_INTERVAL`].
+    /// Whether a limited pass over a pool may be logged now: one in [`LIMIT_LOG_INTERVAL`].
+    pub(super) fn may_log_limited_pass(&mut self, pool: &str) -> bool {
+        let ready = self.ready.get_mut(pool);
+        ready.is_some_and(|ready| ready.may_log_limit(self.now, LIMIT_LOG_INTERVAL))
+    }
+
+    /// Logs that a pass over a pool ends before the steps behind `last`.
     pub(super) fn log_limited_pass(&mut self, pool: &str, last: Rank, unplaced: &UnplacedSteps) {
-        let Some(ready) = self.ready.get_mut(pool) else {
-            return;
-        };
-        let Some(next) = ready.after(Some(last)) else {
+        let ready = self.ready.get(pool);
+        let Some(next) = ready.and_then(|ready| ready.after(Some(last), true)) else {
             return;
         };
-        if !ready.may_log_limit(self.now, LIMIT_LOG_INTERVAL) {
-            return;
-        }
         let candidates = self.candidates(pool);
         let workers = candidates.iter().map(|key| &self.workers[*key]);
         let free_cpu_milli = workers.map(|worker| worker.free_capacity().cpu_milli).sum();
