Count no tasks as demand for machines that no machine could hold

Twelve jobs of 40 cores on machines of 32 draw spare machines into their pool for as long as they wait, and keep the idle ones there.

Cause: demand sums the waiting tasks of all steps. Tasks that no machine could hold start on no number of them. The same for labels that no machine has and gangs larger than the whole fleet; both ways of moving machines sum alike.

Now steps are left out of demand, the minimum number of workers included, that no listed machine and no worker could hold if nothing else ran there. The sizes are summed up by label after a new list or a change of a worker, not at each tick. A task that only a machine elsewhere could hold counts as before.

no_machine_is_moved_for_tasks_that_none_can_hold and plan_moves_no_machine_for_tasks_that_none_can_hold were seen failing on the sources before; move_the_only_machine_that_can_hold_a_task passed on both.

Read, not mended: the forecast of arriving work includes such jobs for the 6 s in which arrivals count, and demand knows no labels, so a step whose label only some machines have may draw another one.

--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -212,7 +212,7 @@
     /// Adds the waiting tasks, and returns the total size of the placed tasks of each pool
     /// that run until they are cancelled. Workers must have been added before. Tasks beyond
     /// the cap of their customer don't count as demand, since they could not start on more
-    /// machines either.
+    /// machines either, and no more do those that no machine could hold.
     fn add_steps(&self, pools: &mut IndexMap<Box<str>, Balance>) -> Vec<Size> {
         let mut remaining: Vec<Option<Size>> = vec![None; self.accounts.count()];
         let mut long_running = vec![Size::default(); pools.len()];
@@ -229,9 +229,12 @@
                 let placed: u32 = step.placed.values().sum();
                 long_running[index] += step.footprint.scaled(u64::from(placed));
             }
-            balance.min_workers = balance.min_workers.max(step.min_workers);
             let mut count = step.pending.len() as u64;
             balance.waiting_tasks += count;
+            if count > 0 && !self.fleet_sizes.can_hold_step(step) {
+                continue;
+            }
+            balance.min_workers = balance.min_workers.max(step.min_workers);
             balance.isolated_tasks += step
                 .pending_suspects()
                 .filter(|(_, suspicion)| suspicion.needs_isolation)
--- a/crates/cleat-jobs/src/schedule/fleet/mod.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod absent;
 mod demand;
 mod evict;
+mod holdable;
 mod joins;
 mod machine;
 mod moves;
@@ -12,6 +13,7 @@
 mod reservations;
 mod waves;
 
+pub(super) use holdable::FleetSizes;
 pub(super) use machine::{Machine, Machines};
 pub use machine::{MachineOrder, MachineState, MachineView};
 pub(super) use moves::FRAGMENTATION_PERCENT;
--- a/crates/cleat-jobs/src/schedule/fleet/need.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/need.rs
@@ -229,8 +229,9 @@
         }
     }
 
-    /// Adds the running and waiting tasks. Waiting tasks beyond the cap of their customer
-    /// count for nothing, since they could not start on more machines either.
+    /// Adds the running and waiting tasks. Waiting tasks beyond the cap of their customer, and
+    /// those that no machine could hold, count for nothing, since they could not start on
+    /// more machines either.
     fn add_demand(
         &self,
         pools: &mut IndexMap<Box<str>, PoolState>,
@@ -245,6 +246,9 @@
             let demand = &mut pool.demand;
             let running: u64 = step.placed.values().map(|placed| u64::from(*placed)).sum();
             let mut waiting = step.pending.len() as u64;
+            if waiting > 0 && !self.fleet_sizes.can_hold_step(step) {
+                waiting = 0;
+            }
             if running + waiting == 0 {
                 continue;
             }
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -69,6 +69,7 @@
         };
         self.machines.list_requested_at = Some(sent_at);
         self.machines.heard_at = Some(self.now);
+        self.fleet_changed = true;
         self.end_absent_workers(&list, sent_at);
         let names: IndexSet<Box<str>> = list.iter().map(|view| view.name.clone()).collect();
         for view in list {
--- a/crates/cleat-jobs/src/schedule/heartbeat.rs
+++ b/crates/cleat-jobs/src/schedule/heartbeat.rs
@@ -23,6 +23,7 @@
         let started_ms = started_ms(&record.name);
         let key = known.unwrap_or_else(|| self.workers.add(record, self.now));
         if known.is_none() {
+            self.fleet_changed = true;
             self.supersede_earlier_lives(key);
         }
         let worker = &mut self.workers[key];
@@ -52,6 +53,7 @@
         worker.record.capacity = capacity;
         if resized {
             self.capacity_gains += 1;
+            self.fleet_changed = true;
             let name = worker.record.name.clone();
             self.log_capacity(key);
             self.propose(Command::Resized {
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -79,7 +79,7 @@
 use awaited_ends::AwaitedEnds;
 use carry_over::CarryOver;
 use crashes::CrashedMachines;
-use fleet::Machines;
+use fleet::{FleetSizes, Machines};
 use pool_names::PoolNames;
 use ready::{DirtyPools, ReadySteps};
 use shares::ShareStatus;
@@ -226,6 +226,10 @@
     /// their end.
     ended_jobs: VecDeque<(Duration, JobId)>,
     machines: Machines,
+    /// The sizes of all machines, as of the last tick.
+    fleet_sizes: FleetSizes,
+    /// Whether machines or workers have changed since then.
+    fleet_changed: bool,
     crashed_machines: CrashedMachines,
     /// Steps with tasks that ran on workers when these crashed. May still
     /// contain steps that have ended.
@@ -305,6 +309,8 @@
             future_occurrences: IndexMap::new(),
             ended_jobs: VecDeque::new(),
             machines: Machines::default(),
+            fleet_sizes: FleetSizes::default(),
+            fleet_changed: true,
             crashed_machines: CrashedMachines::default(),
             suspect_steps: IndexSet::new(),
             reserved_for_suspects: IndexSet::new(),
--- a/crates/cleat-jobs/src/schedule/restart.rs
+++ b/crates/cleat-jobs/src/schedule/restart.rs
@@ -31,6 +31,7 @@
                 ..self.workers[key].record.clone()
             };
             self.workers.add(record, self.now);
+            self.fleet_changed = true;
             self.send_renewals();
         }
     }
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -20,6 +20,7 @@
         self.crashed_machines.remove_expired(self.now);
         self.propose_stopped_jobs();
         self.update_speeds();
+        self.update_fleet_sizes();
         self.manage_machines(state);
         self.rebuild_admission(state);
         self.propose_learned(state);
--- a/crates/cleat-jobs/tests/machine_plan.rs
+++ b/crates/cleat-jobs/tests/machine_plan.rs
@@ -169,6 +169,26 @@
     assert_eq!(joined_ms(&effects), vec![1_850]);
 }
 
+/// Guards against tasks that draw machines into their pool though none can hold them.
+#[test]
+fn plan_moves_no_machine_for_tasks_that_none_can_hold() {
+    let labelled = StepSpec {
+        required_label: Some("missing".into()),
+        ..long_step(3)
+    };
+    for blocker in [step(3, 40_000), labelled] {
+        let mut harness = harness_with_spares(1);
+        let spec = StepSpec {
+            long_running: true,
+            ..blocker
+        };
+        harness.submit(1, vec![spec]);
+        for _ in 0..20 {
+            assert!(moved(&harness.tick(ms(50))).is_empty());
+        }
+    }
+}
+
 /// Guards against moving one machine after the other to a pool that none of them joins. The
 /// first to join ends the hold.
 #[test]
--- a/crates/cleat-jobs/tests/machines.rs
+++ b/crates/cleat-jobs/tests/machines.rs
@@ -32,6 +32,42 @@
     );
 }
 
+/// Guards against tasks that draw machines into their pool for as long as they wait, though
+/// no machine can hold them.
+#[test]
+fn no_machine_is_moved_for_tasks_that_none_can_hold() {
+    let labelled = StepSpec {
+        required_label: Some("missing".into()),
+        ..step(3, 6_000)
+    };
+    let large_gang = StepSpec {
+        gang: true,
+        ..step(5, 6_000)
+    };
+    for blocker in [step(3, 40_000), labelled, large_gang] {
+        let mut harness = harness_with_a_spare_machine();
+        let spec = StepSpec {
+            long_running: true,
+            ..blocker
+        };
+        harness.submit(1, vec![spec]);
+        assert!(moved(&harness.tick(ms(50))).is_empty());
+    }
+}
+
+/// A machine that is larger than the pool's workers can hold them.
+#[test]
+fn move_the_only_machine_that_can_hold_a_task() {
+    let mut harness = Harness::with_workers(&["w1"]);
+    let own = machine("m-w1", "a", Some("w1"));
+    let mut large = machine("m1", "spare", None);
+    large.capacity.cpu_milli = 50_000;
+    list_machines(&mut harness, vec![own, large]);
+    harness.submit(1, vec![step(1, 40_000)]);
+    let effects = harness.tick(ms(50));
+    assert_eq!(moved(&effects), vec![("m1".into(), "a".into())]);
+}
+
 /// There is enough free capacity, but too few workers for a step with `max_per_worker`.
 #[test]
 fn move_spare_machine_for_tasks_kept_apart() {
