Refuse no job because of accepted work that no worker could hold

What callers saw, where refusals are enabled: a pool with accepted jobs that fit on no worker refuses sound jobs as long as these are there.

Cause: the estimate of a wait takes the capacity that waiting lasting steps will use off the pool's, and counts all waiting steps that end as work that goes first. Steps that no worker could hold, whatever ends by itself, use nothing until a worker changes.

Tried, not shown: later steps of jobs that no worker could hold. They are due after the job that asks, which was accepted; nothing is changed there.

--- a/crates/cleat-jobs/src/schedule/admission/load.rs
+++ b/crates/cleat-jobs/src/schedule/admission/load.rs
@@ -169,7 +169,7 @@
     /// Subtracts what tasks use that run until they are cancelled, and adds up what runs
     /// beyond customers' shares.
     fn subtract_long_running(&self, capacities: &mut Capacities) {
-        for step in self.steps.values() {
+        for (id, step) in &self.steps {
             let Some(capacity) = capacities.get_mut(&step.pool) else {
                 continue;
             };
@@ -181,6 +181,10 @@
                 }
                 continue;
             }
+            if self.is_unsuitable(*id) {
+                capacity.present = capacity.present.saturating_sub(running);
+                continue;
+            }
             let waiting = Work::of(step.footprint.scaled(step.pending.len() as u64));
             capacity.present = capacity.present.saturating_sub(running + waiting);
             capacity.free = capacity.free.saturating_sub(waiting);
@@ -191,7 +195,7 @@
     fn add_active_steps(&self, state: &ControlState, pools: &mut Pools) {
         let dispatched_at = self.now + DISPATCH_OVERHEAD;
         for (id, step) in &self.steps {
-            if !step.order.finite || step.pending.is_empty() {
+            if !step.order.finite || step.pending.is_empty() || self.is_unsuitable(*id) {
                 continue;
             }
             let Some(work) = self.step_work(state, *id, step.pending.len() as u64) else {
--- a/crates/cleat-jobs/src/schedule/parked.rs
+++ b/crates/cleat-jobs/src/schedule/parked.rs
@@ -90,6 +90,11 @@
         self.steps.is_empty()
     }
 
+    /// Why a step is parked, if it is.
+    fn reason(&self, id: StepId) -> Option<WaitReason> {
+        self.steps.get(&id).map(|parked| parked.reason)
+    }
+
     /// The number of steps by reason.
     pub(super) fn counts(&self) -> UnplacedSteps {
         let total = self.steps.len();
@@ -187,6 +192,13 @@
         ready.parked.park(id, parked);
     }
 
+    /// Whether a step waits that no worker could hold, whatever ends by itself.
+    pub(super) fn is_unsuitable(&self, id: StepId) -> bool {
+        let step = self.steps.get(&id);
+        let ready = step.and_then(|step| self.ready.get(&step.pool));
+        ready.is_some_and(|ready| ready.parked.reason(id) == Some(WaitReason::Unsuitable))
+    }
+
     /// Has a pass examine a step again if it is parked, since fewer of its tasks run.
     pub(super) fn unpark_step(&mut self, id: StepId) {
         let Some(step) = self.steps.get(&id) else {
--- a/crates/cleat-jobs/tests/admission.rs
+++ b/crates/cleat-jobs/tests/admission.rs
@@ -722,6 +722,40 @@
     }
 }
 
+/// Guards against refusals because of accepted work that no worker can hold, and that will
+/// use none of the capacity.
+#[test]
+fn work_that_no_worker_can_hold_causes_no_refusal() {
+    let lasting = |spec: StepSpec| StepSpec {
+        long_running: true,
+        ..spec
+    };
+    let labelled = StepSpec {
+        required_label: Some("missing".into()),
+        ..step(4, 6_000)
+    };
+    for steps in [
+        vec![lasting(step(4, 40_000))],
+        vec![lasting(labelled.clone())],
+        vec![step(4, 40_000)],
+        vec![labelled],
+    ] {
+        let mut load = Load::new(2, 0, &[]);
+        for id in 1_000..1_010 {
+            load.apply(Command::Submit {
+                id: JobId(id),
+                queue: load.state.catalogue.as_ref().expect("configured").queues[0].clone(),
+                customer: None,
+                spec: job(steps.clone()),
+                arrived_ms: 0,
+            });
+        }
+        load.run_until(load.now + Duration::from_millis(200));
+        let id = load.submit(None);
+        assert!(load.calls[&id].accepted_at.is_some(), "{steps:?}");
+    }
+}
+
 /// Guards against any effect of the decision while it is disabled.
 #[test]
 fn disabled_admission_accepts_everything() {
