Simulate jobs that no worker can hold, and measure how large tasks wait

No schedule had work that can never start, and none asked whether a job that could start has started: that a pool stood still was only seen if accepted jobs were left at the end.

- Plans with such jobs (too large, a label that no worker has, gangs larger than the pool; lasting or not), alone and beside seven faults.
Once faults are over, a job without a run has to start within 3 s while a worker has twice its size free and under half of the capacity is in use.
- Jobs that always fail are left out of these plans: workers on which jobs fail are not used for 3 s (FAILURE_PAUSE), which the check can't see.
- decision_cost prints how long tasks that need half of a worker wait in a pool that smaller ones keep full.

An owner that was stalled while a worker shrank handles a commit before the heartbeat that waits behind it, and starts by the earlier capacity.

--- a/crates/cleat-jobs/examples/decision_cost.rs
+++ b/crates/cleat-jobs/examples/decision_cost.rs
@@ -8,20 +8,22 @@
 //! tasks, or `admission`: each job is first accepted or refused, and refused jobs are not
 //! submitted again. `load=PERCENT` changes the arrival rate: from 200 on, jobs pile up.
 //! `unplaced=COUNT` adds jobs of a higher priority that no worker can hold, which run until
-//! they are cancelled, or end by themselves with `finite`. `large=COUNT` adds such jobs that
-//! need a whole worker.
+//! they are cancelled, or end by themselves with `finite`. `large=COUNT` adds jobs of a higher
+//! priority, each of one task that needs half of a worker, in the middle of a demand peak, and
+//! prints how long they wait.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cleat_control::{SimulatedRun, SimulatedWorker};
 use cleat_jobs::{
     Admission, Cap, Catalogue, CatalogueDraft, Command, ControlState, Customer, CustomerDraft,
-    Effect, EndKind, Event, Features, Heartbeat, JobId, JobSpec, Order, OrderAnswer, Pool, Queue,
-    RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec, Submission, TaskOrder, WorkerHistory,
-    WorkerRecord,
+    Decision, Effect, EndKind, Event, Features, Heartbeat, JobId, JobSpec, Order, OrderAnswer,
+    Pool, Queue, RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec, Submission, TaskOrder,
+    WorkerHistory, WorkerRecord,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -37,6 +39,8 @@
 const JOBS_PER_SECOND_PER_100_WORKERS: u64 = 28;
 /// When jobs begin to arrive. What is decided before is not measured.
 const WARM_UP: Duration = Duration::from_secs(1);
+/// When the large jobs arrive: in the peak of the second pool.
+const LARGE_JOBS_AT: Duration = Duration::from_millis(6_500);
 const CALL_LATENCY: Duration = Duration::from_millis(3);
 const COMMIT_LATENCY: Duration = Duration::from_millis(12);
 const TICK: Duration = Duration::from_millis(50);
@@ -79,6 +83,10 @@
     refused: u64,
     admission_time: Duration,
     longest_admission: Duration,
+    /// The numbers of the large jobs.
+    large_jobs: Range<u64>,
+    /// How long those of them waited that started, in milliseconds.
+    large_waits: Vec<u64>,
 }
 
 fn main() {
@@ -107,8 +115,16 @@
     let end = Duration::from_secs(seconds);
     let mut world = World::new(workers, customers, features);
     world.load_percent = load_percent;
-    world.submit_unplaced(count_of("unplaced="), 2 * CAPACITY.cpu_milli, long_running);
-    world.submit_unplaced(count_of("large="), CAPACITY.cpu_milli, long_running);
+    let unplaced = count_of("unplaced=");
+    world.submit_early(
+        COMMIT_LATENCY,
+        unplaced,
+        2 * CAPACITY.cpu_milli,
+        long_running,
+    );
+    let large = count_of("large=");
+    world.large_jobs = unplaced + 1..unplaced + 1 + large;
+    world.submit_early(LARGE_JOBS_AT, large, CAPACITY.cpu_milli / 2, false);
     while let Some(Reverse((at, slot))) = world.queue.pop() {
         if at > end {
             break;
@@ -131,6 +147,16 @@
         world.decision_time.as_secs_f64() * 1e6 / world.events as f64,
         world.decision_time.as_secs_f64() / end.as_secs_f64(),
     );
+    if !world.large_jobs.is_empty() {
+        let waits = &world.large_waits;
+        println!(
+            "{} of {} large tasks started, after {} ms on average and {} ms at most",
+            waits.len(),
+            world.large_jobs.end - world.large_jobs.start,
+            waits.iter().sum::<u64>() / waits.len().max(1) as u64,
+            waits.iter().max().copied().unwrap_or_default(),
+        );
+    }
     if features.admission {
         println!(
             "{} refused; {:.1} us to accept or refuse a job, {:.0} us at most",
@@ -170,6 +196,8 @@
             refused: 0,
             admission_time: Duration::ZERO,
             longest_admission: Duration::ZERO,
+            large_jobs: 0..0,
+            large_waits: Vec::new(),
         };
         for at in 0..workers {
             let worker = SimulatedWorker::new(record(at), 100, 1_000);
@@ -257,6 +285,9 @@
                 );
             }
             Effect::Propose(command) => self.schedule(COMMIT_LATENCY, SimEvent::Commit(command)),
+            Effect::Log(Decision::Start {
+                task, waited_ms, ..
+            }) => self.record_wait(&task, waited_ms),
             Effect::Fenced { .. }
             | Effect::Log(_)
             | Effect::Advise { .. }
@@ -265,6 +296,14 @@
         }
     }
 
+    fn record_wait(&mut self, task: &str, waited_ms: u64) {
+        let job = task.split('.').next();
+        let job = job.and_then(|job| u64::from_str_radix(job, 16).ok());
+        if job.is_some_and(|job| self.large_jobs.contains(&job)) {
+            self.large_waits.push(waited_ms);
+        }
+    }
+
     fn submit(&mut self, pool: usize) {
         let peak_number = self.now.as_secs() / PEAK_DURATION.as_secs();
         let at_peak = peak_number % POOLS as u64 == pool as u64;
@@ -324,8 +363,8 @@
     }
 
     /// Submits jobs that go ahead of all others, each of one task of this size.
-    fn submit_unplaced(&mut self, count: u64, cpu_milli: u64, long_running: bool) {
-        for (at, pool) in (0..count).zip((0..POOLS).cycle()) {
+    fn submit_early(&mut self, at: Duration, count: u64, cpu_milli: u64, long_running: bool) {
+        for (number, pool) in (0..count).zip((0..POOLS).cycle()) {
             self.jobs += 1;
             let queues = &self.state.catalogue.as_ref().expect("configured").queues;
             let mut queue = Queue::clone(&queues[pool]);
@@ -334,8 +373,8 @@
                 count: 1,
                 size: Size {
                     // No two of them are alike.
-                    cpu_milli: cpu_milli - at % 1_000,
-                    memory_mb: 1_000 + at,
+                    cpu_milli: cpu_milli - number % 1_000,
+                    memory_mb: 1_000 + number,
                     gpu: 0,
                 },
                 estimate_ms: 600_000,
@@ -348,7 +387,7 @@
                 repeat: None,
             };
             self.schedule(
-                COMMIT_LATENCY,
+                at,
                 SimEvent::Commit(Command::Submit {
                     id: JobId(self.jobs),
                     queue: Arc::new(queue),
--- a/crates/cleat-jobs/src/schedule/pass.rs
+++ b/crates/cleat-jobs/src/schedule/pass.rs
@@ -149,7 +149,11 @@
             }
             pass.max_free = self.max_free_capacity(&pass.usable);
         }
-        match self.wait_reason(id, &pass.usable) {
+        let reason = self.wait_reason(id, &pass.usable);
+        if !self.cfg.protections.limit_withholding {
+            return pass.waiting.push(id);
+        }
+        match reason {
             WaitReason::Capacity => pass.waiting.push(id),
             WaitReason::Permission => pass.without_permission += 1,
             reason @ (WaitReason::Excluded | WaitReason::Unsuitable) => {
@@ -192,7 +196,7 @@
         };
         let waiting = std::mem::take(&mut pass.waiting);
         let withheld = ready.withholding.withhold(self.now, waiting);
-        if !withheld && ticked {
+        if !withheld && ticked && self.cfg.protections.limit_withholding {
             self.share_capacity(state, pass, last);
         }
     }
--- a/crates/cleat-jobs/src/schedule/protections.rs
+++ b/crates/cleat-jobs/src/schedule/protections.rs
@@ -30,6 +30,9 @@
     pub stop_strays: bool,
     /// A crash of a worker counts against the tasks that ran there.
     pub count_crashes: bool,
+    /// Steps that can't be placed withhold capacity from others only if they wait for
+    /// capacity in use, and not for long.
+    pub limit_withholding: bool,
 }
 
 impl Default for Protections {
@@ -44,6 +47,7 @@
             charge_hidden_runs: true,
             stop_strays: true,
             count_crashes: true,
+            limit_withholding: true,
         }
     }
 }
--- a/crates/cleat-jobs/tests/schedules.rs
+++ b/crates/cleat-jobs/tests/schedules.rs
@@ -115,6 +115,64 @@
     ])
 }
 
+/// Guards against jobs that no worker can hold and that keep the others from starting.
+#[test]
+fn schedule_unplaceable_jobs() {
+    assert_holds(&Plan::with_unplaceable_jobs(&[]));
+}
+
+fn unplaceable_jobs_and_faults() -> Plan {
+    Plan::with_unplaceable_jobs(&[
+        Fault::OwnerDies,
+        Fault::WorkerCut,
+        Fault::WorkerRestarts,
+        Fault::LostAnswers,
+        Fault::SlowCommits,
+        Fault::WorkersShrink,
+        Fault::OwnerStalls,
+    ])
+}
+
+#[test]
+fn schedule_unplaceable_jobs_and_faults() {
+    assert_holds(&unplaceable_jobs_and_faults());
+}
+
+#[test]
+fn protection_limit_withholding() {
+    let mut plan = Plan::with_unplaceable_jobs(&[]);
+    plan.protections.limit_withholding = false;
+    assert_violates(&plan, |violation| {
+        matches!(violation, Violation::NotStarted { .. })
+    });
+}
+
+/// The plans with jobs that no worker can hold.
+fn plans_of_unplaceable_jobs() -> Vec<NamedPlan> {
+    let plans = [
+        Plan::with_unplaceable_jobs(&[]),
+        unplaceable_jobs_and_faults(),
+        Plan {
+            speculation_percent: 50,
+            ..unplaceable_jobs_and_faults()
+        },
+    ];
+    let named = plans.into_iter().enumerate();
+    named
+        .map(|(at, plan)| (format!("unplaceable {at}"), plan))
+        .collect()
+}
+
+/// Runs more seeds of these plans, by hand.
+#[test]
+#[ignore = "27,000 schedules, which take minutes in a debug build"]
+fn schedule_unplaceable_jobs_many_seeds() {
+    assert_eq!(
+        count_violations(&plans_of_unplaceable_jobs(), MANY_SEEDS),
+        0
+    );
+}
+
 #[test]
 fn schedule_late_orders() {
     assert_holds(&Plan::with(&[Fault::LateOrders]));
@@ -659,6 +717,7 @@
         plans_of_many_seeds(copies),
         plans_of_stalls(copies),
         plans_of_restarts(),
+        plans_of_unplaceable_jobs(),
     ]
     .concat();
     let (_, plan) = &plans[at];
--- a/crates/cleat-jobs/tests/simulation/checks.rs
+++ b/crates/cleat-jobs/tests/simulation/checks.rs
@@ -6,6 +6,7 @@
 
 use super::faults::looser_cap;
 use super::jobs::customer_of;
+use super::unplaceable::is_unplaceable;
 use super::violation::Violation;
 use super::world::{CAPS, FAULTS_END, MAX_ATTEMPTS, World, ms};
 
@@ -173,7 +174,8 @@
 
     pub(super) fn check_end(&self) -> Result<(), Violation> {
         self.check_failed()?;
-        match self.state.jobs.keys().next() {
+        let mut jobs = self.state.jobs.keys();
+        match jobs.find(|id| !is_unplaceable(**id)) {
             Some(job) => Err(Violation::NotFinished { job: *job }),
             None => Ok(()),
         }
--- a/crates/cleat-jobs/tests/simulation/mod.rs
+++ b/crates/cleat-jobs/tests/simulation/mod.rs
@@ -7,6 +7,7 @@
 mod plan;
 mod stall;
 mod trace;
+mod unplaceable;
 mod violation;
 mod world;
 
--- a/crates/cleat-jobs/tests/simulation/plan.rs
+++ b/crates/cleat-jobs/tests/simulation/plan.rs
@@ -102,6 +102,8 @@
     pub(crate) speculation_percent: u32,
     /// Whether a worker that starts again has the id that it had.
     pub(crate) keeps_ids: bool,
+    /// Whether there are jobs that no worker can hold.
+    pub(crate) unplaceable_jobs: bool,
 }
 
 impl Plan {
@@ -112,6 +114,7 @@
             protections: Protections::default(),
             speculation_percent: 0,
             keeps_ids: false,
+            unplaceable_jobs: false,
         }
     }
 
@@ -123,6 +126,14 @@
         }
     }
 
+    /// A schedule with jobs that no worker can hold.
+    pub(crate) fn with_unplaceable_jobs(faults: &[Fault]) -> Plan {
+        Plan {
+            unplaceable_jobs: true,
+            ..Plan::with(faults)
+        }
+    }
+
     /// Cancels some jobs, and injects the fault at this stage.
     pub(crate) fn injecting_at(stage: JobStage, fault: Fault) -> Plan {
         Plan {
--- a/crates/cleat-jobs/tests/simulation/violation.rs
+++ b/crates/cleat-jobs/tests/simulation/violation.rs
@@ -33,6 +33,8 @@
     CrashesOn { task: TaskId, ms: u128 },
     /// A job failed although its tasks neither failed nor crashed their workers.
     FailedWithoutCause { job: JobId, ms: u128 },
+    /// A job that could start had not started.
+    NotStarted { job: JobId, ms: u128 },
     /// A job had not ended in time after the last fault.
     NotFinished { job: JobId },
 }
@@ -84,6 +86,9 @@
             Violation::FailedWithoutCause { job, ms } => {
                 write!(f, "{job} failed without a cause at {ms} ms")
             }
+            Violation::NotStarted { job, ms } => {
+                write!(f, "{job} could start and has not at {ms} ms")
+            }
             Violation::NotFinished { job } => write!(f, "{job} is not finished"),
         }
     }
--- a/crates/cleat-jobs/tests/simulation/world.rs
+++ b/crates/cleat-jobs/tests/simulation/world.rs
@@ -20,6 +20,7 @@
 use super::plan::{Fault, JobStage, Plan};
 use super::stall::Stall;
 use super::trace::Trace;
+use super::unplaceable::StartableJobs;
 use super::violation::Violation;
 
 /// Faults are injected until this time.
@@ -55,6 +56,8 @@
     Tick,
     Heartbeat(usize),
     Submit(JobId),
+    /// A job that no worker can hold is submitted.
+    SubmitUnplaceable(JobId),
     Cancel(JobId),
     Fault(Fault),
     TakeOver,
@@ -119,6 +122,7 @@
     injections_left: u32,
     /// The previous caps, and until when orders sent under them may arrive.
     pub(super) previous_caps: (Vec<u64>, Duration),
+    pub(super) startable: StartableJobs,
     pub(super) stall: Stall,
     pub(super) trace: Trace,
 }
@@ -172,6 +176,7 @@
             failures: IndexMap::new(),
             injections_left: INJECTIONS,
             previous_caps: (Vec::new(), Duration::ZERO),
+            startable: StartableJobs::new(),
             stall: Stall::default(),
             trace,
         };
@@ -206,6 +211,9 @@
                 self.schedule(later, SimEvent::Cancel(JobId(job)));
             }
         }
+        if self.plan.unplaceable_jobs {
+            self.schedule_unplaceable_jobs();
+        }
         let faults = self.plan.faults.clone();
         for fault in faults {
             for _ in 0..2 {
@@ -269,11 +277,13 @@
                     workers.for_each(|worker| worker.record.capacity = CAPACITY);
                 }
                 self.check_workers()?;
+                self.check_startable_jobs()?;
                 let wall_ms = self.wall_ms();
                 self.feed(Event::Tick { wall_ms });
             }
             SimEvent::Heartbeat(at) => self.heartbeat(at),
             SimEvent::Submit(id) => self.submit(id),
+            SimEvent::SubmitUnplaceable(id) => self.submit_unplaceable(id),
             SimEvent::Cancel(id) => self.cancel(id),
             SimEvent::Fault(fault) => {
                 self.trace.record(self.now, || format!("fault {fault:?}"));
@@ -477,7 +487,8 @@
         if self.owner.is_none() {
             return self.schedule(ms(300), SimEvent::Submit(id));
         }
-        if self.rng.random_bool(0.1) {
+        // Workers on which jobs fail are not used for a while, though they have room.
+        if self.rng.random_bool(0.1) && !self.plan.unplaceable_jobs {
             self.always_failing.push(id);
         }
         if self.plan.has(Fault::CrashingTasks) && id.0 % 5 == 3 {
