--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -308,8 +308,8 @@
         /// The free processor time of these, in thousandths of a core.
         free_cpu_milli: u64,
     },
-    /// A step waits for neither capacity nor permission. Logged when a scheduling pass
-    /// finds that and when the reason changes.
+    /// A step waits for neither capacity in use nor permission. Logged once for each step
+    /// and reason.
     StepWaits {
         /// The step.
         step: Box<str>,
--- a/crates/cleat-jobs/src/schedule/parked.rs
+++ b/crates/cleat-jobs/src/schedule/parked.rs
@@ -15,13 +15,13 @@
 use super::worker::{WorkerKey, Workers};
 use crate::{JobId, Size, StepId};
 
-/// The maximum number of parked steps that one pass examines again. It takes some 3 us
-/// for each.
+/// The maximum number of parked steps that one pass examines again, however many may be
+/// placed after a change.
 const MAX_RETRIES_PER_PASS: usize = 256;
-/// The number of steps that are examined again at each tick, those that were parked first,
-/// in case that none of the changes was noticed that they waited for.
+/// The number of steps without a suitable worker that are examined again at each tick,
+/// whether or not a change was noticed.
 const UNSUITABLE_PER_TICK: usize = 8;
-/// The same for steps whose wait may end with time.
+/// The same for excluded steps, whose wait may end with time.
 const EXCLUDED_PER_TICK: usize = 64;
 
 /// The lowest step id.
--- a/crates/cleat-jobs/src/schedule/pass.rs
+++ b/crates/cleat-jobs/src/schedule/pass.rs
@@ -24,9 +24,10 @@
 const MAX_STEPS_WITHOUT_PERMISSION: usize = 12;
 /// The number of steps that one pass parks. The next one goes on behind them.
 const MAX_PARKED_STEPS: usize = 256;
-/// The number of steps behind those for which capacity was withheld that one pass examines,
-/// and the number of these that it examines in vain though some worker has as much free.
+/// The number of steps that one pass looks at behind those for which capacity was withheld.
 const MAX_SHARING_STEPS: usize = 2_048;
+/// The number of these that it examines and can't place, though some worker has as much of
+/// each resource free.
 const MAX_UNPLACED_SHARING_STEPS: usize = 64;
 
 /// What a pass over one pool works with.
@@ -149,11 +150,10 @@
             }
             pass.max_free = self.max_free_capacity(&pass.usable);
         }
-        let reason = self.wait_reason(id, &pass.usable);
         if !self.cfg.protections.limit_withholding {
             return pass.waiting.push(id);
         }
-        match reason {
+        match self.wait_reason(id, &pass.usable) {
             WaitReason::Capacity => pass.waiting.push(id),
             WaitReason::Permission => pass.without_permission += 1,
             reason @ (WaitReason::Excluded | WaitReason::Unsuitable) => {
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -61,8 +61,8 @@
     pub(crate) critical_path: Duration,
     /// The number of its tasks that run on each worker.
     pub(crate) placed: IndexMap<WorkerKey, u32>,
-    /// The reason why it waits that was logged last.
-    pub(crate) logged_wait: Option<WaitReason>,
+    /// The reasons why it waits that were logged.
+    pub(crate) logged_waits: Vec<WaitReason>,
     /// The worker on which each task last failed.
     pub(crate) failed_on: IndexMap<u32, WorkerKey>,
     /// The crashes that count against each task, for tasks with any.
@@ -283,7 +283,7 @@
             speculative: self.speculates() && spec.allows_copies(),
             critical_path,
             placed: IndexMap::new(),
-            logged_wait: None,
+            logged_waits: Vec::new(),
             failed_on: IndexMap::new(),
             suspicions: IndexMap::new(),
             checkpoints: IndexMap::new(),
--- a/crates/cleat-jobs/src/schedule/waiting.rs
+++ b/crates/cleat-jobs/src/schedule/waiting.rs
@@ -87,14 +87,15 @@
         }
     }
 
-    /// Logs why a step waits, unless the reason is the one that was logged last.
+    /// Logs why a step waits, once for each reason.
     pub(super) fn log_wait(&mut self, id: StepId, reason: WaitReason) {
         let Some(step) = self.steps.get_mut(&id) else {
             return;
         };
-        if step.logged_wait.replace(reason) == Some(reason) {
+        if step.logged_waits.contains(&reason) {
             return;
         }
+        step.logged_waits.push(reason);
         let decision = Decision::StepWaits {
             step: id.to_string().into(),
             pool: step.pool.clone(),
