Keep workers reserved for the first waiting step while others share capacity

The limit on withholding traded one promise for another. A step that needs a whole worker, among tasks that take longer than the 2 s of withholding, lost what had accumulated each time others were let in.

Now capacity is withheld for up to 10 s while half of any resource of the pool is in use, and when others may use it, the workers that lack least of what the first waiting step needs are left out, half of the pool's at most. A pool that is mostly idle still withholds 2 s at most (capacity_is_not_withheld_for_long_runs).

--- a/crates/cleat-jobs/src/schedule/pass.rs
+++ b/crates/cleat-jobs/src/schedule/pass.rs
@@ -55,6 +55,13 @@
     fn examines_advised(&self) -> bool {
         self.without_permission < MAX_STEPS_WITHOUT_PERMISSION
     }
+
+    fn leave_out(&mut self, workers: &[WorkerKey]) {
+        let stays = |key: &WorkerKey| !workers.contains(key);
+        self.candidates.retain(stays);
+        self.slow.keys.retain(stays);
+        self.usable.retain(stays);
+    }
 }
 
 impl Scheduler {
@@ -191,11 +198,14 @@
             let unplaced = self.unplaced_steps(pass);
             self.log_limited_pass(&pass.pool, last, &unplaced);
         }
+        let overdue = self.ready.get(&pass.pool);
+        let overdue = overdue.is_some_and(|ready| ready.withholding.is_overdue(self.now));
+        let half_used = overdue && self.is_half_used(&pass.usable);
         let Some(ready) = self.ready.get_mut(&pass.pool) else {
             return;
         };
         let waiting = std::mem::take(&mut pass.waiting);
-        let withheld = ready.withholding.withhold(self.now, waiting);
+        let withheld = ready.withholding.withhold(self.now, waiting, half_used);
         if !withheld && ticked && self.cfg.protections.limit_withholding {
             self.share_capacity(state, pass, last);
         }
@@ -212,11 +222,17 @@
     }
 
     /// Examines steps behind those for which capacity was withheld: from where the last
-    /// such pass ended, or behind the one with rank `last`.
+    /// such pass ended, or behind the one with rank `last`. Nothing is started on the workers
+    /// that are reserved for the first of those.
     fn share_capacity(&mut self, state: &ControlState, pass: &mut Pass, last: Rank) {
-        let resumed = self.ready.get(&pass.pool);
-        let resumed = resumed.and_then(|ready| ready.withholding.resume_after);
-        let mut previous = resumed.max(Some(last));
+        let Some(ready) = self.ready.get(&pass.pool) else {
+            return;
+        };
+        let mut previous = ready.withholding.resume_after.max(Some(last));
+        if let Some(first) = ready.withholding.first_beneficiary() {
+            pass.leave_out(&self.workers_to_reserve(first, &pass.usable));
+            pass.max_free = self.max_free_capacity(&pass.usable);
+        }
         let mut examined = 0;
         while let Some(rank) = self.next_ready_step(&pass.pool, previous, pass.examines_advised()) {
             previous = Some(rank);
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -10,7 +10,7 @@
 use super::pool_names::PoolKey;
 use super::shares::ShareStatus;
 use super::timing::{Objective, Timeliness};
-use super::worker::WorkerKey;
+use super::worker::{Worker, WorkerKey};
 use super::{Decision, Scheduler};
 use crate::state::{ControlState, Job, Suspicion};
 use crate::{JobId, Size, StepId};
@@ -137,6 +137,12 @@
         self.order.due.saturating_sub(now + self.critical_path)
     }
 
+    /// Whether a worker has the label that it needs, if any.
+    pub(crate) fn has_label_of(&self, worker: &Worker) -> bool {
+        let label = self.required_label.as_ref();
+        label.is_none_or(|label| worker.has_label(label))
+    }
+
     /// Whether its maximum number of tasks runs on a worker.
     pub(crate) fn is_full_on(&self, worker: WorkerKey) -> bool {
         let placed = self.placed.get(&worker).copied().unwrap_or_default();
--- a/crates/cleat-jobs/src/schedule/waiting.rs
+++ b/crates/cleat-jobs/src/schedule/waiting.rs
@@ -20,16 +20,16 @@
 
 /// The numbers of tasks of a step that a worker could run.
 #[derive(Clone, Copy, Debug, Default)]
-struct TaskRoom {
+pub(super) struct TaskRoom {
     /// With the capacity that is free.
     now: u64,
     /// Once all runs have ended there that end by themselves.
-    after_ends: u64,
+    pub(super) after_ends: u64,
 }
 
 impl TaskRoom {
     /// The tasks that fit on a worker beside those of the step that it has already.
-    fn on(worker: &Worker, step: &ActiveStep, key: WorkerKey) -> TaskRoom {
+    pub(super) fn on(worker: &Worker, step: &ActiveStep, key: WorkerKey) -> TaskRoom {
         let placed = step.placed.get(&key).copied().unwrap_or_default();
         let most = step.max_per_worker;
         let slots = most.map_or(u64::MAX, |most| u64::from(most.saturating_sub(placed)));
@@ -67,8 +67,7 @@
         let (mut now, mut after_ends) = (0_u64, 0_u64);
         for key in workers {
             let worker = &self.workers[*key];
-            let label = step.required_label.as_ref();
-            if label.is_some_and(|label| !worker.has_label(label)) {
+            if !step.has_label_of(worker) {
                 continue;
             }
             let room = TaskRoom::on(worker, step, *key);
--- a/crates/cleat-jobs/tests/unplaced.rs
+++ b/crates/cleat-jobs/tests/unplaced.rs
@@ -11,8 +11,9 @@
 
 use cleat_jobs::{
     AdviceTiming, Command, Decision, Effect, EndKind, Event, Heartbeat, JobId, OrderAnswer,
-    RenewalAnswer, Size, StepSpec, WaitReason, WorkerRecord,
+    RenewalAnswer, Size, StepSpec, TaskOrder, WaitReason, WorkerRecord,
 };
+use indexmap::IndexMap;
 use support::{Harness, advice, end, ended, job, queue, record, running, starts, step, task};
 
 /// More than the number of steps without a place that ends a pass.
@@ -262,6 +263,92 @@
     assert_eq!(started, [SHORT]);
 }
 
+/// Tasks of 5 s keep a pool full, and jobs that need a whole worker wait ahead of more of
+/// them. They get their turn though no capacity of that size comes free within some seconds.
+#[test]
+fn whole_workers_are_emptied_of_long_tasks() {
+    let mut harness = Harness::with_workers(&["w1", "w2"]);
+    let mut pool = LongTasks::default();
+    let effects = harness.submit(1, vec![step(80, 1_000)]);
+    pool.record(&mut harness, &effects);
+    submit_blockers(&mut harness, &lasting(step(1, 8_000)));
+    let until = harness.now + 4 * LONG_TASK;
+    while harness.now < until && pool.large.is_empty() {
+        let effects = harness.tick(TICK);
+        pool.record(&mut harness, &effects);
+        for worker in ["w1", "w2"] {
+            pool.end_due(&mut harness, worker);
+        }
+    }
+    assert_eq!(pool.large.first(), Some(&FIRST_BLOCKER));
+}
+
+/// How long a task of one core runs.
+const LONG_TASK: Duration = Duration::from_secs(5);
+
+/// The runs of tasks of one core with the time of their end, and the larger jobs that started beside them.
+#[derive(Default)]
+struct LongTasks {
+    runs: Vec<(Duration, Box<str>, TaskOrder)>,
+    /// The number of the last end that each worker listed.
+    ends: IndexMap<Box<str>, u64>,
+    large: Vec<u64>,
+    /// The number of tasks of one core that each worker was sent.
+    started: IndexMap<Box<str>, u32>,
+}
+
+impl LongTasks {
+    fn record(&mut self, harness: &mut Harness, effects: &[Effect]) {
+        for (worker, order) in starts(effects) {
+            harness.answer(&worker, &order, OrderAnswer::Done);
+            match order.task.job().0 {
+                1 => {
+                    let ends_at = harness.now + self.next_span(&worker);
+                    self.runs.push((ends_at, worker, order));
+                }
+                large => self.large.push(large),
+            }
+        }
+    }
+
+    /// The tasks that fill a worker end one after the other, and later ones after 5 s.
+    fn next_span(&mut self, worker: &str) -> Duration {
+        let started = self.started.entry(worker.into()).or_default();
+        *started += 1;
+        LONG_TASK.min(LONG_TASK * *started / 8)
+    }
+
+    /// Lists the runs of a worker, with the end of one that is due.
+    fn end_due(&mut self, harness: &mut Harness, worker: &str) {
+        let now = harness.now;
+        let due = |(at, on, _): &(Duration, Box<str>, TaskOrder)| &**on == worker && now >= *at;
+        let ended = self
+            .runs
+            .iter()
+            .position(due)
+            .map(|at| self.runs.remove(at));
+        let number = self.ends.entry(worker.into()).or_default();
+        let ends = ended.map(|(_, _, order)| {
+            *number += 1;
+            end(*number, order.task, order.run.0, EndKind::Done)
+        });
+        let runs = self.runs.iter().filter(|(_, on, _)| &**on == worker);
+        let answer = RenewalAnswer {
+            running: runs
+                .map(|(_, _, order)| running(order.task, order.run.0))
+                .collect(),
+            ..ended_list(ends)
+        };
+        let listed = harness.confirm_renewal(worker, 0, answer);
+        let committed = harness.commit(&listed);
+        self.record(harness, &[listed, committed].concat());
+    }
+}
+
+fn ended_list(ends: Option<cleat_jobs::TaskEnd>) -> RenewalAnswer {
+    ended(ends.into_iter().collect())
+}
+
 fn with_capacity(name: &str, cpu_milli: u64) -> WorkerRecord {
     let mut record = record(name, "a");
     record.capacity.cpu_milli = cpu_milli;
