Log isolated workers, waiting suspects and the evidence of each crash

After a crash of many workers a pool may start next to nothing while it is empty. The log could not tell why: taking counts isolated, draining and unknown workers alike, and lost says how many crashes count against a task, not how strongly. The pool event and gauges now have the isolated workers and the waiting tasks that are suspects or must run alone; lost has the evidence.

--- a/crates/cleat-control/src/metrics.rs
+++ b/crates/cleat-control/src/metrics.rs
@@ -66,9 +66,16 @@
             Decision::LearnedCommitted { .. } => self.count("learned.committed"),
             Decision::LearnedRestored { .. } => self.count("learned.restored"),
             Decision::LearnedRejected { .. } => self.count("learned.rejected"),
-            Decision::Pool { pool, waiting, .. } => {
-                let gauge = self.counters.gauge(&format!("pool.{pool}.waiting"));
-                gauge.set(*waiting);
+            Decision::Pool {
+                pool,
+                waiting,
+                isolated,
+                waiting_isolated,
+                ..
+            } => {
+                self.set_pool_gauge(pool, "waiting", *waiting);
+                self.set_pool_gauge(pool, "isolated", *isolated as u64);
+                self.set_pool_gauge(pool, "waiting_isolated", *waiting_isolated as u64);
             }
             Decision::Plan {
                 paid, held_back, ..
@@ -99,6 +106,11 @@
         }
     }
 
+    fn set_pool_gauge(&self, pool: &str, name: &str, value: u64) {
+        let gauge = self.counters.gauge(&format!("pool.{pool}.{name}"));
+        gauge.set(value);
+    }
+
     /// Increments the counter with this name.
     pub(crate) fn count(&self, name: &str) {
         self.counter(name).incr();
--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -157,15 +157,17 @@
             let Some(attempt) = self.attempts.get(&task) else {
                 continue;
             };
-            runs.push(crashed_run(task, attempt, alone, crashed_at));
-            self.end_lost_run(task, reason);
+            let crashed = crashed_run(task, attempt, alone, crashed_at);
+            self.end_lost_run(&crashed, reason);
+            runs.push(crashed);
         }
         for task in superseded {
             let Some(attempt) = self.superseded.get(task) else {
                 continue;
             };
-            runs.push(crashed_run(task, attempt, alone, crashed_at));
-            self.crash_superseded(task, reason);
+            let crashed = crashed_run(task, attempt, alone, crashed_at);
+            self.crash_superseded(&crashed, reason);
+            runs.push(crashed);
         }
         runs
     }
@@ -220,7 +222,8 @@
 
     /// Marks a lost run as ended and frees its capacity. Its task waits for the
     /// commit of the crash.
-    fn end_lost_run(&mut self, task: TaskId, reason: LossReason) {
+    fn end_lost_run(&mut self, crashed: &CrashedRun, reason: LossReason) {
+        let task = crashed.task;
         let Some(attempt) = self.end_attempt(task) else {
             return;
         };
@@ -232,6 +235,7 @@
             worker,
             reason,
             crashes,
+            evidence: Some(crashed.evidence),
         });
     }
 
--- a/crates/cleat-jobs/src/schedule/decision.rs
+++ b/crates/cleat-jobs/src/schedule/decision.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use super::{MachineAnswer, MachineOrder, OrderAnswer, RefusalReason};
-use crate::state::{EndKind, JobState};
+use crate::state::{CrashEvidence, EndKind, JobState};
 
 /// One decision with the facts behind it. Fields of the same meaning have the
 /// same name in all decisions.
@@ -121,6 +121,9 @@
         reason: LossReason,
         /// The number of crashes that count against the task.
         crashes: usize,
+        /// How strongly the loss suggests that the run crashed its worker, if it counts
+        /// against the task.
+        evidence: Option<CrashEvidence>,
     },
     /// A list of a worker has neither a run that was expected there nor its end.
     RunMissing {
@@ -243,6 +246,12 @@
         free_cpu_milli: u64,
         /// The number of tasks that wait for free capacity.
         waiting: u64,
+        /// The number of its workers on which a task runs that must run alone.
+        isolated: usize,
+        /// The number of waiting tasks that may have crashed a worker.
+        waiting_suspects: usize,
+        /// The number of those that must run alone on their worker.
+        waiting_isolated: usize,
         /// The processor time of machines that are about to arrive, in
         /// thousandths of a core.
         joining_cpu_milli: u64,
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -41,8 +41,12 @@
     used: Size,
     /// The number of waiting tasks.
     waiting_tasks: u64,
-    /// The number of running and waiting tasks that must run alone on their worker.
-    isolated_tasks: usize,
+    /// The number of workers on which a task runs that must run alone.
+    isolated_workers: usize,
+    /// The number of waiting tasks that must run alone on their worker.
+    waiting_isolated: usize,
+    /// The number of waiting tasks that may have crashed a worker.
+    waiting_suspects: usize,
     /// The number of workers that accept tasks now, without those expected to join.
     accepting: usize,
     /// The capacity of the accepting workers.
@@ -125,7 +129,8 @@
     /// crash there may briefly be hundreds of isolated tasks, so they raise it to at most
     /// twice the number of workers.
     fn update_min_workers(&mut self) {
-        let isolated = self.isolated_tasks.min(2 * self.workers);
+        let isolated = self.isolated_workers + self.waiting_isolated;
+        let isolated = isolated.min(2 * self.workers);
         let for_unplaceable = match self.workers_for_unplaceable() {
             0 => 0,
             additional => self.accepting + additional,
@@ -203,6 +208,9 @@
                 taking: candidates.len(),
                 free_cpu_milli: free.sum(),
                 waiting: balance.waiting_tasks,
+                isolated: balance.isolated_workers,
+                waiting_suspects: balance.waiting_suspects,
+                waiting_isolated: balance.waiting_isolated,
                 joining_cpu_milli: joining.cpu_milli,
                 expected_join_ms: millis(self.machines.joins.expected(pool)),
             });
@@ -235,10 +243,10 @@
                 continue;
             }
             balance.min_workers = balance.min_workers.max(step.min_workers);
-            balance.isolated_tasks += step
-                .pending_suspects()
-                .filter(|(_, suspicion)| suspicion.needs_isolation)
-                .count();
+            for (_, suspicion) in step.pending_suspects() {
+                balance.waiting_suspects += 1;
+                balance.waiting_isolated += usize::from(suspicion.needs_isolation);
+            }
             let percent = match step.timeliness(self.now) {
                 Timeliness::InTime => 100,
                 Timeliness::Late => LATE_WORK_PERCENT,
@@ -268,7 +276,7 @@
                 continue;
             };
             balance.used += self.at_speed(key, worker.used);
-            balance.isolated_tasks += usize::from(self.is_isolated(key));
+            balance.isolated_workers += usize::from(self.is_isolated(key));
             if worker.answers() && !worker.draining && !worker.cordoned {
                 // No other task may use what an isolated task leaves free.
                 balance.add_worker(match self.is_isolated(key) {
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -172,6 +172,7 @@
             worker,
             reason,
             crashes: attempt.suspicion.crashes,
+            evidence: None,
         });
         self.requeue(task, key, attempt.checkpoint);
     }
--- a/crates/cleat-jobs/src/schedule/speculation/superseded.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/superseded.rs
@@ -11,7 +11,7 @@
 use crate::schedule::orders::STOP_RETRY_DELAY;
 use crate::schedule::worker::WorkerKey;
 use crate::schedule::{Decision, Scheduler};
-use crate::state::{ControlState, End, EndKind, Suspicion};
+use crate::state::{ControlState, CrashEvidence, CrashedRun, End, EndKind, Suspicion};
 use crate::{JobId, Run, Size, TaskId};
 
 /// The earlier run of a task that was copied.
@@ -380,14 +380,18 @@
     }
 
     fn lose_superseded(&mut self, task: TaskId, reason: LossReason) {
-        self.log_superseded_lost(task, reason);
+        self.log_superseded_lost(task, reason, None);
         self.remove_superseded(task);
     }
 
     /// Marks a superseded run as ended whose crash is being committed.
-    pub(in crate::schedule) fn crash_superseded(&mut self, task: TaskId, reason: LossReason) {
-        self.log_superseded_lost(task, reason);
-        self.end_superseded(task);
+    pub(in crate::schedule) fn crash_superseded(
+        &mut self,
+        crashed: &CrashedRun,
+        reason: LossReason,
+    ) {
+        self.log_superseded_lost(crashed.task, reason, Some(crashed.evidence));
+        self.end_superseded(crashed.task);
     }
 
     /// Removes a superseded run whose crash was committed.
@@ -398,7 +402,12 @@
         }
     }
 
-    fn log_superseded_lost(&mut self, task: TaskId, reason: LossReason) {
+    fn log_superseded_lost(
+        &mut self,
+        task: TaskId,
+        reason: LossReason,
+        evidence: Option<CrashEvidence>,
+    ) {
         let Some(attempt) = self.superseded.get(task) else {
             return;
         };
@@ -409,6 +418,7 @@
             worker: self.worker_name(attempt.worker),
             reason,
             crashes: attempt.suspicion.crashes,
+            evidence,
         };
         self.log(decision);
         if !is_stopping {
