Add failing tests of pools whose workers crash under sound tasks

A pool of 24 workers under a steady load of 40%, half of which crash together, in turn or repeatedly, with changes of owner: tasks of the crashed workers stand still for 3 to 15 s though half of the pool is free, since each has to run alone on a worker.

--- a/crates/cleat-jobs/tests/support/mod.rs
+++ b/crates/cleat-jobs/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod crash_scenario;
+pub(crate) mod crashing_pool;
 pub(crate) mod fleet;
 
 use std::sync::Arc;
