Let suspects share quarantined workers, and excuse failures of many workers

What callers saw: jobs whose tasks were lost with crashed workers stand still for 3 to 15 s in a pool that is half free, many at once, and start one after the other (LOST). Others are given up though no task of them crashes anything.

Cause: a task with two possible crashes ran alone on its worker, each change of owner counted as one, and any number of workers could be taken that way. A crash of many workers beside a change of owner made hundreds of tasks wait for as many workers. Ruled out: passes that end at steps without a place (the stall remains with their mend), and runs the new owner doesn't know of (the pool stands still before the owner changes, too).

Now a task that waits for isolation - starts alone if there are few of them, - else shares a worker in quarantine with others, as few as the pool allows, of which at most four start before the worker answers again; only tasks with stronger evidence (alone on a worker, just started twice, three crashes) always run alone, - and isolation leaves a quarter of each pool open to other work. Workers that stop answering within 500 ms of each other, a quarter of their pool or more, share a cause: their runs are recorded with the weakest evidence, which changes of owner do not add to. Tasks that ran alone are not excused, so that a task can't crash workers for ever at the moments when others do.

The stored form is the same; the variant LeaseExpired is named for both of its uses.

--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -18,7 +18,7 @@
 use super::step::ActiveStep;
 use super::worker::{Worker, WorkerKey};
 use super::{Decision, Scheduler};
-use crate::state::{Command, ControlState, CrashEvidence, CrashedRun};
+use crate::state::{Command, ControlState, CrashEvidence, CrashedRun, Isolation};
 use crate::{JobId, TaskId};
 
 /// How long a run has to be listed until it is cleared: a later crash of its
@@ -97,7 +97,7 @@
     /// to wait until many workers have answered recently at the same time.
     pub(super) fn answered_recently(&self, step: &ActiveStep, index: u32, worker: &Worker) -> bool {
         let answered_at = worker.answered_at.unwrap_or_default();
-        let required = !step.gang && step.suspicion(index).needs_isolation;
+        let required = !step.gang && step.suspicion(index).needs_isolation();
         !required || self.now <= answered_at + MAX_ANSWER_AGE
     }
 
@@ -132,7 +132,7 @@
         let lapsed = self.end_suspect_runs(key, LossReason::Lapsed);
         self.workers[key].lapsed_runs = lapsed.clone();
         let lapsed = lapsed.into_iter().map(|run| CrashedRun {
-            evidence: CrashEvidence::LeaseExpired,
+            evidence: CrashEvidence::Inconclusive,
             ..run
         });
         self.propose_crashed(lapsed.collect());
@@ -148,16 +148,18 @@
     /// the crash against each, to be committed.
     fn end_suspect_runs(&mut self, key: WorkerKey, reason: LossReason) -> Vec<CrashedRun> {
         let suspects = self.suspect_tasks_on(key);
-        let worker = &self.workers[key];
         let superseded = self.suspect_superseded_on(key);
-        let alone = suspects.len() + superseded.len() == 1 && !worker.has_strays;
-        let crashed_at = worker.unanswered_since.unwrap_or(self.now);
+        let crash = Crash {
+            at: self.failed_at(key),
+            alone: suspects.len() + superseded.len() == 1 && !self.workers[key].has_strays,
+            has_common_cause: self.record_failure_of(key),
+        };
         let mut runs = Vec::new();
         for task in suspects {
             let Some(attempt) = self.attempts.get(&task) else {
                 continue;
             };
-            let crashed = crashed_run(task, attempt, alone, crashed_at);
+            let crashed = crash.crashed_run(task, attempt);
             self.end_lost_run(&crashed, reason);
             runs.push(crashed);
         }
@@ -165,13 +167,23 @@
             let Some(attempt) = self.superseded.get(task) else {
                 continue;
             };
-            let crashed = crashed_run(task, attempt, alone, crashed_at);
+            let crashed = crash.crashed_run(task, attempt);
             self.crash_superseded(&crashed, reason);
             runs.push(crashed);
         }
         runs
     }
 
+    /// Whether a worker that failed at this time ran a task that is likely to have caused it:
+    /// one that ran alone, or a suspect that had just started.
+    pub(super) fn has_likely_cause(&self, key: WorkerKey, at: Duration) -> bool {
+        let is_likely = |run: &Attempt| {
+            let is_suspect = run.suspicion.crashes > 0;
+            run.suspicion.isolation == Isolation::Alone || (is_suspect && had_just_started(run, at))
+        };
+        self.uncleared_runs(key).any(is_likely)
+    }
+
     /// The tasks whose superseded runs may have crashed a worker.
     fn suspect_superseded_on(&self, key: WorkerKey) -> Vec<TaskId> {
         let runs = self.superseded.on(key);
@@ -259,21 +271,44 @@
     }
 }
 
-/// A run that was lost in a crash of its worker, with the evidence against it.
-fn crashed_run(task: TaskId, attempt: &Attempt, alone: bool, crashed_at: Duration) -> CrashedRun {
-    let sudden = crashed_at <= attempt.started_at + STARTUP_CRASH_WINDOW;
-    let evidence = match (has_started(attempt.phase), alone, sudden) {
-        (false, ..) => CrashEvidence::StartUnanswered,
-        (true, false, false) => CrashEvidence::Running,
-        (true, false, true) => CrashEvidence::JustStarted,
-        (true, true, false) => CrashEvidence::RunningAlone,
-        (true, true, true) => CrashEvidence::JustStartedAlone,
-    };
-    CrashedRun {
-        task,
-        run: attempt.run,
-        evidence,
+/// What a crash of a worker says about the runs that it had.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    at: Duration,
+    /// Whether a single run may have caused it.
+    alone: bool,
+    /// Whether the worker shares the cause with others that failed at the same moment.
+    has_common_cause: bool,
+}
+
+impl Crash {
+    /// A run that was lost in the crash, with the evidence against it.
+    fn crashed_run(self, task: TaskId, attempt: &Attempt) -> CrashedRun {
+        CrashedRun {
+            task,
+            run: attempt.run,
+            evidence: self.evidence(attempt),
+        }
     }
+
+    fn evidence(self, attempt: &Attempt) -> CrashEvidence {
+        if self.has_common_cause && attempt.suspicion.isolation != Isolation::Alone {
+            return CrashEvidence::Inconclusive;
+        }
+        let sudden = had_just_started(attempt, self.at);
+        match (has_started(attempt.phase), self.alone, sudden) {
+            (false, ..) => CrashEvidence::StartUnanswered,
+            (true, false, false) => CrashEvidence::Running,
+            (true, false, true) => CrashEvidence::JustStarted,
+            (true, true, false) => CrashEvidence::RunningAlone,
+            (true, true, true) => CrashEvidence::JustStartedAlone,
+        }
+    }
+}
+
+/// Whether a run had started immediately before a crash at this time.
+fn had_just_started(attempt: &Attempt, crashed_at: Duration) -> bool {
+    crashed_at <= attempt.started_at + STARTUP_CRASH_WINDOW
 }
 
 /// Whether the worker has confirmed that the run started.
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -245,7 +245,7 @@
             balance.min_workers = balance.min_workers.max(step.min_workers);
             for (_, suspicion) in step.pending_suspects() {
                 balance.waiting_suspects += 1;
-                balance.waiting_isolated += usize::from(suspicion.needs_isolation);
+                balance.waiting_isolated += usize::from(suspicion.needs_isolation());
             }
             let percent = match step.timeliness(self.now) {
                 Timeliness::InTime => 100,
--- a/crates/cleat-jobs/src/schedule/fleet/need.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/need.rs
@@ -287,7 +287,7 @@
         if timeliness == Timeliness::InTime {
             self.min_workers = self.min_workers.max(step.min_workers);
         }
-        let isolated = step.pending_suspects().filter(|(_, s)| s.needs_isolation);
+        let isolated = step.pending_suspects().filter(|(_, s)| s.needs_isolation());
         self.min_workers = self.min_workers.max(isolated.count());
         if !step.order.finite {
             self.long_running += size * running;
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -13,6 +13,7 @@
 mod carry_over;
 mod choice;
 mod commits;
+mod common_failure;
 mod crashes;
 mod decision;
 mod durations;
@@ -78,8 +79,10 @@
 use attempt::Attempt;
 use awaited_ends::AwaitedEnds;
 use carry_over::CarryOver;
+use common_failure::RecentFailures;
 use crashes::CrashedMachines;
 use fleet::{FleetSizes, Machines};
+use isolation::IsolationPlan;
 use pool_names::PoolNames;
 use ready::{DirtyPools, ReadySteps};
 use shares::ShareStatus;
@@ -231,12 +234,12 @@
     /// Whether machines or workers have changed since then.
     fleet_changed: bool,
     crashed_machines: CrashedMachines,
+    recent_failures: RecentFailures,
     /// Steps with tasks that ran on workers when these crashed. May still
     /// contain steps that have ended.
     suspect_steps: IndexSet<StepId>,
-    /// The workers of the pool that is being scheduled on which nothing else
-    /// starts, so that they become empty for tasks that have to run alone.
-    reserved_for_suspects: IndexSet<WorkerKey>,
+    /// How suspect tasks of the pool that is being scheduled are isolated.
+    isolation: IsolationPlan,
     /// The objective of each job that has not ended.
     objectives: IndexMap<JobId, Objective>,
     /// The share status of each active job that exceeds its customer's share.
@@ -312,8 +315,9 @@
             fleet_sizes: FleetSizes::default(),
             fleet_changed: true,
             crashed_machines: CrashedMachines::default(),
+            recent_failures: RecentFailures::default(),
             suspect_steps: IndexSet::new(),
-            reserved_for_suspects: IndexSet::new(),
+            isolation: IsolationPlan::default(),
             objectives: IndexMap::new(),
             share_statuses: IndexMap::new(),
             workload: WorkloadStats::default(),
--- a/crates/cleat-jobs/src/schedule/pass.rs
+++ b/crates/cleat-jobs/src/schedule/pass.rs
@@ -90,17 +90,21 @@
 
     /// Determines the workers that a pass may use; `None` if there are none.
     fn begin_pass(&mut self, state: &ControlState, pool: Box<str>) -> Option<Pass> {
-        let mut candidates = self.candidates(&pool);
+        let mut accepting = self.accepting(&pool);
         if !pool_enforces_capacity(state, &pool) {
             // The recorded capacity of the other workers may exceed their
             // current capacity.
-            candidates.retain(|key| self.workers[*key].capacity_known);
+            accepting.retain(|key| self.workers[*key].capacity_known);
         }
+        let (isolated, mut candidates): (Vec<_>, Vec<_>) = accepting
+            .into_iter()
+            .partition(|key| self.is_isolated(*key));
+        let slow = self.split_off_slow(&pool, &mut candidates);
+        self.place_isolated(state, &pool, &candidates, &isolated);
+        candidates.retain(|key| !self.is_isolated(*key));
         if candidates.is_empty() {
             return None;
         }
-        let slow = self.split_off_slow(&pool, &mut candidates);
-        self.reserve_for_suspects(state, &candidates);
         let usable = [&candidates[..], &slow.keys].concat();
         Some(Pass {
             hidden: self.hidden_starts(&pool),
@@ -146,6 +150,9 @@
         let Some(step) = self.steps.get(&id) else {
             return;
         };
+        if self.only_awaits_isolation(step) {
+            return;
+        }
         if step.may_fit(pass.max_free) {
             let pending = step.pending.len();
             let left = self.place_on_any(state, id, pass);
--- a/crates/cleat-jobs/src/schedule/placement.rs
+++ b/crates/cleat-jobs/src/schedule/placement.rs
@@ -7,12 +7,18 @@
 use crate::{StepId, StepSpec};
 
 impl Scheduler {
-    /// The workers of a pool that accept work.
+    /// The workers of a pool that accept work, without those that isolated tasks have.
     pub(super) fn candidates(&self, pool: &str) -> Vec<WorkerKey> {
+        let mut keys = self.accepting(pool);
+        keys.retain(|key| !self.is_isolated(*key));
+        keys
+    }
+
+    /// The workers of a pool that accept work.
+    pub(super) fn accepting(&self, pool: &str) -> Vec<WorkerKey> {
         let workers = self.workers.in_pool(pool);
         let accepting = workers.filter(|(_, worker)| worker.accepts_work(self.now));
-        let keys = accepting.map(|(key, _)| key);
-        keys.filter(|key| !self.is_isolated(*key)).collect()
+        accepting.map(|(key, _)| key).collect()
     }
 
     /// Starts tasks of a step as far as there is free capacity, and returns
@@ -62,6 +68,10 @@
             return self.place_gang(id, job, spec, &pending, keys);
         }
         for index in pending {
+            let step = self.steps.get(&id);
+            if step.is_some_and(|step| self.awaits_isolation(step, index)) {
+                continue;
+            }
             if self.start_window.is_full() {
                 return false;
             }
@@ -87,6 +97,30 @@
         false
     }
 
+    /// Starts a suspect task on one of these workers, if the customer's cap, the adviser and
+    /// the free capacity allow. Returns the worker.
+    pub(super) fn place_suspect(
+        &mut self,
+        state: &ControlState,
+        id: StepId,
+        index: u32,
+        keys: &[WorkerKey],
+    ) -> Option<WorkerKey> {
+        let job = state.jobs.get(&id.job)?;
+        let spec = job.step(id)?;
+        if !self.is_within_cap(id, 1) {
+            return None;
+        }
+        let key = if job.queue.advice.is_some() {
+            self.choose_worker(id, index, spec, &self.permitted(id, keys))?
+        } else {
+            self.choose_worker(id, index, spec, keys)?
+        };
+        let task = id.task(index);
+        self.start(task, job, spec, key, self.next_run(task));
+        Some(key)
+    }
+
     /// Whether the cap of the step's customer allows this many more tasks.
     fn is_within_cap(&mut self, id: StepId, count: u64) -> bool {
         let Some(step) = self.steps.get(&id) else {
--- a/crates/cleat-jobs/src/schedule/tick.rs
+++ b/crates/cleat-jobs/src/schedule/tick.rs
@@ -18,6 +18,7 @@
         self.activate_due(state);
         self.forget_ended_jobs();
         self.crashed_machines.remove_expired(self.now);
+        self.recent_failures.remove_expired(self.now);
         self.propose_stopped_jobs();
         self.update_speeds();
         self.update_fleet_sizes();
--- a/crates/cleat-jobs/src/state/crash.rs
+++ b/crates/cleat-jobs/src/state/crash.rs
@@ -18,21 +18,23 @@
 /// not have recorded are included.
 const CRASH_LIMIT_RUNNING: usize = 3;
 /// The number of crashes at which a task fails its job even if no start was answered
-/// before its worker crashed. Expired leases are not counted.
+/// before its worker crashed. Inconclusive ones are not counted.
 const CRASH_LIMIT_UNANSWERED: usize = 5;
 /// The minimum number of certain crashes at which a task fails its job: those of workers
 /// on which it had started. A lease may expire, and a start have no answer, on a worker
 /// that crashed without having run the task, or did not crash.
 const MIN_CERTAIN_CRASHES: usize = 2;
+/// The number of crashes from which a task is kept apart from tasks without crashes.
+const MIN_CRASHES_FOR_QUARANTINE: usize = 2;
 /// The number of crashes from which a task runs alone on its worker.
-const MIN_CRASHES_FOR_ISOLATION: usize = 2;
+const MIN_CRASHES_TO_RUN_ALONE: usize = 3;
 
 /// How strongly a worker's crash suggests that a run caused it, weakest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum CrashEvidence {
-    /// The worker left renewals unanswered until its lease expired. It may have been
-    /// disconnected rather than crashed.
-    LeaseExpired,
+    /// The worker left renewals unanswered until its lease expired, and may have been
+    /// disconnected rather than crashed; or it crashed together with many others.
+    Inconclusive,
     /// The start was not answered, so the run may never have started.
     StartUnanswered,
     /// The run had started, and so had other runs on the worker.
@@ -81,12 +83,29 @@
         }
     }
 
-    /// Whether the task must run alone on its worker, so that another crash is evidence
-    /// against this task only. Up to `uncounted` more workers that ran it may have
-    /// crashed.
-    pub(super) fn needs_isolation(&self, uncounted: usize) -> bool {
-        self.count() + uncounted >= MIN_CRASHES_FOR_ISOLATION
-            || self.count_at_least(CrashEvidence::JustStarted) > 0
+    /// From which other tasks the task is kept apart, so that another crash is evidence
+    /// against few tasks. Up to `uncounted` more workers that ran it may have crashed, which
+    /// supports certain evidence only: after a change of owner all tasks of a crashed worker
+    /// would otherwise wait for workers of their own.
+    pub(super) fn isolation(&self, uncounted: usize) -> Isolation {
+        let crashes = self.possible_count(uncounted);
+        let has_just_started = self.count_at_least(CrashEvidence::JustStarted) > 0;
+        let ran_alone = self.count_at_least(CrashEvidence::RunningAlone) > 0;
+        let is_repeated = has_just_started && self.count() > 1;
+        if ran_alone || is_repeated || crashes >= MIN_CRASHES_TO_RUN_ALONE {
+            Isolation::Alone
+        } else if has_just_started || crashes >= MIN_CRASHES_FOR_QUARANTINE {
+            Isolation::Quarantine
+        } else {
+            Isolation::None
+        }
+    }
+
+    /// The number of crashes that count against the task, with those that may not have been
+    /// recorded.
+    pub(super) fn possible_count(&self, uncounted: usize) -> usize {
+        let has_evidence = self.count_at_least(CrashEvidence::StartUnanswered) > 0;
+        self.count() + if has_evidence { uncounted } else { 0 }
     }
 
     /// Whether the task has crashed so many workers that its job fails. Up to
@@ -119,11 +138,30 @@
     }
 }
 
+/// With which tasks a task may share a worker, given the crashes that count against it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Isolation {
+    /// With any task that does not have to be isolated.
+    #[default]
+    None,
+    /// With no task, or with others in quarantine if there are too many for a worker each.
+    Quarantine,
+    /// With no task.
+    Alone,
+}
+
 /// How far a task is suspected of crashing its workers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Suspicion {
     /// The number of workers that crashed or may have crashed while they ran it.
     pub(crate) crashes: usize,
-    /// Whether it must run alone on its worker.
-    pub(crate) needs_isolation: bool,
+    /// From which other tasks it is kept apart.
+    pub(crate) isolation: Isolation,
+}
+
+impl Suspicion {
+    /// Whether no other task may share its worker but those in quarantine.
+    pub(crate) fn needs_isolation(self) -> bool {
+        self.isolation != Isolation::None
+    }
 }
--- a/crates/cleat-jobs/src/state/job.rs
+++ b/crates/cleat-jobs/src/state/job.rs
@@ -355,8 +355,8 @@
         let known = self.progress(id).into_iter().flat_map(|step| &step.crashes);
         known.map(move |(index, crashes)| {
             let suspicion = Suspicion {
-                crashes: crashes.count() + uncounted,
-                needs_isolation: crashes.needs_isolation(uncounted),
+                crashes: crashes.possible_count(uncounted),
+                isolation: crashes.isolation(uncounted),
             };
             (*index, suspicion)
         })
--- a/crates/cleat-jobs/src/state/mod.rs
+++ b/crates/cleat-jobs/src/state/mod.rs
@@ -11,8 +11,8 @@
 
 pub use apply::CommandOutcome;
 pub use command::{Command, DecodeError, End, EndKind, TaskEnd};
-pub(crate) use crash::Suspicion;
 pub use crash::{CrashEvidence, CrashedRun, TaskCrashes};
+pub(crate) use crash::{Isolation, Suspicion};
 pub use job::{EndedJob, Job, JobState, Occurrence, StepProgress, StoppingJob};
 pub use learned::{LearnedDurations, LearnedQueue, LearnedStats};
 pub(crate) use life::is_life_of;
