Open isolated workers to other work where a pool has shrunk to them

Cause: isolation leaves a quarter of a pool to other work when a worker is isolated. The pool had 15 workers then and shrank to four, on each of which a suspect runs that lasts, for up to 10 s. Evidence: 4 workers, 4 isolated, none that takes work in its pool line from 31.6 to 34.7 s. Ruled out: waiting isolated tasks (0 in these lines).

Now a pass opens the isolated workers beyond that share to other work, those first on which no task has started for longest, and only such as have answered since: a task that crashes its worker mostly does so as it starts.

The test was seen failing without the change.

--- a/crates/cleat-jobs/src/schedule/isolation.rs
+++ b/crates/cleat-jobs/src/schedule/isolation.rs
@@ -44,6 +44,9 @@
 pub(crate) struct IsolationPlan {
     /// The workers on which nothing else starts, so that they become empty.
     reserved: IndexSet<WorkerKey>,
+    /// The workers that other work may use beside an isolated task, since too few of the
+    /// pool's workers are not isolated.
+    opened: Vec<WorkerKey>,
     /// The maximum number of tasks on a worker in quarantine: as many as have to share it so
     /// that none waits for a worker.
     max_in_quarantine: usize,
@@ -118,7 +121,8 @@
             Isolation::Alone => self.is_empty_of_suspects(key),
             Isolation::Quarantine => self.is_empty_of_suspects(key) || self.is_shared(key),
             Isolation::None => {
-                let is_open = !self.isolation.reserved.contains(&key) && !self.is_isolated(key);
+                let is_isolated = self.is_isolated(key) && !self.isolation.opened.contains(&key);
+                let is_open = !self.isolation.reserved.contains(&key) && !is_isolated;
                 let is_suspect = suspicion.crashes > 0 && self.workers[key].task_crashes > 0;
                 is_open && (!is_suspect || self.suspect_count(key) < self.isolation.max_suspects)
             }
@@ -221,6 +225,7 @@
         let suspects = self.pending_unisolated(pool);
         self.isolation = IsolationPlan {
             reserved: IndexSet::new(),
+            opened: self.workers_to_open(isolated, limit),
             max_in_quarantine: self.quarantine_size(isolated, waiting.len(), limit),
             max_suspects: suspects
                 .div_ceil(candidates.len().max(1))
@@ -235,6 +240,22 @@
         self.reserve_for_suspects(state, &unplaced, candidates, room.openings);
     }
 
+    /// The workers that are opened to other work, as more than `limit` are isolated since their
+    /// pool shrank: those on which no task has started for longest, as a task that crashes
+    /// its worker mostly does so as it starts.
+    fn workers_to_open(&self, isolated: &[WorkerKey], limit: usize) -> Vec<WorkerKey> {
+        let mut opened = isolated.to_vec();
+        opened.retain(|key| self.unconfirmed_count(*key) == 0);
+        opened.sort_by_key(|key| self.uncleared_runs(*key).map(|run| run.started_at).max());
+        opened.truncate(isolated.len().saturating_sub(limit));
+        opened
+    }
+
+    /// The workers that were opened to other work in this pass.
+    pub(super) fn opened_workers(&self) -> &[WorkerKey] {
+        &self.isolation.opened
+    }
+
     /// The tasks of a pool that wait for an isolated worker, in scheduling order.
     fn waiting_suspects(&self, pool: &str) -> Vec<WaitingSuspect> {
         let steps = self.suspect_steps.iter().map(|id| &*self.steps[id]);
--- a/crates/cleat-jobs/src/schedule/pass.rs
+++ b/crates/cleat-jobs/src/schedule/pass.rs
@@ -102,6 +102,7 @@
         let slow = self.split_off_slow(&pool, &mut candidates);
         self.place_isolated(state, &pool, &candidates, &isolated);
         candidates.retain(|key| !self.is_isolated(*key));
+        candidates.extend(self.opened_workers());
         if candidates.is_empty() {
             return None;
         }
--- a/crates/cleat-jobs/tests/suspects.rs
+++ b/crates/cleat-jobs/tests/suspects.rs
@@ -7,7 +7,10 @@
 
 use std::time::Duration;
 
+use cleat_jobs::StepSpec;
+use support::crash_scenario::CrashScenario;
 use support::crashing_pool::{CrashingPool, Failure, MAX_STALL};
+use support::{step, task};
 
 const WORKERS: usize = 24;
 const SEEDS: std::ops::Range<u64> = 1..5;
@@ -205,3 +208,30 @@
         }
     });
 }
+
+/// Suspects that last keep their workers while the others of the pool leave.
+#[test]
+fn job_starts_in_a_pool_that_shrinks_to_its_isolated_workers() {
+    let lasting = StepSpec {
+        long_running: true,
+        max_per_worker: Some(1),
+        ..step(2, 500)
+    };
+    let mut scenario = CrashScenario::new(3);
+    scenario.submit(2, vec![lasting]);
+    for index in 0..2 {
+        let worker = scenario.worker_of(task(2, 0, index));
+        scenario.crash(&worker);
+    }
+    let isolated = [0, 1].map(|index| scenario.worker_of(task(2, 0, index)));
+    let workers: Vec<Box<str>> = scenario.harness.state.workers.keys().cloned().collect();
+    for worker in workers.iter().filter(|worker| !isolated.contains(*worker)) {
+        scenario.harness.heartbeat_draining(worker, 2);
+    }
+    scenario.harness.now += wait(500);
+    for worker in &isolated {
+        scenario.list_runs(worker, Vec::new());
+    }
+    scenario.submit(3, vec![step(1, 500)]);
+    assert_eq!(scenario.starts_of(task(3, 0, 0)), 1);
+}
