Don't excuse runs that had just started when many workers failed

Cause: a new owner starts many waiting tasks in its first pass. Several crashed their workers at the same moment, which was taken for a failure that they share, so the first crash was recorded as inconclusive, and the later ones, whose starts had no answer, did not suffice. Evidence: the lost line of the first run in the owner's log.

Now only runs that had not just started are excused, and a run alone on a worker that failed with others is no proof.

--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -292,11 +292,16 @@
     }
 
     fn evidence(self, attempt: &Attempt) -> CrashEvidence {
-        if self.has_common_cause && attempt.suspicion.isolation != Isolation::Alone {
+        let sudden = had_just_started(attempt, self.at);
+        let is_excused = self.has_common_cause && attempt.suspicion.isolation != Isolation::Alone;
+        if is_excused && !sudden {
             return CrashEvidence::Inconclusive;
         }
-        let sudden = had_just_started(attempt, self.at);
-        match (has_started(attempt.phase), self.alone, sudden) {
+        match (
+            has_started(attempt.phase),
+            self.alone && !is_excused,
+            sudden,
+        ) {
             (false, ..) => CrashEvidence::StartUnanswered,
             (true, false, false) => CrashEvidence::Running,
             (true, false, true) => CrashEvidence::JustStarted,
