Excuse only runs whose worker answered after their start

So a run is excused only if its worker has answered 100 ms after its start or later. Such runs are excused also if they ran alone, and no run alone on a worker that failed with others is taken for the proven cause.

--- a/crates/cleat-jobs/src/schedule/common_failure.rs
+++ b/crates/cleat-jobs/src/schedule/common_failure.rs
@@ -2,7 +2,8 @@
 //!
 //! Workers that fail together share a cause, such as their power or their network, which is
 //! no task on one of them. So such a failure is no evidence against the tasks that ran
-//! there, but for those that had just started: several crashing tasks may start at once. Tasks that crash their workers may fail several at once as well. So workers that
+//! there, but for those since whose start they had not answered: several crashing tasks may
+//! start at once. Tasks that crash their workers may fail several at once as well. So workers that
 //! ran an isolated task, or on which a suspect had just started, don't show a common cause.
 
 use std::time::Duration;
--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -159,7 +159,8 @@
             let Some(attempt) = self.attempts.get(&task) else {
                 continue;
             };
-            let crashed = crash.crashed_run(task, attempt);
+            let confirmed = !self.may_have_crashed_worker(attempt);
+            let crashed = crash.crashed_run(task, attempt, confirmed);
             self.end_lost_run(&crashed, reason);
             runs.push(crashed);
         }
@@ -167,7 +168,8 @@
             let Some(attempt) = self.superseded.get(task) else {
                 continue;
             };
-            let crashed = crash.crashed_run(task, attempt);
+            let confirmed = !self.may_have_crashed_worker(attempt);
+            let crashed = crash.crashed_run(task, attempt, confirmed);
             self.crash_superseded(&crashed, reason);
             runs.push(crashed);
         }
@@ -282,26 +284,23 @@
 }
 
 impl Crash {
-    /// A run that was lost in the crash, with the evidence against it.
-    fn crashed_run(self, task: TaskId, attempt: &Attempt) -> CrashedRun {
+    /// A run that was lost in the crash, with the evidence against it. `confirmed` is whether
+    /// the worker answered after the start for long enough to show that it survived that.
+    fn crashed_run(self, task: TaskId, attempt: &Attempt, confirmed: bool) -> CrashedRun {
         CrashedRun {
             task,
             run: attempt.run,
-            evidence: self.evidence(attempt),
+            evidence: self.evidence(attempt, confirmed),
         }
     }
 
-    fn evidence(self, attempt: &Attempt) -> CrashEvidence {
+    fn evidence(self, attempt: &Attempt, confirmed: bool) -> CrashEvidence {
         let sudden = had_just_started(attempt, self.at);
-        let is_excused = self.has_common_cause && attempt.suspicion.isolation != Isolation::Alone;
-        if is_excused && !sudden {
+        if self.has_common_cause && confirmed {
             return CrashEvidence::Inconclusive;
         }
-        match (
-            has_started(attempt.phase),
-            self.alone && !is_excused,
-            sudden,
-        ) {
+        let alone = self.alone && !self.has_common_cause;
+        match (has_started(attempt.phase), alone, sudden) {
             (false, ..) => CrashEvidence::StartUnanswered,
             (true, false, false) => CrashEvidence::Running,
             (true, false, true) => CrashEvidence::JustStarted,
