--- a/crates/cleat-jobs/src/schedule/isolation.rs
+++ b/crates/cleat-jobs/src/schedule/isolation.rs
@@ -104,7 +104,8 @@
 }
 
 impl Scheduler {
-    /// Whether a task that has to run alone is running on the worker.
+    /// Whether a task is running on the worker that is kept apart from others: alone, or in
+    /// quarantine.
     pub(super) fn is_isolated(&self, key: WorkerKey) -> bool {
         let worker = &self.workers[key];
         worker.task_crashes > 0
