--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,527 @@
+//! The cases.
+
+use std::io::{Error, Result};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::fleet::{Fleet, Services, configuration, is_built};
+use crate::http::call;
+use crate::platform::{Plan, Platform, start_adviser};
+use crate::record::{Interval, Record};
+use crate::runner::{Runner, RunnerConfig, any_port};
+
+pub enum Outcome {
+    Held,
+    Broken(String),
+}
+
+const PREFIX: &str = "/puxa400/";
+const SERVICE: &str = "huvo11a";
+const SECOND: Duration = Duration::from_secs(1);
+
+pub fn run(case: &str, trouble: bool, record: &Record) -> Result<Outcome> {
+    if !is_built() {
+        return Err(Error::other(
+            "build the daemon first, with the command of deploy/system.toml",
+        ));
+    }
+    match case {
+        "left" => left(trouble, record),
+        "advised" => advised(trouble, record),
+        "crashes" => crashes(trouble, record),
+        "wave" => wave(trouble, record),
+        "refused" => refused(trouble, record),
+        "timed" => timed(trouble, record),
+        other => Err(Error::other(format!("there is no case {other}"))),
+    }
+}
+
+fn net() -> u8 {
+    let nanos = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.subsec_nanos());
+    60 + ((nanos / 1_000 + std::process::id()) % 180) as u8
+}
+
+struct Bed {
+    fleet: Fleet,
+    platform: Arc<Platform>,
+}
+
+/// Starts the processes, the platform and the runners, and puts a configuration with one
+/// queue into force.
+fn start_bed(
+    runners: usize,
+    plan: Plan,
+    adviser: Option<Duration>,
+    record: &Record,
+) -> Result<Bed> {
+    let net = net();
+    let ip = |at| Ipv4Addr::new(127, net, 4, at).into();
+    let (platform, address) = Platform::start(ip(1), plan, record)?;
+    let advice = match adviser {
+        None => String::new(),
+        Some(decision) => format!(
+            ",\"advice\":{{\"decisionMs\":{},\"perWorkerMs\":1,\"validityMs\":3000}}",
+            decision.as_millis()
+        ),
+    };
+    let adviser = adviser
+        .map(|decision| start_adviser(ip(2), decision, 3_000, record))
+        .transpose()?;
+    let services = Services {
+        platform: Some(address),
+        adviser,
+    };
+    let mut fleet = Fleet::prepare(net, services, record)?;
+    fleet.start_all()?;
+    let first = configuration(1, PREFIX, SERVICE, &advice);
+    if !fleet.configure_first(&first) {
+        return Err(Error::other("the first configuration was not acknowledged"));
+    }
+    for at in 0..runners {
+        platform.add(new_runner(&fleet, at, record)?);
+    }
+    // Each runner has sent its first heartbeat, and has been asked for its runs.
+    thread::sleep(2 * SECOND);
+    Ok(Bed { fleet, platform })
+}
+
+fn new_runner(fleet: &Fleet, at: usize, record: &Record) -> Result<Runner> {
+    Runner::start(
+        RunnerConfig {
+            id: format!("i-m{at}-1"),
+            machine: format!("m{at}"),
+            service: SERVICE.into(),
+            zone: Fleet::zone(at).into(),
+            labels: vec![format!("kind-{at}"), format!("r1-{at}")],
+            address: any_port(fleet.runner_ip(at)),
+            control: fleet.control_addresses(),
+        },
+        record,
+    )
+}
+
+fn job(id: u64) -> (String, String) {
+    let id = format!("{id:016x}");
+    (format!("{PREFIX}{id}"), id)
+}
+
+/// A job of one step.
+fn body(work_ms: u64, step: &str) -> String {
+    format!(
+        "{{\"specification\":\"ms={work_ms}\",\"steps\":[{{\"cpu\":1000,\"memMb\":256,\
+         \"estimatedMs\":{work_ms},{step}}}]}}"
+    )
+}
+
+fn until<T>(limit: Duration, mut find: impl FnMut() -> Option<T>) -> Option<T> {
+    let deadline = Instant::now() + limit;
+    loop {
+        if let Some(found) = find() {
+            return Some(found);
+        }
+        if Instant::now() >= deadline {
+            return None;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn submit(bed: &Bed, path: &str, body: &str) -> Result<()> {
+    match bed.fleet.submit(path, body, 10 * SECOND) {
+        true => Ok(()),
+        false => Err(Error::other("a job was not accepted")),
+    }
+}
+
+/// Two runs of one subtask at the same time, for longer than `slack_ms`.
+fn overlap(runs: &[Interval], now: u64, slack_ms: u64) -> Option<String> {
+    let to = |run: &Interval| run.to_ms.unwrap_or(now);
+    for (at, a) in runs.iter().enumerate() {
+        for b in &runs[at + 1..] {
+            let from = a.from_ms.max(b.from_ms);
+            let until = to(a).min(to(b));
+            if a.task == b.task && until > from + slack_ms {
+                return Some(format!(
+                    "{} ran as run {} on {} and as run {} on {} at the same time, for {} ms",
+                    a.task,
+                    a.run,
+                    a.runner,
+                    b.run,
+                    b.runner,
+                    until - from
+                ));
+            }
+        }
+    }
+    None
+}
+
+/// A runner leaves, and the ack of its last word is lost: it ends some seconds later.
+fn left(trouble: bool, record: &Record) -> Result<Outcome> {
+    let bed = start_bed(16, Plan::default(), None, record)?;
+    let (path, id) = job(0x51a7);
+    submit(&bed, &path, &body(15_000, "\"count\":1"))?;
+    let machine = until(5 * SECOND, || bed.platform.machine_running(&id));
+    let machine = machine.ok_or_else(|| Error::other("the subtask was not started"))?;
+    thread::sleep(SECOND);
+    bed.platform
+        .with(&machine, |machine| machine.runner.drain());
+    let acked = || {
+        bed.platform
+            .with(&machine, |machine| machine.runner.drain_acked())?
+    };
+    until(6 * SECOND, acked).ok_or_else(|| Error::other("draining was not acknowledged"))?;
+    // drainTimeoutMs after the ack, and a little longer.
+    thread::sleep(Duration::from_millis(2_500));
+    let (runner, control) = bed
+        .platform
+        .with(&machine, |machine| {
+            (machine.runner.id().to_string(), machine.runner.control())
+        })
+        .ok_or_else(|| Error::other("no runner"))?;
+    bed.platform
+        .with(&machine, |machine| machine.runner.leave());
+    let deregister = format!("/-/Instances.Deregister/{runner}");
+    let reply = call(control, "POST", &deregister, &[], "{}", SECOND);
+    let status = reply.map(|reply| reply.status);
+    if trouble {
+        record.note(&format!(
+            "runner {runner} sends its last word; the answer is lost on its way"
+        ));
+        // It hears nothing for a second, and ends anyway, some seconds later.
+        thread::sleep(3 * SECOND);
+    } else {
+        record.note(&format!(
+            "runner {runner} sends its last word -> {status:?}"
+        ));
+    }
+    bed.platform
+        .with(&machine, |machine| machine.runner.end("it has left"));
+    let over = until(40 * SECOND, || {
+        let state = bed.fleet.state(&path)?;
+        (state == "completed").then_some(())
+    });
+    record.note(&format!("the job is completed: {}", over.is_some()));
+    bed.fleet.note_log_lines(&["\"lost\"", &id], 4);
+    // The runner ends at the answer, which may cross the next start by a few milliseconds.
+    Ok(match overlap(&record.runs(), record.now_ms(), 500) {
+        Some(what) => Outcome::Broken(what),
+        None => Outcome::Held,
+    })
+}
+
+/// A runner crashes while it runs the only subtask of an advised queue.
+fn advised(trouble: bool, record: &Record) -> Result<Outcome> {
+    let bed = start_bed(8, Plan::default(), Some(Duration::from_millis(50)), record)?;
+    let (path, id) = job(0xad01);
+    submit(&bed, &path, &body(8_000, "\"count\":1"))?;
+    let machine = until(5 * SECOND, || bed.platform.machine_running(&id));
+    let machine = machine.ok_or_else(|| Error::other("the subtask was not started"))?;
+    thread::sleep(4 * SECOND);
+    if trouble {
+        bed.platform.crash(&machine, SECOND);
+    }
+    let crashed = record.now_ms();
+    // finish_s, and the 3 s of the rule, with room to spare.
+    let limit = Duration::from_secs(40);
+    let state = until(limit, || {
+        bed.fleet.state(&path).filter(|state| state == "completed")
+    });
+    let again = record
+        .runs()
+        .iter()
+        .filter(|run| run.from_ms > crashed)
+        .count();
+    record.note(&format!(
+        "state {:?}; runs begun since the crash, within {} s: {again}",
+        bed.fleet.state(&path),
+        limit.as_secs()
+    ));
+    bed.fleet.note_log_lines(&["\"lost\"", &id], 4);
+    Ok(match (state, again) {
+        (None, 0) => Outcome::Broken(format!(
+            "the accepted job {id} has nothing running for {} s, with 8 idle runners",
+            limit.as_secs()
+        )),
+        _ => Outcome::Held,
+    })
+}
+
+/// The runner of one of four lasting subtasks crashes three times; the subtasks are sound.
+fn crashes(trouble: bool, record: &Record) -> Result<Outcome> {
+    const MAY_MISS: usize = 1;
+    let bed = start_bed(8, Plan::default(), None, record)?;
+    let (path, id) = job(0xc4a5);
+    let step =
+        format!("\"count\":4,\"antiAffinity\":1,\"longRunning\":true,\"mayMiss\":{MAY_MISS}");
+    submit(&bed, &path, &body(3_600_000, &step))?;
+    let first = format!("{id}.0.0.0");
+    for _ in 0..3 {
+        let machine = until(15 * SECOND, || bed.platform.machine_running(&first));
+        let Some(machine) = machine else { break };
+        thread::sleep(3 * SECOND);
+        if trouble {
+            bed.platform.crash(&machine, SECOND);
+        }
+    }
+    thread::sleep(10 * SECOND);
+    record.note(&format!(
+        "client: GET {path} -> {:?}",
+        bed.fleet.state(&path)
+    ));
+    bed.fleet.note_log_lines(&["\"lost\"", &id], 4);
+    bed.fleet.note_log_lines(&["job_over", &id], 4);
+    Ok(match stopped_beyond(&record.runs(), MAY_MISS) {
+        Some(what) => Outcome::Broken(what),
+        None => Outcome::Held,
+    })
+}
+
+/// A subtask that an order ends on a runner that is up, while `may_miss` others of its step
+/// are away: ended by an order, or not at work for `noticeMs`.
+fn stopped_beyond(runs: &[Interval], may_miss: usize) -> Option<String> {
+    const NOTICE_MS: u64 = 4_500;
+    let mut tasks: Vec<&str> = runs.iter().map(|run| run.task.as_str()).collect();
+    tasks.sort_unstable();
+    tasks.dedup();
+    // The runs are recorded in the order in which they began, and end under one lock each.
+    let mut ends: Vec<&Interval> = runs.iter().filter(|run| run.how == "stopped").collect();
+    ends.sort_by_key(|run| run.to_ms);
+    for (at, end) in ends.iter().enumerate() {
+        let now = end.to_ms?;
+        let ended_before = |task: &str| ends[..at].iter().any(|other| other.task == task);
+        let runs_now = |task: &str| {
+            let mut of_task = runs.iter().filter(|run| run.task == task);
+            of_task.any(|run| run.from_ms <= now && run.to_ms.is_none_or(|to| to > now))
+        };
+        let absent = |task: &str| {
+            let last = runs
+                .iter()
+                .filter(|run| run.task == task)
+                .filter_map(|run| run.to_ms)
+                .max();
+            last.is_some_and(|last| now > last + NOTICE_MS)
+        };
+        let others = tasks
+            .iter()
+            .filter(|task| **task != end.task && !runs_now(task));
+        let away: Vec<&&str> = others
+            .filter(|task| ended_before(task) || absent(task))
+            .collect();
+        if away.len() >= may_miss {
+            return Some(format!(
+                "{} is stopped at work on {} at {now} ms, while {away:?} of its step are away, and {may_miss} \
+                 may be; nobody has cancelled the job",
+                end.task, end.runner
+            ));
+        }
+    }
+    None
+}
+
+/// The order for an upkeep has no answer and is carried out late, by then under a new owner.
+fn wave(trouble: bool, record: &Record) -> Result<Outcome> {
+    let plan = Plan {
+        delay_first: trouble.then_some(Duration::from_millis(5_500)),
+    };
+    let mut bed = start_bed(16, plan, None, record)?;
+    let machines: Vec<String> = (0..6).map(|at| format!("m{at}")).collect();
+    bed.platform
+        .waves
+        .lock()
+        .unwrap()
+        .insert(1, (machines.clone(), 1));
+    let named: Vec<String> = machines.iter().map(|name| format!("\"{name}\"")).collect();
+    let order = format!(
+        "{{\"wave\":1,\"machines\":[{}],\"durationS\":26,\"upperLimit\":1}}",
+        named.join(",")
+    );
+    let reply = bed
+        .fleet
+        .operate("POST", "/-/wave-start", &order, 5 * SECOND);
+    record.note(&format!(
+        "operator: wave-start {order} -> {:?}",
+        reply.map(|reply| reply.status)
+    ));
+    if trouble {
+        let delayed = || bed.platform.delayed.lock().unwrap().clone();
+        let first = until(10 * SECOND, delayed);
+        let first = first.ok_or_else(|| Error::other("no upkeep was ordered"))?;
+        let owner = bed
+            .fleet
+            .owner()
+            .ok_or_else(|| Error::other("no owner is known"))?;
+        bed.fleet.controls[owner].kill(record);
+        // Work comes for that machine, which is still up.
+        let at: usize = first[1..].parse().unwrap_or(0);
+        let step = format!("\"count\":1,\"requirements\":\"kind-{at}\"");
+        let (path, _) = job(0x3a7e);
+        submit(&bed, &path, &body(20_000, &step))?;
+        thread::sleep(SECOND);
+        bed.fleet.write_control(owner, false)?;
+        bed.fleet.controls[owner].start(record)?;
+    }
+    until(40 * SECOND, || {
+        (bed.platform.begun.lock().unwrap().len() >= 6).then_some(())
+    });
+    let begun = bed.platform.begun.lock().unwrap();
+    let broken = begun.iter().find(|begun| !begun.down_beside.is_empty());
+    record.note(&format!("{} upkeeps have begun", begun.len()));
+    Ok(match broken {
+        Some(begun) => Outcome::Broken(format!(
+            "the upkeep of {} by {}, fence {}{}, began while {:?} was down for the same wave, whose \
+             upperLimit is 1",
+            begun.machine,
+            begun.holder,
+            begun.token,
+            if begun.late { ", carried out late" } else { "" },
+            begun.down_beside
+        )),
+        None => Outcome::Held,
+    })
+}
+
+/// The answer to a job is lost between the leader and the gateway, while the operator
+/// removes the job's queue.
+fn refused(trouble: bool, record: &Record) -> Result<Outcome> {
+    let services = Services {
+        platform: None,
+        adviser: None,
+    };
+    let mut fleet = Fleet::prepare(net(), services, record)?;
+    let loss = fleet.put_proxies_before_gateways()?;
+    fleet.start_all()?;
+    if !fleet.configure_first(&configuration(1, PREFIX, SERVICE, "")) {
+        return Err(Error::other("the first configuration was not acknowledged"));
+    }
+    let runners: Result<Vec<Runner>> = (0..4).map(|at| new_runner(&fleet, at, record)).collect();
+    let _runners = runners?;
+    thread::sleep(2 * SECOND);
+    let (path, id) = job(0x4ef5);
+    let job = body(2_000, "\"count\":1");
+    if trouble {
+        record.note("what the control instances send to the gateways is lost from here");
+        loss.begin();
+    }
+    let status = thread::scope(|scope| {
+        let handed_in = scope.spawn(|| {
+            let reply = fleet.client(0, "POST", &path, &job);
+            let status = reply.map(|reply| reply.status);
+            record.note(&format!("client: POST {path} -> {status:?}"));
+            status
+        });
+        thread::sleep(Duration::from_millis(100));
+        // The same pool with a queue elsewhere.
+        fleet.configure(2, &configuration(2, "/tije37/", SERVICE, ""), SECOND);
+        thread::sleep(Duration::from_millis(200));
+        record.note("what the control instances send passes again");
+        loss.end();
+        handed_in.join().unwrap_or(None)
+    });
+    thread::sleep(4 * SECOND);
+    let begun = record.runs().iter().any(|run| run.task.starts_with(&id));
+    let rejected = matches!(status, Some(404 | 429 | 503));
+    Ok(match rejected && begun {
+        true => Outcome::Broken(format!(
+            "the job {id} was rejected with {status:?}, the only answer to it, and has run"
+        )),
+        false => Outcome::Held,
+    })
+}
+
+/// The owner is killed while there are 400 jobs that repeat each minute for a week.
+fn timed(trouble: bool, record: &Record) -> Result<Outcome> {
+    const JOBS: u64 = 400;
+    const REPETITIONS: u64 = 7 * 24 * 60;
+    /// About the rate at which the site's requesters hand jobs in.
+    const PAUSE: Duration = Duration::from_millis(60);
+    let mut bed = start_bed(8, Plan::default(), None, record)?;
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis());
+    let timed = format!(
+        "{{\"specification\":\"ms=200\",\"steps\":[{{\"count\":1,\"cpu\":100,\"memMb\":64,\
+         \"estimatedMs\":200}}],\"firstRunMs\":{},\"intervalMs\":60000,\
+         \"repetitions\":{REPETITIONS}}}",
+        now + 600_000
+    );
+    let mut taken = 0;
+    for number in 0..JOBS {
+        let (path, _) = job(0x4e9e_0000 + number);
+        let reply = bed.fleet.client(0, "POST", &path, &timed);
+        taken += u64::from(reply.is_some_and(|reply| reply.status == 200));
+        thread::sleep(PAUSE);
+    }
+    record.note(&format!(
+        "client: POST of {JOBS} jobs {timed}: {taken} are accepted"
+    ));
+    note_memory(&bed.fleet, record);
+    let mut accepted = hand_in_small_jobs(&bed, 0x7000, record);
+    if trouble {
+        let owner = bed
+            .fleet
+            .owner()
+            .ok_or_else(|| Error::other("no owner is known"))?;
+        bed.fleet.controls[owner].kill(record);
+        thread::sleep(2 * SECOND);
+        bed.fleet.write_control(owner, false)?;
+        bed.fleet.controls[owner].start(record)?;
+    }
+    thread::sleep(5 * SECOND);
+    accepted.extend(hand_in_small_jobs(&bed, 0x7100, record));
+    note_memory(&bed.fleet, record);
+    // finish_s, and the 3 s of the rule, with room to spare.
+    thread::sleep(Duration::from_secs(25));
+    note_memory(&bed.fleet, record);
+    let runs = record.runs();
+    let has_run = |id: &str| runs.iter().any(|run| run.task.starts_with(id));
+    let waiting = accepted.iter().filter(|(_, id)| !has_run(id)).count();
+    let mut unknown = 0;
+    for (path, _) in accepted.iter().take(2) {
+        let state = bed.fleet.state(path);
+        unknown += usize::from(state.is_none());
+        record.note(&format!("client: GET {path} -> {state:?}"));
+    }
+    bed.fleet.note_log_lines(&["\"owns"], 6);
+    Ok(match waiting + unknown {
+        0 => Outcome::Held,
+        _ => Outcome::Broken(format!(
+            "25 s after the last was handed in, {waiting} of {} accepted small jobs have not begun, with \
+             8 idle runners, and {unknown} of 2 asked for get no answer",
+            accepted.len()
+        )),
+    })
+}
+
+fn hand_in_small_jobs(bed: &Bed, first: u64, record: &Record) -> Vec<(String, String)> {
+    let mut accepted = Vec::new();
+    for number in 0..3 {
+        let (path, id) = job(first + number);
+        if bed
+            .fleet
+            .submit(&path, &body(200, "\"count\":1"), 2 * SECOND)
+        {
+            accepted.push((path, id));
+        }
+    }
+    record.note(&format!("{} of 3 small jobs are accepted", accepted.len()));
+    accepted
+}
+
+fn note_memory(fleet: &Fleet, record: &Record) {
+    let used = fleet.controls.iter().map(|process| {
+        let status = process
+            .id()
+            .map(|id| std::fs::read_to_string(format!("/proc/{id}/status")));
+        let status = status.and_then(|read| read.ok()).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1024
+    });
+    let used: Vec<u64> = used.collect();
+    record.note(&format!("memory of the control instances, MB: {used:?}"));
+}
