--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 # and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/standin ] || { echo "run review/build-2.sh first"; exit 2; }
-target/review-2/standin wave review/8/record.txt
+target/review-2/standin label review/8/record.txt
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
