Use the late answer of an overloaded leader

A gateway gave each attempt of a call 600 ms, dropped it and repeated the call at the same leader. A leader that takes longer for each answer carried out all attempts, and its callers got 504 at their time limit: an overload multiplied the calls by five and made all of them fail.

From the second attempt on, an attempt without an answer waits on beside the next one, until another leader is known. Its reply is used if it settles the call. The first attempt still ends after 600 ms, so that its link tests the connection as early as before, and repeats are as frequent as before. The count calls.answered_late shows it.

late_answer_of_an_overloaded_leader_is_used, before:

assertion `left == right` failed: the leader received 5 calls left: Err(Unknown) right: Ok(Leading)

late_refusal_of_an_overloaded_leader_is_unknown guards the new path: a late refusal is not passed on, as another attempt may have stored the job.

--- a/crates/cleat-control/src/gateway.rs
+++ b/crates/cleat-control/src/gateway.rs
@@ -9,6 +9,9 @@
 };
 use cleat_quorum::MemberId;
 use cleat_telemetry::EventLog;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -19,9 +22,9 @@
 use crate::links::Links;
 use crate::metrics::{Metrics, call_kind};
 
-/// The time limit of one attempt at one instance. Far above the time of a commit
-/// (a sync of 6 to 9 ms and a round trip), and equal to the longest election
-/// timeout.
+/// How long one attempt at one instance may take before the call is repeated. Far above the
+/// time of a commit (a sync of 6 to 9 ms and a round trip), and equal to the longest
+/// election timeout. An overloaded leader may take longer; see [`LateAttempts`].
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(600);
 /// The delay before the next attempt if no leader is known: a fraction of the
 /// time of an election.
@@ -70,6 +73,8 @@
     /// Another leader became known during the attempt; the called instance may have
     /// carried out the call.
     LeaderChanged(MemberId),
+    /// The instance did not answer within [`ATTEMPT_TIMEOUT`], and may do so later.
+    Late,
     /// The instance did not answer, or neither leads nor knows a leader.
     NoLeader {
         /// Whether the instance may have carried out the call nevertheless.
@@ -79,6 +84,43 @@
     Rejected(ControlError),
 }
 
+/// The attempts of a call that had no answer within [`ATTEMPT_TIMEOUT`] and still wait for
+/// one. If an overloaded leader takes longer than that for each answer, the answer to an
+/// earlier attempt is the only one in time.
+#[derive(Default)]
+struct LateAttempts<'a> {
+    /// The instance of the latest of them.
+    at: Option<MemberId>,
+    /// Invariant: empty once a leader other than `at` is known.
+    pending: FuturesUnordered<BoxFuture<'a, Attempt>>,
+}
+
+impl<'a> LateAttempts<'a> {
+    fn add(&mut self, at: MemberId, attempt: BoxFuture<'a, Attempt>) {
+        self.at = Some(at);
+        self.pending.push(attempt);
+    }
+
+    /// Drops the attempts if another instance than theirs leads now.
+    fn record_leader(&mut self, leader: MemberId) {
+        if self.at != Some(leader) {
+            self.pending.clear();
+        }
+    }
+
+    /// Waits until an attempt is answered with a reply that settles the call. Other outcomes
+    /// say nothing about the attempts after it.
+    async fn settling_reply(&mut self, call: &ControlCall) -> ControlReply {
+        while let Some(outcome) = self.pending.next().await {
+            match outcome {
+                Attempt::Answered(reply) if call.is_settled_by(&reply) => return reply,
+                _ => {}
+            }
+        }
+        std::future::pending().await
+    }
+}
+
 impl Gateway {
     /// Creates a gateway and connects to the seeds. Must be called within a tokio
     /// runtime.
@@ -217,6 +259,7 @@
         let started_at = Instant::now();
         let deadline = started_at + timeout;
         let mut may_be_done = false;
+        let mut late = LateAttempts::default();
         let mut next_seed = 0;
         let mut next_target = self.known_leader();
         loop {
@@ -229,9 +272,21 @@
                 self.seed(next_seed)
             });
             call.note_wait(started_at.elapsed());
+            // The first attempt ends after its time, so that its link tests the connection.
+            let limit = if may_be_done {
+                remaining
+            } else {
+                remaining.min(ATTEMPT_TIMEOUT)
+            };
+            let mut attempt = self.attempt(target, call.clone(), limit).boxed();
             let outcome = tokio::select! {
-                outcome = self.attempt(target, call.clone(), remaining.min(ATTEMPT_TIMEOUT)) => outcome,
+                outcome = &mut attempt => outcome,
                 leader = self.leader_other_than(target) => Attempt::LeaderChanged(leader),
+                reply = late.settling_reply(&call) => {
+                    self.metrics.count("calls.answered_late");
+                    return Ok(reply);
+                }
+                () = sleep(ATTEMPT_TIMEOUT), if may_be_done => Attempt::Late,
             };
             match outcome {
                 Attempt::Answered(reply) => {
@@ -242,25 +297,26 @@
                     }
                     return Ok(reply);
                 }
+                Attempt::Late => {
+                    late.add(target, attempt);
+                    self.forget_leader(target);
+                }
                 Attempt::LeaderChanged(leader) => {
                     may_be_done = true;
+                    late.record_leader(leader);
                     next_target = Some(leader);
                 }
                 Attempt::Rejected(source) => return Err(AskError::Refused { source }),
-                Attempt::Redirected(leader) if leader != target => next_target = Some(leader),
+                Attempt::Redirected(leader) if leader != target => {
+                    late.record_leader(leader);
+                    next_target = Some(leader);
+                }
                 Attempt::Redirected(_) => sleep(NO_LEADER_RETRY_DELAY).await,
                 Attempt::NoLeader {
                     may_be_done: uncertain,
                 } => {
                     may_be_done |= uncertain;
-                    // Forget this leader, unless another call has already found a new one.
-                    self.leader.send_if_modified(|leader| {
-                        let was_current = *leader == target.0;
-                        if was_current {
-                            *leader = LEADER_UNKNOWN;
-                        }
-                        was_current
-                    });
+                    self.forget_leader(target);
                     sleep(NO_LEADER_RETRY_DELAY.min(remaining)).await;
                 }
             }
@@ -296,6 +352,17 @@
             .send_if_modified(|leader| std::mem::replace(leader, id) != id);
     }
 
+    /// Forgets this leader, unless another call has already found a new one.
+    fn forget_leader(&self, MemberId(id): MemberId) {
+        self.leader.send_if_modified(|leader| {
+            let was_current = *leader == id;
+            if was_current {
+                *leader = LEADER_UNKNOWN;
+            }
+            was_current
+        });
+    }
+
     /// Waits until a leader other than `target` is known.
     async fn leader_other_than(&self, target: MemberId) -> MemberId {
         let mut changes = self.leader.subscribe();
