Give calls their whole time at a gateway that shuts down

A gateway that finds no leader gives each call 250 ms. Its readiness stood for that, and is also taken away at a shutdown: for the 2.5 s in which it still takes callers, calls to a leader that takes longer than 250 ms were answered 504, though the job may have been stored and the caller had seconds left.

CallerApi::begin_shutdown takes the readiness away itself and keeps what it was; the short limit holds only where no leader was found. A call that arrives last ends 5.4 s after the signal at most, within a grace period of 6 s.

call_during_a_shutdown_has_its_whole_time, before:

assertion `left == right` failed left: 504 right: 200

--- a/crates/celerycleatd/src/roles/gateway.rs
+++ b/crates/celerycleatd/src/roles/gateway.rs
@@ -54,11 +54,11 @@
     };
     let own = gateway.clone();
     follow_seeds(file, name, &events, seeds, move |keys| own.set_seeds(keys))?;
-    let probing = tokio::spawn(probe(gateway, readiness.clone()));
+    let probing = tokio::spawn(probe(gateway, readiness));
     until_told_to_stop().await?;
     events.emit(&Life::Stopping { name });
+    // It would set the readiness again.
     probing.abort();
-    readiness.set(false);
     side.begin_shutdown();
     sleep(LINGER).await;
     callers.stop().await;
