Disable spans where a control instance installs its logger

Without a subscriber, tracing reports each step of a span to the logger, which looks up the level of its target: several times a call between instances, about 2% of the owner's processor time. Only the library for calls between instances uses tracing in these processes, and its lines are off, so no line is lost.

--- a/crates/cleat-telemetry/src/appender.rs
+++ b/crates/cleat-telemetry/src/appender.rs
@@ -7,6 +7,7 @@
 use log4rs::config::{Appender, Config, Logger, Root};
 use serde::Serialize;
 use snafu::ResultExt;
+use tracing::subscriber::NoSubscriber;
 
 use crate::error::{AlreadyStartedSnafu, LogConfigSnafu};
 use crate::{EventLog, TelemetryError};
@@ -50,5 +51,16 @@
     let config = Config::builder().appender(lines).logger(calls).build(root);
     let config = config.context(LogConfigSnafu)?;
     let installed = log4rs::init_config(config);
-    installed.map(drop).or_else(|_| AlreadyStartedSnafu.fail())
+    installed
+        .map(drop)
+        .or_else(|_| AlreadyStartedSnafu.fail())?;
+    disable_spans()
+}
+
+/// Disables all spans. Without a subscriber, `tracing` takes each step of a span for a line of
+/// the log and asks the logger for its level, several times a call between instances. Only
+/// [`CALLS`] has spans or events of `tracing` here, and its lines are off.
+fn disable_spans() -> Result<(), TelemetryError> {
+    let disabled = tracing::subscriber::set_global_default(NoSubscriber::default());
+    disabled.or_else(|_| AlreadyStartedSnafu.fail())
 }
