Log what tells a saturated owner from one that is partly busy

Cause: owner_load has only busy_ms, the sum of the event loop's turns. On an instance with a share of 0.35 of a processor it never exceeds 425 of 1,000, so the log can't tell a saturated owner from one that is a third busy.

Change: the event also has the interval, the processor time of the process, the time in which the runtime's threads were not parked, the wait of orders from their decision until the first poll of their call, the orders that were given up unsent and the renewals that began. Gauges and counters show the same.

The unparked time counts on a runtime with one thread; a test shows that it misses a poll until that has ended.

Result: the tests of cleat-control pass.

--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -102,12 +102,16 @@
         let decided_at = boot_time();
         load.order_decided();
         Box::pin(async move {
+            load.order_started(boot_time().saturating_sub(decided_at));
             let answer = if shared.leads() {
                 workers.send_order(&worker, &address, token, &order).await
             } else {
                 sleep(TICK_INTERVAL).await;
                 OrderAnswer::NotSent
             };
+            if answer == OrderAnswer::NotSent {
+                load.order_not_sent();
+            }
             load.order_ended(boot_time().saturating_sub(decided_at));
             Some(Event::Ordered {
                 worker,
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -23,8 +23,8 @@
 use crate::node::Shared;
 use crate::platform::{AdviceClient, MachineClient, PlatformClients, WorkerClient};
 use effects::{PendingCall, end_commit_failures};
-use load::LoadMeter;
 pub(crate) use load::OwnerLoad;
+use load::{LoadMeter, TimeUsed, clear_gauges};
 use ticks::TickSchedule;
 
 /// How often an instance that does not lead checks whether it became the leader:
@@ -85,6 +85,7 @@
             let token = self.log_takeover();
             let reason = self.run_event_loop(&mut rx).await;
             end_commit_failures(&self.shared, &self.commit_failures);
+            clear_gauges(&self.shared.metrics.counters);
             let end = ControlEvent::OwnsNoMore { token, reason };
             self.shared.events.emit(&end);
         }
@@ -150,7 +151,7 @@
 
     async fn run_event_loop(&self, rx: &mut UnboundedReceiver<Event>) -> OwnershipEnd {
         let mut calls = PendingCalls::new();
-        self.load.begin_ownership();
+        self.load.begin_ownership(boot_time(), TimeUsed::read());
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut events = Vec::with_capacity(MAX_EVENT_BATCH);
@@ -198,9 +199,10 @@
             .shared
             .state
             .read(|state| scheduler.handle(state, events.drain(..), now));
-        let report = self.load.report(now, scheduler.unanswered_starts());
+        let starts = scheduler.unanswered_starts();
         drop(guard);
-        if let Some(report) = report {
+        if let Some(report) = self.load.report(now, starts, TimeUsed::read) {
+            report.publish(&self.shared.metrics.counters);
             self.shared.events.emit(&ControlEvent::OwnerLoad(report));
         }
         let goes_on = effects
