Let the window of starts follow the delay of their answers

Cause: the limit of starts without an answer fell only once an order had been given up after 250 ms. A saturated owner kept hundreds of starts behind the scheduler, in the order of decision, and urgent ones waited behind them.

Change: the window shrinks when a low quantile of the answers comes 25 ms or more after the least delay seen of their data centre, in proportion to the delay, and grows while it was full and the excess is below 12 ms. An order that was given up counts by its delay, so it needs no rule of its own. Work that can't be sent yet stays in the scheduler, ranked by urgency.

--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -100,7 +100,7 @@
         answer: OrderAnswer,
     ) {
         if matches!(order.order, Order::Start { .. }) {
-            self.record_start_answer(answer);
+            self.record_start_answer(order, answer);
         }
         let Some(key) = self.workers.key(worker) else {
             return;
--- a/crates/cleat-jobs/src/schedule/start_window.rs
+++ b/crates/cleat-jobs/src/schedule/start_window.rs
@@ -1,18 +1,21 @@
 //! The limit of starts that were sent and have no answer yet.
 //!
-//! An order that waits too long for its connection is given up, and its task is
-//! placed again. If an owner decided more starts than it can send, it would spend
-//! its processor time on orders that are given up, and so send fewer still, even
-//! when there is no more load from outside. The window follows what can be sent,
-//! like the congestion window of a connection: it grows with each answer, and is
-//! halved when an order was given up.
+//! Starts that were decided are sent in the order of the decisions. So those that can't be sent
+//! yet have to wait in the scheduler, which ranks them by urgency, and only as many are decided
+//! as keep the sender busy. The window follows the delay of answers, like a delay-based
+//! congestion window of a connection: it grows while answers come at once, and shrinks when they
+//! come later than the network and the worker alone would explain.
+//!
+//! An order that waits too long is given up, and its task is placed again. Its delay counts as
+//! well, so that an owner does not spend its processor time on orders that are given up.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use super::Scheduler;
-use super::event::OrderAnswer;
+use super::event::{OrderAnswer, TaskOrder};
+use super::worker::millis;
 
 /// The window of a new owner, in starts.
 const INITIAL_WINDOW: usize = 256;
@@ -21,19 +24,42 @@
 const MIN_WINDOW: usize = 32;
 /// The maximum window, in starts.
 const MAX_WINDOW: usize = 4_096;
-/// How long after it was halved the window is not halved again: the orders that
-/// are given up meanwhile were sent before.
-const HALVING_INTERVAL: Duration = Duration::from_millis(250);
+/// The excess delay above which the window shrinks. Half of the time that a start may take beside
+/// its run, as the call, the end and its commit take a part of that as well.
+const MAX_EXCESS_DELAY: Duration = Duration::from_millis(25);
+/// The excess delay up to which a window that was full grows. Between the two it stays, with a
+/// queue that keeps the sender busy.
+const GROWTH_EXCESS_DELAY: Duration = Duration::from_millis(12);
+/// The window is adapted after answers to this part of it, so that a batch with slow workers only
+/// is unlikely and starts that get no answer do not delay it.
+const BATCHES_PER_WINDOW: usize = 4;
+/// The window follows this quantile of a batch, as one in so many. A queue delays all answers of
+/// a batch; slow or silent workers delay a part of them.
+const QUANTILE_DIVISOR: usize = 4;
+
+/// The answer to a start, or the lack of one.
+#[derive(Clone, Copy, Debug)]
+struct StartAnswer<'a> {
+    decided_at: Duration,
+    /// The data centre of the worker.
+    data_centre: &'a str,
+    is_from_worker: bool,
+}
 
 /// The starts without an answer, and their limit.
 #[derive(Clone, Debug)]
 pub(crate) struct StartWindow {
     limit: usize,
     unanswered: usize,
-    /// The answers since the limit last changed that came while at least half of
-    /// the window was in use.
-    answers: usize,
-    halved_at: Option<Duration>,
+    /// The least delay of an answer from each data centre in this ownership. It is the part of
+    /// the delay that does not come from a queue; data centres differ in it by their distance.
+    least_delays: IndexMap<Box<str>, Duration>,
+    /// When the last batch of answers ended. Answers to earlier starts show the earlier window.
+    batch_began_at: Duration,
+    /// The delays of the answers of this batch above the least ones.
+    excess_delays: Vec<Duration>,
+    /// Whether the window was full during this batch.
+    was_full: bool,
     /// The pools whose last pass ended early since the window was full, and when a
     /// pass over each of them last filled it; zero if none did.
     waiting: IndexMap<Box<str>, Duration>,
@@ -44,8 +70,10 @@
         StartWindow {
             limit: INITIAL_WINDOW,
             unanswered: 0,
-            answers: 0,
-            halved_at: None,
+            least_delays: IndexMap::new(),
+            batch_began_at: Duration::ZERO,
+            excess_delays: Vec::new(),
+            was_full: false,
             waiting: IndexMap::new(),
         }
     }
@@ -61,34 +89,63 @@
 
     /// Records that a start has an answer or was given up. Returns whether the
     /// window was full until now.
-    fn record_answer(&mut self, answer: OrderAnswer, now: Duration) -> bool {
+    fn record_end(&mut self) -> bool {
         let was_full = self.is_full();
-        let in_use = self.unanswered * 2 >= self.limit;
+        self.was_full |= was_full;
         self.unanswered = self.unanswered.saturating_sub(1);
-        if answer == OrderAnswer::NotSent {
-            self.halve(now);
-        } else if in_use {
-            self.grow();
-        }
         was_full
     }
 
-    fn halve(&mut self, now: Duration) {
-        let recently = |at| now < at + HALVING_INTERVAL;
-        if !self.halved_at.is_some_and(recently) {
-            self.halved_at = Some(now);
-            self.limit = (self.limit / 2).max(MIN_WINDOW);
-            self.answers = 0;
+    /// Adds the delay of an answer to the batch, and adapts the window after the last one.
+    fn record_delay(&mut self, answer: StartAnswer<'_>, now: Duration) {
+        let delay = now.saturating_sub(answer.decided_at);
+        let least = self.least_delay(answer, delay);
+        if answer.decided_at < self.batch_began_at {
+            return;
+        }
+        self.excess_delays.push(delay.saturating_sub(least));
+        if self.excess_delays.len() * BATCHES_PER_WINDOW >= self.limit {
+            self.adapt();
+            self.excess_delays.clear();
+            self.was_full = false;
+            self.batch_began_at = now;
         }
     }
 
-    /// Grows the limit by an eighth for as many answers as the limit.
-    fn grow(&mut self) {
-        self.answers += 1;
-        if self.answers >= self.limit {
-            self.answers = 0;
-            self.limit = (self.limit + self.limit.div_ceil(8)).min(MAX_WINDOW);
+    /// The least delay of the answer's data centre. An order that was not answered can end
+    /// sooner than any answer, so it sets none.
+    fn least_delay(&mut self, answer: StartAnswer<'_>, delay: Duration) -> Duration {
+        if let Some(least) = self.least_delays.get_mut(answer.data_centre) {
+            if answer.is_from_worker {
+                *least = delay.min(*least);
+            }
+            return *least;
+        }
+        if answer.is_from_worker {
+            self.least_delays.insert(answer.data_centre.into(), delay);
+            return delay;
         }
+        Duration::ZERO
+    }
+
+    fn adapt(&mut self) {
+        let at = self.excess_delays.len() / QUANTILE_DIVISOR;
+        let (_, excess, _) = self.excess_delays.select_nth_unstable(at);
+        let excess = *excess;
+        if excess > MAX_EXCESS_DELAY {
+            self.shrink(excess);
+        } else if excess <= GROWTH_EXCESS_DELAY && self.was_full {
+            // Faster than starts to silent workers fill it while half of all workers are silent.
+            self.limit = (self.limit + self.limit / 2).min(MAX_WINDOW);
+        }
+    }
+
+    /// Shrinks the limit in proportion to the delay, at most by half.
+    fn shrink(&mut self, excess: Duration) {
+        let least = self.limit.div_ceil(2).max(MIN_WINDOW);
+        let (target, excess) = (millis(MAX_EXCESS_DELAY), millis(excess).max(1));
+        let in_proportion = self.limit as u64 * target / excess;
+        self.limit = usize::try_from(in_proportion).map_or(least, |limit| limit.max(least));
     }
 }
 
@@ -100,8 +157,10 @@
 
     /// Records the answer to a start. If the window was full, the pools that wait
     /// for it are scheduled again.
-    pub(super) fn record_start_answer(&mut self, answer: OrderAnswer) {
-        if self.start_window.record_answer(answer, self.now) {
+    pub(super) fn record_start_answer(&mut self, order: &TaskOrder, answer: OrderAnswer) {
+        let was_full = self.start_window.record_end();
+        self.record_start_delay(order, answer);
+        if was_full {
             let waiting: Vec<Box<str>> = self.start_window.waiting.keys().cloned().collect();
             for pool in waiting {
                 self.request_scheduling(&pool);
@@ -109,6 +168,20 @@
         }
     }
 
+    /// Records the delay of the answer, if the start's run is still known.
+    fn record_start_delay(&mut self, order: &TaskOrder, answer: OrderAnswer) {
+        let attempt = self.attempts.get(&order.task);
+        let Some(attempt) = attempt.filter(|attempt| attempt.run == order.run) else {
+            return;
+        };
+        let answer = StartAnswer {
+            decided_at: attempt.started_at,
+            data_centre: &self.workers[attempt.worker].record.data_centre,
+            is_from_worker: answer.is_from_worker(),
+        };
+        self.start_window.record_delay(answer, self.now);
+    }
+
     /// Orders the pools that need a scheduling pass: those that filled the window
     /// last come last, so that none of them uses it alone.
     pub(super) fn order_by_window_use(&self, pools: &mut [Box<str>]) {
