Poll the owner's calls outside the budget of its one task

Cause: all calls belong to the owner task, which the runtime allows 128 operations a poll. Once they were used up, every further call was polled in vain, and the turn handled a part of the answers that were there; the fixed cost of a turn was paid the more often.

Change: calls are polled unconstrained, so a turn takes up to 256 answers. The loop yields after a full batch, and uses one operation of the budget for each other turn, so that the group's heartbeats and the connections get their time. A tick with a full batch still counts as one after a stall. Without the budget, that answers are left is known by the full batch alone.

The tests of cleat-control pass.

--- a/crates/cleat-control/src/owner/effects.rs
+++ b/crates/cleat-control/src/owner/effects.rs
@@ -1,6 +1,5 @@
 //! Executes the effects that the scheduler returns.
 
-use std::pin::Pin;
 use std::sync::Arc;
 
 use cleat_jobs::{
@@ -11,15 +10,13 @@
 use log::warn;
 use tokio::time::sleep;
 
-use super::{OwnerTask, PendingCalls, TICK_INTERVAL};
+use super::calls::{PendingCall, PendingCalls};
+use super::{OwnerTask, TICK_INTERVAL};
 use crate::clock::boot_time;
 use crate::events::ControlEvent;
 use crate::node::Shared;
 use crate::platform::{AdviceClient, MachineClient, RenewalError, WorkerClient};
 
-/// A pending call; it resolves to the event to handle, if there is one.
-pub(super) type PendingCall = Pin<Box<dyn Future<Output = Option<Event>> + Send>>;
-
 impl<W: WorkerClient, M: MachineClient, A: AdviceClient> OwnerTask<W, M, A> {
     /// Executes an effect; false if a worker has rejected this owner in favour of a
     /// later one.
--- a/crates/cleat-control/src/owner/mod.rs
+++ b/crates/cleat-control/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner task, which runs the scheduler and sends orders to the workers while this
 //! instance leads.
 
+mod calls;
 mod effects;
 mod load;
 mod ticks;
@@ -10,19 +11,19 @@
 
 use cleat_jobs::{Command, Event, Scheduler, SchedulerConfig};
 use cleat_telemetry::Condition;
-use futures::stream::FuturesUnordered;
-use futures::{FutureExt, StreamExt};
 use log::warn;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::JoinHandle;
-use tokio::task::coop::has_budget_remaining;
+use tokio::task::coop::consume_budget;
+use tokio::task::yield_now;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::clock::{boot_time, wall_ms};
 use crate::events::{ControlEvent, OwnershipEnd};
 use crate::node::Shared;
 use crate::platform::{AdviceClient, MachineClient, PlatformClients, WorkerClient};
-use effects::{PendingCall, end_commit_failures};
+use calls::PendingCalls;
+use effects::end_commit_failures;
 pub(crate) use load::OwnerLoad;
 use load::{LoadMeter, TimeUsed, clear_gauges};
 use ticks::TickSchedule;
@@ -64,9 +65,6 @@
     load: Arc<LoadMeter>,
 }
 
-/// The calls that have not completed yet.
-type PendingCalls = FuturesUnordered<PendingCall>;
-
 impl<W: WorkerClient, M: MachineClient, A: AdviceClient> OwnerTask<W, M, A> {
     async fn run(self) {
         loop {
@@ -149,8 +147,11 @@
         }
     }
 
+    /// Calls are polled without a budget of the runtime, so the loop yields after a full batch,
+    /// and after as many other turns as the budget has: the heartbeats of the group and the
+    /// connections to the workers are tasks of the same runtime.
     async fn run_event_loop(&self, rx: &mut UnboundedReceiver<Event>) -> OwnershipEnd {
-        let mut calls = PendingCalls::new();
+        let mut calls = PendingCalls::default();
         self.load.begin_ownership(boot_time(), TimeUsed::read());
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -166,7 +167,7 @@
                 Some(event) = calls.next(), if !calls.is_empty() => events.extend(event),
                 _ = ticks.tick() => schedule.record_due(),
             }
-            let all_collected = collect_completed(&mut calls, &mut events);
+            let all_collected = calls.collect_completed(&mut events);
             if let Some(tick) = schedule.take_due(boot_time(), all_collected) {
                 if let Some(stall) = tick.stall {
                     self.load.stalled(stall);
@@ -180,6 +181,11 @@
             if !self.handle_events(&mut events, &calls) {
                 return OwnershipEnd::Fenced;
             }
+            if all_collected {
+                consume_budget().await;
+            } else {
+                yield_now().await;
+            }
         }
     }
 
@@ -212,17 +218,3 @@
         goes_on
     }
 }
-
-/// Adds the events of calls that have already completed, as the scheduler handles a
-/// batch of events at little more cost than a single one. Returns whether no completed
-/// call is left.
-fn collect_completed(calls: &mut PendingCalls, events: &mut Vec<Event>) -> bool {
-    while events.len() < MAX_EVENT_BATCH {
-        let Some(Some(event)) = calls.next().now_or_never() else {
-            // A task that has used up its budget sees no call as completed.
-            return has_budget_remaining();
-        };
-        events.extend(event);
-    }
-    false
-}
