Hash the scheduler's maps with ahash

Change: the maps and sets of the scheduler are aliases of indexmap's with the random state of ahash, in the module `collections`. The state is keyed at random, since callers choose the ids of jobs. The replicated state and the window of starts keep the standard hash function. decision_cost can list machines (`machines`), so that it also measures the balances of pools.

--- a/crates/cleat-jobs/examples/decision_cost.rs
+++ b/crates/cleat-jobs/examples/decision_cost.rs
@@ -6,7 +6,8 @@
 //!
 //! `FEATURE` is `worker_speed`, to estimate the speed of workers, `speculation`, to copy
 //! tasks, or `admission`: each job is first accepted or refused, and refused jobs are not
-//! submitted again. `load=PERCENT` changes the arrival rate: from 200 on, jobs pile up.
+//! submitted again. `machines` lists the machines of the workers, whose balances are then computed
+//! at each tick; all moves are refused. `load=PERCENT` changes the arrival rate: from 200 on, jobs pile up.
 //! `unplaced=COUNT` adds jobs of a higher priority that no worker can hold, which run until
 //! they are cancelled, or end by themselves with `finite`. `confined=COUNT` adds jobs of a higher
 //! priority that one worker of each pool can run, one at a time. `large=COUNT` adds jobs of a higher
@@ -22,9 +23,9 @@
 use cleat_control::{SimulatedRun, SimulatedWorker};
 use cleat_jobs::{
     Admission, Cap, Catalogue, CatalogueDraft, Command, ControlState, Customer, CustomerDraft,
-    Decision, Effect, EndKind, Event, Features, Heartbeat, JobId, JobSpec, Order, OrderAnswer,
-    Pool, Queue, RenewalOrder, Scheduler, SchedulerConfig, Size, StepSpec, Submission, TaskOrder,
-    WorkerHistory, WorkerRecord,
+    Decision, Effect, EndKind, Event, Features, Heartbeat, JobId, JobSpec, MachineAnswer,
+    MachineState, MachineView, Order, OrderAnswer, Pool, Queue, RenewalOrder, Scheduler,
+    SchedulerConfig, Size, StepSpec, Submission, TaskOrder, WorkerHistory, WorkerRecord,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -80,6 +81,8 @@
     customers: u64,
     /// The arrival rate in percent of the usual one.
     load_percent: u64,
+    /// Whether the platform lists the machines.
+    lists_machines: bool,
     starts: u64,
     events: u64,
     decision_time: Duration,
@@ -118,6 +121,7 @@
     let end = Duration::from_secs(seconds);
     let mut world = World::new(workers, customers, features);
     world.load_percent = load_percent;
+    world.lists_machines = is_enabled("machines");
     let unplaced = count_of("unplaced=");
     world.submit_early(
         COMMIT_LATENCY,
@@ -204,6 +208,7 @@
             jobs: 0,
             customers,
             load_percent: 100,
+            lists_machines: false,
             starts: 0,
             events: 0,
             decision_time: Duration::ZERO,
@@ -302,15 +307,33 @@
             Effect::Log(Decision::Start {
                 task, waited_ms, ..
             }) => self.record_wait(&task, waited_ms),
+            Effect::ListMachines if self.lists_machines => self.list_machines(),
+            Effect::OrderMachine { machine, order, .. } => self.schedule(
+                CALL_LATENCY,
+                SimEvent::Deliver(Event::MachineOrdered {
+                    machine,
+                    order,
+                    answer: MachineAnswer::Refused,
+                }),
+            ),
             Effect::Fenced { .. }
             | Effect::Departed { .. }
             | Effect::Log(_)
             | Effect::Advise { .. }
-            | Effect::ListMachines
-            | Effect::OrderMachine { .. } => {}
+            | Effect::ListMachines => {}
         }
     }
 
+    /// Answers a list of the machines, each of which has a worker.
+    fn list_machines(&mut self) {
+        let machines = self.workers.iter().map(|worker| machine(&worker.record));
+        let event = Event::MachinesListed {
+            sent_at: self.now,
+            machines: Some(machines.collect()),
+        };
+        self.schedule(CALL_LATENCY, SimEvent::Deliver(event));
+    }
+
     fn record_wait(&mut self, task: &str, waited_ms: u64) {
         let job = task.split('.').next();
         let job = job.and_then(|job| u64::from_str_radix(job, 16).ok());
@@ -475,6 +498,18 @@
     }
 }
 
+/// The machine of a worker, as the platform lists it.
+fn machine(record: &WorkerRecord) -> MachineView {
+    MachineView {
+        name: record.machine.clone().unwrap_or_default(),
+        pool: record.pool.clone(),
+        state: MachineState::Up,
+        worker: Some(record.name.clone()),
+        capacity: record.capacity,
+        labels: record.labels.clone(),
+    }
+}
+
 fn worker_index(name: &str) -> usize {
     name[1..]
         .parse()
--- a/crates/cleat-jobs/src/lib.rs
+++ b/crates/cleat-jobs/src/lib.rs
@@ -9,6 +9,7 @@
 //! runs that the workers report.
 
 mod catalogue;
+mod collections;
 mod customer;
 mod ids;
 mod job;
--- a/crates/cleat-jobs/src/schedule/account/mod.rs
+++ b/crates/cleat-jobs/src/schedule/account/mod.rs
@@ -10,11 +10,10 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 pub use report::CustomerView;
 
 use super::shares::{RecentJobs, ShareStatus};
+use crate::collections::{IndexMap, IndexSet};
 use crate::{Cap, Catalogue, Size};
 
 /// The index of an account in the arena. Indexes are never reused.
@@ -133,7 +132,7 @@
     /// wait for that.
     pub(crate) fn release(&mut self, charge: Charge) -> IndexSet<Box<str>> {
         let Some(key) = charge.customer else {
-            return IndexSet::new();
+            return IndexSet::default();
         };
         let account = self.get_mut(key);
         account.used -= charge.size;
--- a/crates/cleat-jobs/src/schedule/account/usage.rs
+++ b/crates/cleat-jobs/src/schedule/account/usage.rs
@@ -1,8 +1,7 @@
 //! Updates of the accounts as runs start and end.
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::{Charge, CustomerKey, Stray};
+use crate::collections::{IndexMap, IndexSet};
 use crate::schedule::Scheduler;
 use crate::schedule::attempt::Attempt;
 use crate::schedule::ready::DirtyPools;
@@ -135,7 +134,7 @@
     fn update_hidden_usage(&mut self, state: &ControlState) {
         // Only tests that check what happens without this protection disable it.
         let is_disabled = !self.cfg.protections.charge_hidden_runs;
-        let mut hidden_sizes: IndexMap<CustomerKey, Size> = IndexMap::new();
+        let mut hidden_sizes: IndexMap<CustomerKey, Size> = IndexMap::default();
         for step in self.steps.values() {
             let Some(customer) = step.charge.customer else {
                 continue;
@@ -165,7 +164,7 @@
         hidden_sizes: &mut IndexMap<CustomerKey, Size>,
     ) {
         let catalogue = state.catalogue.as_deref();
-        let mut copies: IndexMap<CustomerKey, Size> = IndexMap::new();
+        let mut copies: IndexMap<CustomerKey, Size> = IndexMap::default();
         for (id, stopping) in &state.stopping {
             let customer = self.accounts.get_or_create(&stopping.customer, catalogue);
             let tasks_run_on = matches!(
@@ -193,8 +192,8 @@
             return;
         }
         let own_runs = Run(u64::from(self.owner.ordinal) * RUN_NUMBERS_PER_OWNER);
-        let mut replaced: IndexMap<StepId, u64> = IndexMap::new();
-        let mut single: IndexMap<StepId, u64> = IndexMap::new();
+        let mut replaced: IndexMap<StepId, u64> = IndexMap::default();
+        let mut single: IndexMap<StepId, u64> = IndexMap::default();
         let attempts = self.attempts.iter();
         for (task, attempt) in attempts.filter(|(task, _)| !self.superseded.contains(**task)) {
             *single.entry(task.step).or_default() += 1;
@@ -202,7 +201,7 @@
                 *replaced.entry(task.step).or_default() += 1;
             }
         }
-        let mut copies: IndexMap<(CustomerKey, &str), Size> = IndexMap::new();
+        let mut copies: IndexMap<(CustomerKey, &str), Size> = IndexMap::default();
         for (id, step) in self.steps.iter().filter(|(_, step)| step.speculative) {
             let unknown_until = self.unknown_until(&step.pool);
             let may_be_hidden = unknown_until.is_some_and(|index| step.ready_index <= index);
@@ -252,7 +251,7 @@
         let superseded = self.superseded.iter().map(|(_, run)| run);
         let superseded = superseded.filter(|run| run.uses_capacity());
         let superseded = superseded.map(|run| run.charge);
-        let mut counted: IndexMap<CustomerKey, Size> = IndexMap::new();
+        let mut counted: IndexMap<CustomerKey, Size> = IndexMap::default();
         for charge in attempts.chain(strays).chain(superseded) {
             if let Some(customer) = charge.customer {
                 *counted.entry(customer).or_default() += charge.size;
--- a/crates/cleat-jobs/src/schedule/admission/bookings.rs
+++ b/crates/cleat-jobs/src/schedule/admission/bookings.rs
@@ -3,10 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::estimate::{Demand, Rank, Work};
 use crate::JobId;
+use crate::collections::IndexMap;
 
 /// The maximum number of bookings: those of 500 refusals a second for four seconds.
 const MAX_BOOKINGS: usize = 2_048;
@@ -58,7 +57,7 @@
     fn default() -> Self {
         Bookings {
             return_probability: 1.0,
-            by_id: IndexMap::new(),
+            by_id: IndexMap::default(),
             order: VecDeque::new(),
         }
     }
--- a/crates/cleat-jobs/src/schedule/admission/load.rs
+++ b/crates/cleat-jobs/src/schedule/admission/load.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::estimate::{Capacity, ExpectedJoin, PoolLoad, Rank, Work, clock_seconds};
 use crate::StepId;
+use crate::collections::IndexMap;
 use crate::schedule::fleet::{FRAGMENTATION_PERCENT, Machine, MachineOrder, MachineState};
 use crate::schedule::ready::DISPATCH_OVERHEAD;
 use crate::schedule::shares::ShareStatus;
@@ -31,7 +30,7 @@
         let Some(catalogue) = &state.catalogue else {
             return;
         };
-        let mut capacities = Capacities::new();
+        let mut capacities = Capacities::default();
         for queue in &catalogue.queues {
             if !capacities.contains_key(&queue.pool) {
                 capacities.insert(queue.pool.clone(), Capacity::default());
@@ -122,8 +121,8 @@
         let balances = self.balances(state);
         #[allow(clippy::cast_precision_loss)]
         let reserve = 1.0 + FRAGMENTATION_PERCENT as f64 / 100.0;
-        let mut surplus: IndexMap<&str, Work> = IndexMap::new();
-        let mut shortage: IndexMap<&str, Work> = IndexMap::new();
+        let mut surplus: IndexMap<&str, Work> = IndexMap::default();
+        let mut shortage: IndexMap<&str, Work> = IndexMap::default();
         for (pool, balance) in &balances {
             let needed = Work::of(balance.needed).scaled(reserve);
             let offered = Work::of(balance.offered);
@@ -141,7 +140,7 @@
             .filter(is_available)
             .collect();
         for (pool, capacity) in capacities {
-            let mut by_pool: IndexMap<&str, Work> = IndexMap::new();
+            let mut by_pool: IndexMap<&str, Work> = IndexMap::default();
             let others = idle.iter().filter(|machine| machine.view.pool != *pool);
             for machine in others {
                 if !self.machines.is_refused(&machine.view.name, pool) {
--- a/crates/cleat-jobs/src/schedule/admission/mod.rs
+++ b/crates/cleat-jobs/src/schedule/admission/mod.rs
@@ -15,9 +15,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 
+use crate::collections::{IndexMap, IndexSet};
 use crate::{JobId, JobSpec, Queue};
 use bookings::Bookings;
 use estimate::{Demand, PoolLoad};
--- a/crates/cleat-jobs/src/schedule/admission/report.rs
+++ b/crates/cleat-jobs/src/schedule/admission/report.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::{RefusalReason, Submission};
+use crate::collections::IndexMap;
 use crate::schedule::{Decision, Scheduler};
 
 /// The minimum interval between two events with the same queue, customer and reason. It
--- a/crates/cleat-jobs/src/schedule/advice.rs
+++ b/crates/cleat-jobs/src/schedule/advice.rs
@@ -3,10 +3,9 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::worker::{WorkerKey, millis};
 use super::{Effect, Scheduler};
+use crate::collections::{IndexMap, IndexSet};
 use crate::state::ControlState;
 use crate::{AdviceTiming, StepId};
 
--- a/crates/cleat-jobs/src/schedule/awaited_ends.rs
+++ b/crates/cleat-jobs/src/schedule/awaited_ends.rs
@@ -8,10 +8,9 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::Scheduler;
 use super::worker::WorkerKey;
+use crate::collections::{IndexMap, IndexSet};
 use crate::state::{End, EndKind, TaskEnd};
 use crate::{Run, TaskId};
 
--- a/crates/cleat-jobs/src/schedule/choice.rs
+++ b/crates/cleat-jobs/src/schedule/choice.rs
@@ -1,9 +1,8 @@
 //! The choice of the worker for a task.
 
-use indexmap::IndexMap;
-
 use super::Scheduler;
 use super::worker::WorkerKey;
+use crate::collections::IndexMap;
 use crate::{StepId, StepSpec};
 
 impl Scheduler {
@@ -88,7 +87,7 @@
     }
 
     fn rack_with_most_free_cpu(&self, keys: &[WorkerKey]) -> Option<&str> {
-        let mut free_cpu: IndexMap<&str, u64> = IndexMap::new();
+        let mut free_cpu: IndexMap<&str, u64> = IndexMap::default();
         for key in keys {
             let worker = &self.workers[*key];
             if let Some(rack) = worker.record.rack.as_deref() {
--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use indexmap::IndexSet;
-
 use super::Scheduler;
 use super::attempt::Attempt;
 use super::decision::{LifeOver, StopReason};
 use super::worker::{WorkerKey, WorkerState};
+use crate::collections::IndexSet;
 use crate::state::{Command, ControlState, End, EndKind, TaskEnd};
 use crate::{JobId, StepId, TaskId};
 
@@ -167,7 +166,7 @@
         key: Option<WorkerKey>,
         ends: impl IntoIterator<Item = &'a End>,
     ) {
-        let mut jobs = IndexSet::new();
+        let mut jobs = IndexSet::default();
         for end in ends {
             self.settle_end(state, key, end);
             jobs.insert(end.task.job());
--- a/crates/cleat-jobs/src/schedule/common_failure.rs
+++ b/crates/cleat-jobs/src/schedule/common_failure.rs
@@ -8,10 +8,9 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::Scheduler;
 use super::worker::WorkerKey;
+use crate::collections::IndexMap;
 
 /// How far apart workers may have stopped answering that failed together.
 const FAILURE_WINDOW: Duration = Duration::from_millis(500);
--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -11,13 +11,12 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::attempt::{Attempt, Phase};
 use super::decision::{LifeOver, LossReason};
 use super::step::ActiveStep;
 use super::worker::{Worker, WorkerKey};
 use super::{Decision, Scheduler};
+use crate::collections::{IndexMap, IndexSet};
 use crate::state::{Command, ControlState, CrashEvidence, CrashedRun, Isolation};
 use crate::{JobId, TaskId};
 
@@ -256,7 +255,7 @@
     /// Handles committed crashes: the tasks of the lost runs may start again,
     /// unless the replicated state has ended their job.
     pub(super) fn handle_crashes_applied(&mut self, state: &ControlState, runs: &[CrashedRun]) {
-        let mut jobs: IndexSet<JobId> = IndexSet::new();
+        let mut jobs: IndexSet<JobId> = IndexSet::default();
         for CrashedRun { task, run, .. } in runs {
             jobs.insert(task.job());
             self.update_suspicions(state, task.step);
--- a/crates/cleat-jobs/src/schedule/fleet/absent.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/absent.rs
@@ -8,9 +8,8 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::machine::{MachineState, MachineView};
+use crate::collections::{IndexMap, IndexSet};
 use crate::schedule::Scheduler;
 use crate::schedule::decision::LifeOver;
 use crate::schedule::worker::{Worker, WorkerKey};
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::machine::{Machine, MachineOrder, MachineState};
 use crate::Size;
+use crate::collections::{IndexMap, IndexSet};
 use crate::schedule::step::ActiveStep;
 use crate::schedule::timing::Timeliness;
 use crate::schedule::worker::millis;
@@ -166,7 +165,7 @@
         &mut self,
         state: &ControlState,
     ) -> IndexMap<Box<str>, Balance> {
-        let mut pools: IndexMap<Box<str>, Balance> = IndexMap::new();
+        let mut pools: IndexMap<Box<str>, Balance> = IndexMap::default();
         if let Some(catalogue) = &state.catalogue {
             for queue in &catalogue.queues {
                 pools.entry(queue.pool.clone()).or_default();
@@ -269,7 +268,7 @@
     }
 
     fn add_workers(&self, pools: &mut IndexMap<Box<str>, Balance>) {
-        let (mut accepting, mut leaving) = (IndexSet::new(), IndexSet::new());
+        let (mut accepting, mut leaving) = (IndexSet::default(), IndexSet::default());
         for (key, worker) in self.workers.iter() {
             let record = &worker.record;
             let Some(balance) = pools.get_mut(&record.pool) else {
--- a/crates/cleat-jobs/src/schedule/fleet/holdable.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/holdable.rs
@@ -3,9 +3,8 @@
 //! Some jobs declare sizes or labels that no machine has. They wait until such a machine is
 //! added, and more machines of the present kinds would not help them.
 
-use indexmap::IndexMap;
-
 use crate::Size;
+use crate::collections::IndexMap;
 use crate::schedule::Scheduler;
 use crate::schedule::step::ActiveStep;
 
--- a/crates/cleat-jobs/src/schedule/fleet/joins.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/joins.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::machine::{Machine, MachineOrder};
+use crate::collections::IndexMap;
 use crate::schedule::worker::millis;
 use crate::schedule::{Decision, Scheduler};
 
--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
 use serde::Serialize;
 
 use super::joins::{Join, JoinTimes, Joined};
 use super::plan::PlanReport;
 use crate::Size;
+use crate::collections::{IndexMap, IndexSet};
 
 /// The state of a machine as reported by the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::demand::Balance;
 use super::machine::{Machine, MachineOrder, MachineState};
+use crate::collections::{IndexMap, IndexSet};
 use crate::schedule::Scheduler;
 use crate::schedule::worker::WorkerKey;
 use crate::state::ControlState;
@@ -58,7 +57,7 @@
         self.log_balances(&balances);
         let mut allowed_orders =
             MAX_UNANSWERED_ORDERS.saturating_sub(self.machines.unanswered_orders());
-        let mut without_donor = IndexSet::new();
+        let mut without_donor = IndexSet::default();
         let mut idle = None;
         while allowed_orders > 0
             && let Some(pool) = pool_with_largest_shortage(&balances, &without_donor)
@@ -81,7 +80,7 @@
 
     /// The movable machines of each pool, in descending order of their names.
     pub(super) fn idle_machines(&self) -> IdleMachines {
-        let mut idle = IdleMachines::new();
+        let mut idle = IdleMachines::default();
         let free = self.machines.by_name.iter();
         for (name, machine) in free.filter(|(_, machine)| self.is_movable(machine)) {
             let pool = idle.entry(machine.view.pool.clone()).or_default();
--- a/crates/cleat-jobs/src/schedule/fleet/need.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/need.rs
@@ -5,11 +5,10 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::demand::{LATE_WORK_PERCENT, expected_pool};
 use super::moves::FRAGMENTATION_PERCENT;
 use crate::Size;
+use crate::collections::{IndexMap, IndexSet};
 use crate::schedule::Scheduler;
 use crate::schedule::account::CustomerKey;
 use crate::schedule::shares::ShareStatus;
@@ -150,7 +149,7 @@
 
     /// The state of each pool that a queue uses.
     pub(super) fn pool_states(&mut self, state: &ControlState) -> IndexMap<Box<str>, PoolState> {
-        let mut pools: IndexMap<Box<str>, PoolState> = IndexMap::new();
+        let mut pools: IndexMap<Box<str>, PoolState> = IndexMap::default();
         for queue in state.catalogue.iter().flat_map(|c| &c.queues) {
             let pool = pools
                 .entry(queue.pool.clone())
@@ -183,7 +182,7 @@
 
     /// Adds the workers that accept work and the machines that are joining or draining.
     fn add_capacity(&self, pools: &mut IndexMap<Box<str>, PoolState>, mean_machine: Size) {
-        let (mut accepting, mut leaving) = (IndexSet::new(), IndexSet::new());
+        let (mut accepting, mut leaving) = (IndexSet::default(), IndexSet::default());
         for (key, worker) in self.workers.iter() {
             let record = &worker.record;
             let Some(pool) = pools.get_mut(&record.pool) else {
@@ -238,7 +237,7 @@
         mean_machine: Size,
         max_machine: Size,
     ) {
-        let mut remaining: IndexMap<CustomerKey, Size> = IndexMap::new();
+        let mut remaining: IndexMap<CustomerKey, Size> = IndexMap::default();
         for step in self.steps.values() {
             let Some(pool) = pools.get_mut(&step.pool) else {
                 continue;
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use indexmap::IndexSet;
-
 use super::machine::{Machine, MachineOrder, MachineState, MachineView, PendingOrder};
+use crate::collections::IndexSet;
 use crate::schedule::decision::LifeOver;
 use crate::schedule::event::MachineAnswer;
 use crate::schedule::worker::WorkerKey;
--- a/crates/cleat-jobs/src/schedule/fleet/plan.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/plan.rs
@@ -11,8 +11,6 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::demand::BALANCE_LOG_INTERVAL;
 use super::machine::{Machine, MachineOrder, MachineState};
 use super::moves::{
@@ -21,6 +19,7 @@
 };
 use super::need::{Class, MACHINE, PoolState, in_machines};
 use crate::Size;
+use crate::collections::IndexMap;
 use crate::schedule::decision::HoldReason;
 use crate::schedule::{Decision, Scheduler};
 use crate::state::ControlState;
@@ -174,7 +173,7 @@
         receivers.sort_by_key(|name| urgency(&plans[name]));
         let mut allowed = MAX_UNANSWERED_ORDERS.saturating_sub(self.machines.unanswered_orders());
         let mut idle = if receivers.is_empty() {
-            IdleMachines::new()
+            IdleMachines::default()
         } else {
             self.idle_machines()
         };
@@ -320,7 +319,7 @@
             listed.pending_order.is_none().then(|| (name.clone(), pool))
         });
         let reserved: Vec<_> = reserved.collect();
-        let mut released: IndexMap<Box<str>, u64> = IndexMap::new();
+        let mut released: IndexMap<Box<str>, u64> = IndexMap::default();
         let silent = self.is_platform_silent();
         for (name, pool) in reserved {
             let listed = &self.machines.by_name[&name];
--- a/crates/cleat-jobs/src/schedule/isolation.rs
+++ b/crates/cleat-jobs/src/schedule/isolation.rs
@@ -13,14 +13,13 @@
 //! that are too many for a worker each share workers in quarantine. Only tasks whose
 //! workers crashed repeatedly wait for a worker that they have alone.
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::Scheduler;
 use super::attempt::Attempt;
 use super::decision::WaitReason;
 use super::step::{ActiveStep, StepOrder};
 use super::takeover::HiddenStarts;
 use super::worker::WorkerKey;
+use crate::collections::{IndexMap, IndexSet};
 use crate::state::{ControlState, Isolation, Suspicion};
 use crate::{StepId, TaskId};
 
@@ -234,7 +233,7 @@
         let openings = limit.saturating_sub(isolated.len());
         let suspects = self.pending_unisolated(pool);
         self.isolation = IsolationPlan {
-            reserved: IndexSet::new(),
+            reserved: IndexSet::default(),
             opened: self.workers_to_open(isolated, limit),
             max_in_quarantine: self.quarantine_size(isolated, waiting.len(), limit),
             max_suspects: suspects
@@ -330,7 +329,7 @@
         hidden: HiddenStarts,
     ) -> Vec<TaskId> {
         let mut unplaced = Vec::new();
-        let mut in_vain: IndexMap<InVain, usize> = IndexMap::new();
+        let mut in_vain: IndexMap<InVain, usize> = IndexMap::default();
         for WaitingSuspect {
             order,
             index,
@@ -382,7 +381,7 @@
         openings: usize,
     ) {
         let max_reserved = candidates.len().div_ceil(WORKERS_PER_RESERVATION);
-        let mut reserved = IndexSet::new();
+        let mut reserved = IndexSet::default();
         for task in waiting.iter().take(max_reserved.min(openings)) {
             reserved.extend(self.worker_to_reserve(state, *task, candidates, &reserved));
         }
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -55,8 +55,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 pub use account::CustomerView;
 pub use admission::{Admission, RefusalReason, Submission};
 pub use carry_over::LearnedFault;
@@ -73,6 +71,7 @@
 pub use shares::SharePolicy;
 pub use worker::WorkerState;
 
+use crate::collections::{IndexMap, IndexSet};
 use crate::state::{Command, ControlState, End, Owner, WorkerRecord};
 use crate::{JobId, Run, Size, StepId, TaskId};
 use account::{Accounts, Stray};
@@ -297,46 +296,46 @@
             stalled_until: None,
             wall_ms,
             workers: Workers::default(),
-            steps: IndexMap::new(),
+            steps: IndexMap::default(),
             pool_names: PoolNames::default(),
-            job_steps: IndexMap::new(),
-            attempts: IndexMap::new(),
-            job_tasks: IndexMap::new(),
+            job_steps: IndexMap::default(),
+            attempts: IndexMap::default(),
+            job_tasks: IndexMap::default(),
             awaited_ends: AwaitedEnds::default(),
             abandoned_ends: Vec::new(),
-            strays: IndexMap::new(),
+            strays: IndexMap::default(),
             superseded: SupersededRuns::default(),
             copies_due: false,
             accounts: Accounts::default(),
             may_have_hidden_runs: true,
-            jobs_to_settle: IndexSet::new(),
-            active_jobs: IndexSet::new(),
-            started_jobs: IndexSet::new(),
-            start_counts: IndexMap::new(),
-            future_occurrences: IndexMap::new(),
+            jobs_to_settle: IndexSet::default(),
+            active_jobs: IndexSet::default(),
+            started_jobs: IndexSet::default(),
+            start_counts: IndexMap::default(),
+            future_occurrences: IndexMap::default(),
             ended_jobs: VecDeque::new(),
             machines: Machines::default(),
             fleet_sizes: FleetSizes::default(),
             fleet_changed: true,
-            departing: IndexSet::new(),
+            departing: IndexSet::default(),
             crashed_machines: CrashedMachines::default(),
             recent_failures: RecentFailures::default(),
-            suspect_steps: IndexSet::new(),
+            suspect_steps: IndexSet::default(),
             isolation: IsolationPlan::default(),
-            objectives: IndexMap::new(),
-            share_statuses: IndexMap::new(),
+            objectives: IndexMap::default(),
+            share_statuses: IndexMap::default(),
             workload: WorkloadStats::default(),
             speeds: SpeedStats::default(),
             carry_over: CarryOver::new(now),
-            advice: IndexMap::new(),
-            throttles: IndexMap::new(),
-            throttle_sent_at: ThrottleTimes::new(),
+            advice: IndexMap::default(),
+            throttles: IndexMap::default(),
+            throttle_sent_at: ThrottleTimes::default(),
             balances_logged_at: now,
             dirty_pools: DirtyPools::All,
             capacity_gains: 0,
             sharing_due: false,
             admission: AdmissionState::default(),
-            ready: IndexMap::new(),
+            ready: IndexMap::default(),
             start_window: StartWindow::new(),
             effects: Vec::new(),
         };
--- a/crates/cleat-jobs/src/schedule/parked.rs
+++ b/crates/cleat-jobs/src/schedule/parked.rs
@@ -7,12 +7,11 @@
 
 use std::collections::BTreeSet;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::Scheduler;
 use super::decision::WaitReason;
 use super::waiting::UnplacedSteps;
 use super::worker::{WorkerKey, Workers};
+use crate::collections::{IndexMap, IndexSet};
 use crate::{JobId, Size, StepId};
 
 /// The maximum number of parked steps that one pass examines again, however many may be
@@ -100,9 +99,10 @@
         let total = self.steps.len();
         let unsuitable = self.by_age.range((WaitReason::Unsuitable, 0, FIRST_STEP)..);
         let unsuitable = unsuitable.count();
-        UnplacedSteps::from([
+        let excluded = total - unsuitable;
+        UnplacedSteps::from_iter([
             (WaitReason::Unsuitable, unsuitable),
-            (WaitReason::Excluded, total - unsuitable),
+            (WaitReason::Excluded, excluded),
         ])
     }
 
--- a/crates/cleat-jobs/src/schedule/pass.rs
+++ b/crates/cleat-jobs/src/schedule/pass.rs
@@ -6,8 +6,6 @@
 //! Steps that wait for anything else withhold nothing: they are parked, or left out of the
 //! rest of the pass.
 
-use indexmap::IndexMap;
-
 use super::Scheduler;
 use super::decision::WaitReason;
 use super::ready::{LeftOutSteps, Rank};
@@ -17,6 +15,7 @@
 use super::waiting::UnplacedSteps;
 use super::withholding::Withholding;
 use super::worker::WorkerKey;
+use crate::collections::IndexMap;
 use crate::state::ControlState;
 use crate::{Size, StepId};
 
@@ -113,7 +112,7 @@
         Some(Pass {
             hidden: self.hidden_starts(&pool),
             max_free: self.max_free_capacity(&usable),
-            max_free_by_label: IndexMap::new(),
+            max_free_by_label: IndexMap::default(),
             withheld: self
                 .ready
                 .get(&pool)
@@ -255,7 +254,7 @@
     /// The steps that wait, as far as the pass knows or earlier ones parked them.
     fn unplaced_steps(&self, pass: &Pass) -> UnplacedSteps {
         let ready = self.ready.get(&pass.pool);
-        let mut unplaced = ready.map_or_else(UnplacedSteps::new, |ready| ready.parked.counts());
+        let mut unplaced = ready.map_or_else(UnplacedSteps::default, |ready| ready.parked.counts());
         unplaced.insert(WaitReason::Capacity, pass.waiting.len());
         unplaced.insert(WaitReason::Permission, pass.without_permission);
         unplaced.retain(|_, count| *count > 0);
--- a/crates/cleat-jobs/src/schedule/pool_names.rs
+++ b/crates/cleat-jobs/src/schedule/pool_names.rs
@@ -1,6 +1,6 @@
 //! Small keys for the names of pools, for walks over all steps.
 
-use indexmap::IndexSet;
+use crate::collections::IndexSet;
 
 /// The index of a pool's name. Indexes are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -10,8 +10,6 @@
 use std::ops::Bound;
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::Scheduler;
 use super::parked::ParkedSteps;
 use super::shares::{SharePolicy, ShareStatus};
@@ -20,6 +18,7 @@
 use super::withholding::Withholding;
 use super::worker::WorkerKey;
 use crate::StepId;
+use crate::collections::{IndexMap, IndexSet};
 
 /// The time that a task takes in addition to its run: the call that starts it,
 /// the call that lists its end, and the commit of that end. Without it, a pool
@@ -211,7 +210,7 @@
     /// Returns the pools that need a scheduling pass, in the order in which they
     /// may use the window of starts, and clears the record of them.
     pub(super) fn take_dirty_pools(&mut self) -> Vec<Box<str>> {
-        let none = DirtyPools::Pools(IndexSet::new());
+        let none = DirtyPools::Pools(IndexSet::default());
         let mut pools: Vec<Box<str>> = match std::mem::replace(&mut self.dirty_pools, none) {
             DirtyPools::Pools(pools) => pools.into_iter().collect(),
             DirtyPools::All => self.ready.keys().cloned().collect(),
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use indexmap::IndexSet;
-
 use super::attempt::Phase;
 use super::decision::{LifeOver, StopReason};
 use super::event::{RenewalAnswer, RenewalOrder, RunningTask};
 use super::worker::{ClockReading, WorkerKey, WorkerState, millis};
 use super::{Decision, Effect, Scheduler};
+use crate::collections::IndexSet;
 use crate::state::{Command, ControlState, End, EndKind, TaskEnd};
 use crate::{Run, TaskId};
 
--- a/crates/cleat-jobs/src/schedule/restart.rs
+++ b/crates/cleat-jobs/src/schedule/restart.rs
@@ -6,13 +6,12 @@
 
 use std::time::Duration;
 
-use indexmap::IndexSet;
-
 use super::Scheduler;
 use super::attempt::Phase;
 use super::decision::{LifeOver, StopReason};
 use super::event::RenewalAnswer;
 use super::worker::{Worker, WorkerKey, millis};
+use crate::collections::IndexSet;
 use crate::state::{Command, WorkerHistory, WorkerRecord, is_life_of, worker_id};
 use crate::{Run, TaskId};
 
--- a/crates/cleat-jobs/src/schedule/speculation/budget.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/budget.rs
@@ -1,8 +1,7 @@
 //! The part of a pool's capacity that copies may use.
 
-use indexmap::IndexMap;
-
 use crate::Size;
+use crate::collections::IndexMap;
 use crate::schedule::Scheduler;
 use crate::schedule::step::ActiveStep;
 
--- a/crates/cleat-jobs/src/schedule/speculation/superseded.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/superseded.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
+use crate::collections::{IndexMap, IndexSet};
 use crate::schedule::account::Charge;
 use crate::schedule::attempt::{Attempt, Phase};
 use crate::schedule::decision::{LossReason, StopReason};
--- a/crates/cleat-jobs/src/schedule/speed/evaluate.rs
+++ b/crates/cleat-jobs/src/schedule/speed/evaluate.rs
@@ -1,13 +1,12 @@
 //! The periodic examination of runs that have not ended.
 
-use indexmap::IndexMap;
-
 use super::evidence::{Prediction, Spread};
 use super::worker::StepScore;
 use super::{
     EVALUATION_INTERVAL, MAX_SLOW_SPEED, RunResidual, WORKERS_PER_SLOW_WORKER, WorkerSpeedState,
 };
 use crate::StepId;
+use crate::collections::IndexMap;
 use crate::schedule::Scheduler;
 use crate::schedule::attempt::{Attempt, Phase};
 use crate::schedule::worker::{WorkerKey, WorkerState};
@@ -54,7 +53,7 @@
         self.speeds.evaluated_at = self.now;
         self.drop_ended_runs();
         self.reset_unknown_workers();
-        let mut evidence = IndexMap::new();
+        let mut evidence = IndexMap::default();
         for (step, running) in &self.running_steps() {
             self.score_step(*step, running, &mut evidence);
         }
@@ -142,7 +141,7 @@
     /// The runs that have not ended, by step, each with the time up to the
     /// latest answer of its worker.
     fn running_steps(&self) -> IndexMap<StepId, RunningStep> {
-        let mut running: IndexMap<StepId, RunningStep> = IndexMap::new();
+        let mut running: IndexMap<StepId, RunningStep> = IndexMap::default();
         for ((task, run), observed) in &self.speeds.runs {
             let attempt = self.known_run(*task, *run);
             if !attempt.is_some_and(|at| matches!(at.phase, Phase::Running { .. })) {
@@ -179,7 +178,7 @@
         running: &RunningStep,
         evidence: &mut IndexMap<WorkerKey, RunningEvidence>,
     ) {
-        let mut of_step: IndexMap<WorkerKey, RunScores> = IndexMap::new();
+        let mut of_step: IndexMap<WorkerKey, RunScores> = IndexMap::default();
         for RunResidual { worker, residual } in &running.runs {
             let long = running.runs.iter().filter(|other| {
                 other.worker != *worker && other.residual > 0.0 && !self.is_slow(other.worker)
--- a/crates/cleat-jobs/src/schedule/speed/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speed/mod.rs
@@ -16,13 +16,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-
 use super::attempt::Attempt;
 use super::decision::WorkerSpeedState;
 use super::fleet::Machine;
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
+use crate::collections::{IndexMap, IndexSet};
 use crate::state::Job;
 use crate::{Queue, Run, Size, StepId, StepSpec, TaskId};
 use evidence::{Prediction, Spread};
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::account::Charge;
 use super::decision::WaitReason;
 use super::pool_names::PoolKey;
@@ -12,6 +10,7 @@
 use super::timing::{Objective, Timeliness};
 use super::worker::{Worker, WorkerKey};
 use super::{Decision, Scheduler};
+use crate::collections::IndexMap;
 use crate::state::{ControlState, Job, Suspicion};
 use crate::{JobId, Size, StepId};
 
@@ -288,11 +287,11 @@
             gang: spec.gang,
             speculative: self.speculates() && spec.allows_copies(),
             critical_path,
-            placed: IndexMap::new(),
+            placed: IndexMap::default(),
             logged_waits: Vec::new(),
-            failed_on: IndexMap::new(),
-            suspicions: IndexMap::new(),
-            checkpoints: IndexMap::new(),
+            failed_on: IndexMap::default(),
+            suspicions: IndexMap::default(),
+            checkpoints: IndexMap::default(),
         };
         self.mark_step_ready(id, step.pool.clone());
         self.steps.insert(id, Box::new(step));
--- a/crates/cleat-jobs/src/schedule/throttle.rs
+++ b/crates/cleat-jobs/src/schedule/throttle.rs
@@ -8,12 +8,11 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::Scheduler;
 use super::event::{Order, RunningTask, TaskOrder};
 use super::worker::WorkerKey;
 use crate::TaskId;
+use crate::collections::IndexMap;
 use crate::state::ControlState;
 
 /// The minimum interval between two changes of the speed limit: a worker
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::carry_over::ArrivalTimes;
 use super::durations::DurationModel;
 use super::forecast::{Arrivals, JobUsage};
 use super::shares::ShareStatus;
 use super::worker::millis;
 use super::{Decision, Scheduler};
+use crate::collections::IndexMap;
 use crate::state::{ControlState, Job};
 use crate::{JobId, JobSpec, Queue, Size, StepSpec};
 
--- a/crates/cleat-jobs/src/schedule/vanished.rs
+++ b/crates/cleat-jobs/src/schedule/vanished.rs
@@ -3,12 +3,11 @@
 
 use std::time::Duration;
 
-use indexmap::IndexSet;
-
 use super::attempt::Phase;
 use super::decision::{LossReason, StopReason};
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
+use crate::collections::IndexSet;
 use crate::state::TaskEnd;
 use crate::{Run, TaskId};
 
--- a/crates/cleat-jobs/src/schedule/waiting.rs
+++ b/crates/cleat-jobs/src/schedule/waiting.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use super::decision::WaitReason;
 use super::ready::{LeftOutSteps, Rank};
 use super::step::ActiveStep;
 use super::worker::{Worker, WorkerKey};
 use super::{Decision, Scheduler};
 use crate::StepId;
+use crate::collections::IndexMap;
 
 /// The minimum interval between two log events about limited passes of one pool. It
 /// bounds the log volume under any load.
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -3,10 +3,10 @@
 use std::ops::{Index, IndexMut};
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use super::decision::LifeOver;
+use crate::collections::{IndexMap, IndexSet};
 use crate::state::{CrashedRun, TaskEnd, WorkerRecord, is_life_of, started_ms, worker_id};
 use crate::{Size, TaskId};
 
@@ -206,7 +206,7 @@
             task_crashes: 0,
             lapsed_runs: Vec::new(),
             colocated: false,
-            tasks: IndexSet::new(),
+            tasks: IndexSet::default(),
             state: if record.history.may_have_runs {
                 WorkerState::Unseen
             } else {
