Look an address up once a call, and build its host header once

A call hashed its address under one lock three times, allocated a copy of it for the connection that it kept, inserted and removed an entry of a B-tree, and checked the address as a header value. Its header map grew when hyper added the content length.

Each address now has an entry with its permits, host header and idle connections, which a call looks up once. A call counts as a use of the entry until it ends or is dropped, and the last use forgets an address without idle connections. The header map has room for all headers, and a permit that is free is taken without a timer.

This mends a fault too: the address of a call that was dropped while it connected stayed known until the next call to it failed.

--- a/crates/cleat-http/src/client.rs
+++ b/crates/cleat-http/src/client.rs
@@ -5,17 +5,21 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
-use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use tokio::net::TcpStream;
+use tokio::sync::SemaphorePermit;
 
 use crate::ConnectionBudget;
-use crate::pool::{Pool, Sender};
+use crate::pool::{Host, HostUse, Pool, Sender};
 use crate::time_limit::within;
 
+/// The headers of each request: `host`, `content-type`, and the `content-length` that hyper adds.
+const OWN_HEADERS: usize = 3;
+
 /// How a client treats each address.
 #[derive(Clone, Debug)]
 pub struct ClientConfig {
@@ -111,25 +115,24 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Result<Reply, CallError> {
-        let permits = self.pool.permits(address);
+        let host_use = self.pool.use_host(address);
+        let host = host_use.host();
         let not_sent = |reason: &str| CallError::NotSent {
             address: address.into(),
             reason: reason.into(),
         };
-        let Some(Ok(_permit)) = within(limit, permits.acquire()).await else {
+        let Some(_permit) = permit(host, limit).await else {
             return Err(not_sent("all connections are in use"));
         };
+        let host_header = host.header.clone();
+        let host_header = host_header.ok_or_else(|| not_sent("not a valid host header"))?;
         let mut req = Request::builder()
             .method(method)
             .uri(path)
-            .header(HOST, address)
-            .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| not_sent(&error.to_string()))?;
-        for (name, value) in headers {
-            req.headers_mut().insert(name, value.clone());
-        }
-        let mut tx = match self.take_idle(address).await {
+        *req.headers_mut() = header_map(host_header, headers);
+        let mut tx = match take_idle(&host_use).await {
             Some(tx) => tx,
             None => self.connect(address, limit).await?,
         };
@@ -138,7 +141,7 @@
         match result.unwrap_or_else(|| Err("no whole answer in time".into())) {
             Ok(reply) => {
                 if !self.cfg.budget.is_short() {
-                    self.pool.keep(address, tx);
+                    host_use.keep(tx);
                 }
                 Ok(reply)
             }
@@ -149,16 +152,6 @@
         }
     }
 
-    /// A kept connection that is still open.
-    async fn take_idle(&self, address: &str) -> Option<Sender> {
-        loop {
-            let mut tx = self.pool.take(address)?;
-            if !tx.is_closed() && tx.ready().await.is_ok() {
-                return Some(tx);
-            }
-        }
-    }
-
     async fn connect(&self, address: &str, limit: Duration) -> Result<Sender, CallError> {
         let not_sent = |reason: String| CallError::NotSent {
             address: address.into(),
@@ -190,6 +183,35 @@
     }
 }
 
+/// A permit for an exchange, if there is one in time.
+async fn permit(host: &Host, limit: Duration) -> Option<SemaphorePermit<'_>> {
+    if let Ok(permit) = host.permits.try_acquire() {
+        return Some(permit);
+    }
+    within(limit, host.permits.acquire()).await?.ok()
+}
+
+/// A kept connection that is still open.
+async fn take_idle(host_use: &HostUse<'_>) -> Option<Sender> {
+    loop {
+        let mut tx = host_use.take()?;
+        if !tx.is_closed() && tx.ready().await.is_ok() {
+            return Some(tx);
+        }
+    }
+}
+
+/// The headers of a request, with room for those of hyper.
+fn header_map(host: HeaderValue, headers: &[(HeaderName, HeaderValue)]) -> HeaderMap {
+    let mut map = HeaderMap::with_capacity(OWN_HEADERS + headers.len());
+    map.insert(HOST, host);
+    map.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    for (name, value) in headers {
+        map.insert(name, value.clone());
+    }
+    map
+}
+
 async fn exchange(
     tx: &mut Sender,
     req: Request<Full<Bytes>>,
--- a/crates/cleat-http/src/pool.rs
+++ b/crates/cleat-http/src/pool.rs
@@ -1,9 +1,10 @@
-//! The idle connections of a client.
+//! The addresses of a client, and its idle connections.
 
-use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use indexmap::IndexMap;
@@ -12,130 +13,181 @@
 /// The sending side of a connection.
 pub(crate) type Sender = SendRequest<Full<Bytes>>;
 
-/// Idle connections by address and by age.
+/// The addresses that a client calls or has idle connections to.
+///
+/// Lock order: `hosts`, then the state of one host.
 #[derive(Debug)]
 pub(crate) struct Pool {
     /// How many exchanges with one address may be under way at once.
     exchanges: usize,
-    kept: Mutex<Kept>,
-}
-
-#[derive(Debug, Default)]
-struct Kept {
-    hosts: IndexMap<Box<str>, Host>,
-    /// By rising age number: the first has been idle longest.
-    idle: BTreeMap<u64, Idle>,
-    next_age: u64,
+    hosts: Mutex<IndexMap<Box<str>, Arc<Host>>>,
+    /// Idle connections get rising numbers: the lowest has been idle longest.
+    next_age: AtomicU64,
 }
 
-/// One address.
+/// One address. A call looks it up once.
 ///
-/// Invariant: it is forgotten once it has no idle connection and nobody holds
-/// its permits; a client may see many addresses that never come back.
+/// Invariant: it is forgotten once it has no idle connection and no call uses
+/// it; a client may see many addresses that never come back.
 #[derive(Debug)]
-struct Host {
-    permits: Arc<Semaphore>,
-    /// The age numbers of its idle connections, the youngest last.
-    idle: Vec<u64>,
+pub(crate) struct Host {
+    /// The permits for exchanges with it.
+    pub(crate) permits: Semaphore,
+    /// The value of the `host` header; `None` if the address can't be one.
+    pub(crate) header: Option<HeaderValue>,
+    state: Mutex<HostState>,
 }
 
-impl Host {
+#[derive(Debug, Default)]
+struct HostState {
+    /// By rising age number.
+    idle: Vec<Idle>,
+    /// How many calls use the address.
+    uses: usize,
+}
+
+impl HostState {
     fn is_unused(&self) -> bool {
-        self.idle.is_empty() && Arc::strong_count(&self.permits) == 1
+        self.idle.is_empty() && self.uses == 0
     }
 }
 
 #[derive(Debug)]
 struct Idle {
-    address: Box<str>,
+    age: u64,
     tx: Sender,
 }
 
-impl Pool {
-    pub(crate) fn new(exchanges: usize) -> Pool {
-        Pool {
-            exchanges,
-            kept: Mutex::default(),
+impl Host {
+    fn new(address: &str, exchanges: usize) -> Host {
+        Host {
+            permits: Semaphore::new(exchanges),
+            header: HeaderValue::from_str(address).ok(),
+            state: Mutex::default(),
         }
     }
 
-    /// The permits for exchanges with an address.
-    pub(crate) fn permits(&self, address: &str) -> Arc<Semaphore> {
-        let mut kept = self.kept();
-        if let Some(host) = kept.hosts.get(address) {
-            return host.permits.clone();
-        }
-        let permits = Arc::new(Semaphore::new(self.exchanges));
-        let host = Host {
-            permits: permits.clone(),
-            idle: Vec::new(),
-        };
-        kept.hosts.insert(address.into(), host);
-        permits
+    fn state(&self) -> MutexGuard<'_, HostState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn oldest_age(&self) -> Option<u64> {
+        self.state().idle.first().map(|idle| idle.age)
+    }
+}
+
+/// The use of an address by one call. The address is not forgotten before it is dropped.
+#[derive(Debug)]
+pub(crate) struct HostUse<'a> {
+    pool: &'a Pool,
+    address: &'a str,
+    host: Arc<Host>,
+}
+
+impl HostUse<'_> {
+    pub(crate) fn host(&self) -> &Host {
+        &self.host
     }
 
     /// Keeps a connection that has no exchange under way.
-    pub(crate) fn keep(&self, address: &str, tx: Sender) {
-        let mut kept = self.kept();
-        let age = kept.next_age;
-        let Some(host) = kept.hosts.get_mut(address) else {
-            return;
-        };
-        host.idle.push(age);
-        kept.next_age += 1;
-        let address = address.into();
-        kept.idle.insert(age, Idle { address, tx });
+    pub(crate) fn keep(&self, tx: Sender) {
+        let mut state = self.host.state();
+        // Numbered under the lock, so that the connections of a host stay in order.
+        let age = self.pool.next_age.fetch_add(1, Ordering::Relaxed);
+        state.idle.push(Idle { age, tx });
+    }
+
+    /// Takes the connection that was used last.
+    pub(crate) fn take(&self) -> Option<Sender> {
+        self.host.state().idle.pop().map(|idle| idle.tx)
+    }
+}
+
+impl Drop for HostUse<'_> {
+    fn drop(&mut self) {
+        let mut state = self.host.state();
+        state.uses -= 1;
+        let is_unused = state.is_unused();
+        drop(state);
+        if is_unused {
+            self.pool.forget_unused(self.address);
+        }
+    }
+}
+
+impl Pool {
+    pub(crate) fn new(exchanges: usize) -> Pool {
+        Pool {
+            exchanges,
+            hosts: Mutex::default(),
+            next_age: AtomicU64::new(0),
+        }
     }
 
-    /// The connection to an address that was used last.
-    pub(crate) fn take(&self, address: &str) -> Option<Sender> {
-        let mut kept = self.kept();
-        let age = kept.hosts.get_mut(address)?.idle.pop()?;
-        kept.idle.remove(&age).map(|idle| idle.tx)
+    /// Begins to use an address.
+    pub(crate) fn use_host<'a>(&'a self, address: &'a str) -> HostUse<'a> {
+        let mut hosts = self.hosts();
+        let host = match hosts.get(address) {
+            Some(host) => host.clone(),
+            None => {
+                let host = Arc::new(Host::new(address, self.exchanges));
+                hosts.insert(address.into(), host.clone());
+                host
+            }
+        };
+        host.state().uses += 1;
+        HostUse {
+            pool: self,
+            address,
+            host,
+        }
     }
 
-    /// Closes the connection that has been idle longest.
+    /// Closes the connection that has been idle longest; one that a call takes meanwhile stays
+    /// open. Looks at every address, since it is called only while the budget is short.
     pub(crate) fn close_oldest(&self) {
-        let mut kept = self.kept();
-        let Some((age, idle)) = kept.idle.pop_first() else {
+        let hosts = self.hosts();
+        let ages = hosts.iter().filter_map(|(address, host)| {
+            let age = host.oldest_age()?;
+            Some((age, address))
+        });
+        let Some((age, address)) = ages.min() else {
             return;
         };
-        kept.drop_ages(&idle.address, |known| known == age);
+        let address = address.clone();
+        drop(hosts);
+        self.close_idle(&address, |idle| idle.age == age);
     }
 
     /// Lets go of the connections to an address that are closed, and of the
     /// address if nothing is left of it.
     pub(crate) fn forget_closed(&self, address: &str) {
-        let mut kept = self.kept();
-        let Some(host) = kept.hosts.get(address) else {
-            return;
-        };
-        let closed = |age: &&u64| kept.idle.get(*age).is_none_or(|idle| idle.tx.is_closed());
-        let closed: Vec<u64> = host.idle.iter().filter(closed).copied().collect();
-        for age in &closed {
-            kept.idle.remove(age);
+        self.close_idle(address, |idle| idle.tx.is_closed());
+    }
+
+    fn close_idle(&self, address: &str, is_closed: impl Fn(&Idle) -> bool) {
+        if let Some(host) = self.hosts().get(address) {
+            host.state().idle.retain(|idle| !is_closed(idle));
         }
-        kept.drop_ages(address, |age| closed.contains(&age));
+        self.forget_unused(address);
     }
 
-    /// How many addresses are known.
-    pub(crate) fn addresses(&self) -> usize {
-        self.kept().hosts.len()
+    fn forget_unused(&self, address: &str) {
+        let mut hosts = self.hosts();
+        if hosts
+            .get(address)
+            .is_some_and(|host| host.state().is_unused())
+        {
+            hosts.swap_remove(address);
+        }
     }
 
-    fn kept(&self) -> MutexGuard<'_, Kept> {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    /// How many addresses are known.
+    pub(crate) fn addresses(&self) -> usize {
+        self.hosts().len()
     }
-}
 
-impl Kept {
-    fn drop_ages(&mut self, address: &str, gone: impl Fn(u64) -> bool) {
-        let Some(host) = self.hosts.get_mut(address) else {
-            return;
-        };
-        host.idle.retain(|age| !gone(*age));
-        if host.is_unused() {
-            self.hosts.swap_remove(address);
-        }
+    fn hosts(&self) -> MutexGuard<'_, IndexMap<Box<str>, Arc<Host>>> {
+        self.hosts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
