Let a tick cost less by the size of the fleet

Cause: each tick and each commit of ends walked all workers for the renewals that are due; a list of machines had the sizes of the fleet computed again though nothing had changed; the balances put the names of all machines into two sets, and were computed twice while machines were idle.

Change: renewals are kept in the order in which they are due, and those that are due are sent in the order of the workers as before. The sizes of the fleet are computed again only if a machine or worker was added or resized, or one was removed before a list. The balances look a machine up once for each worker, and those of one tick are used again if nothing was ordered, reserved or released since. Still by the size of the fleet: the watch over workers, idle times and balances; by the number of runs: copies and stops.

--- a/crates/cleat-jobs/src/schedule/commits.rs
+++ b/crates/cleat-jobs/src/schedule/commits.rs
@@ -127,7 +127,7 @@
             let worker = &mut self.workers[key];
             worker.last_committed_end = worker.last_committed_end.max(last.number);
             worker.last_proposed_end = worker.last_proposed_end.max(last.number);
-            worker.renewal_due = self.now;
+            self.workers.advance_renewal(key, self.now);
         }
         self.settle_ends(state, key, ends.iter().map(|listed| &listed.end));
         self.send_renewals();
--- a/crates/cleat-jobs/src/schedule/fleet/demand.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/demand.rs
@@ -4,10 +4,10 @@
 
 use super::machine::{Machine, MachineOrder, MachineState};
 use crate::Size;
-use crate::collections::{IndexMap, IndexSet};
+use crate::collections::IndexMap;
 use crate::schedule::step::ActiveStep;
 use crate::schedule::timing::Timeliness;
-use crate::schedule::worker::millis;
+use crate::schedule::worker::{Worker, WorkerKey, millis};
 use crate::schedule::{Decision, Scheduler};
 use crate::state::ControlState;
 
@@ -58,6 +58,31 @@
     unplaceable: Size,
 }
 
+/// The workers that answer on a machine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Presence {
+    /// Whether one accepts work.
+    accepting: bool,
+    /// Whether one is leaving.
+    leaving: bool,
+}
+
+impl Presence {
+    const ACCEPTING: Presence = Presence {
+        accepting: true,
+        leaving: false,
+    };
+    const LEAVING: Presence = Presence {
+        accepting: false,
+        leaving: true,
+    };
+
+    fn add(&mut self, other: Presence) {
+        self.accepting |= other.accepting;
+        self.leaving |= other.leaving;
+    }
+}
+
 impl Balance {
     fn add_worker(&mut self, size: Size) {
         self.offered += size;
@@ -268,42 +293,71 @@
     }
 
     fn add_workers(&self, pools: &mut IndexMap<Box<str>, Balance>) {
-        let (mut accepting, mut leaving) = (IndexSet::default(), IndexSet::default());
-        for (key, worker) in self.workers.iter() {
-            let record = &worker.record;
-            let Some(balance) = pools.get_mut(&record.pool) else {
+        let mut presences = vec![Presence::default(); self.machines.by_name.len()];
+        for pool in self.workers.pools() {
+            let Some(balance) = pools.get_mut(pool) else {
                 continue;
             };
-            balance.used += self.at_speed(key, worker.used);
-            balance.isolated_workers += usize::from(self.is_isolated(key));
-            if worker.answers() && !worker.draining && !worker.cordoned {
-                // No other task may use what an isolated task leaves free.
-                balance.add_worker(match self.is_isolated(key) {
-                    true => worker.used,
-                    false => self.at_speed(key, record.capacity),
-                });
-                // Tasks are placed on slow workers only as a last resort.
-                let free = match self.is_slow(key) {
-                    true => Size::default(),
-                    false => worker.free_capacity(),
-                };
-                balance.add_accepting(record.capacity, free);
-                accepting.extend(record.machine.as_deref());
-            } else if worker.answers() {
-                leaving.extend(record.machine.as_deref());
+            for (key, worker) in self.workers.in_pool(pool) {
+                let presence = self.add_worker(balance, key, worker);
+                let machine = worker.record.machine.as_ref();
+                if let Some(presence) = presence
+                    && let Some(index) = machine.and_then(|m| self.machines.by_name.get_index_of(m))
+                {
+                    presences[index].add(presence);
+                }
             }
         }
-        for (name, machine) in &self.machines.by_name {
+        self.add_machines(pools, &presences);
+    }
+
+    /// Adds a worker to the balance of its pool. Returns how it counts for its machine, if it
+    /// answers.
+    fn add_worker(
+        &self,
+        balance: &mut Balance,
+        key: WorkerKey,
+        worker: &Worker,
+    ) -> Option<Presence> {
+        let capacity = worker.record.capacity;
+        let is_isolated = self.is_isolated(key);
+        balance.used += self.at_speed(key, worker.used);
+        balance.isolated_workers += usize::from(is_isolated);
+        if !worker.answers() {
+            return None;
+        }
+        if worker.draining || worker.cordoned {
+            return Some(Presence::LEAVING);
+        }
+        // No other task may use what an isolated task leaves free.
+        balance.add_worker(match is_isolated {
+            true => worker.used,
+            false => self.at_speed(key, capacity),
+        });
+        // Tasks are placed on slow workers only as a last resort.
+        let free = match self.is_slow(key) {
+            true => Size::default(),
+            false => worker.free_capacity(),
+        };
+        balance.add_accepting(capacity, free);
+        Some(Presence::ACCEPTING)
+    }
+
+    /// Adds the machines without a worker that accepts work, to the pools that they are
+    /// expected to join. `presences` are in the order of the machines.
+    fn add_machines(&self, pools: &mut IndexMap<Box<str>, Balance>, presences: &[Presence]) {
+        for (machine, presence) in self.machines.by_name.values().zip(presences) {
             if let Some(balance) = machine.reserved_for.as_ref().and_then(|p| pools.get_mut(p)) {
                 balance.add_worker(machine.view.capacity);
                 continue;
             }
-            let Some(balance) = expected_pool(machine).and_then(|pool| pools.get_mut(pool)) else {
-                continue;
-            };
             // A machine whose worker is leaving joins a pool only by an order.
-            let is_leaving = machine.pending_order.is_none() && leaving.contains(&**name);
-            if !is_leaving && !accepting.contains(&**name) {
+            let is_leaving = machine.pending_order.is_none() && presence.leaving;
+            if is_leaving || presence.accepting {
+                continue;
+            }
+            let pool = expected_pool(machine);
+            if let Some(balance) = pool.and_then(|pool| pools.get_mut(pool)) {
                 balance.add_worker(machine.view.capacity);
             }
         }
--- a/crates/cleat-jobs/src/schedule/fleet/holdable.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/holdable.rs
@@ -67,7 +67,10 @@
 impl Scheduler {
     /// Determines the sizes of the fleet again if machines or workers have changed.
     pub(in crate::schedule) fn update_fleet_sizes(&mut self) {
-        if !std::mem::take(&mut self.fleet_changed) {
+        let listed = std::mem::take(&mut self.fleet_listed);
+        let shrunk = listed && std::mem::take(&mut self.fleet_shrunk);
+        let changed = std::mem::take(&mut self.fleet_changed);
+        if !shrunk && !changed {
             return;
         }
         let mut sizes = FleetSizes::default();
--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -119,13 +119,17 @@
     /// Updates the machine from a list that was requested at `sent_at`, unless an order
     /// was accepted since or awaits an answer. Otherwise a machine that has moved would
     /// look idle in its old pool, and another order would end the tasks that run on it in
-    /// the new one. Lists of large fleets take long, so this does happen.
-    pub(crate) fn update_view(&mut self, view: MachineView, sent_at: Duration) {
+    /// the new one. Lists of large fleets take long, so this does happen. Returns whether
+    /// what the machine can hold has changed.
+    pub(crate) fn update_view(&mut self, view: MachineView, sent_at: Duration) -> bool {
+        self.missing_since = None;
         let outdated = self.last_accepted_at.is_some_and(|at| at >= sent_at);
-        if !outdated && !self.awaits_answer() {
-            self.view = view;
+        if outdated || self.awaits_answer() {
+            return false;
         }
-        self.missing_since = None;
+        let resized = view.capacity != self.view.capacity || view.labels != self.view.labels;
+        self.view = view;
+        resized
     }
 
     /// Whether an order was sent that the platform has not accepted or refused yet.
@@ -187,6 +191,8 @@
     pub(crate) heard_at: Option<Duration>,
     /// How long machines take to join each pool.
     pub(crate) joins: JoinTimes,
+    /// How often a machine was ordered, reserved or released, which changes the balances.
+    pub(crate) assignments: u64,
     /// What the machine plan decided since it was last logged.
     pub(crate) plan_report: PlanReport,
 }
--- a/crates/cleat-jobs/src/schedule/fleet/moves.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/moves.rs
@@ -55,6 +55,7 @@
     pub(super) fn move_machines(&mut self, state: &ControlState) {
         let mut balances = self.balances(state);
         self.log_balances(&balances);
+        let assignments = self.machines.assignments;
         let mut allowed_orders =
             MAX_UNANSWERED_ORDERS.saturating_sub(self.machines.unanswered_orders());
         let mut without_donor = IndexSet::default();
@@ -75,7 +76,8 @@
             self.reserve_machines(&pool, &mut balances);
         }
         self.move_reserved_machines(&balances);
-        self.return_idle_machines(state);
+        let unchanged = self.machines.assignments == assignments;
+        self.return_idle_machines(state, unchanged.then_some(balances));
     }
 
     /// The movable machines of each pool, in descending order of their names.
@@ -189,8 +191,8 @@
     }
 
     /// Returns idle machines to the spare pool, as long as their pool keeps the free
-    /// capacity of one machine.
-    fn return_idle_machines(&mut self, state: &ControlState) {
+    /// capacity of one machine. `balances` are those of this tick if they are still correct.
+    fn return_idle_machines(&mut self, state: &ControlState, balances: Option<Balances>) {
         let Some(spare) = spare_pool(state) else {
             return;
         };
@@ -206,7 +208,7 @@
             // The balances take a walk over all steps.
             return;
         }
-        let balances = &mut self.balances(state);
+        let balances = &mut balances.unwrap_or_else(|| self.balances(state));
         names.sort_by_key(|name| !self.is_slow_machine(name));
         let mut allowed_orders =
             MAX_UNANSWERED_BEFORE_RETURNS.saturating_sub(self.machines.unanswered_orders());
--- a/crates/cleat-jobs/src/schedule/fleet/orders.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/orders.rs
@@ -68,8 +68,8 @@
         };
         self.machines.list_requested_at = Some(sent_at);
         self.machines.heard_at = Some(self.now);
-        self.fleet_changed = true;
         self.end_absent_workers(&list, sent_at);
+        self.fleet_listed = true;
         let names: IndexSet<Box<str>> = list.iter().map(|view| view.name.clone()).collect();
         for view in list {
             self.update_view(view, sent_at);
@@ -93,8 +93,11 @@
     fn update_view(&mut self, view: MachineView, sent_at: Duration) {
         let name = view.name.clone();
         match self.machines.by_name.get_mut(&name) {
-            Some(machine) => machine.update_view(view, sent_at),
-            None => drop(self.machines.by_name.insert(name, Machine::new(view))),
+            Some(machine) => self.fleet_changed |= machine.update_view(view, sent_at),
+            None => {
+                self.machines.by_name.insert(name, Machine::new(view));
+                self.fleet_changed = true;
+            }
         }
     }
 
@@ -165,6 +168,7 @@
         let Some(machine) = self.machines.by_name.get_mut(name) else {
             return;
         };
+        self.machines.assignments += 1;
         machine.pending_order = Some(PendingOrder {
             order: order.clone(),
             sent_at: now,
--- a/crates/cleat-jobs/src/schedule/fleet/reservations.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/reservations.rs
@@ -20,6 +20,7 @@
         {
             let machine = &mut self.machines.by_name[&name];
             machine.reserved_for = Some(pool.into());
+            self.machines.assignments += 1;
             let size = machine.view.capacity;
             let from = machine.view.pool.clone();
             if let Some(balance) = balances.get_mut(&from) {
@@ -99,6 +100,7 @@
     }
 
     pub(super) fn release_reservation(&mut self, name: &str) {
+        self.machines.assignments += 1;
         if let Some(machine) = self.machines.by_name.get_mut(name) {
             machine.reserved_for = None;
         }
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -143,6 +143,7 @@
         self.mark_all_lost(key, LossReason::WorkerGone);
         let name = self.worker_name(key);
         self.workers.remove(&name);
+        self.fleet_shrunk = true;
     }
 
     /// Marks the runs of a worker as lost whose end it has not listed.
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -232,8 +232,13 @@
     machines: Machines,
     /// The sizes of all machines, as of the last tick.
     fleet_sizes: FleetSizes,
-    /// Whether machines or workers have changed since then.
+    /// Whether machines or workers were added or resized since then.
     fleet_changed: bool,
+    /// Whether the machines were listed since then.
+    fleet_listed: bool,
+    /// Whether a worker was removed since then. Its capacity counts until the next list,
+    /// which shows whether its machine is still there.
+    fleet_shrunk: bool,
     /// The workers that reported that their life ends now, until it is known to be over.
     departing: IndexSet<WorkerKey>,
     crashed_machines: CrashedMachines,
@@ -317,6 +322,8 @@
             machines: Machines::default(),
             fleet_sizes: FleetSizes::default(),
             fleet_changed: true,
+            fleet_listed: false,
+            fleet_shrunk: false,
             departing: IndexSet::default(),
             crashed_machines: CrashedMachines::default(),
             recent_failures: RecentFailures::default(),
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -50,11 +50,8 @@
 impl Scheduler {
     /// Sends the renewals that are due.
     pub(super) fn send_renewals(&mut self) {
-        for key in self.workers.keys() {
-            let worker = &self.workers[key];
-            if !worker.renewing && worker.renewal_due <= self.now {
-                self.send_renewal(key);
-            }
+        for key in self.workers.take_due_renewals(self.now) {
+            self.send_renewal(key);
         }
     }
 
@@ -137,8 +134,8 @@
             return self.renewal_failed(worker, false);
         }
         if answer.fenced {
-            self.workers[key].renewing = false;
-            self.workers[key].renewal_due = self.now + RENEWAL_RETRY_DELAY;
+            self.workers
+                .schedule_renewal(key, self.now + RENEWAL_RETRY_DELAY);
             return self.effects.push(Effect::Fenced {
                 worker: worker.into(),
             });
@@ -181,13 +178,12 @@
         // The owner does not know the tasks of held ends yet.
         worker.fully_listed |= !answer.more_ended && !has_held_ends;
         worker.last_acknowledged_end = worker.last_acknowledged_end.max(acked);
-        worker.renewing = false;
         // The next renewal waits until it can acknowledge the ends that are
         // being committed.
         if worker.last_proposed_end > worker.last_committed_end {
-            worker.renewal_due = now + MAX_COMMIT_WAIT;
+            self.workers.schedule_renewal(key, now + MAX_COMMIT_WAIT);
         } else if has_held_ends {
-            worker.renewal_due = now + HELD_END_DELAY;
+            self.workers.schedule_renewal(key, now + HELD_END_DELAY);
         } else {
             self.send_renewal(key);
         }
@@ -414,23 +410,22 @@
         self.record_failed_renewal(key);
         let now = self.now;
         let worker = &mut self.workers[key];
-        worker.renewing = false;
         let first = worker.unanswered_since.is_none();
         worker.unanswered_since.get_or_insert(now);
-        worker.renewal_due = now
-            + match worker.state {
-                WorkerState::Lapsed => LAPSED_RETRY_DELAY,
-                _ if first => FIRST_RETRY_DELAY,
-                _ => RENEWAL_RETRY_DELAY,
-            };
+        let delay = match worker.state {
+            WorkerState::Lapsed => LAPSED_RETRY_DELAY,
+            _ if first => FIRST_RETRY_DELAY,
+            _ => RENEWAL_RETRY_DELAY,
+        };
+        self.workers.schedule_renewal(key, now + delay);
     }
 
     /// Sends a renewal at once to a worker that left the last one unanswered and has
     /// shown since that it runs: it may have ended what its lease would lose.
     pub(super) fn ask_if_unanswered(&mut self, key: WorkerKey) {
-        let worker = &mut self.workers[key];
+        let worker = &self.workers[key];
         if !worker.answers() && !worker.renewing {
-            worker.renewal_due = self.now;
+            self.workers.schedule_renewal(key, self.now);
             self.send_renewals();
         }
     }
@@ -438,9 +433,8 @@
     /// Handles a renewal that was not sent. It says nothing about the worker.
     pub(super) fn renewal_not_sent(&mut self, worker: &str) {
         if let Some(key) = self.workers.key(worker) {
-            let worker = &mut self.workers[key];
-            worker.renewing = false;
-            worker.renewal_due = self.now + UNSENT_RETRY_DELAY;
+            self.workers
+                .schedule_renewal(key, self.now + UNSENT_RETRY_DELAY);
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -1,5 +1,6 @@
 //! The owner's view of the workers.
 
+use std::collections::BTreeSet;
 use std::ops::{Index, IndexMut};
 use std::time::Duration;
 
@@ -98,7 +99,9 @@
     /// When the last renewal was sent.
     pub(crate) renewal_sent_at: Duration,
     /// When the next renewal is due, if none is in progress.
-    pub(crate) renewal_due: Duration,
+    ///
+    /// Invariant: while none is, `Workers::renewals` has an entry for that time.
+    renewal_due: Duration,
     /// The number of the last end that was proposed for commit. The worker
     /// numbers the ends of its runs from 1.
     pub(crate) last_proposed_end: u64,
@@ -327,6 +330,9 @@
     by_pool: IndexMap<Box<str>, IndexSet<WorkerKey>>,
     /// The latest life on each machine, unless it was removed.
     by_machine: IndexMap<Box<str>, WorkerKey>,
+    /// When renewals are due, earliest first. An entry is outdated if its worker was
+    /// removed, has a renewal in progress, or is due at another time.
+    renewals: BTreeSet<(Duration, WorkerKey)>,
 }
 
 impl Workers {
@@ -344,9 +350,46 @@
             self.by_machine.insert(machine.clone(), key);
         }
         self.arena.push(Worker::new(record, now));
+        self.renewals.insert((now, key));
         key
     }
 
+    /// Records that no renewal of a worker is in progress and that the next one is due at
+    /// this time.
+    pub(crate) fn schedule_renewal(&mut self, key: WorkerKey, at: Duration) {
+        self[key].renewing = false;
+        self.advance_renewal(key, at);
+    }
+
+    /// Has the next renewal of a worker sent at this time, unless one is in progress.
+    pub(crate) fn advance_renewal(&mut self, key: WorkerKey, at: Duration) {
+        self[key].renewal_due = at;
+        self.renewals.insert((at, key));
+    }
+
+    /// Removes the workers whose renewal is due from the order of renewals, and returns
+    /// them in the order of [`keys`](Self::keys).
+    pub(crate) fn take_due_renewals(&mut self, now: Duration) -> Vec<WorkerKey> {
+        let mut due: Vec<(usize, WorkerKey)> = Vec::new();
+        while let Some(entry) = self.renewals.first().filter(|(at, _)| *at <= now) {
+            let entry = *entry;
+            self.renewals.remove(&entry);
+            let (_, key) = entry;
+            let worker = &self[key];
+            if worker.renewing || worker.renewal_due > now {
+                continue;
+            }
+            if let Some((index, _, known)) = self.by_name.get_full(&worker.record.name)
+                && *known == key
+            {
+                due.push((index, key));
+            }
+        }
+        due.sort_unstable();
+        due.dedup();
+        due.into_iter().map(|(_, key)| key).collect()
+    }
+
     /// The worker with this name.
     pub(crate) fn key(&self, name: &str) -> Option<WorkerKey> {
         self.by_name.get(name).copied()
