Allocate less in events and placement

Cause: a renewal's answer built two sets of the listed runs; names of tasks grew by several allocations; the names of pools and queues were cloned for look-ups, and the waiting tasks of a step for each examination.

Names of tasks are allocated once. Pools and queues are looked up by their borrowed names.

--- a/crates/cleat-jobs/src/schedule/advice.rs
+++ b/crates/cleat-jobs/src/schedule/advice.rs
@@ -158,9 +158,7 @@
             }
         }
         self.advice.insert(id, advice);
-        if let Some(pool) = self.steps.get(&id).map(|step| step.pool.clone()) {
-            self.mark_step_ready(id, pool);
-        }
+        self.mark_step_ready(id);
     }
 
     /// Removes a ticket that a worker rejected.
--- a/crates/cleat-jobs/src/schedule/awaited_ends.rs
+++ b/crates/cleat-jobs/src/schedule/awaited_ends.rs
@@ -81,8 +81,7 @@
             return;
         };
         if !step.done.contains(&task.index) && step.pending.insert(task.index) {
-            let pool = step.pool.clone();
-            self.mark_step_ready(task.step, pool);
+            self.mark_step_ready(task.step);
         }
     }
 }
--- a/crates/cleat-jobs/src/schedule/choice.rs
+++ b/crates/cleat-jobs/src/schedule/choice.rs
@@ -19,11 +19,15 @@
         let step = self.steps.get(&id)?;
         let footprint = spec.footprint();
         let rack = self.preferred_rack(id, spec, keys);
+        let failed_on = step.failed_on.get(&index).copied();
+        // A worker can't run a task twice.
+        let superseded = self.superseded.get(id.task(index));
+        let superseded_on = superseded.map(|run| run.worker);
         let rank = |key: &WorkerKey| {
             let worker = &self.workers[*key];
             let free = worker.free_capacity();
             let off_rack = rack.is_some() && worker.record.rack.as_deref() != rack;
-            let failed = step.failed_on.get(&index) == Some(key);
+            let failed = failed_on == Some(*key);
             let remaining = free.saturating_sub(footprint);
             // A best-effort task prefers the worker with the most free
             // processor time.
@@ -53,7 +57,7 @@
             let label = spec.required_label.as_ref();
             let has_slot = |most| step.placed.get(*key).is_none_or(|placed| *placed < most);
             footprint.fits(worker.free_capacity())
-                && !self.has_superseded_on(**key, id.task(index))
+                && superseded_on != Some(**key)
                 && self.answered_recently(step, index, worker)
                 && self.provides_isolation(step, index, **key)
                 && label.is_none_or(|label| worker.has_label(label))
--- a/crates/cleat-jobs/src/schedule/crashes.rs
+++ b/crates/cleat-jobs/src/schedule/crashes.rs
@@ -13,6 +13,7 @@
 
 use super::attempt::{Attempt, Phase};
 use super::decision::{LifeOver, LossReason};
+use super::log_names::task_name;
 use super::step::ActiveStep;
 use super::worker::{Worker, WorkerKey};
 use super::{Decision, Scheduler};
@@ -243,7 +244,7 @@
         let (key, run, crashes) = (attempt.worker, attempt.run, attempt.suspicion.crashes + 1);
         let worker = self.worker_name(key);
         self.log(Decision::Lost {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: run.0,
             worker,
             reason,
--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::decision::{LifeOver, LossReason};
+use super::log_names::task_name;
 use super::worker::{WorkerKey, WorkerState};
 use super::{Decision, Scheduler};
 use crate::TaskId;
@@ -171,7 +172,7 @@
         let key = attempt.worker;
         let worker = self.worker_name(key);
         self.log(Decision::Lost {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: attempt.run.0,
             worker,
             reason,
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -25,6 +25,8 @@
 mod heartbeat;
 mod held_ends;
 mod isolation;
+mod listed_runs;
+mod log_names;
 mod loss;
 mod orders;
 mod parked;
@@ -368,6 +370,9 @@
     ) -> Vec<Effect> {
         self.now = self.now.max(now);
         let mut ticked = false;
+        let events = events.into_iter();
+        // Most events have about one effect.
+        self.effects.reserve(events.size_hint().0);
         for event in events {
             ticked |= matches!(event, Event::Tick { .. });
             self.handle_event(state, event);
@@ -422,7 +427,7 @@
 
     /// Records that a worker has confirmed the start of a task of the job.
     fn record_job_started(&mut self, id: JobId) {
-        if self.active_jobs.contains(&id) {
+        if !self.started_jobs.contains(&id) && self.active_jobs.contains(&id) {
             self.started_jobs.insert(id);
         }
     }
--- a/crates/cleat-jobs/src/schedule/orders.rs
+++ b/crates/cleat-jobs/src/schedule/orders.rs
@@ -5,6 +5,7 @@
 use super::attempt::{Attempt, Phase};
 use super::decision::{LifeOver, StopReason};
 use super::event::{Order, OrderAnswer, TaskOrder};
+use super::log_names::task_name;
 use super::worker::WorkerKey;
 use super::{Decision, Effect, Scheduler};
 use crate::state::ControlState;
@@ -51,7 +52,7 @@
     pub(super) fn send_stop(&mut self, key: WorkerKey, task: TaskId, run: Run, reason: StopReason) {
         let worker = self.worker_name(key);
         self.log(Decision::Stop {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: run.0,
             worker,
             reason,
@@ -154,7 +155,7 @@
         let long_running = attempt.long_running;
         let worker = self.worker_name(key);
         self.log(Decision::StartFailed {
-            task: order.task.to_string().into(),
+            task: task_name(order.task),
             run: order.run.0,
             worker,
             answer: answer.name(),
--- a/crates/cleat-jobs/src/schedule/parked.rs
+++ b/crates/cleat-jobs/src/schedule/parked.rs
@@ -209,8 +209,7 @@
             .get_mut(&step.pool)
             .map(|ready| &mut ready.parked);
         if parked.is_some_and(|parked| parked.remove(id)) {
-            let pool = step.pool.clone();
-            self.mark_step_ready(id, pool);
+            self.mark_step_ready(id);
         }
     }
 
--- a/crates/cleat-jobs/src/schedule/pass.rs
+++ b/crates/cleat-jobs/src/schedule/pass.rs
@@ -92,15 +92,14 @@
 
     /// Determines the workers that a pass may use; `None` if there are none.
     fn begin_pass(&mut self, state: &ControlState, pool: Box<str>) -> Option<Pass> {
-        let mut accepting = self.accepting(&pool);
+        let mut candidates = self.accepting(&pool);
         if !pool_enforces_capacity(state, &pool) {
             // The recorded capacity of the other workers may exceed their
             // current capacity.
-            accepting.retain(|key| self.workers[*key].capacity_known);
+            candidates.retain(|key| self.workers[*key].capacity_known);
         }
-        let (isolated, mut candidates): (Vec<_>, Vec<_>) = accepting
-            .into_iter()
-            .partition(|key| self.is_isolated(*key));
+        let isolated = candidates.extract_if(.., |key| self.is_isolated(*key));
+        let isolated: Vec<WorkerKey> = isolated.collect();
         let slow = self.split_off_slow(&pool, &mut candidates);
         self.place_isolated(state, &pool, &candidates, &isolated);
         candidates.retain(|key| !self.is_isolated(*key));
--- a/crates/cleat-jobs/src/schedule/ready.rs
+++ b/crates/cleat-jobs/src/schedule/ready.rs
@@ -182,29 +182,40 @@
     All,
 }
 
+impl DirtyPools {
+    fn add(&mut self, pool: &str) {
+        if let DirtyPools::Pools(pools) = self
+            && !pools.contains(pool)
+        {
+            pools.insert(pool.into());
+        }
+    }
+}
+
 impl Scheduler {
-    /// Records that tasks of a step may wait for a worker.
-    pub(super) fn mark_step_ready(&mut self, id: StepId, pool: Box<str>) {
-        self.request_scheduling(&pool);
-        let ready = self.ready.entry(pool).or_default();
+    /// Records that tasks of an active step may wait for a worker.
+    pub(super) fn mark_step_ready(&mut self, id: StepId) {
+        let Some(step) = self.steps.get(&id) else {
+            return;
+        };
+        self.dirty_pools.add(&step.pool);
+        if !self.ready.contains_key(&step.pool) {
+            self.ready.insert(step.pool.clone(), ReadySteps::default());
+        }
+        let ready = &mut self.ready[&step.pool];
         ready.parked.remove(id);
         ready.unranked.insert(id);
     }
 
     /// Requests a scheduling pass of a pool.
     pub(super) fn request_scheduling(&mut self, pool: &str) {
-        if let DirtyPools::Pools(pools) = &mut self.dirty_pools
-            && !pools.contains(pool)
-        {
-            pools.insert(pool.into());
-        }
+        self.dirty_pools.add(pool);
     }
 
     /// Requests a scheduling pass of the pool of a worker, since what may be
     /// started on the worker has changed.
     pub(super) fn request_scheduling_for_worker(&mut self, key: WorkerKey) {
-        let pool = self.workers[key].record.pool.clone();
-        self.request_scheduling(&pool);
+        self.dirty_pools.add(&self.workers[key].record.pool);
     }
 
     /// Returns the pools that need a scheduling pass, in the order in which they
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -5,9 +5,10 @@
 use super::attempt::Phase;
 use super::decision::{LifeOver, StopReason};
 use super::event::{RenewalAnswer, RenewalOrder, RunningTask};
+use super::listed_runs::ListedRuns;
+use super::log_names::task_name;
 use super::worker::{ClockReading, WorkerKey, WorkerState, millis};
 use super::{Decision, Effect, Scheduler};
-use crate::collections::IndexSet;
 use crate::state::{Command, ControlState, End, EndKind, TaskEnd};
 use crate::{Run, TaskId};
 
@@ -147,11 +148,6 @@
         self.record_use(state, key);
         self.check_end_numbers(key, acked, &answer.ended);
         let has_held_ends = self.handle_ends(state, key, &answer.ended);
-        let listed: IndexSet<(TaskId, Run)> = answer
-            .running
-            .iter()
-            .map(|listed| (listed.task, listed.run))
-            .collect();
         for listed in &answer.running {
             self.reconcile_run(state, key, listed);
         }
@@ -160,17 +156,18 @@
             // A run whose end is held counts as listed, so that the list shows
             // which runs are missing. Otherwise two workers could each hold an
             // end until the other one's list shows that a run is missing.
-            let ends = answer.ended.iter();
-            let ended = ends.map(|TaskEnd { end, .. }| (end.task, end.run));
-            let known: IndexSet<_> = listed.iter().copied().chain(ended).collect();
-            self.mark_vanished(key, sent_at, acked, &known);
-            self.mark_superseded_vanished(key, sent_at, &known);
+            let listed = ListedRuns::new(answer);
+            self.mark_vanished(key, sent_at, acked, &listed);
+            self.mark_superseded_vanished(key, sent_at, &listed);
             let is_kept = |since, number| {
                 sent_at < since || answer.ended.iter().any(|end| end.number == number)
             };
             self.abandon_unrecorded_ends(key, is_kept);
         }
-        self.release_strays(key, |task, run| listed.contains(&(task, run)));
+        self.release_strays(key, |task, run| {
+            let mut running = answer.running.iter();
+            running.any(|listed| (listed.task, listed.run) == (task, run))
+        });
         let has_strays = self.strays.keys().any(|(at, ..)| *at == key);
         let now = self.now;
         let worker = &mut self.workers[key];
@@ -341,7 +338,7 @@
         self.record_job_started(end.task.job());
         let worker = self.worker_name(key);
         self.log(Decision::Ended {
-            task: end.task.to_string().into(),
+            task: task_name(end.task),
             run: end.run.0,
             worker,
             kind: end.kind,
--- a/crates/cleat-jobs/src/schedule/speculation/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/mod.rs
@@ -25,6 +25,7 @@
 use super::timing::Timeliness;
 use super::worker::{WorkerState, millis};
 use super::{Decision, Scheduler};
+use crate::schedule::log_names::task_name;
 use crate::state::{ControlState, Job};
 use crate::{StepSpec, TaskId};
 use budget::Budgets;
@@ -210,7 +211,7 @@
             return;
         };
         let decision = Decision::CopyStarted {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: copy.run.0,
             worker: self.worker_name(copy.worker),
             earlier_run: earlier.run.0,
--- a/crates/cleat-jobs/src/schedule/speculation/superseded.rs
+++ b/crates/cleat-jobs/src/schedule/speculation/superseded.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use crate::collections::{IndexMap, IndexSet};
+use crate::collections::IndexMap;
 use crate::schedule::account::Charge;
 use crate::schedule::attempt::{Attempt, Phase};
 use crate::schedule::decision::{LossReason, StopReason};
 use crate::schedule::event::RunningTask;
+use crate::schedule::listed_runs::ListedRuns;
+use crate::schedule::log_names::task_name;
 use crate::schedule::orders::STOP_RETRY_DELAY;
 use crate::schedule::worker::WorkerKey;
 use crate::schedule::{Decision, Scheduler};
@@ -68,8 +70,7 @@
         if let Some(step) = self.steps.get_mut(&task.step) {
             step.pending.insert(task.index);
             step.store_checkpoint(task.index, checkpoint);
-            let pool = step.pool.clone();
-            self.mark_step_ready(task.step, pool);
+            self.mark_step_ready(task.step);
         }
     }
 
@@ -154,13 +155,6 @@
         known.is_some_and(|known| known.worker == key && known.run == run)
     }
 
-    /// Whether a superseded run of the task is on the worker, which can't run
-    /// the task twice.
-    pub(in crate::schedule) fn has_superseded_on(&self, key: WorkerKey, task: TaskId) -> bool {
-        let known = self.superseded.get(task);
-        known.is_some_and(|known| known.worker == key)
-    }
-
     /// Stops the superseded run of a task. Its capacity stays reserved until
     /// its worker lists the end.
     pub(in crate::schedule) fn stop_superseded(&mut self, task: TaskId, reason: StopReason) {
@@ -309,7 +303,7 @@
         self.insert_superseded(task, attempt);
         let worker = self.worker_name(key);
         self.log(Decision::Adopted {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: listed.run.0,
             worker,
         });
@@ -347,7 +341,7 @@
         &mut self,
         key: WorkerKey,
         requested_at: Duration,
-        listed: &IndexSet<(TaskId, Run)>,
+        listed: &ListedRuns,
     ) {
         let missing = |(task, run): &(TaskId, &Attempt)| {
             let due = match run.phase {
@@ -356,7 +350,7 @@
                 }
                 _ => false,
             };
-            due && !listed.contains(&(*task, run.run))
+            due && !listed.contains(*task, run.run)
         };
         let vanished = self.superseded.on(key).filter(missing);
         let vanished: Vec<TaskId> = vanished.map(|(task, _)| task).collect();
@@ -412,7 +406,7 @@
         };
         let is_stopping = matches!(attempt.phase, Phase::Stopping { .. });
         let decision = Decision::Lost {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: attempt.run.0,
             worker: self.worker_name(attempt.worker),
             reason,
@@ -433,7 +427,7 @@
             return;
         };
         if !std::mem::replace(&mut superseded.outcome_logged, true) {
-            let task = task.to_string().into();
+            let task = task_name(task);
             self.log(Decision::CopyEnded { task, won });
         }
     }
--- a/crates/cleat-jobs/src/schedule/speed/mod.rs
+++ b/crates/cleat-jobs/src/schedule/speed/mod.rs
@@ -169,8 +169,11 @@
             // The mean of `count` tasks deviates from that of the step as well.
             (residual - mean) * (count / (count + 1.0)).sqrt()
         });
-        let spread = self.spreads.entry(run.queue.name.clone()).or_default();
-        spread.observe(residual, within_step);
+        let queue = &run.queue.name;
+        if !self.spreads.contains_key(queue) {
+            self.spreads.insert(queue.clone(), QueueSpread::default());
+        }
+        self.spreads[queue].observe(residual, within_step);
         if peers.len() < MAX_PEERS {
             peers.push(RunResidual {
                 worker: run.worker,
--- a/crates/cleat-jobs/src/schedule/speed/placement.rs
+++ b/crates/cleat-jobs/src/schedule/speed/placement.rs
@@ -39,16 +39,16 @@
         if !self.cfg.features.worker_speed || self.speeds.workers.is_empty() {
             return SlowWorkers::default();
         }
-        let (slow, normal): (Vec<_>, Vec<_>) =
-            candidates.iter().partition(|key| self.is_slow(**key));
-        if slow.is_empty() || normal.is_empty() {
+        let slow_count = candidates.iter().filter(|key| self.is_slow(**key)).count();
+        if slow_count == 0 || slow_count == candidates.len() {
             return SlowWorkers::default();
         }
+        let slow = candidates.extract_if(.., |key| self.is_slow(*key));
+        let slow: Vec<WorkerKey> = slow.collect();
         let due = self.speeds.pools_with_slow_workers.swap_remove(pool);
-        let workers = normal.iter().map(|key| &self.workers[*key]);
+        let workers = candidates.iter().map(|key| &self.workers[*key]);
         let finite = workers.map(|worker| worker.tasks.len() - worker.long_running);
         let running_elsewhere = finite.sum();
-        *candidates = normal;
         SlowWorkers {
             keys: if due { slow } else { Vec::new() },
             running_elsewhere,
@@ -97,7 +97,8 @@
         let Some(index) = pending.find(|index| step.suspicion(*index).crashes == 0) else {
             return;
         };
-        self.place_tasks(id, job, spec, vec![index], &[key]);
+        // Whether the probe could start tells nothing about other workers.
+        let _ = self.place_task(id, index, job, spec, &[key]);
     }
 
     /// Starts the remaining tasks of a step, which fit on no other worker, on
--- a/crates/cleat-jobs/src/schedule/start.rs
+++ b/crates/cleat-jobs/src/schedule/start.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{Attempt, Phase};
 use super::event::{Order, TaskOrder};
+use super::log_names::task_name;
 use super::worker::{WorkerKey, millis};
 use super::{Decision, Scheduler};
 use crate::state::Job;
@@ -86,7 +87,7 @@
     ) {
         let worker = self.worker_name(key);
         self.log(Decision::Start {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: run.0,
             worker,
             free_cpu_milli: free.cpu_milli,
--- a/crates/cleat-jobs/src/schedule/step.rs
+++ b/crates/cleat-jobs/src/schedule/step.rs
@@ -293,8 +293,8 @@
             suspicions: IndexMap::default(),
             checkpoints: IndexMap::default(),
         };
-        self.mark_step_ready(id, step.pool.clone());
         self.steps.insert(id, Box::new(step));
+        self.mark_step_ready(id);
         self.job_steps.entry(id.job).or_default().push(id);
         self.update_suspicions(state, id);
     }
--- a/crates/cleat-jobs/src/schedule/takeover.rs
+++ b/crates/cleat-jobs/src/schedule/takeover.rs
@@ -9,6 +9,7 @@
 use super::account::Charge;
 use super::attempt::{Attempt, Phase};
 use super::event::RunningTask;
+use super::log_names::task_name;
 use super::loss::SILENT_AFTER;
 use super::step::ActiveStep;
 use super::worker::{Worker, WorkerKey, WorkerState};
@@ -196,7 +197,7 @@
         self.add_attempt(task, attempt);
         let worker = self.worker_name(key);
         self.log(Decision::Adopted {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: listed.run.0,
             worker,
         });
--- a/crates/cleat-jobs/src/schedule/timing.rs
+++ b/crates/cleat-jobs/src/schedule/timing.rs
@@ -86,8 +86,10 @@
 impl WorkloadStats {
     /// Records the duration of a completed task.
     pub(crate) fn observe_duration(&mut self, queue: &str, estimate_ms: u64, ran: Duration) {
-        let stats = self.queues.entry(queue.into()).or_default();
-        stats.durations.observe(estimate_ms, ran);
+        if !self.queues.contains_key(queue) {
+            self.queues.insert(queue.into(), QueueStats::default());
+        }
+        self.queues[queue].durations.observe(estimate_ms, ran);
     }
 
     /// The expected duration of a queue's task with this estimate.
--- a/crates/cleat-jobs/src/schedule/vanished.rs
+++ b/crates/cleat-jobs/src/schedule/vanished.rs
@@ -5,11 +5,12 @@
 
 use super::attempt::Phase;
 use super::decision::{LossReason, StopReason};
+use super::listed_runs::ListedRuns;
+use super::log_names::task_name;
 use super::worker::WorkerKey;
 use super::{Decision, Scheduler};
-use crate::collections::IndexSet;
+use crate::TaskId;
 use crate::state::TaskEnd;
-use crate::{Run, TaskId};
 
 impl Scheduler {
     /// Handles runs that are missing in a list that was requested after they
@@ -20,7 +21,7 @@
         key: WorkerKey,
         sent_at: Duration,
         acked: u64,
-        listed: &IndexSet<(TaskId, Run)>,
+        listed: &ListedRuns,
     ) {
         let missing = |task: &&TaskId| {
             let Some(attempt) = self.attempts.get(*task) else {
@@ -31,7 +32,7 @@
                 Phase::StopAnswered { at: since } | Phase::Unanswered { since } => since < sent_at,
                 _ => false,
             };
-            due && !listed.contains(&(**task, attempt.run))
+            due && !listed.contains(**task, attempt.run)
         };
         let tasks = self.workers[key].tasks.iter();
         let vanished: Vec<TaskId> = tasks.filter(missing).copied().collect();
@@ -53,7 +54,7 @@
         };
         let worker = &self.workers[attempt.worker];
         let decision = Decision::RunMissing {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: attempt.run.0,
             worker: worker.record.name.clone(),
             confirmed: matches!(attempt.phase, Phase::Running { .. }),
@@ -70,7 +71,7 @@
             return;
         };
         let decision = Decision::EndRenumbered {
-            task: listed.end.task.to_string().into(),
+            task: task_name(listed.end.task),
             run: listed.end.run.0,
             worker: self.worker_name(key),
             number: listed.number,
--- a/crates/cleat-jobs/src/schedule/worker.rs
+++ b/crates/cleat-jobs/src/schedule/worker.rs
@@ -465,6 +465,11 @@
         keys.map(|key| (*key, &self[*key]))
     }
 
+    /// The number of workers of a pool that are not removed.
+    pub(crate) fn count_in_pool(&self, pool: &str) -> usize {
+        self.by_pool.get(pool).map_or(0, IndexSet::len)
+    }
+
     /// The pools that have had workers.
     pub(crate) fn pools(&self) -> impl Iterator<Item = &str> {
         self.by_pool.keys().map(|pool| &**pool)
