--- a/crates/cleat-jobs/src/schedule/loss.rs
+++ b/crates/cleat-jobs/src/schedule/loss.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::decision::{LifeOver, LossReason};
+use super::log_names::task_name;
 use super::worker::{WorkerKey, WorkerState};
 use super::{Decision, Scheduler};
 use crate::TaskId;
@@ -143,6 +144,7 @@
         self.mark_all_lost(key, LossReason::WorkerGone);
         let name = self.worker_name(key);
         self.workers.remove(&name);
+        self.fleet_shrunk = true;
     }
 
     /// Marks the runs of a worker as lost whose end it has not listed.
@@ -170,7 +172,7 @@
         let key = attempt.worker;
         let worker = self.worker_name(key);
         self.log(Decision::Lost {
-            task: task.to_string().into(),
+            task: task_name(task),
             run: attempt.run.0,
             worker,
             reason,
--- a/crates/cleat-jobs/src/schedule/mod.rs
+++ b/crates/cleat-jobs/src/schedule/mod.rs
@@ -25,6 +25,8 @@
 mod heartbeat;
 mod held_ends;
 mod isolation;
+mod listed_runs;
+mod log_names;
 mod loss;
 mod orders;
 mod parked;
@@ -232,8 +234,13 @@
     machines: Machines,
     /// The sizes of all machines, as of the last tick.
     fleet_sizes: FleetSizes,
-    /// Whether machines or workers have changed since then.
+    /// Whether machines or workers were added or resized since then.
     fleet_changed: bool,
+    /// Whether the machines were listed since then.
+    fleet_listed: bool,
+    /// Whether a worker was removed since then. Its capacity counts until the next list,
+    /// which shows whether its machine is still there.
+    fleet_shrunk: bool,
     /// The workers that reported that their life ends now, until it is known to be over.
     departing: IndexSet<WorkerKey>,
     crashed_machines: CrashedMachines,
@@ -317,6 +324,8 @@
             machines: Machines::default(),
             fleet_sizes: FleetSizes::default(),
             fleet_changed: true,
+            fleet_listed: false,
+            fleet_shrunk: false,
             departing: IndexSet::default(),
             crashed_machines: CrashedMachines::default(),
             recent_failures: RecentFailures::default(),
@@ -361,6 +370,9 @@
     ) -> Vec<Effect> {
         self.now = self.now.max(now);
         let mut ticked = false;
+        let events = events.into_iter();
+        // Most events have about one effect.
+        self.effects.reserve(events.size_hint().0);
         for event in events {
             ticked |= matches!(event, Event::Tick { .. });
             self.handle_event(state, event);
@@ -415,7 +427,7 @@
 
     /// Records that a worker has confirmed the start of a task of the job.
     fn record_job_started(&mut self, id: JobId) {
-        if self.active_jobs.contains(&id) {
+        if !self.started_jobs.contains(&id) && self.active_jobs.contains(&id) {
             self.started_jobs.insert(id);
         }
     }
--- a/crates/cleat-jobs/src/schedule/renewal.rs
+++ b/crates/cleat-jobs/src/schedule/renewal.rs
@@ -5,9 +5,10 @@
 use super::attempt::Phase;
 use super::decision::{LifeOver, StopReason};
 use super::event::{RenewalAnswer, RenewalOrder, RunningTask};
+use super::listed_runs::ListedRuns;
+use super::log_names::task_name;
 use super::worker::{ClockReading, WorkerKey, WorkerState, millis};
 use super::{Decision, Effect, Scheduler};
-use crate::collections::IndexSet;
 use crate::state::{Command, ControlState, End, EndKind, TaskEnd};
 use crate::{Run, TaskId};
 
@@ -50,11 +51,8 @@
 impl Scheduler {
     /// Sends the renewals that are due.
     pub(super) fn send_renewals(&mut self) {
-        for key in self.workers.keys() {
-            let worker = &self.workers[key];
-            if !worker.renewing && worker.renewal_due <= self.now {
-                self.send_renewal(key);
-            }
+        for key in self.workers.take_due_renewals(self.now) {
+            self.send_renewal(key);
         }
     }
 
@@ -137,8 +135,8 @@
             return self.renewal_failed(worker, false);
         }
         if answer.fenced {
-            self.workers[key].renewing = false;
-            self.workers[key].renewal_due = self.now + RENEWAL_RETRY_DELAY;
+            self.workers
+                .schedule_renewal(key, self.now + RENEWAL_RETRY_DELAY);
             return self.effects.push(Effect::Fenced {
                 worker: worker.into(),
             });
@@ -150,11 +148,6 @@
         self.record_use(state, key);
         self.check_end_numbers(key, acked, &answer.ended);
         let has_held_ends = self.handle_ends(state, key, &answer.ended);
-        let listed: IndexSet<(TaskId, Run)> = answer
-            .running
-            .iter()
-            .map(|listed| (listed.task, listed.run))
-            .collect();
         for listed in &answer.running {
             self.reconcile_run(state, key, listed);
         }
@@ -163,17 +156,18 @@
             // A run whose end is held counts as listed, so that the list shows
             // which runs are missing. Otherwise two workers could each hold an
             // end until the other one's list shows that a run is missing.
-            let ends = answer.ended.iter();
-            let ended = ends.map(|TaskEnd { end, .. }| (end.task, end.run));
-            let known: IndexSet<_> = listed.iter().copied().chain(ended).collect();
-            self.mark_vanished(key, sent_at, acked, &known);
-            self.mark_superseded_vanished(key, sent_at, &known);
+            let listed = ListedRuns::new(answer);
+            self.mark_vanished(key, sent_at, acked, &listed);
+            self.mark_superseded_vanished(key, sent_at, &listed);
             let is_kept = |since, number| {
                 sent_at < since || answer.ended.iter().any(|end| end.number == number)
             };
             self.abandon_unrecorded_ends(key, is_kept);
         }
-        self.release_strays(key, |task, run| listed.contains(&(task, run)));
+        self.release_strays(key, |task, run| {
+            let mut running = answer.running.iter();
+            running.any(|listed| (listed.task, listed.run) == (task, run))
+        });
         let has_strays = self.strays.keys().any(|(at, ..)| *at == key);
         let now = self.now;
         let worker = &mut self.workers[key];
@@ -181,13 +175,12 @@
         // The owner does not know the tasks of held ends yet.
         worker.fully_listed |= !answer.more_ended && !has_held_ends;
         worker.last_acknowledged_end = worker.last_acknowledged_end.max(acked);
-        worker.renewing = false;
         // The next renewal waits until it can acknowledge the ends that are
         // being committed.
         if worker.last_proposed_end > worker.last_committed_end {
-            worker.renewal_due = now + MAX_COMMIT_WAIT;
+            self.workers.schedule_renewal(key, now + MAX_COMMIT_WAIT);
         } else if has_held_ends {
-            worker.renewal_due = now + HELD_END_DELAY;
+            self.workers.schedule_renewal(key, now + HELD_END_DELAY);
         } else {
             self.send_renewal(key);
         }
@@ -345,7 +338,7 @@
         self.record_job_started(end.task.job());
         let worker = self.worker_name(key);
         self.log(Decision::Ended {
-            task: end.task.to_string().into(),
+            task: task_name(end.task),
             run: end.run.0,
             worker,
             kind: end.kind,
@@ -414,23 +407,22 @@
         self.record_failed_renewal(key);
         let now = self.now;
         let worker = &mut self.workers[key];
-        worker.renewing = false;
         let first = worker.unanswered_since.is_none();
         worker.unanswered_since.get_or_insert(now);
-        worker.renewal_due = now
-            + match worker.state {
-                WorkerState::Lapsed => LAPSED_RETRY_DELAY,
-                _ if first => FIRST_RETRY_DELAY,
-                _ => RENEWAL_RETRY_DELAY,
-            };
+        let delay = match worker.state {
+            WorkerState::Lapsed => LAPSED_RETRY_DELAY,
+            _ if first => FIRST_RETRY_DELAY,
+            _ => RENEWAL_RETRY_DELAY,
+        };
+        self.workers.schedule_renewal(key, now + delay);
     }
 
     /// Sends a renewal at once to a worker that left the last one unanswered and has
     /// shown since that it runs: it may have ended what its lease would lose.
     pub(super) fn ask_if_unanswered(&mut self, key: WorkerKey) {
-        let worker = &mut self.workers[key];
+        let worker = &self.workers[key];
         if !worker.answers() && !worker.renewing {
-            worker.renewal_due = self.now;
+            self.workers.schedule_renewal(key, self.now);
             self.send_renewals();
         }
     }
@@ -438,9 +430,8 @@
     /// Handles a renewal that was not sent. It says nothing about the worker.
     pub(super) fn renewal_not_sent(&mut self, worker: &str) {
         if let Some(key) = self.workers.key(worker) {
-            let worker = &mut self.workers[key];
-            worker.renewing = false;
-            worker.renewal_due = self.now + UNSENT_RETRY_DELAY;
+            self.workers
+                .schedule_renewal(key, self.now + UNSENT_RETRY_DELAY);
         }
     }
 
