Read all sockets once more before a server stops

What callers see: a connection ends without an answer, though its request was sent before the instance was told to stop, or a connection that the system had accepted is reset.

Cause: a server that stops closes its listener and each connection without a request in progress. A thread that was busy has not read its sockets since, so it takes a connection with an unread request for an idle one.

Change: before it closes anything, the event loop reads all sockets once more and accepts what waits at the listener, in as many turns as a call has before it is given up (READ_TURNS).

--- a/crates/cleat-http/src/server.rs
+++ b/crates/cleat-http/src/server.rs
@@ -16,9 +16,10 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, yield_now};
 use tokio::time::sleep;
 
+use crate::time_limit::READ_TURNS;
 use crate::{Answer, ConnectionBudget};
 
 /// How long a client may take to send its header block.
@@ -129,6 +130,7 @@
             _ = stopping.changed() => break,
         }
     }
+    serve_arrived(&listener, &handler, &budget, &connections).await;
     drop(listener);
     if tokio::time::timeout(DRAIN_TIMEOUT, connections.shutdown())
         .await
@@ -138,6 +140,25 @@
     }
 }
 
+/// Accepts connections that were opened before the stop, and lets the others read what arrived
+/// before it: a thread that was busy has seen neither yet.
+async fn serve_arrived<H: Handler>(
+    listener: &TcpListener,
+    handler: &Arc<H>,
+    budget: &ConnectionBudget,
+    connections: &GracefulShutdown,
+) {
+    for _ in 0..READ_TURNS {
+        tokio::select! {
+            biased;
+            Ok((stream, _)) = listener.accept() => {
+                serve(stream, handler.clone(), budget, connections);
+            }
+            () = yield_now() => {}
+        }
+    }
+}
+
 fn serve<H: Handler>(
     stream: TcpStream,
     handler: Arc<H>,
--- a/crates/cleat-http/src/time_limit.rs
+++ b/crates/cleat-http/src/time_limit.rs
@@ -6,9 +6,10 @@
 use tokio::task::yield_now;
 use tokio::time::timeout;
 
-/// The number of turns in which the event loop reads from sockets before a call is given up:
-/// one in which the reply arrives, and more for a large reply, which arrives in parts.
-const READ_TURNS: usize = 8;
+/// The number of turns in which the event loop reads from sockets before a call is given up or
+/// a server stops: one in which a message arrives, and more for a large one, which arrives in
+/// parts.
+pub(crate) const READ_TURNS: usize = 8;
 
 /// Waits for the output of a call until its time limit; `None` if there is none.
 ///
