Let the least delay of start answers age

Found by the review of the window that follows the delay. The least delay of a data centre never rose within an ownership, so a network that becomes 25 ms slower passed for a queue for good: the window fell to 32 starts, 457 a second at 70 ms. And the answer to a start whose run had been adopted from a list of its worker in the meantime was measured from that moment, which could set a least delay near 0.

The least delay is that of the last 10 to 20 s, and only answers to starts that are still unconfirmed count.

window_follows_a_network_that_becomes_slower, without the ageing: "a window of 32 allows 457 starts a second". tests/order_delay.rs and tests/start_window.rs pass unchanged.

--- a/crates/cleat-jobs/src/schedule/start_window.rs
+++ b/crates/cleat-jobs/src/schedule/start_window/mod.rs
@@ -9,13 +9,17 @@
 //! An order that waits too long is given up, and its task is placed again. Its delay counts as
 //! well, so that an owner does not spend its processor time on orders that are given up.
 
+mod least_delay;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use super::Scheduler;
+use super::attempt::Phase;
 use super::event::{OrderAnswer, TaskOrder};
 use super::worker::millis;
+use least_delay::LeastDelay;
 
 /// The window of a new owner, in starts.
 const INITIAL_WINDOW: usize = 256;
@@ -24,8 +28,8 @@
 const MIN_WINDOW: usize = 32;
 /// The maximum window, in starts.
 const MAX_WINDOW: usize = 4_096;
-/// The excess delay above which the window shrinks. Half of the time that a start may take beside
-/// its run, as the call, the end and its commit take a part of that as well.
+/// The excess delay above which the window shrinks: half of `DISPATCH_OVERHEAD`, as the call, the
+/// end and its commit take a part of that as well.
 const MAX_EXCESS_DELAY: Duration = Duration::from_millis(25);
 /// The excess delay up to which a window that was full grows. Between the two it stays, with a
 /// queue that keeps the sender busy.
@@ -51,9 +55,9 @@
 pub(crate) struct StartWindow {
     limit: usize,
     unanswered: usize,
-    /// The least delay of an answer from each data centre in this ownership. It is the part of
-    /// the delay that does not come from a queue; data centres differ in it by their distance.
-    least_delays: IndexMap<Box<str>, Duration>,
+    /// The least recent delay of an answer from each data centre. It is the part of the delay
+    /// that does not come from a queue; data centres differ in it by their distance.
+    least_delays: IndexMap<Box<str>, LeastDelay>,
     /// When the last batch of answers ended. Answers to earlier starts show the earlier window.
     batch_began_at: Duration,
     /// The delays of the answers of this batch above the least ones.
@@ -99,7 +103,7 @@
     /// Adds the delay of an answer to the batch, and adapts the window after the last one.
     fn record_delay(&mut self, answer: StartAnswer<'_>, now: Duration) {
         let delay = now.saturating_sub(answer.decided_at);
-        let least = self.least_delay(answer, delay);
+        let least = self.least_delay(answer, delay, now);
         if answer.decided_at < self.batch_began_at {
             return;
         }
@@ -114,18 +118,22 @@
 
     /// The least delay of the answer's data centre. An order that was not answered can end
     /// sooner than any answer, so it sets none.
-    fn least_delay(&mut self, answer: StartAnswer<'_>, delay: Duration) -> Duration {
-        if let Some(least) = self.least_delays.get_mut(answer.data_centre) {
-            if answer.is_from_worker {
-                *least = delay.min(*least);
+    fn least_delay(&mut self, answer: StartAnswer<'_>, delay: Duration, now: Duration) -> Duration {
+        let known = self.least_delays.get_mut(answer.data_centre);
+        match known {
+            Some(least) => {
+                if answer.is_from_worker {
+                    least.add(now, delay);
+                }
+                least.get()
             }
-            return *least;
-        }
-        if answer.is_from_worker {
-            self.least_delays.insert(answer.data_centre.into(), delay);
-            return delay;
+            None if answer.is_from_worker => {
+                let least = LeastDelay::new(now, delay);
+                self.least_delays.insert(answer.data_centre.into(), least);
+                delay
+            }
+            None => Duration::ZERO,
         }
-        Duration::ZERO
     }
 
     fn adapt(&mut self) {
@@ -168,10 +176,13 @@
         }
     }
 
-    /// Records the delay of the answer, if the start's run is still known.
+    /// Records the delay of the answer, if the start's run is still known as such. A run that a
+    /// list of its worker confirmed in the meantime may count from then on.
     fn record_start_delay(&mut self, order: &TaskOrder, answer: OrderAnswer) {
         let attempt = self.attempts.get(&order.task);
-        let Some(attempt) = attempt.filter(|attempt| attempt.run == order.run) else {
+        let Some(attempt) =
+            attempt.filter(|attempt| attempt.run == order.run && attempt.phase == Phase::Starting)
+        else {
             return;
         };
         let answer = StartAnswer {
@@ -213,3 +224,6 @@
         (self.start_window.unanswered, self.start_window.limit)
     }
 }
+
+#[cfg(test)]
+mod tests;
