Give all connections their turns to read at a stop

Found by the review: connections that wait at the listener used up the turns in which all others read what had arrived, so from eight of them on nothing was read. They are accepted first now, 128 at most, and then all have their turns.

requests_on_many_connections_before_the_stop_are_answered failed before: no answer: "".

--- a/crates/cleat-http/src/server.rs
+++ b/crates/cleat-http/src/server.rs
@@ -1,7 +1,7 @@
 //! Accepting connections and stopping gracefully.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, ready};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +32,10 @@
 /// core and write a line each time. Callers wait this long at most.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// The number of connections that are still accepted at a stop: what a busy thread may have
+/// waiting at its listener.
+const MAX_LATE_ACCEPTS: usize = 128;
+
 /// Why a listener could not start.
 #[derive(Debug, Snafu)]
 pub enum ListenError {
@@ -140,23 +144,28 @@
     }
 }
 
-/// Accepts connections that were opened before the stop, and lets the others read what arrived
-/// before it: a thread that was busy has seen neither yet.
+/// Accepts connections that were opened before the stop, and lets all connections read what
+/// arrived before it: a thread that was busy has seen neither yet.
 async fn serve_arrived<H: Handler>(
     listener: &TcpListener,
     handler: &Arc<H>,
     budget: &ConnectionBudget,
     connections: &GracefulShutdown,
 ) {
-    for _ in 0..READ_TURNS {
+    // Resumes only after the event loop has asked the system for events.
+    yield_now().await;
+    for _ in 0..MAX_LATE_ACCEPTS {
         tokio::select! {
             biased;
             Ok((stream, _)) = listener.accept() => {
                 serve(stream, handler.clone(), budget, connections);
             }
-            () = yield_now() => {}
+            () = ready(()) => break,
         }
     }
+    for _ in 0..READ_TURNS {
+        yield_now().await;
+    }
 }
 
 fn serve<H: Handler>(
--- a/crates/cleat-http/tests/late_stop.rs
+++ b/crates/cleat-http/tests/late_stop.rs
@@ -76,3 +76,29 @@
     let response = read_response(&mut client).await;
     assert!(response.ends_with(RESPONSE_END), "no answer: {response:?}");
 }
+
+/// Guards against connections at the listener that use up the turns in which all others read.
+#[tokio::test]
+async fn requests_on_many_connections_before_the_stop_are_answered() {
+    const WAITING: usize = 20;
+    let listener = Listener::bind(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let address = listener.local_addr();
+    let mut kept = TcpStream::connect(address).unwrap();
+    kept.set_nonblocking(true).unwrap();
+    let server = listener.spawn(Arc::new(Paths));
+    kept.write_all(REQUEST).unwrap();
+    assert!(read_response(&mut kept).await.ends_with(RESPONSE_END));
+    kept.write_all(REQUEST).unwrap();
+    let connect = |_| TcpStream::connect(address).unwrap();
+    let mut clients: Vec<TcpStream> = (0..WAITING).map(connect).collect();
+    for client in &mut clients {
+        client.set_nonblocking(true).unwrap();
+        client.write_all(REQUEST).unwrap();
+    }
+    server.stop().await;
+    clients.push(kept);
+    for client in &mut clients {
+        let response = read_response(client).await;
+        assert!(response.ends_with(RESPONSE_END), "no answer: {response:?}");
+    }
+}
