--- a/crates/cleat-jobs/src/schedule/fleet/machine.rs
+++ b/crates/cleat-jobs/src/schedule/fleet/machine.rs
@@ -191,7 +191,8 @@
     pub(crate) heard_at: Option<Duration>,
     /// How long machines take to join each pool.
     pub(crate) joins: JoinTimes,
-    /// How often a machine was ordered, reserved or released, which changes the balances.
+    /// How often a machine was ordered, reserved or released while machines were moved, which
+    /// changes the balances.
     pub(crate) assignments: u64,
     /// What the machine plan decided since it was last logged.
     pub(crate) plan_report: PlanReport,
