--- a/crates/cleat-jobs/tests/order_delay.rs
+++ b/crates/cleat-jobs/tests/order_delay.rs
@@ -232,53 +232,51 @@
 
 const FULL_USE: usize = ORDERS_PER_STEP * STEPS_PER_SECOND;
 
-#[test]
-fn urgent_start_is_sent_soon_behind_a_full_queue() {
-    let mut sender = LimitedSender::new(all_near);
+/// Asserts how long urgent starts wait at workers with these distances, the longest of ten.
+fn assert_urgent_start_is_sent_soon(distance: fn(&str) -> Option<Duration>) {
+    let mut sender = LimitedSender::new(distance);
     sender.run(SETTLING_STEPS);
     let wait = (10_000..10_010).map(|id| sender.urgent_wait(id)).max();
     let wait = wait.expect("jobs were handed in");
     assert!(wait <= MAX_URGENT_WAIT, "an urgent start waits {wait:?}");
 }
 
+/// Asserts how much of the sender's rate is in use at workers with these distances.
+fn assert_sender_is_in_use(distance: fn(&str) -> Option<Duration>) {
+    let mut sender = LimitedSender::new(distance);
+    sender.run(SETTLING_STEPS);
+    let sent = sender.sent_in_a_second(|_| true);
+    let least = FULL_USE * MIN_USE_PERCENT / 100;
+    assert!(sent >= least, "{sent} of {FULL_USE} orders were sent");
+}
+
+#[test]
+fn urgent_start_is_sent_soon_behind_a_full_queue() {
+    assert_urgent_start_is_sent_soon(all_near);
+}
+
 /// A quarter of the answers take 40 ms longer by the distance alone.
 #[test]
 fn urgent_start_is_sent_soon_with_a_far_data_centre() {
-    let mut sender = LimitedSender::new(some_far);
-    sender.run(SETTLING_STEPS);
-    let wait = (10_000..10_010).map(|id| sender.urgent_wait(id)).max();
-    let wait = wait.expect("jobs were handed in");
-    assert!(wait <= MAX_URGENT_WAIT, "an urgent start waits {wait:?}");
+    assert_urgent_start_is_sent_soon(some_far);
 }
 
 /// A short queue must not leave the sender without orders.
 #[test]
 fn sender_is_in_use_while_there_is_work() {
-    let mut sender = LimitedSender::new(all_near);
-    sender.run(SETTLING_STEPS);
-    let sent = sender.sent_in_a_second(|_| true);
-    let least = FULL_USE * MIN_USE_PERCENT / 100;
-    assert!(sent >= least, "{sent} of {FULL_USE} orders were sent");
+    assert_sender_is_in_use(all_near);
 }
 
 /// The distance to workers must not pass for a queue.
 #[test]
 fn sender_is_in_use_with_a_far_data_centre() {
-    let mut sender = LimitedSender::new(some_far);
-    sender.run(SETTLING_STEPS);
-    let sent = sender.sent_in_a_second(|_| true);
-    let least = FULL_USE * MIN_USE_PERCENT / 100;
-    assert!(sent >= least, "{sent} of {FULL_USE} orders were sent");
+    assert_sender_is_in_use(some_far);
 }
 
 /// Late answers of some workers must not pass for a queue.
 #[test]
 fn sender_is_in_use_with_slow_workers() {
-    let mut sender = LimitedSender::new(some_far_some_slow);
-    sender.run(SETTLING_STEPS);
-    let sent = sender.sent_in_a_second(|_| true);
-    let least = FULL_USE * MIN_USE_PERCENT / 100;
-    assert!(sent >= least, "{sent} of {FULL_USE} orders were sent");
+    assert_sender_is_in_use(some_far_some_slow);
 }
 
 /// Starts without an answer must not hold back those for workers that answer. These would get
